Lay out the workspace and the messages between systems

Cause: nothing stands yet. Packages for kernel, node, client, stand-ins and load tool, pinned requirements, formatter, linter, layer contracts and the protocols that the parts are built to.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := kernel client node standins load
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
+
+.PHONY: demo test lint format check setup
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m chiveridge_load.demos
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/black --quiet --check packages tests
+	$(BIN)/ruff check --quiet packages tests
+	$(BIN)/lint-imports --no-cache
+
+format: $(STAMP)
+	$(BIN)/black --quiet packages tests
+	$(BIN)/ruff check --quiet --fix packages tests
+
+check: lint test
--- /dev/null
+++ b/packages/client/chiveridge_client/__init__.py
@@ -0,0 +1,1 @@
+"""Client library and command line for callers and operators."""
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/errors.py
@@ -0,0 +1,25 @@
+"""Exceptions of the kernel."""
+
+from chiveridge_kernel import results
+
+
+class ChiveridgeError(Exception):
+    """Base of every error this project raises on purpose."""
+
+
+class RefusedError(ChiveridgeError):
+    """A request is refused and nothing of it was started."""
+
+    def __init__(self, code: results.ResultCode, message: str, retry_after_ms: int | None = None):
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.retry_after_ms = retry_after_ms
+
+
+class SelectorError(ChiveridgeError):
+    """A label selector cannot be parsed."""
+
+
+class RecordError(ChiveridgeError):
+    """A record of the platform's log is not a valid configuration change."""
--- /dev/null
+++ b/packages/load/chiveridge_load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, reports and benchmarks."""
--- /dev/null
+++ b/packages/node/chiveridge_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node process: adapters around the kernel on one asyncio loop."""
