--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -0,0 +1,51 @@
+"""Actions that the kernel asks its surroundings to perform."""
+
+import datetime
+
+import msgspec
+
+from chiveridge_kernel import configurations, identifiers, messages, vms
+
+
+class StartTask(msgspec.Struct, frozen=True, kw_only=True):
+    """Start a task on a target; it must not be sent at or after ``start_before``."""
+
+    lease_id: identifiers.LeaseId
+    target: vms.Vm
+    team: identifiers.TeamName
+    body: bytes
+    start_before: datetime.datetime
+
+
+class AskOutcome(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask a target over a new connection what became of a start, after ``delay``."""
+
+    lease_id: identifiers.LeaseId
+    target: vms.Vm
+    delay: datetime.timedelta = datetime.timedelta()
+
+
+class StopTask(msgspec.Struct, frozen=True, kw_only=True):
+    """Stop a task whose result is no longer wanted."""
+
+    lease_id: identifiers.LeaseId
+    target: vms.Vm
+
+
+class AnswerJob(msgspec.Struct, frozen=True, kw_only=True):
+    """Give a job's final answer to whoever waits for it."""
+
+    answer: messages.JobAnswer
+
+
+class NoteChange(msgspec.Struct, frozen=True, kw_only=True):
+    """Write the verdict on a configuration record to the audit trail."""
+
+    result: configurations.ChangeResult
+
+
+class Exit(msgspec.Struct, frozen=True):
+    """The drain is done; the process may exit."""
+
+
+Action = StartTask | AskOutcome | StopTask | AnswerJob | NoteChange | Exit
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -0,0 +1,287 @@
+"""The life of jobs: admission, starts, outcomes, deadlines and final answers."""
+
+import datetime
+import heapq
+import random
+from collections.abc import Callable, Sequence
+
+from chiveridge_kernel import (
+    actions,
+    clocks,
+    errors,
+    events,
+    identifiers,
+    jobs,
+    messages,
+    placements,
+    reaches,
+    results,
+    targets,
+    vms,
+)
+
+START_WINDOW = datetime.timedelta(seconds=2)
+MAX_OUTCOME_ASKS = 5
+OUTCOME_ASK_DELAY = datetime.timedelta(milliseconds=200)
+RETRY_AFTER_MS = 1000
+
+_OUTCOME_UNKNOWN_MESSAGE = "the outcome of a start is unknown; nothing more of this job will start"
+
+
+class Dispatcher:
+    """Runs the jobs of one node; actions are appended to ``outbox``.
+
+    Implements :class:`placements.Starter` for the placement policy.
+    """
+
+    def __init__(
+        self,
+        reach: reaches.Reach,
+        target_table: targets.TargetTable,
+        rng: random.Random,
+        policy_name: str,
+        incarnation: identifiers.Incarnation,
+    ):
+        self.rng = rng
+        self.in_flight_by_target: dict[str, int] = {}
+        self.jobs_by_id: dict[identifiers.SubmissionId, jobs.Job] = {}
+        self.outbox: list[actions.Action] = []
+        self._reach = reach
+        self._target_table = target_table
+        self._incarnation = incarnation
+        self._tasks_by_lease: dict[identifiers.LeaseId, jobs.Task] = {}
+        self._deadlines: list[tuple[datetime.datetime, identifiers.SubmissionId]] = []
+        self._usable_by_fitting: dict[int, tuple[Sequence[vms.Vm], Sequence[vms.Vm]]] = {}
+        self._usable_version = -1
+        self._lease_serial = 0
+        self.policy = placements.create(policy_name, self)
+
+    def admit(self, event: events.SubmissionReceived, now: datetime.datetime) -> None:
+        """Admit a job and place its tasks.
+
+        :raises errors.RefusedError: when it can never run or no approved target is usable now.
+        """
+        candidates = self._reach.candidates(event.team, event.submission.selector)
+        job = jobs.Job(event.team, event.submission, candidates, now)
+        self._check_runnable(job)
+        self.jobs_by_id[job.submission_id] = job
+        heapq.heappush(self._deadlines, (job.deadline, job.submission_id))
+        self.policy.job_waiting(job, now)
+
+    def start(self, task: jobs.Task, vm: vms.Vm, now: datetime.datetime) -> None:
+        """Start a waiting task on a target."""
+        job = task.job
+        task.signal(jobs.TaskSignal.START)
+        job.waiting.remove(task)
+        self._lease_serial += 1
+        task.lease_id = identifiers.LeaseId(f"{self._incarnation}-{self._lease_serial}")
+        task.target = vm
+        task.attempts += 1
+        task.started_at = now
+        task.start_before = min(job.deadline, now + START_WINDOW)
+        if job.first_start_at is None:
+            job.first_start_at = now
+        self._tasks_by_lease[task.lease_id] = task
+        self.in_flight_by_target[vm.name] = self.in_flight_by_target.get(vm.name, 0) + 1
+        self.outbox.append(
+            actions.StartTask(
+                lease_id=task.lease_id,
+                target=vm,
+                team=job.team,
+                body=bytes(task.spec.body),
+                start_before=task.start_before,
+            )
+        )
+
+    def usable(self, job: jobs.Job, task: jobs.Task) -> Sequence[vms.Vm]:
+        """Return the targets that may be sent the task now."""
+        if self._usable_version != self._target_table.version:
+            self._usable_by_fitting.clear()
+            self._usable_version = self._target_table.version
+        fitting = job.candidates.fitting(task.spec)
+        # The key is an identity, so the entry keeps the object alive.
+        entry = self._usable_by_fitting.get(id(fitting))
+        if entry is None:
+            found = [vm for vm in fitting if self._target_table.is_usable(vm.name)]
+            entry = (fitting, found)
+            self._usable_by_fitting[id(fitting)] = entry
+        return entry[1]
+
+    def report(self, event: events.LeaseReported, now: datetime.datetime) -> None:
+        """Handle what a target or a connection told about a start."""
+        task = self._tasks_by_lease.get(event.lease_id)
+        if task is not None:
+            _HANDLERS_BY_OUTCOME[event.outcome](self, task, event, now)
+
+    def cancel(self, submission_id: identifiers.SubmissionId, now: datetime.datetime) -> None:
+        """Cancel a running job; one that has ended keeps its answer."""
+        job = self.jobs_by_id.get(submission_id)
+        if job is not None:
+            self.fail(job, results.ResultCode.CANCELLED, "the caller cancelled the job", now)
+
+    def fail(
+        self, job: jobs.Job, code: results.ResultCode, message: str, now: datetime.datetime
+    ) -> None:
+        """End a job as failed: start nothing more of it and stop what runs."""
+        for task in list(job.waiting):
+            task.signal(jobs.TaskSignal.GIVE_UP)
+        job.waiting.clear()
+        for task in job.running_tasks():
+            self.outbox.append(actions.StopTask(lease_id=task.lease_id, target=task.target))
+            self._release(task, now)
+            task.signal(jobs.TaskSignal.GIVE_UP)
+        self._end(job, results.JobState.FAILED, code, message, now)
+
+    def expire(self, now: datetime.datetime) -> None:
+        """Fail the jobs whose deadline has passed."""
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, submission_id = heapq.heappop(self._deadlines)
+            job = self.jobs_by_id.get(submission_id)
+            if job is not None:
+                message = "the deadline passed before every task had ended"
+                self.fail(job, results.ResultCode.DEADLINE_EXCEEDED, message, now)
+
+    def next_deadline(self) -> datetime.datetime | None:
+        """Return the earliest deadline that may still matter."""
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def place_waiting(self, now: datetime.datetime) -> None:
+        """Offer the waiting tasks of every job to the policy again."""
+        for job in list(self.jobs_by_id.values()):
+            if job.waiting:
+                self.policy.job_waiting(job, now)
+
+    def _check_runnable(self, job: jobs.Job) -> None:
+        any_usable = False
+        for task in job.tasks:
+            if not job.candidates.fitting(task.spec):
+                message = f"tasks[{task.index}]: its declared needs fit no target it may run on"
+                raise errors.RefusedError(results.ResultCode.NEVER_RUNNABLE, message)
+            any_usable = any_usable or bool(self.usable(job, task))
+        if not any_usable:
+            message = "every target that the team may use is leaving or unreachable"
+            raise errors.RefusedError(results.ResultCode.OVERLOADED, message, RETRY_AFTER_MS)
+
+    def _succeed(
+        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
+    ) -> None:
+        self._finish(task, event, jobs.TaskSignal.SUCCEED, now)
+        job = task.job
+        if job.unfinished == 0:
+            self._end(job, results.JobState.COMPLETE, results.ResultCode.COMPLETE, "", now)
+
+    def _task_failed(
+        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
+    ) -> None:
+        self._finish(task, event, jobs.TaskSignal.FAIL, now)
+        message = f"tasks[{task.index}] {event.outcome.value} on {task.target.name}: {event.reason}"
+        self.fail(task.job, results.ResultCode.TASK_FAILED, message, now)
+
+    def _not_started(
+        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
+    ) -> None:
+        vm = task.target
+        self._release(task, now)
+        task.signal(jobs.TaskSignal.NOT_STARTED)
+        task.target = None
+        job = task.job
+        job.waiting.append(task)
+        until = now + _BACKOFFS_BY_REASON.get(event.reason, targets.UNREACHABLE_BACKOFF)
+        self._target_table.avoid(vm.name, until)
+        if job.deadline <= now:
+            self.expire(now)
+        else:
+            self.policy.job_waiting(job, now)
+
+    def _lost(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
+        until = now + targets.UNREACHABLE_BACKOFF
+        self._target_table.avoid(task.target.name, until)
+        task.lost_asks += 1
+        if task.lost_asks > MAX_OUTCOME_ASKS:
+            self._give_up(task, now)
+            return
+        delay = OUTCOME_ASK_DELAY * (task.lost_asks - 1)
+        self.outbox.append(
+            actions.AskOutcome(lease_id=task.lease_id, target=task.target, delay=delay)
+        )
+
+    def _still_running(
+        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
+    ) -> None:
+        task.lost_asks = 0
+        self.outbox.append(actions.AskOutcome(lease_id=task.lease_id, target=task.target))
+
+    def _unseen(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
+        self._give_up(task, now)
+
+    def _give_up(self, task: jobs.Task, now: datetime.datetime) -> None:
+        self._release(task, now)
+        task.signal(jobs.TaskSignal.LOSE)
+        message = f"tasks[{task.index}] on {task.target.name}: {_OUTCOME_UNKNOWN_MESSAGE}"
+        self.fail(task.job, results.ResultCode.OUTCOME_UNKNOWN, message, now)
+
+    def _finish(
+        self,
+        task: jobs.Task,
+        event: events.LeaseReported,
+        signal: jobs.TaskSignal,
+        now: datetime.datetime,
+    ) -> None:
+        task.signal(signal)
+        task.run_ms = event.run_ms
+        task.result = event.result
+        task.reason = event.reason
+        task.job.unfinished -= 1
+        self._release(task, now)
+
+    def _release(self, task: jobs.Task, now: datetime.datetime) -> None:
+        del self._tasks_by_lease[task.lease_id]
+        name = task.target.name
+        self.in_flight_by_target[name] -= 1
+        if not self.in_flight_by_target[name]:
+            del self.in_flight_by_target[name]
+        self.policy.start_ended(task, task.target, now)
+
+    def _end(
+        self,
+        job: jobs.Job,
+        state: results.JobState,
+        code: results.ResultCode,
+        message: str,
+        now: datetime.datetime,
+    ) -> None:
+        del self.jobs_by_id[job.submission_id]
+        job.ended = True
+        queued = (job.first_start_at or now) - job.arrived_at
+        answer = messages.JobAnswer(
+            submission_id=job.submission_id,
+            state=state,
+            code=code,
+            name=code.name,
+            message=message,
+            may_resubmit=state is results.JobState.FAILED and (job.idempotent or job.nothing_ran()),
+            queued_ms=clocks.to_ms(queued),
+            elapsed_ms=clocks.to_ms(now - job.arrived_at),
+            tasks=[task.answer() for task in job.tasks],
+        )
+        self.outbox.append(actions.AnswerJob(answer=answer))
+        self.policy.job_ended(job, now)
+
+
+_Handler = Callable[[Dispatcher, jobs.Task, events.LeaseReported, datetime.datetime], None]
+
+_HANDLERS_BY_OUTCOME: dict[events.LeaseOutcome, _Handler] = {
+    events.LeaseOutcome.SUCCEEDED: Dispatcher._succeed,
+    events.LeaseOutcome.FAILED: Dispatcher._task_failed,
+    events.LeaseOutcome.STOPPED: Dispatcher._task_failed,
+    events.LeaseOutcome.RUNNING: Dispatcher._still_running,
+    events.LeaseOutcome.NOT_STARTED: Dispatcher._not_started,
+    events.LeaseOutcome.REFUSED: Dispatcher._not_started,
+    events.LeaseOutcome.UNSEEN: Dispatcher._unseen,
+    events.LeaseOutcome.LOST: Dispatcher._lost,
+}
+
+_BACKOFFS_BY_REASON = {
+    "busy": targets.BUSY_BACKOFF,
+    "leaving": targets.LEAVING_EVIDENCE_LIFETIME,
+}
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -0,0 +1,84 @@
+"""Events that the kernel handles."""
+
+import enum
+
+import msgspec
+
+from chiveridge_kernel import identifiers, messages, vms
+
+
+class LeaseOutcome(enum.Enum):
+    """What is known of a start.
+
+    ``LOST`` means that the connection failed after the request may have been sent;
+    ``REFUSED`` means that nothing was sent.
+    """
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    RUNNING = "running"
+    NOT_STARTED = "not_started"
+    UNSEEN = "unseen"
+    LOST = "lost"
+    REFUSED = "refused"
+
+
+class SubmissionReceived(msgspec.Struct, frozen=True, kw_only=True):
+    """A checked submission for this node; ``digest`` identifies its content."""
+
+    team: identifiers.TeamName
+    submission: messages.Submission
+    digest: bytes
+
+
+class CancelReceived(msgspec.Struct, frozen=True, kw_only=True):
+    """The caller cancels a job."""
+
+    submission_id: identifiers.SubmissionId
+
+
+class LeaseReported(msgspec.Struct, frozen=True, kw_only=True):
+    """A target, or the connection to it, told the outcome of a start.
+
+    ``run_ms`` is the time the task ran, ``busy`` the slots in use at the target, or None
+    when the target did not say.
+    """
+
+    lease_id: identifiers.LeaseId
+    outcome: LeaseOutcome
+    run_ms: float = 0.0
+    result: msgspec.Raw = msgspec.Raw(b"null")
+    reason: str = ""
+    busy: int | None = None
+
+
+class RecordsRead(msgspec.Struct, frozen=True, kw_only=True):
+    """Records of the configuration stream, as pairs of offset and decoded JSON value."""
+
+    records: list[tuple[identifiers.Offset, object]]
+
+
+class VmsListed(msgspec.Struct, frozen=True, kw_only=True):
+    """The platform's list of VMs was read."""
+
+    listing: vms.VmList
+
+
+class Ticked(msgspec.Struct, frozen=True):
+    """Time has passed; due deadlines are handled."""
+
+
+class DrainRequested(msgspec.Struct, frozen=True):
+    """The process was asked to stop."""
+
+
+Event = (
+    SubmissionReceived
+    | CancelReceived
+    | LeaseReported
+    | RecordsRead
+    | VmsListed
+    | Ticked
+    | DrainRequested
+)
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/placements.py
@@ -0,0 +1,126 @@
+"""Placement policies: which target a waiting task is started on.
+
+A policy registers itself under its name with :func:`register`; settings select it.
+"""
+
+import datetime
+import random
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from chiveridge_kernel import errors, jobs, vms
+
+
+class Starter(Protocol):
+    """What a policy may do: start a task, and see starts in progress and usable targets."""
+
+    rng: random.Random
+    in_flight_by_target: dict[str, int]
+
+    def start(self, task: jobs.Task, vm: vms.Vm, now: datetime.datetime) -> None:
+        """Start a waiting task on a target."""
+        ...
+
+    def usable(self, job: jobs.Job, task: jobs.Task) -> Sequence[vms.Vm]:
+        """Return the targets that may be sent the task now."""
+        ...
+
+
+class Policy:
+    """Base of placement policies; the defaults ignore what they are told."""
+
+    def __init__(self, starter: Starter):
+        self.starter = starter
+
+    def job_waiting(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Place the waiting tasks of a job, now or when targets free up."""
+        raise NotImplementedError
+
+    def start_ended(self, task: jobs.Task, vm: vms.Vm, now: datetime.datetime) -> None:
+        """Learn that a start on a target has ended in any way."""
+
+    def job_ended(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Learn that a job no longer waits for anything."""
+
+    def ticked(self, now: datetime.datetime) -> None:
+        """Learn that time has passed."""
+
+
+_policies_by_name: dict[str, type[Policy]] = {}
+
+
+def register(name: str) -> Callable[[type[Policy]], type[Policy]]:
+    """Return a decorator that makes a policy selectable under a name."""
+
+    def add(policy: type[Policy]) -> type[Policy]:
+        _policies_by_name[name] = policy
+        return policy
+
+    return add
+
+
+def names() -> list[str]:
+    """Return the names of the registered policies."""
+    return sorted(_policies_by_name)
+
+
+def create(name: str, starter: Starter) -> Policy:
+    """Create the policy of a name.
+
+    :raises errors.ChiveridgeError: when no policy has the name.
+    """
+    if name not in _policies_by_name:
+        raise errors.ChiveridgeError(f"placement policy {name!r} is not one of {names()}")
+    return _policies_by_name[name](starter)
+
+
+class ImmediatePolicy(Policy):
+    """Base of policies that send every task at once and leave the queueing to the targets."""
+
+    def choose(self, found: Sequence[vms.Vm]) -> vms.Vm:
+        """Choose one of the usable targets."""
+        raise NotImplementedError
+
+    def job_waiting(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Start every waiting task that has a usable target."""
+        for task in list(job.waiting):
+            found = self.starter.usable(job, task)
+            if found:
+                self.starter.start(task, self.choose(found), now)
+
+
+@register("random")
+class RandomPolicy(ImmediatePolicy):
+    """Uniform choice."""
+
+    def choose(self, found: Sequence[vms.Vm]) -> vms.Vm:
+        """Choose with equal chances."""
+        return self.starter.rng.choice(found)
+
+
+@register("round_robin")
+class RoundRobinPolicy(ImmediatePolicy):
+    """One after the other."""
+
+    def __init__(self, starter: Starter):
+        super().__init__(starter)
+        self._turn = 0
+
+    def choose(self, found: Sequence[vms.Vm]) -> vms.Vm:
+        """Choose the next in turn."""
+        self._turn += 1
+        return found[self._turn % len(found)]
+
+
+@register("power_of_two")
+class PowerOfTwoPolicy(ImmediatePolicy):
+    """The less loaded of two random targets, by this node's own starts in progress."""
+
+    def choose(self, found: Sequence[vms.Vm]) -> vms.Vm:
+        """Draw two and choose the one with fewer starts in progress."""
+        first = self.starter.rng.choice(found)
+        second = self.starter.rng.choice(found)
+        counts = self.starter.in_flight_by_target
+        if counts.get(second.name, 0) < counts.get(first.name, 0):
+            return second
+        return first
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/submissions.py
@@ -0,0 +1,96 @@
+"""Submission ids: issued by one incarnation of a node, signed, and limited in time.
+
+Only the incarnation that issued an id may start its job, and it remembers in memory which
+ids were used until they expire. See ``docs/design/at-most-once.md``.
+"""
+
+import datetime
+import hashlib
+import hmac
+
+import msgspec
+
+from chiveridge_kernel import clocks, errors, identifiers, results
+
+ID_LIFETIME = datetime.timedelta(minutes=10)
+_SEPARATOR = "~"
+_MAC_BYTES = 12
+
+
+class IssuedId(msgspec.Struct, frozen=True):
+    """The readable parts of a submission id."""
+
+    node: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    expires_at_ms: int
+    serial: int
+    mac: str
+
+
+class Issuer:
+    """Issues ids of one incarnation and verifies them.
+
+    ``secret`` is drawn at boot and never leaves the process.
+    """
+
+    def __init__(
+        self,
+        node: identifiers.NodeName,
+        incarnation: identifiers.Incarnation,
+        secret: bytes,
+        lifetime: datetime.timedelta = ID_LIFETIME,
+    ):
+        self._node = node
+        self._incarnation = incarnation
+        self._secret = secret
+        self._lifetime = lifetime
+        self._serial = 0
+
+    def issue(
+        self, team: identifiers.TeamName, count: int, now: datetime.datetime
+    ) -> tuple[list[identifiers.SubmissionId], int]:
+        """Return new ids for a team and their expiry in milliseconds since the epoch."""
+        expires_at_ms = clocks.to_epoch_ms(now + self._lifetime)
+        return [self._issue_one(team, expires_at_ms) for _ in range(count)], expires_at_ms
+
+    def verify(self, submission_id: identifiers.SubmissionId, team: identifiers.TeamName) -> bool:
+        """Tell whether this incarnation issued the id to the team."""
+        issued = parse(submission_id)
+        if issued.incarnation != self._incarnation:
+            return False
+        expected = self._mac(team, issued.expires_at_ms, issued.serial)
+        return hmac.compare_digest(expected, issued.mac)
+
+    def _issue_one(
+        self, team: identifiers.TeamName, expires_at_ms: int
+    ) -> identifiers.SubmissionId:
+        self._serial += 1
+        mac = self._mac(team, expires_at_ms, self._serial)
+        parts = (self._node, self._incarnation, str(expires_at_ms), str(self._serial), mac)
+        return identifiers.SubmissionId(_SEPARATOR.join(parts))
+
+    def _mac(self, team: identifiers.TeamName, expires_at_ms: int, serial: int) -> str:
+        text = f"{team}{_SEPARATOR}{expires_at_ms}{_SEPARATOR}{serial}"
+        digest = hashlib.blake2b(text.encode(), key=self._secret, digest_size=_MAC_BYTES)
+        return digest.hexdigest()
+
+
+def parse(submission_id: str) -> IssuedId:
+    """Split a submission id into its parts.
+
+    :raises errors.RefusedError: when it does not have the form of a submission id.
+    """
+    try:
+        node, incarnation, expires_at_ms, serial, mac = submission_id.split(_SEPARATOR)
+        if not expires_at_ms.isdecimal() or not serial.isdecimal() or not mac.isascii():
+            raise ValueError(submission_id)
+        return IssuedId(
+            identifiers.NodeName(node),
+            identifiers.Incarnation(incarnation),
+            int(expires_at_ms),
+            int(serial),
+            mac,
+        )
+    except ValueError as error:
+        message = f"submission_id: {submission_id!r} is not a submission id"
+        raise errors.RefusedError(results.ResultCode.UNKNOWN_SUBMISSION, message) from error
--- /dev/null
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -0,0 +1,227 @@
+"""Serves callers over HTTP with falcon on uvicorn."""
+
+import asyncio
+import contextlib
+import math
+import socket
+
+import falcon
+import falcon.asgi
+import msgspec
+import prometheus_client
+import uvicorn
+
+from chiveridge_kernel import errors, identifiers, messages, peers, results
+from chiveridge_node import logevents, plugins, requests
+
+LISTEN_BACKLOG = 2048
+GRACEFUL_EXIT_SECONDS = 5
+
+_HTTP_STATUS_BY_CODE = {
+    results.ResultCode.ACCEPTED: 202,
+    results.ResultCode.TOO_LARGE: 413,
+    results.ResultCode.BAD_CREDENTIALS: 401,
+    results.ResultCode.UNKNOWN_SUBMISSION: 404,
+    results.ResultCode.NO_SUCH_PAGE: 404,
+    results.ResultCode.SUBMISSION_ID_REUSED: 409,
+    results.ResultCode.QUOTA_EXCEEDED: 429,
+    results.ResultCode.INTERNAL_ERROR: 500,
+}
+_HTTP_STATUS_BY_CLASS = {0: 200, 1: 400, 2: 403, 3: 503, 4: 200}
+
+
+def http_status(code: results.ResultCode) -> int:
+    """Return the HTTP status for a result code; a failed job is a successful reply."""
+    return _HTTP_STATUS_BY_CODE.get(code, _HTTP_STATUS_BY_CLASS[code // 1000])
+
+
+class _IdsResource:
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
+    async def on_post(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        team = self._http.authenticate(req)
+        _write(resp, self._http.requests.issue_ids(team, await _read_body(req)))
+
+
+class _JobsResource:
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
+    async def on_post(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        team = self._http.authenticate(req)
+        body = await _read_body(req)
+        submission_id = messages.decode_submission(body).submission_id
+        reply = await self._http.requests.perform(
+            peers.Operation.SUBMIT, team, submission_id, body, _wait_ms(req)
+        )
+        _write(resp, reply)
+
+
+class _JobResource:
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, submission_id: str
+    ) -> None:
+        await self._perform(peers.Operation.ASK, req, resp, submission_id)
+
+    async def on_delete(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, submission_id: str
+    ) -> None:
+        await self._perform(peers.Operation.CANCEL, req, resp, submission_id)
+
+    async def _perform(self, operation, req, resp, submission_id: str) -> None:
+        team = self._http.authenticate(req)
+        reply = await self._http.requests.perform(
+            operation, team, submission_id, wait_ms=_wait_ms(req)
+        )
+        _write(resp, reply)
+
+
+class _HealthResource:
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        resp.text = "ok\n"
+
+
+class _ReadyResource:
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        ready = self._http.node.kernel.is_ready()
+        resp.status = 200 if ready else 503
+        resp.text = "ready\n" if ready else "not ready\n"
+
+
+class _MetricsResource:
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        resp.content_type = prometheus_client.CONTENT_TYPE_LATEST
+        resp.data = prometheus_client.generate_latest()
+
+
+class _StatusResource:
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        resp.content_type = falcon.MEDIA_JSON
+        resp.data = msgspec.json.encode(self._http.node.status())
+
+
+class _Server(uvicorn.Server):
+    """Leaves signals to the node."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+
+class HttpCallers:
+    """The callers' port."""
+
+    def __init__(self, node):
+        self.node = node
+        self.requests: requests.Requests = node.requests
+        self.port = 0
+        self._server: _Server | None = None
+        self._task: asyncio.Task | None = None
+
+    async def open(self) -> None:
+        """Bind the port and begin to serve."""
+        section = self.node.settings.node
+        listener = socket.create_server(
+            (section.address, section.caller_port), backlog=LISTEN_BACKLOG
+        )
+        self.port = listener.getsockname()[1]
+        config = uvicorn.Config(
+            self._app(),
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            access_log=False,
+            log_config=None,
+            timeout_graceful_shutdown=GRACEFUL_EXIT_SECONDS,
+        )
+        self._server = _Server(config)
+        serving = self._server.serve(sockets=[listener])
+        self._task = asyncio.get_running_loop().create_task(serving)
+
+    async def close(self) -> None:
+        """Finish the replies in progress and close the port."""
+        self._server.should_exit = True
+        await self._task
+
+    def authenticate(self, req: falcon.asgi.Request) -> identifiers.TeamName:
+        """Return the calling team.
+
+        :raises errors.RefusedError: when the credential is missing or wrong.
+        """
+        scheme, _, credential = (req.auth or "").partition(" ")
+        team = self.node.kernel.configuration.authenticate(credential.strip())
+        if scheme.lower() != "bearer" or team is None:
+            message = "Authorization: no team has this key"
+            raise errors.RefusedError(results.ResultCode.BAD_CREDENTIALS, message)
+        return team
+
+    def _app(self) -> falcon.asgi.App:
+        app = falcon.asgi.App()
+        app.add_route("/v1/submission-ids", _IdsResource(self))
+        app.add_route("/v1/jobs", _JobsResource(self))
+        app.add_route("/v1/jobs/{submission_id}", _JobResource(self))
+        app.add_route("/v1/status", _StatusResource(self))
+        app.add_route("/healthz", _HealthResource())
+        app.add_route("/readyz", _ReadyResource(self))
+        app.add_route("/metrics", _MetricsResource())
+        app.add_error_handler(errors.RefusedError, _refuse)
+        app.add_error_handler(falcon.HTTPError, _refuse_http)
+        app.add_error_handler(Exception, _fail)
+        return app
+
+
+async def _read_body(req: falcon.asgi.Request) -> bytes:
+    limit = messages.MAX_SUBMISSION_BYTES
+    if (req.content_length or 0) > limit:
+        message = f"body of {req.content_length} bytes is over the limit of {limit}"
+        raise errors.RefusedError(results.ResultCode.TOO_LARGE, message)
+    return await req.stream.read(limit + 1)
+
+
+def _wait_ms(req: falcon.asgi.Request) -> int:
+    text = req.get_param("wait_ms", default="0")
+    if not text.isdecimal() or int(text) > requests.MAX_WAIT_MS:
+        message = f"wait_ms: {text!r} is not a number from 0 to {requests.MAX_WAIT_MS}"
+        raise errors.RefusedError(results.ResultCode.INVALID_FIELD, message)
+    return int(text)
+
+
+def _write(resp: falcon.asgi.Response, reply: requests.Reply) -> None:
+    resp.status = http_status(reply.code)
+    resp.content_type = falcon.MEDIA_JSON
+    resp.data = reply.body
+    if reply.retry_after_ms is not None:
+        resp.set_header("Retry-After", str(math.ceil(reply.retry_after_ms / 1000)))
+
+
+async def _refuse(req, resp, error: errors.RefusedError, params) -> None:
+    _write(resp, requests.refused(error))
+
+
+async def _refuse_http(req, resp, error: falcon.HTTPError, params) -> None:
+    code = results.ResultCode.NO_SUCH_PAGE if error.status_code == 404 else None
+    code = code or results.ResultCode.MALFORMED
+    message = error.description or error.title
+    _write(resp, requests.refused(errors.RefusedError(code, f"{req.path}: {message}")))
+    resp.status = error.status
+
+
+async def _fail(req, resp, error: Exception, params) -> None:
+    logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, path=req.path)
+    message = "internal error; ask for the outcome with the same submission id"
+    _write(resp, requests.unknown(results.ResultCode.INTERNAL_ERROR, message))
+
+
+def register() -> None:
+    """Register the adapter under the name ``http``."""
+    plugins.add(plugins.Kind.CALLERS, "http", HttpCallers)
--- /dev/null
+++ b/packages/node/chiveridge_node/logevents.py
@@ -0,0 +1,48 @@
+"""Numbered log events, one JSON line each; ``docs/events.md`` is their catalogue."""
+
+import enum
+import json
+
+from absl import logging
+
+
+class LogEvent(enum.IntEnum):
+    """Events that operators may search for; a number is never used again."""
+
+    NODE_LISTENING = 100
+    NODE_READY = 101
+    DRAIN_STARTED = 102
+    NODE_STOPPED = 103
+    STOP_FORCED = 104
+
+    CHANGE_ACCEPTED = 200
+    CHANGE_REJECTED = 201
+    LOG_UNREACHABLE = 202
+    LOG_REACHABLE = 203
+    RECORDS_EXPIRED = 204
+    VMS_UNREACHABLE = 205
+    VMS_REACHABLE = 206
+
+    PEER_MESSAGE_DROPPED = 300
+    PEER_UNREACHABLE = 301
+
+    START_LOST = 400
+    STOP_LOST = 403
+    TARGET_AVOIDED = 401
+    JOB_FAILED = 402
+
+    INTERNAL_FAULT = 900
+
+
+def write(event: LogEvent, **fields: object) -> None:
+    """Write one event with its fields as a line of JSON."""
+    logging.info("%s", _line(event, fields))
+
+
+def write_error(event: LogEvent, **fields: object) -> None:
+    """Write one event at error level with the traceback of the current exception."""
+    logging.exception("%s", _line(event, fields))
+
+
+def _line(event: LogEvent, fields: dict[str, object]) -> str:
+    return json.dumps({"event": int(event), "name": event.name, **fields}, default=str)
--- /dev/null
+++ b/packages/node/chiveridge_node/mains.py
@@ -0,0 +1,41 @@
+"""Command line of the node."""
+
+import asyncio
+import sys
+
+from absl import app, flags
+
+from chiveridge_node import callers_http, nodes, peers_zmq, platforms_http, settings, targets_http
+
+EXIT_BAD_SETTINGS = 2
+
+_CONFIG = flags.DEFINE_string("config", None, "Path of the INI file with the settings.")
+_CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit.")
+
+BUILT_IN_PLUGINS = (callers_http, peers_zmq, platforms_http, targets_http)
+
+
+def main(argv: list[str]) -> int:
+    """Check the settings and run the node."""
+    del argv
+    try:
+        node_settings = settings.read(_CONFIG.value)
+    except settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if _CHECK.value:
+        return 0
+    for plugin in BUILT_IN_PLUGINS:
+        plugin.register()
+    asyncio.run(_serve(node_settings))
+    return 0
+
+
+async def _serve(node_settings: settings.Settings) -> None:
+    await nodes.Node(node_settings).run()
+
+
+def run() -> None:
+    """Run the command line."""
+    flags.mark_flag_as_required("config")
+    app.run(main)
--- /dev/null
+++ b/packages/node/chiveridge_node/plugins.py
@@ -0,0 +1,35 @@
+"""Registry of adapters; each adapter module registers itself with ``register()``."""
+
+import enum
+from collections.abc import Callable
+
+from chiveridge_kernel import errors
+
+
+class Kind(enum.Enum):
+    """Interfaces that an adapter can serve; the value is the key in ``[plugins]``."""
+
+    TARGETS = "targets"
+    LOG = "log"
+    VMS = "vms"
+    CALLERS = "callers"
+    PEERS = "peers"
+
+
+_factories_by_key: dict[tuple[Kind, str], Callable] = {}
+
+
+def add(kind: Kind, name: str, factory: Callable) -> None:
+    """Register the factory of an adapter, called with the node."""
+    _factories_by_key[kind, name] = factory
+
+
+def create(kind: Kind, name: str, node: object) -> object:
+    """Create an adapter.
+
+    :raises errors.ChiveridgeError: when none is registered under the name.
+    """
+    factory = _factories_by_key.get((kind, name))
+    if factory is None:
+        raise errors.ChiveridgeError(f"[plugins] {kind.value}: no adapter is named {name!r}")
+    return factory(node)
--- /dev/null
+++ b/packages/node/chiveridge_node/requests.py
@@ -0,0 +1,221 @@
+"""Callers' requests: served here when this node issued the id, forwarded to the issuer else."""
+
+import asyncio
+import contextlib
+import hashlib
+
+import msgspec
+
+from chiveridge_kernel import (
+    clocks,
+    errors,
+    events,
+    identifiers,
+    kernels,
+    messages,
+    peers,
+    results,
+    submissions,
+    vms,
+)
+from chiveridge_node import shells
+
+MAX_WAIT_MS = 300_000
+FORWARD_MARGIN_MS = 2000
+_DIGEST_BYTES = 16
+
+
+class Reply(msgspec.Struct, frozen=True, kw_only=True):
+    """What a caller is told: a result code and a JSON body."""
+
+    code: results.ResultCode
+    body: bytes
+    retry_after_ms: int | None = None
+
+
+class Requests:
+    """Serves submit, ask and cancel; ``forwarder`` sends a request to another node."""
+
+    def __init__(self, shell: shells.Shell):
+        self._shell = shell
+        self._kernel = shell.kernel
+        self._answered_by_id: dict[identifiers.SubmissionId, asyncio.Event] = {}
+        self.forward = None
+
+    def answered(self, action) -> None:
+        """Wake those who wait for an answer."""
+        waiting = self._answered_by_id.pop(action.answer.submission_id, None)
+        if waiting is not None:
+            waiting.set()
+
+    def issue_ids(self, team: identifiers.TeamName, body: bytes) -> Reply:
+        """Issue submission ids."""
+        try:
+            count = messages.decode_ids_request(body).count
+            answer = self._kernel.issue(team, count, self._shell.clock.now())
+        except errors.RefusedError as error:
+            return refused(error)
+        return Reply(code=answer.code, body=messages.encoder.encode(answer))
+
+    async def perform(
+        self,
+        operation: peers.Operation,
+        team: identifiers.TeamName,
+        submission_id: str,
+        body: bytes = b"",
+        wait_ms: int = 0,
+    ) -> Reply:
+        """Serve a request, or have the issuer of the id serve it."""
+        try:
+            issued = submissions.parse(submission_id)
+            if issued.incarnation == self._kernel.settings.incarnation:
+                return await self.perform_here(operation, team, submission_id, body, wait_ms)
+            return await self._perform_at_issuer(
+                issued, operation, team, submission_id, body, wait_ms
+            )
+        except errors.RefusedError as error:
+            return refused(error)
+
+    async def perform_here(
+        self,
+        operation: peers.Operation,
+        team: identifiers.TeamName,
+        submission_id: str,
+        body: bytes,
+        wait_ms: int,
+    ) -> Reply:
+        """Serve a request whose id this incarnation issued."""
+        try:
+            _OPERATIONS[operation](self, team, submission_id, body)
+            return await self._answer(team, identifiers.SubmissionId(submission_id), wait_ms)
+        except errors.RefusedError as error:
+            return refused(error)
+
+    def _submit(self, team: identifiers.TeamName, submission_id: str, body: bytes) -> None:
+        submission = messages.decode_submission(body)
+        digest = hashlib.blake2b(body, digest_size=_DIGEST_BYTES).digest()
+        self._shell.handle(
+            events.SubmissionReceived(team=team, submission=submission, digest=digest)
+        )
+
+    def _ask(self, team: identifiers.TeamName, submission_id: str, body: bytes) -> None:
+        self._known(team, submission_id)
+
+    def _cancel(self, team: identifiers.TeamName, submission_id: str, body: bytes) -> None:
+        self._known(team, submission_id)
+        self._shell.handle(
+            events.CancelReceived(submission_id=identifiers.SubmissionId(submission_id))
+        )
+
+    def _known(self, team: identifiers.TeamName, submission_id: str) -> kernels.UsedId:
+        used = self._kernel.used(identifiers.SubmissionId(submission_id), team)
+        if used is None:
+            message = f"submission_id: nothing was submitted here under {submission_id!r}"
+            raise errors.RefusedError(results.ResultCode.UNKNOWN_SUBMISSION, message)
+        if used.refusal is not None:
+            raise used.refusal
+        return used
+
+    async def _answer(
+        self, team: identifiers.TeamName, submission_id: identifiers.SubmissionId, wait_ms: int
+    ) -> Reply:
+        used = self._known(team, submission_id)
+        if used.answer is None and wait_ms > 0:
+            ended = self._answered_by_id.setdefault(submission_id, asyncio.Event())
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(ended.wait(), min(wait_ms, MAX_WAIT_MS) / 1000)
+        answer = used.answer or self._running(submission_id)
+        return Reply(code=answer.code, body=messages.encoder.encode(answer))
+
+    def _running(self, submission_id: identifiers.SubmissionId) -> messages.JobAnswer:
+        code = results.ResultCode.ACCEPTED
+        job = self._kernel.dispatcher.jobs_by_id[submission_id]
+        return messages.JobAnswer(
+            submission_id=submission_id,
+            state=results.JobState.RUNNING,
+            code=code,
+            name=code.name,
+            elapsed_ms=clocks.to_ms(self._shell.clock.now() - job.arrived_at),
+        )
+
+    async def _perform_at_issuer(
+        self,
+        issued: submissions.IssuedId,
+        operation: peers.Operation,
+        team: identifiers.TeamName,
+        submission_id: str,
+        body: bytes,
+        wait_ms: int,
+    ) -> Reply:
+        now_ms = clocks.to_epoch_ms(self._shell.clock.now())
+        if issued.expires_at_ms <= now_ms:
+            return unknown(
+                results.ResultCode.SUBMISSION_ID_EXPIRED, "submission_id: it has expired"
+            )
+        node: vms.Vm | None = self._kernel.nodes_by_name.get(issued.node)
+        if node is None:
+            return _unreachable(issued.node)
+        reply = await self.forward(
+            node,
+            operation=operation,
+            team=team,
+            submission_id=submission_id,
+            body=body,
+            wait_ms=wait_ms,
+            timeout_ms=wait_ms + FORWARD_MARGIN_MS,
+        )
+        if reply is None:
+            return _unreachable(issued.node)
+        return Reply(code=reply.code, body=reply.body, retry_after_ms=reply.retry_after_ms)
+
+    async def serve_peer(self, request: peers.CallerRequest) -> peers.CallerReply:
+        """Serve a request that another node forwarded here."""
+        reply = await self._reply_to_peer(request)
+        return peers.CallerReply(
+            request_id=request.request_id,
+            code=reply.code,
+            body=reply.body,
+            retry_after_ms=reply.retry_after_ms,
+        )
+
+    async def _reply_to_peer(self, request: peers.CallerRequest) -> Reply:
+        try:
+            issued = submissions.parse(request.submission_id)
+        except errors.RefusedError as error:
+            return refused(error)
+        if issued.incarnation != self._kernel.settings.incarnation:
+            message = "the node that issued the id was replaced; nothing more of it will start"
+            return unknown(results.ResultCode.ISSUER_GONE, message)
+        return await self.perform_here(
+            request.operation, request.team, request.submission_id, request.body, request.wait_ms
+        )
+
+
+_OPERATIONS = {
+    peers.Operation.SUBMIT: Requests._submit,
+    peers.Operation.ASK: Requests._ask,
+    peers.Operation.CANCEL: Requests._cancel,
+}
+
+
+def refused(error: errors.RefusedError) -> Reply:
+    """Return the reply that tells of a refusal."""
+    body = messages.encoder.encode(messages.refusal_of(error))
+    return Reply(code=error.code, body=body, retry_after_ms=error.retry_after_ms)
+
+
+def _unreachable(node: str) -> Reply:
+    message = f"node {node!r}, which issued the id, cannot be reached; ask again with the same id"
+    return unknown(results.ResultCode.ISSUER_UNREACHABLE, message, retry_after_ms=1000)
+
+
+def unknown(code: results.ResultCode, message: str, retry_after_ms: int | None = None) -> Reply:
+    """Return the reply to a request of which it is not known whether it ran."""
+    refusal = messages.Refusal(
+        code=code,
+        name=code.name,
+        message=message,
+        ran=results.TaskOutcome.UNKNOWN,
+        retry_after_ms=retry_after_ms,
+    )
+    return Reply(code=code, body=messages.encoder.encode(refusal), retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/packages/node/chiveridge_node/settings.py
@@ -0,0 +1,173 @@
+"""Settings of a node: defaults, and the checks made at start.
+
+Settings are INI; :func:`read` reports every problem of a file at once.
+"""
+
+import configparser
+import ipaddress
+import urllib.parse
+from typing import Annotated
+
+import msgspec
+
+from chiveridge_kernel import errors, placements
+
+_Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+_Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9-]{0,62}$")]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
+
+
+class NodeSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Who this node is; a port of 0 lets the system choose one."""
+
+    name: _Name
+    domain: _Name
+    address: str = "127.0.0.1"
+    caller_port: _Port = 0
+    peer_port: _Port = 0
+
+
+class PlatformSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the platform's log and its list of VMs are."""
+
+    log_url: str
+    vms_url: str
+    config_stream: _Name = "configuration"
+    poll_wait_ms: _Milliseconds = 5000
+    vms_interval_ms: _Milliseconds = 500
+    request_timeout_ms: _Milliseconds = 10_000
+
+
+class PlacementSection(msgspec.Struct, frozen=True, kw_only=True):
+    """How targets are chosen."""
+
+    policy: str = "power_of_two"
+
+
+class TargetsSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Connections to targets."""
+
+    connections_per_target: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 8
+    connect_timeout_ms: _Milliseconds = 1000
+    idle_timeout_ms: _Milliseconds = 10_000
+
+
+class PluginsSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Which adapter serves each interface."""
+
+    targets: str = "http"
+    log: str = "http"
+    vms: str = "http"
+    callers: str = "http"
+    peers: str = "zmq"
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """All settings of a node."""
+
+    node: NodeSection
+    platform: PlatformSection
+    placement: PlacementSection = PlacementSection()
+    targets: TargetsSection = TargetsSection()
+    plugins: PluginsSection = PluginsSection()
+
+
+class SettingsError(errors.ChiveridgeError):
+    """A settings file has problems; ``problems`` names section and key of each."""
+
+    def __init__(self, problems: list[str]):
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+_SECTIONS_BY_NAME = {
+    "node": NodeSection,
+    "platform": PlatformSection,
+    "placement": PlacementSection,
+    "targets": TargetsSection,
+    "plugins": PluginsSection,
+}
+
+
+def read(path: str) -> Settings:
+    """Read and check a settings file.
+
+    :raises SettingsError: with every problem found.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    return parse({name: dict(parser[name]) for name in parser.sections()})
+
+
+def parse(text_by_section: dict[str, dict[str, str]]) -> Settings:
+    """Check settings given as text by section and key.
+
+    :raises SettingsError: with every problem found.
+    """
+    problems = [f"[{name}]: no such section" for name in text_by_section.keys() - _SECTIONS_BY_NAME]
+    sections = {}
+    for name, section_type in _SECTIONS_BY_NAME.items():
+        section = _parse_section(name, section_type, text_by_section.get(name, {}), problems)
+        sections[name] = section
+    if problems:
+        raise SettingsError(sorted(problems))
+    return Settings(**sections)
+
+
+def _parse_section(
+    name: str, section_type: type, text_by_key: dict[str, str], problems: list[str]
+) -> object:
+    values = {}
+    fields_by_name = {field.name: field for field in msgspec.structs.fields(section_type)}
+    for key in text_by_key.keys() - fields_by_name.keys():
+        problems.append(f"[{name}] {key}: no such key")
+    for key, field in fields_by_name.items():
+        if key in text_by_key:
+            values[key] = _parse_value(name, field, text_by_key[key], problems)
+        elif field.required:
+            problems.append(f"[{name}] {key}: missing")
+    if any(problem.startswith(f"[{name}]") for problem in problems):
+        return None
+    return section_type(**values)
+
+
+def _parse_value(
+    section: str, field: msgspec.structs.FieldInfo, text: str, problems: list[str]
+) -> object:
+    try:
+        value = msgspec.convert(text, field.type, strict=False)
+        check = _CHECKS_BY_KEY.get((section, field.name))
+        if check is not None:
+            check(value)
+    except (msgspec.ValidationError, ValueError) as error:
+        problems.append(f"[{section}] {field.name}: {error}")
+        return None
+    return value
+
+
+def _check_address(value: str) -> None:
+    ipaddress.ip_address(value)
+
+
+def _check_url(value: str) -> None:
+    parts = urllib.parse.urlsplit(value)
+    if parts.scheme != "http" or parts.path not in ("", "/") or not parts.port:
+        raise ValueError(f"{value!r} is not of the form http://ADDRESS:PORT")
+    ipaddress.ip_address(parts.hostname or "")
+
+
+def _check_policy(value: str) -> None:
+    if value not in placements.names():
+        raise ValueError(f"{value!r} is not one of {', '.join(placements.names())}")
+
+
+_CHECKS_BY_KEY = {
+    ("node", "address"): _check_address,
+    ("platform", "log_url"): _check_url,
+    ("platform", "vms_url"): _check_url,
+    ("placement", "policy"): _check_policy,
+}
--- /dev/null
+++ b/packages/node/chiveridge_node/shells.py
@@ -0,0 +1,75 @@
+"""Drives the kernel on the asyncio loop: feeds it events and performs its actions."""
+
+import asyncio
+import datetime
+from collections.abc import Callable
+
+from chiveridge_kernel import actions, clocks, errors, events, kernels
+from chiveridge_node import logevents
+
+MAX_TICK_INTERVAL = datetime.timedelta(milliseconds=250)
+
+
+class Shell:
+    """Connects the kernel to the adapters that perform its actions."""
+
+    def __init__(self, kernel: kernels.Kernel, clock: clocks.Clock):
+        self.kernel = kernel
+        self.clock = clock
+        self._performers_by_type: dict[type, Callable[[actions.Action], None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due: datetime.datetime | None = None
+
+    def perform_with(self, action_type: type, performer: Callable[[actions.Action], None]) -> None:
+        """Name the callable that performs actions of a type."""
+        self._performers_by_type[action_type] = performer
+
+    def start(self) -> None:
+        """Begin to deliver ticks."""
+        self._arm()
+
+    def stop(self) -> None:
+        """Deliver no more ticks."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def handle(self, event: events.Event) -> None:
+        """Let the kernel handle an event and perform what it decides.
+
+        :raises errors.RefusedError: when the event is a request that is refused.
+        """
+        for action in self.kernel.handle(event, self.clock.now()):
+            self._perform(action)
+        self._arm()
+
+    def handle_safely(self, event: events.Event) -> None:
+        """Handle an event that nobody waits for; a fault is logged and the node goes on."""
+        try:
+            self.handle(event)
+        except errors.RefusedError as error:
+            logevents.write(logevents.LogEvent.INTERNAL_FAULT, message=str(error))
+        except Exception:
+            logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, kind=type(event).__name__)
+
+    def _perform(self, action: actions.Action) -> None:
+        try:
+            self._performers_by_type[type(action)](action)
+        except Exception:
+            logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, kind=type(action).__name__)
+
+    def _arm(self) -> None:
+        now = self.clock.now()
+        wakeup = self.kernel.next_wakeup()
+        due = now + MAX_TICK_INTERVAL if wakeup is None else min(wakeup, now + MAX_TICK_INTERVAL)
+        if self._timer is not None and self._timer_due <= due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        delay = max((due - now).total_seconds(), 0.0)
+        self._timer_due = due
+        self._timer = asyncio.get_running_loop().call_later(delay, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.handle_safely(events.Ticked())
+        self._arm()
--- /dev/null
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -0,0 +1,186 @@
+"""Starts, asks and stops tasks on targets over HTTP."""
+
+import asyncio
+import datetime
+
+import aiohttp
+import msgspec
+
+from chiveridge_kernel import actions, clocks, events, identifiers, vms
+from chiveridge_node import logevents, plugins
+
+ASK_TIMEOUT_SECONDS = 3.0
+ASK_WAIT_MS = 1000
+STOP_TIMEOUT_SECONDS = 2.0
+
+
+class LeaseReply(msgspec.Struct, frozen=True):
+    """A target's reply on a lease, see ``docs/protocols.md``."""
+
+    outcome: events.LeaseOutcome
+    run_ms: float = 0.0
+    result: msgspec.Raw = msgspec.Raw(b"null")
+    reason: str = ""
+    busy: int | None = None
+
+
+class StartTooLateError(Exception):
+    """The start limit passed before anything was sent."""
+
+
+_reply_decoder = msgspec.json.Decoder(LeaseReply)
+
+
+class HttpTargets:
+    """Performs the kernel's actions on targets; outcomes come back as events."""
+
+    def __init__(self, node):
+        self._shell = node.shell
+        self._settings = node.settings.targets
+        self._tasks_by_lease: dict[identifiers.LeaseId, asyncio.Task] = {}
+        self._background: set[asyncio.Task] = set()
+        self._starts: aiohttp.ClientSession | None = None
+        self._asks: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Open the connection pools."""
+        connect = self._settings.connect_timeout_ms / 1000
+        self._starts = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=self._settings.connections_per_target,
+                keepalive_timeout=self._settings.idle_timeout_ms / 1000,
+            ),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect),
+            trace_configs=[self._trace_config()],
+        )
+        # Asks never reuse a connection: the one that the start used may be dead.
+        self._asks = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=aiohttp.ClientTimeout(total=ASK_TIMEOUT_SECONDS, sock_connect=connect),
+        )
+        self._shell.perform_with(actions.StartTask, self.start)
+        self._shell.perform_with(actions.AskOutcome, self.ask)
+        self._shell.perform_with(actions.StopTask, self.stop)
+
+    async def close(self) -> None:
+        """Give up what still runs and close the pools."""
+        pending = [*self._tasks_by_lease.values(), *self._background]
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+        await self._starts.close()
+        await self._asks.close()
+
+    def start(self, action: actions.StartTask) -> None:
+        """Send a start; its outcome is reported when the target replies."""
+        task = asyncio.get_running_loop().create_task(self._start(action))
+        self._tasks_by_lease[action.lease_id] = task
+        task.add_done_callback(lambda _: self._tasks_by_lease.pop(action.lease_id, None))
+
+    def ask(self, action: actions.AskOutcome) -> None:
+        """Ask for the outcome of a start over a new connection."""
+        self._in_background(self._ask(action))
+
+    def stop(self, action: actions.StopTask) -> None:
+        """Give up waiting for a start and tell the target to stop it."""
+        task = self._tasks_by_lease.pop(action.lease_id, None)
+        if task is not None:
+            task.cancel()
+        self._in_background(self._stop(action))
+
+    def _in_background(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _start(self, action: actions.StartTask) -> None:
+        try:
+            reply = await self._send_start(action)
+        except StartTooLateError:
+            reply = LeaseReply(events.LeaseOutcome.NOT_STARTED, reason="too_late")
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            reply = LeaseReply(events.LeaseOutcome.REFUSED, reason="unreachable")
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
+            logevents.write(
+                logevents.LogEvent.START_LOST,
+                lease=action.lease_id,
+                target=action.target.name,
+                error=repr(error),
+            )
+            reply = LeaseReply(events.LeaseOutcome.LOST)
+        self._report(action.lease_id, reply)
+
+    async def _send_start(self, action: actions.StartTask) -> LeaseReply:
+        self._check_start_limit(action.start_before)
+        headers = {
+            "Content-Type": "application/json",
+            "Chiveridge-Team": action.team,
+            "Chiveridge-Start-Before": str(clocks.to_epoch_ms(action.start_before)),
+        }
+        url = _lease_url(action.target, action.lease_id)
+        # POST only: aiohttp sends idempotent methods again when a kept connection closes.
+        async with self._starts.post(
+            url, data=action.body, headers=headers, trace_request_ctx=action.start_before
+        ) as response:
+            return _reply_decoder.decode(await response.read())
+
+    async def _ask(self, action: actions.AskOutcome) -> None:
+        await asyncio.sleep(action.delay.total_seconds())
+        url = f"{_lease_url(action.target, action.lease_id)}?wait_ms={ASK_WAIT_MS}"
+        try:
+            async with self._asks.get(url) as response:
+                reply = _reply_decoder.decode(await response.read())
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+            reply = LeaseReply(events.LeaseOutcome.LOST)
+        self._report(action.lease_id, reply)
+
+    async def _stop(self, action: actions.StopTask) -> None:
+        timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_SECONDS)
+        try:
+            url = _lease_url(action.target, action.lease_id)
+            async with self._asks.delete(url, timeout=timeout) as response:
+                await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            logevents.write(
+                logevents.LogEvent.STOP_LOST,
+                lease=action.lease_id,
+                target=action.target.name,
+                error=repr(error),
+            )
+
+    def _report(self, lease_id: identifiers.LeaseId, reply: LeaseReply) -> None:
+        self._shell.handle_safely(
+            events.LeaseReported(
+                lease_id=lease_id,
+                outcome=reply.outcome,
+                run_ms=reply.run_ms,
+                result=reply.result,
+                reason=reply.reason,
+                busy=reply.busy,
+            )
+        )
+
+    def _trace_config(self) -> aiohttp.TraceConfig:
+        """Check the start limit once a connection is at hand, just before the first byte."""
+
+        async def check(session, context, params) -> None:
+            self._check_start_limit(context.trace_request_ctx)
+
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(check)
+        trace.on_connection_reuseconn.append(check)
+        return trace
+
+    def _check_start_limit(self, start_before: datetime.datetime) -> None:
+        if self._shell.clock.now() >= start_before:
+            raise StartTooLateError
+
+
+def _lease_url(target: vms.Vm, lease_id: identifiers.LeaseId) -> str:
+    return f"http://{target.address}:{target.port}/v1/leases/{lease_id}"
+
+
+def register() -> None:
+    """Register the adapter under the name ``http``."""
+    plugins.add(plugins.Kind.TARGETS, "http", HttpTargets)
