--- /dev/null
+++ b/packages/standins/chiveridge_standins/controls.py
@@ -0,0 +1,47 @@
+"""Run-time control of faults: a JSON object replaces the fields that it names."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import falcon
+import falcon.asgi
+import msgspec
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+
+class ControlResource:
+    """``POST`` changes some fields of a struct of faults and answers with the whole of it."""
+
+    def __init__(self, read: Callable[[], T], write: Callable[[T], None]):
+        self._read = read
+        self._write = write
+
+    async def on_post(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Apply the changes of the request body."""
+        faults = updated(self._read(), await req.stream.read())
+        self._write(faults)
+        resp.data = msgspec.json.encode(faults)
+
+
+def updated(faults: T, body: bytes) -> T:
+    """Return ``faults`` with the fields replaced that the JSON object ``body`` names.
+
+    :raises falcon.HTTPBadRequest: when a field is unknown or of the wrong type.
+    """
+    try:
+        changes = msgspec.json.decode(body, type=dict[str, object])
+        return msgspec.convert(msgspec.to_builtins(faults) | changes, type(faults))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise falcon.HTTPBadRequest(description=str(error)) from error
+
+
+def decoded(body: bytes, kind: type[T]) -> T:
+    """Decode a request body.
+
+    :raises falcon.HTTPBadRequest: when the body is not a valid ``kind``.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise falcon.HTTPBadRequest(description=str(error)) from error
--- /dev/null
+++ b/packages/standins/chiveridge_standins/counts.py
@@ -0,0 +1,65 @@
+"""Counts that a target keeps of the tasks it ran, by task key."""
+
+import collections
+import datetime
+
+import msgspec
+
+from chiveridge_standins import clocks
+
+MAX_KEYS = 200_000
+MAX_START_TIMES_PER_KEY = 100
+
+
+class Counts(msgspec.Struct):
+    """Starts, ends and stops by key; ``started_at_ms`` counts from the Unix epoch.
+
+    Keys beyond :data:`MAX_KEYS` count only in ``total_starts``, and a key keeps the times of
+    its first :data:`MAX_START_TIMES_PER_KEY` starts.
+    """
+
+    starts: dict[str, int] = {}
+    ends: dict[str, int] = {}
+    stops: dict[str, int] = {}
+    total_starts: int = 0
+    max_busy: int = 0
+    started_at_ms: dict[str, list[int]] = {}
+
+
+class Counter:
+    """Counts the events of tasks in constant time."""
+
+    def __init__(self) -> None:
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget everything counted."""
+        self.counts = Counts(
+            starts=collections.defaultdict(int),
+            ends=collections.defaultdict(int),
+            stops=collections.defaultdict(int),
+            started_at_ms=collections.defaultdict(list),
+        )
+
+    def started(self, key: str, busy: int, now: datetime.datetime) -> None:
+        """Count a start; ``busy`` is the number of slots in use with it."""
+        counts = self.counts
+        counts.total_starts += 1
+        counts.max_busy = max(counts.max_busy, busy)
+        counted = self._count(counts.starts, key)
+        if counted and counts.starts[key] <= MAX_START_TIMES_PER_KEY:
+            counts.started_at_ms[key].append(clocks.epoch_ms(now))
+
+    def ended(self, key: str) -> None:
+        """Count an end by itself."""
+        self._count(self.counts.ends, key)
+
+    def stopped(self, key: str) -> None:
+        """Count a stop on request."""
+        self._count(self.counts.stops, key)
+
+    def _count(self, by_key: dict[str, int], key: str) -> bool:
+        if len(by_key) >= MAX_KEYS and key not in by_key:
+            return False
+        by_key[key] += 1
+        return True
--- /dev/null
+++ b/packages/standins/chiveridge_standins/lags.py
@@ -0,0 +1,35 @@
+"""Values that readers see some time after they were written."""
+
+import collections
+import datetime
+from typing import Generic, TypeVar
+
+from chiveridge_standins import clocks
+
+T = TypeVar("T")
+
+
+class LaggedValue(Generic[T]):
+    """A value whose writes become visible only after ``lag``."""
+
+    def __init__(self, initial: T, clock: clocks.Clock, lag: datetime.timedelta):
+        self.lag = lag
+        self._clock = clock
+        self._visible = initial
+        self._pending: collections.deque[tuple[datetime.datetime, T]] = collections.deque()
+
+    def write(self, value: T) -> None:
+        """Set the value; readers see it after the lag."""
+        now = self._clock.now()
+        self._publish(now)
+        self._pending.append((now, value))
+
+    def read(self) -> T:
+        """Return the newest value that is older than the lag."""
+        self._publish(self._clock.now())
+        return self._visible
+
+    def _publish(self, now: datetime.datetime) -> None:
+        limit = now - self.lag
+        while self._pending and self._pending[0][0] <= limit:
+            self._visible = self._pending.popleft()[1]
--- /dev/null
+++ b/packages/standins/chiveridge_standins/leases.py
@@ -0,0 +1,255 @@
+"""Runs tasks on the slots of one target and remembers their outcomes."""
+
+import asyncio
+import collections
+import datetime
+import enum
+
+import msgspec
+
+from chiveridge_standins import clocks, counts, lags
+
+MAX_ENDED_LEASES = 20_000
+
+
+class Outcome(enum.Enum):
+    """What became of a lease."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    RUNNING = "running"
+    NOT_STARTED = "not_started"
+    UNSEEN = "unseen"
+
+
+class Reason(enum.Enum):
+    """Why a task was not started."""
+
+    LEAVING = "leaving"
+    BUSY = "busy"
+    TOO_LATE = "too_late"
+    UNABLE = "unable"
+
+
+class TaskBody(msgspec.Struct, frozen=True):
+    """What the task does: it sleeps, and returns its key with some padding."""
+
+    run_ms: float = 0
+    fail: bool = False
+    key: str = ""
+    result_bytes: int = 0
+
+
+class TaskResult(msgspec.Struct, frozen=True):
+    """Result of a task."""
+
+    key: str
+    target: str
+    padding: str
+
+
+class LeaseReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Every reply on a lease."""
+
+    outcome: Outcome
+    run_ms: float = 0.0
+    result: TaskResult | None = None
+    reason: str = ""
+    busy: int = 0
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Load of a target."""
+
+    busy: int
+    queued: int
+    slots: int
+    leaving: bool
+
+
+class TargetFaults(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Faults and settings of a target.
+
+    ``slowdown`` multiplies run times. ``failing`` fails every task at its start. ``silent``
+    reads requests on leases and usage, does nothing and never replies to them.
+    ``drop_replies`` is the number of starts to come that run without a reply.
+    """
+
+    slowdown: float = 1.0
+    failing: bool = False
+    leaving: bool = False
+    refuse_busy: bool = False
+    enforce_start_before: bool = True
+    silent: bool = False
+    drop_replies: int = 0
+    max_connections: int = 64
+    usage_lag_ms: float = 200
+
+
+class Lease:
+    """One start of one task."""
+
+    def __init__(self, body: TaskBody, start_before_ms: int | None):
+        self.body = body
+        self.start_before_ms = start_before_ms
+        self.ended = asyncio.Event()
+        self.reply = LeaseReply(outcome=Outcome.RUNNING)
+        self.task: asyncio.Task[None] | None = None
+        self.started_at: datetime.datetime | None = None
+
+
+class Target:
+    """Slots of one target; it starts whatever arrives, the same lease id twice included."""
+
+    def __init__(self, name: str, slots: int, clock: clocks.Clock):
+        self.faults = TargetFaults()
+        self.counter = counts.Counter()
+        self._name = name
+        self._slots = slots
+        self._clock = clock
+        self._busy = 0
+        self._queued = 0
+        self._free = asyncio.Semaphore(slots)
+        self._leases_by_id: dict[str, Lease] = {}
+        self._ended: collections.deque[tuple[str, Lease]] = collections.deque()
+        lag = datetime.timedelta(milliseconds=self.faults.usage_lag_ms)
+        self._usage = lags.LaggedValue(Usage(0, 0, slots, False), clock, lag)
+
+    def set_faults(self, faults: TargetFaults) -> None:
+        """Replace the faults."""
+        self.faults = faults
+        self._usage.lag = datetime.timedelta(milliseconds=faults.usage_lag_ms)
+        self._write_usage()
+
+    def usage(self) -> Usage:
+        """Return the load as it was when the lag began."""
+        return self._usage.read()
+
+    def find(self, lease_id: str) -> Lease | None:
+        """Return the last start under a lease id."""
+        return self._leases_by_id.get(lease_id)
+
+    def reply(self, lease: Lease) -> LeaseReply:
+        """Return the state of a lease with the present number of busy slots."""
+        return msgspec.structs.replace(lease.reply, busy=self._busy)
+
+    def unseen(self) -> LeaseReply:
+        """Return the reply for a lease that never arrived."""
+        return LeaseReply(outcome=Outcome.UNSEEN, busy=self._busy)
+
+    def refuse(self, lease_id: str, reason: Reason) -> Lease:
+        """Remember a lease whose task is not started."""
+        lease = Lease(TaskBody(), None)
+        self._leases_by_id[lease_id] = lease
+        self._refuse(lease, reason)
+        self._end(lease_id, lease)
+        return lease
+
+    def start(self, lease_id: str, body: TaskBody, start_before_ms: int | None) -> Lease:
+        """Start a task, or queue it for a slot, or refuse it."""
+        if self.faults.leaving:
+            return self.refuse(lease_id, Reason.LEAVING)
+        if self.faults.refuse_busy and self._busy + self._queued >= self._slots:
+            return self.refuse(lease_id, Reason.BUSY)
+        lease = Lease(body, start_before_ms)
+        self._leases_by_id[lease_id] = lease
+        lease.task = asyncio.create_task(self._run(lease))
+        lease.task.add_done_callback(lambda task: self._finish(task, lease_id, lease))
+        return lease
+
+    def stop(self, lease: Lease) -> None:
+        """Stop a task that has not ended."""
+        if lease.ended.is_set() or lease.task is None:
+            return
+        lease.task.cancel()
+
+    def take_dropped_reply(self) -> bool:
+        """Return whether the reply to this start is to be dropped, and count it off."""
+        count = self.faults.drop_replies
+        if count <= 0:
+            return False
+        self.faults = msgspec.structs.replace(self.faults, drop_replies=count - 1)
+        return True
+
+    async def _run(self, lease: Lease) -> None:
+        if self.faults.failing:
+            self._fail_at_start(lease)
+        else:
+            await self._run_on_slot(lease)
+
+    async def _run_on_slot(self, lease: Lease) -> None:
+        self._change_load(queued=1)
+        try:
+            await self._free.acquire()
+        finally:
+            self._change_load(queued=-1)
+        self._change_load(busy=1)
+        try:
+            await self._run_task(lease)
+        finally:
+            self._change_load(busy=-1)
+            self._free.release()
+
+    async def _run_task(self, lease: Lease) -> None:
+        now = self._clock.now()
+        if self._too_late(lease, now):
+            self._refuse(lease, Reason.TOO_LATE)
+            return
+        body = lease.body
+        lease.started_at = now
+        self.counter.started(body.key, self._busy, now)
+        await asyncio.sleep(body.run_ms * self.faults.slowdown / 1000)
+        self.counter.ended(body.key)
+        lease.reply = LeaseReply(
+            outcome=Outcome.FAILED if body.fail else Outcome.SUCCEEDED,
+            run_ms=self._run_ms(lease),
+            result=TaskResult(body.key, self._name, "x" * body.result_bytes),
+            reason="the task asked to fail" if body.fail else "",
+        )
+
+    def _fail_at_start(self, lease: Lease) -> None:
+        now = self._clock.now()
+        if self._too_late(lease, now):
+            self._refuse(lease, Reason.TOO_LATE)
+            return
+        self.counter.started(lease.body.key, self._busy, now)
+        self.counter.ended(lease.body.key)
+        lease.reply = LeaseReply(outcome=Outcome.FAILED, reason="the target fails every task")
+
+    def _too_late(self, lease: Lease, now: datetime.datetime) -> bool:
+        limit = lease.start_before_ms
+        if limit is None or not self.faults.enforce_start_before:
+            return False
+        return clocks.epoch_ms(now) > limit
+
+    def _refuse(self, lease: Lease, reason: Reason) -> None:
+        lease.reply = LeaseReply(outcome=Outcome.NOT_STARTED, reason=reason.value)
+
+    def _run_ms(self, lease: Lease) -> float:
+        if lease.started_at is None:
+            return 0.0
+        return (self._clock.now() - lease.started_at) / datetime.timedelta(milliseconds=1)
+
+    def _change_load(self, busy: int = 0, queued: int = 0) -> None:
+        self._busy += busy
+        self._queued += queued
+        self._write_usage()
+
+    def _write_usage(self) -> None:
+        usage = Usage(self._busy, self._queued, self._slots, self.faults.leaving)
+        self._usage.write(usage)
+
+    def _finish(self, task: asyncio.Task[None], lease_id: str, lease: Lease) -> None:
+        if task.cancelled():
+            self.counter.stopped(lease.body.key)
+            lease.reply = LeaseReply(outcome=Outcome.STOPPED, run_ms=self._run_ms(lease))
+        self._end(lease_id, lease)
+
+    def _end(self, lease_id: str, lease: Lease) -> None:
+        lease.ended.set()
+        self._ended.append((lease_id, lease))
+        if len(self._ended) > MAX_ENDED_LEASES:
+            oldest_id, oldest = self._ended.popleft()
+            if self._leases_by_id.get(oldest_id) is oldest:
+                del self._leases_by_id[oldest_id]
--- /dev/null
+++ b/packages/standins/chiveridge_standins/logs.py
@@ -0,0 +1,186 @@
+"""Stand-in for the platform's append-only log."""
+
+import asyncio
+import datetime
+
+import falcon
+import falcon.asgi
+import msgspec
+
+from chiveridge_standins import clocks, controls, servers
+
+DEFAULT_READ_LIMIT = 1000
+
+
+class LogFaults(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Faults of the log.
+
+    ``drop_append_replies`` is the number of appends to come that take effect without a reply;
+    ``max_records`` is the number of records kept in each stream, 0 for all.
+    """
+
+    down: bool = False
+    delay_ms: float = 0
+    drop_append_replies: int = 0
+    expire_before: dict[str, int] = {}
+    max_records: int = 0
+
+
+class Record(msgspec.Struct, frozen=True):
+    """One record of a stream."""
+
+    offset: int
+    appended_at: datetime.datetime
+    value: msgspec.Raw
+
+
+class ReadReply(msgspec.Struct, frozen=True):
+    """Records read, the oldest offset kept and the offset of the next append."""
+
+    first: int
+    next: int
+    records: list[Record] = []
+
+
+class AppendReply(msgspec.Struct, frozen=True):
+    """Offset of the appended record."""
+
+    offset: int
+
+
+class Stream:
+    """Ordered records with offsets counted from 0, which expire from the front."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self._records: list[Record] = []
+        self._appended = asyncio.Event()
+
+    @property
+    def next(self) -> int:
+        """Offset of the next append."""
+        return self.first + len(self._records)
+
+    def append(self, value: msgspec.Raw, now: datetime.datetime) -> int:
+        """Append a record and return its offset."""
+        offset = self.next
+        self._records.append(Record(offset, now, value))
+        self._appended.set()
+        self._appended = asyncio.Event()
+        return offset
+
+    def expire_before(self, offset: int) -> None:
+        """Drop the records before ``offset``."""
+        count = min(max(offset - self.first, 0), len(self._records))
+        del self._records[:count]
+        self.first += count
+
+    def read(self, start: int, limit: int) -> ReadReply:
+        """Return up to ``limit`` records from offset ``start``; none when it has expired."""
+        if start < self.first:
+            return ReadReply(self.first, self.next)
+        index = start - self.first
+        return ReadReply(self.first, self.next, self._records[index : index + limit])
+
+    async def wait_beyond(self, offset: int, wait_s: float) -> None:
+        """Wait until a record at ``offset`` exists, for at most ``wait_s`` seconds."""
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.next <= offset:
+                    await self._appended.wait()
+        except TimeoutError:
+            return
+
+
+class Log:
+    """Streams by name, with the faults that apply to them."""
+
+    def __init__(self, clock: clocks.Clock):
+        self.faults = LogFaults()
+        self._clock = clock
+        self._streams_by_name: dict[str, Stream] = {}
+
+    def stream(self, name: str) -> Stream:
+        """Return a stream, which exists from its first use."""
+        return self._streams_by_name.setdefault(name, Stream())
+
+    def append(self, name: str, value: msgspec.Raw) -> int:
+        """Append a record to a stream and return its offset."""
+        offset = self.stream(name).append(value, self._clock.now())
+        self._expire(name)
+        return offset
+
+    def set_faults(self, faults: LogFaults) -> None:
+        """Replace the faults and expire what they let expire."""
+        self.faults = faults
+        for name in faults.expire_before.keys() | self._streams_by_name.keys():
+            self._expire(name)
+
+    def take_dropped_reply(self) -> bool:
+        """Return whether the reply to this append is to be dropped, and count it off."""
+        count = self.faults.drop_append_replies
+        if count <= 0:
+            return False
+        self.faults = msgspec.structs.replace(self.faults, drop_append_replies=count - 1)
+        return True
+
+    async def check_faults(self) -> None:
+        """Delay a request, and refuse it while the log is down."""
+        await asyncio.sleep(self.faults.delay_ms / 1000)
+        if self.faults.down:
+            raise falcon.HTTPServiceUnavailable(description="the log is down")
+
+    def _expire(self, name: str) -> None:
+        stream = self.stream(name)
+        stream.expire_before(self.faults.expire_before.get(name, 0))
+        if self.faults.max_records > 0:
+            stream.expire_before(stream.next - self.faults.max_records)
+
+
+class RecordsResource:
+    """Appends and reads."""
+
+    def __init__(self, log: Log):
+        self._log = log
+
+    async def on_post(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, stream: str
+    ) -> None:
+        """Append one record."""
+        await self._log.check_faults()
+        value = _json_object(await req.stream.read())
+        offset = self._log.append(stream, value)
+        if self._log.take_dropped_reply():
+            servers.cut_connection(req)
+            return
+        resp.status = falcon.HTTP_201
+        resp.data = msgspec.json.encode(AppendReply(offset))
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, stream: str
+    ) -> None:
+        """Read records, waiting for the first one when there is none."""
+        await self._log.check_faults()
+        start = req.get_param_as_int("from", min_value=0, default=0)
+        limit = req.get_param_as_int("limit", min_value=1, default=DEFAULT_READ_LIMIT)
+        wait_ms = req.get_param_as_int("wait_ms", min_value=0, default=0)
+        records = self._log.stream(stream)
+        if wait_ms:
+            await records.wait_beyond(start, wait_ms / 1000)
+        if start < records.first:
+            resp.status = falcon.HTTP_410
+        resp.data = msgspec.json.encode(records.read(start, limit))
+
+
+def add_routes(app: falcon.asgi.App, log: Log) -> None:
+    """Add the routes of the log and of its control to an application."""
+    app.add_route("/v1/streams/{stream}/records", RecordsResource(log))
+    app.add_route("/log/control", controls.ControlResource(lambda: log.faults, log.set_faults))
+
+
+def _json_object(body: bytes) -> msgspec.Raw:
+    try:
+        msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise falcon.HTTPBadRequest(description=str(error)) from error
+    return msgspec.Raw(body)
--- /dev/null
+++ b/packages/standins/chiveridge_standins/servers.py
@@ -0,0 +1,107 @@
+"""Serves falcon applications with uvicorn on the loopback address."""
+
+import asyncio
+import functools
+import signal
+import socket
+from collections.abc import Callable
+
+import falcon.asgi
+import msgspec
+import uvicorn
+from uvicorn.protocols.http import httptools_impl
+
+LOOPBACK = "127.0.0.1"
+BACKLOG = 2048
+KEEP_ALIVE_S = 3600
+SHUTDOWN_GRACE_S = 1
+UNLIMITED_CONNECTIONS = 1_000_000
+
+ConnectionLimit = Callable[[], int]
+
+
+class Listening(msgspec.Struct, tag="listening", tag_field="event"):
+    """Line that a process prints when it accepts connections on its one port."""
+
+    port: int
+
+
+class AppServer:
+    """One falcon application on ``port`` of the loopback address; port 0 takes a free one."""
+
+    def __init__(
+        self,
+        app: falcon.asgi.App,
+        port: int = 0,
+        connection_limit: ConnectionLimit = lambda: UNLIMITED_CONNECTIONS,
+    ):
+        self._socket = socket.create_server((LOOPBACK, port), backlog=BACKLOG)
+        self.port: int = self._socket.getsockname()[1]
+        self._server = _Server(_config(app, connection_limit))
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Accept connections."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
+
+    async def stop(self) -> None:
+        """Stop accepting, give open requests a short grace time, and close."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+
+def cut_connection(req: falcon.asgi.Request) -> None:
+    """Close the connection of a request at once, so that no reply is sent on it."""
+    req.scope["state"]["transport"].abort()
+
+
+async def run(app_servers: list[AppServer], announcement: msgspec.Struct) -> None:
+    """Serve until SIGTERM or SIGINT; print ``announcement`` as one JSON line when listening."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    for app_server in app_servers:
+        await app_server.start()
+    print(msgspec.json.encode(announcement).decode(), flush=True)
+    await stopped.wait()
+    await asyncio.gather(*(app_server.stop() for app_server in app_servers))
+
+
+class _Server(uvicorn.Server):
+    """Server that leaves signals to :func:`run`, so that a planned stop exits with 0."""
+
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        await self._serve(sockets)
+
+
+class _Protocol(httptools_impl.HttpToolsProtocol):
+    """HTTP/1.1 connection that is closed at accept when there are too many."""
+
+    def __init__(self, *args, connection_limit: ConnectionLimit, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._connection_limit = connection_limit
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        super().connection_made(transport)
+        if len(self.connections) > self._connection_limit():
+            transport.abort()
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.scope["state"]["transport"] = self.transport
+
+
+def _config(app: falcon.asgi.App, connection_limit: ConnectionLimit) -> uvicorn.Config:
+    return uvicorn.Config(
+        app,
+        http=functools.partial(_Protocol, connection_limit=connection_limit),
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        log_config=None,
+        log_level="warning",
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=SHUTDOWN_GRACE_S,
+    )
--- /dev/null
+++ b/packages/standins/chiveridge_standins/targets.py
@@ -0,0 +1,162 @@
+"""Runs stand-ins for targets, each on its own port of one process."""
+
+import asyncio
+
+import absl.app
+import falcon
+import falcon.asgi
+import msgspec
+from absl import flags, logging
+
+from chiveridge_standins import clocks, controls, leases, servers
+
+START_BEFORE_HEADER = "Chiveridge-Start-Before"
+
+
+class TargetsListening(msgspec.Struct, tag="listening", tag_field="event"):
+    """Line that the process prints when it listens: ports by target name."""
+
+    targets: dict[str, int]
+
+
+class LeaseResource:
+    """Starts, outcomes and stops of tasks."""
+
+    def __init__(self, target: leases.Target):
+        self._target = target
+        self._body_decoder = msgspec.json.Decoder(leases.TaskBody)
+        self._encoder = msgspec.json.Encoder()
+
+    async def on_post(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, lease_id: str
+    ) -> None:
+        """Start a task and hold the request until it ends."""
+        content = await req.stream.read()
+        await _hold_while_silent(self._target)
+        lease = self._start(lease_id, content, req.get_header(START_BEFORE_HEADER))
+        await lease.ended.wait()
+        if self._target.take_dropped_reply():
+            servers.cut_connection(req)
+            return
+        if lease.reply.outcome is leases.Outcome.NOT_STARTED:
+            resp.status = falcon.HTTP_503
+        resp.data = self._encoder.encode(self._target.reply(lease))
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, lease_id: str
+    ) -> None:
+        """Answer the outcome, waiting for the end of the task for a limited time."""
+        await _hold_while_silent(self._target)
+        lease = self._target.find(lease_id)
+        wait_ms = req.get_param_as_int("wait_ms", min_value=0, default=0)
+        if lease is not None and wait_ms:
+            await _wait_for_end(lease, wait_ms / 1000)
+        self._answer(resp, lease)
+
+    async def on_delete(
+        self, _req: falcon.asgi.Request, resp: falcon.asgi.Response, lease_id: str
+    ) -> None:
+        """Stop a task and answer its outcome."""
+        await _hold_while_silent(self._target)
+        lease = self._target.find(lease_id)
+        if lease is not None:
+            self._target.stop(lease)
+            await lease.ended.wait()
+        self._answer(resp, lease)
+
+    def _start(self, lease_id: str, content: bytes, start_before: str | None) -> leases.Lease:
+        try:
+            body = self._body_decoder.decode(content)
+            start_before_ms = int(start_before) if start_before else None
+        except ValueError:  # msgspec.DecodeError is one.
+            return self._target.refuse(lease_id, leases.Reason.UNABLE)
+        return self._target.start(lease_id, body, start_before_ms)
+
+    def _answer(self, resp: falcon.asgi.Response, lease: leases.Lease | None) -> None:
+        if lease is None:
+            resp.status = falcon.HTTP_404
+            resp.data = self._encoder.encode(self._target.unseen())
+            return
+        resp.data = self._encoder.encode(self._target.reply(lease))
+
+
+class UsageResource:
+    """Load of the target."""
+
+    def __init__(self, target: leases.Target):
+        self._target = target
+
+    async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer the lagging load."""
+        await _hold_while_silent(self._target)
+        resp.data = msgspec.json.encode(self._target.usage())
+
+
+class CountsResource:
+    """Counts of what the target ran."""
+
+    def __init__(self, target: leases.Target):
+        self._target = target
+
+    async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer the counts."""
+        resp.data = msgspec.json.encode(self._target.counter.counts)
+
+    async def on_post_reset(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Forget the counts."""
+        self._target.counter.reset()
+        resp.status = falcon.HTTP_204
+
+
+def create_app(target: leases.Target) -> falcon.asgi.App:
+    """Return an application that serves one target."""
+    app = falcon.asgi.App()
+    app.add_route("/v1/leases/{lease_id}", LeaseResource(target))
+    app.add_route("/v1/usage", UsageResource(target))
+    counts_resource = CountsResource(target)
+    app.add_route("/v1/counts", counts_resource)
+    app.add_route("/v1/counts/reset", counts_resource, suffix="reset")
+    control = controls.ControlResource(lambda: target.faults, target.set_faults)
+    app.add_route("/control", control)
+    return app
+
+
+def create_server(target: leases.Target, port: int = 0) -> servers.AppServer:
+    """Return a server for one target that keeps to its limit of connections."""
+    return servers.AppServer(create_app(target), port, lambda: target.faults.max_connections)
+
+
+async def serve(names: list[str], slots: int, port: int) -> None:
+    """Serve targets until SIGTERM, on consecutive ports unless ``port`` is 0."""
+    servers_by_name: dict[str, servers.AppServer] = {}
+    for index, name in enumerate(names):
+        target = leases.Target(name, slots, clocks.SystemClock())
+        servers_by_name[name] = create_server(target, port + index if port else 0)
+    ports = {name: app_server.port for name, app_server in servers_by_name.items()}
+    logging.info("targets on ports %s", ports)
+    await servers.run(list(servers_by_name.values()), TargetsListening(targets=ports))
+
+
+async def _hold_while_silent(target: leases.Target) -> None:
+    if target.faults.silent:
+        await asyncio.get_running_loop().create_future()
+
+
+async def _wait_for_end(lease: leases.Lease, wait_s: float) -> None:
+    try:
+        async with asyncio.timeout(wait_s):
+            await lease.ended.wait()
+    except TimeoutError:
+        return
+
+
+def main(_argv: list[str]) -> None:
+    """Run the process."""
+    asyncio.run(serve(flags.FLAGS.names, flags.FLAGS.slots, flags.FLAGS.port))
+
+
+if __name__ == "__main__":
+    flags.DEFINE_list("names", None, "Names of the targets.", required=True)
+    flags.DEFINE_integer("slots", 8, "Slots of each target.", lower_bound=1)
+    flags.DEFINE_integer("port", 0, "Port of the first target; 0 takes free ones.")
+    absl.app.run(main)
