Add the caller's client, publishing and the command

Cause: callers and operators had no way to reach the nodes or the platform's log.

Change: a client that settles each job under one submission id, a client of the log, a publisher that finds its change in the log after a lost reply, and the command chiveridge.

--- /dev/null
+++ b/packages/client/chiveridge_client/changes.py
@@ -0,0 +1,140 @@
+"""Parses an INI file of configuration objects into the writes of a change."""
+
+import collections
+import configparser
+from collections.abc import Callable
+
+import msgspec
+
+from chiveridge_client import errors
+from chiveridge_kernel import records
+
+Section = configparser.SectionProxy
+
+
+class KindReader(msgspec.Struct, frozen=True):
+    """How the sections of one kind are read: the object's type and the parser of each key."""
+
+    kind: records.ObjectKind
+    object_type: type[msgspec.Struct]
+    parsers_by_key: dict[str, Callable[[str], object]]
+
+
+def parse(text: str) -> list[records.ObjectWrite]:
+    """Return the writes of an INI text, in the order of its sections.
+
+    :raises errors.InvalidInputError: listing every fault with its section and key.
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="", delimiters=("=",))
+    parser.optionxform = str
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        raise errors.InvalidInputError([str(error).replace("\n", " ")]) from error
+    problems: list[str] = []
+    writes = [_read_section(parser[title], problems) for title in parser.sections()]
+    problems.extend(_duplicates(writes))
+    if not writes:
+        problems.append("the file has no sections")
+    if problems:
+        raise errors.InvalidInputError(problems)
+    return writes
+
+
+def _duplicates(writes: list[records.ObjectWrite | None]) -> list[str]:
+    counts_by_key = collections.Counter((w.kind.value, w.name) for w in writes if w is not None)
+    return [
+        f"[{kind} {name}]: the section is given {count} times"
+        for (kind, name), count in counts_by_key.items()
+        if count > 1
+    ]
+
+
+def _read_section(section: Section, problems: list[str]) -> records.ObjectWrite | None:
+    kind_name, _, name = section.name.partition(" ")
+    name = name.strip()
+    reader = _readers_by_kind_name.get(kind_name)
+    if reader is None or not name:
+        known = ", ".join(f"[{kind} NAME]" for kind in _readers_by_kind_name)
+        problems.append(f"[{section.name}]: the section must be one of {known}")
+        return None
+    fields = {"name": name} | _read_keys(section, reader, problems)
+    return _build(section, reader, fields, problems)
+
+
+def _read_keys(section: Section, reader: KindReader, problems: list[str]) -> dict[str, object]:
+    fields = {}
+    for key, text in section.items():
+        parse_value = reader.parsers_by_key.get(key)
+        if parse_value is None:
+            known = ", ".join(reader.parsers_by_key)
+            problems.append(f"[{section.name}] {key}: unknown key; the keys are {known}")
+            continue
+        try:
+            fields[key] = parse_value(text)
+        except ValueError as error:
+            problems.append(f"[{section.name}] {key}: {error}")
+    return fields
+
+
+def _build(
+    section: Section, reader: KindReader, fields: dict[str, object], problems: list[str]
+) -> records.ObjectWrite | None:
+    try:
+        built = msgspec.convert(fields, reader.object_type)
+        return records.ObjectWrite(
+            kind=reader.kind, name=fields["name"], **{reader.kind.value: built}
+        )
+    except msgspec.ValidationError as error:
+        problems.append(f"[{section.name}]: {error}")
+        return None
+
+
+def _parse_labels(text: str) -> dict[str, str]:
+    labels: dict[str, str] = {}
+    for item in _parse_list(text):
+        key, equals, value = (part.strip() for part in item.partition("="))
+        if not key or not equals:
+            raise ValueError(f"{item!r} is not of the form key=value")
+        if key in labels:
+            raise ValueError(f"label {key!r} is given twice")
+        labels[key] = value
+    return labels
+
+
+def _parse_list(text: str) -> list[str]:
+    items = text.replace("\n", ",").split(",")
+    return [item.strip() for item in items if item.strip()]
+
+
+def _parse_digests(text: str) -> list[str]:
+    digests = _parse_list(text)
+    for digest in digests:
+        if len(digest) != 64 or set(digest) - set("0123456789abcdef"):
+            raise ValueError(f"{digest!r} is not a SHA-256 digest of 64 lower-case hex digits")
+    return digests
+
+
+def _parse_count(text: str) -> int:
+    if not text.isascii() or not text.isdigit():
+        raise ValueError(f"{text!r} is not a whole number of 0 or more")
+    return int(text)
+
+
+_readers_by_kind_name = {
+    "team": KindReader(
+        records.ObjectKind.TEAM,
+        records.TeamObject,
+        {"labels": _parse_labels, "key_digests": _parse_digests, "max_starts": _parse_count},
+    ),
+    "target": KindReader(
+        records.ObjectKind.TARGET,
+        records.TargetObject,
+        {"labels": _parse_labels, "owner": str, "approved_teams": _parse_list},
+    ),
+    "rule": KindReader(
+        records.ObjectKind.RULE,
+        records.RuleObject,
+        {"teams": str, "targets": str},
+    ),
+}
--- /dev/null
+++ b/packages/client/chiveridge_client/commands.py
@@ -0,0 +1,225 @@
+"""Subcommands of the command line, each registered in :data:`commands_by_name`."""
+
+import getpass
+import pathlib
+import random
+from collections.abc import Awaitable, Callable
+from typing import TextIO
+
+import aiohttp
+import msgspec
+
+from chiveridge_client import (
+    clients,
+    clocks,
+    errors,
+    exits,
+    keys,
+    options,
+    platforms,
+    publications,
+    revisions,
+    settings,
+    statuses,
+    tables,
+)
+from chiveridge_kernel import identifiers, messages
+
+
+class Context(msgspec.Struct, kw_only=True):
+    """What a subcommand works with."""
+
+    arguments: list[str]
+    options: options.Options
+    settings: settings.Settings
+    output: TextIO
+    clock: clocks.Clock
+    rng: random.Random
+
+
+class Command(msgspec.Struct, frozen=True, kw_only=True):
+    """A subcommand: its handler, its arguments and whether it needs a credential."""
+
+    handler: Callable[[Context], Awaitable[exits.ExitCode]]
+    usage: str
+    argument_counts: range
+    needs_credential: bool
+
+
+commands_by_name: dict[str, Command] = {}
+
+
+def command(name: str, usage: str = "", *, minimum: int, maximum: int, credential: bool = False):
+    """Register the decorated handler as a subcommand with ``minimum`` to ``maximum`` arguments."""
+
+    def register(handler):
+        commands_by_name[name] = Command(
+            handler=handler,
+            usage=f"{name} {usage}".rstrip(),
+            argument_counts=range(minimum, maximum + 1),
+            needs_credential=credential,
+        )
+        return handler
+
+    return register
+
+
+@command("submit", "[FILE]", minimum=0, maximum=1, credential=True)
+async def submit(context: Context) -> exits.ExitCode:
+    """Submit the tasks of a JSON file, or of ``--task-body``, as one job."""
+    chosen = context.options
+    tasks = _read_tasks(context)
+    async with _client(context) as client:
+        answer = await client.submit(
+            tasks,
+            selector=chosen.selector,
+            deadline=chosen.deadline,
+            idempotent=chosen.idempotent,
+            wait=chosen.wait,
+        )
+    return _print_answer(context, answer)
+
+
+@command("status", "ID", minimum=1, maximum=1, credential=True)
+async def status(context: Context) -> exits.ExitCode:
+    """Print the answer or the state of a job."""
+    submission_id = identifiers.SubmissionId(context.arguments[0])
+    wait = context.options.wait or options.NO_WAIT
+    async with _client(context) as client:
+        answer = await client.answer(submission_id, wait=wait)
+    return _print_answer(context, answer)
+
+
+@command("cancel", "ID", minimum=1, maximum=1, credential=True)
+async def cancel(context: Context) -> exits.ExitCode:
+    """Cancel a job; exits with 0 once the cancellation is confirmed."""
+    submission_id = identifiers.SubmissionId(context.arguments[0])
+    async with _client(context) as client:
+        answer = await client.cancel(submission_id)
+    _print_answer(context, answer)
+    return exits.ExitCode.DONE
+
+
+@command("publish", "FILE", minimum=1, maximum=1)
+async def publish(context: Context) -> exits.ExitCode:
+    """Publish the configuration objects of an INI file as one change."""
+    writes = publications.parse(_read_text(context.arguments[0]))
+    actor = context.settings.actor or getpass.getuser()
+    async with aiohttp.ClientSession() as session:
+        publisher = publications.Publisher(
+            platforms.Log(context.settings.log_url, session),
+            revisions.Revisions(),
+            rng=context.rng,
+            clock=context.clock,
+            stream=context.settings.stream,
+        )
+        publication = await publisher.publish(writes, actor, context.options.comment)
+    titles = ["CHANGE", "OFFSET", "VERDICT", "LOST REPLIES"]
+    verdict = publication.verdict
+    row = [publication.change_id, publication.offset, verdict.value, publication.lost_replies]
+    _print(context, publication, tables.render(titles, [row]))
+    return exits.exit_codes_by_verdict[verdict]
+
+
+@command("validate", "FILE", minimum=1, maximum=1)
+async def validate(context: Context) -> exits.ExitCode:
+    """Check an INI file of configuration objects without publishing it."""
+    writes = publications.parse(_read_text(context.arguments[0]))
+    rows = [[write.kind.value, write.name] for write in writes]
+    _print(context, writes, tables.render(["KIND", "NAME"], rows))
+    return exits.ExitCode.DONE
+
+
+@command("nodes", minimum=0, maximum=0)
+async def nodes(context: Context) -> exits.ExitCode:
+    """Print the status of each node; exits with 7 when one can't be reached."""
+    async with aiohttp.ClientSession() as session:
+        found = await statuses.fetch_all(context.settings.node_urls, session)
+    rows = [[node.url, _reachability(node), _summary(node)] for node in found]
+    _print(context, found, tables.render(["NODE", "STATE", "DETAILS"], rows))
+    is_complete = all(node.status is not None for node in found)
+    return exits.ExitCode.DONE if is_complete else exits.ExitCode.UNREACHABLE
+
+
+@command("keys new", "TEAM", minimum=1, maximum=1)
+async def new_key(context: Context) -> exits.ExitCode:
+    """Print a new secret for a team and its digest for ``key_digests``."""
+    key = keys.create(context.arguments[0])
+    rows = [["credential", key.credential], ["secret", key.secret], ["digest", key.digest]]
+    _print(context, key, tables.render(["KEY", key.team], rows))
+    return exits.ExitCode.DONE
+
+
+def _client(context: Context) -> clients.Client:
+    return clients.Client(
+        context.settings.node_urls,
+        context.settings.credential,
+        rng=context.rng,
+        clock=context.clock,
+        id_batch_size=1,
+    )
+
+
+def _read_tasks(context: Context) -> list[messages.TaskSpec]:
+    body = context.options.task_body
+    if bool(body) == bool(context.arguments):
+        raise errors.InvalidInputError(["submit: give either FILE or --task-body"])
+    if not body:
+        return _decode_tasks(context.arguments[0], _read_text(context.arguments[0]))
+    try:
+        msgspec.json.decode(body)
+    except msgspec.MsgspecError as error:
+        raise errors.InvalidInputError([f"task_body: {error}"]) from error
+    return [messages.TaskSpec(body=msgspec.Raw(body.encode()))] * context.options.count
+
+
+def _decode_tasks(path: str, text: str) -> list[messages.TaskSpec]:
+    try:
+        tasks = msgspec.json.decode(text, type=list[messages.TaskSpec])
+    except msgspec.MsgspecError as error:
+        raise errors.InvalidInputError([f"{path}: {error}"]) from error
+    if not tasks:
+        raise errors.InvalidInputError([f"{path}: the list has no tasks"])
+    return tasks
+
+
+def _read_text(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.InvalidInputError([f"{path}: {error}"]) from error
+
+
+def _print_answer(context: Context, answer: messages.JobAnswer) -> exits.ExitCode:
+    head = f"{answer.submission_id}  {answer.state.value}  {answer.code.value} {answer.code.name}"
+    rows = [
+        [task.index, task.outcome.value, task.target, f"{task.run_ms:.1f}", _detail(task)]
+        for task in answer.tasks
+    ]
+    titles = ["TASK", "OUTCOME", "TARGET", "RUN MS", "RESULT"]
+    lines = [f"{head}  {answer.message}".rstrip()]
+    if rows:
+        lines.append(tables.render(titles, rows))
+    _print(context, answer, "\n".join(lines))
+    return exits.of_answer(answer)
+
+
+def _detail(task: messages.TaskAnswer) -> str:
+    return task.reason or bytes(task.result).decode()
+
+
+def _reachability(node: statuses.NodeStatus) -> str:
+    return "unreachable" if node.status is None else "up"
+
+
+def _summary(node: statuses.NodeStatus) -> str:
+    if node.status is None:
+        return node.error
+    scalars = {k: v for k, v in node.status.items() if not isinstance(v, dict | list)}
+    return " ".join(f"{key}={value}" for key, value in scalars.items())
+
+
+def _print(context: Context, value: object, text: str) -> None:
+    """Print ``value`` as one line of JSON with ``--json``, else ``text``."""
+    line = msgspec.json.encode(value).decode() if context.options.json else text
+    print(line, file=context.output)
--- /dev/null
+++ b/packages/client/chiveridge_client/exits.py
@@ -0,0 +1,66 @@
+"""Exit codes of the command; ``docs/command.md`` holds the table for users."""
+
+import enum
+import functools
+
+from chiveridge_client import errors
+from chiveridge_kernel import messages, records, results
+
+
+class ExitCode(enum.IntEnum):
+    """Outcome of a command as told to the shell."""
+
+    DONE = 0
+    USAGE = 2
+    REFUSED = 3
+    JOB_FAILED = 4
+    OUTCOME_UNKNOWN = 5
+    CONFLICT = 6
+    UNREACHABLE = 7
+
+
+exit_codes_by_verdict = {
+    records.Verdict.ACCEPTED: ExitCode.DONE,
+    records.Verdict.DUPLICATE: ExitCode.DONE,
+    records.Verdict.CONFLICT: ExitCode.CONFLICT,
+    records.Verdict.INVALID: ExitCode.REFUSED,
+}
+
+
+def of_answer(answer: messages.JobAnswer) -> ExitCode:
+    """Return the exit code of a job's answer; a running job counts as done."""
+    if answer.state is not results.JobState.FAILED:
+        return ExitCode.DONE
+    has_unknown_task = any(t.outcome is results.TaskOutcome.UNKNOWN for t in answer.tasks)
+    if has_unknown_task or answer.code is results.ResultCode.OUTCOME_UNKNOWN:
+        return ExitCode.OUTCOME_UNKNOWN
+    return ExitCode.JOB_FAILED
+
+
+@functools.singledispatch
+def of_error(error: Exception) -> ExitCode:
+    """Return the exit code of an error."""
+    raise TypeError(f"no exit code for {type(error).__name__}") from error
+
+
+@of_error.register
+def _(error: errors.InvalidInputError) -> ExitCode:
+    return ExitCode.USAGE
+
+
+@of_error.register(errors.LogError)
+@of_error.register(errors.RefusedError)
+def _(error) -> ExitCode:
+    return ExitCode.REFUSED
+
+
+@of_error.register(errors.OutcomeUnknownError)
+@of_error.register(errors.PublicationUnknownError)
+def _(error) -> ExitCode:
+    return ExitCode.OUTCOME_UNKNOWN
+
+
+@of_error.register(errors.LogReplyLostError)
+@of_error.register(errors.UnreachableError)
+def _(error) -> ExitCode:
+    return ExitCode.UNREACHABLE
--- /dev/null
+++ b/packages/client/chiveridge_client/mains.py
@@ -0,0 +1,87 @@
+"""Entry point of the ``chiveridge`` command."""
+
+import asyncio
+import random
+import sys
+from typing import TextIO
+
+from chiveridge_client import clocks, commands, errors, exits, options, settings
+
+EXAMPLES = """\
+examples:
+  chiveridge submit --task-body '{"run_ms": 50}' --count 8 --credential-file key.txt
+  chiveridge submit tasks.json --selector kind=dryer --deadline 5 --json
+  chiveridge status ID --wait 10
+  chiveridge publish teams.ini --log-url http://127.0.0.1:7900 --comment "add lekki"
+  chiveridge keys new ikeja
+"""
+
+
+def run() -> None:
+    """Run the command with the arguments of the process and exit."""
+    sys.exit(main(sys.argv[1:], sys.stdout, sys.stderr))
+
+
+def main(arguments: list[str], output: TextIO, error_output: TextIO) -> exits.ExitCode:
+    """Run one command and return its exit code."""
+    try:
+        chosen, words = options.parse(_with_underscores(arguments))
+        if chosen.help:
+            print(help_text(), file=output)
+            return exits.ExitCode.DONE
+        return asyncio.run(_run_command(chosen, words, output))
+    except errors.ClientError as error:
+        print(error, file=error_output)
+        return exits.of_error(error)
+
+
+def help_text() -> str:
+    """Return the help page: subcommands, examples and flags."""
+    lines = [
+        f"  {command.usage:<16} {command.handler.__doc__.splitlines()[0]}"
+        for command in commands.commands_by_name.values()
+    ]
+    usage = "usage: chiveridge COMMAND [ARGUMENTS] [FLAGS]\n\ncommands:"
+    return "\n".join([usage, *lines, "", EXAMPLES, "flags:", options.describe()])
+
+
+async def _run_command(chosen: options.Options, words: list[str], output: TextIO) -> exits.ExitCode:
+    command, arguments = _find(words)
+    loaded = settings.load(chosen.config, chosen.setting_flags)
+    if command.needs_credential and not loaded.credential:
+        raise errors.InvalidInputError(["credential: missing; set --credential-file"])
+    context = commands.Context(
+        arguments=arguments,
+        options=chosen,
+        settings=loaded,
+        output=output,
+        clock=clocks.SystemClock(),
+        rng=random.Random(),
+    )
+    return await command.handler(context)
+
+
+def _find(words: list[str]) -> tuple[commands.Command, list[str]]:
+    """Return the subcommand that the first words name, and its arguments."""
+    for length in (2, 1):
+        command = commands.commands_by_name.get(" ".join(words[:length]))
+        if command is None:
+            continue
+        arguments = words[length:]
+        if len(arguments) not in command.argument_counts:
+            raise errors.InvalidInputError([f"usage: chiveridge {command.usage}"])
+        return command, arguments
+    known = ", ".join(commands.commands_by_name)
+    raise errors.InvalidInputError([f"usage: chiveridge COMMAND; the commands are {known}"])
+
+
+def _with_underscores(arguments: list[str]) -> list[str]:
+    """Write flags the way absl names them: ``--log-url=a-b`` becomes ``--log_url=a-b``."""
+    return [_flag_with_underscores(argument) for argument in arguments]
+
+
+def _flag_with_underscores(argument: str) -> str:
+    if not argument.startswith("--") or argument == "--":
+        return argument
+    name, equals, value = argument[2:].partition("=")
+    return f"--{name.replace('-', '_')}{equals}{value}"
--- /dev/null
+++ b/packages/client/chiveridge_client/options.py
@@ -0,0 +1,124 @@
+"""Flags of the command line as one typed value."""
+
+import datetime
+
+import msgspec
+from absl import flags
+
+from chiveridge_client import errors, publications, settings
+from chiveridge_kernel import messages
+
+NO_WAIT = datetime.timedelta(0)
+SETTING_NAMES = ("nodes", "credential", "credential_file", "log_url", "stream", "actor")
+
+_MAX_SECONDS = messages.MAX_DEADLINE_MS / 1000
+
+
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """Options of one invocation; ``setting_flags`` override the configuration file."""
+
+    config: str
+    setting_flags: dict[str, str]
+    json: bool
+    help: bool
+    task_body: str
+    count: int
+    selector: str
+    deadline: datetime.timedelta
+    wait: datetime.timedelta | None
+    idempotent: bool
+    comment: str
+
+
+def define(values: flags.FlagValues) -> None:
+    """Define every flag of the command in ``values``."""
+    _define_settings(values)
+    _define_job(values)
+    flags.DEFINE_bool("json", False, "print JSON for scripts", flag_values=values)
+    flags.DEFINE_bool("help", False, "print this help", short_name="h", flag_values=values)
+    flags.DEFINE_string("comment", "", "publish: why the change is made", flag_values=values)
+
+
+def parse(arguments: list[str]) -> tuple[Options, list[str]]:
+    """Return the options of a command line, without the program's name, and its other words.
+
+    :raises errors.InvalidInputError: when a flag is unknown or its value is invalid.
+    """
+    values = flags.FlagValues()
+    define(values)
+    values.set_gnu_getopt(True)
+    try:
+        words = values(["chiveridge", *arguments])[1:]
+    except flags.Error as error:
+        raise errors.InvalidInputError([str(error)]) from error
+    return _options(values), words
+
+
+def describe() -> str:
+    """Return the list of flags for the help page."""
+    values = flags.FlagValues()
+    define(values)
+    return values.module_help(__name__)
+
+
+def _define_settings(values: flags.FlagValues) -> None:
+    texts_by_name = {
+        "config": f"INI file whose [{settings.SECTION}] section holds defaults",
+        "nodes": f"addresses of the nodes, IP:PORT,... [{settings.DEFAULT_NODES}]",
+        "credential": "credential of the calling team, TEAM.SECRET",
+        "credential_file": "file that holds the credential",
+        "log_url": f"URL of the platform's log [{settings.DEFAULT_LOG_URL}]",
+        "stream": f"stream of the configuration [{publications.DEFAULT_STREAM}]",
+        "actor": "who publishes [the user of the operating system]",
+    }
+    for name, text in texts_by_name.items():
+        flags.DEFINE_string(name, "", text, flag_values=values)
+
+
+def _define_job(values: flags.FlagValues) -> None:
+    flags.DEFINE_string("task_body", "", "submit: JSON body of each task", flag_values=values)
+    flags.DEFINE_integer(
+        "count",
+        1,
+        "submit: tasks with --task_body",
+        lower_bound=1,
+        upper_bound=messages.MAX_TASKS_PER_JOB,
+        flag_values=values,
+    )
+    flags.DEFINE_string("selector", "", "submit: labels of targets", flag_values=values)
+    flags.DEFINE_float(
+        "deadline",
+        30.0,
+        "submit: seconds in which the job must end",
+        lower_bound=0.001,
+        upper_bound=_MAX_SECONDS,
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        "wait",
+        None,
+        "seconds to wait for a running job [submit: the deadline; status: 0]",
+        lower_bound=0.0,
+        upper_bound=_MAX_SECONDS,
+        flag_values=values,
+    )
+    flags.DEFINE_bool(
+        "idempotent", False, "submit: a task may run again after a failure", flag_values=values
+    )
+
+
+def _options(values: flags.FlagValues) -> Options:
+    wait = None if values.wait is None else datetime.timedelta(seconds=values.wait)
+    return Options(
+        config=values.config,
+        setting_flags={name: values[name].value for name in SETTING_NAMES},
+        json=values.json,
+        help=values.help,
+        task_body=values.task_body,
+        count=values.count,
+        selector=values.selector,
+        deadline=datetime.timedelta(seconds=values.deadline),
+        wait=wait,
+        idempotent=values.idempotent,
+        comment=values.comment,
+    )
--- /dev/null
+++ b/packages/client/tests/conftest.py
@@ -0,0 +1,149 @@
+import asyncio
+import collections
+import datetime
+import json
+
+import msgspec
+import pytest
+from aiohttp import web
+
+from chiveridge_kernel import messages, results
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+class FakeClock:
+    """Time that passes only while somebody sleeps."""
+
+    def __init__(self):
+        self.passed = datetime.timedelta(0)
+
+    def now(self):
+        return START + self.passed
+
+    def elapsed(self):
+        return self.passed
+
+    async def sleep(self, duration):
+        self.passed += duration
+        await asyncio.sleep(0)
+
+
+async def cut_off(request, body, status=200):
+    """Send half of a body, then close the connection."""
+    response = web.StreamResponse(status=status)
+    response.content_length = len(body)
+    await response.prepare(request)
+    await response.write(body[: len(body) // 2])
+    request.transport.close()
+    return response
+
+
+def answer_of(submission_id, count, state=results.JobState.COMPLETE):
+    tasks = [messages.TaskAnswer(i, results.TaskOutcome.SUCCEEDED) for i in range(count)]
+    code = results.ResultCode.COMPLETE
+    answer = messages.JobAnswer(submission_id=submission_id, state=state, code=code, tasks=tasks)
+    return msgspec.json.encode(answer)
+
+
+class FakeNode:
+    """Serves ids and whole answers; ``replies`` hold handlers for the next job requests."""
+
+    def __init__(self):
+        self.replies = collections.deque()
+        self.job_requests = []
+        self.issued = 0
+        self.id_life = datetime.timedelta(hours=1)
+        self.url = ""
+
+    def app(self):
+        app = web.Application()
+        app.router.add_post("/v1/submission-ids", self._issue)
+        app.router.add_route("*", "/v1/jobs", self._job)
+        app.router.add_route("*", "/v1/jobs/{id}", self._job)
+        app.router.add_get("/v1/status", self._status)
+        return app
+
+    async def _issue(self, request):
+        count = (await request.json())["count"]
+        ids = [f"id-{self.issued + i}" for i in range(count)]
+        self.issued += count
+        expires_at_ms = int((START + self.id_life).timestamp() * 1000)
+        return web.json_response({"code": 0, "submission_ids": ids, "expires_at_ms": expires_at_ms})
+
+    async def _job(self, request):
+        body = await request.read()
+        submission_id = request.match_info.get("id") or json.loads(body)["submission_id"]
+        self.job_requests.append((request.method, submission_id))
+        if self.replies:
+            return await self.replies.popleft()(request, submission_id)
+        return web.Response(body=answer_of(submission_id, 2))
+
+    async def _status(self, request):
+        return web.json_response({"node": "ikeja-e1", "targets": [1, 2]})
+
+
+class FakeLog:
+    """One stream in memory; ``lose_replies`` appends are stored and get no whole reply."""
+
+    def __init__(self):
+        self.values = []
+        self.first = 0
+        self.lose_replies = 0
+        self.url = ""
+
+    def app(self):
+        app = web.Application()
+        app.router.add_post("/v1/streams/{stream}/records", self._append)
+        app.router.add_get("/v1/streams/{stream}/records", self._read)
+        return app
+
+    async def _append(self, request):
+        self.values.append(await request.json())
+        body = json.dumps({"offset": len(self.values) - 1}).encode()
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return await cut_off(request, body, 201)
+        return web.Response(body=body, status=201)
+
+    async def _read(self, request):
+        start, limit = int(request.query["from"]), int(request.query["limit"])
+        page = {"first": self.first, "next": len(self.values), "records": []}
+        if start < self.first:
+            return web.json_response(page, status=410)
+        page["records"] = [
+            {"offset": i, "appended_at": "2026-01-01T00:00:00Z", "value": value}
+            for i, value in enumerate(self.values)
+            if start <= i < start + limit
+        ]
+        return web.json_response(page)
+
+
+async def serve(fake):
+    runner = web.AppRunner(fake.app(), shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    fake.url = f"http://127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
+    return runner
+
+
+@pytest.fixture
+async def node():
+    fake = FakeNode()
+    runner = await serve(fake)
+    yield fake
+    await runner.cleanup()
+
+
+@pytest.fixture
+async def log():
+    fake = FakeLog()
+    runner = await serve(fake)
+    yield fake
+    await runner.cleanup()
+
+
+@pytest.fixture
+def clock():
+    return FakeClock()
--- /dev/null
+++ b/packages/client/tests/test_publications.py
@@ -0,0 +1,85 @@
+import random
+
+import aiohttp
+import pytest
+
+from chiveridge_client import errors, platforms, publications, revisions
+from chiveridge_kernel import records
+
+WRITES = publications.parse("[rule dryers]\nteams = area=ikeja\ntargets = kind=dryer\n")
+
+
+@pytest.fixture
+async def publisher(log, clock):
+    async with aiohttp.ClientSession() as session:
+        yield publications.Publisher(
+            platforms.Log(log.url, session),
+            revisions.Revisions(),
+            rng=random.Random(7),
+            clock=clock,
+        )
+
+
+async def test_publishes_and_bases_the_next_change_on_it(publisher, log):
+    log.values.append({"type": "other"})
+    first = await publisher.publish(WRITES, "ada")
+    second = await publisher.publish(WRITES, "ada", "again")
+    assert (first.verdict, first.offset) == (records.Verdict.ACCEPTED, 1)
+    assert (second.verdict, second.offset) == (records.Verdict.ACCEPTED, 2)
+    assert [value["writes"][0]["based_on"] for value in log.values[1:]] == [0, 1]
+    assert log.values[1]["actor"] == "ada"
+    assert log.values[1]["changed_at"] == "2026-01-01T00:00:00+00:00"
+
+
+async def test_a_lost_append_reply_finds_its_change(publisher, log):
+    log.lose_replies = 1
+    publication = await publisher.publish(WRITES, "ada")
+    assert publication.verdict is records.Verdict.ACCEPTED
+    assert publication.lost_replies == 1
+    assert [value["change_id"] for value in log.values] == [publication.change_id]
+
+
+async def test_a_change_that_was_never_stored_is_appended_again(publisher, log, monkeypatch):
+    append = publisher._log.append
+    calls = []
+
+    async def fail_once(stream, value):
+        calls.append(value)
+        if len(calls) == 1:
+            raise errors.LogReplyLostError("lost")
+        return await append(stream, value)
+
+    monkeypatch.setattr(publisher._log, "append", fail_once)
+    publication = await publisher.publish(WRITES, "ada")
+    assert publication.verdict is records.Verdict.ACCEPTED
+    assert calls[0] == calls[1]
+
+
+async def test_a_racing_change_is_a_conflict(publisher, log, monkeypatch):
+    append = publisher._log.append
+
+    async def append_second(stream, value):
+        race = records.ChangeRecord(change_id="c", actor="b", changed_at="", writes=WRITES)
+        await append(stream, publications.msgspec.json.encode(race))
+        return await append(stream, value)
+
+    log.values.append({})
+    monkeypatch.setattr(publisher._log, "append", append_second)
+    publication = await publisher.publish(WRITES, "ada")
+    assert publication.verdict is records.Verdict.CONFLICT
+
+
+async def test_says_that_the_outcome_is_unknown(publisher, monkeypatch):
+    async def lose(stream, value):
+        raise errors.LogReplyLostError("lost")
+
+    monkeypatch.setattr(publisher._log, "append", lose)
+    with pytest.raises(errors.PublicationUnknownError):
+        await publisher.publish(WRITES, "ada")
+
+
+async def test_reads_on_from_the_oldest_record_kept(publisher, log):
+    log.values.extend([{}, {}, {}])
+    log.first = 2
+    publication = await publisher.publish(WRITES, "ada")
+    assert publication.offset == 3
