--- /dev/null
+++ b/packages/load/chiveridge_load/demos.py
@@ -0,0 +1,75 @@
+"""The demo: a small fleet of real processes runs one job of 24 tasks."""
+
+import asyncio
+import datetime
+import sys
+
+import msgspec
+
+from chiveridge_client import clients
+from chiveridge_kernel import messages, results
+from chiveridge_load import deployments
+from chiveridge_standins import fleets
+
+DOMAINS = ("ikeja", "surulere", "lekki")
+TARGETS_PER_DOMAIN = 2
+TASK_COUNT = 24
+SHORTEST_RUN_MS = 50
+RUN_STEP_MS = 10
+NETWORK_TRIPS_MS = 2.0
+TEAM = deployments.TeamPlan(name="dispatch-desk", secret="demo-secret-of-no-value")
+
+
+def main() -> int:
+    """Run the demo and return its exit code."""
+    return asyncio.run(_run())
+
+
+async def _run() -> int:
+    domain = fleets.DomainPlan(nodes=1, targets=TARGETS_PER_DOMAIN)
+    fleet = fleets.Fleet(fleets.FleetPlan(domains={name: domain for name in DOMAINS}))
+    async with fleet:
+        await _publish(fleet)
+        await fleet.wait_ready()
+        answer = await _submit(fleet)
+        _print_answer(answer)
+    _print_exits(fleet.exit_codes_by_name)
+    clean = all(code == 0 for code in fleet.exit_codes_by_name.values())
+    return 0 if clean and answer.state is results.JobState.COMPLETE else 1
+
+
+async def _publish(fleet: fleets.Fleet) -> None:
+    names = list(fleet.targets_by_name)
+    change = deployments.first_change([TEAM], names)
+    await fleet.append_change(msgspec.to_builtins(change))
+    print(f"published team {TEAM.name}, {len(names)} targets, 1 rule")
+
+
+async def _submit(fleet: fleets.Fleet) -> messages.JobAnswer:
+    tasks = [messages.TaskSpec(body=_body(index)) for index in range(TASK_COUNT)]
+    async with clients.Client(fleet.node_urls(), TEAM.credential) as client:
+        return await client.submit(tasks, deadline=datetime.timedelta(seconds=20))
+
+
+def _body(index: int) -> msgspec.Raw:
+    content = {"run_ms": SHORTEST_RUN_MS + RUN_STEP_MS * index, "key": f"fault-call-{index}"}
+    return msgspec.Raw(msgspec.json.encode(content))
+
+
+def _print_answer(answer: messages.JobAnswer) -> None:
+    print(f"job {answer.submission_id}: {answer.state.value} {answer.name} {answer.message}")
+    print(f"{'task':>4}  {'target':<14} {'outcome':<10} {'run ms':>8}")
+    for task in answer.tasks:
+        print(f"{task.index:>4}  {task.target:<14} {task.outcome.value:<10} {task.run_ms:>8.1f}")
+    ideal_ms = max(task.run_ms for task in answer.tasks) + NETWORK_TRIPS_MS
+    ratio = answer.elapsed_ms / ideal_ms
+    print(f"response {answer.elapsed_ms:.1f} ms, ideal {ideal_ms:.1f} ms, ratio {ratio:.3f}")
+
+
+def _print_exits(exit_codes_by_name: dict[str, int | None]) -> None:
+    codes = ", ".join(f"{name} {code}" for name, code in sorted(exit_codes_by_name.items()))
+    print(f"stopped by SIGTERM, exit codes: {codes}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
