--- /dev/null
+++ b/packages/standins/chiveridge_standins/fleets.py
@@ -0,0 +1,362 @@
+"""Starts the platform, targets and nodes as real processes for demos, tests and benches."""
+
+import asyncio
+import configparser
+import pathlib
+import signal
+import tempfile
+from typing import Self
+
+import aiohttp
+import msgspec
+
+from chiveridge_standins import counts, logs, processes, proxies, servers, targets, vms
+
+PLATFORM = "platform"
+CONFIG_STREAM = "configuration"
+TARGETS_PER_RACK = 8
+STOP_GRACE_S = 10
+POLL_INTERVAL_S = 0.05
+REQUEST_TIMEOUT_S = 10
+
+
+class FleetError(Exception):
+    """The fleet did not come to the state that was waited for."""
+
+
+class DomainPlan(msgspec.Struct, frozen=True):
+    """Numbers of nodes and of targets in one failure domain."""
+
+    nodes: int
+    targets: int
+
+
+class FleetPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """What a fleet consists of.
+
+    ``slots``, ``memory_mb`` and ``cores`` are those of each target. ``settings`` adds to the
+    nodes' INI files, by section and key. ``proxied`` names what has a proxy in front: targets,
+    nodes (their peer ports) and ``platform``, which only the nodes reach by its proxy.
+    """
+
+    domains: dict[str, DomainPlan]
+    slots: int = 8
+    memory_mb: int = 128 * 1024
+    cores: int = 64
+    settings: dict[str, dict[str, str]] = {}
+    targets_per_process: int = 8
+    proxied: frozenset[str] = frozenset()
+
+
+class NodeListening(msgspec.Struct, tag="listening", tag_field="event"):
+    """Line that a node prints when it listens."""
+
+    name: str
+    address: str
+    port: int
+    peer_port: int
+    incarnation: str
+
+
+class Node(msgspec.Struct, frozen=True):
+    """A running node."""
+
+    name: str
+    domain: str
+    listening: NodeListening
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return _url(self.listening.port)
+
+
+class Target:
+    """A running target; ``process_name`` names the process that it shares with others."""
+
+    def __init__(self, session: aiohttp.ClientSession, vm: vms.Vm, process_name: str, control: str):
+        self.vm = vm
+        self.process_name = process_name
+        self.url = _url(vm.port)
+        self._session = session
+        self._control_url = control
+
+    async def counts(self) -> counts.Counts:
+        """Return what the target counted."""
+        content = await _request(self._session, "GET", f"{self._control_url}/v1/counts")
+        return msgspec.json.decode(content, type=counts.Counts)
+
+    async def reset_counts(self) -> None:
+        """Forget what the target counted."""
+        await _request(self._session, "POST", f"{self._control_url}/v1/counts/reset")
+
+    async def control(self, **changes: object) -> None:
+        """Change fields of :class:`chiveridge_standins.leases.TargetFaults`."""
+        await _request(self._session, "POST", f"{self._control_url}/control", changes)
+
+
+class Fleet:
+    """Running processes of a plan; an asynchronous context manager.
+
+    ``exit_codes_by_name`` is complete once the context has been left.
+    """
+
+    def __init__(self, plan: FleetPlan):
+        self.plan = plan
+        self.nodes_by_name: dict[str, Node] = {}
+        self.targets_by_name: dict[str, Target] = {}
+        self.proxies_by_name: dict[str, proxies.FaultProxy] = {}
+        self.exit_codes_by_name: dict[str, int | None] = {}
+        self.platform_url = ""
+        self._nodes_platform_url = ""
+        self._processes_by_name: dict[str, processes.Process] = {}
+        self._directory = tempfile.TemporaryDirectory(prefix="chiveridge-")
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        try:
+            await self._start_all()
+        except BaseException:
+            await self._stop_all()
+            raise
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        await self._stop_all()
+
+    def node_urls(self) -> list[str]:
+        """Return the base URLs of the nodes for callers."""
+        return [node.url for node in self.nodes_by_name.values()]
+
+    async def append_change(self, record: dict) -> int:
+        """Append a record to the configuration stream and return its offset."""
+        url = f"{self.platform_url}/v1/streams/{CONFIG_STREAM}/records"
+        content = await _request(self._session, "POST", url, record)
+        return msgspec.json.decode(content, type=logs.AppendReply).offset
+
+    async def control_log(self, **changes: object) -> None:
+        """Change fields of :class:`chiveridge_standins.logs.LogFaults`."""
+        await _request(self._session, "POST", f"{self.platform_url}/log/control", changes)
+
+    async def control_vms(self, **changes: object) -> None:
+        """Change fields of :class:`chiveridge_standins.vms.VmFaults`."""
+        await _request(self._session, "POST", f"{self.platform_url}/vms/control", changes)
+
+    async def put_vm(self, vm: vms.Vm) -> None:
+        """Add or replace a VM in the platform's list."""
+        await _request(self._session, "PUT", f"{self.platform_url}/v1/vms/{vm.name}", vm)
+
+    async def delete_vm(self, name: str) -> None:
+        """Remove a VM from the platform's list."""
+        await _request(self._session, "DELETE", f"{self.platform_url}/v1/vms/{name}")
+
+    async def kill(self, name: str) -> None:
+        """End the process of a node, a target or the platform with SIGKILL.
+
+        A target takes the targets of the same process with it. The VM stays listed.
+        """
+        process = self._process(name)
+        process.signal(signal.SIGKILL)
+        await process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Pause a process with SIGSTOP."""
+        self._process(name).signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on with SIGCONT."""
+        self._process(name).signal(signal.SIGCONT)
+
+    async def terminate(self, name: str) -> int:
+        """Send SIGTERM, wait without limit for the end and return the exit code."""
+        process = self._process(name)
+        process.signal(signal.SIGTERM)
+        return await process.wait()
+
+    async def start_node(self, name: str) -> Node:
+        """Start a node, or again one that ended, with new ports, and list its VM."""
+        domain = self._domain_of_node(name)
+        await self._stop_process(name)
+        process = self._new_process(name)
+        config = self._write_config(name, domain)
+        arguments = ["--config", str(config)]
+        listening = await process.start("chiveridge_node", arguments, NodeListening)
+        node = Node(name, domain, listening)
+        self.nodes_by_name[name] = node
+        await self.put_vm(await self._node_vm(node))
+        return node
+
+    async def wait_ready(self, timeout_s: float = 30) -> None:
+        """Wait until every running node is ready.
+
+        :raises FleetError: when one is not ready in time; it shows the end of its log.
+        """
+        running = [
+            node
+            for name, node in self.nodes_by_name.items()
+            if self._processes_by_name[name].exit_code is None
+        ]
+        await asyncio.gather(*(self._wait_node_ready(node, timeout_s) for node in running))
+
+    def stderr_tail(self, name: str) -> str:
+        """Return the end of what a process wrote to standard error."""
+        return self._process(name).stderr_tail()
+
+    async def _start_all(self) -> None:
+        await self._start_platform()
+        await asyncio.gather(*(self._start_targets(domain) for domain in self.plan.domains))
+        names = [name for domain in self.plan.domains for name in self._node_names(domain)]
+        await asyncio.gather(*(self.start_node(name) for name in names))
+
+    async def _start_platform(self) -> None:
+        process = self._new_process(PLATFORM)
+        module = "chiveridge_standins.platforms"
+        listening = await process.start(module, [], servers.Listening)
+        self.platform_url = _url(listening.port)
+        self._nodes_platform_url = _url(await self._public_port(PLATFORM, listening.port))
+
+    async def _start_targets(self, domain: str) -> None:
+        names = [f"{domain}-t{number + 1}" for number in range(self.plan.domains[domain].targets)]
+        size = self.plan.targets_per_process
+        groups = [names[first : first + size] for first in range(0, len(names), size)]
+        await asyncio.gather(*(self._start_target_process(domain, group) for group in groups))
+
+    async def _start_target_process(self, domain: str, names: list[str]) -> None:
+        process_name = f"{names[0]}-process"
+        process = self._new_process(process_name)
+        arguments = [f"--names={','.join(names)}", f"--slots={self.plan.slots}"]
+        module = "chiveridge_standins.targets"
+        listening = await process.start(module, arguments, targets.TargetsListening)
+        for name in names:
+            vm = await self._target_vm(domain, name, listening.targets[name])
+            control_url = _url(listening.controls[name])
+            self.targets_by_name[name] = Target(self._session, vm, process_name, control_url)
+            await self.put_vm(vm)
+
+    async def _target_vm(self, domain: str, name: str, port: int) -> vms.Vm:
+        number = int(name.rpartition("-t")[2])
+        return vms.Vm(
+            name=name,
+            role=vms.VmRole.TARGET,
+            domain=domain,
+            address=servers.LOOPBACK,
+            port=await self._public_port(name, port),
+            rack=f"{domain}-r{(number - 1) // TARGETS_PER_RACK + 1}",
+            slots=self.plan.slots,
+            memory_mb=self.plan.memory_mb,
+            cores=self.plan.cores,
+        )
+
+    async def _node_vm(self, node: Node) -> vms.Vm:
+        return vms.Vm(
+            name=node.name,
+            role=vms.VmRole.ENTRY,
+            domain=node.domain,
+            address=node.listening.address,
+            port=node.listening.port,
+            peer_port=await self._public_port(node.name, node.listening.peer_port),
+        )
+
+    async def _public_port(self, name: str, port: int) -> int:
+        """Return the port that others use: that of the proxy where the plan has one."""
+        if name not in self.plan.proxied:
+            return port
+        previous = self.proxies_by_name.pop(name, None)
+        if previous is not None:
+            await previous.close()
+        proxy = proxies.FaultProxy(servers.LOOPBACK, port)
+        self.proxies_by_name[name] = proxy
+        await proxy.start()
+        return proxy.port
+
+    async def _wait_node_ready(self, node: Node, timeout_s: float) -> None:
+        process = self._processes_by_name[node.name]
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not await self._is_ready(node):
+                    if process.exit_code is not None:
+                        raise FleetError(f"{node.name} ended: {process.stderr_tail()}")
+                    await asyncio.sleep(POLL_INTERVAL_S)
+        except TimeoutError as error:
+            message = f"{node.name} is not ready after {timeout_s} s: {process.stderr_tail()}"
+            raise FleetError(message) from error
+
+    async def _is_ready(self, node: Node) -> bool:
+        try:
+            async with self._session.get(f"{node.url}/readyz") as reply:
+                return reply.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    def _node_names(self, domain: str) -> list[str]:
+        return [f"{domain}-e{number + 1}" for number in range(self.plan.domains[domain].nodes)]
+
+    def _domain_of_node(self, name: str) -> str:
+        for domain in self.plan.domains:
+            if name in self._node_names(domain):
+                return domain
+        raise FleetError(f"the plan has no node {name}")
+
+    def _write_config(self, name: str, domain: str) -> pathlib.Path:
+        platform = self._nodes_platform_url
+        config = configparser.ConfigParser(interpolation=None)
+        config["node"] = {
+            "name": name,
+            "domain": domain,
+            "address": servers.LOOPBACK,
+            "caller_port": "0",
+            "peer_port": "0",
+        }
+        config["platform"] = {
+            "log_url": platform,
+            "vms_url": platform,
+            "config_stream": CONFIG_STREAM,
+        }
+        config["placement"] = {"policy": "power_of_two"}
+        config.read_dict(self.plan.settings)
+        path = pathlib.Path(self._directory.name, f"{name}.ini")
+        with path.open("w") as file:
+            config.write(file)
+        return path
+
+    def _new_process(self, name: str) -> processes.Process:
+        path = pathlib.Path(self._directory.name, f"{name}.stderr")
+        process = processes.Process(name, path)
+        self._processes_by_name[name] = process
+        return process
+
+    def _process(self, name: str) -> processes.Process:
+        target = self.targets_by_name.get(name)
+        process_name = name if target is None else target.process_name
+        if process_name not in self._processes_by_name:
+            raise FleetError(f"the fleet has no process {name}")
+        return self._processes_by_name[process_name]
+
+    async def _stop_process(self, name: str) -> None:
+        process = self._processes_by_name.get(name)
+        if process is not None:
+            self.exit_codes_by_name[name] = await process.stop(STOP_GRACE_S)
+
+    async def _stop_all(self) -> None:
+        others = [name for name in self._processes_by_name if name not in self.nodes_by_name]
+        await asyncio.gather(*(self._stop_process(name) for name in self.nodes_by_name))
+        await asyncio.gather(*(self._stop_process(name) for name in others))
+        for proxy in self.proxies_by_name.values():
+            await proxy.close()
+        await self._session.close()
+        self._directory.cleanup()
+
+
+async def _request(
+    session: aiohttp.ClientSession, method: str, url: str, message: object = None
+) -> bytes:
+    content = msgspec.json.encode({} if message is None else message)
+    async with session.request(method, url, data=content) as reply:
+        reply.raise_for_status()
+        return await reply.read()
+
+
+def _url(port: int) -> str:
+    return f"http://{servers.LOOPBACK}:{port}"
--- /dev/null
+++ b/packages/standins/chiveridge_standins/processes.py
@@ -0,0 +1,88 @@
+"""Child processes that announce their ports on one line of standard output."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+from typing import TypeVar
+
+import msgspec
+
+START_TIMEOUT_S = 30
+TAIL_BYTES = 4000
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+
+class ProcessError(Exception):
+    """A child process did not start or stop as it should."""
+
+
+class Process:
+    """One Python module run as a child process, with standard error kept in a file."""
+
+    def __init__(self, name: str, stderr_path: pathlib.Path):
+        self.name = name
+        self._stderr_path = stderr_path
+        self._child: asyncio.subprocess.Process | None = None
+        self._drain: asyncio.Task[None] | None = None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, negative for a signal, or nothing while the process runs."""
+        return None if self._child is None else self._child.returncode
+
+    async def start(self, module: str, arguments: list[str], announcement: type[T]) -> T:
+        """Run a module and return the announcement that it prints when it listens.
+
+        :raises ProcessError: when no valid announcement comes in time.
+        """
+        with self._stderr_path.open("ab") as stderr:
+            self._child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=stderr,
+            )
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                line = await self._child.stdout.readline()
+            listening = msgspec.json.decode(line, type=announcement)
+        except (TimeoutError, ValueError) as error:
+            raise ProcessError(f"{self.name} did not listen: {self.stderr_tail()}") from error
+        self._drain = asyncio.create_task(self._drain_stdout())
+        return listening
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, unless it has ended."""
+        if self._child is not None and self._child.returncode is None:
+            self._child.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait for the end of the process and return its exit code."""
+        if self._drain is not None:
+            await self._drain
+        return await self._child.wait()
+
+    async def stop(self, grace_s: float) -> int | None:
+        """Send SIGTERM, and SIGKILL after ``grace_s`` seconds; return the exit code."""
+        if self._child is None:
+            return None
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(grace_s):
+                return await self._child.wait()
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            return await self._child.wait()
+
+    def stderr_tail(self) -> str:
+        """Return the end of what the process wrote to standard error."""
+        return self._stderr_path.read_bytes()[-TAIL_BYTES:].decode(errors="replace")
+
+    async def _drain_stdout(self) -> None:
+        while await self._child.stdout.read(TAIL_BYTES):
+            pass
--- a/packages/standins/chiveridge_standins/proxies.py
+++ b/packages/standins/chiveridge_standins/proxies.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import socket
+import struct
 
 import msgspec
 
@@ -10,6 +11,7 @@
 
 CHUNK_BYTES = 65_536
 MAX_CHUNKS_IN_FLIGHT = 64
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ConnectionCounts(msgspec.Struct):
@@ -190,15 +192,13 @@
         while True:
             due, chunk = await chunks.get()
             await self._wait_until(due)
-            if self.aborted:
-                return
             if not chunk:
                 self._finish(writer)
                 return
-            if self.silent:
+            if self.silent or self.aborted:
                 continue
             if is_reply and self._proxy.take_dropped_reply(self):
-                return
+                continue
             await self._write_chunk(writer, chunk)
 
     async def _wait_until(self, due: float) -> None:
@@ -236,6 +236,5 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     connection = writer.get_extra_info("socket")
     if connection is not None and not writer.is_closing():
-        linger_at_once = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_at_once)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
     writer.transport.abort()
--- a/packages/standins/chiveridge_standins/targets.py
+++ b/packages/standins/chiveridge_standins/targets.py
@@ -14,9 +14,13 @@
 
 
 class TargetsListening(msgspec.Struct, tag="listening", tag_field="event"):
-    """Line that the process prints when it listens: ports by target name."""
+    """Line that the process prints when it listens: ports by target name.
+
+    A port of ``controls`` serves only counts and control, and has no limit of connections.
+    """
 
     targets: dict[str, int]
+    controls: dict[str, int]
 
 
 class LeaseResource:
@@ -113,11 +117,14 @@
     app = falcon.asgi.App()
     app.add_route("/v1/leases/{lease_id}", LeaseResource(target))
     app.add_route("/v1/usage", UsageResource(target))
-    counts_resource = CountsResource(target)
-    app.add_route("/v1/counts", counts_resource)
-    app.add_route("/v1/counts/reset", counts_resource, suffix="reset")
-    control = controls.ControlResource(lambda: target.faults, target.set_faults)
-    app.add_route("/control", control)
+    _add_control_routes(app, target)
+    return app
+
+
+def create_control_app(target: leases.Target) -> falcon.asgi.App:
+    """Return an application that serves only the counts and the control of a target."""
+    app = falcon.asgi.App()
+    _add_control_routes(app, target)
     return app
 
 
@@ -129,12 +136,26 @@
 async def serve(names: list[str], slots: int, port: int) -> None:
     """Serve targets until SIGTERM, on consecutive ports unless ``port`` is 0."""
     servers_by_name: dict[str, servers.AppServer] = {}
+    controls_by_name: dict[str, servers.AppServer] = {}
     for index, name in enumerate(names):
         target = leases.Target(name, slots, clocks.SystemClock())
         servers_by_name[name] = create_server(target, port + index if port else 0)
-    ports = {name: app_server.port for name, app_server in servers_by_name.items()}
-    logging.info("targets on ports %s", ports)
-    await servers.run(list(servers_by_name.values()), TargetsListening(targets=ports))
+        controls_by_name[name] = servers.AppServer(create_control_app(target))
+    announcement = TargetsListening(_ports(servers_by_name), _ports(controls_by_name))
+    logging.info("targets on ports %s", announcement.targets)
+    await servers.run([*servers_by_name.values(), *controls_by_name.values()], announcement)
+
+
+def _ports(servers_by_name: dict[str, servers.AppServer]) -> dict[str, int]:
+    return {name: app_server.port for name, app_server in servers_by_name.items()}
+
+
+def _add_control_routes(app: falcon.asgi.App, target: leases.Target) -> None:
+    counts_resource = CountsResource(target)
+    app.add_route("/v1/counts", counts_resource)
+    app.add_route("/v1/counts/reset", counts_resource, suffix="reset")
+    control = controls.ControlResource(lambda: target.faults, target.set_faults)
+    app.add_route("/control", control)
 
 
 async def _hold_while_silent(target: leases.Target) -> None:
--- /dev/null
+++ b/packages/standins/tests/test_proxies.py
@@ -0,0 +1,104 @@
+import asyncio
+import contextlib
+import datetime
+
+import pytest
+
+from chiveridge_standins import proxies
+
+
+async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(ConnectionError):
+        while chunk := await reader.read(1024):
+            writer.write(chunk)
+    writer.close()
+
+
+class Connection:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self.reader = reader
+        self.writer = writer
+
+    async def echoed(self, message: bytes) -> bytes:
+        self.writer.write(message)
+        async with asyncio.timeout(20):
+            return await self.reader.readexactly(len(message))
+
+    async def hears_nothing(self) -> bool:
+        try:
+            async with asyncio.timeout(0.1):
+                await self.reader.read(1)
+        except TimeoutError:
+            return True
+        return False
+
+
+@contextlib.asynccontextmanager
+async def proxying():
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    proxy = proxies.FaultProxy("127.0.0.1", server.sockets[0].getsockname()[1])
+    await proxy.start()
+    yield proxy
+    await proxy.close()
+    server.close()
+
+
+async def connected(proxy: proxies.FaultProxy) -> Connection:
+    return Connection(*await asyncio.open_connection("127.0.0.1", proxy.port))
+
+
+async def test_passes_bytes_with_a_delay():
+    async with proxying() as proxy:
+        proxy.delay = datetime.timedelta(milliseconds=5)
+        connection = await connected(proxy)
+        message = b"m" * 300_000
+        assert await connection.echoed(message) == message
+        connection.writer.write_eof()
+        assert await connection.reader.read() == b""
+        assert proxy.counts.accepted == 1
+
+
+async def test_cut_resets_and_refuses_until_healed():
+    async with proxying() as proxy:
+        connection = await connected(proxy)
+        await connection.echoed(b"before")
+        proxy.cut()
+        with pytest.raises(ConnectionError):
+            await connection.echoed(b"after")
+        with pytest.raises(ConnectionRefusedError):
+            await connected(proxy)
+        await proxy.heal()
+        assert await (await connected(proxy)).echoed(b"again") == b"again"
+        assert proxy.counts.cut == 1
+
+
+async def test_freeze_holds_bytes_until_thawed():
+    async with proxying() as proxy:
+        connection = await connected(proxy)
+        await connection.echoed(b"before")
+        proxy.freeze()
+        connection.writer.write(b"held")
+        assert await connection.hears_nothing()
+        proxy.thaw()
+        assert await connection.reader.readexactly(4) == b"held"
+
+
+async def test_silent_connections_stay_silent_while_new_ones_work():
+    async with proxying() as proxy:
+        silent = await connected(proxy)
+        await silent.echoed(b"before")
+        proxy.go_silent()
+        silent.writer.write(b"lost")
+        assert await (await connected(proxy)).echoed(b"new") == b"new"
+        proxy.freeze()
+        proxy.thaw()
+        assert await silent.hears_nothing()
+
+
+async def test_drops_the_reply_and_nothing_else():
+    async with proxying() as proxy:
+        proxy.drop_replies(1)
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await (await connected(proxy)).echoed(b"lost")
+        assert await (await connected(proxy)).echoed(b"kept") == b"kept"
+        assert proxy.counts.dropped_replies == 1
--- /dev/null
+++ b/packages/standins/tests/test_vms.py
@@ -0,0 +1,45 @@
+import datetime
+
+from chiveridge_standins import vms
+
+
+class ManualClock:
+    def __init__(self):
+        self.time = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+    def now(self) -> datetime.datetime:
+        return self.time
+
+    def advance(self, ms: int) -> None:
+        self.time += datetime.timedelta(milliseconds=ms)
+
+
+def target(name: str) -> vms.Vm:
+    return vms.Vm(name=name, role=vms.VmRole.TARGET, domain="ikeja", address="127.0.0.1", port=7001)
+
+
+def names(registry: vms.VmRegistry) -> list[str]:
+    return [vm.name for vm in registry.listed().vms]
+
+
+def test_lists_writes_at_once_without_lag():
+    registry = vms.VmRegistry(ManualClock())
+    registry.put(target("t1"))
+    assert names(registry) == ["t1"]
+    assert registry.delete("t1")
+    assert not registry.delete("t1")
+    assert registry.listed() == vms.VmList(2, [])
+
+
+def test_lists_writes_after_the_lag():
+    clock = ManualClock()
+    registry = vms.VmRegistry(clock)
+    registry.set_faults(vms.VmFaults(lag_ms=500))
+    registry.put(target("t1"))
+    clock.advance(300)
+    registry.put(target("t2"))
+    assert names(registry) == []
+    clock.advance(200)
+    assert names(registry) == ["t1"]
+    clock.advance(300)
+    assert names(registry) == ["t1", "t2"]
