Carry one-way messages between nodes to and from the kernel

Cause: membership, slot ownership and sharing of evidence all need messages that may be lost; only forwarded requests existed.

--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chiveridge_kernel import configurations, identifiers, messages, vms
+from chiveridge_kernel import configurations, identifiers, messages, peers, vms
 
 
 class StartTask(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,6 +38,13 @@
     answer: messages.JobAnswer
 
 
+class SendToPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """Send a message to another node; it may be lost."""
+
+    peer: vms.Vm
+    message: peers.PeerMessage
+
+
 class NoteChange(msgspec.Struct, frozen=True, kw_only=True):
     """Write the verdict on a configuration record to the audit trail."""
 
@@ -48,4 +55,4 @@
     """The drain is done; the process may exit."""
 
 
-Action = StartTask | AskOutcome | StopTask | AnswerJob | NoteChange | Exit
+Action = StartTask | AskOutcome | StopTask | AnswerJob | SendToPeer | NoteChange | Exit
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chiveridge_kernel import identifiers, messages, vms
+from chiveridge_kernel import identifiers, messages, peers, vms
 
 
 class LeaseOutcome(enum.Enum):
@@ -65,6 +65,12 @@
     listing: vms.VmList
 
 
+class PeerMessageReceived(msgspec.Struct, frozen=True, kw_only=True):
+    """A message from another node; it may be late, repeated or out of order."""
+
+    message: peers.PeerMessage
+
+
 class Ticked(msgspec.Struct, frozen=True):
     """Time has passed; due deadlines are handled."""
 
@@ -79,6 +85,7 @@
     | LeaseReported
     | RecordsRead
     | VmsListed
+    | PeerMessageReceived
     | Ticked
     | DrainRequested
 )
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -15,12 +15,12 @@
     errors,
     events,
     identifiers,
+    members,
     messages,
     reaches,
     results,
     submissions,
     targets,
-    vms,
 )
 
 
@@ -55,7 +55,7 @@
         self.dispatcher = dispatchers.Dispatcher(
             self.reach, self.target_table, rng, settings.policy, settings.incarnation
         )
-        self.nodes_by_name: dict[str, vms.Vm] = {}
+        self.members = members.MemberTable(settings.node, settings.domain)
         self.draining = False
         self.has_listing = False
         self._used_by_id: dict[identifiers.SubmissionId, UsedId] = {}
@@ -201,7 +201,7 @@
 
 @_handle.register
 def _(event: events.VmsListed, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.nodes_by_name = {vm.name: vm for vm in event.listing.vms if vm.role is vms.VmRole.ENTRY}
+    kernel.members.replace(event.listing)
     kernel.target_table.replace(event.listing)
     kernel.reach.replace_vms(kernel.target_table.vms_by_name)
     kernel.has_listing = True
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -75,7 +75,7 @@
             draining=self.kernel.draining,
             config_offset=self.kernel.configuration.offset,
             targets=sorted(self.kernel.target_table.vms_by_name),
-            nodes=sorted(self.kernel.nodes_by_name),
+            nodes=sorted(self.kernel.members.vms_by_name),
             jobs_in_progress=len(dispatcher.jobs_by_id),
             starts_in_progress=sum(dispatcher.in_flight_by_target.values()),
         )
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -6,7 +6,7 @@
 import zmq
 import zmq.asyncio
 
-from chiveridge_kernel import peers, vms
+from chiveridge_kernel import actions, events, peers, vms
 from chiveridge_node import logevents, plugins
 
 HIGH_WATER_MARK = 1000
@@ -39,6 +39,7 @@
             self.port = self._router.bind_to_random_port(endpoint)
         self._in_background(self._receive_requests())
         self._node.requests.forward = self.forward
+        self._node.shell.perform_with(actions.SendToPeer, self.send)
 
     async def close(self) -> None:
         """Close every socket."""
@@ -64,6 +65,12 @@
         finally:
             del self._replies_by_request[request.request_id]
 
+    def send(self, action: actions.SendToPeer) -> None:
+        """Send a message without waiting; it is dropped when the peer is not connected."""
+        # The future of a send that would block is left to fail by itself.
+        sending = self._dealer(action.peer).send(peers.encode(action.message), zmq.NOBLOCK)
+        sending.add_done_callback(_ignore_dropped)
+
     def _dealer(self, peer: vms.Vm) -> zmq.asyncio.Socket:
         endpoint = f"tcp://{peer.address}:{peer.peer_port}"
         dealer = self._dealers_by_endpoint.get(endpoint)
@@ -92,6 +99,8 @@
             message = self._decode(data)
             if isinstance(message, peers.CallerRequest):
                 self._in_background(self._serve(identity, message))
+            elif message is not None:
+                self._node.shell.handle_safely(events.PeerMessageReceived(message=message))
 
     async def _receive_replies(self, dealer: zmq.asyncio.Socket) -> None:
         while True:
@@ -118,6 +127,11 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _ignore_dropped(sending: asyncio.Future) -> None:
+    if not sending.cancelled() and isinstance(sending.exception(), zmq.Again):
+        return
+
+
 def register() -> None:
     """Register the adapter under the name ``zmq``."""
     plugins.add(plugins.Kind.PEERS, "zmq", ZmqPeers)
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -152,7 +152,7 @@
             return unknown(
                 results.ResultCode.SUBMISSION_ID_EXPIRED, "submission_id: it has expired"
             )
-        node: vms.Vm | None = self._kernel.nodes_by_name.get(issued.node)
+        node: vms.Vm | None = self._kernel.members.find(issued.node)
         if node is None:
             return _unreachable(issued.node)
         reply = await self.forward(
