--- /dev/null
+++ b/packages/client/chiveridge_client/calls.py
@@ -0,0 +1,119 @@
+"""State of one awaited submission, and what each reply means for it."""
+
+import datetime
+
+import msgspec
+
+from chiveridge_client import errors
+from chiveridge_kernel import identifiers, messages, results
+
+MAX_REFUSALS = 4
+
+REFUSED_FOR_NOW = frozenset(
+    {
+        results.ResultCode.OVERLOADED,
+        results.ResultCode.QUOTA_EXCEEDED,
+        results.ResultCode.DRAINING,
+        results.ResultCode.NOT_READY,
+        results.ResultCode.ISSUER_UNREACHABLE,
+    }
+)
+"""Codes after which the same request may be accepted."""
+
+ID_UNUSABLE = frozenset(
+    {
+        results.ResultCode.DRAINING,
+        results.ResultCode.ISSUER_GONE,
+        results.ResultCode.SUBMISSION_ID_EXPIRED,
+    }
+)
+"""Codes after which a job that never started may run under another submission id."""
+
+
+class Call(msgspec.Struct, kw_only=True):
+    """A submission whose answer is awaited, with the state of its attempts.
+
+    ``body`` is ``None`` when the job was submitted elsewhere, ``issuer_url`` is empty when the
+    issuer is unknown. Times are on the monotonic clock: ``wait_until`` ends the wait for a
+    running job, ``until`` ends all attempts.
+    """
+
+    submission_id: identifiers.SubmissionId
+    body: bytes | None = None
+    task_count: int | None = None
+    urls: list[str]
+    issuer_url: str = ""
+    wait_until: datetime.timedelta
+    until: datetime.timedelta
+    is_accepted: bool = False
+    may_have_started: bool = False
+    attempt: int = 0
+    refusals: int = 0
+
+    @property
+    def url(self) -> str:
+        """The node to ask in this attempt."""
+        return self.urls[self.attempt % len(self.urls)]
+
+    @property
+    def must_submit(self) -> bool:
+        """Whether the next request carries the job."""
+        return self.body is not None and not self.is_accepted
+
+
+def is_settled(answer: messages.JobAnswer) -> bool:
+    """Tell whether the job has ended."""
+    return answer.state is not results.JobState.RUNNING
+
+
+def check_whole(answer: messages.JobAnswer, call: Call) -> None:
+    """Check that the answer is the call's own and has every task in order.
+
+    A failed job may come without tasks when its node no longer knows them.
+
+    :raises errors.ReplyLostError: when it isn't.
+    """
+    if answer.submission_id != call.submission_id:
+        raise errors.ReplyLostError(f"the answer is for submission {answer.submission_id}")
+    if not is_settled(answer):
+        return
+    if answer.state is results.JobState.FAILED and not answer.tasks:
+        return
+    count = len(answer.tasks) if call.task_count is None else call.task_count
+    indices = [task.index for task in answer.tasks]
+    if not indices or indices != list(range(count)):
+        raise errors.ReplyLostError(f"the answer has {len(indices)} of {count} tasks in order")
+
+
+def note_refusal(call: Call, error: errors.RefusedError) -> None:
+    """Prepare the call for another attempt under its id.
+
+    :raises errors.RefusedError: when the refusal is final.
+    :raises errors.OutcomeUnknownError: when it is final and tasks may have started.
+    """
+    call.refusals += 1
+    if error.ran is results.TaskOutcome.UNKNOWN:
+        call.may_have_started = True
+        return
+    if error.code is results.ResultCode.UNKNOWN_SUBMISSION and call.body and call.is_accepted:
+        call.is_accepted = False
+        return
+    if not _may_retry(call, error):
+        raise final_error(call, error)
+
+
+def final_error(call: Call, error: errors.ClientError) -> errors.ClientError:
+    """Return the error that ends a call whose last attempt failed with ``error``."""
+    if not isinstance(error, errors.RefusedError):
+        return errors.OutcomeUnknownError(call.submission_id, str(error))
+    leaves_doubt = error.code in REFUSED_FOR_NOW | ID_UNUSABLE
+    is_unknown = error.ran is results.TaskOutcome.UNKNOWN
+    if is_unknown or (call.may_have_started and leaves_doubt):
+        return errors.OutcomeUnknownError(call.submission_id, str(error))
+    return error
+
+
+def _may_retry(call: Call, error: errors.RefusedError) -> bool:
+    if error.code in ID_UNUSABLE and not call.may_have_started:
+        return False
+    return error.code in REFUSED_FOR_NOW and call.refusals <= MAX_REFUSALS
--- a/packages/client/chiveridge_client/commands.py
+++ b/packages/client/chiveridge_client/commands.py
@@ -1,4 +1,4 @@
-"""Subcommands of the command line, each registered in :data:`commands_by_name`."""
+"""Subcommands of the command line, each registered in :data:`handlers_by_name`."""
 
 import getpass
 import pathlib
@@ -46,14 +46,14 @@
     needs_credential: bool
 
 
-commands_by_name: dict[str, Command] = {}
+handlers_by_name: dict[str, Command] = {}
 
 
 def command(name: str, usage: str = "", *, minimum: int, maximum: int, credential: bool = False):
     """Register the decorated handler as a subcommand with ``minimum`` to ``maximum`` arguments."""
 
     def register(handler):
-        commands_by_name[name] = Command(
+        handlers_by_name[name] = Command(
             handler=handler,
             usage=f"{name} {usage}".rstrip(),
             argument_counts=range(minimum, maximum + 1),
@@ -113,7 +113,9 @@
             clock=context.clock,
             stream=context.settings.stream,
         )
-        publication = await publisher.publish(writes, actor, context.options.comment)
+        publication = await publisher.publish(
+            writes, actor, context.options.comment, context.options.change_id
+        )
     titles = ["CHANGE", "OFFSET", "VERDICT", "LOST REPLIES"]
     verdict = publication.verdict
     row = [publication.change_id, publication.offset, verdict.value, publication.lost_replies]
--- a/packages/client/chiveridge_client/exchanges.py
+++ b/packages/client/chiveridge_client/exchanges.py
@@ -14,7 +14,14 @@
 TRANSFER_TIMEOUT = datetime.timedelta(seconds=5)
 """Time, beyond the requested wait, in which a whole exchange must end."""
 
-_refusal_decoder = msgspec.json.Decoder(messages.Refusal)
+
+class _Refusal(messages.Refusal, frozen=True, kw_only=True):
+    """A refusal that says itself what happened to its tasks."""
+
+    ran: results.TaskOutcome
+
+
+_refusal_decoder = msgspec.json.Decoder(_Refusal)
 
 
 class Exchanges:
@@ -50,6 +57,7 @@
             data=body,
             params={"wait_ms": wait // datetime.timedelta(milliseconds=1)},
             headers=self._headers,
+            allow_redirects=False,
             timeout=_timeout(wait),
         )
         try:
@@ -76,7 +84,7 @@
 
 def _refusal_error(refusal: messages.Refusal, headers) -> errors.RefusedError:
     return errors.RefusedError(
-        results.ResultCode(refusal.code),
+        refusal.code,
         refusal.message,
         _retry_after(refusal, headers),
         refusal.ran,
--- a/packages/client/chiveridge_client/mains.py
+++ b/packages/client/chiveridge_client/mains.py
@@ -39,7 +39,7 @@
     """Return the help page: subcommands, examples and flags."""
     lines = [
         f"  {command.usage:<16} {command.handler.__doc__.splitlines()[0]}"
-        for command in commands.commands_by_name.values()
+        for command in commands.handlers_by_name.values()
     ]
     usage = "usage: chiveridge COMMAND [ARGUMENTS] [FLAGS]\n\ncommands:"
     return "\n".join([usage, *lines, "", EXAMPLES, "flags:", options.describe()])
@@ -64,14 +64,14 @@
 def _find(words: list[str]) -> tuple[commands.Command, list[str]]:
     """Return the subcommand that the first words name, and its arguments."""
     for length in (2, 1):
-        command = commands.commands_by_name.get(" ".join(words[:length]))
+        command = commands.handlers_by_name.get(" ".join(words[:length]))
         if command is None:
             continue
         arguments = words[length:]
         if len(arguments) not in command.argument_counts:
             raise errors.InvalidInputError([f"usage: chiveridge {command.usage}"])
         return command, arguments
-    known = ", ".join(commands.commands_by_name)
+    known = ", ".join(commands.handlers_by_name)
     raise errors.InvalidInputError([f"usage: chiveridge COMMAND; the commands are {known}"])
 
 
--- a/packages/client/chiveridge_client/options.py
+++ b/packages/client/chiveridge_client/options.py
@@ -28,6 +28,7 @@
     wait: datetime.timedelta | None
     idempotent: bool
     comment: str
+    change_id: str
 
 
 def define(values: flags.FlagValues) -> None:
@@ -37,6 +38,9 @@
     flags.DEFINE_bool("json", False, "print JSON for scripts", flag_values=values)
     flags.DEFINE_bool("help", False, "print this help", short_name="h", flag_values=values)
     flags.DEFINE_string("comment", "", "publish: why the change is made", flag_values=values)
+    flags.DEFINE_string(
+        "change_id", "", "publish: the change whose outcome is unknown", flag_values=values
+    )
 
 
 def parse(arguments: list[str]) -> tuple[Options, list[str]]:
@@ -121,4 +125,5 @@
         wait=wait,
         idempotent=values.idempotent,
         comment=values.comment,
+        change_id=values.change_id,
     )
--- a/packages/client/chiveridge_client/publications.py
+++ b/packages/client/chiveridge_client/publications.py
@@ -35,6 +35,15 @@
     verdict: records.Verdict
 
 
+class _Append(msgspec.Struct, kw_only=True):
+    """State of the attempts to append one change."""
+
+    change_id: str
+    value: bytes
+    is_confirmed: bool = False
+    lost_replies: int = 0
+
+
 class Publisher:
     """Publishes changes to one stream.
 
@@ -60,26 +69,33 @@
         self._timeout = timeout
 
     async def publish(
-        self, writes: list[records.ObjectWrite], actor: str, comment: str = ""
+        self,
+        writes: list[records.ObjectWrite],
+        actor: str,
+        comment: str = "",
+        change_id: str = "",
     ) -> Publication:
         """Append one change with ``writes`` and return the verdict on it.
 
-        ``based_on`` of each write is set from the log as it is now.
+        ``based_on`` of each write is set from the log as it is now. Pass the ``change_id`` of a
+        change whose outcome is unknown to find it, or to append it again.
 
         :raises errors.UnreachableError: when the log can't be read; nothing was appended.
         :raises errors.PublicationUnknownError: when the outcome could not be found out in time.
         :raises errors.LogError: when the log refused the record.
         """
         until = self._clock.elapsed() + self._timeout
-        await self._read_before_append(until)
-        change = self._new_change(writes, actor, comment)
+        found = await self._read_before_append(change_id, until)
+        change = self._new_change(writes, actor, comment, change_id or str(uuid.uuid4()))
+        if found is not None:
+            return _publication(change, found, 0)
         return await self._append_until_found(change, until)
 
     def _new_change(
-        self, writes: list[records.ObjectWrite], actor: str, comment: str
+        self, writes: list[records.ObjectWrite], actor: str, comment: str, change_id: str
     ) -> records.ChangeRecord:
         return records.ChangeRecord(
-            change_id=str(uuid.uuid4()),
+            change_id=change_id,
             actor=actor,
             changed_at=self._clock.now().isoformat(),
             writes=[self._based(write) for write in writes],
@@ -90,46 +106,53 @@
         based_on = self._fold.revision_of(write.kind, write.name)
         return msgspec.structs.replace(write, based_on=based_on)
 
-    async def _read_before_append(self, until: datetime.timedelta) -> None:
+    async def _read_before_append(self, change_id: str, until: datetime.timedelta) -> Found | None:
         attempt = 0
         while True:
             try:
-                await self._catch_up("")
-                return
+                return await self._catch_up(change_id)
             except errors.LogReplyLostError as error:
                 delay = backoffs.delay(attempt, self._rng)
                 attempt += 1
                 if self._clock.elapsed() + delay >= until:
-                    raise errors.UnreachableError(f"nothing was published: {error}") from error
+                    raise _unread(change_id, error) from error
                 await self._clock.sleep(delay)
 
     async def _append_until_found(
         self, change: records.ChangeRecord, until: datetime.timedelta
     ) -> Publication:
         """Append the change, again under the same id after a lost reply, and find it in the log."""
-        value = msgspec.json.encode(change)
-        lost_replies = 0
-        is_appended = False
+        append = _Append(change_id=change.change_id, value=msgspec.json.encode(change))
         for attempt in itertools.count():
-            try:
-                if not is_appended:
-                    await self._log.append(self._stream, value)
-                    is_appended = True
-            except errors.LogReplyLostError:
-                lost_replies += 1
-            reason = "the log does not hold it yet"
+            await self._append(append)
             try:
                 found = await self._catch_up(change.change_id)
-                if found is not None:
-                    return _publication(change, found, lost_replies)
-            except errors.LogReplyLostError as error:
+                reason = "the log does not hold it yet"
+            except errors.LogError as error:
+                found = None
                 reason = str(error)
+            if found is not None:
+                return _publication(change, found, append.lost_replies)
             delay = backoffs.delay(attempt, self._rng)
             if self._clock.elapsed() + delay >= until:
                 raise errors.PublicationUnknownError(change.change_id, reason)
             await self._clock.sleep(delay)
         raise AssertionError("the loop returns or raises")
 
+    async def _append(self, append: _Append) -> None:
+        """Append the record unless an earlier attempt was confirmed."""
+        if append.is_confirmed:
+            return
+        try:
+            await self._log.append(self._stream, append.value)
+            append.is_confirmed = True
+        except errors.LogReplyLostError:
+            append.lost_replies += 1
+        except errors.LogError as error:
+            if not append.lost_replies:
+                raise
+            raise errors.PublicationUnknownError(append.change_id, str(error)) from error
+
     async def _catch_up(self, change_id: str) -> Found | None:
         """Fold the stream up to its end, or up to the first record of ``change_id``."""
         while True:
@@ -142,10 +165,12 @@
                 return None
 
     async def _read_page(self) -> platforms.LogPage:
-        try:
-            return await self._log.read(self._stream, self._fold.offset)
-        except errors.OffsetExpiredError as error:
-            return await self._log.read(self._stream, error.first)
+        start = self._fold.offset
+        while True:
+            try:
+                return await self._log.read(self._stream, start)
+            except errors.OffsetExpiredError as error:
+                start = error.first
 
 
 class _ChangeId(msgspec.Struct, frozen=True):
@@ -164,6 +189,13 @@
         return ""
 
 
+def _unread(change_id: str, error: errors.LogError) -> errors.ClientError:
+    """Return the error for a log that can't be read before the append."""
+    if change_id:
+        return errors.PublicationUnknownError(change_id, str(error))
+    return errors.UnreachableError(f"nothing was published: {error}")
+
+
 def _publication(change: records.ChangeRecord, found: Found, lost_replies: int) -> Publication:
     return Publication(
         change_id=change.change_id,
--- a/packages/client/chiveridge_client/settings.py
+++ b/packages/client/chiveridge_client/settings.py
@@ -3,6 +3,7 @@
 import configparser
 import ipaddress
 import pathlib
+import re
 import urllib.parse
 from collections.abc import Callable
 
@@ -98,10 +99,16 @@
     return text
 
 
+def _parse_stream(text: str) -> str:
+    if not re.fullmatch(r"[\w-][\w.-]*", text, re.ASCII):
+        raise ValueError(f"{text!r} is not made of letters, digits, '_', '-' and '.'")
+    return text
+
+
 _parsers_by_name: dict[str, tuple[str, Callable[[str], object]]] = {
     "nodes": ("node_urls", _parse_nodes),
     "credential": ("credential", _parse_credential),
     "log_url": ("log_url", _parse_url),
-    "stream": ("stream", str),
+    "stream": ("stream", _parse_stream),
     "actor": ("actor", str),
 }
--- a/packages/client/tests/conftest.py
+++ b/packages/client/tests/conftest.py
@@ -39,11 +39,12 @@
     return response
 
 
-def answer_of(submission_id, count, state=results.JobState.COMPLETE):
-    tasks = [messages.TaskAnswer(i, results.TaskOutcome.SUCCEEDED) for i in range(count)]
+def answer_of(submission_id, indices=(0, 1), state=results.JobState.COMPLETE):
+    tasks = [messages.TaskAnswer(i, results.TaskOutcome.SUCCEEDED) for i in indices]
     code = results.ResultCode.COMPLETE
-    answer = messages.JobAnswer(submission_id=submission_id, state=state, code=code, tasks=tasks)
-    return msgspec.json.encode(answer)
+    return msgspec.json.encode(
+        messages.JobAnswer(submission_id=submission_id, state=state, code=code, tasks=tasks)
+    )
 
 
 class FakeNode:
@@ -77,7 +78,27 @@
         self.job_requests.append((request.method, submission_id))
         if self.replies:
             return await self.replies.popleft()(request, submission_id)
-        return web.Response(body=answer_of(submission_id, 2))
+        return web.Response(body=answer_of(submission_id))
+
+    def send(self, *, id_="", status=200, **fields):
+        """Make the next job request get an answer with these fields."""
+
+        async def reply(request, submission_id):
+            return web.Response(body=answer_of(id_ or submission_id, **fields), status=status)
+
+        self.replies.append(reply)
+
+    def refuse(self, code, *, times=1, **fields):
+        """Make the next job requests get a refusal."""
+        message = messages.Refusal(code=code, name=code.name, message="no", **fields)
+
+        async def reply(request, submission_id):
+            return web.Response(body=msgspec.json.encode(message), status=503)
+
+        self.replies.extend([reply] * times)
+
+    async def cut_off(self, request, submission_id):
+        return await cut_off(request, answer_of(submission_id))
 
     async def _status(self, request):
         return web.json_response({"node": "ikeja-e1", "targets": [1, 2]})
--- a/packages/client/tests/test_clients.py
+++ b/packages/client/tests/test_clients.py
@@ -2,9 +2,7 @@
 import datetime
 import random
 
-import msgspec
 import pytest
-from aiohttp import web
 
 from chiveridge_client import clients, errors, exchanges
 from chiveridge_kernel import messages, results
@@ -12,6 +10,7 @@
 TASKS = [messages.TaskSpec(), messages.TaskSpec()]
 SECONDS = datetime.timedelta(seconds=1)
 Code = results.ResultCode
+RUNNING = {"indices": (), "status": 202, "state": results.JobState.RUNNING}
 
 
 @pytest.fixture
@@ -21,47 +20,22 @@
         yield made
 
 
-def body(submission_id, indices, state=results.JobState.COMPLETE):
-    tasks = [messages.TaskAnswer(i, results.TaskOutcome.SUCCEEDED) for i in indices]
-    return msgspec.json.encode(
-        messages.JobAnswer(submission_id=submission_id, state=state, code=Code(0), tasks=tasks)
-    )
-
-
-def whole(indices=(0, 1), *, id_=None, status=200, state=results.JobState.COMPLETE):
-    async def reply(request, submission_id):
-        return web.Response(body=body(id_ or submission_id, indices, state), status=status)
-
-    return reply
-
-
-async def cut_off(request, submission_id):
-    payload = body(submission_id, (0, 1))
-    response = web.StreamResponse()
-    response.content_length = len(payload)
-    await response.prepare(request)
-    await response.write(payload[:20])
-    request.transport.close()
-    return response
-
-
 async def silent(request, submission_id):
     await asyncio.Event().wait()
 
 
-def refusal(code, **fields):
-    async def reply(request, submission_id):
-        message = messages.Refusal(code=code, name=code.name, message="no", **fields)
-        return web.Response(body=msgspec.json.encode(message), status=503)
-
-    return reply
+async def test_an_answer_cut_off_is_fetched_again_and_gets_no_new_id(client, node):
+    node.replies.append(node.cut_off)
+    answer = await client.submit(TASKS)
+    assert [task.index for task in answer.tasks] == [0, 1]
+    assert node.job_requests == [("POST", "id-0"), ("POST", "id-0")]
 
 
 @pytest.mark.parametrize(
-    "lost", [cut_off, whole((0,)), whole((1, 0)), whole((0, 0)), whole(id_="another")]
+    "fields", [{"indices": (0,)}, {"indices": (1, 0)}, {"indices": (0, 0)}, {"id_": "another"}]
 )
-async def test_an_answer_that_is_not_whole_is_fetched_again_under_its_id(client, node, lost):
-    node.replies.append(lost)
+async def test_an_answer_that_is_not_whole_is_fetched_again_under_its_id(client, node, fields):
+    node.send(**fields)
     answer = await client.submit(TASKS)
     assert [task.index for task in answer.tasks] == [0, 1]
     assert node.job_requests == [("POST", "id-0"), ("POST", "id-0")]
@@ -76,20 +50,20 @@
 
 
 async def test_a_running_job_is_polled_and_not_sent_again(client, node):
-    node.replies.append(whole((), status=202, state=results.JobState.RUNNING))
+    node.send(**RUNNING)
     await client.submit(TASKS)
     assert node.job_requests == [("POST", "id-0"), ("GET", "id-0")]
 
 
 async def test_a_job_that_its_node_forgot_is_sent_again_under_its_id(client, node):
-    running = whole((), status=202, state=results.JobState.RUNNING)
-    node.replies.extend([running, refusal(Code.UNKNOWN_SUBMISSION)])
+    node.send(**RUNNING)
+    node.refuse(Code.UNKNOWN_SUBMISSION)
     await client.submit(TASKS)
     assert node.job_requests == [("POST", "id-0"), ("GET", "id-0"), ("POST", "id-0")]
 
 
 async def test_the_outcome_is_unknown_when_no_answer_comes_by_the_deadline(client, node, clock):
-    node.replies.extend([cut_off] * 1000)
+    node.replies.extend([node.cut_off] * 1000)
     with pytest.raises(errors.OutcomeUnknownError) as caught:
         await client.submit(TASKS, deadline=5 * SECONDS)
     assert caught.value.submission_id == "id-0"
@@ -97,15 +71,36 @@
     assert clock.passed <= 5 * SECONDS + clients.ANSWER_MARGIN
 
 
+async def test_a_refusal_that_leaves_the_outcome_open_is_not_taken_for_a_refusal(client, node):
+    node.refuse(Code.INTERNAL_ERROR, times=1000, ran=results.TaskOutcome.UNKNOWN)
+    with pytest.raises(errors.OutcomeUnknownError):
+        await client.submit(TASKS)
+    assert {id_ for _, id_ in node.job_requests} == {"id-0"}
+
+
+async def test_an_answer_with_the_status_of_an_error_is_not_a_refusal(client, node):
+    node.send(indices=(), status=500, state=results.JobState.FAILED)
+    answer = await client.submit(TASKS)
+    assert answer.state is results.JobState.COMPLETE
+
+
+async def test_a_job_that_keeps_running_is_returned_after_the_wait(client, node, clock):
+    for _ in range(1000):
+        node.send(**RUNNING)
+    answer = await client.submit(TASKS, wait=5 * SECONDS)
+    assert answer.state is results.JobState.RUNNING
+    assert clock.passed >= 5 * SECONDS
+
+
 async def test_retry_after_is_honoured(client, node, clock):
-    node.replies.append(refusal(Code.OVERLOADED, retry_after_ms=4000))
+    node.refuse(Code.OVERLOADED, retry_after_ms=4000)
     await client.submit(TASKS)
     assert clock.passed >= 4 * SECONDS
     assert node.job_requests == [("POST", "id-0"), ("POST", "id-0")]
 
 
 async def test_a_refusal_is_raised_with_its_code(client, node):
-    node.replies.append(refusal(Code.NOT_APPROVED))
+    node.refuse(Code.NOT_APPROVED)
     with pytest.raises(errors.RefusedError) as caught:
         await client.submit(TASKS)
     assert (caught.value.code, caught.value.message) == (Code.NOT_APPROVED, "no")
@@ -113,7 +108,7 @@
 
 
 async def test_a_new_id_is_taken_only_when_nothing_can_have_run(client, node):
-    node.replies.append(refusal(Code.DRAINING))
+    node.refuse(Code.DRAINING)
     await client.submit(TASKS)
     assert node.job_requests[0] == ("POST", "id-0")
     assert node.job_requests[1][1] != "id-0"
@@ -121,7 +116,8 @@
 
 @pytest.mark.parametrize("code", [Code.DRAINING, Code.ISSUER_GONE, Code.SUBMISSION_ID_EXPIRED])
 async def test_no_new_id_is_taken_after_a_lost_reply(client, node, code):
-    node.replies.extend([cut_off] + [refusal(code)] * 50)
+    node.replies.append(node.cut_off)
+    node.refuse(code, times=50)
     with pytest.raises(errors.OutcomeUnknownError):
         await client.submit(TASKS)
     assert {id_ for _, id_ in node.job_requests} == {"id-0"}
@@ -129,7 +125,7 @@
 
 async def test_answer_and_cancel_name_the_id(client, node):
     await client.answer("id-9")
-    node.replies.append(cut_off)
+    node.replies.append(node.cut_off)
     await client.cancel("id-9")
     assert node.job_requests == [("GET", "id-9"), ("DELETE", "id-9"), ("DELETE", "id-9")]
 
--- a/packages/client/tests/test_publications.py
+++ b/packages/client/tests/test_publications.py
@@ -1,6 +1,7 @@
 import random
 
 import aiohttp
+import msgspec
 import pytest
 
 from chiveridge_client import errors, platforms, publications, revisions
@@ -56,11 +57,11 @@
 
 
 async def test_a_racing_change_is_a_conflict(publisher, log, monkeypatch):
+    race = records.ChangeRecord(change_id="c", actor="b", changed_at="", writes=WRITES)
     append = publisher._log.append
 
     async def append_second(stream, value):
-        race = records.ChangeRecord(change_id="c", actor="b", changed_at="", writes=WRITES)
-        await append(stream, publications.msgspec.json.encode(race))
+        log.values.append(msgspec.to_builtins(race))
         return await append(stream, value)
 
     log.values.append({})
@@ -69,9 +70,12 @@
     assert publication.verdict is records.Verdict.CONFLICT
 
 
-async def test_says_that_the_outcome_is_unknown(publisher, monkeypatch):
+@pytest.mark.parametrize("later", [errors.LogReplyLostError, errors.LogError])
+async def test_says_that_the_outcome_is_unknown(publisher, monkeypatch, later):
+    losses = iter([errors.LogReplyLostError("lost")])
+
     async def lose(stream, value):
-        raise errors.LogReplyLostError("lost")
+        raise next(losses, later("later"))
 
     monkeypatch.setattr(publisher._log, "append", lose)
     with pytest.raises(errors.PublicationUnknownError):
@@ -83,3 +87,11 @@
     log.first = 2
     publication = await publisher.publish(WRITES, "ada")
     assert publication.offset == 3
+
+
+async def test_finds_a_change_of_an_earlier_publication(publisher, log):
+    first = await publisher.publish(WRITES, "ada", change_id="c")
+    publisher._fold = revisions.Revisions()
+    again = await publisher.publish(WRITES, "ada", change_id="c")
+    assert again == first
+    assert len(log.values) == 1
