Take a new submission id when the issuer never got the job

Cause: a refused connection counted as a lost reply, so that a job under an id of a node that had died ended as unknown although nothing of it was sent.

Change: a failed connection is an error of its own and leaves no doubt; a job that can't have started goes on under a new id also when its issuer is unreachable.

--- a/packages/client/chiveridge_client/calls.py
+++ b/packages/client/chiveridge_client/calls.py
@@ -23,6 +23,7 @@
 ID_UNUSABLE = frozenset(
     {
         results.ResultCode.DRAINING,
+        results.ResultCode.ISSUER_UNREACHABLE,
         results.ResultCode.ISSUER_GONE,
         results.ResultCode.SUBMISSION_ID_EXPIRED,
     }
@@ -85,6 +86,12 @@
         raise errors.ReplyLostError(f"the answer has {len(indices)} of {count} tasks in order")
 
 
+def note_loss(call: Call, error: errors.ReplyLostError) -> None:
+    """Note that an attempt got no reply."""
+    if not isinstance(error, errors.NotSentError):
+        call.may_have_started = True
+
+
 def note_refusal(call: Call, error: errors.RefusedError) -> None:
     """Prepare the call for another attempt under its id.
 
@@ -104,6 +111,8 @@
 
 def final_error(call: Call, error: errors.ClientError) -> errors.ClientError:
     """Return the error that ends a call whose last attempt failed with ``error``."""
+    if isinstance(error, errors.ReplyLostError) and not call.may_have_started:
+        return errors.UnreachableError(str(error))
     if not isinstance(error, errors.RefusedError):
         return errors.OutcomeUnknownError(call.submission_id, str(error))
     leaves_doubt = error.code in REFUSED_FOR_NOW | ID_UNUSABLE
--- a/packages/client/chiveridge_client/clients.py
+++ b/packages/client/chiveridge_client/clients.py
@@ -79,7 +79,7 @@
         the first can't be used any more, nothing ran under it and no reply was lost.
 
         :raises errors.RefusedError: when the job was refused.
-        :raises errors.UnreachableError: when no submission id could be had; nothing ran.
+        :raises errors.UnreachableError: when no request reached a node; nothing ran.
         :raises errors.OutcomeUnknownError: when no answer arrived by the deadline.
         """
         until = self._clock.elapsed() + deadline
@@ -170,7 +170,7 @@
             try:
                 answer = await self._ask(call, method)
             except errors.ReplyLostError as error:
-                call.may_have_started = True
+                calls.note_loss(call, error)
                 await self._back_off(call, error, None)
                 continue
             except errors.RefusedError as error:
--- a/packages/client/chiveridge_client/errors.py
+++ b/packages/client/chiveridge_client/errors.py
@@ -43,6 +43,10 @@
     """A request got no usable reply, so that its effect is unknown."""
 
 
+class NotSentError(ReplyLostError):
+    """No connection could be made, so that the request had no effect."""
+
+
 class LogError(ClientError):
     """The platform's log refused a request or answered with something unreadable."""
 
--- a/packages/client/chiveridge_client/exchanges.py
+++ b/packages/client/chiveridge_client/exchanges.py
@@ -43,6 +43,7 @@
         """Send one request and return its decoded reply.
 
         :raises errors.RefusedError: when the node refused the request.
+        :raises errors.NotSentError: when no connection could be made.
         :raises errors.ReplyLostError: when no whole reply arrived.
         """
         status, headers, payload = await self._send(method, url, body, wait)
@@ -63,6 +64,8 @@
         try:
             async with request as response:
                 return response.status, response.headers, await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise errors.NotSentError(f"{url}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise errors.ReplyLostError(f"{url}: {error or type(error).__name__}") from error
 
--- a/packages/client/tests/test_clients.py
+++ b/packages/client/tests/test_clients.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chiveridge_client import clients, errors, exchanges
+from chiveridge_client import calls, clients, errors, exchanges, pools
 from chiveridge_kernel import messages, results
 
 TASKS = [messages.TaskSpec(), messages.TaskSpec()]
@@ -107,14 +107,33 @@
     assert len(node.job_requests) == 1
 
 
-async def test_a_new_id_is_taken_only_when_nothing_can_have_run(client, node):
-    node.refuse(Code.DRAINING)
+UNUSABLE = sorted(calls.ID_UNUSABLE)
+
+
+@pytest.mark.parametrize("code", UNUSABLE)
+async def test_a_new_id_is_taken_when_nothing_can_have_run(client, node, code):
+    node.refuse(code)
     await client.submit(TASKS)
     assert node.job_requests[0] == ("POST", "id-0")
     assert node.job_requests[1][1] != "id-0"
 
 
-@pytest.mark.parametrize("code", [Code.DRAINING, Code.ISSUER_GONE, Code.SUBMISSION_ID_EXPIRED])
+async def test_a_new_id_is_taken_when_the_issuer_never_got_the_job(client, node, clock):
+    expires_at = clock.now() + 60 * SECONDS
+    client._ids._pool.add([pools.HeldId("id-dead", expires_at, "http://127.0.0.1:1")])
+    node.refuse(Code.ISSUER_GONE)
+    answer = await client.submit(TASKS)
+    assert answer.submission_id == "id-0"
+
+
+async def test_the_same_id_is_kept_after_a_lost_reply(client, node):
+    node.replies.append(node.cut_off)
+    node.refuse(Code.DRAINING)
+    answer = await client.submit(TASKS)
+    assert answer.submission_id == "id-0"
+
+
+@pytest.mark.parametrize("code", UNUSABLE)
 async def test_no_new_id_is_taken_after_a_lost_reply(client, node, code):
     node.replies.append(node.cut_off)
     node.refuse(code, times=50)
