--- a/packages/client/chiveridge_client/exchanges.py
+++ b/packages/client/chiveridge_client/exchanges.py
@@ -14,7 +14,14 @@
 TRANSFER_TIMEOUT = datetime.timedelta(seconds=5)
 """Time, beyond the requested wait, in which a whole exchange must end."""
 
-_refusal_decoder = msgspec.json.Decoder(messages.Refusal)
+
+class _Refusal(messages.Refusal, frozen=True, kw_only=True):
+    """A refusal that says itself what happened to its tasks."""
+
+    ran: results.TaskOutcome
+
+
+_refusal_decoder = msgspec.json.Decoder(_Refusal)
 
 
 class Exchanges:
@@ -36,6 +43,7 @@
         """Send one request and return its decoded reply.
 
         :raises errors.RefusedError: when the node refused the request.
+        :raises errors.NotSentError: when no connection could be made.
         :raises errors.ReplyLostError: when no whole reply arrived.
         """
         status, headers, payload = await self._send(method, url, body, wait)
@@ -50,11 +58,14 @@
             data=body,
             params={"wait_ms": wait // datetime.timedelta(milliseconds=1)},
             headers=self._headers,
+            allow_redirects=False,
             timeout=_timeout(wait),
         )
         try:
             async with request as response:
                 return response.status, response.headers, await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise errors.NotSentError(f"{url}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise errors.ReplyLostError(f"{url}: {error or type(error).__name__}") from error
 
@@ -76,7 +87,7 @@
 
 def _refusal_error(refusal: messages.Refusal, headers) -> errors.RefusedError:
     return errors.RefusedError(
-        results.ResultCode(refusal.code),
+        refusal.code,
         refusal.message,
         _retry_after(refusal, headers),
         refusal.ran,
