Set TCP_NODELAY on the stand-ins and split the fleet harness

Cause: sockets that do not name TCP as their protocol miss TCP_NODELAY under asyncio, so each reply of a target took about 40 ms more; fleets.py held four jobs.

--- /dev/null
+++ b/packages/standins/chiveridge_standins/configs.py
@@ -0,0 +1,29 @@
+"""INI files that the fleet gives to its nodes."""
+
+import configparser
+
+from chiveridge_standins import servers
+
+CONFIG_STREAM = "configuration"
+
+
+def node_config(
+    name: str, domain: str, platform_url: str, settings: dict[str, dict[str, str]]
+) -> configparser.ConfigParser:
+    """Return the configuration of a node; ``settings`` adds to it by section and key."""
+    config = configparser.ConfigParser(interpolation=None)
+    config["node"] = {
+        "name": name,
+        "domain": domain,
+        "address": servers.LOOPBACK,
+        "caller_port": "0",
+        "peer_port": "0",
+    }
+    config["platform"] = {
+        "log_url": platform_url,
+        "vms_url": platform_url,
+        "config_stream": CONFIG_STREAM,
+    }
+    config["placement"] = {"policy": "power_of_two"}
+    config.read_dict(settings)
+    return config
--- a/packages/standins/chiveridge_standins/leases.py
+++ b/packages/standins/chiveridge_standins/leases.py
@@ -72,8 +72,8 @@
     """Faults and settings of a target.
 
     ``slowdown`` multiplies run times. ``failing`` fails every task at its start. ``silent``
-    reads requests on leases and usage, does nothing and never replies to them.
-    ``drop_replies`` is the number of starts to come that run without a reply.
+    reads requests on leases and usage, does nothing and never replies to them, nor to starts
+    that were running. ``drop_replies`` is the number of starts to come that run without a reply.
     """
 
     slowdown: float = 1.0
--- /dev/null
+++ b/packages/standins/chiveridge_standins/members.py
@@ -0,0 +1,71 @@
+"""Nodes and targets of a running fleet, and requests to its stand-ins."""
+
+import aiohttp
+import msgspec
+
+from chiveridge_standins import counts, servers, vms
+
+
+class NodeListening(msgspec.Struct, tag="listening", tag_field="event"):
+    """Line that a node prints when it listens."""
+
+    name: str
+    address: str
+    port: int
+    peer_port: int
+    incarnation: str
+
+
+class Node(msgspec.Struct, frozen=True):
+    """A running node."""
+
+    name: str
+    domain: str
+    listening: NodeListening
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return url_of(self.listening.port)
+
+
+class Target:
+    """A running target; ``process_name`` names the process that it shares with others."""
+
+    def __init__(self, session: aiohttp.ClientSession, vm: vms.Vm, process_name: str, control: str):
+        self.vm = vm
+        self.process_name = process_name
+        self.url = url_of(vm.port)
+        self._session = session
+        self._control_url = control
+
+    async def counts(self) -> counts.Counts:
+        """Return what the target counted."""
+        content = await request(self._session, "GET", f"{self._control_url}/v1/counts")
+        return msgspec.json.decode(content, type=counts.Counts)
+
+    async def reset_counts(self) -> None:
+        """Forget what the target counted."""
+        await request(self._session, "POST", f"{self._control_url}/v1/counts/reset")
+
+    async def control(self, **changes: object) -> None:
+        """Change fields of :class:`chiveridge_standins.leases.TargetFaults`."""
+        await request(self._session, "POST", f"{self._control_url}/control", changes)
+
+
+async def request(
+    session: aiohttp.ClientSession, method: str, url: str, message: object = None
+) -> bytes:
+    """Send a JSON message to a stand-in and return its reply.
+
+    :raises aiohttp.ClientResponseError: when the reply is an error.
+    """
+    content = msgspec.json.encode({} if message is None else message)
+    async with session.request(method, url, data=content) as reply:
+        reply.raise_for_status()
+        return await reply.read()
+
+
+def url_of(port: int) -> str:
+    """Return the base URL of a port of the loopback address."""
+    return f"http://{servers.LOOPBACK}:{port}"
--- a/packages/standins/chiveridge_standins/processes.py
+++ b/packages/standins/chiveridge_standins/processes.py
@@ -74,10 +74,10 @@
         self.signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(grace_s):
-                return await self._child.wait()
+                await self._child.wait()
         except TimeoutError:
             self.signal(signal.SIGKILL)
-            return await self._child.wait()
+        return await self.wait()
 
     def stderr_tail(self) -> str:
         """Return the end of what the process wrote to standard error."""
--- a/packages/standins/chiveridge_standins/servers.py
+++ b/packages/standins/chiveridge_standins/servers.py
@@ -35,7 +35,8 @@
         port: int = 0,
         connection_limit: ConnectionLimit = lambda: UNLIMITED_CONNECTIONS,
     ):
-        self._socket = socket.create_server((LOOPBACK, port), backlog=BACKLOG)
+        self._socket = bound_socket(port)
+        self._socket.listen(BACKLOG)
         self.port: int = self._socket.getsockname()[1]
         self._server = _Server(_config(app, connection_limit))
         self._task: asyncio.Task[None] | None = None
@@ -51,6 +52,18 @@
             await self._task
 
 
+def bound_socket(port: int) -> socket.socket:
+    """Return a socket that holds ``port`` and refuses connections until it listens.
+
+    The protocol is named because asyncio sets TCP_NODELAY only on sockets that name it.
+    """
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((LOOPBACK, port))
+    bound.setblocking(False)
+    return bound
+
+
 def cut_connection(req: falcon.asgi.Request) -> None:
     """Close the connection of a request at once, so that no reply is sent on it."""
     req.scope["state"]["transport"].abort()
--- a/packages/standins/chiveridge_standins/targets.py
+++ b/packages/standins/chiveridge_standins/targets.py
@@ -39,11 +39,12 @@
         await _hold_while_silent(self._target)
         lease = self._start(lease_id, content, req.get_header(START_BEFORE_HEADER))
         await lease.ended.wait()
-        if self._target.take_dropped_reply():
-            servers.cut_connection(req)
-            return
+        await _hold_while_silent(self._target)
         if lease.reply.outcome is leases.Outcome.NOT_STARTED:
             resp.status = falcon.HTTP_503
+        elif self._target.take_dropped_reply():
+            servers.cut_connection(req)
+            return
         resp.data = self._encoder.encode(self._target.reply(lease))
 
     async def on_get(
@@ -55,6 +56,7 @@
         wait_ms = req.get_param_as_int("wait_ms", min_value=0, default=0)
         if lease is not None and wait_ms:
             await _wait_for_end(lease, wait_ms / 1000)
+            await _hold_while_silent(self._target)
         self._answer(resp, lease)
 
     async def on_delete(
--- /dev/null
+++ b/packages/standins/tests/test_configs.py
@@ -0,0 +1,10 @@
+from chiveridge_standins import configs
+
+
+def test_settings_add_to_the_configuration_of_a_node():
+    settings = {"placement": {"policy": "other"}, "limits": {"jobs": "5"}}
+    config = configs.node_config("ikeja-e1", "ikeja", "http://127.0.0.1:1", settings)
+    assert config["node"]["domain"] == "ikeja"
+    assert config["platform"]["vms_url"] == "http://127.0.0.1:1"
+    assert config["placement"]["policy"] == "other"
+    assert config["limits"]["jobs"] == "5"
