Close the connections of the proxy tests

Cause: pytest in development mode showed four unclosed client connections. Change: a fixture opens the connections and closes them.

--- a/packages/standins/tests/test_proxies.py
+++ b/packages/standins/tests/test_proxies.py
@@ -43,11 +43,20 @@
     server.close()
 
 
-async def connected(proxy: proxies.FaultProxy) -> Connection:
-    return Connection(*await asyncio.open_connection("127.0.0.1", proxy.port))
+@pytest.fixture
+async def connected():
+    connections: list[Connection] = []
 
+    async def connect(proxy: proxies.FaultProxy) -> Connection:
+        connections.append(Connection(*await asyncio.open_connection("127.0.0.1", proxy.port)))
+        return connections[-1]
 
-async def test_passes_bytes_with_a_delay():
+    yield connect
+    for connection in connections:
+        connection.writer.close()
+
+
+async def test_passes_bytes_with_a_delay(connected):
     async with proxying() as proxy:
         proxy.delay = datetime.timedelta(milliseconds=5)
         connection = await connected(proxy)
@@ -58,7 +67,7 @@
         assert proxy.counts.accepted == 1
 
 
-async def test_cut_resets_and_refuses_until_healed():
+async def test_cut_resets_and_refuses_until_healed(connected):
     async with proxying() as proxy:
         connection = await connected(proxy)
         await connection.echoed(b"before")
@@ -72,7 +81,7 @@
         assert proxy.counts.cut == 1
 
 
-async def test_freeze_holds_bytes_until_thawed():
+async def test_freeze_holds_bytes_until_thawed(connected):
     async with proxying() as proxy:
         connection = await connected(proxy)
         await connection.echoed(b"before")
@@ -83,7 +92,7 @@
         assert await connection.reader.readexactly(4) == b"held"
 
 
-async def test_silent_connections_stay_silent_while_new_ones_work():
+async def test_silent_connections_stay_silent_while_new_ones_work(connected):
     async with proxying() as proxy:
         silent = await connected(proxy)
         await silent.echoed(b"before")
@@ -95,7 +104,7 @@
         assert await silent.hears_nothing()
 
 
-async def test_drops_the_reply_and_nothing_else():
+async def test_drops_the_reply_and_nothing_else(connected):
     async with proxying() as proxy:
         proxy.drop_replies(1)
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
