--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -131,9 +131,7 @@
     async def open(self) -> None:
         """Bind the port and begin to serve."""
         section = self.node.settings.node
-        listener = socket.create_server(
-            (section.address, section.caller_port), backlog=LISTEN_BACKLOG
-        )
+        listener = _listener(section.address, section.caller_port)
         self.port = listener.getsockname()[1]
         config = uvicorn.Config(
             self._app(),
@@ -180,6 +178,17 @@
         return app
 
 
+def _listener(address: str, port: int) -> socket.socket:
+    """Return a listening socket; asyncio sets TCP_NODELAY only where the protocol is named."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address, port))
+    listener.listen(LISTEN_BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
 async def _read_body(req: falcon.asgi.Request) -> bytes:
     limit = messages.MAX_SUBMISSION_BYTES
     if (req.content_length or 0) > limit:
