Share slots between nodes: every target has one owner

Each target is owned by one node of its domain, by rendezvous hashing over the live nodes; the owner lends its slots, and jobs ask owners only when the node's own slots are taken. Failing and slow targets are judged by their owner, so a domain pays for that once.

--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -12,6 +12,7 @@
     events,
     identifiers,
     jobs,
+    members,
     messages,
     placements,
     reaches,
@@ -38,6 +39,7 @@
         self,
         reach: reaches.Reach,
         target_table: targets.TargetTable,
+        member_table: members.MemberTable,
         rng: random.Random,
         policy_name: str,
         incarnation: identifiers.Incarnation,
@@ -46,8 +48,9 @@
         self.in_flight_by_target: dict[str, int] = {}
         self.jobs_by_id: dict[identifiers.SubmissionId, jobs.Job] = {}
         self.outbox: list[actions.Action] = []
-        self._reach = reach
-        self._target_table = target_table
+        self.reach = reach
+        self.target_table = target_table
+        self.members = member_table
         self._incarnation = incarnation
         self._tasks_by_lease: dict[identifiers.LeaseId, jobs.Task] = {}
         self._deadlines: list[tuple[datetime.datetime, identifiers.SubmissionId]] = []
@@ -61,7 +64,7 @@
 
         :raises errors.RefusedError: when it can never run or no approved target is usable now.
         """
-        candidates = self._reach.candidates(event.team, event.submission.selector)
+        candidates = self.reach.candidates(event.team, event.submission.selector)
         job = jobs.Job(event.team, event.submission, candidates, now)
         self._check_runnable(job)
         self.jobs_by_id[job.submission_id] = job
@@ -95,14 +98,14 @@
 
     def usable(self, job: jobs.Job, task: jobs.Task) -> Sequence[vms.Vm]:
         """Return the targets that may be sent the task now."""
-        if self._usable_version != self._target_table.version:
+        if self._usable_version != self.target_table.version:
             self._usable_by_fitting.clear()
-            self._usable_version = self._target_table.version
+            self._usable_version = self.target_table.version
         fitting = job.candidates.fitting(task.spec)
         # The key is an identity, so the entry keeps the object alive.
         entry = self._usable_by_fitting.get(id(fitting))
         if entry is None:
-            found = [vm for vm in fitting if self._target_table.is_usable(vm.name)]
+            found = [vm for vm in fitting if self.target_table.is_usable(vm.name)]
             entry = (fitting, found)
             self._usable_by_fitting[id(fitting)] = entry
         return entry[1]
@@ -128,7 +131,7 @@
         job.waiting.clear()
         for task in job.running_tasks():
             self.outbox.append(actions.StopTask(lease_id=task.lease_id, target=task.target))
-            self._release(task, now)
+            self._release(task, None, now)
             task.signal(jobs.TaskSignal.GIVE_UP)
         self._end(job, results.JobState.FAILED, code, message, now)
 
@@ -147,9 +150,8 @@
 
     def place_waiting(self, now: datetime.datetime) -> None:
         """Offer the waiting tasks of every job to the policy again."""
-        for job in list(self.jobs_by_id.values()):
-            if job.waiting:
-                self.policy.job_waiting(job, now)
+        waiting = [job for job in self.jobs_by_id.values() if job.waiting]
+        self.policy.targets_changed(waiting, now)
 
     def _check_runnable(self, job: jobs.Job) -> None:
         any_usable = False
@@ -181,13 +183,13 @@
         self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
     ) -> None:
         vm = task.target
-        self._release(task, now)
+        self._release(task, event, now)
         task.signal(jobs.TaskSignal.NOT_STARTED)
         task.target = None
         job = task.job
         job.waiting.append(task)
         until = now + _BACKOFFS_BY_REASON.get(event.reason, targets.UNREACHABLE_BACKOFF)
-        self._target_table.avoid(vm.name, until)
+        self.target_table.avoid(vm.name, until)
         if job.deadline <= now:
             self.expire(now)
         else:
@@ -195,10 +197,10 @@
 
     def _lost(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
         until = now + targets.UNREACHABLE_BACKOFF
-        self._target_table.avoid(task.target.name, until)
+        self.target_table.avoid(task.target.name, until)
         task.lost_asks += 1
         if task.lost_asks > MAX_OUTCOME_ASKS:
-            self._give_up(task, now)
+            self._give_up(task, event, now)
             return
         delay = OUTCOME_ASK_DELAY * (task.lost_asks - 1)
         self.outbox.append(
@@ -212,10 +214,12 @@
         self.outbox.append(actions.AskOutcome(lease_id=task.lease_id, target=task.target))
 
     def _unseen(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
-        self._give_up(task, now)
+        self._give_up(task, event, now)
 
-    def _give_up(self, task: jobs.Task, now: datetime.datetime) -> None:
-        self._release(task, now)
+    def _give_up(
+        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
+    ) -> None:
+        self._release(task, event, now)
         task.signal(jobs.TaskSignal.LOSE)
         message = f"tasks[{task.index}] on {task.target.name}: {_OUTCOME_UNKNOWN_MESSAGE}"
         self.fail(task.job, results.ResultCode.OUTCOME_UNKNOWN, message, now)
@@ -232,15 +236,17 @@
         task.result = event.result
         task.reason = event.reason
         task.job.unfinished -= 1
-        self._release(task, now)
+        self._release(task, event, now)
 
-    def _release(self, task: jobs.Task, now: datetime.datetime) -> None:
+    def _release(
+        self, task: jobs.Task, report: events.LeaseReported | None, now: datetime.datetime
+    ) -> None:
         del self._tasks_by_lease[task.lease_id]
         name = task.target.name
         self.in_flight_by_target[name] -= 1
         if not self.in_flight_by_target[name]:
             del self.in_flight_by_target[name]
-        self.policy.start_ended(task, task.target, now)
+        self.policy.start_ended(task, task.target, report, now)
 
     def _end(
         self,
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -31,7 +31,7 @@
     domain: identifiers.DomainName
     incarnation: identifiers.Incarnation
     secret: bytes
-    policy: str = "power_of_two"
+    policy: str = "owners"
 
 
 class UsedId(msgspec.Struct):
@@ -50,12 +50,12 @@
         self.settings = settings
         self.configuration = configurations.Configuration()
         self.target_table = targets.TargetTable()
+        self.members = members.MemberTable(settings.node, settings.domain)
         self.reach = reaches.Reach(self.configuration)
         self.issuer = submissions.Issuer(settings.node, settings.incarnation, settings.secret)
         self.dispatcher = dispatchers.Dispatcher(
-            self.reach, self.target_table, rng, settings.policy, settings.incarnation
+            self.reach, self.target_table, self.members, rng, settings.policy, settings.incarnation
         )
-        self.members = members.MemberTable(settings.node, settings.domain)
         self.draining = False
         self.has_listing = False
         self._used_by_id: dict[identifiers.SubmissionId, UsedId] = {}
@@ -82,7 +82,11 @@
 
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next :class:`events.Ticked` is due."""
-        moments = (self.dispatcher.next_deadline(), self.target_table.next_expiry())
+        moments = (
+            self.dispatcher.next_deadline(),
+            self.target_table.next_expiry(),
+            self.dispatcher.policy.next_wakeup(),
+        )
         return min((moment for moment in moments if moment is not None), default=None)
 
     def issue(
@@ -140,6 +144,7 @@
             )
 
     def _drain_outbox(self) -> list[actions.Action]:
+        self.dispatcher.policy.flush()
         done = self.dispatcher.outbox
         self.dispatcher.outbox = []
         for action in done:
@@ -208,6 +213,11 @@
     kernel.dispatcher.place_waiting(now)
 
 
+@_handle.register
+def _(event: events.PeerMessageReceived, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.dispatcher.policy.received(event.message, now)
+
+
 @_handle.register
 def _(event: events.Ticked, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.dispatcher.expire(now)
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/lenders.py
@@ -0,0 +1,237 @@
+"""The owner's side of slot sharing: lends the slots of its targets, oldest job first."""
+
+import collections
+import datetime
+
+from chiveridge_kernel import (
+    breakers,
+    clocks,
+    errors,
+    messages,
+    owners,
+    peers,
+    placements,
+    slotqueues,
+    slots,
+    speeds,
+    targets,
+    vms,
+)
+
+SLOW_PROBE_INTERVAL = datetime.timedelta(seconds=5)
+MAX_REFUSALS = 1000
+UNREACHABLE_TIME = datetime.timedelta(seconds=1)
+
+
+class Lender:
+    """Lends slots of the owned targets and learns from what comes back."""
+
+    def __init__(self, starter: placements.Starter, owner_table: owners.OwnerTable):
+        self.ledger = slots.SlotLedger()
+        self.queue = slotqueues.SlotQueue()
+        self.breakers = breakers.Breakers()
+        self.speeds = speeds.Speeds()
+        self._starter = starter
+        self._owner_table = owner_table
+        self._lent_by_team: collections.Counter[str] = collections.Counter()
+        self._slow_probe_at_by_target: dict[str, datetime.datetime] = {}
+        self._owned_by_query: dict[slotqueues.Query, tuple[vms.Vm, ...]] = {}
+        self._query_version: tuple[int, int] | None = None
+        self._refused_until: dict[tuple[str, str], datetime.datetime] = {}
+
+    def refresh(self, now: datetime.datetime) -> None:
+        """Take the targets that this node owns now."""
+        owned = self._owner_table.owned
+        known = self._starter.target_table.vms_by_name
+        others = set(self._starter.members.live_names()) - {self._starter.members.own_name}
+        self.ledger.own({name: known[name] for name in owned}, others, now)
+        self.breakers.keep_only(owned)
+        self.speeds.keep_only(owned)
+        self._owned_by_query.clear()
+
+    def free_count(self) -> int:
+        """Return the free slots of healthy owned targets."""
+        usable = self._starter.target_table.is_usable
+        return sum(
+            self.ledger.free(name)
+            for name in self._owner_table.owned
+            if usable(name) and not self.breakers.is_open(name) and not self.speeds.is_slow(name)
+        )
+
+    def slot_count(self) -> int:
+        """Return all slots of the owned targets."""
+        known = self._starter.target_table.vms_by_name
+        return sum(known[name].slots for name in self._owner_table.owned if name in known)
+
+    def lend(
+        self,
+        node: str,
+        query: slotqueues.Query,
+        count: int,
+        waited_ms: float,
+        now: datetime.datetime,
+    ) -> list[str]:
+        """Lend up to ``count`` slots at once; return the target of each."""
+        chosen: list[str] = []
+        usable = self._usable(node, query, now)
+        for tier in (self._healthy, self._slow, self._failing):
+            if len(chosen) < count:
+                chosen += tier(usable, count - len(chosen), waited_ms, now)
+        if chosen:
+            self._lent_by_team[query.team] += len(chosen)
+        return chosen
+
+    def ended(
+        self, node: str, target: str, team: str, outcome: str, run_ms: float, now: datetime.datetime
+    ) -> None:
+        """Take a slot back and learn from the outcome of its start."""
+        self.ledger.give_back(node, target, now)
+        if self._lent_by_team[team] > 0:
+            self._lent_by_team[team] -= 1
+        learn = _LEARNERS_BY_OUTCOME.get(outcome)
+        if learn is not None and self.ledger.owns(target):
+            learn(self, peers.SlotEnd(target, team, outcome, run_ms), node, now)
+
+    def serve_queue(
+        self, now: datetime.datetime, *, probing: bool = False
+    ) -> list[tuple[slotqueues.Waiting, list[str]]]:
+        """Lend free slots to waiting requests; return what each was granted.
+
+        Without ``probing`` only slots of healthy targets are looked for.
+        """
+        self._forget_refusals(now)
+        granted = []
+        progress = len(self.queue) > 0
+        while progress and (probing or self.free_count() > 0):
+            progress = False
+            heads = slotqueues.fair_order(self.queue.heads(), self._lent_by_team, self.slot_count())
+            for head in heads:
+                names = self._lend_to(head, now)
+                if names:
+                    granted.append((head, names))
+                    progress = True
+                    break
+        return granted
+
+    def eligible(self, query: slotqueues.Query) -> tuple[vms.Vm, ...]:
+        """Return the owned targets that a query may use, without regard to their state."""
+        version = (self._starter.reach.version, self._starter.target_table.list_version)
+        if version != self._query_version:
+            self._query_version = version
+            self._owned_by_query.clear()
+        found = self._owned_by_query.get(query)
+        if found is None:
+            found = self._select(query)
+            self._owned_by_query[query] = found
+        return found
+
+    def _forget_refusals(self, now: datetime.datetime) -> None:
+        if len(self._refused_until) > MAX_REFUSALS:
+            self._refused_until = {
+                pair: until for pair, until in self._refused_until.items() if until > now
+            }
+
+    def _lend_to(self, head: slotqueues.Waiting, now: datetime.datetime) -> list[str]:
+        waited_ms = clocks.to_epoch_ms(now) - head.arrived_at_ms
+        names = self.lend(head.node, head.query, head.wanted, waited_ms, now)
+        if names:
+            self.queue.take(head, len(names))
+        return names
+
+    def _select(self, query: slotqueues.Query) -> tuple[vms.Vm, ...]:
+        needs = messages.TaskSpec(
+            memory_mb=query.memory_mb, cores=query.cores, accelerators=query.accelerators
+        )
+        try:
+            found = self._starter.reach.candidates(query.team, query.selector).fitting(needs)
+        except errors.RefusedError:
+            return ()
+        owned = self._owner_table.owned
+        return tuple(vm for vm in found if vm.name in owned)
+
+    def _healthy(
+        self, usable: list[vms.Vm], count: int, waited_ms: float, now: datetime.datetime
+    ) -> list[str]:
+        """Spread over the targets with most free slots."""
+        free_by_name = {
+            vm.name: self.ledger.free(vm.name)
+            for vm in usable
+            if not self.breakers.is_open(vm.name) and not self.speeds.is_slow(vm.name)
+        }
+        chosen: list[str] = []
+        while len(chosen) < count:
+            name = max(free_by_name, key=free_by_name.__getitem__, default=None)
+            if name is None or free_by_name[name] <= 0:
+                break
+            free_by_name[name] -= 1
+            chosen.append(name)
+        return chosen
+
+    def _slow(
+        self, usable: list[vms.Vm], count: int, waited_ms: float, now: datetime.datetime
+    ) -> list[str]:
+        """Use a slow target when waiting has cost more than it would, and for rare probes."""
+        chosen: list[str] = []
+        for vm in usable:
+            if self.breakers.is_open(vm.name) or not self.speeds.is_slow(vm.name):
+                continue
+            penalty_ms = (self.speeds.ratio(vm.name) - 1.0) * self.speeds.mean_run_ms()
+            free = self.ledger.free(vm.name)
+            if waited_ms >= penalty_ms:
+                chosen += [vm.name] * min(free, count - len(chosen))
+            elif free and len(chosen) < count and self._slow_probe_due(vm.name, now):
+                chosen.append(vm.name)
+        return chosen
+
+    def _failing(
+        self, usable: list[vms.Vm], count: int, waited_ms: float, now: datetime.datetime
+    ) -> list[str]:
+        """Send one probe to each failing target whose time has come."""
+        chosen: list[str] = []
+        for vm in usable:
+            if len(chosen) >= count or not self.breakers.is_open(vm.name):
+                continue
+            if self.ledger.free(vm.name) and self.breakers.take_probe(vm.name, now):
+                chosen.append(vm.name)
+        return chosen
+
+    def _usable(self, node: str, query: slotqueues.Query, now: datetime.datetime) -> list[vms.Vm]:
+        usable = self._starter.target_table.is_usable
+        refused = self._refused_until
+        return [
+            vm
+            for vm in self.eligible(query)
+            if usable(vm.name) and refused.get((node, vm.name), now) <= now
+        ]
+
+    def _slow_probe_due(self, name: str, now: datetime.datetime) -> bool:
+        due = self._slow_probe_at_by_target.get(name, now)
+        if due > now:
+            return False
+        self._slow_probe_at_by_target[name] = now + SLOW_PROBE_INTERVAL
+        return True
+
+    def _learn_success(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
+        self.breakers.succeeded(end.target, end.team)
+        self.speeds.learn_target(end.target, end.team, end.run_ms)
+
+    def _learn_failure(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
+        self.breakers.failed(end.target, end.team, len(self._owner_table.owned), now)
+
+    def _learn_unusable(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
+        # Only for this node: a target that it cannot reach may be well for others.
+        self._refused_until[node, end.target] = now + UNREACHABLE_TIME
+
+    def _learn_leaving(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
+        self._starter.target_table.avoid(end.target, now + targets.LEAVING_EVIDENCE_LIFETIME)
+
+
+_LEARNERS_BY_OUTCOME = {
+    "succeeded": Lender._learn_success,
+    "failed": Lender._learn_failure,
+    "refused": Lender._learn_unusable,
+    "lost": Lender._learn_unusable,
+    "not_started": Lender._learn_unusable,
+    "unusable": Lender._learn_unusable,
+    "leaving": Lender._learn_leaving,
+}
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -43,7 +43,67 @@
     retry_after_ms: int | None = None
 
 
-PeerMessage = CallerRequest | CallerReply
+class SlotRequest(msgspec.Struct, frozen=True, kw_only=True, tag="slot_request"):
+    """Asks the owner of targets for slots; it replaces an earlier request of the demand.
+
+    ``wanted`` 0 cancels. The owner serves requests by ``arrived_at_ms``, the arrival of the
+    job in milliseconds since the Unix epoch.
+    """
+
+    sender: identifiers.NodeName
+    demand_id: int
+    team: identifiers.TeamName
+    selector: str
+    wanted: int
+    arrived_at_ms: int
+    memory_mb: int = 0
+    cores: int = 0
+    accelerators: int = 0
+
+
+class SlotGrant(msgspec.Struct, frozen=True, kw_only=True, tag="slot_grant"):
+    """Lends slots, one for each target named; ``free`` is what the owner has left.
+
+    ``serial`` counts the owner's grants to this node from 1.
+    """
+
+    sender: identifiers.NodeName
+    demand_id: int
+    serial: int
+    targets: list[identifiers.TargetName]
+    free: int
+
+
+class SlotEnd(msgspec.Struct, frozen=True, array_like=True):
+    """A slot given back, with what its start showed of the target."""
+
+    target: identifiers.TargetName
+    team: identifiers.TeamName
+    outcome: str = ""
+    run_ms: float = 0.0
+
+
+class SlotReturn(msgspec.Struct, frozen=True, kw_only=True, tag="slot_return"):
+    """Gives slots back to their owner; ``free`` is what the sender has left of its own."""
+
+    sender: identifiers.NodeName
+    ends: list[SlotEnd]
+    free: int
+
+
+class SlotReport(msgspec.Struct, frozen=True, kw_only=True, tag="slot_report"):
+    """All slots of the owner that the sender holds, as a correction of lost messages.
+
+    ``last_serial`` is the last grant received from the owner, 0 for none.
+    """
+
+    sender: identifiers.NodeName
+    last_serial: int
+    held_by_target: dict[identifiers.TargetName, int]
+    free: int
+
+
+PeerMessage = CallerRequest | CallerReply | SlotRequest | SlotGrant | SlotReturn | SlotReport
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/packages/kernel/chiveridge_kernel/placements.py
+++ b/packages/kernel/chiveridge_kernel/placements.py
@@ -8,14 +8,28 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from chiveridge_kernel import errors, jobs, vms
+from chiveridge_kernel import (
+    actions,
+    errors,
+    events,
+    jobs,
+    members,
+    peers,
+    reaches,
+    targets,
+    vms,
+)
 
 
 class Starter(Protocol):
-    """What a policy may do: start a task, and see starts in progress and usable targets."""
+    """What a policy may use: starting tasks, sending messages, and the node's tables."""
 
     rng: random.Random
     in_flight_by_target: dict[str, int]
+    outbox: list[actions.Action]
+    target_table: targets.TargetTable
+    members: members.MemberTable
+    reach: reaches.Reach
 
     def start(self, task: jobs.Task, vm: vms.Vm, now: datetime.datetime) -> None:
         """Start a waiting task on a target."""
@@ -36,15 +50,36 @@
         """Place the waiting tasks of a job, now or when targets free up."""
         raise NotImplementedError
 
-    def start_ended(self, task: jobs.Task, vm: vms.Vm, now: datetime.datetime) -> None:
-        """Learn that a start on a target has ended in any way."""
+    def start_ended(
+        self,
+        task: jobs.Task,
+        vm: vms.Vm,
+        report: events.LeaseReported | None,
+        now: datetime.datetime,
+    ) -> None:
+        """Learn that a start on a target has ended; ``report`` is None when it was given up."""
 
     def job_ended(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Learn that a job no longer waits for anything."""
 
+    def targets_changed(self, waiting: list[jobs.Job], now: datetime.datetime) -> None:
+        """Learn that other targets are usable now; ``waiting`` are the jobs that wait."""
+        for job in waiting:
+            self.job_waiting(job, now)
+
+    def received(self, message: peers.PeerMessage, now: datetime.datetime) -> None:
+        """Handle a message from another node's policy."""
+
     def ticked(self, now: datetime.datetime) -> None:
         """Learn that time has passed."""
 
+    def next_wakeup(self) -> datetime.datetime | None:
+        """Return when the policy next needs a tick."""
+        return None
+
+    def flush(self) -> None:
+        """Send the messages that were held back to be sent together."""
+
 
 _policies_by_name: dict[str, type[Policy]] = {}
 
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/policies.py
@@ -0,0 +1,16 @@
+"""The built-in placement policies; importing this module registers them."""
+
+from chiveridge_kernel import owner_policies, placements
+
+BUILT_IN = (
+    placements.RandomPolicy,
+    placements.RoundRobinPolicy,
+    placements.PowerOfTwoPolicy,
+    owner_policies.OwnersPolicy,
+)
+"""Every policy that the settings may name."""
+
+
+def names() -> list[str]:
+    """Return the names that the settings may use."""
+    return placements.names()
--- a/packages/kernel/chiveridge_kernel/reaches.py
+++ b/packages/kernel/chiveridge_kernel/reaches.py
@@ -4,13 +4,16 @@
 
 from chiveridge_kernel import configurations, errors, identifiers, messages, results, selectors, vms
 
+Capacity = tuple[int, int, int]
+"""Memory in megabytes, cores and accelerators of a target."""
+
 
 class Candidates:
     """Targets that a query may use, grouped by capacity so that needs are checked per group."""
 
     def __init__(self, found: tuple[vms.Vm, ...]):
         self.vms = found
-        self._vms_by_capacity: dict[tuple[int, int, int], list[vms.Vm]] = {}
+        self._vms_by_capacity: dict[Capacity, list[vms.Vm]] = {}
         self._fitting_by_capacities: dict[tuple, tuple[vms.Vm, ...]] = {}
         for vm in found:
             capacity = (vm.memory_mb, vm.cores, vm.accelerators)
@@ -18,7 +21,7 @@
 
     def fitting(self, task: messages.TaskSpec) -> tuple[vms.Vm, ...]:
         """Return the targets that are large enough for a task's declared needs."""
-        capacities = tuple(capacity for capacity in self._vms_by_capacity if _fits(task, capacity))
+        capacities = self._fitting_capacities(task)
         if len(capacities) == len(self._vms_by_capacity):
             return self.vms
         found = self._fitting_by_capacities.get(capacities)
@@ -27,11 +30,23 @@
             self._fitting_by_capacities[capacities] = found
         return found
 
+    def threshold(self, task: messages.TaskSpec) -> Capacity:
+        """Return the smallest needs that the same targets fit, so that like tasks compare equal.
+
+        The task must fit at least one target.
+        """
+        capacities = self._fitting_capacities(task)
+        return tuple(min(amounts) for amounts in zip(*capacities, strict=True))
+
+    def _fitting_capacities(self, task: messages.TaskSpec) -> tuple[Capacity, ...]:
+        return tuple(capacity for capacity in self._vms_by_capacity if _fits(task, capacity))
+
 
 class Reach:
     """Answers for one configuration and one list of VMs, cached until either changes."""
 
     def __init__(self, configuration: configurations.Configuration):
+        self.version = 0
         self._configuration = configuration
         self._vms_by_name: Mapping[str, vms.Vm] = {}
         self._approved_by_team: dict[str, frozenset[str]] = {}
@@ -39,6 +54,7 @@
 
     def invalidate(self) -> None:
         """Forget cached answers after the configuration changed."""
+        self.version += 1
         self._approved_by_team.clear()
         self._candidates_by_query.clear()
 
@@ -97,7 +113,7 @@
         return target.labels if target else {}
 
 
-def _fits(task: messages.TaskSpec, capacity: tuple[int, int, int]) -> bool:
+def _fits(task: messages.TaskSpec, capacity: Capacity) -> bool:
     memory_mb, cores, accelerators = capacity
     return task.memory_mb <= memory_mb and task.cores <= cores and task.accelerators <= accelerators
 
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/slots.py
@@ -0,0 +1,158 @@
+"""The ledger of slots that the owner of targets keeps: how many are lent, and to whom."""
+
+import collections
+import datetime
+from collections.abc import Collection
+
+import msgspec
+
+from chiveridge_kernel import vms
+
+SETTLING_LIMIT = datetime.timedelta(milliseconds=500)
+HOLDER_SILENCE_LIMIT = datetime.timedelta(seconds=5)
+MAX_UNCONFIRMED_GRANTS = 1000
+
+
+class _Grant(msgspec.Struct):
+    serial: int
+    count_by_target: collections.Counter
+
+
+class Holder:
+    """What one node holds, as the owner knows it."""
+
+    def __init__(self, now: datetime.datetime):
+        self.count_by_target: collections.Counter[str] = collections.Counter()
+        self.serial = 0
+        self.heard_at = now
+        self._unconfirmed: collections.deque[_Grant] = collections.deque()
+
+    def granted(self, names: list[str]) -> int:
+        """Note a grant and return its serial number."""
+        self.serial += 1
+        self.count_by_target.update(names)
+        self._unconfirmed.append(_Grant(self.serial, collections.Counter(names)))
+        if len(self._unconfirmed) > MAX_UNCONFIRMED_GRANTS:
+            self._unconfirmed.popleft()
+        return self.serial
+
+    def report(self, last_serial: int, held_by_target: dict[str, int]) -> None:
+        """Take the holder's own account, and add the grants that it had not received yet."""
+        while self._unconfirmed and self._unconfirmed[0].serial <= last_serial:
+            self._unconfirmed.popleft()
+        self.count_by_target = collections.Counter(held_by_target)
+        for grant in self._unconfirmed:
+            self.count_by_target.update(grant.count_by_target)
+
+
+class _Settling(msgspec.Struct):
+    """A target newly owned: it lends nothing until the awaited nodes have reported."""
+
+    until: datetime.datetime
+    awaited_nodes: set[str]
+
+
+class SlotLedger:
+    """Slots of the owned targets: free, or lent to a node (this one included)."""
+
+    def __init__(self):
+        self.holders_by_node: dict[str, Holder] = {}
+        self._vms_by_name: dict[str, vms.Vm] = {}
+        self._lent_by_target: collections.Counter[str] = collections.Counter()
+        self._settling_by_target: dict[str, _Settling] = {}
+
+    def own(self, owned: dict[str, vms.Vm], nodes: Collection[str], now: datetime.datetime) -> None:
+        """Take the targets now owned; new ones lend nothing until ``nodes`` have reported."""
+        for name in owned.keys() - self._vms_by_name.keys():
+            self._settling_by_target[name] = _Settling(now + SETTLING_LIMIT, set(nodes))
+        for name in self._vms_by_name.keys() - owned.keys():
+            self._settling_by_target.pop(name, None)
+        self._vms_by_name = owned
+        self._recount()
+
+    def settle(self, now: datetime.datetime) -> bool:
+        """Let targets whose settling time is over lend; tell whether there was any."""
+        due = [
+            name
+            for name, settling in self._settling_by_target.items()
+            if settling.until <= now or not settling.awaited_nodes
+        ]
+        for name in due:
+            del self._settling_by_target[name]
+        return bool(due)
+
+    def next_settling(self) -> datetime.datetime | None:
+        """Return when the next target settles."""
+        return min((settling.until for settling in self._settling_by_target.values()), default=None)
+
+    def owns(self, name: str) -> bool:
+        """Tell whether the ledger keeps the slots of a target."""
+        return name in self._vms_by_name
+
+    def free(self, name: str) -> int:
+        """Return the free slots of a target; 0 when it is not owned or not settled."""
+        vm = self._vms_by_name.get(name)
+        if vm is None or name in self._settling_by_target:
+            return 0
+        return max(vm.slots - self._lent_by_target[name], 0)
+
+    def lent(self, name: str) -> int:
+        """Return how many slots of a target are lent."""
+        return self._lent_by_target[name]
+
+    def lend(self, node: str, names: list[str], now: datetime.datetime) -> int:
+        """Lend one slot for each name and return the serial number of the grant."""
+        self._lent_by_target.update(names)
+        return self._holder(node, now).granted(names)
+
+    def give_back(self, node: str, name: str, now: datetime.datetime) -> None:
+        """Take one slot back; one that was not lent changes nothing."""
+        holder = self._holder(node, now)
+        holder.heard_at = now
+        if holder.count_by_target[name] > 0:
+            holder.count_by_target[name] -= 1
+            self._lent_by_target[name] -= 1
+
+    def report(
+        self, node: str, last_serial: int, held_by_target: dict[str, int], now: datetime.datetime
+    ) -> None:
+        """Correct what a node holds by its own account."""
+        holder = self._holder(node, now)
+        holder.heard_at = now
+        holder.report(last_serial, held_by_target)
+        for settling in self._settling_by_target.values():
+            settling.awaited_nodes.discard(node)
+        self.settle(now)
+        self._recount()
+
+    def expire(self, now: datetime.datetime) -> bool:
+        """Take back all slots of nodes that were silent for too long; tell whether any was."""
+        silent = [
+            node
+            for node, holder in self.holders_by_node.items()
+            if now - holder.heard_at > HOLDER_SILENCE_LIMIT
+        ]
+        for node in silent:
+            del self.holders_by_node[node]
+        if silent:
+            self._recount()
+        return bool(silent)
+
+    def _holder(self, node: str, now: datetime.datetime) -> Holder:
+        holder = self.holders_by_node.get(node)
+        if holder is None:
+            holder = Holder(now)
+            self.holders_by_node[node] = holder
+        return holder
+
+    def _recount(self) -> None:
+        lent: collections.Counter[str] = collections.Counter()
+        for holder in self.holders_by_node.values():
+            lent.update(
+                {
+                    name: count
+                    for name, count in holder.count_by_target.items()
+                    if name in self._vms_by_name
+                }
+            )
+        self._lent_by_target = lent
--- a/packages/kernel/chiveridge_kernel/targets.py
+++ b/packages/kernel/chiveridge_kernel/targets.py
@@ -12,12 +12,14 @@
 class TargetTable:
     """Known targets, those listed as leaving, and those to avoid for a while.
 
-    ``version`` changes whenever the set of usable targets may have changed.
+    ``version`` grows whenever the set of usable targets may have changed, ``list_version``
+    whenever the platform's list was taken.
     """
 
     def __init__(self):
         self.vms_by_name: dict[str, vms.Vm] = {}
         self.version = 0
+        self.list_version = 0
         self._leaving_names: frozenset[str] = frozenset()
         self._avoided_until_by_name: dict[str, datetime.datetime] = {}
 
@@ -28,6 +30,7 @@
             vm.name for vm in self.vms_by_name.values() if vm.state is vms.VmState.LEAVING
         )
         self.version += 1
+        self.list_version += 1
 
     def avoid(self, name: str, until: datetime.datetime) -> None:
         """Give the target no new work until a moment; a later moment set before stands."""
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from chiveridge_kernel import errors, placements
+from chiveridge_kernel import errors, policies
 
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 _Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9-]{0,62}$")]
@@ -41,7 +41,7 @@
 class PlacementSection(msgspec.Struct, frozen=True, kw_only=True):
     """How targets are chosen."""
 
-    policy: str = "power_of_two"
+    policy: str = "owners"
 
 
 class TargetsSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -161,8 +161,8 @@
 
 
 def _check_policy(value: str) -> None:
-    if value not in placements.names():
-        raise ValueError(f"{value!r} is not one of {', '.join(placements.names())}")
+    if value not in policies.names():
+        raise ValueError(f"{value!r} is not one of {', '.join(policies.names())}")
 
 
 _CHECKS_BY_KEY = {
--- a/packages/standins/chiveridge_standins/configs.py
+++ b/packages/standins/chiveridge_standins/configs.py
@@ -24,6 +24,6 @@
         "vms_url": platform_url,
         "config_stream": CONFIG_STREAM,
     }
-    config["placement"] = {"policy": "power_of_two"}
+    config["placement"] = {"policy": "owners"}
     config.read_dict(settings)
     return config
