Measure placement policies under steady load

Policies could not be compared yet: nothing made a load, knew the ideal or counted starts outside the system. The load tool sends a seeded open-loop trace to a fleet of real processes, replays the same arrivals and measured run times through one central FIFO queue, and reconciles every answer with the targets' counts. Targets now also count start requests, so that refused ones show as waste.

Ruled out: one client library object for all jobs, because it takes its submission ids in batches from one node, so that runs of 32 jobs went to the same node.

Delays between domains are not emulated yet; the 1 ms trips to clients are added to measured and ideal responses alike.

--- a/packages/load/chiveridge_load/deployments.py
+++ b/packages/load/chiveridge_load/deployments.py
@@ -1,14 +1,28 @@
-"""Configurations for fleets of stand-ins: teams with keys, approved for every target."""
+"""The two deployments, and configurations in which every team reaches every target."""
 
 import hashlib
 
 import msgspec
 
 from chiveridge_kernel import records
+from chiveridge_standins import fleets
 
 ALL_TEAMS_RULE = "every-team-every-target"
 
 
+class Deployment(msgspec.Struct, frozen=True):
+    """Failure domains of a deployment and the cores of its targets."""
+
+    domains: tuple[str, str, str]
+    cores: int
+
+
+DEPLOYMENTS_BY_NAME = {
+    "lagos": Deployment(("ikeja", "surulere", "lekki"), cores=64),
+    "hokkaido": Deployment(("sapporo-chuo", "asahikawa", "hakodate"), cores=32),
+}
+
+
 class TeamPlan(msgspec.Struct, frozen=True, kw_only=True):
     """A calling team; ``max_starts`` limits its starts in progress."""
 
@@ -59,3 +73,20 @@
 def _rule_write() -> records.ObjectWrite:
     rule = records.RuleObject(name=ALL_TEAMS_RULE, targets="kind=dryer")
     return records.ObjectWrite(kind=records.ObjectKind.RULE, name=rule.name, rule=rule)
+
+
+def fleet_plan(name: str, settings: dict[str, dict[str, str]]) -> fleets.FleetPlan:
+    """Return the fleet of a deployment: 3 domains, 9 nodes and 24 targets of 8 slots."""
+    deployment = DEPLOYMENTS_BY_NAME[name]
+    domain = fleets.DomainPlan(nodes=3, targets=8)
+    return fleets.FleetPlan(
+        domains={domain_name: domain for domain_name in deployment.domains},
+        slots=8,
+        cores=deployment.cores,
+        settings=settings,
+    )
+
+
+def slots(plan: fleets.FleetPlan) -> int:
+    """Return the slots of all targets of a fleet."""
+    return plan.slots * sum(domain.targets for domain in plan.domains.values())
--- /dev/null
+++ b/packages/load/chiveridge_load/generators.py
@@ -0,0 +1,185 @@
+"""Sends the jobs of a trace at their times, whatever became of earlier ones, and records all."""
+
+import asyncio
+import datetime
+import random
+
+import aiohttp
+import msgspec
+
+from chiveridge_client import errors, exchanges
+from chiveridge_kernel import messages, results
+from chiveridge_load import deployments, workloads
+
+IDS_PER_REQUEST = 500
+SPARE_IDS = 1.5
+"""Ids fetched per node as a multiple of the expected need."""
+
+JOB_DEADLINE = datetime.timedelta(seconds=30)
+
+_answer_decoder = msgspec.json.Decoder(messages.JobAnswer)
+_ids_decoder = msgspec.json.Decoder(messages.IdsAnswer)
+
+
+class JobRecord(msgspec.Struct, kw_only=True):
+    """What became of one job; times are seconds from the start of the run."""
+
+    index: int
+    team: str
+    due_s: float
+    sent_s: float
+    ended_s: float
+    code: results.ResultCode
+    ran: results.TaskOutcome | None = None
+    run_ms: list[float] = []
+    targets: list[str] = []
+    outcomes: list[results.TaskOutcome] = []
+    fault: str = ""
+    detail: str = ""
+
+    @property
+    def response_ms(self) -> float:
+        """Time from sending the job to its whole answer."""
+        return (self.ended_s - self.sent_s) * 1000
+
+
+class Generator:
+    """An open-loop source of jobs that chooses a node at random for each."""
+
+    def __init__(
+        self,
+        urls: list[str],
+        teams: list[deployments.TeamPlan],
+        jobs: list[workloads.JobPlan],
+        seed: int,
+    ):
+        self._urls = urls
+        self._teams_by_name = {team.name: team for team in teams}
+        self._jobs = jobs
+        self._rng = random.Random(seed)
+        self._ids: dict[tuple[str, str], list[str]] = {}
+        self._exchanges_by_team: dict[str, exchanges.Exchanges] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def prepare(self) -> None:
+        """Open the session and fetch the submission ids ahead of the run."""
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        for team in self._teams_by_name.values():
+            self._exchanges_by_team[team.name] = exchanges.Exchanges(self._session, team.credential)
+        await asyncio.gather(
+            *(self._fetch_ids(url, team) for url in self._urls for team in self._teams_by_name)
+        )
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self._session.close()
+
+    async def run(self) -> list[JobRecord]:
+        """Send every job at its time and return their records once all have ended."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        sent = []
+        for job in self._jobs:
+            remaining = started + job.at_s - loop.time()
+            if remaining > 0:
+                await asyncio.sleep(remaining)
+            sent.append(asyncio.create_task(self._send(job, started)))
+        return list(await asyncio.gather(*sent))
+
+    async def _fetch_ids(self, url: str, team: str) -> None:
+        """Fetch enough ids of one node for its random share of a team's jobs."""
+        expected = sum(job.team == team for job in self._jobs) / len(self._urls)
+        needed = int(expected * SPARE_IDS) + IDS_PER_REQUEST // 10
+        ids = self._ids.setdefault((url, team), [])
+        while len(ids) < needed:
+            ids += await self._issue(url, team, min(needed - len(ids), IDS_PER_REQUEST))
+
+    async def _issue(self, url: str, team: str, count: int) -> list[str]:
+        body = messages.encoder.encode(messages.IdsRequest(count=count))
+        sender = self._exchanges_by_team[team]
+        answer = await sender.ask("POST", f"{url}/v1/submission-ids", _ids_decoder, body=body)
+        return answer.submission_ids
+
+    async def _send(self, job: workloads.JobPlan, started: float) -> JobRecord:
+        loop = asyncio.get_running_loop()
+        url = self._rng.choice(self._urls)
+        record = JobRecord(
+            index=job.index,
+            team=job.team,
+            due_s=job.at_s,
+            sent_s=loop.time() - started,
+            ended_s=0.0,
+            code=results.ResultCode.INTERNAL_ERROR,
+        )
+        try:
+            await self._settle(job, url, record)
+        except errors.RefusedError as error:
+            record.code, record.ran, record.detail = error.code, error.ran, error.message
+        except errors.ClientError as error:
+            record.code, record.detail = results.ResultCode.OUTCOME_UNKNOWN, str(error)
+            record.ran = results.TaskOutcome.UNKNOWN
+        record.ended_s = loop.time() - started
+        return record
+
+    async def _settle(self, job: workloads.JobPlan, url: str, record: JobRecord) -> None:
+        ids = self._ids[url, job.team]
+        submission_id = ids.pop() if ids else (await self._issue(url, job.team, 1))[0]
+        submission = messages.Submission(
+            submission_id=submission_id,
+            tasks=_tasks(job),
+            deadline_ms=JOB_DEADLINE // datetime.timedelta(milliseconds=1),
+        )
+        body = messages.encoder.encode(submission)
+        answer = await self._exchanges_by_team[job.team].ask(
+            "POST", f"{url}/v1/jobs", _answer_decoder, body=body, wait=JOB_DEADLINE
+        )
+        note_answer(record, job, submission_id, answer)
+
+
+def note_answer(
+    record: JobRecord, job: workloads.JobPlan, submission_id: str, answer: messages.JobAnswer
+) -> None:
+    """Record an answer, and in ``fault`` what is wrong with it."""
+    record.code = answer.code
+    record.detail = answer.message
+    record.run_ms = [task.run_ms for task in answer.tasks]
+    record.targets = [task.target for task in answer.tasks]
+    record.outcomes = [task.outcome for task in answer.tasks]
+    record.fault = _fault(job, submission_id, answer)
+
+
+def _fault(job: workloads.JobPlan, submission_id: str, answer: messages.JobAnswer) -> str:
+    if answer.submission_id != submission_id:
+        return f"the answer is for {answer.submission_id}, not for {submission_id}"
+    if answer.state is results.JobState.RUNNING:
+        return "the job has no answer"
+    if [task.index for task in answer.tasks] != list(range(len(job.run_ms))):
+        return "the answer is not whole or not in order"
+    if answer.state is results.JobState.FAILED:
+        return ""
+    return _wrong_result(job, answer)
+
+
+def _wrong_result(job: workloads.JobPlan, answer: messages.JobAnswer) -> str:
+    for task in answer.tasks:
+        if task.outcome is not results.TaskOutcome.SUCCEEDED:
+            return f"the job is complete but task {task.index} {task.outcome.value}"
+        found = msgspec.json.decode(task.result)
+        if found is None or found["key"] != job.key(task.index):
+            return f"task {task.index} has the result of another: {found}"
+    return ""
+
+
+def _tasks(job: workloads.JobPlan) -> list[messages.TaskSpec]:
+    declared = job.declared_ms or [0] * len(job.run_ms)
+    return [
+        messages.TaskSpec(
+            body=_body(job, index), memory_mb=job.memory_mb, run_time_ms=declared[index]
+        )
+        for index in range(len(job.run_ms))
+    ]
+
+
+def _body(job: workloads.JobPlan, index: int) -> msgspec.Raw:
+    content = {"run_ms": job.run_ms[index], "key": job.key(index), "fail": job.fail}
+    return msgspec.Raw(msgspec.json.encode(content))
--- /dev/null
+++ b/packages/load/chiveridge_load/measurements.py
@@ -0,0 +1,119 @@
+"""What one run measured: response ratios beside their bound, refusals, waste and faults."""
+
+import collections
+from collections.abc import Callable, Iterable
+
+import msgspec
+from hdrh import histogram
+
+from chiveridge_kernel import results
+from chiveridge_load import bounds, generators, reconciliations, workloads
+
+WARMUP_S = 2.0
+"""Jobs that arrive earlier are checked but not in the ratios: connections open meanwhile."""
+
+_RATIO_UNITS = 10_000
+_MAX_RATIO = 100_000
+_SIGNIFICANT_DIGITS = 4
+
+
+class Percentiles(msgspec.Struct, frozen=True):
+    """Distribution of ratios; zeros when there are none."""
+
+    count: int
+    mean: float
+    p50: float
+    p99: float
+
+
+class Measurement(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything known about a run; ``seconds`` is the length of its trace."""
+
+    jobs: list[workloads.JobPlan]
+    records: list[generators.JobRecord]
+    verdict: reconciliations.Verdict
+    slots: int
+    seconds: float
+    warmup_s: float = WARMUP_S
+
+    def completed(self) -> list[generators.JobRecord]:
+        """Return the completed jobs that arrived after the warm-up."""
+        return [
+            record
+            for record in self.records
+            if record.code is results.ResultCode.COMPLETE and record.sent_s >= self.warmup_s
+        ]
+
+    def ratios(
+        self, chosen: Callable[[generators.JobRecord], bool] = lambda record: True
+    ) -> Percentiles:
+        """Return the ratios of the completed jobs that ``chosen`` accepts."""
+        found = [record for record in self.completed() if chosen(record)]
+        return percentiles(bounds.ratio(record.response_ms, record.run_ms) for record in found)
+
+    def bound(self) -> Percentiles:
+        """Return the ratios that the central queue gives to the same arrivals and run times."""
+        arrivals = self.arrivals()
+        ratios = bounds.central_queue_ratios(arrivals, self.slots)
+        return percentiles(
+            ratio
+            for arrival, ratio in zip(arrivals, ratios, strict=True)
+            if arrival.at_s >= self.warmup_s
+        )
+
+    def arrivals(self) -> list[bounds.Arrival]:
+        """Return what arrived: run times as the targets measured them where a job completed."""
+        planned = {job.index: job.run_ms for job in self.jobs}
+        arrivals = [
+            bounds.Arrival(
+                record.sent_s,
+                (
+                    record.run_ms
+                    if record.code is results.ResultCode.COMPLETE
+                    else planned[record.index]
+                ),
+            )
+            for record in self.records
+        ]
+        return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+    def goodput_share(self) -> float:
+        """Return the completed run time over what was offered or, if less, what fits."""
+        planned_ms = {job.index: sum(job.run_ms) for job in self.jobs}
+        completed = {
+            record.index
+            for record in self.records
+            if record.code is results.ResultCode.COMPLETE and not record.fault
+        }
+        done = sum(planned_ms[index] for index in completed)
+        offered = min(sum(planned_ms.values()), self.slots * self.seconds * 1000)
+        return done / offered if offered else 0.0
+
+    def refused_share(self) -> float:
+        """Return the share of the jobs of which no task was run."""
+        refused = [record for record in self.records if record.ran is results.TaskOutcome.NOT_RUN]
+        return len(refused) / len(self.jobs) if self.jobs else 0.0
+
+    def jobs_by_code(self) -> dict[str, int]:
+        """Return the number of jobs by result code."""
+        return dict(collections.Counter(record.code.name for record in self.records))
+
+    def lateness_ms(self) -> float:
+        """Return by how much the generator was late for 99 of 100 jobs at most."""
+        late = sorted((record.sent_s - record.due_s) * 1000 for record in self.records)
+        return late[int(len(late) * 0.99)] if late else 0.0
+
+
+def percentiles(ratios: Iterable[float]) -> Percentiles:
+    """Return the distribution of ratios."""
+    recorded = histogram.HdrHistogram(1, _MAX_RATIO * _RATIO_UNITS, _SIGNIFICANT_DIGITS)
+    total = 0.0
+    for ratio in ratios:
+        recorded.record_value(int(min(ratio, _MAX_RATIO) * _RATIO_UNITS))
+        total += ratio
+    count = recorded.get_total_count()
+    if not count:
+        return Percentiles(0, 0.0, 0.0, 0.0)
+    p50 = recorded.get_value_at_percentile(50) / _RATIO_UNITS
+    p99 = recorded.get_value_at_percentile(99) / _RATIO_UNITS
+    return Percentiles(count, total / count, p50, p99)
--- /dev/null
+++ b/packages/load/chiveridge_load/reconciliations.py
@@ -0,0 +1,97 @@
+"""Compares what callers were told with what the targets counted."""
+
+import collections
+from collections.abc import Iterable
+
+import msgspec
+
+from chiveridge_kernel import results
+from chiveridge_load import generators, workloads
+from chiveridge_standins import counts
+
+
+class Starts(msgspec.Struct, frozen=True):
+    """Start requests and starts that the targets counted; starts also by task key."""
+
+    requests: int
+    starts: int
+    by_key: dict[str, int]
+
+
+class Verdict(msgspec.Struct, kw_only=True):
+    """Faults found, and how many starts served an answer.
+
+    A discarded start ran for a job that was not answered as complete.
+    """
+
+    faults: list[str] = []
+    useful: int = 0
+    discarded: int = 0
+    repeated: int = 0
+    requests: int = 0
+
+    @property
+    def wasted_share(self) -> float:
+        """Share of the start requests that were refused, repeated or discarded."""
+        return 1 - self.useful / self.requests if self.requests else 0.0
+
+
+def total(counted: Iterable[counts.Counts]) -> Starts:
+    """Add up the counts of all targets."""
+    by_key: collections.Counter[str] = collections.Counter()
+    requests = 0
+    starts = 0
+    for target in counted:
+        by_key.update(target.starts)
+        requests += target.total_requests
+        starts += target.total_starts
+    return Starts(requests, starts, dict(by_key))
+
+
+def reconcile(
+    jobs: list[workloads.JobPlan], records: list[generators.JobRecord], starts: Starts
+) -> Verdict:
+    """Check every record against the counts; a job without a record is a lost answer."""
+    verdict = Verdict(requests=starts.requests)
+    records_by_index = {record.index: record for record in records}
+    for job in jobs:
+        record = records_by_index.get(job.index)
+        if record is None:
+            verdict.faults.append(f"job {job.index}: no answer")
+            continue
+        _check_job(job, record, starts, verdict)
+    return verdict
+
+
+def _check_job(
+    job: workloads.JobPlan, record: generators.JobRecord, starts: Starts, verdict: Verdict
+) -> None:
+    if record.fault:
+        verdict.faults.append(f"job {job.index}: {record.fault}")
+    complete = record.code is results.ResultCode.COMPLETE
+    for index in range(len(job.run_ms)):
+        count = starts.by_key.get(job.key(index), 0)
+        outcome = _told(record, index)
+        problem = _problem(outcome, count)
+        if problem:
+            verdict.faults.append(f"job {job.index} task {index}: {problem}")
+        verdict.repeated += max(count - 1, 0)
+        verdict.useful += int(complete and count > 0)
+        verdict.discarded += int(not complete and count > 0)
+
+
+def _told(record: generators.JobRecord, index: int) -> results.TaskOutcome:
+    """Return what the caller was told of a task."""
+    if index < len(record.outcomes):
+        return record.outcomes[index]
+    return record.ran or results.TaskOutcome.UNKNOWN
+
+
+def _problem(outcome: results.TaskOutcome, count: int) -> str:
+    if count > 1:
+        return f"started {count} times"
+    if outcome is results.TaskOutcome.NOT_RUN and count:
+        return "told as not run, but started"
+    if outcome in (results.TaskOutcome.SUCCEEDED, results.TaskOutcome.RAN) and not count:
+        return f"told as {outcome.value}, but never started"
+    return ""
--- /dev/null
+++ b/packages/load/chiveridge_load/reports.py
@@ -0,0 +1,160 @@
+"""Rows of a benchmark, their limits, and the JSON file and table made of them."""
+
+import pathlib
+
+import msgspec
+
+from chiveridge_load import measurements
+
+MAX_FAULTS_SHOWN = 5
+
+
+class Limit(msgspec.Struct, frozen=True):
+    """A measured value with the most, or the least, that it may be."""
+
+    name: str
+    measured: float
+    limit: float
+    at_least: bool = False
+
+    @property
+    def passed(self) -> bool:
+        """Whether the value keeps to the limit."""
+        if self.at_least:
+            return self.measured >= self.limit
+        return self.measured <= self.limit
+
+
+class LimitResult(msgspec.Struct, frozen=True, kw_only=True):
+    """A limit as it is written to the report."""
+
+    name: str
+    measured: float
+    limit: float
+    at_least: bool
+    passed: bool
+
+
+class Row(msgspec.Struct, frozen=True, kw_only=True):
+    """One scenario under one policy; ratios are response over ideal."""
+
+    scenario: str
+    deployment: str
+    policy: str
+    load: float
+    job_mean: float
+    p50_ratio: float
+    p99_ratio: float
+    mean_ratio: float
+    p50_bound: float
+    p99_bound: float
+    wasted_share: float
+    goodput_share: float
+    refused_share: float
+    wrong_answers: int
+    jobs: int
+    jobs_by_code: dict[str, int]
+    lateness_ms: float
+    seed: int
+    seconds: float
+    faults: list[str]
+    limits: list[LimitResult]
+    passed: bool
+
+
+def row(
+    measured: measurements.Measurement,
+    limits: list[Limit],
+    *,
+    scenario: str,
+    deployment: str,
+    policy: str,
+    load: float,
+    job_mean: float,
+    seed: int,
+) -> Row:
+    """Return the row of a measurement."""
+    ours = measured.ratios()
+    bound = measured.bound()
+    checked = [_result(limit) for limit in limits]
+    return Row(
+        scenario=scenario,
+        deployment=deployment,
+        policy=policy,
+        load=load,
+        job_mean=job_mean,
+        p50_ratio=ours.p50,
+        p99_ratio=ours.p99,
+        mean_ratio=ours.mean,
+        p50_bound=bound.p50,
+        p99_bound=bound.p99,
+        wasted_share=measured.verdict.wasted_share,
+        goodput_share=measured.goodput_share(),
+        refused_share=measured.refused_share(),
+        wrong_answers=len(measured.verdict.faults),
+        jobs=len(measured.jobs),
+        jobs_by_code=measured.jobs_by_code(),
+        lateness_ms=measured.lateness_ms(),
+        seed=seed,
+        seconds=measured.seconds,
+        faults=measured.verdict.faults[:MAX_FAULTS_SHOWN],
+        limits=checked,
+        passed=all(result.passed for result in checked),
+    )
+
+
+def write(path: pathlib.Path, rows: list[Row]) -> None:
+    """Write the rows as a JSON list."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    content = msgspec.json.format(msgspec.json.encode(rows), indent=1)
+    path.write_bytes(content + b"\n")
+
+
+def read(path: pathlib.Path) -> list[Row]:
+    """Read rows that :func:`write` wrote."""
+    return msgspec.json.decode(path.read_bytes(), type=list[Row])
+
+
+def table(rows: list[Row]) -> str:
+    """Return the rows as a text table, a line each, and below it the limits that were missed."""
+    header = (
+        f"{'scenario':<18} {'deployment':<9} {'policy':<13} {'load':>5} {'mean':>4} {'p50':>7} "
+        f"{'bound':>7} {'p99':>7} {'bound':>7} {'wasted':>8} {'goodput':>7} {'refused':>7} "
+        f"{'wrong':>5} {'late ms':>7}"
+    )
+    return "\n".join([header, *map(_line, rows), *_missed(rows)])
+
+
+def _line(row: Row) -> str:
+    return (
+        f"{row.scenario:<18} {row.deployment:<9} {row.policy:<13} {row.load:>5.2f} "
+        f"{row.job_mean:>4.0f} {row.p50_ratio:>7.3f} {row.p50_bound:>7.3f} {row.p99_ratio:>7.3f} "
+        f"{row.p99_bound:>7.3f} {row.wasted_share:>8.4%} {row.goodput_share:>7.3f} "
+        f"{row.refused_share:>7.3f} {row.wrong_answers:>5} {row.lateness_ms:>7.1f}"
+    )
+
+
+def _missed(rows: list[Row]) -> list[str]:
+    lines = []
+    for row in rows:
+        title = f"{row.scenario} {row.deployment} {row.policy} {row.load:.2f} {row.job_mean:.0f}"
+        for result in row.limits:
+            if not result.passed:
+                lines.append(_missed_line(title, result))
+        lines += [f"FAULT {title}: {fault}" for fault in row.faults]
+    return lines
+
+
+def _missed_line(title: str, result: LimitResult) -> str:
+    word = "under" if result.at_least else "over"
+    return f"MISSED {title}: {result.name} {result.measured:.4f} {word} {result.limit:.4f}"
+
+
+def _result(limit: Limit) -> LimitResult:
+    return LimitResult(
+        name=limit.name,
+        measured=limit.measured,
+        limit=limit.limit,
+        at_least=limit.at_least,
+        passed=limit.passed,
+    )
--- /dev/null
+++ b/packages/load/tests/test_reports.py
@@ -0,0 +1,89 @@
+import pytest
+
+from chiveridge_kernel import results
+from chiveridge_load import generators, measurements, reconciliations, reports, workloads
+
+
+def _measurement():
+    jobs = [
+        workloads.JobPlan(index=index, at_s=10.0 * index, team="desk", run_ms=[98.0])
+        for index in range(3)
+    ]
+    records = [
+        generators.JobRecord(
+            index=job.index,
+            team=job.team,
+            due_s=job.at_s,
+            sent_s=job.at_s,
+            ended_s=job.at_s + 0.098 * (job.index + 1),
+            code=results.ResultCode.COMPLETE,
+            run_ms=job.run_ms,
+        )
+        for job in jobs
+    ]
+    records[0].code = results.ResultCode.OVERLOADED
+    records[0].ran = results.TaskOutcome.NOT_RUN
+    verdict = reconciliations.Verdict(useful=2, requests=4, faults=["planted"])
+    return measurements.Measurement(
+        jobs=jobs, records=records, verdict=verdict, slots=1, seconds=30, warmup_s=0
+    )
+
+
+def _row(limits=()):
+    return reports.row(
+        _measurement(),
+        list(limits),
+        scenario="steady",
+        deployment="lagos",
+        policy="random",
+        load=0.8,
+        job_mean=1,
+        seed=1,
+    )
+
+
+def test_row_holds_what_was_measured():
+    row = _row()
+    assert row.p99_ratio == pytest.approx(296 / 100, rel=1e-3)
+    assert (row.p50_bound, row.p99_bound) == pytest.approx((1.0, 1.0), rel=1e-3)
+    assert row.refused_share == pytest.approx(1 / 3)
+    assert row.goodput_share == pytest.approx(2 / 3)
+    assert row.wasted_share == pytest.approx(0.5)
+    assert row.wrong_answers == 1
+    assert row.jobs_by_code == {"COMPLETE": 2, "OVERLOADED": 1}
+
+
+def test_jobs_of_the_warm_up_are_left_out_of_the_ratios():
+    measured = _measurement()
+    assert measured.ratios().count == 2
+    assert measurements.Measurement(
+        jobs=measured.jobs,
+        records=measured.records,
+        verdict=measured.verdict,
+        slots=1,
+        seconds=30,
+        warmup_s=15,
+    ).ratios().p50 == pytest.approx(296 / 100, rel=1e-3)
+
+
+def test_missed_limit_fails_the_row_and_is_shown():
+    kept = reports.Limit("p50_ratio", 1.0, 1.05)
+    missed = reports.Limit("goodput_share", 0.9, 0.95, at_least=True)
+    assert _row([kept]).passed
+    row = _row([kept, missed])
+    assert not row.passed
+    shown = reports.table([row])
+    assert "MISSED steady lagos random 0.80 1: goodput_share 0.9000 under 0.9500" in shown
+    assert "p50_ratio 1.0000" not in shown
+    assert "planted" in shown
+
+
+def test_rows_are_read_as_they_were_written(tmp_path):
+    path = tmp_path / "build" / "bench.json"
+    rows = [_row([reports.Limit("p50_ratio", 1.0, 1.05)])]
+    reports.write(path, rows)
+    assert reports.read(path) == rows
+
+
+def test_percentiles_of_nothing_are_zero():
+    assert measurements.percentiles([]) == measurements.Percentiles(0, 0.0, 0.0, 0.0)
--- a/packages/standins/chiveridge_standins/counts.py
+++ b/packages/standins/chiveridge_standins/counts.py
@@ -14,13 +14,15 @@
 class Counts(msgspec.Struct):
     """Starts, ends and stops by key; ``started_at_ms`` counts from the Unix epoch.
 
-    Keys beyond :data:`MAX_KEYS` count only in ``total_starts``, and a key keeps the times of
-    its first :data:`MAX_START_TIMES_PER_KEY` starts.
+    ``total_requests`` counts the requests to start, refused ones included. Keys beyond
+    :data:`MAX_KEYS` count only in ``total_starts``, and a key keeps the times of its first
+    :data:`MAX_START_TIMES_PER_KEY` starts.
     """
 
     starts: dict[str, int] = {}
     ends: dict[str, int] = {}
     stops: dict[str, int] = {}
+    total_requests: int = 0
     total_starts: int = 0
     max_busy: int = 0
     started_at_ms: dict[str, list[int]] = {}
@@ -41,6 +43,10 @@
             started_at_ms=collections.defaultdict(list),
         )
 
+    def requested(self) -> None:
+        """Count a request to start a task."""
+        self.counts.total_requests += 1
+
     def started(self, key: str, busy: int, now: datetime.datetime) -> None:
         """Count a start; ``busy`` is the number of slots in use with it."""
         counts = self.counts
--- a/packages/standins/chiveridge_standins/targets.py
+++ b/packages/standins/chiveridge_standins/targets.py
@@ -35,6 +35,7 @@
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response, lease_id: str
     ) -> None:
         """Start a task and hold the request until it ends."""
+        self._target.counter.requested()
         content = await req.stream.read()
         await _hold_while_silent(self._target)
         lease = self._start(lease_id, content, req.get_header(START_BEFORE_HEADER))
