Find slow targets by their spread, and try ordering by expected length

Slowness now needs three standard errors beyond the ratio. Tried as well: serving requests by arrival plus expected length of the job.

--- a/packages/kernel/chiveridge_kernel/borrowers.py
+++ b/packages/kernel/chiveridge_kernel/borrowers.py
@@ -3,6 +3,7 @@
 import collections
 import datetime
 import itertools
+import math
 
 from chiveridge_kernel import clocks, jobs, slotqueues
 
@@ -13,12 +14,13 @@
 class Demand:
     """Waiting tasks of a job that fit the same targets, and who was asked to serve them."""
 
-    def __init__(self, demand_id: int, job: jobs.Job, query: slotqueues.Query):
+    def __init__(self, demand_id: int, job: jobs.Job, query: slotqueues.Query, expected_ms: float):
         self.demand_id = demand_id
         self.job = job
         self.query = query
         self.tasks: collections.deque[jobs.Task] = collections.deque()
         self.arrived_at_ms = clocks.to_epoch_ms(job.arrived_at)
+        self.due_ms = self.arrived_at_ms + int(expected_ms)
         self.asked_nodes: set[str] = set()
         self.ask_all_at: datetime.datetime | None = None
         self.asked_all = False
@@ -37,14 +39,18 @@
         self._demands_by_job: dict[jobs.Job, dict[slotqueues.Query, Demand]] = {}
         self._ids = itertools.count(1)
 
-    def add(self, job: jobs.Job) -> list[Demand]:
-        """Put the waiting tasks of a job into demands by their needs; return these demands."""
+    def add(self, job: jobs.Job, mean_run_ms: float) -> list[Demand]:
+        """Put the waiting tasks of a job into demands by their needs; return these demands.
+
+        ``mean_run_ms`` is that of a task, as far as it is known.
+        """
         by_query = self._demands_by_job.setdefault(job, {})
+        expected_ms = mean_run_ms * (1.0 + math.log(len(job.tasks)))
         for demand in by_query.values():
             demand.tasks.clear()
         for task in job.waiting:
             query = _query_of(job, task)
-            demand = by_query.get(query) or self._create(job, query, by_query)
+            demand = by_query.get(query) or self._create(job, query, expected_ms)
             demand.tasks.append(task)
         return [demand for demand in by_query.values() if demand.tasks]
 
@@ -55,11 +61,9 @@
             del self.demands_by_id[demand.demand_id]
         return removed
 
-    def _create(
-        self, job: jobs.Job, query: slotqueues.Query, by_query: dict[slotqueues.Query, Demand]
-    ) -> Demand:
-        demand = Demand(next(self._ids), job, query)
-        by_query[query] = demand
+    def _create(self, job: jobs.Job, query: slotqueues.Query, expected_ms: float) -> Demand:
+        demand = Demand(next(self._ids), job, query, expected_ms)
+        self._demands_by_job[job][query] = demand
         self.demands_by_id[demand.demand_id] = demand
         return demand
 
--- a/packages/kernel/chiveridge_kernel/owner_policies.py
+++ b/packages/kernel/chiveridge_kernel/owner_policies.py
@@ -53,7 +53,7 @@
     def job_waiting(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Start what own slots allow and ask other owners for the rest."""
         self._refresh(now)
-        for demand in self.demands.add(job):
+        for demand in self.demands.add(job, self.lender.speeds.mean_run_ms()):
             self._serve_here(demand, now)
             if demand.wanted:
                 self._ask(demand, now)
@@ -134,6 +134,7 @@
                 demand_id=message.demand_id,
                 query=query,
                 arrived_at_ms=message.arrived_at_ms,
+                due_ms=message.due_ms,
                 wanted=message.wanted - len(names),
             )
         )
@@ -232,6 +233,7 @@
                 demand_id=demand.demand_id,
                 query=demand.query,
                 arrived_at_ms=demand.arrived_at_ms,
+                due_ms=demand.due_ms,
                 wanted=demand.wanted,
             )
         )
@@ -276,6 +278,7 @@
             selector=query.selector,
             wanted=count,
             arrived_at_ms=demand.arrived_at_ms,
+            due_ms=demand.due_ms,
             memory_mb=query.memory_mb,
             cores=query.cores,
             accelerators=query.accelerators,
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -46,8 +46,8 @@
 class SlotRequest(msgspec.Struct, frozen=True, kw_only=True, tag="slot_request"):
     """Asks the owner of targets for slots; it replaces an earlier request of the demand.
 
-    ``wanted`` 0 cancels. The owner serves requests by ``arrived_at_ms``, the arrival of the
-    job in milliseconds since the Unix epoch.
+    ``wanted`` 0 cancels. The owner serves requests by ``due_ms``, when the job would end
+    without any wait; like ``arrived_at_ms`` it is in milliseconds since the Unix epoch.
     """
 
     sender: identifiers.NodeName
@@ -56,6 +56,7 @@
     selector: str
     wanted: int
     arrived_at_ms: int
+    due_ms: int
     memory_mb: int = 0
     cores: int = 0
     accelerators: int = 0
--- a/packages/kernel/chiveridge_kernel/slotqueues.py
+++ b/packages/kernel/chiveridge_kernel/slotqueues.py
@@ -1,4 +1,4 @@
-"""The queue of slot requests at an owner: oldest job first, and fair between teams."""
+"""The queue of slot requests at an owner: earliest due first, and fair between teams."""
 
 import collections
 import heapq
@@ -26,11 +26,12 @@
     demand_id: int
     query: Query
     arrived_at_ms: int
+    due_ms: int
     wanted: int
 
 
 class SlotQueue:
-    """Waiting requests by query; each query's requests are in order of arrival."""
+    """Waiting requests by query; each query's requests are in order of when they are due."""
 
     def __init__(self):
         self._heaps_by_query: dict[Query, list[tuple[int, int, Waiting]]] = {}
@@ -48,7 +49,7 @@
             return
         self._waiting_by_demand[key] = waiting
         heap = self._heaps_by_query.setdefault(waiting.query, [])
-        heapq.heappush(heap, (waiting.arrived_at_ms, next(self._order), waiting))
+        heapq.heappush(heap, (waiting.due_ms, next(self._order), waiting))
 
     def cancel(self, node: str, demand_id: int) -> None:
         """Remove a request; an unknown one changes nothing."""
@@ -62,7 +63,7 @@
             self.cancel(*key)
 
     def heads(self) -> list[Waiting]:
-        """Return the oldest request of each query."""
+        """Return the request of each query that is due first."""
         found = []
         for query in list(self._heaps_by_query):
             head = self._head(query)
@@ -89,12 +90,12 @@
 def fair_order(
     heads: list[Waiting], lent_by_team: collections.Counter[str], slot_count: int
 ) -> list[Waiting]:
-    """Order requests by age, those of teams over their equal share of the slots last."""
+    """Order requests by when they are due, those of teams over their share of the slots last."""
     if len(heads) < 2:
         return heads
     active = {head.query.team for head in heads} | {team for team, n in lent_by_team.items() if n}
     share = slot_count / max(len(active), 1)
     return sorted(
         heads,
-        key=lambda head: (lent_by_team[head.query.team] >= share, head.arrived_at_ms),
+        key=lambda head: (lent_by_team[head.query.team] >= share, head.due_ms),
     )
--- a/packages/kernel/chiveridge_kernel/speeds.py
+++ b/packages/kernel/chiveridge_kernel/speeds.py
@@ -1,6 +1,7 @@
 """Speed of targets, learnt from run times: how much slower than usual a team's tasks run there.
 
-Averages are of logarithms, which a few long tasks hardly move.
+Averages are of logarithms, which a few long tasks hardly move. A target counts as slow only when
+its average is beyond what the spread of the team's run times explains.
 """
 
 import math
@@ -9,21 +10,36 @@
 
 TARGET_SMOOTHING = 0.1
 TEAM_SMOOTHING = 0.02
-MIN_SAMPLES = 8
-SLOW_RATIO = 2.5
+MIN_TARGET_SAMPLES = 12
+MIN_TEAM_SAMPLES = 64
+SLOW_RATIO = 2.0
+MAX_ERRORS = 3.0
+"""Standard errors by which a slow target must be over :data:`SLOW_RATIO`."""
+
 _MIN_RUN_MS = 1.0
 
 
 class Average(msgspec.Struct):
-    """A moving average that starts as a plain one."""
+    """A moving average with its variance; it starts as a plain one."""
 
     value: float = 0.0
+    variance: float = 0.0
     samples: int = 0
 
     def add(self, value: float, smoothing: float) -> None:
         """Move towards a value."""
         self.samples += 1
-        self.value += max(smoothing, 1.0 / self.samples) * (value - self.value)
+        weight = max(smoothing, 1.0 / self.samples)
+        deviation = value - self.value
+        self.value += weight * deviation
+        self.variance += weight * (deviation * (value - self.value) - self.variance)
+
+
+class TargetSpeed(msgspec.Struct):
+    """Logarithm of run time over the team's typical run time, and the spread to expect."""
+
+    log_ratio: Average
+    expected_variance: Average
 
 
 class Speeds:
@@ -31,7 +47,7 @@
 
     def __init__(self):
         self._log_run_by_team: dict[str, Average] = {}
-        self._log_ratio_by_target: dict[str, Average] = {}
+        self._speeds_by_target: dict[str, TargetSpeed] = {}
         self._run_ms = Average()
 
     def learn_team(self, team: str, run_ms: float) -> None:
@@ -43,27 +59,37 @@
     def learn_target(self, target: str, team: str, run_ms: float) -> None:
         """Learn how a task of a team ran on a target."""
         typical = self._log_run_by_team.get(team)
-        if typical is None or typical.samples < MIN_SAMPLES:
+        if typical is None or typical.samples < MIN_TEAM_SAMPLES:
             return
-        average = self._log_ratio_by_target.setdefault(target, Average())
-        average.add(math.log(max(run_ms, _MIN_RUN_MS)) - typical.value, TARGET_SMOOTHING)
+        speed = self._speeds_by_target.get(target)
+        if speed is None:
+            speed = TargetSpeed(Average(), Average())
+            self._speeds_by_target[target] = speed
+        log_ratio = math.log(max(run_ms, _MIN_RUN_MS)) - typical.value
+        speed.log_ratio.add(log_ratio, TARGET_SMOOTHING)
+        speed.expected_variance.add(typical.variance, TARGET_SMOOTHING)
 
     def mean_run_ms(self) -> float:
         """Return the mean run time of a task, 0 when nothing is known."""
         return self._run_ms.value
 
     def ratio(self, target: str) -> float:
-        """Return how many times slower than usual tasks run on a target."""
-        average = self._log_ratio_by_target.get(target)
-        if average is None or average.samples < MIN_SAMPLES:
+        """Return how many times slower than usual tasks run on a target; 1 when not known."""
+        speed = self._speeds_by_target.get(target)
+        if speed is None or speed.log_ratio.samples < MIN_TARGET_SAMPLES:
             return 1.0
-        return math.exp(average.value)
+        return math.exp(speed.log_ratio.value)
 
     def is_slow(self, target: str) -> bool:
         """Tell whether tasks run much slower than usual on a target."""
-        return self.ratio(target) >= SLOW_RATIO
+        speed = self._speeds_by_target.get(target)
+        if speed is None or speed.log_ratio.samples < MIN_TARGET_SAMPLES:
+            return False
+        weight = max(TARGET_SMOOTHING / (2 - TARGET_SMOOTHING), 1 / speed.log_ratio.samples)
+        error = math.sqrt(speed.expected_variance.value * weight)
+        return speed.log_ratio.value - MAX_ERRORS * error > math.log(SLOW_RATIO)
 
     def keep_only(self, owned: frozenset[str]) -> None:
         """Forget targets that are no longer owned."""
-        for name in self._log_ratio_by_target.keys() - owned:
-            del self._log_ratio_by_target[name]
+        for name in self._speeds_by_target.keys() - owned:
+            del self._speeds_by_target[name]
