Send the load from several processes

Three sender processes now share a trace; jobs that a leaving node refuses go to another node under another id, and lost replies are asked for through the client library.

--- /dev/null
+++ b/packages/load/chiveridge_load/fanouts.py
@@ -0,0 +1,84 @@
+"""Sends a trace from several processes, so that the callers' side does not limit a run."""
+
+import asyncio
+import pathlib
+import tempfile
+import time
+from typing import Self
+
+import msgspec
+
+from chiveridge_load import deployments, generators, senders, workloads
+from chiveridge_standins import processes
+
+START_DELAY_S = 0.5
+"""Time from the order to start to the start, in which every sender reads it."""
+
+STOP_GRACE_S = 2.0
+
+
+class FanoutError(Exception):
+    """A sender did not do its part."""
+
+
+class Fanout:
+    """Sender processes that share a trace; an asynchronous context manager."""
+
+    def __init__(
+        self,
+        urls: list[str],
+        teams: list[deployments.TeamPlan],
+        jobs: list[workloads.JobPlan],
+        *,
+        seed: int,
+        count: int,
+    ):
+        self._orders = [
+            senders.Order(urls=urls, teams=teams, jobs=jobs[number::count], seed=seed + number)
+            for number in range(count)
+        ]
+        self._directory = tempfile.TemporaryDirectory(prefix="chiveridge-load-")
+        self._exchange = senders.Exchange(pathlib.Path(self._directory.name))
+        self._processes: list[processes.Process] = []
+        self.use_urls(urls)
+
+    async def __aenter__(self) -> Self:
+        starts = [self._start(number, order) for number, order in enumerate(self._orders)]
+        await asyncio.gather(*starts)
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        await asyncio.gather(*(process.stop(STOP_GRACE_S) for process in self._processes))
+        self._directory.cleanup()
+
+    def use_urls(self, urls: list[str]) -> None:
+        """Send what follows to these nodes."""
+        self._exchange.write_urls(urls)
+
+    def start(self) -> float:
+        """Start sending; return when the run starts, on the monotonic clock."""
+        started = time.monotonic() + START_DELAY_S
+        self._exchange.write_started(started)
+        return started
+
+    async def records(self) -> list[generators.JobRecord]:
+        """Wait for the last answer and return all records by time of sending."""
+        records = []
+        for number, process in enumerate(self._processes):
+            code = await process.wait()
+            if code:
+                raise FanoutError(f"{process.name} ended with {code}: {process.stderr_tail()}")
+            records += self._read(number)
+        return sorted(records, key=lambda record: record.sent_s)
+
+    async def _start(self, number: int, order: senders.Order) -> None:
+        self._exchange.order_path(number).write_bytes(msgspec.json.encode(order))
+        log = self._exchange.directory / f"sender-{number}.stderr"
+        process = processes.Process(f"sender-{number}", log)
+        self._processes.append(process)
+        arguments = [f"--directory={self._exchange.directory}", f"--number={number}"]
+        await process.start("chiveridge_load.senders", arguments, senders.SenderListening)
+
+    def _read(self, number: int) -> list[generators.JobRecord]:
+        content = self._exchange.records_path(number).read_bytes()
+        return msgspec.json.decode(content, type=list[generators.JobRecord])
--- a/packages/load/chiveridge_load/generators.py
+++ b/packages/load/chiveridge_load/generators.py
@@ -3,11 +3,12 @@
 import asyncio
 import datetime
 import random
+import time
 
 import aiohttp
 import msgspec
 
-from chiveridge_client import errors, exchanges
+from chiveridge_client import clients, errors, exchanges
 from chiveridge_kernel import messages, results
 from chiveridge_load import deployments, workloads
 
@@ -16,26 +17,40 @@
 """Ids fetched per node as a multiple of the expected need."""
 
 JOB_DEADLINE = datetime.timedelta(seconds=30)
+MAX_TRIES = 10
+TRY_DELAY_S = 0.05
+
+NODE_LEAVES = frozenset({results.ResultCode.DRAINING, results.ResultCode.NOT_READY})
+"""Refusals after which a balancer's next choice of a node is taken."""
 
 _answer_decoder = msgspec.json.Decoder(messages.JobAnswer)
 _ids_decoder = msgspec.json.Decoder(messages.IdsAnswer)
 
 
 class JobRecord(msgspec.Struct, kw_only=True):
-    """What became of one job; times are seconds from the start of the run."""
+    """What became of one job; times are seconds from the start of the run.
+
+    ``node_ms`` is the time that the job spent in its node by the node's account, and
+    ``cancelled_at_ms`` is when a node confirmed a cancellation, since the Unix epoch.
+    """
 
     index: int
     team: str
     due_s: float
     sent_s: float
-    ended_s: float
-    code: results.ResultCode
+    ended_s: float = 0.0
+    code: results.ResultCode = results.ResultCode.INTERNAL_ERROR
     ran: results.TaskOutcome | None = None
     run_ms: list[float] = []
+    node_ms: float = 0.0
     targets: list[str] = []
     outcomes: list[results.TaskOutcome] = []
     fault: str = ""
     detail: str = ""
+    tries: int = 0
+    url: str = ""
+    submission_id: str = ""
+    cancelled_at_ms: float | None = None
 
     @property
     def response_ms(self) -> float:
@@ -60,6 +75,7 @@
         self._ids: dict[tuple[str, str], list[str]] = {}
         self._exchanges_by_team: dict[str, exchanges.Exchanges] = {}
         self._session: aiohttp.ClientSession | None = None
+        self._started = 0.0
 
     async def prepare(self) -> None:
         """Open the session and fetch the submission ids ahead of the run."""
@@ -74,16 +90,23 @@
         """Close the session."""
         await self._session.close()
 
-    async def run(self) -> list[JobRecord]:
-        """Send every job at its time and return their records once all have ended."""
+    def use_urls(self, urls: list[str]) -> None:
+        """Send what follows to these nodes."""
+        self._urls = urls
+
+    async def run(self, started: float) -> list[JobRecord]:
+        """Send every job at its time and return their records once all have ended.
+
+        :param started: start of the run on the monotonic clock, as that of the event loop.
+        """
         loop = asyncio.get_running_loop()
-        started = loop.time()
+        self._started = started
         sent = []
         for job in self._jobs:
             remaining = started + job.at_s - loop.time()
             if remaining > 0:
                 await asyncio.sleep(remaining)
-            sent.append(asyncio.create_task(self._send(job, started)))
+            sent.append(asyncio.create_task(self._send(job)))
         return list(await asyncio.gather(*sent))
 
     async def _fetch_ids(self, url: str, team: str) -> None:
@@ -100,40 +123,93 @@
         answer = await sender.ask("POST", f"{url}/v1/submission-ids", _ids_decoder, body=body)
         return answer.submission_ids
 
-    async def _send(self, job: workloads.JobPlan, started: float) -> JobRecord:
-        loop = asyncio.get_running_loop()
-        url = self._rng.choice(self._urls)
-        record = JobRecord(
-            index=job.index,
-            team=job.team,
-            due_s=job.at_s,
-            sent_s=loop.time() - started,
-            ended_s=0.0,
-            code=results.ResultCode.INTERNAL_ERROR,
-        )
+    async def _send(self, job: workloads.JobPlan) -> JobRecord:
+        now_s = self._elapsed_s()
+        record = JobRecord(index=job.index, team=job.team, due_s=job.at_s, sent_s=now_s)
+        cancelling = self._start_cancelling(job, record)
         try:
-            await self._settle(job, url, record)
+            await self._settle(job, record)
         except errors.RefusedError as error:
             record.code, record.ran, record.detail = error.code, error.ran, error.message
         except errors.ClientError as error:
             record.code, record.detail = results.ResultCode.OUTCOME_UNKNOWN, str(error)
             record.ran = results.TaskOutcome.UNKNOWN
-        record.ended_s = loop.time() - started
+        record.ended_s = self._elapsed_s()
+        await _finish(cancelling)
         return record
 
-    async def _settle(self, job: workloads.JobPlan, url: str, record: JobRecord) -> None:
-        ids = self._ids[url, job.team]
+    def _elapsed_s(self) -> float:
+        return asyncio.get_running_loop().time() - self._started
+
+    async def _settle(self, job: workloads.JobPlan, record: JobRecord) -> None:
+        """Submit a job, again and under another id when a node on its way out refuses it."""
+        while True:
+            url = self._rng.choice(self._urls)
+            record.tries += 1
+            try:
+                submission = await self._submission(job, url)
+                record.url, record.submission_id = url, submission.submission_id
+                answer = await self._submit(job, url, submission)
+            except (errors.NotSentError, errors.RefusedError) as error:
+                if record.tries >= MAX_TRIES or not _may_go_elsewhere(error):
+                    raise
+                await asyncio.sleep(TRY_DELAY_S)
+                continue
+            note_answer(record, job, submission.submission_id, answer)
+            return
+
+    async def _submission(self, job: workloads.JobPlan, url: str) -> messages.Submission:
+        ids = self._ids.get((url, job.team))
         submission_id = ids.pop() if ids else (await self._issue(url, job.team, 1))[0]
-        submission = messages.Submission(
+        return messages.Submission(
             submission_id=submission_id,
             tasks=_tasks(job),
             deadline_ms=JOB_DEADLINE // datetime.timedelta(milliseconds=1),
         )
+
+    async def _submit(
+        self, job: workloads.JobPlan, url: str, submission: messages.Submission
+    ) -> messages.JobAnswer:
+        sender = self._exchanges_by_team[job.team]
         body = messages.encoder.encode(submission)
-        answer = await self._exchanges_by_team[job.team].ask(
-            "POST", f"{url}/v1/jobs", _answer_decoder, body=body, wait=JOB_DEADLINE
-        )
-        note_answer(record, job, submission_id, answer)
+        path = f"{url}/v1/jobs"
+        try:
+            return await sender.ask("POST", path, _answer_decoder, body=body, wait=JOB_DEADLINE)
+        except errors.NotSentError:
+            raise
+        except errors.ReplyLostError:
+            credential = self._teams_by_name[job.team].credential
+            async with clients.Client(self._urls, credential, rng=self._rng) as client:
+                return await client.resubmit(submission)
+
+    def _start_cancelling(
+        self, job: workloads.JobPlan, record: JobRecord
+    ) -> asyncio.Task[None] | None:
+        if job.cancel_after_s is None:
+            return None
+        return asyncio.create_task(self._cancel(job, record))
+
+    async def _cancel(self, job: workloads.JobPlan, record: JobRecord) -> None:
+        """Cancel a job that has not ended at its time."""
+        due = self._started + job.at_s + job.cancel_after_s
+        await asyncio.sleep(max(due - asyncio.get_running_loop().time(), 0))
+        url = f"{record.url}/v1/jobs/{record.submission_id}"
+        await self._exchanges_by_team[job.team].ask("DELETE", url, _answer_decoder)
+        record.cancelled_at_ms = time.time() * 1000
+
+
+async def _finish(cancelling: asyncio.Task[None] | None) -> None:
+    """Let a cancellation that has been sent end, and drop one that has not."""
+    if cancelling is None:
+        return
+    cancelling.cancel()
+    await asyncio.gather(cancelling, return_exceptions=True)
+
+
+def _may_go_elsewhere(error: errors.ClientError) -> bool:
+    if isinstance(error, errors.RefusedError):
+        return error.code in NODE_LEAVES and error.ran is results.TaskOutcome.NOT_RUN
+    return True
 
 
 def note_answer(
@@ -143,6 +219,7 @@
     record.code = answer.code
     record.detail = answer.message
     record.run_ms = [task.run_ms for task in answer.tasks]
+    record.node_ms = answer.elapsed_ms
     record.targets = [task.target for task in answer.tasks]
     record.outcomes = [task.outcome for task in answer.tasks]
     record.fault = _fault(job, submission_id, answer)
--- a/packages/load/chiveridge_load/runs.py
+++ b/packages/load/chiveridge_load/runs.py
@@ -4,13 +4,14 @@
 
 import msgspec
 
-from chiveridge_load import deployments, generators, measurements, reconciliations, workloads
+from chiveridge_load import deployments, fanouts, measurements, reconciliations, workloads
 from chiveridge_standins import fleets
 
 READY_TIMEOUT_S = 60.0
 SETTLE_S = 1.0
 """Idle time after the fleet is ready, in which its processes finish starting."""
 
+SENDERS = 3
 SECRET = "bench-secret-of-no-value"
 
 
@@ -27,13 +28,11 @@
         change = deployments.first_change(teams, list(fleet.targets_by_name))
         await fleet.append_change(msgspec.to_builtins(change))
         await fleet.wait_ready(READY_TIMEOUT_S)
-        generator = generators.Generator(fleet.node_urls(), teams, jobs, seed)
-        await generator.prepare()
-        try:
+        urls = fleet.node_urls()
+        async with fanouts.Fanout(urls, teams, jobs, seed=seed, count=SENDERS) as fanout:
             await asyncio.sleep(SETTLE_S)
-            records = await generator.run()
-        finally:
-            await generator.close()
+            fanout.start()
+            records = await fanout.records()
         counted = [await target.counts() for target in fleet.targets_by_name.values()]
     starts = reconciliations.total(counted)
     return measurements.Measurement(
