Add make bench, plots and the delay between nodes

One command now runs all cases, with baselines only at steady 80%, and draws the percentiles of each steady load beside the bound. Messages between nodes pass proxies that delay them by 1 ms (Lagos) or 0.5 ms (Hokkaido), those within a domain too; between nodes and targets no delay is emulated, and the ideal counts none.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := kernel client node standins load
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 
-.PHONY: demo test lint format check setup
+.PHONY: bench demo test lint format check setup
 
 setup: $(STAMP)
 
@@ -18,6 +18,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m chiveridge_load.demos
 
+bench: $(STAMP)
+	$(BIN)/python -m chiveridge_load.benches --suite
+
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
--- a/packages/load/chiveridge_load/benches.py
+++ b/packages/load/chiveridge_load/benches.py
@@ -5,11 +5,12 @@
 
 import asyncio
 import pathlib
+import time
 
 import absl.app
 from absl import flags, logging
 
-from chiveridge_load import deployments, reports, runs, scenarios, traces, workloads
+from chiveridge_load import deployments, plots, reports, runs, scenarios, suites, workloads
 
 DEFAULT_OUT = "build/bench.json"
 
@@ -20,83 +21,97 @@
     if options.list:
         print("\n".join(scenarios.SCENARIOS_BY_NAME))
         return
-    rows = [row for scenario in options.scenario for row in _scenario_rows(scenario, options)]
-    reports.write(pathlib.Path(options.out), rows)
+    cases = suites.full(options.seed) if options.suite else _cases(options)
+    rows = _rows(cases, options)
+    out = pathlib.Path(options.out)
+    reports.write(out, rows)
+    plots.draw(rows, out.parent)
     print(reports.table(rows))
 
 
-def _scenario_rows(scenario_name: str, options: flags.FlagValues) -> list[reports.Row]:
-    """Measure every policy on the same trace, one after the other."""
-    scenario = scenarios.SCENARIOS_BY_NAME[scenario_name]
-    plan = deployments.fleet_plan(options.deployment, options.policy[0])
-    asked = traces.Options(
-        load=options.load,
-        job_mean=options.job_mean,
-        seconds=options.seconds,
-        slots=deployments.slots(plan),
-        seed=options.seed,
-    )
-    choice = scenario.options(asked)
-    jobs = _jobs(scenario, choice, options.trace)
-    if options.record:
-        workloads.write_trace(pathlib.Path(options.record), jobs)
+def _cases(options: flags.FlagValues) -> list[suites.Case]:
+    """Return a case for every scenario, load, mean and policy that was asked for."""
     return [
-        _measure(scenario, policy, jobs, choice, options.deployment) for policy in options.policy
+        suites.Case(
+            scenario=scenario,
+            deployment=options.deployment,
+            policy=policy,
+            load=float(load),
+            job_mean=float(mean),
+            seconds=options.seconds,
+            seed=options.seed + number,
+        )
+        for number in range(options.rounds)
+        for scenario in options.scenario
+        for load in options.load
+        for mean in options.job_mean
+        for policy in options.policy or [suites.chosen_policy()]
     ]
 
 
-def _jobs(
-    scenario: scenarios.Scenario, choice: traces.Options, trace: str
-) -> list[workloads.JobPlan]:
-    if trace:
-        return workloads.read_trace(pathlib.Path(trace))
-    return scenario.jobs(choice)
-
-
-def _measure(
-    scenario: scenarios.Scenario,
-    policy: str,
-    jobs: list[workloads.JobPlan],
-    choice: traces.Options,
-    deployment: str,
-) -> reports.Row:
-    logging.info("%s, %s, %s: %d jobs", scenario.name, deployment, policy, len(jobs))
+def _rows(cases: list[suites.Case], options: flags.FlagValues) -> list[reports.Row]:
+    rows = []
+    began = time.monotonic()
+    for number, case in enumerate(cases):
+        title = f"{case.scenario} {case.deployment} {case.policy}"
+        logging.info("%d of %d: %s", number + 1, len(cases), title)
+        row = _measure(case, options)
+        rows.append(row)
+        elapsed_s = time.monotonic() - began
+        summary = "passed" if row.passed else "MISSED"
+        logging.info("p50 %.3f, p99 %.3f, %s", row.p50_ratio, row.p99_ratio, summary)
+        logging.info("%.0f s so far", elapsed_s)
+    return rows
+
+
+def _measure(case: suites.Case, options: flags.FlagValues) -> reports.Row:
+    scenario = scenarios.SCENARIOS_BY_NAME[case.scenario]
+    plan = deployments.fleet_plan(case.deployment, case.policy)
+    choice = case.options(deployments.slots(plan))
+    jobs = scenario.jobs(choice)
+    if options.trace:
+        jobs = workloads.read_trace(pathlib.Path(options.trace))
+    if options.record:
+        workloads.write_trace(pathlib.Path(options.record), jobs)
     run = runs.Run(
-        plan=deployments.fleet_plan(deployment, policy),
+        plan=plan,
         jobs=jobs,
         seed=choice.seed,
         seconds=choice.seconds,
+        peer_delay=deployments.peer_delay(case.deployment, options.delays),
         disturb=scenario.disturb,
     )
     measured = asyncio.run(runs.measure(run))
-    row = reports.row(
+    return reports.row(
         measured,
         scenario.limits(measured),
         scenario=scenario.name,
-        deployment=deployment,
-        policy=policy,
+        deployment=case.deployment,
+        policy=case.policy,
         load=choice.load,
         job_mean=choice.job_mean,
         seed=choice.seed,
     )
-    logging.info("p50 %.3f, p99 %.3f", row.p50_ratio, row.p99_ratio)
-    return row
 
 
 def _define_flags() -> None:
     names = list(scenarios.SCENARIOS_BY_NAME)
     flags.DEFINE_multi_enum("scenario", ["steady"], names, "Scenario to run; may be repeated.")
-    flags.DEFINE_list("policy", ["power_of_two"], "Placement policies, separated by commas.")
+    flags.DEFINE_list("policy", [], "Placement policies, separated by commas.")
     deployment_names = list(deployments.DEPLOYMENTS_BY_NAME)
     flags.DEFINE_enum("deployment", "lagos", deployment_names, "Deployment to imitate.")
-    flags.DEFINE_float("load", 0.8, "Share of the slots that the run times fill.", lower_bound=0)
-    flags.DEFINE_float("job_mean", 8, "Mean number of tasks of a job.", lower_bound=1)
+    flags.DEFINE_list("load", ["0.8"], "Shares of the slots that the run times fill.")
+    flags.DEFINE_list("job_mean", ["8"], "Mean numbers of tasks of a job.")
     flags.DEFINE_float("seconds", 20, "Length of the trace.", lower_bound=1)
     flags.DEFINE_integer("seed", 1, "Seed of the trace and of the choice of nodes.")
+    flags.DEFINE_integer("rounds", 1, "Times to run all, each with the next seed.", lower_bound=1)
+    flags.DEFINE_bool("delays", True, "Delay messages between nodes as in the deployment.")
+    flags.DEFINE_bool("suite", False, "Run the full set of cases.")
     flags.DEFINE_string("trace", "", "Replay the trace of this file.")
     flags.DEFINE_string("record", "", "Write the trace to this file.")
-    flags.DEFINE_string("out", DEFAULT_OUT, "Report to write, as JSON.")
+    flags.DEFINE_string("out", DEFAULT_OUT, "Report to write, as JSON, with its plots beside it.")
     flags.DEFINE_bool("list", False, "List the scenarios and end.")
+    flags.DEFINE_alias("job-mean", "job_mean")
 
 
 if __name__ == "__main__":
--- a/packages/load/chiveridge_load/deployments.py
+++ b/packages/load/chiveridge_load/deployments.py
@@ -1,5 +1,6 @@
 """The two deployments, and configurations in which every team reaches every target."""
 
+import datetime
 import hashlib
 
 import msgspec
@@ -11,15 +12,18 @@
 
 
 class Deployment(msgspec.Struct, frozen=True):
-    """Failure domains of a deployment and the cores of its targets."""
+    """Failure domains, the cores of the targets, and the one-way delay between domains."""
 
     domains: tuple[str, str, str]
     cores: int
+    delay: datetime.timedelta
 
 
 DEPLOYMENTS_BY_NAME = {
-    "lagos": Deployment(("ikeja", "surulere", "lekki"), cores=64),
-    "hokkaido": Deployment(("sapporo-chuo", "asahikawa", "hakodate"), cores=32),
+    "lagos": Deployment(("ikeja", "surulere", "lekki"), 64, datetime.timedelta(milliseconds=1)),
+    "hokkaido": Deployment(
+        ("sapporo-chuo", "asahikawa", "hakodate"), 32, datetime.timedelta(microseconds=500)
+    ),
 }
 
 
@@ -79,14 +83,29 @@
     """Return the fleet of a deployment: 3 domains, 9 nodes and 24 targets of 8 slots."""
     deployment = DEPLOYMENTS_BY_NAME[name]
     domain = fleets.DomainPlan(nodes=3, targets=8)
+    nodes = [
+        f"{domain_name}-e{number}" for domain_name in deployment.domains for number in (1, 2, 3)
+    ]
     return fleets.FleetPlan(
         domains={domain_name: domain for domain_name in deployment.domains},
         slots=8,
         cores=deployment.cores,
+        proxied=frozenset(nodes),
         settings={"placement": {"policy": policy}},
     )
 
 
+def peer_delay(name: str, delayed: bool) -> datetime.timedelta:
+    """Return the one-way delay between nodes of a deployment, none unless ``delayed``."""
+    return DEPLOYMENTS_BY_NAME[name].delay if delayed else datetime.timedelta(0)
+
+
+def delay_peers(fleet: fleets.Fleet, delay: datetime.timedelta) -> None:
+    """Delay the messages between nodes, those of the same domain included."""
+    for proxy in fleet.proxies_by_name.values():
+        proxy.delay = delay
+
+
 def slots(plan: fleets.FleetPlan) -> int:
     """Return the slots of all targets of a fleet."""
     return plan.slots * sum(domain.targets for domain in plan.domains.values())
--- a/packages/load/chiveridge_load/disturbances.py
+++ b/packages/load/chiveridge_load/disturbances.py
@@ -1,11 +1,12 @@
 """What happens to a fleet while a trace runs against it."""
 
 import asyncio
+import datetime
 from collections.abc import Awaitable, Callable
 
 import msgspec
 
-from chiveridge_load import fanouts
+from chiveridge_load import deployments, fanouts
 from chiveridge_standins import fleets
 
 BALANCER_LAG_S = 0.2
@@ -24,6 +25,7 @@
     fanout: fanouts.Fanout
     started: float
     node_names_by_url: dict[str, str]
+    peer_delay: datetime.timedelta
 
     async def wait_until(self, at_s: float) -> None:
         """Sleep until a time of the run, in seconds from its start."""
@@ -74,6 +76,7 @@
     await _leave_balancer(stage, name)
     await leaving
     node = await stage.fleet.start_node(name)
+    deployments.delay_peers(stage.fleet, stage.peer_delay)
     await stage.fleet.wait_ready()
     stage.node_names_by_url[node.url] = name
     stage.fanout.use_urls(stage.fleet.node_urls())
--- a/packages/load/chiveridge_load/measurements.py
+++ b/packages/load/chiveridge_load/measurements.py
@@ -12,18 +12,22 @@
 WARMUP_S = 2.0
 """Jobs that arrive earlier are checked but not in the ratios: connections open meanwhile."""
 
+QUANTILES = (10, 25, 50, 75, 90, 95, 99, 99.9)
+"""Percentiles that a report holds."""
+
 _RATIO_UNITS = 10_000
 _MAX_RATIO = 100_000
 _SIGNIFICANT_DIGITS = 4
 
 
 class Percentiles(msgspec.Struct, frozen=True):
-    """Distribution of ratios; zeros when there are none."""
+    """Distribution of ratios, ``quantiles`` at :data:`QUANTILES`; zeros when there are none."""
 
     count: int
     mean: float
     p50: float
     p99: float
+    quantiles: list[float]
 
 
 class Measurement(msgspec.Struct, frozen=True, kw_only=True):
@@ -135,7 +139,7 @@
         total += ratio
     count = recorded.get_total_count()
     if not count:
-        return Percentiles(0, 0.0, 0.0, 0.0)
-    p50 = recorded.get_value_at_percentile(50) / _RATIO_UNITS
-    p99 = recorded.get_value_at_percentile(99) / _RATIO_UNITS
-    return Percentiles(count, total / count, p50, p99)
+        return Percentiles(0, 0.0, 0.0, 0.0, [0.0] * len(QUANTILES))
+    at = [recorded.get_value_at_percentile(percent) / _RATIO_UNITS for percent in QUANTILES]
+    by_percent = dict(zip(QUANTILES, at, strict=True))
+    return Percentiles(count, total / count, by_percent[50], by_percent[99], at)
--- /dev/null
+++ b/packages/load/chiveridge_load/plots.py
@@ -0,0 +1,50 @@
+"""Plots of a benchmark: ratios by percentile, and waste, of each policy."""
+
+import collections
+import pathlib
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import axes, pyplot  # noqa: E402
+
+from chiveridge_load import measurements, reports  # noqa: E402
+
+SIZE_INCHES = (7.0, 4.0)
+DOTS_PER_INCH = 100
+
+
+def draw(rows: list[reports.Row], directory: pathlib.Path) -> list[pathlib.Path]:
+    """Draw one plot for every steady load that was measured; return the paths."""
+    groups = collections.defaultdict(list)
+    for row in rows:
+        if row.scenario == "steady":
+            groups[row.deployment, row.load, row.job_mean].append(row)
+    return [_draw_group(group, directory) for group in groups.values()]
+
+
+def _draw_group(rows: list[reports.Row], directory: pathlib.Path) -> pathlib.Path:
+    first = rows[0]
+    figure, axis = pyplot.subplots(figsize=SIZE_INCHES, dpi=DOTS_PER_INCH)
+    for row in rows:
+        _draw_curve(axis, row.quantiles, row.policy, "-")
+    _draw_curve(axis, first.bound_quantiles, "central queue (bound)", "--")
+    axis.set_yscale("log")
+    axis.set_xlabel("percentile of jobs")
+    axis.set_ylabel("response / ideal")
+    axis.set_title(f"{first.deployment}, {first.load:.0%} load, jobs of mean {first.job_mean:g}")
+    axis.grid(True, which="both", alpha=0.3)
+    axis.legend()
+    figure.tight_layout()
+    name = f"steady-{first.deployment}-{first.load * 100:.0f}-{first.job_mean:g}.png"
+    path = directory / name
+    figure.savefig(path, metadata={"Software": None})
+    pyplot.close(figure)
+    return path
+
+
+def _draw_curve(axis: axes.Axes, quantiles: list[float], label: str, style: str) -> None:
+    positions = range(len(measurements.QUANTILES))
+    axis.plot(positions, quantiles, style, marker="o", markersize=3, label=label)
+    axis.set_xticks(positions, [f"{percent:g}" for percent in measurements.QUANTILES])
--- a/packages/load/chiveridge_load/reports.py
+++ b/packages/load/chiveridge_load/reports.py
@@ -36,7 +36,10 @@
 
 
 class Row(msgspec.Struct, frozen=True, kw_only=True):
-    """One scenario under one policy; ratios are response over ideal."""
+    """One scenario under one policy; ratios are response over ideal.
+
+    The quantiles are at :data:`measurements.QUANTILES`.
+    """
 
     scenario: str
     deployment: str
@@ -48,6 +51,8 @@
     mean_ratio: float
     p50_bound: float
     p99_bound: float
+    quantiles: list[float]
+    bound_quantiles: list[float]
     wasted_share: float
     goodput_share: float
     refused_share: float
@@ -88,6 +93,8 @@
         mean_ratio=ours.mean,
         p50_bound=bound.p50,
         p99_bound=bound.p99,
+        quantiles=ours.quantiles,
+        bound_quantiles=bound.quantiles,
         wasted_share=measured.verdict.wasted_share,
         goodput_share=measured.goodput_share(),
         refused_share=measured.refused_share(),
--- a/packages/load/chiveridge_load/runs.py
+++ b/packages/load/chiveridge_load/runs.py
@@ -1,6 +1,7 @@
 """Runs a trace against a fleet of real processes and measures it from the outside."""
 
 import asyncio
+import datetime
 import time
 
 import msgspec
@@ -30,6 +31,7 @@
     jobs: list[workloads.JobPlan]
     seed: int
     seconds: float
+    peer_delay: datetime.timedelta = datetime.timedelta(0)
     disturb: disturbances.Disturbance | None = None
 
     def teams(self) -> list[deployments.TeamPlan]:
@@ -44,6 +46,7 @@
         change = deployments.first_change(run.teams(), list(fleet.targets_by_name))
         await fleet.append_change(msgspec.to_builtins(change))
         await fleet.wait_ready(READY_TIMEOUT_S)
+        deployments.delay_peers(fleet, run.peer_delay)
         return await _measure(run, fleet)
 
 
@@ -56,7 +59,11 @@
         started = fanout.start()
         origin_ms = (time.time() + started - time.monotonic()) * 1000
         stage = disturbances.Stage(
-            fleet=fleet, fanout=fanout, started=started, node_names_by_url=names_by_url
+            fleet=fleet,
+            fanout=fanout,
+            started=started,
+            node_names_by_url=names_by_url,
+            peer_delay=run.peer_delay,
         )
         records, _ = await asyncio.gather(fanout.records(), _disturb(run, stage))
     counted = {name: await target.counts() for name, target in fleet.targets_by_name.items()}
--- /dev/null
+++ b/packages/load/chiveridge_load/suites.py
@@ -0,0 +1,82 @@
+"""The set of cases that ``make bench`` runs."""
+
+import msgspec
+
+from chiveridge_kernel import placements
+from chiveridge_load import scenarios, traces
+
+PREFERRED_POLICY = "owners"
+BASELINE_POLICIES = ("power_of_two", "round_robin", "random")
+STEADY_LOADS = (0.8, 0.5)
+JOB_MEANS = (8.0, 1.0)
+STEADY_SECONDS = 12.0
+MAIN_DEPLOYMENT = "lagos"
+DEPLOYMENTS = (MAIN_DEPLOYMENT, "hokkaido")
+
+
+class Case(msgspec.Struct, frozen=True, kw_only=True):
+    """One run: a scenario with its options under one policy in one deployment."""
+
+    scenario: str
+    deployment: str
+    policy: str
+    load: float
+    job_mean: float
+    seconds: float
+    seed: int
+
+    def options(self, slots: int) -> traces.Options:
+        """Return the options of the trace, with what the scenario fixes."""
+        asked = traces.Options(
+            load=self.load,
+            job_mean=self.job_mean,
+            seconds=self.seconds,
+            slots=slots,
+            seed=self.seed,
+        )
+        return scenarios.SCENARIOS_BY_NAME[self.scenario].options(asked)
+
+
+def chosen_policy() -> str:
+    """Return the policy that the benchmark is about: the preferred one where it exists."""
+    known = PREFERRED_POLICY in placements.names()
+    return PREFERRED_POLICY if known else BASELINE_POLICIES[0]
+
+
+def full(seed: int) -> list[Case]:
+    """Return all cases; baselines run only the steady 80%."""
+    chosen = chosen_policy()
+    baselines = [policy for policy in BASELINE_POLICIES if policy != chosen]
+    cases = [
+        _steady(policy, MAIN_DEPLOYMENT, STEADY_LOADS[0], mean, seed)
+        for mean in JOB_MEANS
+        for policy in [chosen, *baselines]
+    ]
+    cases += [
+        _steady(chosen, deployment, load, mean, seed)
+        for deployment in DEPLOYMENTS
+        for load in STEADY_LOADS
+        for mean in JOB_MEANS
+        if (deployment, load) != (MAIN_DEPLOYMENT, STEADY_LOADS[0])
+    ]
+    others = [name for name in scenarios.SCENARIOS_BY_NAME if name != "steady"]
+    return cases + [_fixed(name, chosen, seed) for name in others]
+
+
+def _steady(policy: str, deployment: str, load: float, mean: float, seed: int) -> Case:
+    return Case(
+        scenario="steady",
+        deployment=deployment,
+        policy=policy,
+        load=load,
+        job_mean=mean,
+        seconds=STEADY_SECONDS,
+        seed=seed,
+    )
+
+
+def _fixed(name: str, policy: str, seed: int) -> Case:
+    """Return the case of a scenario that fixes its own options."""
+    return msgspec.structs.replace(
+        _steady(policy, MAIN_DEPLOYMENT, STEADY_LOADS[0], JOB_MEANS[0], seed), scenario=name
+    )
--- a/packages/load/tests/test_reports.py
+++ b/packages/load/tests/test_reports.py
@@ -1,7 +1,8 @@
+import msgspec
 import pytest
 
 from chiveridge_kernel import results
-from chiveridge_load import generators, measurements, reconciliations, reports, workloads
+from chiveridge_load import generators, measurements, plots, reconciliations, reports, workloads
 
 
 def _measurement():
@@ -86,4 +87,12 @@
 
 
 def test_percentiles_of_nothing_are_zero():
-    assert measurements.percentiles([]) == measurements.Percentiles(0, 0.0, 0.0, 0.0)
+    found = measurements.percentiles([])
+    assert (found.count, found.p50, found.p99, set(found.quantiles)) == (0, 0.0, 0.0, {0.0})
+
+
+def test_plots_are_drawn_for_steady_loads(tmp_path):
+    other = msgspec.structs.replace(_row(), scenario="burst")
+    paths = plots.draw([_row(), other], tmp_path)
+    assert [path.name for path in paths] == ["steady-lagos-80-1.png"]
+    assert paths[0].read_bytes().startswith(b"\x89PNG")
--- /dev/null
+++ b/packages/load/tests/test_suites.py
@@ -0,0 +1,35 @@
+import collections
+
+from chiveridge_kernel import placements
+from chiveridge_load import scenarios, suites
+
+CASES = suites.full(seed=1)
+
+
+def test_suite_has_every_scenario_under_a_known_policy():
+    assert {case.scenario for case in CASES} == set(scenarios.SCENARIOS_BY_NAME)
+    assert {case.policy for case in CASES} <= set(placements.names())
+
+
+def test_steady_cases_cover_both_deployments_loads_and_sizes():
+    covered = {
+        (case.deployment, case.load, case.job_mean)
+        for case in CASES
+        if case.scenario == "steady" and case.policy == suites.chosen_policy()
+    }
+    assert covered == {
+        (deployment, load, mean)
+        for deployment in ("lagos", "hokkaido")
+        for load in (0.5, 0.8)
+        for mean in (1, 8)
+    }
+
+
+def test_baselines_run_only_at_steady_80_percent():
+    others = [case for case in CASES if case.policy != suites.chosen_policy()]
+    assert {(case.scenario, case.load) for case in others} == {("steady", 0.8)}
+
+
+def test_no_case_runs_twice():
+    counts = collections.Counter(map(str, CASES))
+    assert set(counts.values()) == {1}
