--- a/packages/load/chiveridge_load/measurements.py
+++ b/packages/load/chiveridge_load/measurements.py
@@ -7,35 +7,56 @@
 from hdrh import histogram
 
 from chiveridge_kernel import results
-from chiveridge_load import bounds, generators, reconciliations, workloads
+from chiveridge_load import bounds, generators, reconciliations, timelines, workloads
 
 WARMUP_S = 2.0
 """Jobs that arrive earlier are checked but not in the ratios: connections open meanwhile."""
 
+QUANTILES = (10, 25, 50, 75, 90, 95, 99, 99.9)
+"""Percentiles that a report holds."""
+
 _RATIO_UNITS = 10_000
 _MAX_RATIO = 100_000
 _SIGNIFICANT_DIGITS = 4
 
 
 class Percentiles(msgspec.Struct, frozen=True):
-    """Distribution of ratios; zeros when there are none."""
+    """Distribution of ratios, ``quantiles`` at :data:`QUANTILES`; zeros when there are none."""
 
     count: int
     mean: float
     p50: float
     p99: float
+    quantiles: list[float]
 
 
 class Measurement(msgspec.Struct, frozen=True, kw_only=True):
-    """Everything known about a run; ``seconds`` is the length of its trace."""
+    """Everything known about a run; ``seconds`` is the length of its trace.
+
+    ``origin_ms`` is the start of the run since the Unix epoch, ``node_names_by_url`` names the
+    nodes that served at any time.
+    """
 
     jobs: list[workloads.JobPlan]
     records: list[generators.JobRecord]
     verdict: reconciliations.Verdict
+    starts: reconciliations.Starts = reconciliations.Starts(0, {})
+    origin_ms: float = 0.0
+    node_names_by_url: dict[str, str] = {}
     slots: int
     seconds: float
     warmup_s: float = WARMUP_S
 
+    @property
+    def killed_url(self) -> str:
+        """URL of the node that was killed, the last that the first node had."""
+        names = list(self.node_names_by_url.values())
+        return [url for url, name in self.node_names_by_url.items() if name == names[0]][-1]
+
+    def domain_of(self, url: str) -> str:
+        """Return the failure domain of the node that serves a URL."""
+        return self.node_names_by_url[url].rpartition("-e")[0]
+
     def completed(self) -> list[generators.JobRecord]:
         """Return the completed jobs that arrived after the warm-up."""
         return [
@@ -62,7 +83,7 @@
         )
 
     def arrivals(self) -> list[bounds.Arrival]:
-        """Return what arrived: run times as the targets measured them where a job completed."""
+        """Return what was not refused, with run times as measured where a job completed."""
         planned = {job.index: job.run_ms for job in self.jobs}
         arrivals = [
             bounds.Arrival(
@@ -74,9 +95,14 @@
                 ),
             )
             for record in self.records
+            if record.ran is not results.TaskOutcome.NOT_RUN
         ]
         return sorted(arrivals, key=lambda arrival: arrival.at_s)
 
+    def spans(self) -> list[timelines.Span]:
+        """Return when the tasks ran."""
+        return timelines.spans(self.jobs, self.starts, self.origin_ms)
+
     def goodput_share(self) -> float:
         """Return the completed run time over what was offered or, if less, what fits."""
         planned_ms = {job.index: sum(job.run_ms) for job in self.jobs}
@@ -113,7 +139,7 @@
         total += ratio
     count = recorded.get_total_count()
     if not count:
-        return Percentiles(0, 0.0, 0.0, 0.0)
-    p50 = recorded.get_value_at_percentile(50) / _RATIO_UNITS
-    p99 = recorded.get_value_at_percentile(99) / _RATIO_UNITS
-    return Percentiles(count, total / count, p50, p99)
+        return Percentiles(0, 0.0, 0.0, 0.0, [0.0] * len(QUANTILES))
+    at = [recorded.get_value_at_percentile(percent) / _RATIO_UNITS for percent in QUANTILES]
+    by_percent = dict(zip(QUANTILES, at, strict=True))
+    return Percentiles(count, total / count, by_percent[50], by_percent[99], at)
