Run seeded jobs under faults and reconcile answers with starts

Cause: nothing compared what callers are told with what targets did while several faults overlap.

`make faults` runs real processes (3 domains, 6 nodes, 12 targets, everything behind proxies) under a seeded schedule of kills, freezes, cuts, silences, outages and leaving targets, with callers that resubmit, cancel and send to two nodes at once, and checks every answer and refusal against the starts.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := kernel client node standins load
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 
-.PHONY: demo test proof lint format check setup
+.PHONY: demo test faults proof lint format check setup
 
 setup: $(STAMP)
 
@@ -21,6 +21,11 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
+JOBS ?= 2000
+
+faults: $(STAMP)
+	$(BIN)/python -m chiveridge_load.faults --jobs $(JOBS) $(if $(SEED),--seed $(SEED))
+
 proof: $(STAMP)
 	$(BIN)/python -m pytest --collect-only --quiet --quiet --proof-page=docs/PROOF.md
 
--- /dev/null
+++ b/packages/load/chiveridge_load/fault_callers.py
@@ -0,0 +1,158 @@
+"""Callers of a fault run: they speak HTTP themselves and record every reply."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from chiveridge_kernel import messages, results
+from chiveridge_load import fault_jobs
+
+WAIT_MS = 2000
+REQUEST_TIMEOUT_S = 5
+RETRY_DELAY_S = 0.1
+GIVE_UP_S = 20
+MAX_CANCEL_DELAY_S = 0.1
+TO_ISSUER_SHARE = 0.6
+
+_answer_decoder = msgspec.json.Decoder(messages.JobAnswer)
+_refusal_decoder = msgspec.json.Decoder(messages.Refusal)
+_ids_decoder = msgspec.json.Decoder(messages.IdsAnswer)
+_Behaviour = fault_jobs.Behaviour
+
+
+class Caller:
+    """Runs jobs one after the other; ``urls`` returns the nodes that run now."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        urls: Callable[[], list[str]],
+        credential: str,
+        rng: random.Random,
+    ):
+        self._session = session
+        self._urls = urls
+        self._headers = {"Authorization": f"Bearer {credential}"}
+        self._rng = rng
+
+    async def run(self, plan: fault_jobs.JobPlan) -> fault_jobs.JobRecord:
+        """Submit a job, behave as planned, and return all that was told."""
+        record = fault_jobs.JobRecord(plan)
+        issuer = await self._take_id(record)
+        if record.submission_id:
+            await _BEHAVIOURS[plan.behaviour](self, record, issuer)
+        return record
+
+    async def ask(self, record: fault_jobs.JobRecord) -> None:
+        """Ask once for the answer of a job."""
+        await self._attempt(record, "GET", self._any_url())
+
+    async def _take_id(self, record: fault_jobs.JobRecord) -> str:
+        for _ in range(round(GIVE_UP_S / RETRY_DELAY_S)):
+            url = self._any_url()
+            content = await self._send("POST", f"{url}/v1/submission-ids", b'{"count": 1}')
+            if content is not None and b"submission_ids" in content:
+                record.submission_id = _ids_decoder.decode(content).submission_ids[0]
+                return url
+            await asyncio.sleep(RETRY_DELAY_S)
+        return ""
+
+    async def _plain(self, record: fault_jobs.JobRecord, issuer: str) -> None:
+        await self._submit_until_answered(record, self._first_url(issuer))
+
+    async def _resubmitted(self, record: fault_jobs.JobRecord, issuer: str) -> None:
+        await self._plain(record, issuer)
+        await self._attempt(record, "POST", self._any_url())
+
+    async def _twice_at_once(self, record: fault_jobs.JobRecord, issuer: str) -> None:
+        await asyncio.gather(
+            self._submit_until_answered(record, issuer),
+            self._submit_until_answered(record, self._any_url()),
+        )
+
+    async def _cancelled(self, record: fault_jobs.JobRecord, issuer: str) -> None:
+        await self._attempt(record, "POST", self._first_url(issuer), wait_ms=0)
+        await asyncio.sleep(self._rng.uniform(0, MAX_CANCEL_DELAY_S))
+        await self._attempt(record, "DELETE", self._any_url())
+        await self.ask(record)
+
+    async def _submit_until_answered(self, record: fault_jobs.JobRecord, url: str) -> None:
+        async with asyncio.timeout(None) as limit:
+            limit.reschedule(asyncio.get_running_loop().time() + GIVE_UP_S)
+            try:
+                while not _is_settled(await self._attempt(record, "POST", url)):
+                    await asyncio.sleep(RETRY_DELAY_S)
+                    url = self._any_url()
+            except asyncio.CancelledError:
+                if not limit.expired():
+                    raise
+
+    async def _attempt(
+        self, record: fault_jobs.JobRecord, method: str, url: str, wait_ms: int = WAIT_MS
+    ) -> fault_jobs.Attempt:
+        path, body = f"/v1/jobs/{record.submission_id}", None
+        if method == "POST":
+            path, body = "/v1/jobs", _body(record)
+        content = await self._send(method, f"{url}{path}?wait_ms={wait_ms}", body)
+        attempt = fault_jobs.Attempt(method=method, url=url)
+        if content is not None:
+            _read(content, attempt)
+        record.attempts.append(attempt)
+        return attempt
+
+    async def _send(self, method: str, url: str, body: bytes | None) -> bytes | None:
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method, url, data=body, headers=self._headers, timeout=timeout
+            ) as response:
+                return await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+
+    def _first_url(self, issuer: str) -> str:
+        return issuer if self._rng.random() < TO_ISSUER_SHARE else self._any_url()
+
+    def _any_url(self) -> str:
+        return self._rng.choice(self._urls())
+
+
+_BEHAVIOURS = {
+    _Behaviour.PLAIN: Caller._plain,
+    _Behaviour.CANCELLED: Caller._cancelled,
+    _Behaviour.RESUBMITTED: Caller._resubmitted,
+    _Behaviour.TWICE_AT_ONCE: Caller._twice_at_once,
+}
+
+
+def _body(record: fault_jobs.JobRecord) -> bytes:
+    tasks = [
+        messages.TaskSpec(body=msgspec.Raw(msgspec.json.encode({"key": key, "run_ms": run_ms})))
+        for key, run_ms in record.plan.run_ms_by_key.items()
+    ]
+    submission = messages.Submission(
+        submission_id=record.submission_id,
+        tasks=tasks,
+        deadline_ms=fault_jobs.DEADLINE_MS,
+        idempotent=record.plan.idempotent,
+    )
+    return messages.encoder.encode(submission)
+
+
+def _read(content: bytes, attempt: fault_jobs.Attempt) -> None:
+    """Decode a reply; one that is neither answer nor refusal raises."""
+    if b'"ran"' in content[:1000] and b'"state"' not in content[:1000]:
+        attempt.refusal = _refusal_decoder.decode(content)
+    else:
+        attempt.answer = _answer_decoder.decode(content)
+
+
+def _is_settled(attempt: fault_jobs.Attempt) -> bool:
+    if attempt.refusal is not None:
+        is_gone = attempt.refusal.code is results.ResultCode.ISSUER_GONE
+        return is_gone or attempt.refusal.ran is results.TaskOutcome.NOT_RUN
+    answer = attempt.answer
+    return answer is not None and answer.state is not results.JobState.RUNNING
--- /dev/null
+++ b/packages/load/chiveridge_load/fault_checks.py
@@ -0,0 +1,147 @@
+"""Compares what callers were told with the starts that the targets counted."""
+
+import collections
+import enum
+from collections.abc import Iterator
+
+import msgspec
+
+from chiveridge_kernel import messages, results
+from chiveridge_load import fault_injectors, fault_jobs, fault_schedules
+from chiveridge_standins import journals, leases
+
+LEAVING_LIMIT_MS = 3000
+_NOT_RUN = results.TaskOutcome.NOT_RUN
+_SUCCEEDED = results.TaskOutcome.SUCCEEDED
+_COMPLETE = results.JobState.COMPLETE
+_LIST_LEAVING = fault_schedules.Fault.LIST_LEAVING
+_LEAVING_FAULTS = (fault_schedules.Fault.SAY_LEAVING, _LIST_LEAVING)
+_FAULTS_HIDING_THE_LIST = (
+    fault_schedules.Fault.CUT_PLATFORM,
+    fault_schedules.Fault.STALL_PLATFORM,
+)
+
+
+class Rule(enum.Enum):
+    """What must hold for every job of a run."""
+
+    STARTED_TWICE = "a task started more than once"
+    ANSWERS_DIFFER = "two answers to one submission differ"
+    REFUSED_BUT_STARTED = "a refusal said not run, and a task started"
+    REFUSED_AND_ANSWERED = "a submission was refused as not run and also answered"
+    SUCCEEDED_NOT_ONCE = "a task was told as succeeded and did not start exactly once"
+    WRONG_RESULT = "a succeeded task carries the result of another"
+    NOT_RUN_BUT_STARTED = "a task was told as not run, and it started"
+    NOT_WHOLE = "an answer does not have every task in order"
+    PARTLY_COMPLETE = "a complete answer has a task that did not succeed"
+    STARTED_WHILE_LEAVING = "a task started on a target long after it began to leave"
+    UNKNOWN_START = "a task started that nobody submitted"
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """One breach of a rule; ``submission_id`` is empty when it belongs to no job."""
+
+    rule: Rule
+    submission_id: str
+    detail: str
+
+
+def check(
+    records: list[fault_jobs.JobRecord],
+    starts: list[journals.Start],
+    spans: list[fault_injectors.Span],
+) -> list[Violation]:
+    """Return every violation of a run."""
+    counts_by_key = collections.Counter(start.key for start in starts)
+    found = [item for record in records for item in _check_job(record, counts_by_key)]
+    found += _check_unknown_starts(records, counts_by_key)
+    found += _check_leaving(records, starts, spans)
+    return found
+
+
+def _check_job(
+    record: fault_jobs.JobRecord, counts_by_key: collections.Counter[str]
+) -> Iterator[Violation]:
+    for rule, detail in _breaches(record, counts_by_key):
+        yield Violation(rule, record.submission_id, detail)
+
+
+def _breaches(
+    record: fault_jobs.JobRecord, counts_by_key: collections.Counter[str]
+) -> Iterator[tuple[Rule, str]]:
+    for key in record.keys:
+        if counts_by_key[key] > 1:
+            yield Rule.STARTED_TWICE, f"{key}: {counts_by_key[key]} starts"
+    yield from _refusal_breaches(record, counts_by_key)
+    answers = record.final_answers()
+    if any(answer != answers[0] for answer in answers):
+        yield Rule.ANSWERS_DIFFER, ", ".join(sorted({answer.name for answer in answers}))
+    for answer in answers[:1]:
+        yield from _answer_breaches(record, answer, counts_by_key)
+
+
+def _refusal_breaches(
+    record: fault_jobs.JobRecord, counts_by_key: collections.Counter[str]
+) -> Iterator[tuple[Rule, str]]:
+    refusals = [refusal for refusal in record.refusals("POST") if refusal.ran is _NOT_RUN]
+    started = [key for key in record.keys if counts_by_key[key]]
+    for refusal in refusals[:1]:
+        if started:
+            yield Rule.REFUSED_BUT_STARTED, f"{refusal.name}: {len(started)} tasks started"
+        if record.final_answers():
+            yield Rule.REFUSED_AND_ANSWERED, refusal.name
+
+
+def _answer_breaches(
+    record: fault_jobs.JobRecord,
+    answer: messages.JobAnswer,
+    counts_by_key: collections.Counter[str],
+) -> Iterator[tuple[Rule, str]]:
+    if [task.index for task in answer.tasks] != list(range(len(record.keys))):
+        yield Rule.NOT_WHOLE, f"{len(answer.tasks)} of {len(record.keys)} tasks"
+        return
+    for key, task in zip(record.keys, answer.tasks, strict=True):
+        yield from _task_breaches(key, task, counts_by_key[key])
+        if answer.state is _COMPLETE and task.outcome is not _SUCCEEDED:
+            yield Rule.PARTLY_COMPLETE, f"{key}: {task.outcome.value}"
+
+
+def _task_breaches(key: str, task: messages.TaskAnswer, count: int) -> Iterator[tuple[Rule, str]]:
+    if task.outcome is _NOT_RUN and count:
+        yield Rule.NOT_RUN_BUT_STARTED, f"{key}: {count} starts"
+    if task.outcome is not _SUCCEEDED:
+        return
+    if count != 1:
+        yield Rule.SUCCEEDED_NOT_ONCE, f"{key}: {count} starts"
+    if msgspec.json.decode(task.result, type=leases.TaskResult).key != key:
+        yield Rule.WRONG_RESULT, f"{key}: {bytes(task.result).decode()}"
+
+
+def _check_unknown_starts(
+    records: list[fault_jobs.JobRecord], counts_by_key: collections.Counter[str]
+) -> Iterator[Violation]:
+    known = {key for record in records for key in record.keys}
+    for key in counts_by_key.keys() - known:
+        yield Violation(Rule.UNKNOWN_START, "", key)
+
+
+def _check_leaving(
+    records: list[fault_jobs.JobRecord],
+    starts: list[journals.Start],
+    spans: list[fault_injectors.Span],
+) -> Iterator[Violation]:
+    ids_by_key = {key: record.submission_id for record in records for key in record.keys}
+    hiding = [span for span in spans if span.fault in _FAULTS_HIDING_THE_LIST]
+    leaving = [span for span in spans if span.fault in _LEAVING_FAULTS]
+    for span in leaving:
+        if span.fault is _LIST_LEAVING and any(_overlap(span, other) for other in hiding):
+            continue
+        for start in starts:
+            late = span.from_ms + LEAVING_LIMIT_MS < start.at_ms < span.until_ms
+            if start.target == span.name and late:
+                detail = f"{start.key} on {start.target} after {start.at_ms - span.from_ms} ms"
+                yield Violation(Rule.STARTED_WHILE_LEAVING, ids_by_key.get(start.key, ""), detail)
+
+
+def _overlap(first: fault_injectors.Span, second: fault_injectors.Span) -> bool:
+    return first.from_ms < second.until_ms and second.from_ms < first.until_ms
--- /dev/null
+++ b/packages/load/chiveridge_load/fault_injectors.py
@@ -0,0 +1,173 @@
+"""Performs the steps of a fault schedule on a fleet."""
+
+import asyncio
+import collections
+import time
+from collections.abc import Awaitable, Callable, Iterator
+
+import msgspec
+
+from chiveridge_load import fault_schedules
+from chiveridge_standins import fleets, vms
+
+DROPPED_REPLIES = 3
+DRAIN_LIMIT_S = 40
+_Fault = fault_schedules.Fault
+
+
+class Span(msgspec.Struct, frozen=True):
+    """A fault that was in force, in milliseconds since the Unix epoch."""
+
+    fault: fault_schedules.Fault
+    name: str
+    from_ms: int
+    until_ms: int
+
+
+class Injector:
+    """Injects faults until stopped, and then ends those in force."""
+
+    def __init__(self, fleet: fleets.Fleet):
+        self.fleet = fleet
+        self.spans: list[Span] = []
+        self.counts_by_fault: collections.Counter[_Fault] = collections.Counter()
+        self.drain_exit_codes: list[int | None] = []
+        self._stopping = asyncio.Event()
+        self._running: set[asyncio.Task[None]] = set()
+        self._names_in_fault: set[str] = set()
+
+    async def run(self, steps: Iterator[fault_schedules.Step]) -> None:
+        """Perform steps at their times until :meth:`stop`; raise what a step raised."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        for step in steps:
+            await self._pause(started_at + step.at_ms / 1000 - loop.time())
+            if self._stopping.is_set():
+                break
+            # A drain may take longer than planned; its node gets no other fault meanwhile.
+            if step.name not in self._names_in_fault:
+                self._names_in_fault.add(step.name)
+                self._running.add(loop.create_task(self._perform(step)))
+        await asyncio.gather(*self._running)
+
+    def stop(self) -> None:
+        """Begin no more faults and end those in force."""
+        self._stopping.set()
+
+    async def _perform(self, step: fault_schedules.Step) -> None:
+        begin, end = _INJECTIONS_BY_FAULT[step.fault]
+        from_ms = _now_ms()
+        await begin(self, step.name)
+        self.counts_by_fault[step.fault] += 1
+        await self._pause(step.for_ms / 1000)
+        until_ms = _now_ms()
+        await end(self, step.name)
+        self.spans.append(Span(step.fault, step.name, from_ms, until_ms))
+        self._names_in_fault.discard(step.name)
+
+    async def _pause(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(max(seconds, 0)):
+                await self._stopping.wait()
+        except TimeoutError:
+            return
+
+    async def _kill(self, name: str) -> None:
+        await self.fleet.kill(name)
+
+    async def _start_node(self, name: str) -> None:
+        await self.fleet.start_node(name)
+
+    async def _start_target(self, name: str) -> None:
+        await self.fleet.start_target(name)
+
+    async def _freeze(self, name: str) -> None:
+        self.fleet.freeze(name)
+
+    async def _thaw(self, name: str) -> None:
+        self.fleet.thaw(name)
+
+    async def _terminate(self, name: str) -> None:
+        code = None
+        try:
+            async with asyncio.timeout(DRAIN_LIMIT_S):
+                code = await self.fleet.terminate(name)
+        except TimeoutError:
+            await self.fleet.kill(name)
+        self.drain_exit_codes.append(code)
+
+    async def _cut(self, name: str) -> None:
+        self.fleet.proxies_by_name[name].cut()
+
+    async def _heal(self, name: str) -> None:
+        await self.fleet.proxies_by_name[name].heal()
+
+    async def _stall(self, name: str) -> None:
+        self.fleet.proxies_by_name[name].freeze()
+
+    async def _unstall(self, name: str) -> None:
+        self.fleet.proxies_by_name[name].thaw()
+
+    async def _silence(self, name: str) -> None:
+        self.fleet.proxies_by_name[name].go_silent()
+
+    async def _drop_start_replies(self, name: str) -> None:
+        self.fleet.proxies_by_name[name].drop_replies(DROPPED_REPLIES)
+
+    async def _keep_start_replies(self, name: str) -> None:
+        self.fleet.proxies_by_name[name].drop_replies(0)
+
+    async def _say_leaving(self, name: str) -> None:
+        await self.fleet.targets_by_name[name].control(leaving=True)
+
+    async def _say_staying(self, name: str) -> None:
+        await self.fleet.targets_by_name[name].control(leaving=False)
+
+    async def _list_leaving(self, name: str) -> None:
+        vm = self.fleet.targets_by_name[name].vm
+        await self.fleet.put_vm(msgspec.structs.replace(vm, state=vms.VmState.LEAVING))
+
+    async def _list_live(self, name: str) -> None:
+        await self.fleet.put_vm(self.fleet.targets_by_name[name].vm)
+
+    async def _log_down(self, name: str) -> None:
+        await self.fleet.control_log(down=True)
+
+    async def _log_up(self, name: str) -> None:
+        await self.fleet.control_log(down=False)
+
+    async def _drop_append_replies(self, name: str) -> None:
+        await self.fleet.control_log(drop_append_replies=DROPPED_REPLIES)
+
+    async def _keep_append_replies(self, name: str) -> None:
+        await self.fleet.control_log(drop_append_replies=0)
+
+    async def _nothing(self, name: str) -> None:
+        return
+
+
+_Act = Callable[[Injector, str], Awaitable[None]]
+
+_INJECTIONS_BY_FAULT: dict[_Fault, tuple[_Act, _Act]] = {
+    _Fault.KILL_NODE: (Injector._kill, Injector._start_node),
+    _Fault.FREEZE_NODE: (Injector._freeze, Injector._thaw),
+    _Fault.TERMINATE_NODE: (Injector._terminate, Injector._start_node),
+    _Fault.CUT_PEER: (Injector._cut, Injector._heal),
+    _Fault.SILENCE_PEER: (Injector._silence, Injector._nothing),
+    _Fault.KILL_TARGET: (Injector._kill, Injector._start_target),
+    _Fault.FREEZE_TARGET: (Injector._freeze, Injector._thaw),
+    _Fault.CUT_TARGET: (Injector._cut, Injector._heal),
+    _Fault.STALL_TARGET: (Injector._stall, Injector._unstall),
+    _Fault.SILENCE_TARGET: (Injector._silence, Injector._nothing),
+    _Fault.DROP_START_REPLIES: (Injector._drop_start_replies, Injector._keep_start_replies),
+    _Fault.SAY_LEAVING: (Injector._say_leaving, Injector._say_staying),
+    _Fault.LIST_LEAVING: (Injector._list_leaving, Injector._list_live),
+    _Fault.CUT_PLATFORM: (Injector._cut, Injector._heal),
+    _Fault.STALL_PLATFORM: (Injector._stall, Injector._unstall),
+    _Fault.LOG_DOWN: (Injector._log_down, Injector._log_up),
+    _Fault.DROP_APPEND_REPLIES: (Injector._drop_append_replies, Injector._keep_append_replies),
+}
+
+
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/packages/load/chiveridge_load/fault_jobs.py
@@ -0,0 +1,86 @@
+"""Seeded jobs of a fault run, and the record of all that their callers were told."""
+
+import enum
+import random
+
+import msgspec
+
+from chiveridge_kernel import messages, results
+
+MAX_TASKS = 20
+MIN_RUN_MS = 5
+MAX_RUN_MS = 60
+DEADLINE_MS = 6000
+
+
+class Behaviour(enum.Enum):
+    """What the caller of a job does with it."""
+
+    PLAIN = "plain"
+    CANCELLED = "cancelled"
+    RESUBMITTED = "resubmitted"
+    TWICE_AT_ONCE = "twice_at_once"
+
+
+_WEIGHTS_BY_BEHAVIOUR = {
+    Behaviour.PLAIN: 5,
+    Behaviour.CANCELLED: 1,
+    Behaviour.RESUBMITTED: 2,
+    Behaviour.TWICE_AT_ONCE: 2,
+}
+
+
+class JobPlan(msgspec.Struct, frozen=True):
+    """One job to submit; the keys of its tasks are unique in the run."""
+
+    behaviour: Behaviour
+    idempotent: bool
+    run_ms_by_key: dict[str, int]
+
+
+class Attempt(msgspec.Struct, kw_only=True):
+    """One request about a job and the reply to it: an answer, a refusal, or neither when lost."""
+
+    method: str
+    url: str
+    answer: messages.JobAnswer | None = None
+    refusal: messages.Refusal | None = None
+
+
+class JobRecord(msgspec.Struct):
+    """A job with every attempt of its caller, in the order of the replies."""
+
+    plan: JobPlan
+    submission_id: str = ""
+    attempts: list[Attempt] = []
+
+    @property
+    def keys(self) -> list[str]:
+        """Return the keys of the tasks in order."""
+        return list(self.plan.run_ms_by_key)
+
+    def final_answers(self) -> list[messages.JobAnswer]:
+        """Return the answers that say how the job ended."""
+        answers = [attempt.answer for attempt in self.attempts if attempt.answer is not None]
+        return [answer for answer in answers if answer.state is not results.JobState.RUNNING]
+
+    def refusals(self, method: str) -> list[messages.Refusal]:
+        """Return the refusals of requests of a method."""
+        found = [attempt.refusal for attempt in self.attempts if attempt.method == method]
+        return [refusal for refusal in found if refusal is not None]
+
+
+def plans(rng: random.Random, count: int) -> list[JobPlan]:
+    """Return the plans of a run."""
+    return [_plan(rng, index) for index in range(count)]
+
+
+def _plan(rng: random.Random, index: int) -> JobPlan:
+    behaviours = list(_WEIGHTS_BY_BEHAVIOUR)
+    behaviour = rng.choices(behaviours, list(_WEIGHTS_BY_BEHAVIOUR.values()))[0]
+    task_count = rng.randint(1, MAX_TASKS)
+    run_ms_by_key = {
+        f"job-{index}-task-{task}": rng.randint(MIN_RUN_MS, MAX_RUN_MS)
+        for task in range(task_count)
+    }
+    return JobPlan(behaviour, rng.random() < 0.5, run_ms_by_key)
--- /dev/null
+++ b/packages/load/chiveridge_load/fault_schedules.py
@@ -0,0 +1,98 @@
+"""Seeded schedules of faults for a fleet of real processes."""
+
+import enum
+import random
+from collections.abc import Iterator
+
+import msgspec
+
+
+class Subject(enum.Enum):
+    """What a fault is injected into."""
+
+    NODE = "node"
+    TARGET = "target"
+    PLATFORM = "platform"
+
+
+class Fault(enum.Enum):
+    """Kinds of faults; see :mod:`chiveridge_load.fault_injectors` for what each does."""
+
+    KILL_NODE = "kill_node"
+    FREEZE_NODE = "freeze_node"
+    TERMINATE_NODE = "terminate_node"
+    CUT_PEER = "cut_peer"
+    SILENCE_PEER = "silence_peer"
+    KILL_TARGET = "kill_target"
+    FREEZE_TARGET = "freeze_target"
+    CUT_TARGET = "cut_target"
+    STALL_TARGET = "stall_target"
+    SILENCE_TARGET = "silence_target"
+    DROP_START_REPLIES = "drop_start_replies"
+    SAY_LEAVING = "say_leaving"
+    LIST_LEAVING = "list_leaving"
+    CUT_PLATFORM = "cut_platform"
+    STALL_PLATFORM = "stall_platform"
+    LOG_DOWN = "log_down"
+    DROP_APPEND_REPLIES = "drop_append_replies"
+
+
+class Profile(msgspec.Struct, frozen=True):
+    """How a fault is drawn: its subject, its weight and its duration in milliseconds."""
+
+    subject: Subject
+    weight: float
+    min_ms: int
+    max_ms: int
+
+
+PROFILES_BY_FAULT = {
+    Fault.KILL_NODE: Profile(Subject.NODE, 2, 100, 1500),
+    Fault.FREEZE_NODE: Profile(Subject.NODE, 2, 200, 5000),
+    Fault.TERMINATE_NODE: Profile(Subject.NODE, 1, 100, 1000),
+    Fault.CUT_PEER: Profile(Subject.NODE, 1, 200, 3000),
+    Fault.SILENCE_PEER: Profile(Subject.NODE, 1, 100, 1000),
+    Fault.KILL_TARGET: Profile(Subject.TARGET, 2, 100, 2000),
+    Fault.FREEZE_TARGET: Profile(Subject.TARGET, 2, 200, 4000),
+    Fault.CUT_TARGET: Profile(Subject.TARGET, 3, 50, 2000),
+    Fault.STALL_TARGET: Profile(Subject.TARGET, 2, 200, 4000),
+    Fault.SILENCE_TARGET: Profile(Subject.TARGET, 2, 100, 1000),
+    Fault.DROP_START_REPLIES: Profile(Subject.TARGET, 2, 100, 1000),
+    Fault.SAY_LEAVING: Profile(Subject.TARGET, 1, 4000, 6000),
+    Fault.LIST_LEAVING: Profile(Subject.TARGET, 2, 4000, 6000),
+    Fault.CUT_PLATFORM: Profile(Subject.PLATFORM, 1, 500, 4000),
+    Fault.STALL_PLATFORM: Profile(Subject.PLATFORM, 1, 500, 4000),
+    Fault.LOG_DOWN: Profile(Subject.PLATFORM, 1, 500, 4000),
+    Fault.DROP_APPEND_REPLIES: Profile(Subject.PLATFORM, 1, 100, 1000),
+}
+
+
+class Step(msgspec.Struct, frozen=True, kw_only=True):
+    """One fault: when it begins after the start of the run, where, and for how long."""
+
+    at_ms: int
+    fault: Fault
+    name: str
+    for_ms: int
+
+
+def steps(
+    rng: random.Random,
+    names_by_subject: dict[Subject, list[str]],
+    mean_gap_ms: float,
+    recovery_ms: int = 500,
+) -> Iterator[Step]:
+    """Yield steps for ever, in order; a subject has at most one fault at a time."""
+    free_at_by_name: dict[str, int] = {}
+    faults = list(PROFILES_BY_FAULT)
+    weights = [profile.weight for profile in PROFILES_BY_FAULT.values()]
+    at_ms = 0
+    while True:
+        at_ms += round(rng.expovariate(1 / mean_gap_ms)) + 1
+        fault = rng.choices(faults, weights)[0]
+        profile = PROFILES_BY_FAULT[fault]
+        name = rng.choice(names_by_subject[profile.subject])
+        for_ms = rng.randint(profile.min_ms, profile.max_ms)
+        if free_at_by_name.get(name, 0) <= at_ms:
+            free_at_by_name[name] = at_ms + for_ms + recovery_ms
+            yield Step(at_ms=at_ms, fault=fault, name=name, for_ms=for_ms)
--- /dev/null
+++ b/packages/load/chiveridge_load/faults.py
@@ -0,0 +1,160 @@
+"""A seeded run of many jobs on real processes under faults, reconciled with the targets' counts."""
+
+import asyncio
+import collections
+import random
+import sys
+
+import aiohttp
+import msgspec
+from absl import app, flags
+
+from chiveridge_load import (
+    deployments,
+    fault_callers,
+    fault_checks,
+    fault_injectors,
+    fault_jobs,
+    fault_schedules,
+)
+from chiveridge_standins import fleets, journals
+
+DOMAINS = ("ikeja", "surulere", "lekki")
+DOMAIN_PLAN = fleets.DomainPlan(nodes=2, targets=4)
+TEAM = deployments.TeamPlan(name="dispatch-desk", secret="secret-of-no-value")
+VMS_INTERVAL_MS = 200
+
+_Subject = fault_schedules.Subject
+
+
+class RunPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """Size and seed of a run; ``mean_gap_ms`` is the mean time between two faults."""
+
+    jobs: int
+    seed: int
+    callers: int = 24
+    mean_gap_ms: float = 250
+
+
+class RunResult(msgspec.Struct, kw_only=True):
+    """What happened in a run and which rules were broken."""
+
+    plan: RunPlan
+    records: list[fault_jobs.JobRecord]
+    starts: list[journals.Start]
+    counts_by_fault: dict[fault_schedules.Fault, int]
+    drain_exit_codes: list[int | None]
+    violations: list[fault_checks.Violation]
+
+
+async def run(plan: RunPlan) -> RunResult:
+    """Run the jobs under faults and check the outcome."""
+    async with fleets.Fleet(_fleet_plan()) as fleet:
+        change = deployments.first_change([TEAM], list(fleet.targets_by_name))
+        await fleet.append_change(msgspec.to_builtins(change))
+        await fleet.wait_ready()
+        injector = fault_injectors.Injector(fleet)
+        records = await _run_jobs(plan, fleet, injector)
+        starts = fleet.starts()
+    return RunResult(
+        plan=plan,
+        records=records,
+        starts=starts,
+        counts_by_fault=dict(injector.counts_by_fault),
+        drain_exit_codes=injector.drain_exit_codes,
+        violations=fault_checks.check(records, starts, injector.spans),
+    )
+
+
+async def _run_jobs(
+    plan: RunPlan, fleet: fleets.Fleet, injector: fault_injectors.Injector
+) -> list[fault_jobs.JobRecord]:
+    steps = fault_schedules.steps(
+        random.Random(plan.seed), _names_by_subject(fleet), plan.mean_gap_ms
+    )
+    injecting = asyncio.create_task(injector.run(steps))
+    async with aiohttp.ClientSession() as session:
+        caller = fault_callers.Caller(
+            session, fleet.node_urls, TEAM.credential, random.Random(plan.seed + 1)
+        )
+        jobs = iter(fault_jobs.plans(random.Random(plan.seed + 2), plan.jobs))
+        records: list[fault_jobs.JobRecord] = []
+        await asyncio.gather(*(_call(caller, jobs, records) for _ in range(plan.callers)))
+        injector.stop()
+        await injecting
+        await fleet.wait_ready()
+        for record in records:
+            if record.submission_id:
+                await caller.ask(record)
+    return records
+
+
+async def _call(caller: fault_callers.Caller, jobs, records: list[fault_jobs.JobRecord]) -> None:
+    for job in jobs:
+        records.append(await caller.run(job))
+
+
+def _fleet_plan() -> fleets.FleetPlan:
+    nodes = [f"{domain}-e{n + 1}" for domain in DOMAINS for n in range(DOMAIN_PLAN.nodes)]
+    targets = [f"{domain}-t{n + 1}" for domain in DOMAINS for n in range(DOMAIN_PLAN.targets)]
+    return fleets.FleetPlan(
+        domains=dict.fromkeys(DOMAINS, DOMAIN_PLAN),
+        targets_per_process=1,
+        proxied=frozenset([*nodes, *targets, fleets.PLATFORM]),
+        journaled=True,
+        settings={"platform": {"vms_interval_ms": str(VMS_INTERVAL_MS)}},
+    )
+
+
+def _names_by_subject(fleet: fleets.Fleet) -> dict[fault_schedules.Subject, list[str]]:
+    return {
+        _Subject.NODE: sorted(fleet.nodes_by_name),
+        _Subject.TARGET: sorted(fleet.targets_by_name),
+        _Subject.PLATFORM: [fleets.PLATFORM],
+    }
+
+
+def report(result: RunResult) -> str:
+    """Return the report of a run as text."""
+    answers = [answer for record in result.records for answer in record.final_answers()[:1]]
+    tasks = [task for answer in answers for task in answer.tasks]
+    refusals = [
+        attempt.refusal.name
+        for record in result.records
+        for attempt in record.attempts
+        if attempt.refusal is not None
+    ]
+    unanswered = sum(not record.final_answers() for record in result.records)
+    lines = [
+        f"seed {result.plan.seed}, jobs {len(result.records)}, starts {len(result.starts)}",
+        _counts("faults", [f.value for f, n in result.counts_by_fault.items() for _ in range(n)]),
+        _counts("behaviours", [record.plan.behaviour.value for record in result.records]),
+        _counts("answers", [answer.name for answer in answers]),
+        f"jobs without an answer: {unanswered}",
+        _counts("refusals", refusals),
+        _counts("tasks", [task.outcome.value for task in tasks]),
+        _counts("exit codes of drained nodes", [str(code) for code in result.drain_exit_codes]),
+        f"violations: {len(result.violations)}",
+    ]
+    lines += [f"  {v.rule.value}: {v.submission_id} {v.detail}" for v in result.violations]
+    return "\n".join(lines)
+
+
+def _counts(title: str, names: list[str]) -> str:
+    counted = sorted(collections.Counter(names).items())
+    return f"{title}: " + (", ".join(f"{name} {count}" for name, count in counted) or "none")
+
+
+def main(_argv: list[str]) -> int:
+    """Run the command line."""
+    seed = flags.FLAGS.seed if flags.FLAGS.seed is not None else random.randrange(1_000_000)
+    print(f"seed {seed}", flush=True)
+    result = asyncio.run(run(RunPlan(jobs=flags.FLAGS.jobs, seed=seed)))
+    print(report(result))
+    return 1 if result.violations else 0
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("jobs", 2000, "Number of jobs.", lower_bound=1)
+    flags.DEFINE_integer("seed", None, "Seed of jobs and faults; drawn when it is not given.")
+    sys.exit(app.run(main))
--- a/packages/standins/chiveridge_standins/fleets.py
+++ b/packages/standins/chiveridge_standins/fleets.py
@@ -10,7 +10,17 @@
 import aiohttp
 import msgspec
 
-from chiveridge_standins import configs, logs, members, processes, proxies, servers, targets, vms
+from chiveridge_standins import (
+    configs,
+    journals,
+    logs,
+    members,
+    processes,
+    proxies,
+    servers,
+    targets,
+    vms,
+)
 
 PLATFORM = "platform"
 TARGETS_PER_RACK = 8
@@ -35,7 +45,8 @@
 
     ``slots``, ``memory_mb`` and ``cores`` are those of each target. ``settings`` adds to the
     nodes' INI files, by section and key. ``proxied`` names what has a proxy in front: targets,
-    nodes (their peer ports) and ``platform``, which only the nodes reach by its proxy.
+    nodes (their peer ports) and ``platform``, which only the nodes reach by its proxy. With
+    ``journaled`` the starts survive a target's end, see :meth:`Fleet.starts`.
     """
 
     domains: dict[str, DomainPlan]
@@ -45,6 +56,7 @@
     settings: dict[str, dict[str, str]] = {}
     targets_per_process: int = 8
     proxied: frozenset[str] = frozenset()
+    journaled: bool = False
 
 
 class Fleet:
@@ -140,6 +152,18 @@
         await self.put_vm(await self._node_vm(node))
         return node
 
+    async def start_target(self, name: str) -> None:
+        """Start the process of a target that ended again, with new ports, and list its VMs."""
+        target = self.targets_by_name[name]
+        others = self.targets_by_name.items()
+        names = [other for other, found in others if found.process_name == target.process_name]
+        await self._stop_process(target.process_name)
+        await self._start_target_process(target.vm.domain, names)
+
+    def starts(self) -> list[journals.Start]:
+        """Return every start at any target, those of ended processes included."""
+        return journals.read_all(pathlib.Path(self._directory.name))
+
     async def wait_ready(self, timeout_s: float = 30) -> None:
         """Wait until every running node is ready.
 
@@ -179,6 +203,8 @@
         process_name = f"{names[0]}-process"
         process = self._new_process(process_name)
         arguments = [f"--names={','.join(names)}", f"--slots={self.plan.slots}"]
+        if self.plan.journaled:
+            arguments.append(f"--journal_directory={self._directory.name}")
         module = "chiveridge_standins.targets"
         listening = await process.start(module, arguments, targets.TargetsListening)
         for name in names:
--- a/packages/standins/chiveridge_standins/leases.py
+++ b/packages/standins/chiveridge_standins/leases.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from chiveridge_standins import clocks, counts, lags
+from chiveridge_standins import clocks, counts, journals, lags
 
 MAX_ENDED_LEASES = 20_000
 
@@ -102,9 +102,16 @@
 class Target:
     """Slots of one target; it starts whatever arrives, the same lease id twice included."""
 
-    def __init__(self, name: str, slots: int, clock: clocks.Clock):
+    def __init__(
+        self,
+        name: str,
+        slots: int,
+        clock: clocks.Clock,
+        journal: journals.Journal | None = None,
+    ):
         self.faults = TargetFaults()
         self.counter = counts.Counter()
+        self._journal = journal
         self._name = name
         self._slots = slots
         self._clock = clock
@@ -198,7 +205,7 @@
             return
         body = lease.body
         lease.started_at = now
-        self.counter.started(body.key, self._busy, now)
+        self._count_start(body.key, now)
         await asyncio.sleep(body.run_ms * self.faults.slowdown / 1000)
         self.counter.ended(body.key)
         lease.reply = LeaseReply(
@@ -213,10 +220,15 @@
         if self._too_late(lease, now):
             self._refuse(lease, Reason.TOO_LATE)
             return
-        self.counter.started(lease.body.key, self._busy, now)
+        self._count_start(lease.body.key, now)
         self.counter.ended(lease.body.key)
         lease.reply = LeaseReply(outcome=Outcome.FAILED, reason="the target fails every task")
 
+    def _count_start(self, key: str, now: datetime.datetime) -> None:
+        self.counter.started(key, self._busy, now)
+        if self._journal is not None:
+            self._journal.write(journals.Start(key, self._name, clocks.epoch_ms(now)))
+
     def _too_late(self, lease: Lease, now: datetime.datetime) -> bool:
         limit = lease.start_before_ms
         if limit is None or not self.faults.enforce_start_before:
--- a/packages/standins/chiveridge_standins/targets.py
+++ b/packages/standins/chiveridge_standins/targets.py
@@ -8,7 +8,7 @@
 import msgspec
 from absl import flags, logging
 
-from chiveridge_standins import clocks, controls, leases, servers
+from chiveridge_standins import clocks, controls, journals, leases, servers
 
 START_BEFORE_HEADER = "Chiveridge-Start-Before"
 
@@ -135,12 +135,16 @@
     return servers.AppServer(create_app(target), port, lambda: target.faults.max_connections)
 
 
-async def serve(names: list[str], slots: int, port: int) -> None:
-    """Serve targets until SIGTERM, on consecutive ports unless ``port`` is 0."""
+async def serve(names: list[str], slots: int, port: int, journal_directory: str = "") -> None:
+    """Serve targets until SIGTERM, on consecutive ports unless ``port`` is 0.
+
+    Starts are also written to journals in ``journal_directory`` when it is given.
+    """
     servers_by_name: dict[str, servers.AppServer] = {}
     controls_by_name: dict[str, servers.AppServer] = {}
     for index, name in enumerate(names):
-        target = leases.Target(name, slots, clocks.SystemClock())
+        journal = journals.Journal(journal_directory, name) if journal_directory else None
+        target = leases.Target(name, slots, clocks.SystemClock(), journal)
         servers_by_name[name] = create_server(target, port + index if port else 0)
         controls_by_name[name] = servers.AppServer(create_control_app(target))
     announcement = TargetsListening(_ports(servers_by_name), _ports(controls_by_name))
@@ -175,11 +179,13 @@
 
 def main(_argv: list[str]) -> None:
     """Run the process."""
-    asyncio.run(serve(flags.FLAGS.names, flags.FLAGS.slots, flags.FLAGS.port))
+    values = flags.FLAGS
+    asyncio.run(serve(values.names, values.slots, values.port, values.journal_directory))
 
 
 if __name__ == "__main__":
     flags.DEFINE_list("names", None, "Names of the targets.", required=True)
     flags.DEFINE_integer("slots", 8, "Slots of each target.", lower_bound=1)
     flags.DEFINE_integer("port", 0, "Port of the first target; 0 takes free ones.")
+    flags.DEFINE_string("journal_directory", "", "Where starts are written; empty for nowhere.")
     absl.app.run(main)
--- /dev/null
+++ b/packages/standins/tests/test_journals.py
@@ -0,0 +1,21 @@
+from chiveridge_standins import fleets, journals, members
+
+
+def test_starts_of_every_target_are_read_again(tmp_path):
+    first = journals.Start("a", "ikeja-t1", 1)
+    second = journals.Start("b", "ikeja-t2", 2)
+    journals.Journal(str(tmp_path), "ikeja-t1").write(first)
+    journals.Journal(str(tmp_path), "ikeja-t2").write(second)
+    assert journals.read_all(tmp_path) == [first, second]
+
+
+async def test_starts_outlive_a_killed_target():
+    domains = {"ikeja": fleets.DomainPlan(nodes=0, targets=1)}
+    async with fleets.Fleet(fleets.FleetPlan(domains=domains, journaled=True)) as fleet:
+        for key in ("before", "after"):
+            target = fleet.targets_by_name["ikeja-t1"]
+            url = f"{target.url}/v1/leases/{key}"
+            await members.request(target._session, "POST", url, {"key": key})
+            await fleet.kill("ikeja-t1")
+            await fleet.start_target("ikeja-t1")
+        assert [start.key for start in fleet.starts()] == ["before", "after"]
