--- a/packages/node/chiveridge_node/mains.py
+++ b/packages/node/chiveridge_node/mains.py
@@ -18,6 +18,8 @@
 def main(argv: list[str]) -> int:
     """Check the settings and run the node."""
     del argv
+    for plugin in BUILT_IN_PLUGINS:
+        plugin.register()
     try:
         node_settings = settings.read(_CONFIG.value)
     except settings.SettingsError as error:
@@ -25,8 +27,6 @@
         return EXIT_BAD_SETTINGS
     if _CHECK.value:
         return 0
-    for plugin in BUILT_IN_PLUGINS:
-        plugin.register()
     asyncio.run(_serve(node_settings))
     return 0
 
--- a/packages/node/chiveridge_node/plugins.py
+++ b/packages/node/chiveridge_node/plugins.py
@@ -24,6 +24,11 @@
     _factories_by_key[kind, name] = factory
 
 
+def names(kind: Kind) -> list[str]:
+    """Return the names of the adapters registered for an interface."""
+    return sorted(name for found, name in _factories_by_key if found is kind)
+
+
 def create(kind: Kind, name: str, node: object) -> object:
     """Create an adapter.
 
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -4,6 +4,7 @@
 """
 
 import configparser
+import functools
 import ipaddress
 import urllib.parse
 from typing import Annotated
@@ -11,6 +12,7 @@
 import msgspec
 
 from chiveridge_kernel import errors, placements
+from chiveridge_node import plugins
 
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 _Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9-]{0,62}$")]
@@ -165,9 +167,17 @@
         raise ValueError(f"{value!r} is not one of {', '.join(placements.names())}")
 
 
+def _check_plugin(kind: plugins.Kind, value: str) -> None:
+    if value not in plugins.names(kind):
+        raise ValueError(f"{value!r} is not one of {', '.join(plugins.names(kind))}")
+
+
 _CHECKS_BY_KEY = {
     ("node", "address"): _check_address,
     ("platform", "log_url"): _check_url,
     ("platform", "vms_url"): _check_url,
     ("placement", "policy"): _check_policy,
 }
+_CHECKS_BY_KEY |= {
+    ("plugins", kind.value): functools.partial(_check_plugin, kind) for kind in plugins.Kind
+}
