Fuzz the callers' port and mend what it found

Cause: bad input was never tried. The whole text of the id is now compared with the one that was issued. - wait_ms of 5000 digits ended as INTERNAL_ERROR, and other scripts' digits were taken as numbers. - A chunked body over the limit for submission ids was called malformed instead of too large.

--- a/packages/kernel/chiveridge_kernel/submissions.py
+++ b/packages/kernel/chiveridge_kernel/submissions.py
@@ -54,20 +54,25 @@
         return [self._issue_one(team, expires_at_ms) for _ in range(count)], expires_at_ms
 
     def verify(self, submission_id: identifiers.SubmissionId, team: identifiers.TeamName) -> bool:
-        """Tell whether this incarnation issued the id to the team."""
+        """Tell whether this incarnation issued the id, exactly as it is written, to the team.
+
+        Another spelling of the same parts would pass for another id and start its job again.
+        """
         issued = parse(submission_id)
-        if issued.incarnation != self._incarnation:
-            return False
-        expected = self._mac(team, issued.expires_at_ms, issued.serial)
-        return hmac.compare_digest(expected, issued.mac)
+        expected = self._text(team, issued.expires_at_ms, issued.serial)
+        return hmac.compare_digest(expected.encode(), submission_id.encode())
 
     def _issue_one(
         self, team: identifiers.TeamName, expires_at_ms: int
     ) -> identifiers.SubmissionId:
         self._serial += 1
-        mac = self._mac(team, expires_at_ms, self._serial)
-        parts = (self._node, self._incarnation, str(expires_at_ms), str(self._serial), mac)
-        return identifiers.SubmissionId(_SEPARATOR.join(parts))
+        return identifiers.SubmissionId(self._text(team, expires_at_ms, self._serial))
+
+    def _text(self, team: identifiers.TeamName, expires_at_ms: int, serial: int) -> str:
+        mac = self._mac(team, expires_at_ms, serial)
+        return _SEPARATOR.join(
+            (self._node, self._incarnation, str(expires_at_ms), str(serial), mac)
+        )
 
     def _mac(self, team: identifiers.TeamName, expires_at_ms: int, serial: int) -> str:
         text = f"{team}{_SEPARATOR}{expires_at_ms}{_SEPARATOR}{serial}"
--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+import re
 import socket
 
 import falcon
@@ -15,6 +16,8 @@
 from chiveridge_node import logevents, plugins, requests
 
 LISTEN_BACKLOG = 2048
+_MAX_QUOTED = 100
+_WAIT_PATTERN = re.compile("[0-9]{1,9}")
 GRACEFUL_EXIT_SECONDS = 5
 
 _HTTP_STATUS_BY_CODE = {
@@ -191,16 +194,21 @@
 
 async def _read_body(req: falcon.asgi.Request) -> bytes:
     limit = messages.MAX_SUBMISSION_BYTES
-    if (req.content_length or 0) > limit:
-        message = f"body of {req.content_length} bytes is over the limit of {limit}"
+    body = b""
+    if (req.content_length or 0) <= limit:
+        body = await req.stream.read(limit + 1)
+    if max(req.content_length or 0, len(body)) > limit:
+        message = f"the body is over the limit of {limit} bytes"
         raise errors.RefusedError(results.ResultCode.TOO_LARGE, message)
-    return await req.stream.read(limit + 1)
+    return body
 
 
 def _wait_ms(req: falcon.asgi.Request) -> int:
     text = req.get_param("wait_ms", default="0")
-    if not text.isdecimal() or int(text) > requests.MAX_WAIT_MS:
-        message = f"wait_ms: {text!r} is not a number from 0 to {requests.MAX_WAIT_MS}"
+    if not _WAIT_PATTERN.fullmatch(text) or int(text) > requests.MAX_WAIT_MS:
+        message = (
+            f"wait_ms: {text[:_MAX_QUOTED]!r} is not a number from 0 to {requests.MAX_WAIT_MS}"
+        )
         raise errors.RefusedError(results.ResultCode.INVALID_FIELD, message)
     return int(text)
 
--- /dev/null
+++ b/packages/node/tests/conftest.py
@@ -0,0 +1,172 @@
+"""A node that serves callers on a real port, with fakes for everything else it talks to."""
+
+import asyncio
+import http.client
+import json
+import threading
+
+import msgspec
+import pytest
+
+from chiveridge_kernel import actions, events, results, submissions, vms
+from chiveridge_load import deployments
+from chiveridge_node import callers_http, nodes, plugins, settings
+
+DESK = deployments.TeamPlan(name="desk", secret="secret-of-desk")
+REGISTRY = deployments.TeamPlan(name="registry", secret="secret-of-registry")
+TARGET = vms.Vm(
+    name="ikeja-t1", role=vms.VmRole.TARGET, domain="ikeja", address="127.0.0.1", port=1
+)
+TIMEOUT_S = 10
+
+
+class FakeAdapter:
+    """Stands for the log, the list of VMs and the peers: it opens and does nothing."""
+
+    port = 0
+
+    def __init__(self, node):
+        node.requests.forward = self.forward
+
+    async def open(self) -> None:
+        return
+
+    async def close(self) -> None:
+        return
+
+    async def forward(self, peer, **fields):
+        return None
+
+
+class FakeTargets(FakeAdapter):
+    """Lets every start succeed at once, and counts them."""
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.started = 0
+        self._shell = node.shell
+        node.shell.perform_with(actions.StartTask, self._start)
+
+    def _start(self, action: actions.StartTask) -> None:
+        self.started += 1
+        report = events.LeaseReported(
+            lease_id=action.lease_id,
+            outcome=events.LeaseOutcome.SUCCEEDED,
+            result=msgspec.Raw(b'"done"'),
+        )
+        asyncio.get_running_loop().call_soon(self._shell.handle_safely, report)
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """What a caller got."""
+
+    status: int
+    content: dict
+    headers: dict[str, str]
+
+    @property
+    def code(self) -> results.ResultCode:
+        return results.ResultCode(self.content["code"])
+
+
+class Edge:
+    """The callers' port of a node that runs on a loop in another thread."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread.start()
+        self.node = self._on_loop(self._open())
+        self.targets = self.node._adapters_by_kind[plugins.Kind.TARGETS]
+        self.port = self._callers.port
+
+    def close(self) -> None:
+        self._on_loop(self._close())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def request(self, method, path, body=None, credential=DESK.credential, headers=None):
+        """Send one request and return its reply."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=TIMEOUT_S)
+        headers = {"Authorization": f"Bearer {credential}", **(headers or {})}
+        try:
+            connection.request(method, path, body, headers)
+            response = connection.getresponse()
+            content = response.read()
+            return Reply(response.status, json.loads(content), dict(response.getheaders()))
+        finally:
+            connection.close()
+
+    def new_id(self, credential=DESK.credential) -> str:
+        """Return a submission id that was issued to a team."""
+        reply = self.request("POST", "/v1/submission-ids", b"", credential)
+        return reply.content["submission_ids"][0]
+
+    def submit(self, credential=DESK.credential, path="/v1/jobs?wait_ms=5000", **fields):
+        """Submit a valid job with some fields changed."""
+        job = {"submission_id": self.new_id(), "tasks": [{"body": 1}], **fields}
+        return self.request("POST", path, json.dumps(job).encode(), credential)
+
+    def expired_id(self, team="desk") -> str:
+        """Return an id of this incarnation that has expired."""
+        kernel = self.node.kernel
+        issuer = submissions.Issuer(
+            kernel.settings.node,
+            kernel.settings.incarnation,
+            kernel.settings.secret,
+            lifetime=-submissions.ID_LIFETIME,
+        )
+        return issuer.issue(team, 1, self.node.shell.clock.now())[0][0]
+
+    def check_untouched(self) -> None:
+        """Check that nothing was started or kept, and that the node still runs jobs."""
+        assert self.targets.started == 0
+        dispatcher = self.node.kernel.dispatcher
+        assert dispatcher.jobs_by_id == {}
+        assert dispatcher._tasks_by_lease == {}
+        assert self.node.requests._answered_by_id == {}
+        assert self.submit().code is results.ResultCode.COMPLETE
+        self.targets.started = 0
+
+    @property
+    def _callers(self) -> callers_http.HttpCallers:
+        return self.node._adapters_by_kind[plugins.Kind.CALLERS]
+
+    def _on_loop(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(TIMEOUT_S)
+
+    async def _open(self) -> nodes.Node:
+        node = nodes.Node(settings.parse(_settings_text()))
+        node._perform_actions()
+        node.shell.start()
+        change = deployments.first_change([DESK, REGISTRY], [TARGET.name])
+        node.shell.handle(events.RecordsRead(records=[(0, msgspec.to_builtins(change))]))
+        node.shell.handle(events.VmsListed(listing=vms.VmList(1, [TARGET])))
+        await node._adapters_by_kind[plugins.Kind.CALLERS].open()
+        return node
+
+    async def _close(self) -> None:
+        await self._callers.close()
+        self.node.shell.stop()
+
+
+def _settings_text() -> dict[str, dict[str, str]]:
+    fakes = ("targets", "log", "vms", "peers")
+    platform = "http://127.0.0.1:1"
+    return {
+        "node": {"name": "ikeja-e1", "domain": "ikeja"},
+        "platform": {"log_url": platform, "vms_url": platform},
+        "plugins": dict.fromkeys(fakes, "fake"),
+    }
+
+
+@pytest.fixture(scope="module")
+def edge():
+    callers_http.register()
+    for kind in (plugins.Kind.LOG, plugins.Kind.VMS, plugins.Kind.PEERS):
+        plugins.add(kind, "fake", FakeAdapter)
+    plugins.add(plugins.Kind.TARGETS, "fake", FakeTargets)
+    found = Edge()
+    yield found
+    found.close()
