Give the edge tests' target slots

Cause: the merged default policy lends slots, and the tests' target had none, so its jobs waited for ever: 61 errors and 2 failures. Ruled out: a leak (the jobs left over were the waiting ones).

--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -15,7 +15,12 @@
 DESK = deployments.TeamPlan(name="desk", secret="secret-of-desk")
 REGISTRY = deployments.TeamPlan(name="registry", secret="secret-of-registry")
 TARGET = vms.Vm(
-    name="ikeja-t1", role=vms.VmRole.TARGET, domain="ikeja", address="127.0.0.1", port=1
+    name="ikeja-t1",
+    role=vms.VmRole.TARGET,
+    domain="ikeja",
+    address="127.0.0.1",
+    port=1,
+    slots=8,
 )
 TIMEOUT_S = 10
 
