--- a/packages/client/chiveridge_client/commands.py
+++ b/packages/client/chiveridge_client/commands.py
@@ -18,7 +18,6 @@
     options,
     platforms,
     publications,
-    revisions,
     settings,
     statuses,
     tables,
@@ -108,7 +107,6 @@
     async with aiohttp.ClientSession() as session:
         publisher = publications.Publisher(
             platforms.Log(context.settings.log_url, session),
-            revisions.Revisions(),
             rng=context.rng,
             clock=context.clock,
             stream=context.settings.stream,
--- a/packages/client/chiveridge_client/publications.py
+++ b/packages/client/chiveridge_client/publications.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from chiveridge_client import backoffs, changes, clocks, errors, platforms, revisions
+from chiveridge_client import backoffs, changes, clocks, errors, platforms, readers
 from chiveridge_kernel import identifiers, records
 
 DEFAULT_STREAM = "configuration"
@@ -26,13 +26,7 @@
     offset: identifiers.Offset
     verdict: records.Verdict
     lost_replies: int = 0
-
-
-class Found(msgspec.Struct, frozen=True):
-    """The first record of a change in the log and the verdict on it."""
-
-    offset: identifiers.Offset
-    verdict: records.Verdict
+    message: str = ""
 
 
 class _Append(msgspec.Struct, kw_only=True):
@@ -47,14 +41,12 @@
 class Publisher:
     """Publishes changes to one stream.
 
-    :param fold: empty configuration to fold the stream into.
     :param timeout: time for one publication, attempts included.
     """
 
     def __init__(
         self,
         log: platforms.Log,
-        fold: revisions.Fold,
         *,
         rng: random.Random,
         clock: clocks.Clock,
@@ -62,10 +54,10 @@
         timeout: datetime.timedelta = DEFAULT_TIMEOUT,
     ):
         self._log = log
-        self._fold = fold
         self._rng = rng
         self._clock = clock
         self._stream = stream
+        self._reader = readers.Reader(log, stream)
         self._timeout = timeout
 
     async def publish(
@@ -103,14 +95,16 @@
         )
 
     def _based(self, write: records.ObjectWrite) -> records.ObjectWrite:
-        based_on = self._fold.revision_of(write.kind, write.name)
+        based_on = self._reader.configuration.revision_of(write.kind, write.name)
         return msgspec.structs.replace(write, based_on=based_on)
 
-    async def _read_before_append(self, change_id: str, until: datetime.timedelta) -> Found | None:
+    async def _read_before_append(
+        self, change_id: str, until: datetime.timedelta
+    ) -> readers.Judged | None:
         attempt = 0
         while True:
             try:
-                return await self._catch_up(change_id)
+                return await self._find(change_id)
             except errors.LogReplyLostError as error:
                 delay = backoffs.delay(attempt, self._rng)
                 attempt += 1
@@ -118,6 +112,13 @@
                     raise _unread(change_id, error) from error
                 await self._clock.sleep(delay)
 
+    async def _find(self, change_id: str) -> readers.Judged | None:
+        """Read the log to its end; return the verdict on an earlier change, if one is named."""
+        if change_id:
+            return await self._reader.find(change_id)
+        await self._reader.catch_up()
+        return None
+
     async def _append_until_found(
         self, change: records.ChangeRecord, until: datetime.timedelta
     ) -> Publication:
@@ -126,7 +127,7 @@
         for attempt in itertools.count():
             await self._append(append)
             try:
-                found = await self._catch_up(change.change_id)
+                found = await self._reader.find(change.change_id)
                 reason = "the log does not hold it yet"
             except errors.LogError as error:
                 found = None
@@ -153,41 +154,6 @@
                 raise
             raise errors.PublicationUnknownError(append.change_id, str(error)) from error
 
-    async def _catch_up(self, change_id: str) -> Found | None:
-        """Fold the stream up to its end, or up to the first record of ``change_id``."""
-        while True:
-            page = await self._read_page()
-            for record in page.records:
-                verdict = self._fold.apply(record.offset, bytes(record.value))
-                if change_id and _change_id_of(record) == change_id:
-                    return Found(record.offset, verdict)
-            if self._fold.offset >= page.next or not page.records:
-                return None
-
-    async def _read_page(self) -> platforms.LogPage:
-        start = self._fold.offset
-        while True:
-            try:
-                return await self._log.read(self._stream, start)
-            except errors.OffsetExpiredError as error:
-                start = error.first
-
-
-class _ChangeId(msgspec.Struct, frozen=True):
-    """The part of a record that identifies its change."""
-
-    change_id: str = ""
-
-
-_change_id_decoder = msgspec.json.Decoder(_ChangeId)
-
-
-def _change_id_of(record: platforms.LogRecord) -> str:
-    try:
-        return _change_id_decoder.decode(record.value).change_id
-    except msgspec.MsgspecError:
-        return ""
-
 
 def _unread(change_id: str, error: errors.LogError) -> errors.ClientError:
     """Return the error for a log that can't be read before the append."""
@@ -196,10 +162,13 @@
     return errors.UnreachableError(f"nothing was published: {error}")
 
 
-def _publication(change: records.ChangeRecord, found: Found, lost_replies: int) -> Publication:
+def _publication(
+    change: records.ChangeRecord, found: readers.Judged, lost_replies: int
+) -> Publication:
     return Publication(
         change_id=change.change_id,
         offset=found.offset,
         verdict=found.verdict,
         lost_replies=lost_replies,
+        message=found.message,
     )
--- /dev/null
+++ b/packages/client/chiveridge_client/readers.py
@@ -0,0 +1,87 @@
+"""Reads the configuration from the platform's log with the fold that the nodes use."""
+
+import msgspec
+
+from chiveridge_client import errors, platforms
+from chiveridge_kernel import configurations, followers, identifiers, records
+
+
+class Judged(msgspec.Struct, frozen=True):
+    """A change that was read from the log, and the verdict on it."""
+
+    change_id: str
+    offset: identifiers.Offset
+    verdict: records.Verdict
+    message: str = ""
+
+
+class Reader:
+    """Folds one stream; ``configuration`` is the state as of the last :meth:`catch_up`."""
+
+    def __init__(self, log: platforms.Log, stream: str):
+        self.configuration = configurations.Configuration()
+        self._log = log
+        self._stream = stream
+        self._follower = followers.Follower(self.configuration)
+
+    async def catch_up(self) -> list[Judged]:
+        """Read up to the end of the stream; return the verdicts on the changes read now.
+
+        :raises errors.LogError: when the log can't be read, or when records have expired and
+            it holds no whole snapshot of them.
+        """
+        judged: list[Judged] = []
+        while True:
+            start = self._follower.read_offset
+            try:
+                page = await self._log.read(self._stream, start)
+            except errors.OffsetExpiredError as error:
+                self._follower.expired(error.first, error.next_offset)
+                continue
+            judged += self._apply(page)
+            if not page.records or self._follower.read_offset >= page.next:
+                break
+        if self._follower.is_scanning:
+            message = f"the records before {page.first} have expired and no whole snapshot is kept"
+            raise errors.LogError(message)
+        return judged
+
+    async def find(self, change_id: str) -> Judged | None:
+        """Read up to the end of the stream; return the first verdict on a change, if any."""
+        judged = [change for change in await self.catch_up() if change.change_id == change_id]
+        return self._remembered(change_id) or (judged[0] if judged else None)
+
+    def _apply(self, page: platforms.LogPage) -> list[Judged]:
+        ids_by_offset = {record.offset: _change_id_of(record) for record in page.records}
+        pairs = [(record.offset, bytes(record.value)) for record in page.records]
+        results = self._follower.read(pairs, page.first, page.next)
+        return [
+            Judged(ids_by_offset[found.offset], found.offset, found.verdict, found.message)
+            for found in results
+        ]
+
+    def _remembered(self, change_id: str) -> Judged | None:
+        """Return the verdict on a well-formed change, also when its record has expired."""
+        verdict = self.configuration.verdict_of(change_id)
+        if verdict is None:
+            return None
+        for entry in self.configuration.trail.entries():
+            if entry.change_id == change_id:
+                return Judged(change_id, entry.offset, verdict, entry.message)
+        return Judged(change_id, identifiers.Offset(-1), verdict, "its record has expired")
+
+
+class _ChangeId(msgspec.Struct, frozen=True):
+    """The part of a record that identifies its change."""
+
+    change_id: str = ""
+
+
+_change_id_decoder = msgspec.json.Decoder(_ChangeId)
+
+
+def _change_id_of(record: platforms.LogRecord) -> str:
+    try:
+        return _change_id_decoder.decode(record.value).change_id
+    except (msgspec.MsgspecError, UnicodeError, RecursionError):
+        return ""
--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chiveridge_kernel import configurations, identifiers, messages, peers, vms
+from chiveridge_kernel import configurations, identifiers, messages, peers, snapshots, vms
 
 
 class StartTask(msgspec.Struct, frozen=True, kw_only=True):
@@ -45,6 +45,26 @@
     message: peers.PeerMessage
 
 
+class ReplyToPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """Send a message back by the way that another came; it may be lost."""
+
+    route: bytes
+    message: peers.PeerMessage
+
+
+class SendSnapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """Send a snapshot back to a peer, one :class:`peers.ConfigurationChunk` a chunk."""
+
+    route: bytes
+    snapshot: snapshots.Snapshot
+
+
+class AppendSnapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """Append the chunks of a snapshot to the log; appends may be lost or repeated."""
+
+    snapshot: snapshots.Snapshot
+
+
 class NoteChange(msgspec.Struct, frozen=True, kw_only=True):
     """Write the verdict on a configuration record to the audit trail."""
 
@@ -55,4 +75,15 @@
     """The drain is done; the process may exit."""
 
 
-Action = StartTask | AskOutcome | StopTask | AnswerJob | SendToPeer | NoteChange | Exit
+Action = (
+    StartTask
+    | AskOutcome
+    | StopTask
+    | AnswerJob
+    | SendToPeer
+    | ReplyToPeer
+    | SendSnapshot
+    | AppendSnapshot
+    | NoteChange
+    | Exit
+)
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/audits.py
@@ -0,0 +1,78 @@
+"""The audit trail: who changed what, when, based on what, and the verdict."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from chiveridge_kernel import identifiers, records
+
+MAX_ENTRIES = 5_000
+MAX_LISTED_WRITES = 20
+
+
+class AuditedWrite(msgspec.Struct, frozen=True, array_like=True):
+    """One object of a change and the revision that the change was based on."""
+
+    kind: records.ObjectKind
+    name: str
+    based_on: int
+    is_deletion: bool
+
+
+class AuditEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One change; of its ``write_count`` writes the first :data:`MAX_LISTED_WRITES` are listed."""
+
+    offset: identifiers.Offset
+    verdict: records.Verdict
+    change_id: str = ""
+    actor: str = ""
+    changed_at: str = ""
+    comment: str = ""
+    message: str = ""
+    write_count: int = 0
+    writes: tuple[AuditedWrite, ...] = ()
+
+
+class Trail:
+    """The newest :data:`MAX_ENTRIES` entries, in the order of their offsets."""
+
+    def __init__(self, entries: Iterable[AuditEntry] = ()):
+        self._entries_by_offset = {entry.offset: entry for entry in entries}
+
+    def add(self, entry: AuditEntry) -> None:
+        """Add the newest entry and forget the oldest beyond the bound."""
+        self._entries_by_offset[entry.offset] = entry
+        if len(self._entries_by_offset) > MAX_ENTRIES:
+            self._entries_by_offset.pop(next(iter(self._entries_by_offset)))
+
+    def find(self, offset: identifiers.Offset) -> AuditEntry | None:
+        """Return the entry of the change at an offset while it is kept."""
+        return self._entries_by_offset.get(offset)
+
+    def entries(self) -> list[AuditEntry]:
+        """Return the entries, the oldest first."""
+        return list(self._entries_by_offset.values())
+
+
+def entry_of(
+    offset: identifiers.Offset,
+    change: records.ChangeRecord,
+    verdict: records.Verdict,
+    message: str,
+) -> AuditEntry:
+    """Return the entry of a well-formed change."""
+    return AuditEntry(
+        offset=offset,
+        verdict=verdict,
+        change_id=change.change_id,
+        actor=change.actor,
+        changed_at=change.changed_at,
+        comment=change.comment,
+        message=message,
+        write_count=len(change.writes),
+        writes=tuple(_audited(write) for write in change.writes[:MAX_LISTED_WRITES]),
+    )
+
+
+def _audited(write: records.ObjectWrite) -> AuditedWrite:
+    return AuditedWrite(write.kind, write.name, write.based_on, write.is_deletion())
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/catch_ups.py
@@ -0,0 +1,117 @@
+"""Takes the configuration and the list of VMs from peers while the platform is unreachable."""
+
+import datetime
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from chiveridge_kernel import (
+    actions,
+    configurations,
+    members,
+    peers,
+    snapshots,
+    vms,
+)
+
+PEERS_PER_ASK = 3
+
+
+class CatchUpSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """When peers are asked.
+
+    :param silence: time without a successful read of the log after which it counts as
+        unreachable; longer than a read waits for records.
+    :param boot_interval: time between asks while there is no configuration or list of VMs.
+    :param interval: time between asks later on.
+    :param seeds: nodes to ask while there is no list of VMs.
+    """
+
+    silence: datetime.timedelta = datetime.timedelta(seconds=15)
+    boot_interval: datetime.timedelta = datetime.timedelta(seconds=1)
+    interval: datetime.timedelta = datetime.timedelta(seconds=30)
+    seeds: tuple[vms.Vm, ...] = ()
+
+
+class CatchUp:
+    """Asks peers when the log is silent, and answers those that ask."""
+
+    def __init__(
+        self,
+        settings: CatchUpSettings,
+        configuration: configurations.Configuration,
+        member_table: members.MemberTable,
+        rng: random.Random,
+    ):
+        self.log_read_at: datetime.datetime | None = None
+        self.vms_read_at: datetime.datetime | None = None
+        self.listing: vms.VmList | None = None
+        self._settings = settings
+        self._configuration = configuration
+        self._members = member_table
+        self._rng = rng
+        self._assembler = snapshots.Assembler()
+        self._next_ask: datetime.datetime | None = None
+
+    def ask_if_due(self, now: datetime.datetime, is_scanning: bool) -> list[actions.Action]:
+        """Return the questions to peers that are due.
+
+        ``is_scanning`` tells that the log is read but holds no usable snapshot yet.
+        """
+        if self._next_ask is None:
+            self._next_ask = now + self._settings.boot_interval
+        if now < self._next_ask:
+            return []
+        lacks_listing = self.listing is None
+        is_boot = lacks_listing or is_scanning or self._configuration.offset == 0
+        interval = self._settings.boot_interval if is_boot else self._settings.interval
+        self._next_ask = now + interval * self._rng.uniform(0.5, 1.0)
+        if not (lacks_listing or is_scanning or self._is_silent(now)):
+            return []
+        ask = peers.ConfigurationAsk(offset=self._configuration.offset, wants_listing=lacks_listing)
+        return [actions.SendToPeer(peer=peer, message=ask) for peer in self._choose_peers()]
+
+    def answer(self, ask: peers.ConfigurationAsk, route: bytes) -> list[actions.Action]:
+        """Return what is sent to a peer that asked."""
+        replies: list[actions.Action] = []
+        if ask.wants_listing and self.listing is not None:
+            reply = peers.ListingReply(listing=self.listing)
+            replies.append(actions.ReplyToPeer(route=route, message=reply))
+        if ask.offset < self._configuration.offset:
+            snapshot = self._configuration.snapshot()
+            replies.append(actions.SendSnapshot(route=route, snapshot=snapshot))
+        return replies
+
+    def take(self, message: peers.ConfigurationChunk) -> bool:
+        """Take a chunk of a peer's configuration; tell whether the state moved forward."""
+        if message.chunk.base <= self._configuration.offset:
+            return False
+        snapshot = self._assembler.add(message.chunk)
+        return snapshot is not None and self._configuration.restore(snapshot)
+
+    def _is_silent(self, now: datetime.datetime) -> bool:
+        return self.log_read_at is None or now - self.log_read_at >= self._settings.silence
+
+    def _choose_peers(self) -> Sequence[vms.Vm]:
+        names = [name for name in self._members.live_names() if name != self._members.own_name]
+        found = [vm for vm in map(self._members.find, names) if vm is not None]
+        known = found or list(self._settings.seeds)
+        return self._rng.sample(known, min(PEERS_PER_ASK, len(known)))
+
+
+def seed_of(address: str, peer_port: int) -> vms.Vm:
+    """Return a stand-in for the VM of a node of which only the endpoint is known."""
+    return vms.Vm(
+        name=f"{address}:{peer_port}",
+        role=vms.VmRole.ENTRY,
+        domain="",
+        address=address,
+        port=0,
+        peer_port=peer_port,
+    )
+
+
+def staleness_s(read_at: datetime.datetime | None, now: datetime.datetime) -> float | None:
+    """Return the seconds since a successful read, None when there was none."""
+    return None if read_at is None else (now - read_at).total_seconds()
--- a/packages/kernel/chiveridge_kernel/configurations.py
+++ b/packages/kernel/chiveridge_kernel/configurations.py
@@ -5,10 +5,12 @@
 
 import msgspec
 
-from chiveridge_kernel import errors, identifiers, records, selectors
+from chiveridge_kernel import audits, errors, identifiers, records, selectors, snapshots
 
 MAX_REMEMBERED_CHANGES = 20_000
 
+ObjectKey = tuple[records.ObjectKind, str]
+
 
 class ChangeResult(msgspec.Struct, frozen=True, kw_only=True):
     """The verdict on one record, the same on every node."""
@@ -28,10 +30,12 @@
 
     def __init__(self):
         self.offset = identifiers.Offset(0)
+        self.trail = audits.Trail()
         self.teams_by_name: dict[str, records.TeamObject] = {}
         self.targets_by_name: dict[str, records.TargetObject] = {}
         self.rules_by_name: dict[str, records.RuleObject] = {}
-        self._revisions_by_key: dict[tuple[records.ObjectKind, str], int] = {}
+        self._touched: set[ObjectKey] = set()
+        self._revisions_by_key: dict[ObjectKey, int] = {}
         self._verdicts_by_change_id: dict[str, records.Verdict] = {}
         self._tables_by_kind = {
             records.ObjectKind.TEAM: self.teams_by_name,
@@ -43,16 +47,56 @@
         """Return the revision that last wrote an object, 0 when it does not exist."""
         return self._revisions_by_key.get((kind, name), 0)
 
+    def verdict_of(self, change_id: str) -> records.Verdict | None:
+        """Return the verdict on a change while it is remembered, else None."""
+        return self._verdicts_by_change_id.get(change_id)
+
+    def take_touched(self) -> set[ObjectKey]:
+        """Return the objects written or deleted since the last call."""
+        touched, self._touched = self._touched, set()
+        return touched
+
     def apply(self, offset: identifiers.Offset, value: object) -> ChangeResult | None:
-        """Apply one record read from the log; return None when it was applied before."""
-        if offset < self.offset:
+        """Apply one record: its JSON text as bytes, or its decoded value.
+
+        Return None when it is not the next record, or a chunk of a snapshot.
+        """
+        if offset != self.offset:
             return None
         self.offset = identifiers.Offset(offset + 1)
         try:
-            change = _decode_change(value)
+            record = decode_record(value)
         except errors.RecordError as error:
-            return ChangeResult(offset=offset, verdict=records.Verdict.INVALID, message=str(error))
-        return self._apply_change(offset, change)
+            return self._reject(offset, str(error))
+        if isinstance(record, records.SnapshotRecord):
+            return None
+        return self._apply_change(offset, record)
+
+    def snapshot(self) -> snapshots.Snapshot:
+        """Return the whole state; its objects are shared, not copied."""
+        return snapshots.Snapshot(
+            base=self.offset,
+            teams=self._pairs(records.ObjectKind.TEAM),
+            targets=self._pairs(records.ObjectKind.TARGET),
+            rules=self._pairs(records.ObjectKind.RULE),
+            verdicts=list(self._verdicts_by_change_id.items()),
+            audit=self.trail.entries(),
+        )
+
+    def restore(self, snapshot: snapshots.Snapshot) -> bool:
+        """Take the state of a snapshot that is ahead of this one; tell whether it was."""
+        if snapshot.base <= self.offset:
+            return False
+        self.offset = snapshot.base
+        self.trail = audits.Trail(snapshot.audit)
+        self._verdicts_by_change_id = dict(snapshot.verdicts)
+        self._touched.update(self._revisions_by_key)
+        self._revisions_by_key.clear()
+        self._fill(records.ObjectKind.TEAM, snapshot.teams)
+        self._fill(records.ObjectKind.TARGET, snapshot.targets)
+        self._fill(records.ObjectKind.RULE, snapshot.rules)
+        self._touched.update(self._revisions_by_key)
+        return True
 
     def authenticate(self, credential: str) -> identifiers.TeamName | None:
         """Return the team that a ``TEAM.SECRET`` credential belongs to, or None."""
@@ -65,12 +109,29 @@
             return identifiers.TeamName(name)
         return None
 
+    def _pairs(self, kind: records.ObjectKind) -> list:
+        table = self._tables_by_kind[kind]
+        return [(self._revisions_by_key[kind, name], value) for name, value in table.items()]
+
+    def _fill(self, kind: records.ObjectKind, pairs: list) -> None:
+        table = self._tables_by_kind[kind]
+        table.clear()
+        for revision, value in pairs:
+            table[value.name] = value
+            self._revisions_by_key[kind, value.name] = revision
+
+    def _reject(self, offset: identifiers.Offset, message: str) -> ChangeResult:
+        verdict = records.Verdict.INVALID
+        self.trail.add(audits.AuditEntry(offset=offset, verdict=verdict, message=message))
+        return ChangeResult(offset=offset, verdict=verdict, message=message)
+
     def _apply_change(
         self, offset: identifiers.Offset, change: records.ChangeRecord
     ) -> ChangeResult:
         verdict, message = self._judge(change)
         if verdict is not records.Verdict.DUPLICATE:
             self._remember(change.change_id, verdict)
+            self.trail.add(audits.entry_of(offset, change, verdict, message))
         if verdict is records.Verdict.ACCEPTED:
             for write in change.writes:
                 self._write(offset, write)
@@ -88,22 +149,28 @@
         for write in change.writes:
             revision = self.revision_of(write.kind, write.name)
             if revision != write.based_on:
-                message = (
-                    f"{write.kind.value} {write.name!r} is at revision {revision}, "
-                    f"the change was based on {write.based_on}"
-                )
-                return records.Verdict.CONFLICT, message
+                return records.Verdict.CONFLICT, self._conflict_message(write, revision)
         return records.Verdict.ACCEPTED, ""
 
+    def _conflict_message(self, write: records.ObjectWrite, revision: int) -> str:
+        message = (
+            f"{write.kind.value} {write.name!r} is at revision {revision}, "
+            f"the change was based on {write.based_on}"
+        )
+        winner = self.trail.find(identifiers.Offset(revision - 1))
+        if winner is None:
+            return message
+        return f"{message}; change {winner.change_id!r} of {winner.actor} wrote it"
+
     def _write(self, offset: identifiers.Offset, write: records.ObjectWrite) -> None:
         table = self._tables_by_kind[write.kind]
-        value = getattr(write, write.kind.value)
         key = (write.kind, write.name)
-        if value is None:
+        self._touched.add(key)
+        if write.is_deletion():
             table.pop(write.name, None)
             self._revisions_by_key.pop(key, None)
             return
-        table[write.name] = value
+        table[write.name] = getattr(write, write.kind.value)
         self._revisions_by_key[key] = offset + 1
 
     def _remember(self, change_id: str, verdict: records.Verdict) -> None:
@@ -112,17 +179,35 @@
             self._verdicts_by_change_id.pop(next(iter(self._verdicts_by_change_id)))
 
 
-def _decode_change(value: object) -> records.ChangeRecord:
+def decode_record(value: object) -> records.ChangeRecord | records.SnapshotRecord:
+    """Decode a record of the configuration stream.
+
+    :raises errors.RecordError: when it is malformed.
+    """
     try:
-        change = msgspec.convert(value, records.ChangeRecord)
-        for write in change.writes:
-            _check_write(write)
-    except (msgspec.ValidationError, errors.SelectorError) as error:
+        if isinstance(value, bytes):
+            value = msgspec.json.decode(value)
+        record = msgspec.convert(value, records.ChangeRecord | records.SnapshotRecord)
+        if isinstance(record, records.ChangeRecord):
+            _check_writes(record.writes)
+    except (msgspec.MsgspecError, UnicodeError, RecursionError, errors.SelectorError) as error:
         raise errors.RecordError(str(error)) from error
-    return change
+    return record
+
+
+def _check_writes(writes: list[records.ObjectWrite]) -> None:
+    keys: set[ObjectKey] = set()
+    for write in writes:
+        _check_write(write)
+        key = (write.kind, write.name)
+        if key in keys:
+            raise errors.RecordError(f"{write.kind.value} {write.name!r} is written twice")
+        keys.add(key)
 
 
 def _check_write(write: records.ObjectWrite) -> None:
+    if write.is_deletion() and not write.based_on:
+        raise errors.RecordError(f"{write.kind.value} {write.name!r} is deleted but based on 0")
     values = {"team": write.team, "target": write.target, "rule": write.rule}
     for field, value in values.items():
         if value is None:
--- a/packages/kernel/chiveridge_kernel/errors.py
+++ b/packages/kernel/chiveridge_kernel/errors.py
@@ -23,3 +23,7 @@
 
 class RecordError(ChiveridgeError):
     """A record of the platform's log is not a valid configuration change."""
+
+
+class SnapshotError(ChiveridgeError):
+    """A snapshot is torn, corrupt or too large."""
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -54,9 +54,22 @@
 
 
 class RecordsRead(msgspec.Struct, frozen=True, kw_only=True):
-    """Records of the configuration stream, as pairs of offset and decoded JSON value."""
+    """A successful read of the configuration stream, also when there was no record.
+
+    Records are pairs of offset and value, JSON text as bytes or decoded. ``first`` is the
+    oldest offset kept, ``next_offset`` that of the next append; 0 where it is not known.
+    """
 
     records: list[tuple[identifiers.Offset, object]]
+    first: identifiers.Offset = identifiers.Offset(0)
+    next_offset: identifiers.Offset = identifiers.Offset(0)
+
+
+class RecordsExpired(msgspec.Struct, frozen=True, kw_only=True):
+    """The records to read next are no longer kept; the log begins at ``first``."""
+
+    first: identifiers.Offset
+    next_offset: identifiers.Offset
 
 
 class VmsListed(msgspec.Struct, frozen=True, kw_only=True):
@@ -65,10 +78,19 @@
     listing: vms.VmList
 
 
+class VmsConfirmed(msgspec.Struct, frozen=True):
+    """The platform's list of VMs was read and has not changed."""
+
+
 class PeerMessageReceived(msgspec.Struct, frozen=True, kw_only=True):
-    """A message from another node; it may be late, repeated or out of order."""
+    """A message from another node; it may be late, repeated or out of order.
+
+    ``route`` is the way back over the connection that it came by, for
+    :class:`actions.ReplyToPeer`.
+    """
 
     message: peers.PeerMessage
+    route: bytes = b""
 
 
 class Ticked(msgspec.Struct, frozen=True):
@@ -84,7 +106,9 @@
     | CancelReceived
     | LeaseReported
     | RecordsRead
+    | RecordsExpired
     | VmsListed
+    | VmsConfirmed
     | PeerMessageReceived
     | Ticked
     | DrainRequested
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/followers.py
@@ -0,0 +1,102 @@
+"""Follows the configuration stream, over a gap where records have expired."""
+
+from collections.abc import Callable, Sequence
+
+from chiveridge_kernel import configurations, errors, identifiers, records, snapshots
+
+Record = tuple[identifiers.Offset, object]
+
+
+class Follower:
+    """Feeds a configuration with the records of the log.
+
+    After records to read have expired it looks through the log from ``first`` on, loads the
+    newest whole snapshot from which every later record is kept, and goes on from there.
+    ``on_chunk`` is told of each chunk of a snapshot that is read.
+    """
+
+    def __init__(
+        self,
+        configuration: configurations.Configuration,
+        on_chunk: Callable[[records.SnapshotRecord], None] = lambda chunk: None,
+    ):
+        self.first = identifiers.Offset(0)
+        self.next = identifiers.Offset(0)
+        self._configuration = configuration
+        self._on_chunk = on_chunk
+        self._scan_offset: identifiers.Offset | None = None
+        self._assembler = snapshots.Assembler()
+        self._newest: snapshots.Snapshot | None = None
+
+    @property
+    def read_offset(self) -> identifiers.Offset:
+        """Return the offset to read from next."""
+        return self._scan_offset if self.is_scanning else self._configuration.offset
+
+    @property
+    def is_scanning(self) -> bool:
+        """Tell whether it looks for a snapshot because records have expired."""
+        return self._scan_offset is not None and self._configuration.offset < self.first
+
+    def expired(self, first: identifiers.Offset, next_offset: identifiers.Offset) -> None:
+        """Learn that the log keeps no records before ``first``."""
+        self._learn_bounds(first, next_offset)
+        if first > self.read_offset:
+            self._assembler = snapshots.Assembler()
+            self._newest = None
+            self._scan_offset = first
+
+    def read(
+        self,
+        found: Sequence[Record],
+        first: identifiers.Offset = 0,
+        next_offset: identifiers.Offset = 0,
+    ) -> list[configurations.ChangeResult]:
+        """Take records in their order; return the verdicts on those applied now."""
+        self._learn_bounds(first, next_offset)
+        if self.is_scanning:
+            self._scan(found)
+            return []
+        self._scan_offset = None
+        changes = [self._apply(offset, value) for offset, value in found]
+        return [change for change in changes if change is not None]
+
+    def _learn_bounds(self, first: identifiers.Offset, next_offset: identifiers.Offset) -> None:
+        self.first = max(self.first, first)
+        self.next = max(self.next, next_offset)
+
+    def _apply(
+        self, offset: identifiers.Offset, value: object
+    ) -> configurations.ChangeResult | None:
+        is_next = offset == self._configuration.offset
+        change = self._configuration.apply(offset, value)
+        if change is None and is_next:
+            self._on_chunk(configurations.decode_record(value))
+        return change
+
+    def _scan(self, found: Sequence[Record]) -> None:
+        for offset, value in found:
+            if offset != self._scan_offset:
+                continue
+            self._scan_offset = identifiers.Offset(offset + 1)
+            chunk = _chunk_of(offset, value)
+            whole = self._assembler.add(chunk) if chunk is not None else None
+            if whole is not None and (self._newest is None or whole.base > self._newest.base):
+                self._newest = whole
+        if self._scan_offset >= self.next and self._newest is not None:
+            self._load(self._newest)
+
+    def _load(self, snapshot: snapshots.Snapshot) -> None:
+        self._newest = None
+        if snapshot.base >= self.first:
+            self._configuration.restore(snapshot)
+            self._scan_offset = None
+
+
+def _chunk_of(offset: identifiers.Offset, value: object) -> records.SnapshotRecord | None:
+    try:
+        record = configurations.decode_record(value)
+    except errors.RecordError:
+        return None
+    is_chunk = isinstance(record, records.SnapshotRecord) and record.base <= offset
+    return record if is_chunk else None
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -9,18 +9,23 @@
 
 from chiveridge_kernel import (
     actions,
+    catch_ups,
     clocks,
     configurations,
     dispatchers,
     errors,
     events,
+    followers,
     identifiers,
     members,
     messages,
+    peers,
     reaches,
     results,
+    snapshot_schedules,
     submissions,
     targets,
+    vms,
 )
 
 
@@ -32,6 +37,8 @@
     incarnation: identifiers.Incarnation
     secret: bytes
     policy: str = "power_of_two"
+    snapshots: snapshot_schedules.SnapshotSettings = snapshot_schedules.SnapshotSettings()
+    catch_up: catch_ups.CatchUpSettings = catch_ups.CatchUpSettings()
 
 
 class UsedId(msgspec.Struct):
@@ -56,6 +63,9 @@
             self.reach, self.target_table, rng, settings.policy, settings.incarnation
         )
         self.members = members.MemberTable(settings.node, settings.domain)
+        self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
+        self.follower = followers.Follower(self.configuration, self.snapshot_schedule.saw_chunk)
+        self.catch_up = catch_ups.CatchUp(settings.catch_up, self.configuration, self.members, rng)
         self.draining = False
         self.has_listing = False
         self._used_by_id: dict[identifiers.SubmissionId, UsedId] = {}
@@ -122,6 +132,31 @@
             used.refusal = refusal
             raise
 
+    def configuration_moved(
+        self, changes: list[configurations.ChangeResult], now: datetime.datetime
+    ) -> None:
+        """Bring everything that depends on the configuration up to date."""
+        self.dispatcher.outbox.extend(actions.NoteChange(result=change) for change in changes)
+        touched = self.configuration.take_touched()
+        if touched:
+            self.reach.invalidate()
+
+    def take_listing(self, listing: vms.VmList, now: datetime.datetime) -> None:
+        """Take a list of VMs, of the platform or of a peer."""
+        self.catch_up.listing = listing
+        self.members.replace(listing)
+        self.target_table.replace(listing)
+        self.reach.replace_vms(self.target_table.vms_by_name)
+        self.has_listing = True
+        self.dispatcher.place_waiting(now)
+
+    def plan_snapshot(self, now: datetime.datetime) -> None:
+        """Note when to write a snapshot, once every record of the log has been read."""
+        offset = self.configuration.offset
+        if offset and offset >= self.follower.next:
+            count = len(self.members.live_names())
+            self.snapshot_schedule.update(offset, self.follower.first, count, now)
+
     def forget_expired(self, now: datetime.datetime) -> None:
         """Forget ids that can no longer be used."""
         now_ms = clocks.to_epoch_ms(now)
@@ -192,20 +227,34 @@
 
 @_handle.register
 def _(event: events.RecordsRead, kernel: Kernel, now: datetime.datetime) -> None:
-    changes = [kernel.configuration.apply(offset, value) for offset, value in event.records]
-    applied = [change for change in changes if change is not None]
-    kernel.dispatcher.outbox.extend(actions.NoteChange(result=change) for change in applied)
-    if applied:
-        kernel.reach.invalidate()
+    kernel.catch_up.log_read_at = now
+    changes = kernel.follower.read(event.records, event.first, event.next_offset)
+    for change in changes:
+        kernel.snapshot_schedule.saw_change(change.offset)
+    kernel.configuration_moved(changes, now)
+    kernel.plan_snapshot(now)
+
+
+@_handle.register
+def _(event: events.RecordsExpired, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.catch_up.log_read_at = now
+    kernel.follower.expired(event.first, event.next_offset)
 
 
 @_handle.register
 def _(event: events.VmsListed, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.members.replace(event.listing)
-    kernel.target_table.replace(event.listing)
-    kernel.reach.replace_vms(kernel.target_table.vms_by_name)
-    kernel.has_listing = True
-    kernel.dispatcher.place_waiting(now)
+    kernel.catch_up.vms_read_at = now
+    kernel.take_listing(event.listing, now)
+
+
+@_handle.register
+def _(event: events.VmsConfirmed, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.catch_up.vms_read_at = now
+
+
+@_handle.register
+def _(event: events.PeerMessageReceived, kernel: Kernel, now: datetime.datetime) -> None:
+    _take_message(event.message, kernel, event.route, now)
 
 
 @_handle.register
@@ -215,8 +264,41 @@
     if kernel.target_table.expire(now):
         kernel.dispatcher.place_waiting(now)
     kernel.dispatcher.policy.ticked(now)
+    outbox = kernel.dispatcher.outbox
+    if kernel.snapshot_schedule.take_due(now):
+        outbox.append(actions.AppendSnapshot(snapshot=kernel.configuration.snapshot()))
+    outbox.extend(kernel.catch_up.ask_if_due(now, kernel.follower.is_scanning))
 
 
 @_handle.register
 def _(event: events.DrainRequested, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.draining = True
+
+
+@functools.singledispatch
+def _take_message(
+    message: peers.PeerMessage, kernel: Kernel, route: bytes, now: datetime.datetime
+) -> None:
+    raise TypeError(f"no handler for peer message {type(message).__name__}")
+
+
+@_take_message.register
+def _(
+    message: peers.ConfigurationAsk, kernel: Kernel, route: bytes, now: datetime.datetime
+) -> None:
+    kernel.dispatcher.outbox.extend(kernel.catch_up.answer(message, route))
+
+
+@_take_message.register
+def _(
+    message: peers.ConfigurationChunk, kernel: Kernel, route: bytes, now: datetime.datetime
+) -> None:
+    if kernel.catch_up.take(message):
+        kernel.snapshot_schedule.assume_base(kernel.configuration.offset)
+        kernel.configuration_moved([], now)
+
+
+@_take_message.register
+def _(message: peers.ListingReply, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    if kernel.catch_up.listing is None:
+        kernel.take_listing(message.listing, now)
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chiveridge_kernel import errors, identifiers, results
+from chiveridge_kernel import errors, identifiers, records, results, vms
 
 PROTOCOL_VERSION = 1
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -43,7 +43,26 @@
     retry_after_ms: int | None = None
 
 
-PeerMessage = CallerRequest | CallerReply
+class ConfigurationAsk(msgspec.Struct, frozen=True, kw_only=True, tag="configuration_ask"):
+    """Asks for the configuration when the peer's offset is higher, and for a list of VMs."""
+
+    offset: identifiers.Offset
+    wants_listing: bool = False
+
+
+class ConfigurationChunk(msgspec.Struct, frozen=True, kw_only=True, tag="configuration_chunk"):
+    """A part of the peer's configuration."""
+
+    chunk: records.SnapshotRecord
+
+
+class ListingReply(msgspec.Struct, frozen=True, kw_only=True, tag="listing_reply"):
+    """The list of VMs that the peer last read."""
+
+    listing: vms.VmList
+
+
+PeerMessage = CallerRequest | CallerReply | ConfigurationAsk | ConfigurationChunk | ListingReply
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/packages/kernel/chiveridge_kernel/records.py
+++ b/packages/kernel/chiveridge_kernel/records.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+MAX_SNAPSHOT_CHUNKS = 64
+
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
@@ -57,6 +59,10 @@
     target: TargetObject | None = None
     rule: RuleObject | None = None
 
+    def is_deletion(self) -> bool:
+        """Tell whether the object is deleted."""
+        return self.team is None and self.target is None and self.rule is None
+
 
 class ChangeRecord(msgspec.Struct, tag="change", tag_field="type", frozen=True, kw_only=True):
     """An operator's change, applied whole or not at all; ``change_id`` makes it idempotent."""
@@ -68,6 +74,19 @@
     comment: str = ""
 
 
+class SnapshotRecord(msgspec.Struct, tag="snapshot", tag_field="type", frozen=True, kw_only=True):
+    """One chunk of a snapshot of the folded state before offset ``base``.
+
+    ``digest`` is the SHA-256 of the joined chunks; ``data`` is base64 in the log's JSON.
+    """
+
+    base: Annotated[int, msgspec.Meta(ge=1)]
+    digest: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+    index: Annotated[int, msgspec.Meta(ge=0)]
+    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_SNAPSHOT_CHUNKS)]
+    data: bytes
+
+
 class Verdict(enum.Enum):
     """What the fold decided about a change."""
 
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/snapshot_schedules.py
@@ -0,0 +1,100 @@
+"""Decides when this node writes a snapshot of the configuration into the log.
+
+Every node decides by itself, after a random delay that grows with the number of nodes; a
+snapshot that another node wrote in the meantime makes its own superfluous. Two at once are
+harmless, see :mod:`chiveridge_kernel.snapshots`.
+"""
+
+import datetime
+import random
+
+import msgspec
+
+from chiveridge_kernel import identifiers, records
+
+MAX_PARTIAL_SNAPSHOTS = 4
+
+
+class SnapshotSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """When a snapshot is due.
+
+    :param max_records: records after the newest snapshot.
+    :param max_age: age of the newest snapshot once a change was made after it.
+    :param min_interval: time between two attempts of this node.
+    :param delay_per_node: the delay is uniform from 0 to this times the number of nodes.
+    """
+
+    max_records: int = 500
+    max_age: datetime.timedelta = datetime.timedelta(hours=6)
+    min_interval: datetime.timedelta = datetime.timedelta(seconds=30)
+    delay_per_node: datetime.timedelta = datetime.timedelta(milliseconds=500)
+
+
+class SnapshotSchedule:
+    """Knows the newest whole snapshot in the log and when this node should write one."""
+
+    def __init__(self, settings: SnapshotSettings, rng: random.Random):
+        self.newest_base = identifiers.Offset(0)
+        self._settings = settings
+        self._rng = rng
+        self._last_change = identifiers.Offset(-1)
+        self._fresh_since: datetime.datetime | None = None
+        self._not_before: datetime.datetime | None = None
+        self._due: datetime.datetime | None = None
+        self._indices_by_key: dict[tuple[int, str, int], set[int]] = {}
+
+    def saw_chunk(self, chunk: records.SnapshotRecord) -> None:
+        """Learn that a chunk is in the log."""
+        key = (chunk.base, chunk.digest, chunk.count)
+        indices = self._indices_by_key.setdefault(key, set())
+        indices.add(chunk.index)
+        if len(indices) == chunk.count and chunk.base > self.newest_base:
+            self.newest_base = identifiers.Offset(chunk.base)
+            self._fresh_since = None
+            self._due = None
+        if len(self._indices_by_key) > MAX_PARTIAL_SNAPSHOTS:
+            del self._indices_by_key[min(self._indices_by_key)]
+
+    def assume_base(self, base: identifiers.Offset) -> None:
+        """Count from a state that a peer gave, as the snapshots before it were not read."""
+        self.newest_base = max(self.newest_base, base)
+
+    def saw_change(self, offset: identifiers.Offset) -> None:
+        """Learn that the record at an offset is no part of a snapshot."""
+        self._last_change = max(self._last_change, offset)
+
+    def update(
+        self,
+        offset: identifiers.Offset,
+        first: identifiers.Offset,
+        node_count: int,
+        now: datetime.datetime,
+    ) -> None:
+        """Set when to write, after records were read: next ``offset``, oldest one kept."""
+        if self._fresh_since is None:
+            self._fresh_since = now
+        if self._due is None and self._is_needed(offset, first, now):
+            delay = self._settings.delay_per_node * node_count * self._rng.random()
+            self._due = max(now + delay, self._not_before or now)
+
+    def take_due(self, now: datetime.datetime) -> bool:
+        """Tell whether to write now; the next attempt comes after the least interval."""
+        if self._due is None or self._due > now:
+            return False
+        self._due = None
+        self._not_before = now + self._settings.min_interval
+        return True
+
+    def next_due(self) -> datetime.datetime | None:
+        """Return when to write, None while no snapshot is needed."""
+        return self._due
+
+    def _is_needed(
+        self, offset: identifiers.Offset, first: identifiers.Offset, now: datetime.datetime
+    ) -> bool:
+        if self._last_change < self.newest_base:
+            return False
+        is_long = offset - self.newest_base >= self._settings.max_records
+        is_near_retention = first > 0 and self.newest_base < (first + offset) // 2
+        is_old = now - self._fresh_since >= self._settings.max_age
+        return is_long or is_near_retention or is_old
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/snapshots.py
@@ -0,0 +1,99 @@
+"""Snapshots of the folded configuration: their bytes, their chunks and how chunks are joined.
+
+The bytes are zlib-compressed msgpack. Equal states have equal bytes, so that chunks written
+by different nodes complete each other.
+"""
+
+import hashlib
+import zlib
+
+import msgspec
+
+from chiveridge_kernel import audits, errors, identifiers, records
+
+CHUNK_BYTES = 192 * 1024
+MAX_STATE_BYTES = 64 * 1024 * 1024
+MAX_PARTIAL_SNAPSHOTS = 4
+_COMPRESSION_LEVEL = 1
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The state before offset ``base``; objects are pairs of revision and object."""
+
+    base: identifiers.Offset
+    teams: list[tuple[int, records.TeamObject]]
+    targets: list[tuple[int, records.TargetObject]]
+    rules: list[tuple[int, records.RuleObject]]
+    verdicts: list[tuple[str, records.Verdict]]
+    audit: list[audits.AuditEntry]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
+def encode(snapshot: Snapshot) -> list[records.SnapshotRecord]:
+    """Return the chunks of a snapshot, each of at most :data:`CHUNK_BYTES` before base64.
+
+    :raises errors.SnapshotError: when the state is too large.
+    """
+    state = _encoder.encode(snapshot)
+    if len(state) > MAX_STATE_BYTES:
+        raise errors.SnapshotError(f"state of {len(state)} bytes is over {MAX_STATE_BYTES}")
+    data = zlib.compress(state, _COMPRESSION_LEVEL)
+    parts = [data[start : start + CHUNK_BYTES] for start in range(0, len(data), CHUNK_BYTES)]
+    if len(parts) > records.MAX_SNAPSHOT_CHUNKS:
+        raise errors.SnapshotError(f"{len(parts)} chunks are over {records.MAX_SNAPSHOT_CHUNKS}")
+    digest = hashlib.sha256(data).hexdigest()
+    return [
+        records.SnapshotRecord(
+            base=snapshot.base, digest=digest, index=index, count=len(parts), data=part
+        )
+        for index, part in enumerate(parts)
+    ]
+
+
+def decode(chunks: list[records.SnapshotRecord]) -> Snapshot:
+    """Join the chunks of one snapshot, in order.
+
+    :raises errors.SnapshotError: when they are not a whole, valid snapshot.
+    """
+    data = b"".join(chunk.data for chunk in chunks)
+    if hashlib.sha256(data).hexdigest() != chunks[0].digest:
+        raise errors.SnapshotError("the digest does not match")
+    unzip = zlib.decompressobj()
+    try:
+        state = unzip.decompress(data, MAX_STATE_BYTES)
+        snapshot = _decoder.decode(state)
+    except (zlib.error, msgspec.MsgspecError, RecursionError) as error:
+        raise errors.SnapshotError(str(error)) from error
+    if snapshot.base != chunks[0].base:
+        raise errors.SnapshotError(f"base {snapshot.base} is not {chunks[0].base}")
+    return snapshot
+
+
+class Assembler:
+    """Joins chunks that arrive in any order, repeated, or of several snapshots at once."""
+
+    def __init__(self):
+        self._chunks_by_key: dict[tuple[int, str, int], dict[int, records.SnapshotRecord]] = {}
+
+    def add(self, chunk: records.SnapshotRecord) -> Snapshot | None:
+        """Take a chunk; return the snapshot that it completes, when it is valid."""
+        key = (chunk.base, chunk.digest, chunk.count)
+        chunks_by_index = self._chunks_by_key.setdefault(key, {})
+        if chunk.index < chunk.count:
+            chunks_by_index[chunk.index] = chunk
+        if len(chunks_by_index) == chunk.count:
+            del self._chunks_by_key[key]
+            return _decode_or_none([chunks_by_index[index] for index in range(chunk.count)])
+        if len(self._chunks_by_key) > MAX_PARTIAL_SNAPSHOTS:
+            del self._chunks_by_key[min(self._chunks_by_key)]
+        return None
+
+
+def _decode_or_none(chunks: list[records.SnapshotRecord]) -> Snapshot | None:
+    try:
+        return decode(chunks)
+    except errors.SnapshotError:
+        return None
--- /dev/null
+++ b/packages/kernel/tests/test_snapshot_schedules.py
@@ -0,0 +1,77 @@
+import datetime
+import random
+
+import pytest
+
+from chiveridge_kernel import clocks, records, snapshot_schedules
+
+SETTINGS = snapshot_schedules.SnapshotSettings(max_records=100)
+SECOND = datetime.timedelta(seconds=1)
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def schedule():
+    return snapshot_schedules.SnapshotSchedule(SETTINGS, random.Random(3))
+
+
+def chunk(base, index=0, count=1):
+    return records.SnapshotRecord(base=base, digest="0" * 64, index=index, count=count, data=b"")
+
+
+def test_a_long_tail_makes_a_snapshot_due_within_the_delay(schedule, clock):
+    schedule.saw_change(99)
+    schedule.update(99, 0, 10, clock.now())
+    assert schedule.next_due() is None
+    schedule.update(100, 0, 10, clock.now())
+    assert clock.now() <= schedule.next_due() <= clock.now() + 5 * SECOND
+    assert not schedule.take_due(clock.now())
+    clock.advance(5 * SECOND)
+    assert schedule.take_due(clock.now())
+    assert not schedule.take_due(clock.now())
+
+
+def test_a_whole_snapshot_of_another_node_makes_it_superfluous(schedule, clock):
+    schedule.saw_change(120)
+    schedule.update(121, 0, 10, clock.now())
+    schedule.saw_chunk(chunk(121, 0, 2))
+    assert schedule.next_due() is not None
+    schedule.saw_chunk(chunk(121, 1, 2))
+    assert schedule.next_due() is None
+    schedule.update(123, 0, 10, clock.now())
+    assert schedule.next_due() is None
+
+
+def test_an_attempt_that_failed_is_made_again_after_the_interval(schedule, clock):
+    schedule.saw_change(120)
+    schedule.update(121, 0, 1, clock.now())
+    clock.advance(SECOND)
+    assert schedule.take_due(clock.now())
+    schedule.update(121, 0, 1, clock.now())
+    assert schedule.next_due() == clock.now() + SETTINGS.min_interval
+
+
+@pytest.mark.parametrize(
+    ("newest", "first", "is_due"), [(0, 0, False), (20, 10, True), (30, 10, False)]
+)
+def test_a_snapshot_is_due_before_its_records_expire(schedule, clock, newest, first, is_due):
+    if newest:
+        schedule.saw_chunk(chunk(newest))
+    schedule.saw_change(45)
+    schedule.update(46, first, 1, clock.now())
+    assert (schedule.next_due() is not None) is is_due
+
+
+def test_an_old_snapshot_is_replaced_only_after_a_change(schedule, clock):
+    schedule.saw_chunk(chunk(20))
+    schedule.update(21, 0, 1, clock.now())
+    clock.advance(SETTINGS.max_age)
+    schedule.update(21, 0, 1, clock.now())
+    assert schedule.next_due() is None
+    schedule.saw_change(21)
+    schedule.update(22, 0, 1, clock.now())
+    assert schedule.next_due() is not None
--- /dev/null
+++ b/packages/kernel/tests/test_snapshots.py
@@ -0,0 +1,81 @@
+import hashlib
+
+import msgspec
+import pytest
+
+from chiveridge_kernel import errors, records, snapshots
+
+
+def snapshot_of(count, labels=3):
+    teams = [
+        (
+            i + 1,
+            records.TeamObject(name=f"team-{i}", labels={f"k{j}": str(i) for j in range(labels)}),
+        )
+        for i in range(count)
+    ]
+    return snapshots.Snapshot(count, teams, [], [], [], [])
+
+
+def test_encoding_is_the_same_each_time_and_decodes():
+    snapshot = snapshot_of(50)
+    assert snapshots.encode(snapshot) == snapshots.encode(snapshot_of(50))
+    assert snapshots.decode(snapshots.encode(snapshot)) == snapshot
+
+
+@pytest.mark.parametrize("torn", [lambda c: c[1:], lambda c: c[:-1], lambda c: [*c[:1], *c[:-1]]])
+def test_torn_snapshots_are_refused(monkeypatch, torn):
+    monkeypatch.setattr(snapshots, "CHUNK_BYTES", 100)
+    with pytest.raises(errors.SnapshotError):
+        snapshots.decode(torn(snapshots.encode(snapshot_of(50))))
+
+
+@pytest.mark.parametrize("data", [b"", b"not zlib", b"\x78\x9c"])
+def test_corrupt_snapshots_with_a_right_digest_are_refused(data):
+    digest = hashlib.sha256(data).hexdigest()
+    chunk = records.SnapshotRecord(base=1, digest=digest, index=0, count=1, data=data)
+    assembler = snapshots.Assembler()
+    assert assembler.add(chunk) is None
+
+
+def test_a_snapshot_whose_digest_does_not_match_is_refused():
+    chunks = snapshots.encode(snapshot_of(5))
+    wrong = msgspec.structs.replace(chunks[0], digest="0" * 64)
+    assert snapshots.Assembler().add(wrong) is None
+    assert snapshots.Assembler().add(chunks[0]) == snapshot_of(5)
+
+
+def test_a_state_that_grows_beyond_the_limit_is_refused(monkeypatch):
+    chunks = snapshots.encode(snapshot_of(1000))
+    monkeypatch.setattr(snapshots, "MAX_STATE_BYTES", 1000)
+    with pytest.raises(errors.SnapshotError):
+        snapshots.decode(chunks)
+    with pytest.raises(errors.SnapshotError):
+        snapshots.encode(snapshot_of(1000))
+
+
+def test_the_memory_for_unfinished_snapshots_is_bounded():
+    assembler = snapshots.Assembler()
+    for base in range(1, 50):
+        digest = hashlib.sha256(str(base).encode()).hexdigest()
+        chunk = records.SnapshotRecord(base=base, digest=digest, index=0, count=2, data=b"x")
+        assembler.add(chunk)
+    assert len(assembler._chunks_by_key) <= snapshots.MAX_PARTIAL_SNAPSHOTS
+
+
+def test_the_largest_configuration_fits():
+    """4,100 targets, each approved for 160 teams, as the target size has it."""
+    teams = [f"dispatch-team-{i}" for i in range(160)]
+    targets = [
+        records.TargetObject(
+            name=f"domain-{i % 16}-worker-{i}",
+            labels={"domain": f"domain-{i % 16}", "rack": f"rack-{i // 8}", "kind": "dryer"},
+            approved_teams=teams,
+        )
+        for i in range(4_100)
+    ]
+    snapshot = snapshots.Snapshot(9, [], [(9, target) for target in targets], [], [], [])
+    chunks = snapshots.encode(snapshot)
+    assert len(chunks) <= records.MAX_SNAPSHOT_CHUNKS
+    assert max(len(msgspec.json.encode(chunk)) for chunk in chunks) <= 256 * 1024 + 512
+    assert snapshots.decode(chunks) == snapshot
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -1,6 +1,7 @@
 """The node: kernel, shell and adapters put together, from start to drained exit."""
 
 import asyncio
+import datetime
 import json
 import random
 import secrets
@@ -9,16 +10,30 @@
 
 import msgspec
 
-from chiveridge_kernel import actions, events, identifiers, kernels, records
+from chiveridge_kernel import (
+    actions,
+    catch_ups,
+    events,
+    identifiers,
+    kernels,
+    records,
+    snapshot_schedules,
+)
 from chiveridge_node import clocks, logevents, plugins, requests, settings, shells, signals
 
 _INCARNATION_BYTES = 8
 _SECRET_BYTES = 32
+_OUTAGE_MARGIN = datetime.timedelta(seconds=5)
 _LOG_EVENTS_BY_VERDICT = {records.Verdict.ACCEPTED: logevents.LogEvent.CHANGE_ACCEPTED}
 
 
 class NodeStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """A node's view of the system, for operators."""
+    """A node's view of the system, for operators.
+
+    Staleness is the time since the platform's log or list of VMs was last read, None when it
+    never was; ``config_is_complete`` is false while records have expired before they were
+    read and no snapshot of them was found.
+    """
 
     name: str
     domain: str
@@ -26,6 +41,9 @@
     ready: bool
     draining: bool
     config_offset: int
+    config_staleness_s: float | None
+    config_is_complete: bool
+    vms_staleness_s: float | None
     targets: list[str]
     nodes: list[str]
     jobs_in_progress: int
@@ -67,6 +85,8 @@
     def status(self) -> NodeStatus:
         """Return the node's view of the system."""
         dispatcher = self.kernel.dispatcher
+        catch_up = self.kernel.catch_up
+        now = self.shell.clock.now()
         return NodeStatus(
             name=self.settings.node.name,
             domain=self.settings.node.domain,
@@ -74,6 +94,9 @@
             ready=self.kernel.is_ready(),
             draining=self.kernel.draining,
             config_offset=self.kernel.configuration.offset,
+            config_staleness_s=catch_ups.staleness_s(catch_up.log_read_at, now),
+            config_is_complete=not self.kernel.follower.is_scanning,
+            vms_staleness_s=catch_ups.staleness_s(catch_up.vms_read_at, now),
             targets=sorted(self.kernel.target_table.vms_by_name),
             nodes=sorted(self.kernel.members.vms_by_name),
             jobs_in_progress=len(dispatcher.jobs_by_id),
@@ -122,6 +145,29 @@
         incarnation=identifiers.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
         secret=secrets.token_bytes(_SECRET_BYTES),
         policy=node_settings.placement.policy,
+        snapshots=_snapshot_settings(node_settings.snapshots),
+        catch_up=_catch_up_settings(node_settings),
+    )
+
+
+def _snapshot_settings(
+    section: settings.SnapshotsSection,
+) -> snapshot_schedules.SnapshotSettings:
+    return snapshot_schedules.SnapshotSettings(
+        max_records=section.records,
+        max_age=datetime.timedelta(milliseconds=section.max_age_ms),
+        min_interval=datetime.timedelta(milliseconds=section.min_interval_ms),
+        delay_per_node=datetime.timedelta(milliseconds=section.delay_ms_per_node),
+    )
+
+
+def _catch_up_settings(node_settings: settings.Settings) -> catch_ups.CatchUpSettings:
+    # An idle read lasts as long as it may wait; only a longer silence is an outage.
+    idle_read = datetime.timedelta(milliseconds=node_settings.platform.poll_wait_ms)
+    seeds = settings.parse_seeds(node_settings.node.seeds)
+    return catch_ups.CatchUpSettings(
+        silence=idle_read + _OUTAGE_MARGIN,
+        seeds=tuple(catch_ups.seed_of(address, port) for address, port in seeds),
     )
 
 
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -6,7 +6,7 @@
 import zmq
 import zmq.asyncio
 
-from chiveridge_kernel import actions, events, peers, vms
+from chiveridge_kernel import actions, events, peers, records, snapshots, vms
 from chiveridge_node import logevents, plugins
 
 HIGH_WATER_MARK = 1000
@@ -23,6 +23,8 @@
         self._router: zmq.asyncio.Socket | None = None
         self._dealers_by_endpoint: dict[str, zmq.asyncio.Socket] = {}
         self._replies_by_request: dict[int, asyncio.Future] = {}
+        self._encoding = asyncio.Lock()
+        self._chunks: list[records.SnapshotRecord] = []
         self._request_ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
         self.port = 0
@@ -40,6 +42,8 @@
         self._in_background(self._receive_requests())
         self._node.requests.forward = self.forward
         self._node.shell.perform_with(actions.SendToPeer, self.send)
+        self._node.shell.perform_with(actions.ReplyToPeer, self._reply)
+        self._node.shell.perform_with(actions.SendSnapshot, self._send_snapshot)
 
     async def close(self) -> None:
         """Close every socket."""
@@ -71,6 +75,25 @@
         sending = self._dealer(action.peer).send(peers.encode(action.message), zmq.NOBLOCK)
         sending.add_done_callback(_ignore_dropped)
 
+    def _reply(self, action: actions.ReplyToPeer) -> None:
+        """Send a message back without waiting; it is dropped when the peer has gone."""
+        parts = [action.route, peers.encode(action.message)]
+        sending = self._router.send_multipart(parts, zmq.NOBLOCK)
+        sending.add_done_callback(_ignore_dropped)
+
+    def _send_snapshot(self, action: actions.SendSnapshot) -> None:
+        self._in_background(self._send_chunks(action.route, action.snapshot))
+
+    async def _send_chunks(self, route: bytes, snapshot: snapshots.Snapshot) -> None:
+        """Send the chunks, encoded once for each offset."""
+        async with self._encoding:
+            if not self._chunks or self._chunks[0].base != snapshot.base:
+                self._chunks = await asyncio.to_thread(snapshots.encode, snapshot)
+            chunks = self._chunks
+        for chunk in chunks:
+            data = peers.encode(peers.ConfigurationChunk(chunk=chunk))
+            await self._router.send_multipart([route, data])
+
     def _dealer(self, peer: vms.Vm) -> zmq.asyncio.Socket:
         endpoint = f"tcp://{peer.address}:{peer.peer_port}"
         dealer = self._dealers_by_endpoint.get(endpoint)
@@ -100,7 +123,8 @@
             if isinstance(message, peers.CallerRequest):
                 self._in_background(self._serve(identity, message))
             elif message is not None:
-                self._node.shell.handle_safely(events.PeerMessageReceived(message=message))
+                event = events.PeerMessageReceived(message=message, route=identity)
+                self._node.shell.handle_safely(event)
 
     async def _receive_replies(self, dealer: zmq.asyncio.Socket) -> None:
         while True:
@@ -109,6 +133,8 @@
                 waiting = self._replies_by_request.get(message.request_id)
                 if waiting is not None and not waiting.done():
                     waiting.set_result(message)
+            elif message is not None:
+                self._node.shell.handle_safely(events.PeerMessageReceived(message=message))
 
     async def _serve(self, identity: bytes, request: peers.CallerRequest) -> None:
         reply = await self._node.requests.serve_peer(request)
--- a/packages/node/chiveridge_node/platforms_http.py
+++ b/packages/node/chiveridge_node/platforms_http.py
@@ -1,4 +1,4 @@
-"""Reads the platform's log and its list of VMs over HTTP."""
+"""Reads and appends to the platform's log, and reads its list of VMs, over HTTP."""
 
 import asyncio
 import random
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from chiveridge_kernel import events, identifiers, vms
+from chiveridge_kernel import actions, errors, events, identifiers, snapshots, vms
 from chiveridge_node import logevents, plugins
 
 MIN_BACKOFF_SECONDS = 0.1
@@ -14,11 +14,14 @@
 READ_LIMIT = 500
 
 
+_POLL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError, UnicodeError)
+
+
 class LogRecord(msgspec.Struct, frozen=True):
     """One record of a stream."""
 
     offset: identifiers.Offset
-    value: object
+    value: msgspec.Raw
 
 
 class LogPage(msgspec.Struct, frozen=True):
@@ -71,7 +74,7 @@
         while True:
             try:
                 await self.poll()
-            except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
+            except _POLL_ERRORS as error:
                 await self._back_off(error)
             else:
                 self._recovered()
@@ -90,25 +93,81 @@
 
 
 class HttpLog(_Poller):
-    """Follows the configuration stream with long polls."""
+    """Follows the configuration stream with long polls, and appends snapshots to it."""
 
     lost_event = logevents.LogEvent.LOG_UNREACHABLE
     found_event = logevents.LogEvent.LOG_REACHABLE
     _decoder = msgspec.json.Decoder(LogPage)
 
-    async def poll(self) -> None:
-        """Read the records after the applied offset."""
-        offset = self.shell.kernel.configuration.offset
-        url = (
+    def __init__(self, node):
+        super().__init__(node)
+        self._stream_url = (
             f"{self.settings.log_url}/v1/streams/{self.settings.config_stream}/records"
-            f"?from={offset}&limit={READ_LIMIT}&wait_ms={self.settings.poll_wait_ms}"
         )
-        status, page = await self.get(url, self._decoder)
+        self._appending: asyncio.Task | None = None
+        self.shell.perform_with(actions.AppendSnapshot, self._append_snapshot)
+
+    async def close(self) -> None:
+        """Stop polling and appending."""
+        if self._appending is not None:
+            self._appending.cancel()
+            await asyncio.gather(self._appending, return_exceptions=True)
+        await super().close()
+
+    async def poll(self) -> None:
+        """Read the records that the kernel needs next."""
+        offset = self.shell.kernel.follower.read_offset
+        try:
+            status, page = await self._read(offset, READ_LIMIT)
+        except RecursionError:
+            # One record that is nested too deeply makes its whole page unreadable.
+            status, page = await self._read_one(offset)
         if status == 410:
-            logevents.write(logevents.LogEvent.RECORDS_EXPIRED, offset=offset, first=page.first)
-            raise aiohttp.ClientError(f"records from {offset} have expired")
-        pairs = [(record.offset, record.value) for record in page.records]
-        self.shell.handle_safely(events.RecordsRead(records=pairs))
+            self._expired(offset, page)
+            return
+        pairs = [(record.offset, bytes(record.value)) for record in page.records]
+        event = events.RecordsRead(records=pairs, first=page.first, next_offset=page.next)
+        self.shell.handle_safely(event)
+
+    async def _read(self, offset: int, limit: int) -> tuple[int, LogPage]:
+        wait_ms = self.settings.poll_wait_ms
+        query = f"from={offset}&limit={limit}&wait_ms={wait_ms}"
+        return await self.get(f"{self._stream_url}?{query}", self._decoder)
+
+    async def _read_one(self, offset: int) -> tuple[int, LogPage]:
+        try:
+            return await self._read(offset, 1)
+        except RecursionError:
+            malformed = LogRecord(identifiers.Offset(offset), msgspec.Raw(b"null"))
+            return 200, LogPage(0, 0, [malformed])
+
+    def _expired(self, offset: int, page: LogPage) -> None:
+        logevents.write(logevents.LogEvent.RECORDS_EXPIRED, offset=offset, first=page.first)
+        event = events.RecordsExpired(first=page.first, next_offset=page.next)
+        self.shell.handle_safely(event)
+
+    def _append_snapshot(self, action: actions.AppendSnapshot) -> None:
+        if self._appending is None or self._appending.done():
+            loop = asyncio.get_running_loop()
+            self._appending = loop.create_task(self._append_chunks(action.snapshot))
+
+    async def _append_chunks(self, snapshot: snapshots.Snapshot) -> None:
+        """Append every chunk once; the kernel asks again when the log does not show them all."""
+        try:
+            chunks = await asyncio.to_thread(snapshots.encode, snapshot)
+            for chunk in chunks:
+                await self._append(msgspec.json.encode(chunk))
+        except (errors.SnapshotError, aiohttp.ClientError, OSError, TimeoutError) as error:
+            logevents.write(
+                logevents.LogEvent.SNAPSHOT_FAILED, base=snapshot.base, error=repr(error)
+            )
+            return
+        logevents.write(logevents.LogEvent.SNAPSHOT_WRITTEN, base=snapshot.base, chunks=len(chunks))
+
+    async def _append(self, value: bytes) -> None:
+        async with self._session.post(self._stream_url, data=value) as response:
+            await response.read()
+            response.raise_for_status()
 
 
 class HttpVms(_Poller):
@@ -128,6 +187,8 @@
         if listing.version != self._version:
             self._version = listing.version
             self.shell.handle_safely(events.VmsListed(listing=listing))
+        else:
+            self.shell.handle_safely(events.VmsConfirmed())
         await asyncio.sleep(self.settings.vms_interval_ms / 1000)
 
 
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -18,13 +18,17 @@
 
 
 class NodeSection(msgspec.Struct, frozen=True, kw_only=True):
-    """Who this node is; a port of 0 lets the system choose one."""
+    """Who this node is; a port of 0 lets the system choose one.
+
+    ``seeds`` are peers, ``IP:PEER_PORT,...``, to ask at start when the list of VMs is down.
+    """
 
     name: _Name
     domain: _Name
     address: str = "127.0.0.1"
     caller_port: _Port = 0
     peer_port: _Port = 0
+    seeds: str = ""
 
 
 class PlatformSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,6 +42,19 @@
     request_timeout_ms: _Milliseconds = 10_000
 
 
+class SnapshotsSection(msgspec.Struct, frozen=True, kw_only=True):
+    """When a snapshot of the configuration is written into the log.
+
+    It is due after ``records`` records or, once there was a change, ``max_age_ms``; each node
+    waits up to ``delay_ms_per_node`` for each node, and ``min_interval_ms`` between attempts.
+    """
+
+    records: Annotated[int, msgspec.Meta(ge=10, le=100_000)] = 500
+    max_age_ms: Annotated[int, msgspec.Meta(ge=1000, le=86_400_000)] = 21_600_000
+    min_interval_ms: _Milliseconds = 30_000
+    delay_ms_per_node: _Milliseconds = 500
+
+
 class PlacementSection(msgspec.Struct, frozen=True, kw_only=True):
     """How targets are chosen."""
 
@@ -67,6 +84,7 @@
 
     node: NodeSection
     platform: PlatformSection
+    snapshots: SnapshotsSection = SnapshotsSection()
     placement: PlacementSection = PlacementSection()
     targets: TargetsSection = TargetsSection()
     plugins: PluginsSection = PluginsSection()
@@ -83,6 +101,7 @@
 _SECTIONS_BY_NAME = {
     "node": NodeSection,
     "platform": PlatformSection,
+    "snapshots": SnapshotsSection,
     "placement": PlacementSection,
     "targets": TargetsSection,
     "plugins": PluginsSection,
@@ -118,6 +137,22 @@
     return Settings(**sections)
 
 
+def parse_seeds(value: str) -> list[tuple[str, int]]:
+    """Return addresses and peer ports of ``IP:PEER_PORT,...``.
+
+    :raises ValueError: when one is not of this form.
+    """
+    return [_parse_endpoint(text.strip()) for text in value.split(",") if text.strip()]
+
+
+def _parse_endpoint(text: str) -> tuple[str, int]:
+    parts = urllib.parse.urlsplit(f"//{text}")
+    if not parts.hostname or not parts.port:
+        raise ValueError(f"{text!r} is not of the form IP:PEER_PORT")
+    ipaddress.ip_address(parts.hostname)
+    return parts.hostname, parts.port
+
+
 def _parse_section(
     name: str, section_type: type, text_by_key: dict[str, str], problems: list[str]
 ) -> object:
@@ -160,6 +195,10 @@
     ipaddress.ip_address(parts.hostname or "")
 
 
+def _check_seeds(value: str) -> None:
+    parse_seeds(value)
+
+
 def _check_policy(value: str) -> None:
     if value not in placements.names():
         raise ValueError(f"{value!r} is not one of {', '.join(placements.names())}")
@@ -167,6 +206,7 @@
 
 _CHECKS_BY_KEY = {
     ("node", "address"): _check_address,
+    ("node", "seeds"): _check_seeds,
     ("platform", "log_url"): _check_url,
     ("platform", "vms_url"): _check_url,
     ("placement", "policy"): _check_policy,
