Index who reaches which target, and refuse queued work at a revocation

Cause: each change of the configuration or of the list of VMs threw away every cached answer, and each answer then went through all targets and rules; the selectors that callers send were cached without bound; a job kept the targets that it was admitted with, whatever was revoked later.

At a change the jobs of the teams concerned take the new targets. A job with none left, or whose team lost its last key, starts nothing more; what runs ends by itself, and then the job fails with APPROVAL_REVOKED and a word for each task. Starts that still wait for a connection are taken back (WithdrawStart), as they were already started for the kernel.

Ruled out: stopping what runs (it is not revoked work, and each task would end as unknown), answering at once (the tasks that run would be unknown).

Seen to fail first, on mutants in a scratch copy: the reference property without each of the links' updates, the revocation tests without the revoker, without the check of keys and with revoked tasks put back.

--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -6,6 +6,8 @@
 
 from chiveridge_kernel import configurations, identifiers, messages, peers, snapshots, vms
 
+WITHDRAWN = "withdrawn"
+
 
 class StartTask(msgspec.Struct, frozen=True, kw_only=True):
     """Start a task on a target; it must not be sent at or after ``start_before``."""
@@ -25,6 +27,12 @@
     delay: datetime.timedelta = datetime.timedelta()
 
 
+class WithdrawStart(msgspec.Struct, frozen=True, kw_only=True):
+    """Report a start as refused, for :data:`WITHDRAWN`, if nothing of it was sent yet."""
+
+    lease_id: identifiers.LeaseId
+
+
 class StopTask(msgspec.Struct, frozen=True, kw_only=True):
     """Stop a task whose result is no longer wanted."""
 
@@ -78,6 +86,7 @@
 Action = (
     StartTask
     | AskOutcome
+    | WithdrawStart
     | StopTask
     | AnswerJob
     | SendToPeer
--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -151,6 +151,29 @@
             if job.waiting:
                 self.policy.job_waiting(job, now)
 
+    def revoke(self, job: jobs.Job, reason: str, now: datetime.datetime) -> None:
+        """Start nothing more of a job; it fails, once what runs has ended, if that cuts it short.
+
+        A job whose tasks are all started goes on.
+        """
+        job.revocation = reason
+        for task in job.waiting:
+            self._give_up_revoked(task)
+        job.waiting.clear()
+        self._end_if_revoked(job, now)
+
+    def _give_up_revoked(self, task: jobs.Task) -> None:
+        task.signal(jobs.TaskSignal.GIVE_UP)
+        task.job.unfinished -= 1
+        task.job.was_cut_short = True
+
+    def _end_if_revoked(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Fail a job that was cut short, once nothing of it runs any more."""
+        if job.was_cut_short and job.unfinished == 0:
+            message = f"{job.revocation}; nothing more of this job was started"
+            code = results.ResultCode.APPROVAL_REVOKED
+            self._end(job, results.JobState.FAILED, code, message, now)
+
     def _check_runnable(self, job: jobs.Job) -> None:
         any_usable = False
         for task in job.tasks:
@@ -167,7 +190,8 @@
     ) -> None:
         self._finish(task, event, jobs.TaskSignal.SUCCEED, now)
         job = task.job
-        if job.unfinished == 0:
+        self._end_if_revoked(job, now)
+        if job.unfinished == 0 and not job.was_cut_short:
             self._end(job, results.JobState.COMPLETE, results.ResultCode.COMPLETE, "", now)
 
     def _task_failed(
@@ -185,9 +209,13 @@
         task.signal(jobs.TaskSignal.NOT_STARTED)
         task.target = None
         job = task.job
-        job.waiting.append(task)
         until = now + _BACKOFFS_BY_REASON.get(event.reason, targets.UNREACHABLE_BACKOFF)
         self._target_table.avoid(vm.name, until)
+        if job.revocation:
+            self._give_up_revoked(task)
+            self._end_if_revoked(job, now)
+            return
+        job.waiting.append(task)
         if job.deadline <= now:
             self.expire(now)
         else:
@@ -284,4 +312,5 @@
 _BACKOFFS_BY_REASON = {
     "busy": targets.BUSY_BACKOFF,
     "leaving": targets.LEAVING_EVIDENCE_LIFETIME,
+    actions.WITHDRAWN: datetime.timedelta(),
 }
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/explanations.py
@@ -0,0 +1,83 @@
+"""Explains why a team reaches a target, or what is missing."""
+
+import msgspec
+
+from chiveridge_kernel import configurations, records, selectors
+
+
+class RuleMatch(msgspec.Struct, frozen=True, kw_only=True):
+    """A rule and whether its two selectors match."""
+
+    rule: str
+    teams: str
+    targets: str
+    matches_team: bool
+    matches_target: bool
+
+
+class Explanation(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether a team reaches a target: through which rules, or what is missing."""
+
+    team: str
+    target: str
+    offset: int
+    reaches: bool
+    is_approved: bool
+    owner: str = ""
+    rules: list[RuleMatch] = []
+    missing: list[str] = []
+
+
+def explain(
+    configuration: configurations.Configuration, team_name: str, target_name: str
+) -> Explanation:
+    """Explain the reach of a team to a target by the rules that match at least one of them."""
+    team = configuration.teams_by_name.get(team_name)
+    target = configuration.targets_by_name.get(target_name)
+    matches = [_match(rule, team, target) for rule in configuration.rules_by_name.values()]
+    missing = list(_missing(team_name, team, target_name, target, matches))
+    return Explanation(
+        team=team_name,
+        target=target_name,
+        offset=configuration.offset,
+        reaches=not missing,
+        is_approved=target is not None and team_name in target.approved_teams,
+        owner=target.owner if target else "",
+        rules=[match for match in matches if match.matches_team or match.matches_target],
+        missing=missing,
+    )
+
+
+def _match(
+    rule: records.RuleObject,
+    team: records.TeamObject | None,
+    target: records.TargetObject | None,
+) -> RuleMatch:
+    return RuleMatch(
+        rule=rule.name,
+        teams=rule.teams,
+        targets=rule.targets,
+        matches_team=team is not None and selectors.parse(rule.teams).matches(team.labels),
+        matches_target=target is not None and selectors.parse(rule.targets).matches(target.labels),
+    )
+
+
+def _missing(
+    team_name: str,
+    team: records.TeamObject | None,
+    target_name: str,
+    target: records.TargetObject | None,
+    matches: list[RuleMatch],
+):
+    if team is None:
+        yield f"there is no team {team_name!r}"
+    elif not team.key_digests:
+        yield f"team {team_name!r} has no key"
+    if target is None:
+        yield f"there is no target {target_name!r}"
+    elif team_name not in target.approved_teams:
+        yield f"target {target_name!r} does not approve team {team_name!r}"
+    if team is None or target is None:
+        return
+    if not any(match.matches_team and match.matches_target for match in matches):
+        yield "no rule matches both the team and the target"
--- a/packages/kernel/chiveridge_kernel/jobs.py
+++ b/packages/kernel/chiveridge_kernel/jobs.py
@@ -112,7 +112,11 @@
 
 
 class Job:
-    """One submission while it runs; ``answer`` is set once and never changes."""
+    """One submission while it runs; ``answer`` is set once and never changes.
+
+    ``revocation`` says why nothing more of it may start; what runs then still ends by itself,
+    and the job fails only if it ``was_cut_short``, that is, a task of it was never started.
+    """
 
     def __init__(
         self,
@@ -133,6 +137,8 @@
         self.unfinished = len(self.tasks)
         self.first_start_at: datetime.datetime | None = None
         self.ended = False
+        self.revocation = ""
+        self.was_cut_short = False
 
     def running_tasks(self) -> list[Task]:
         """Return the tasks that are started and have not ended."""
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -21,7 +21,9 @@
     messages,
     peers,
     reaches,
+    records,
     results,
+    revocations,
     snapshot_schedules,
     submissions,
     targets,
@@ -62,6 +64,7 @@
         self.dispatcher = dispatchers.Dispatcher(
             self.reach, self.target_table, rng, settings.policy, settings.incarnation
         )
+        self.revoker = revocations.Revoker(self.dispatcher, self.reach)
         self.members = members.MemberTable(settings.node, settings.domain)
         self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
         self.follower = followers.Follower(self.configuration, self.snapshot_schedule.saw_chunk)
@@ -138,8 +141,21 @@
         """Bring everything that depends on the configuration up to date."""
         self.dispatcher.outbox.extend(actions.NoteChange(result=change) for change in changes)
         touched = self.configuration.take_touched()
-        if touched:
-            self.reach.invalidate()
+        if not touched:
+            return
+        changes = self.reach.update(touched)
+        self.revoker.reconsider(changes.affected_teams(), now)
+        self.revoker.refuse(self._teams_without_key(touched), now)
+        self.dispatcher.place_waiting(now)
+
+    def _teams_without_key(self, touched: set[configurations.ObjectKey]) -> set[str]:
+        teams = self.configuration.teams_by_name
+        return {
+            name
+            for kind, name in touched
+            if kind is records.ObjectKind.TEAM
+            and (name not in teams or not teams[name].key_digests)
+        }
 
     def take_listing(self, listing: vms.VmList, now: datetime.datetime) -> None:
         """Take a list of VMs, of the platform or of a peer."""
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/reach_indexes.py
@@ -0,0 +1,181 @@
+"""Which targets each team reaches, kept up to date object by object.
+
+A team reaches a target that approved it when a rule matches both. A change of one object costs
+what it touches: a target its rules and approved teams, a team the rules, a rule the teams and
+the targets it matches. What a team reaches is put together when it is asked for.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from chiveridge_kernel import configurations, records, selectors, target_indexes
+
+_NO_NAMES: frozenset[str] = frozenset()
+
+
+class TargetChange(msgspec.Struct, frozen=True):
+    """A target whose labels or reaching teams may differ."""
+
+    name: str
+    old_labels: dict[str, str]
+    new_labels: dict[str, str]
+    old_teams: frozenset[str]
+    new_teams: frozenset[str]
+
+
+class ReachChanges(msgspec.Struct):
+    """Teams whose rules differ, and targets that differ."""
+
+    teams: set[str] = msgspec.field(default_factory=set)
+    targets: list[TargetChange] = msgspec.field(default_factory=list)
+
+    def affected_teams(self) -> set[str]:
+        """Return every team that may reach other targets than before."""
+        return self.teams.union(*(target.old_teams | target.new_teams for target in self.targets))
+
+
+class ReachIndex:
+    """Teams, targets and rules of a configuration, linked by the rules that match them."""
+
+    def __init__(self, configuration: configurations.Configuration):
+        self.targets = target_indexes.TargetIndex()
+        self._configuration = configuration
+        self._selectors_by_rule: dict[str, tuple[selectors.Selector, selectors.Selector]] = {}
+        self._rules_by_team: dict[str, set[str]] = {}
+        self._rules_by_target: dict[str, set[str]] = {}
+        self._teams_by_rule: dict[str, set[str]] = {}
+        self._targets_by_rule: dict[str, set[str]] = {}
+        self._approved_by_target: dict[str, frozenset[str]] = {}
+        self._targets_by_approved: dict[str, set[str]] = {}
+        self._reached_by_team: dict[str, set[str]] = {}
+
+    def update(self, touched: Iterable[configurations.ObjectKey]) -> ReachChanges:
+        """Take over objects that were written or deleted; return what may have changed."""
+        changes = ReachChanges()
+        for kind, name in touched:
+            _UPDATERS_BY_KIND[kind](self, name, changes)
+        return changes
+
+    def reached(self, team: str) -> set[str]:
+        """Return the names of the targets that a team reaches; don't change the set."""
+        found = self._reached_by_team.get(team)
+        if found is None:
+            approved = self._targets_by_approved.get(team, _NO_NAMES)
+            found = {name for name in approved if self._is_linked(team, name)}
+            self._reached_by_team[team] = found
+        return found
+
+    def _is_linked(self, team: str, target: str) -> bool:
+        rules = self._rules_by_team.get(team, _NO_NAMES)
+        return not self._rules_by_target.get(target, _NO_NAMES).isdisjoint(rules)
+
+    def _update_target(self, name: str, changes: ReachChanges) -> None:
+        old_labels = self.targets.labels_by_name.get(name, {})
+        old_teams = self._reaching_teams(name)
+        target = self._configuration.targets_by_name.get(name)
+        if target is None:
+            self.targets.remove(name)
+        else:
+            self.targets.put(name, target.labels)
+        self._link_target(name, target)
+        self._approve(name, frozenset(target.approved_teams if target else ()))
+        new_teams = self._reaching_teams(name)
+        for team in old_teams ^ new_teams:
+            self._note_reached(team, name, team in new_teams)
+        new_labels = target.labels if target else {}
+        changes.targets.append(TargetChange(name, old_labels, new_labels, old_teams, new_teams))
+
+    def _link_target(self, name: str, target: records.TargetObject | None) -> None:
+        rules = set()
+        if target is not None:
+            rules = {
+                rule
+                for rule, (_, selector) in self._selectors_by_rule.items()
+                if selector.matches(target.labels)
+            }
+        _relink(self._rules_by_target, self._targets_by_rule, name, rules)
+
+    def _approve(self, name: str, approved: frozenset[str]) -> None:
+        known = self._approved_by_target.pop(name, _NO_NAMES)
+        for team in known - approved:
+            names = self._targets_by_approved[team]
+            names.discard(name)
+            if not names:
+                del self._targets_by_approved[team]
+        for team in approved - known:
+            self._targets_by_approved.setdefault(team, set()).add(name)
+        if approved:
+            self._approved_by_target[name] = approved
+
+    def _reaching_teams(self, name: str) -> frozenset[str]:
+        approved = self._approved_by_target.get(name, _NO_NAMES)
+        return frozenset(team for team in approved if self._is_linked(team, name))
+
+    def _note_reached(self, team: str, target: str, is_reached: bool) -> None:
+        reached = self._reached_by_team.get(team)
+        if reached is None:
+            return
+        if is_reached:
+            reached.add(target)
+        else:
+            reached.discard(target)
+
+    def _update_team(self, name: str, changes: ReachChanges) -> None:
+        team = self._configuration.teams_by_name.get(name)
+        rules = set()
+        if team is not None:
+            rules = {
+                rule
+                for rule, (selector, _) in self._selectors_by_rule.items()
+                if selector.matches(team.labels)
+            }
+        if _relink(self._rules_by_team, self._teams_by_rule, name, rules):
+            self._forget_reached([name], changes)
+
+    def _update_rule(self, name: str, changes: ReachChanges) -> None:
+        affected = set(self._teams_by_rule.get(name, _NO_NAMES))
+        rule = self._configuration.rules_by_name.get(name)
+        teams: set[str] = set()
+        targets: set[str] = set()
+        self._selectors_by_rule.pop(name, None)
+        if rule is not None:
+            pair = (selectors.parse(rule.teams), selectors.parse(rule.targets))
+            self._selectors_by_rule[name] = pair
+            teams = self._matching_teams(pair[0])
+            targets = self.targets.match(pair[1])
+        _relink(self._teams_by_rule, self._rules_by_team, name, teams)
+        _relink(self._targets_by_rule, self._rules_by_target, name, targets)
+        self._forget_reached(affected | teams, changes)
+
+    def _matching_teams(self, selector: selectors.Selector) -> set[str]:
+        teams = self._configuration.teams_by_name
+        return {name for name, team in teams.items() if selector.matches(team.labels)}
+
+    def _forget_reached(self, teams: Iterable[str], changes: ReachChanges) -> None:
+        for team in teams:
+            self._reached_by_team.pop(team, None)
+            changes.teams.add(team)
+
+
+_UPDATERS_BY_KIND = {
+    records.ObjectKind.TEAM: ReachIndex._update_team,
+    records.ObjectKind.TARGET: ReachIndex._update_target,
+    records.ObjectKind.RULE: ReachIndex._update_rule,
+}
+
+
+def _relink(
+    linked: dict[str, set[str]], backwards: dict[str, set[str]], name: str, found: set[str]
+) -> bool:
+    """Make ``found`` what ``name`` is linked to, both ways; tell whether that differs."""
+    known = linked.pop(name, _NO_NAMES)
+    for other in known - found:
+        backwards[other].discard(name)
+        if not backwards[other]:
+            del backwards[other]
+    for other in found - known:
+        backwards.setdefault(other, set()).add(name)
+    if found:
+        linked[name] = found
+    return known != found
--- a/packages/kernel/chiveridge_kernel/reaches.py
+++ b/packages/kernel/chiveridge_kernel/reaches.py
@@ -1,8 +1,25 @@
 """Which targets a team may reach, and why not when it may not."""
 
-from collections.abc import Mapping
+import collections
+import hashlib
+import weakref
+from collections.abc import Iterable, Mapping
 
-from chiveridge_kernel import configurations, errors, identifiers, messages, results, selectors, vms
+import msgspec
+
+from chiveridge_kernel import (
+    configurations,
+    errors,
+    identifiers,
+    messages,
+    reach_indexes,
+    results,
+    selectors,
+    vms,
+)
+
+MAX_QUERIES_PER_TEAM = 16
+MAX_SINGLE_CHANGES = 64
 
 
 class Candidates:
@@ -10,91 +27,147 @@
 
     def __init__(self, found: tuple[vms.Vm, ...]):
         self.vms = found
-        self._vms_by_capacity: dict[tuple[int, int, int], list[vms.Vm]] = {}
+        self._capacities = frozenset(map(_capacity, found))
         self._fitting_by_capacities: dict[tuple, tuple[vms.Vm, ...]] = {}
-        for vm in found:
-            capacity = (vm.memory_mb, vm.cores, vm.accelerators)
-            self._vms_by_capacity.setdefault(capacity, []).append(vm)
 
     def fitting(self, task: messages.TaskSpec) -> tuple[vms.Vm, ...]:
         """Return the targets that are large enough for a task's declared needs."""
-        capacities = tuple(capacity for capacity in self._vms_by_capacity if _fits(task, capacity))
-        if len(capacities) == len(self._vms_by_capacity):
+        capacities = tuple(capacity for capacity in self._capacities if _fits(task, capacity))
+        if len(capacities) == len(self._capacities):
             return self.vms
         found = self._fitting_by_capacities.get(capacities)
         if found is None:
-            found = tuple(vm for key in capacities for vm in self._vms_by_capacity[key])
+            found = tuple(vm for vm in self.vms if _capacity(vm) in capacities)
             self._fitting_by_capacities[capacities] = found
         return found
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    """The answer to a query: candidates, or the code and the message of a refusal."""
+
+    selector: selectors.Selector
+    candidates: Candidates | None = None
+    code: results.ResultCode = results.ResultCode.NOT_APPROVED
+    message: str = ""
+
+
 class Reach:
-    """Answers for one configuration and one list of VMs, cached until either changes."""
+    """Answers for one configuration and one list of VMs.
+
+    Answers are kept until a change touches them, :data:`MAX_QUERIES_PER_TEAM` for each team;
+    equal sets of targets are kept once.
+    """
 
     def __init__(self, configuration: configurations.Configuration):
-        self._configuration = configuration
+        self._index = reach_indexes.ReachIndex(configuration)
         self._vms_by_name: Mapping[str, vms.Vm] = {}
-        self._approved_by_team: dict[str, frozenset[str]] = {}
-        self._candidates_by_query: dict[tuple[str, str], Candidates] = {}
-
-    def invalidate(self) -> None:
-        """Forget cached answers after the configuration changed."""
-        self._approved_by_team.clear()
-        self._candidates_by_query.clear()
+        self._answers_by_team: dict[str, collections.OrderedDict[str, _Answer]] = {}
+        self._candidates_by_digest: weakref.WeakValueDictionary[bytes, Candidates]
+        self._candidates_by_digest = weakref.WeakValueDictionary()
+
+    def update(self, touched: Iterable[configurations.ObjectKey]) -> reach_indexes.ReachChanges:
+        """Take over objects of the configuration that were written or deleted."""
+        changes = self._index.update(touched)
+        if len(changes.targets) > MAX_SINGLE_CHANGES:
+            self._answers_by_team.clear()
+        for team in changes.teams:
+            self._answers_by_team.pop(team, None)
+        self._forget_where(lambda team, answer: _is_touched(team, answer, changes))
+        return changes
 
     def replace_vms(self, vms_by_name: Mapping[str, vms.Vm]) -> None:
         """Take a new list of target VMs."""
-        self._vms_by_name = vms_by_name
-        self.invalidate()
+        known, self._vms_by_name = self._vms_by_name, vms_by_name
+        names = known.keys() | vms_by_name.keys()
+        changed = [name for name in names if known.get(name) != vms_by_name.get(name)]
+        if not changed:
+            return
+        self._candidates_by_digest.clear()
+        if len(changed) > MAX_SINGLE_CHANGES:
+            self._answers_by_team.clear()
+        self._forget_where(lambda team, answer: self._holds_any(team, answer, changed))
+
+    def includes(self, team: identifiers.TeamName, target_name: str) -> bool:
+        """Tell whether a team reaches a target."""
+        return target_name in self._index.reached(team)
 
     def candidates(self, team: identifiers.TeamName, selector_text: str) -> Candidates:
         """Return the targets that a team's submission may run on.
 
         :raises errors.RefusedError: when there is none, with the reason.
         """
-        query = (team, selector_text)
-        found = self._candidates_by_query.get(query)
-        if found is None:
-            found = Candidates(self._select(team, selector_text))
-            self._candidates_by_query[query] = found
-        return found
-
-    def _select(self, team: identifiers.TeamName, selector_text: str) -> tuple[vms.Vm, ...]:
+        answers = self._answers_by_team.setdefault(team, collections.OrderedDict())
+        answer = answers.get(selector_text)
+        if answer is None:
+            answer = self._select(team, selector_text)
+            answers[selector_text] = answer
+            if len(answers) > MAX_QUERIES_PER_TEAM:
+                answers.popitem(last=False)
+        else:
+            answers.move_to_end(selector_text)
+        if answer.candidates is None:
+            raise errors.RefusedError(answer.code, answer.message)
+        return answer.candidates
+
+    def _select(self, team: identifiers.TeamName, selector_text: str) -> _Answer:
         selector = _parse(selector_text)
-        matching = [
-            vm for vm in self._vms_by_name.values() if selector.matches(self._labels_of(vm.name))
-        ]
-        if not matching:
-            message = f"selector {selector_text!r} matches no target"
-            raise errors.RefusedError(results.ResultCode.NO_SUCH_TARGET, message)
-        approved = self._approved(team)
-        found = tuple(vm for vm in matching if vm.name in approved)
-        if not found:
+        matching = self._index.targets.match(selector)
+        names = matching & self._index.reached(team) & self._vms_by_name.keys()
+        if names:
+            return _Answer(selector, self._candidates_of(names))
+        if self._matches_any_vm(selector, matching):
             message = f"team {team!r} is not approved for any target that {selector_text!r} matches"
-            raise errors.RefusedError(results.ResultCode.NOT_APPROVED, message)
-        return found
-
-    def _approved(self, team: identifiers.TeamName) -> frozenset[str]:
-        approved = self._approved_by_team.get(team)
-        if approved is None:
-            approved = frozenset(name for name in self._vms_by_name if self._reaches(team, name))
-            self._approved_by_team[team] = approved
-        return approved
-
-    def _reaches(self, team: identifiers.TeamName, target_name: str) -> bool:
-        target = self._configuration.targets_by_name.get(target_name)
-        caller = self._configuration.teams_by_name.get(team)
-        if target is None or caller is None or team not in target.approved_teams:
-            return False
+            return _Answer(selector, code=results.ResultCode.NOT_APPROVED, message=message)
+        message = f"selector {selector_text!r} matches no target"
+        return _Answer(selector, code=results.ResultCode.NO_SUCH_TARGET, message=message)
+
+    def _candidates_of(self, names: set[str]) -> Candidates:
+        found = tuple(vm for name, vm in self._vms_by_name.items() if name in names)
+        text = "\n".join(vm.name for vm in found)
+        digest = hashlib.blake2b(text.encode(), digest_size=16).digest()
+        candidates = self._candidates_by_digest.get(digest)
+        if candidates is None:
+            candidates = Candidates(found)
+            self._candidates_by_digest[digest] = candidates
+        return candidates
+
+    def _matches_any_vm(self, selector: selectors.Selector, matching: set[str]) -> bool:
+        if not matching.isdisjoint(self._vms_by_name):
+            return True
+        # A VM that no operator has described has no labels.
+        labels_by_name = self._index.targets.labels_by_name
+        has_plain_vm = any(name not in labels_by_name for name in self._vms_by_name)
+        return has_plain_vm and selector.matches({})
+
+    def _forget_where(self, is_stale) -> None:
+        for team, answers in self._answers_by_team.items():
+            stale = [text for text, answer in answers.items() if is_stale(team, answer)]
+            for text in stale:
+                del answers[text]
+
+    def _holds_any(self, team: str, answer: _Answer, names: list[str]) -> bool:
+        if answer.candidates is None:
+            return True
+        reached = self._index.reached(team)
+        labels_by_name = self._index.targets.labels_by_name
         return any(
-            selectors.parse(rule.teams).matches(caller.labels)
-            and selectors.parse(rule.targets).matches(target.labels)
-            for rule in self._configuration.rules_by_name.values()
+            name in reached and answer.selector.matches(labels_by_name[name]) for name in names
         )
 
-    def _labels_of(self, target_name: str) -> dict[str, str]:
-        target = self._configuration.targets_by_name.get(target_name)
-        return target.labels if target else {}
+
+def _is_touched(team: str, answer: _Answer, changes: reach_indexes.ReachChanges) -> bool:
+    if answer.candidates is None:
+        return True
+    for target in changes.targets:
+        was_in = team in target.old_teams and answer.selector.matches(target.old_labels)
+        is_in = team in target.new_teams and answer.selector.matches(target.new_labels)
+        if was_in != is_in:
+            return True
+    return False
+
+
+def _capacity(vm: vms.Vm) -> tuple[int, int, int]:
+    return vm.memory_mb, vm.cores, vm.accelerators
 
 
 def _fits(task: messages.TaskSpec, capacity: tuple[int, int, int]) -> bool:
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/revocations.py
@@ -0,0 +1,49 @@
+"""Applies a change of what teams may reach to work that is already here.
+
+Tasks not yet started go only to targets that the team still reaches, and a job that has none
+left fails. Starts that wait for a connection are taken back. What runs is left to end.
+"""
+
+import datetime
+
+from chiveridge_kernel import actions, dispatchers, errors, jobs, reaches
+
+
+class Revoker:
+    """Goes through the jobs of a dispatcher after the configuration changed."""
+
+    def __init__(self, dispatcher: dispatchers.Dispatcher, reach: reaches.Reach):
+        self._dispatcher = dispatcher
+        self._reach = reach
+
+    def reconsider(self, teams: set[str], now: datetime.datetime) -> None:
+        """Let the jobs of teams use what they reach now, and nothing else."""
+        for job in self._jobs_of(teams):
+            self._reconsider_job(job, now)
+            for task in job.running_tasks():
+                if not self._reach.includes(job.team, task.target.name):
+                    self._withdraw(task)
+
+    def refuse(self, teams: set[str], now: datetime.datetime) -> None:
+        """Start nothing more for teams whose last key was removed."""
+        for job in self._jobs_of(teams):
+            self._dispatcher.revoke(job, f"team {job.team!r} has no key any more", now)
+            for task in job.running_tasks():
+                self._withdraw(task)
+
+    def _jobs_of(self, teams: set[str]) -> list[jobs.Job]:
+        found = self._dispatcher.jobs_by_id.values()
+        return [job for job in found if job.team in teams and not job.revocation]
+
+    def _reconsider_job(self, job: jobs.Job, now: datetime.datetime) -> None:
+        try:
+            job.candidates = self._reach.candidates(job.team, job.selector)
+        except errors.RefusedError as refusal:
+            self._dispatcher.revoke(job, refusal.message, now)
+            return
+        if not all(job.candidates.fitting(task.spec) for task in job.waiting):
+            reason = "a task fits no target that the team may still use"
+            self._dispatcher.revoke(job, reason, now)
+
+    def _withdraw(self, task: jobs.Task) -> None:
+        self._dispatcher.outbox.append(actions.WithdrawStart(lease_id=task.lease_id))
--- /dev/null
+++ b/packages/kernel/tests/test_reaches.py
@@ -0,0 +1,221 @@
+import random
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from chiveridge_kernel import (
+    configurations,
+    errors,
+    messages,
+    reach_indexes,
+    reaches,
+    records,
+    results,
+    selectors,
+    vms,
+)
+
+TEAMS = ["ikeja", "lekki", "surulere"]
+TARGETS = ["t1", "t2", "t3", "t4"]
+SELECTORS = [
+    "",
+    "kind=dryer",
+    "kind!=dryer",
+    "zone in (a, b), kind",
+    "zone notin (a), !kind",
+    "!kind",
+    "zone",
+    "kind==washer, zone!=b",
+    "other=1",
+]
+LABELS = strategies.fixed_dictionaries(
+    {},
+    optional={
+        "kind": strategies.sampled_from(["dryer", "washer", ""]),
+        "zone": strategies.sampled_from(["a", "b", "c"]),
+    },
+)
+SELECTOR = strategies.sampled_from(SELECTORS)
+WRITES = strategies.one_of(
+    strategies.builds(
+        lambda name, labels: (records.ObjectKind.TEAM, name, labels),
+        strategies.sampled_from(TEAMS),
+        LABELS,
+    ),
+    strategies.builds(
+        lambda name, labels, approved: (records.ObjectKind.TARGET, name, (labels, approved)),
+        strategies.sampled_from(TARGETS),
+        LABELS,
+        strategies.lists(strategies.sampled_from(TEAMS), unique=True),
+    ),
+    strategies.builds(
+        lambda name, teams, targets: (records.ObjectKind.RULE, name, (teams, targets)),
+        strategies.sampled_from(["r1", "r2", "r3"]),
+        SELECTOR,
+        SELECTOR,
+    ),
+    strategies.builds(
+        lambda kind, number: (kind, (TEAMS, TARGETS, ["r1", "r2", "r3"])[number][number], None),
+        strategies.sampled_from(list(records.ObjectKind)),
+        strategies.integers(0, 2),
+    ),
+)
+STEPS = strategies.lists(
+    strategies.one_of(WRITES, strategies.sets(strategies.sampled_from(TARGETS))), max_size=25
+)
+
+
+def vm(name, cores=8):
+    return vms.Vm(
+        name=name, role=vms.VmRole.TARGET, domain="d", address="127.0.0.1", port=1, cores=cores
+    )
+
+
+def object_of(kind, name, fields):
+    if kind is records.ObjectKind.TEAM:
+        return records.TeamObject(name=name, labels=fields)
+    if kind is records.ObjectKind.TARGET:
+        return records.TargetObject(name=name, labels=fields[0], approved_teams=fields[1])
+    return records.RuleObject(name=name, teams=fields[0], targets=fields[1])
+
+
+class System:
+    """A configuration and its reach, changed step by step."""
+
+    def __init__(self):
+        self.configuration = configurations.Configuration()
+        self.reach = reaches.Reach(self.configuration)
+        self.vms_by_name = {}
+        self._serial = 0
+
+    def apply(self, step):
+        if isinstance(step, set):
+            self.vms_by_name = {name: vm(name) for name in sorted(step)}
+            self.reach.replace_vms(self.vms_by_name)
+            return
+        kind, name, fields = step
+        based_on = self.configuration.revision_of(kind, name)
+        value = None if fields is None else object_of(kind, name, fields)
+        if value is None and not based_on:
+            return
+        write = records.ObjectWrite(kind=kind, name=name, based_on=based_on, **{kind.value: value})
+        self._serial += 1
+        change = records.ChangeRecord(
+            change_id=str(self._serial), actor="a", changed_at="", writes=[write]
+        )
+        offset = self.configuration.offset
+        result = self.configuration.apply(offset, configurations.encode_change(change))
+        assert result.verdict is records.Verdict.ACCEPTED
+        self.reach.update(self.configuration.take_touched())
+
+    def query(self, team, text):
+        try:
+            return {found.name for found in self.reach.candidates(team, text).vms}
+        except errors.RefusedError as error:
+            return error.code
+
+    def reference(self, team_name, text):
+        """Return the answer by going through every object."""
+        configuration = self.configuration
+        team = configuration.teams_by_name.get(team_name)
+        selector = selectors.parse(text)
+        matching, found = set(), set()
+        for name in self.vms_by_name:
+            target = configuration.targets_by_name.get(name)
+            if selector.matches(target.labels if target else {}):
+                matching.add(name)
+            if name in matching and target and team and team_name in target.approved_teams:
+                for rule in configuration.rules_by_name.values():
+                    if selectors.parse(rule.teams).matches(team.labels) and selectors.parse(
+                        rule.targets
+                    ).matches(target.labels):
+                        found.add(name)
+        if found:
+            return found
+        code = results.ResultCode
+        return code.NOT_APPROVED if matching else code.NO_SUCH_TARGET
+
+
+def linked_system():
+    """Return a system whose teams all reach every target by one rule."""
+    built = System()
+    built.apply(set(TARGETS))
+    for team in TEAMS:
+        built.apply((records.ObjectKind.TEAM, team, {"kind": "washer"}))
+    for target in TARGETS:
+        built.apply((records.ObjectKind.TARGET, target, ({"kind": "dryer"}, TEAMS)))
+    built.apply((records.ObjectKind.RULE, "r1", ("", "")))
+    return built
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(STEPS, strategies.booleans())
+def test_every_answer_is_that_of_the_plain_reference_after_every_change(steps, is_linked):
+    system = linked_system() if is_linked else System()
+    for step in steps:
+        system.apply(step)
+        for team in TEAMS:
+            for text in SELECTORS:
+                assert system.query(team, text) == system.reference(team, text)
+
+
+@settings(derandomize=True, deadline=None, max_examples=50)
+@given(STEPS, strategies.randoms(use_true_random=False))
+def test_answers_that_were_not_asked_for_in_between_are_right_too(steps, rng):
+    system = linked_system()
+    for step in steps:
+        system.apply(step)
+        team, text = rng.choice(TEAMS), rng.choice(SELECTORS)
+        assert system.query(team, text) == system.reference(team, text)
+
+
+@pytest.fixture
+def system():
+    return linked_system()
+
+
+def test_a_change_leaves_the_answers_that_it_does_not_touch(system):
+    kept = system.reach.candidates("lekki", "kind=dryer")
+    system.apply((records.ObjectKind.TARGET, "t9", ({"kind": "dryer"}, ["ikeja"])))
+    system.apply((records.ObjectKind.TEAM, "ikeja", {"kind": "other"}))
+    assert system.reach.candidates("lekki", "kind=dryer") is kept
+    system.apply((records.ObjectKind.TARGET, "t1", ({"kind": "dryer"}, ["ikeja"])))
+    assert system.query("lekki", "kind=dryer") == {"t2", "t3", "t4"}
+
+
+def test_equal_answers_share_their_targets(system):
+    found = {id(system.reach.candidates(team, text)) for team in TEAMS for text in ("", "kind")}
+    assert len(found) == 1
+
+
+def test_the_answers_kept_for_a_team_are_bounded(system):
+    for number in range(1000):
+        assert system.query("ikeja", f"kind!=k{number}") == set(TARGETS)
+    kept = system.reach._answers_by_team["ikeja"]
+    assert len(kept) == reaches.MAX_QUERIES_PER_TEAM
+
+
+def test_the_index_keeps_nothing_of_deleted_objects(system):
+    names_by_kind = {
+        records.ObjectKind.TEAM: TEAMS,
+        records.ObjectKind.TARGET: TARGETS,
+        records.ObjectKind.RULE: ["r1"],
+    }
+    steps = [(kind, name, None) for kind, names in names_by_kind.items() for name in names]
+    random.Random(2).shuffle(steps)
+    for step in steps:
+        system.apply(step)
+    index = system.reach._index
+    kept = {name: value for name, value in vars(index).items() if isinstance(value, dict)}
+    kept |= {name: value for name, value in vars(index.targets).items()}
+    kept.pop("_reached_by_team")
+    assert not any(kept.values()), kept
+    assert isinstance(index, reach_indexes.ReachIndex)
+
+
+def test_declared_needs_choose_among_the_candidates():
+    big, small = vm("t1", cores=64), vm("t2", cores=2)
+    candidates = reaches.Candidates((big, small))
+    assert candidates.fitting(messages.TaskSpec(cores=1)) == (big, small)
+    assert candidates.fitting(messages.TaskSpec(cores=8)) == (big,)
+    assert candidates.fitting(messages.TaskSpec(cores=65)) == ()
--- /dev/null
+++ b/packages/kernel/tests/test_revocations.py
@@ -0,0 +1,193 @@
+import datetime
+import random
+
+import pytest
+
+from chiveridge_kernel import (
+    actions,
+    clocks,
+    configurations,
+    errors,
+    events,
+    identifiers,
+    kernels,
+    messages,
+    placements,
+    records,
+    results,
+    vms,
+)
+
+Outcome = events.LeaseOutcome
+Word = results.TaskOutcome
+TEAM = identifiers.TeamName("ikeja")
+DIGEST = "0" * 64
+MAX_RUNNING = 2
+
+
+class TwoAtOncePolicy(placements.Policy):
+    """Starts at most two tasks of a job at once, so that the others wait."""
+
+    def job_waiting(self, job, now):
+        while job.waiting and len(job.running_tasks()) < MAX_RUNNING:
+            task = job.waiting[0]
+            found = self.starter.usable(job, task)
+            if not found:
+                return
+            self.starter.start(task, found[0], now)
+
+
+placements.register("two_at_once")(TwoAtOncePolicy)
+
+
+class System:
+    """A kernel with two targets of one team, and a job of four tasks."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock()
+        settings = kernels.KernelSettings(
+            node="e1", domain="d", incarnation="i1", secret=b"s", policy="two_at_once"
+        )
+        self.kernel = kernels.Kernel(settings, random.Random(4))
+        self.done = []
+        found = [
+            vms.Vm(name=name, role=vms.VmRole.TARGET, domain="d", address="127.0.0.1", port=1)
+            for name in ("t1", "t2")
+        ]
+        self.handle(events.VmsListed(listing=vms.VmList(1, found)))
+        self.put(records.TeamObject(name=TEAM, key_digests=[DIGEST]))
+        self.put(records.TargetObject(name="t1", approved_teams=[TEAM]))
+        self.put(records.TargetObject(name="t2", approved_teams=[TEAM]))
+        self.put(records.RuleObject(name="all"))
+
+    def handle(self, event):
+        self.done += self.kernel.handle(event, self.clock.now())
+
+    def put(self, value, kind=None, name=None):
+        kind = kind or records.ObjectKind(type(value).__name__.removesuffix("Object").lower())
+        name = name or value.name
+        configuration = self.kernel.configuration
+        write = records.ObjectWrite(
+            kind=kind,
+            name=name,
+            based_on=configuration.revision_of(kind, name),
+            **{kind.value: value},
+        )
+        offset = configuration.offset
+        change = records.ChangeRecord(
+            change_id=str(offset), actor="ada", changed_at="", writes=[write]
+        )
+        pairs = [(offset, configurations.encode_change(change))]
+        self.handle(events.RecordsRead(records=pairs))
+
+    def submit(self):
+        submission_id = self.kernel.issue(TEAM, 1, self.clock.now()).submission_ids[0]
+        submission = messages.Submission(
+            submission_id=submission_id, tasks=[messages.TaskSpec()] * 4, deadline_ms=60_000
+        )
+        self.handle(events.SubmissionReceived(team=TEAM, submission=submission, digest=b"d"))
+
+    def starts(self):
+        return [action for action in self.done if isinstance(action, actions.StartTask)]
+
+    def withdrawn(self):
+        found = [action for action in self.done if isinstance(action, actions.WithdrawStart)]
+        return {action.lease_id for action in found}
+
+    def report(self, start, outcome, reason=""):
+        self.handle(events.LeaseReported(lease_id=start.lease_id, outcome=outcome, reason=reason))
+
+    def answers(self):
+        return [action.answer for action in self.done if isinstance(action, actions.AnswerJob)]
+
+
+@pytest.fixture
+def system():
+    built = System()
+    built.submit()
+    assert [start.target.name for start in built.starts()] == ["t1", "t1"]
+    return built
+
+
+def revoke_all(system):
+    system.put(records.TargetObject(name="t2"))
+    system.put(records.TargetObject(name="t1"))
+
+
+REVOCATIONS = [
+    revoke_all,
+    lambda system: system.put(records.TeamObject(name=TEAM)),
+    lambda system: system.put(None, records.ObjectKind.TEAM, TEAM),
+    lambda system: system.put(None, records.ObjectKind.RULE, "all"),
+]
+
+
+@pytest.mark.promise("configuration_in_force")
+@pytest.mark.parametrize("revoke", REVOCATIONS)
+def test_nothing_more_starts_and_what_runs_ends(system, revoke):
+    first, second = system.starts()
+    revoke(system)
+    assert system.withdrawn() == {first.lease_id, second.lease_id}
+    assert system.answers() == []
+    system.report(first, Outcome.SUCCEEDED)
+    system.report(second, Outcome.REFUSED, actions.WITHDRAWN)
+    system.clock.advance(datetime.timedelta(seconds=5))
+    system.handle(events.Ticked())
+    assert len(system.starts()) == 2
+    [answer] = system.answers()
+    assert (answer.state, answer.code) == (
+        results.JobState.FAILED,
+        results.ResultCode.APPROVAL_REVOKED,
+    )
+    assert "nothing more of this job was started" in answer.message
+    words = [task.outcome for task in answer.tasks]
+    assert words == [Word.SUCCEEDED, Word.NOT_RUN, Word.NOT_RUN, Word.NOT_RUN]
+    assert not answer.may_resubmit
+
+
+@pytest.mark.promise("configuration_in_force")
+def test_a_job_with_another_approved_target_goes_on_there(system):
+    first, second = system.starts()
+    system.put(records.TargetObject(name="t1"))
+    system.report(first, Outcome.REFUSED, actions.WITHDRAWN)
+    for start in (second, *system.starts()[2:]):
+        system.report(start, Outcome.SUCCEEDED)
+    while not system.answers():
+        system.handle(events.VmsListed(listing=system.kernel.catch_up.listing))
+        pending = [s for s in system.starts() if s.lease_id in running(system)]
+        system.report(pending[0], Outcome.SUCCEEDED)
+    later = [start.target.name for start in system.starts()[2:]]
+    assert later == ["t2", "t2", "t2"]
+    assert system.answers()[0].code is results.ResultCode.COMPLETE
+
+
+def running(system):
+    [job] = system.kernel.dispatcher.jobs_by_id.values()
+    return {task.lease_id for task in job.running_tasks()}
+
+
+def test_a_job_whose_tasks_all_run_is_not_cut_short(system):
+    starts = system.starts()
+    system.report(starts[0], Outcome.SUCCEEDED)
+    system.report(starts[1], Outcome.SUCCEEDED)
+    system.handle(events.VmsListed(listing=system.kernel.catch_up.listing))
+    assert len(system.starts()) == 4
+    revoke_all(system)
+    for start in system.starts()[2:]:
+        system.report(start, Outcome.SUCCEEDED)
+    assert system.answers()[0].state is results.JobState.COMPLETE
+
+
+def test_a_change_of_another_team_changes_nothing(system):
+    system.put(records.TeamObject(name="lekki"))
+    system.put(records.TargetObject(name="t3", approved_teams=["lekki"]))
+    assert system.withdrawn() == set()
+    [job] = system.kernel.dispatcher.jobs_by_id.values()
+    assert not job.revocation
+
+
+def test_new_work_of_the_revoked_team_is_refused(system):
+    revoke_all(system)
+    with pytest.raises(errors.RefusedError, match="not approved") as caught:
+        system.submit()
+    assert caught.value.code is results.ResultCode.NOT_APPROVED
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -38,6 +38,7 @@
         self._shell = node.shell
         self._settings = node.settings.targets
         self._tasks_by_lease: dict[identifiers.LeaseId, asyncio.Task] = {}
+        self._unsent: set[identifiers.LeaseId] = set()
         self._background: set[asyncio.Task] = set()
         self._starts: aiohttp.ClientSession | None = None
         self._asks: aiohttp.ClientSession | None = None
@@ -62,6 +63,7 @@
         self._shell.perform_with(actions.StartTask, self.start)
         self._shell.perform_with(actions.AskOutcome, self.ask)
         self._shell.perform_with(actions.StopTask, self.stop)
+        self._shell.perform_with(actions.WithdrawStart, self.withdraw)
 
     async def close(self) -> None:
         """Give up what still runs and close the pools."""
@@ -76,7 +78,8 @@
         """Send a start; its outcome is reported when the target replies."""
         task = asyncio.get_running_loop().create_task(self._start(action))
         self._tasks_by_lease[action.lease_id] = task
-        task.add_done_callback(lambda _: self._tasks_by_lease.pop(action.lease_id, None))
+        self._unsent.add(action.lease_id)
+        task.add_done_callback(lambda _: self._forget(action.lease_id))
 
     def ask(self, action: actions.AskOutcome) -> None:
         """Ask for the outcome of a start over a new connection."""
@@ -89,6 +92,20 @@
             task.cancel()
         self._in_background(self._stop(action))
 
+    def withdraw(self, action: actions.WithdrawStart) -> None:
+        """Cancel a start that still waits for a connection."""
+        if action.lease_id not in self._unsent:
+            return
+        self._unsent.discard(action.lease_id)
+        self._tasks_by_lease.pop(action.lease_id).cancel()
+        reply = LeaseReply(events.LeaseOutcome.REFUSED, reason=actions.WITHDRAWN)
+        # The kernel is handling an event now, so that the report has to wait for its end.
+        asyncio.get_running_loop().call_soon(self._report, action.lease_id, reply)
+
+    def _forget(self, lease_id: identifiers.LeaseId) -> None:
+        self._tasks_by_lease.pop(lease_id, None)
+        self._unsent.discard(lease_id)
+
     def _in_background(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._background.add(task)
@@ -121,7 +138,7 @@
         url = _lease_url(action.target, action.lease_id)
         # POST only: aiohttp sends idempotent methods again when a kept connection closes.
         async with self._starts.post(
-            url, data=action.body, headers=headers, trace_request_ctx=action.start_before
+            url, data=action.body, headers=headers, trace_request_ctx=action
         ) as response:
             return _reply_decoder.decode(await response.read())
 
@@ -165,7 +182,9 @@
         """Check the start limit once a connection is at hand, just before the first byte."""
 
         async def check(session, context, params) -> None:
-            self._check_start_limit(context.trace_request_ctx)
+            action = context.trace_request_ctx
+            self._check_start_limit(action.start_before)
+            self._unsent.discard(action.lease_id)
 
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(check)
