--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -11,7 +11,7 @@
 import prometheus_client
 import uvicorn
 
-from chiveridge_kernel import errors, identifiers, messages, peers, results
+from chiveridge_kernel import dispatchers, errors, identifiers, messages, peers, results
 from chiveridge_node import logevents, plugins, requests
 
 LISTEN_BACKLOG = 2048
@@ -154,8 +154,13 @@
     def authenticate(self, req: falcon.asgi.Request) -> identifiers.TeamName:
         """Return the calling team.
 
-        :raises errors.RefusedError: when the credential is missing or wrong.
+        :raises errors.RefusedError: when the credential is missing or wrong, or can't be
+            checked because there is no configuration yet.
         """
+        if not self.node.kernel.configuration.offset:
+            message = "this node has no configuration yet; ask another node"
+            code = results.ResultCode.NOT_READY
+            raise errors.RefusedError(code, message, dispatchers.RETRY_AFTER_MS)
         scheme, _, credential = (req.auth or "").partition(" ")
         team = self.node.kernel.configuration.authenticate(credential.strip())
         if scheme.lower() != "bearer" or team is None:
