--- a/packages/kernel/chiveridge_kernel/configurations.py
+++ b/packages/kernel/chiveridge_kernel/configurations.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import sys
 
 import msgspec
 
@@ -117,7 +118,7 @@
         table = self._tables_by_kind[kind]
         table.clear()
         for revision, value in pairs:
-            table[value.name] = value
+            table[value.name] = _compact(value)
             self._revisions_by_key[kind, value.name] = revision
 
     def _reject(self, offset: identifiers.Offset, message: str) -> ChangeResult:
@@ -170,7 +171,7 @@
             table.pop(write.name, None)
             self._revisions_by_key.pop(key, None)
             return
-        table[write.name] = getattr(write, write.kind.value)
+        table[write.name] = _compact(getattr(write, write.kind.value))
         self._revisions_by_key[key] = offset + 1
 
     def _remember(self, change_id: str, verdict: records.Verdict) -> None:
@@ -179,6 +180,14 @@
             self._verdicts_by_change_id.pop(next(iter(self._verdicts_by_change_id)))
 
 
+def _compact(value: msgspec.Struct) -> msgspec.Struct:
+    """Keep each name of an approved team once, however many targets approve it."""
+    if isinstance(value, records.TargetObject):
+        approved = [sys.intern(name) for name in value.approved_teams]
+        return msgspec.structs.replace(value, approved_teams=approved)
+    return value
+
+
 def decode_record(value: object) -> records.ChangeRecord | records.SnapshotRecord:
     """Decode a record of the configuration stream.
 
--- a/packages/kernel/chiveridge_kernel/reach_indexes.py
+++ b/packages/kernel/chiveridge_kernel/reach_indexes.py
@@ -2,15 +2,16 @@
 
 A team reaches a target that approved it when a rule matches both. A change of one object costs
 what it touches: a target its rules and approved teams, a team the rules, a rule the teams and
-the targets it matches. What a team reaches is put together when it is asked for.
+the targets it matches.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 import msgspec
 
 from chiveridge_kernel import configurations, records, selectors, target_indexes
 
+MAX_SINGLE_CHANGES = 64
 _NO_NAMES: frozenset[str] = frozenset()
 
 
@@ -25,8 +26,9 @@
 
 
 class ReachChanges(msgspec.Struct):
-    """Teams whose rules differ, and targets that differ."""
+    """Teams whose rules differ, and targets that differ; targets are left out in bulk."""
 
+    is_bulk: bool = False
     teams: set[str] = msgspec.field(default_factory=set)
     targets: list[TargetChange] = msgspec.field(default_factory=list)
 
@@ -46,45 +48,53 @@
         self._rules_by_target: dict[str, set[str]] = {}
         self._teams_by_rule: dict[str, set[str]] = {}
         self._targets_by_rule: dict[str, set[str]] = {}
-        self._approved_by_target: dict[str, frozenset[str]] = {}
+        self._approved_by_target: dict[str, list[str]] = {}
         self._targets_by_approved: dict[str, set[str]] = {}
-        self._reached_by_team: dict[str, set[str]] = {}
 
-    def update(self, touched: Iterable[configurations.ObjectKey]) -> ReachChanges:
+    def update(self, touched: Collection[configurations.ObjectKey]) -> ReachChanges:
         """Take over objects that were written or deleted; return what may have changed."""
         changes = ReachChanges()
+        if len(touched) > MAX_SINGLE_CHANGES:
+            # Working out who reached each target would cost more than forgetting everything.
+            changes.teams |= self._targets_by_approved.keys() | self._configuration.teams_by_name
+            changes.is_bulk = True
         for kind, name in touched:
             _UPDATERS_BY_KIND[kind](self, name, changes)
         return changes
 
-    def reached(self, team: str) -> set[str]:
-        """Return the names of the targets that a team reaches; don't change the set."""
-        found = self._reached_by_team.get(team)
-        if found is None:
-            approved = self._targets_by_approved.get(team, _NO_NAMES)
-            found = {name for name in approved if self._is_linked(team, name)}
-            self._reached_by_team[team] = found
-        return found
+    def reached(self, team: str, among: set[str]) -> set[str]:
+        """Return those of some targets that a team reaches."""
+        approved = self._targets_by_approved.get(team, _NO_NAMES)
+        return {name for name in among & approved if self._is_linked(team, name)}
+
+    def reaches(self, team: str, target: str) -> bool:
+        """Tell whether a team reaches a target."""
+        approved = self._targets_by_approved.get(team, _NO_NAMES)
+        return target in approved and self._is_linked(team, target)
 
     def _is_linked(self, team: str, target: str) -> bool:
         rules = self._rules_by_team.get(team, _NO_NAMES)
         return not self._rules_by_target.get(target, _NO_NAMES).isdisjoint(rules)
 
     def _update_target(self, name: str, changes: ReachChanges) -> None:
+        if changes.is_bulk:
+            self._replace_target(name)
+            return
         old_labels = self.targets.labels_by_name.get(name, {})
         old_teams = self._reaching_teams(name)
+        self._replace_target(name)
+        new_labels = self.targets.labels_by_name.get(name, {})
+        new_teams = self._reaching_teams(name)
+        changes.targets.append(TargetChange(name, old_labels, new_labels, old_teams, new_teams))
+
+    def _replace_target(self, name: str) -> None:
         target = self._configuration.targets_by_name.get(name)
         if target is None:
             self.targets.remove(name)
         else:
             self.targets.put(name, target.labels)
         self._link_target(name, target)
-        self._approve(name, frozenset(target.approved_teams if target else ()))
-        new_teams = self._reaching_teams(name)
-        for team in old_teams ^ new_teams:
-            self._note_reached(team, name, team in new_teams)
-        new_labels = target.labels if target else {}
-        changes.targets.append(TargetChange(name, old_labels, new_labels, old_teams, new_teams))
+        self._approve(name, target.approved_teams if target else [])
 
     def _link_target(self, name: str, target: records.TargetObject | None) -> None:
         rules = set()
@@ -96,31 +106,23 @@
             }
         _relink(self._rules_by_target, self._targets_by_rule, name, rules)
 
-    def _approve(self, name: str, approved: frozenset[str]) -> None:
-        known = self._approved_by_target.pop(name, _NO_NAMES)
-        for team in known - approved:
+    def _approve(self, name: str, approved: list[str]) -> None:
+        known = set(self._approved_by_target.pop(name, ()))
+        for team in known.difference(approved):
             names = self._targets_by_approved[team]
             names.discard(name)
             if not names:
                 del self._targets_by_approved[team]
-        for team in approved - known:
+        for team in set(approved) - known:
             self._targets_by_approved.setdefault(team, set()).add(name)
         if approved:
+            # The list is that of the configuration: a set of its own would double the memory.
             self._approved_by_target[name] = approved
 
     def _reaching_teams(self, name: str) -> frozenset[str]:
-        approved = self._approved_by_target.get(name, _NO_NAMES)
+        approved = self._approved_by_target.get(name, ())
         return frozenset(team for team in approved if self._is_linked(team, name))
 
-    def _note_reached(self, team: str, target: str, is_reached: bool) -> None:
-        reached = self._reached_by_team.get(team)
-        if reached is None:
-            return
-        if is_reached:
-            reached.add(target)
-        else:
-            reached.discard(target)
-
     def _update_team(self, name: str, changes: ReachChanges) -> None:
         team = self._configuration.teams_by_name.get(name)
         rules = set()
@@ -131,7 +133,7 @@
                 if selector.matches(team.labels)
             }
         if _relink(self._rules_by_team, self._teams_by_rule, name, rules):
-            self._forget_reached([name], changes)
+            changes.teams.add(name)
 
     def _update_rule(self, name: str, changes: ReachChanges) -> None:
         affected = set(self._teams_by_rule.get(name, _NO_NAMES))
@@ -146,17 +148,12 @@
             targets = self.targets.match(pair[1])
         _relink(self._teams_by_rule, self._rules_by_team, name, teams)
         _relink(self._targets_by_rule, self._rules_by_target, name, targets)
-        self._forget_reached(affected | teams, changes)
+        changes.teams |= affected | teams
 
     def _matching_teams(self, selector: selectors.Selector) -> set[str]:
         teams = self._configuration.teams_by_name
         return {name for name, team in teams.items() if selector.matches(team.labels)}
 
-    def _forget_reached(self, teams: Iterable[str], changes: ReachChanges) -> None:
-        for team in teams:
-            self._reached_by_team.pop(team, None)
-            changes.teams.add(team)
-
 
 _UPDATERS_BY_KIND = {
     records.ObjectKind.TEAM: ReachIndex._update_team,
--- a/packages/kernel/chiveridge_kernel/reaches.py
+++ b/packages/kernel/chiveridge_kernel/reaches.py
@@ -3,7 +3,7 @@
 import collections
 import hashlib
 import weakref
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping
 
 import msgspec
 
@@ -19,7 +19,6 @@
 )
 
 MAX_QUERIES_PER_TEAM = 16
-MAX_SINGLE_CHANGES = 64
 
 
 class Candidates:
@@ -65,10 +64,10 @@
         self._candidates_by_digest: weakref.WeakValueDictionary[bytes, Candidates]
         self._candidates_by_digest = weakref.WeakValueDictionary()
 
-    def update(self, touched: Iterable[configurations.ObjectKey]) -> reach_indexes.ReachChanges:
+    def update(self, touched: Collection[configurations.ObjectKey]) -> reach_indexes.ReachChanges:
         """Take over objects of the configuration that were written or deleted."""
         changes = self._index.update(touched)
-        if len(changes.targets) > MAX_SINGLE_CHANGES:
+        if changes.is_bulk:
             self._answers_by_team.clear()
         for team in changes.teams:
             self._answers_by_team.pop(team, None)
@@ -83,13 +82,13 @@
         if not changed:
             return
         self._candidates_by_digest.clear()
-        if len(changed) > MAX_SINGLE_CHANGES:
+        if len(changed) > reach_indexes.MAX_SINGLE_CHANGES:
             self._answers_by_team.clear()
         self._forget_where(lambda team, answer: self._holds_any(team, answer, changed))
 
     def includes(self, team: identifiers.TeamName, target_name: str) -> bool:
         """Tell whether a team reaches a target."""
-        return target_name in self._index.reached(team)
+        return self._index.reaches(team, target_name)
 
     def candidates(self, team: identifiers.TeamName, selector_text: str) -> Candidates:
         """Return the targets that a team's submission may run on.
@@ -112,7 +111,7 @@
     def _select(self, team: identifiers.TeamName, selector_text: str) -> _Answer:
         selector = _parse(selector_text)
         matching = self._index.targets.match(selector)
-        names = matching & self._index.reached(team) & self._vms_by_name.keys()
+        names = self._index.reached(team, matching & self._vms_by_name.keys())
         if names:
             return _Answer(selector, self._candidates_of(names))
         if self._matches_any_vm(selector, matching):
@@ -148,10 +147,10 @@
     def _holds_any(self, team: str, answer: _Answer, names: list[str]) -> bool:
         if answer.candidates is None:
             return True
-        reached = self._index.reached(team)
         labels_by_name = self._index.targets.labels_by_name
         return any(
-            name in reached and answer.selector.matches(labels_by_name[name]) for name in names
+            self._index.reaches(team, name) and answer.selector.matches(labels_by_name[name])
+            for name in names
         )
 
 
--- a/packages/kernel/tests/test_reaches.py
+++ b/packages/kernel/tests/test_reaches.py
@@ -183,6 +183,14 @@
     assert system.query("lekki", "kind=dryer") == {"t2", "t3", "t4"}
 
 
+def test_a_change_of_many_objects_at_once_counts_for_every_answer(system, monkeypatch):
+    monkeypatch.setattr(reach_indexes, "MAX_SINGLE_CHANGES", 0)
+    assert system.query("ikeja", "kind=dryer") == set(TARGETS)
+    system.apply((records.ObjectKind.TARGET, "t1", ({"kind": "dryer"}, ["lekki"])))
+    assert system.query("ikeja", "kind=dryer") == system.reference("ikeja", "kind=dryer")
+    assert system.query("lekki", "kind=dryer") == set(TARGETS)
+
+
 def test_equal_answers_share_their_targets(system):
     found = {id(system.reach.candidates(team, text)) for team in TEAMS for text in ("", "kind")}
     assert len(found) == 1
@@ -208,7 +216,6 @@
     index = system.reach._index
     kept = {name: value for name, value in vars(index).items() if isinstance(value, dict)}
     kept |= {name: value for name, value in vars(index.targets).items()}
-    kept.pop("_reached_by_team")
     assert not any(kept.values()), kept
     assert isinstance(index, reach_indexes.ReachIndex)
 
