Know the members by heartbeats

The members were the platform's list alone, which lags: a killed node took part until the list dropped it. Nodes of a domain now send each other heartbeats, and one state table joins them with the list and with sends that fail. A member is live only when it confirms this node's own heartbeats, so a link that works one way only is seen. Incarnations start with the boot time, so that they sort.

Ruled out: ZeroMQ's own heartbeats as evidence (they say nothing of the process behind a frozen loop), heartbeats to all domains (400 nodes do not fit into 3 KB/s).

--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -71,6 +71,12 @@
     message: peers.PeerMessage
 
 
+class PeerUnreachable(msgspec.Struct, frozen=True, kw_only=True):
+    """Nothing can be sent to a node now."""
+
+    name: str
+
+
 class Ticked(msgspec.Struct, frozen=True):
     """Time has passed; due deadlines are handled."""
 
@@ -86,6 +92,7 @@
     | RecordsRead
     | VmsListed
     | PeerMessageReceived
+    | PeerUnreachable
     | Ticked
     | DrainRequested
 )
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/heartbeats.py
@@ -0,0 +1,127 @@
+"""Heartbeats: to every node of the domain, and in turn to one node outside it.
+
+``docs/design/membership.md`` holds the arithmetic of the byte budget.
+"""
+
+import datetime
+import random
+
+import msgspec
+
+from chiveridge_kernel import actions, identifiers, members, peers
+
+HEARTBEAT_BYTES = 72
+WIRE_BYTES_PER_MESSAGE = 104
+"""TCP and IP headers of a message and of its acknowledgement."""
+
+JITTER_SHARE = 0.1
+
+
+class HeartbeatSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Interval of heartbeats, and the bytes per second, headers included, that they may take.
+
+    A node is suspected after ``suspect_intervals`` without a heartbeat and held to be dead
+    after ``dead_intervals``.
+    """
+
+    interval: datetime.timedelta = datetime.timedelta(seconds=1)
+    bytes_per_second: int = 2600
+    suspect_intervals: int = 3
+    dead_intervals: int = 10
+
+
+class Heartbeats:
+    """Sends and takes heartbeats for a kernel."""
+
+    def __init__(
+        self,
+        settings: HeartbeatSettings,
+        table: members.MemberTable,
+        incarnation: identifiers.Incarnation,
+        rng: random.Random,
+    ):
+        self._settings = settings
+        self._table = table
+        self._incarnation = incarnation
+        self._rng = rng
+        self._due_at: datetime.datetime | None = None
+        self._last_tick_at: datetime.datetime | None = None
+        self._turn = 0
+        self.interval = settings.interval
+        self.leaving = False
+        self.offset = 0
+        self.stale_count = 0
+
+    def times(self) -> members.MemberTimes:
+        """Return after how long a silent node is suspected and held to be dead."""
+        return members.MemberTimes(
+            suspect_after=self.interval * self._settings.suspect_intervals,
+            dead_after=self.interval * self._settings.dead_intervals,
+        )
+
+    def next_due(self) -> datetime.datetime | None:
+        """Return when the next heartbeats are due."""
+        return self._due_at
+
+    def listed(self, now: datetime.datetime) -> None:
+        """Adapt the interval to the size of the domain; send at once for the first list."""
+        partners = len(self._table.others_in_domain()) + 2
+        bytes_per_round = partners * (HEARTBEAT_BYTES + WIRE_BYTES_PER_MESSAGE)
+        needed = datetime.timedelta(seconds=bytes_per_round / self._settings.bytes_per_second)
+        self.interval = max(self._settings.interval, needed)
+        if self._due_at is None:
+            self._due_at = now
+
+    def tick(self, now: datetime.datetime) -> list[actions.Action]:
+        """Send what is due and judge the silent."""
+        if self._due_at is None:
+            return []
+        if self._last_tick_at is not None and now - self._last_tick_at > self.interval:
+            self._table.forgive(now)
+        self._last_tick_at = now
+        self._table.expire(self.times(), now)
+        if now < self._due_at:
+            return []
+        jitter = 1 + self._rng.uniform(-JITTER_SHARE, JITTER_SHARE)
+        self._due_at = now + self.interval * jitter
+        return self._round()
+
+    def receive(self, heartbeat: peers.Heartbeat, now: datetime.datetime) -> list[actions.Action]:
+        """Take a heartbeat; answer it when the sender asked for an answer."""
+        if heartbeat.sender == self._table.own_name:
+            return []
+        if not self._table.heard(heartbeat, self.times(), now):
+            self.stale_count += 1
+            return []
+        member = self._table.members_by_name[heartbeat.sender]
+        if heartbeat.reply_wanted and member.vm is not None:
+            return [self._heartbeat(member, reply_wanted=False)]
+        return []
+
+    def farewell(self) -> list[actions.Action]:
+        """Tell the domain that this node leaves."""
+        self.leaving = True
+        return [self._heartbeat(member) for member in self._table.others_in_domain()]
+
+    def _round(self) -> list[actions.Action]:
+        found = [self._heartbeat(member) for member in self._table.others_in_domain()]
+        outside = self._table.others_outside()
+        if outside:
+            self._turn += 1
+            partner = outside[self._turn % len(outside)]
+            found.append(self._heartbeat(partner, reply_wanted=True))
+        return found
+
+    def _heartbeat(self, member: members.Member, reply_wanted: bool = False) -> actions.Action:
+        member.sent += 1
+        heartbeat = peers.Heartbeat(
+            sender=self._table.own_name,
+            incarnation=self._incarnation,
+            sequence=member.sent,
+            echo=member.received,
+            offset=self.offset,
+            leaving=self.leaving,
+            # The first exchange is answered at once, so that a new node is known at once.
+            reply_wanted=reply_wanted or member.incarnation is None,
+        )
+        return actions.SendToPeer(peer=member.vm, message=heartbeat)
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -14,9 +14,11 @@
     dispatchers,
     errors,
     events,
+    heartbeats,
     identifiers,
     members,
     messages,
+    peers,
     reaches,
     results,
     submissions,
@@ -32,6 +34,7 @@
     incarnation: identifiers.Incarnation
     secret: bytes
     policy: str = "power_of_two"
+    heartbeat: heartbeats.HeartbeatSettings = heartbeats.HeartbeatSettings()
 
 
 class UsedId(msgspec.Struct):
@@ -56,6 +59,9 @@
             self.reach, self.target_table, rng, settings.policy, settings.incarnation
         )
         self.members = members.MemberTable(settings.node, settings.domain)
+        self.heartbeats = heartbeats.Heartbeats(
+            settings.heartbeat, self.members, settings.incarnation, rng
+        )
         self.draining = False
         self.has_listing = False
         self._used_by_id: dict[identifiers.SubmissionId, UsedId] = {}
@@ -82,7 +88,11 @@
 
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next :class:`events.Ticked` is due."""
-        moments = (self.dispatcher.next_deadline(), self.target_table.next_expiry())
+        moments = (
+            self.dispatcher.next_deadline(),
+            self.target_table.next_expiry(),
+            self.heartbeats.next_due(),
+        )
         return min((moment for moment in moments if moment is not None), default=None)
 
     def issue(
@@ -201,7 +211,8 @@
 
 @_handle.register
 def _(event: events.VmsListed, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.members.replace(event.listing)
+    kernel.members.replace(event.listing, now)
+    kernel.heartbeats.listed(now)
     kernel.target_table.replace(event.listing)
     kernel.reach.replace_vms(kernel.target_table.vms_by_name)
     kernel.has_listing = True
@@ -215,8 +226,31 @@
     if kernel.target_table.expire(now):
         kernel.dispatcher.place_waiting(now)
     kernel.dispatcher.policy.ticked(now)
+    kernel.heartbeats.offset = kernel.configuration.offset
+    kernel.dispatcher.outbox.extend(kernel.heartbeats.tick(now))
+
+
+@_handle.register
+def _(event: events.PeerMessageReceived, kernel: Kernel, now: datetime.datetime) -> None:
+    _handle_message(event.message, kernel, now)
+
+
+@_handle.register
+def _(event: events.PeerUnreachable, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.members.unreachable(event.name)
 
 
 @_handle.register
 def _(event: events.DrainRequested, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.draining = True
+    kernel.dispatcher.outbox.extend(kernel.heartbeats.farewell())
+
+
+@functools.singledispatch
+def _handle_message(message: peers.PeerMessage, kernel: Kernel, now: datetime.datetime) -> None:
+    raise TypeError(f"no handler for peer message {type(message).__name__}")
+
+
+@_handle_message.register
+def _(message: peers.Heartbeat, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -10,6 +10,18 @@
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
 
 
+# Short keys, as heartbeats are most of the control traffic.
+_HEARTBEAT_KEYS_BY_FIELD = {
+    "sender": "s",
+    "incarnation": "i",
+    "sequence": "q",
+    "echo": "e",
+    "offset": "o",
+    "leaving": "l",
+    "reply_wanted": "r",
+}
+
+
 class PeerMessageError(errors.ChiveridgeError):
     """Bytes from a peer are not a message of this protocol version."""
 
@@ -43,7 +55,31 @@
     retry_after_ms: int | None = None
 
 
-PeerMessage = CallerRequest | CallerReply
+class Heartbeat(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag="hb",
+    rename=_HEARTBEAT_KEYS_BY_FIELD.get,
+):
+    """Tells that an incarnation of a node runs, and what it has applied.
+
+    ``sequence`` counts the heartbeats of this incarnation to the receiver; ``echo`` is the
+    last sequence that the sender has from the receiver. ``offset`` is the applied offset of
+    the configuration. ``leaving`` tells that the node drains.
+    """
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    sequence: int
+    echo: int = 0
+    offset: int = 0
+    leaving: bool = False
+    reply_wanted: bool = False
+
+
+PeerMessage = CallerRequest | CallerReply | Heartbeat
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -1,37 +1,40 @@
 """The node: kernel, shell and adapters put together, from start to drained exit."""
 
 import asyncio
+import datetime
 import json
 import random
 import secrets
 import signal
 import sys
+import time
 
 import msgspec
 
-from chiveridge_kernel import actions, events, identifiers, kernels, records
-from chiveridge_node import clocks, logevents, plugins, requests, settings, shells, signals
-
-_INCARNATION_BYTES = 8
+from chiveridge_kernel import (
+    actions,
+    events,
+    heartbeats,
+    identifiers,
+    kernels,
+    records,
+)
+from chiveridge_node import (
+    clocks,
+    logevents,
+    plugins,
+    requests,
+    settings,
+    shells,
+    signals,
+    statuses,
+)
+
+_INCARNATION_BYTES = 4
 _SECRET_BYTES = 32
 _LOG_EVENTS_BY_VERDICT = {records.Verdict.ACCEPTED: logevents.LogEvent.CHANGE_ACCEPTED}
 
 
-class NodeStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """A node's view of the system, for operators."""
-
-    name: str
-    domain: str
-    incarnation: str
-    ready: bool
-    draining: bool
-    config_offset: int
-    targets: list[str]
-    nodes: list[str]
-    jobs_in_progress: int
-    starts_in_progress: int
-
-
 class Node:
     """One node process."""
 
@@ -64,21 +67,9 @@
         signals.node_draining.send(self)
         self.shell.handle(events.DrainRequested())
 
-    def status(self) -> NodeStatus:
+    def status(self) -> statuses.NodeStatus:
         """Return the node's view of the system."""
-        dispatcher = self.kernel.dispatcher
-        return NodeStatus(
-            name=self.settings.node.name,
-            domain=self.settings.node.domain,
-            incarnation=self.kernel.settings.incarnation,
-            ready=self.kernel.is_ready(),
-            draining=self.kernel.draining,
-            config_offset=self.kernel.configuration.offset,
-            targets=sorted(self.kernel.target_table.vms_by_name),
-            nodes=sorted(self.kernel.members.vms_by_name),
-            jobs_in_progress=len(dispatcher.jobs_by_id),
-            starts_in_progress=sum(dispatcher.in_flight_by_target.values()),
-        )
+        return statuses.status_of(self.kernel, self.shell.clock.now())
 
     def _perform_actions(self) -> None:
         self.shell.perform_with(actions.AnswerJob, self.requests.answered)
@@ -119,12 +110,23 @@
     return kernels.KernelSettings(
         node=identifiers.NodeName(node_settings.node.name),
         domain=identifiers.DomainName(node_settings.node.domain),
-        incarnation=identifiers.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
+        incarnation=identifiers.Incarnation(_new_incarnation()),
         secret=secrets.token_bytes(_SECRET_BYTES),
         policy=node_settings.placement.policy,
+        heartbeat=heartbeats.HeartbeatSettings(
+            interval=datetime.timedelta(milliseconds=node_settings.membership.heartbeat_ms),
+            bytes_per_second=node_settings.membership.bytes_per_second,
+            suspect_intervals=node_settings.membership.suspect_heartbeats,
+            dead_intervals=node_settings.membership.dead_heartbeats,
+        ),
     )
 
 
+def _new_incarnation() -> str:
+    """Return an incarnation that sorts after the earlier ones of the same VM."""
+    return f"{time.time_ns() // 1_000_000:012x}{secrets.token_hex(_INCARNATION_BYTES)}"
+
+
 def _note_change(action: actions.NoteChange) -> None:
     result = action.result
     signals.change_noted.send(result=result)
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -1,6 +1,7 @@
 """Messages between nodes over ZeroMQ: one ROUTER to receive, one DEALER for each peer."""
 
 import asyncio
+import functools
 import itertools
 
 import zmq
@@ -67,9 +68,12 @@
 
     def send(self, action: actions.SendToPeer) -> None:
         """Send a message without waiting; it is dropped when the peer is not connected."""
-        # The future of a send that would block is left to fail by itself.
         sending = self._dealer(action.peer).send(peers.encode(action.message), zmq.NOBLOCK)
-        sending.add_done_callback(_ignore_dropped)
+        sending.add_done_callback(functools.partial(self._sent, action.peer))
+
+    def _sent(self, peer: vms.Vm, sending: asyncio.Future) -> None:
+        if not sending.cancelled() and isinstance(sending.exception(), zmq.Again):
+            self._node.shell.handle_safely(events.PeerUnreachable(name=peer.name))
 
     def _dealer(self, peer: vms.Vm) -> zmq.asyncio.Socket:
         endpoint = f"tcp://{peer.address}:{peer.peer_port}"
@@ -127,11 +131,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _ignore_dropped(sending: asyncio.Future) -> None:
-    if not sending.cancelled() and isinstance(sending.exception(), zmq.Again):
-        return
-
-
 def register() -> None:
     """Register the adapter under the name ``zmq``."""
     plugins.add(plugins.Kind.PEERS, "zmq", ZmqPeers)
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -44,6 +44,15 @@
     policy: str = "power_of_two"
 
 
+class MembershipSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Heartbeats between nodes, see ``docs/membership.md``."""
+
+    heartbeat_ms: Annotated[int, msgspec.Meta(ge=50, le=60_000)] = 1000
+    bytes_per_second: Annotated[int, msgspec.Meta(ge=200)] = 2600
+    suspect_heartbeats: Annotated[int, msgspec.Meta(ge=2, le=100)] = 3
+    dead_heartbeats: Annotated[int, msgspec.Meta(ge=3, le=1000)] = 10
+
+
 class TargetsSection(msgspec.Struct, frozen=True, kw_only=True):
     """Connections to targets."""
 
@@ -68,6 +77,7 @@
     node: NodeSection
     platform: PlatformSection
     placement: PlacementSection = PlacementSection()
+    membership: MembershipSection = MembershipSection()
     targets: TargetsSection = TargetsSection()
     plugins: PluginsSection = PluginsSection()
 
@@ -84,6 +94,7 @@
     "node": NodeSection,
     "platform": PlatformSection,
     "placement": PlacementSection,
+    "membership": MembershipSection,
     "targets": TargetsSection,
     "plugins": PluginsSection,
 }
