Forward requests in bounded exchanges over links that are watched

A forward over a connection that was silent for good waited for its whole time and found the same connection again; connections to replaced nodes stayed open. A link now reports a lost connection at once, is closed when a request brought nothing, when the kernel hears no confirmation, when its VM is gone from the list or when it is idle. A long wait is made of short exchanges. An id of an earlier incarnation is answered ISSUER_GONE at once; a node that is itself the replaced one no longer says so of its successor's ids.

Ruled out: ZeroMQ heartbeats on each socket, 96 small messages a second at 25 nodes.

--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -45,6 +45,12 @@
     message: peers.PeerMessage
 
 
+class DisconnectPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """Close the connection to a node, which is gone or silent; a later message opens another."""
+
+    peer: vms.Vm
+
+
 class NoteChange(msgspec.Struct, frozen=True, kw_only=True):
     """Write the verdict on a configuration record to the audit trail."""
 
@@ -55,4 +61,6 @@
     """The drain is done; the process may exit."""
 
 
-Action = StartTask | AskOutcome | StopTask | AnswerJob | SendToPeer | NoteChange | Exit
+Action = (
+    StartTask | AskOutcome | StopTask | AnswerJob | SendToPeer | DisconnectPeer | NoteChange | Exit
+)
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -72,9 +72,9 @@
 
 
 class PeerUnreachable(msgspec.Struct, frozen=True, kw_only=True):
-    """Nothing can be sent to a node now."""
+    """Nothing can be sent to a node at its address now."""
 
-    name: str
+    peer: vms.Vm
 
 
 class Ticked(msgspec.Struct, frozen=True):
--- a/packages/kernel/chiveridge_kernel/heartbeats.py
+++ b/packages/kernel/chiveridge_kernel/heartbeats.py
@@ -14,6 +14,10 @@
 WIRE_BYTES_PER_MESSAGE = 104
 """TCP and IP headers of a message and of its acknowledgement."""
 
+WIRE_BYTES_PER_CONTACT = 1200
+"""Connections that both sides open and close for one exchange outside the domain."""
+
+ROUNDS_PER_OUTSIDE_PARTNER = 5
 JITTER_SHARE = 0.1
 
 
@@ -65,8 +69,9 @@
 
     def listed(self, now: datetime.datetime) -> None:
         """Adapt the interval to the size of the domain; send at once for the first list."""
-        partners = len(self._table.others_in_domain()) + 2
+        partners = len(self._table.others_in_domain())
         bytes_per_round = partners * (HEARTBEAT_BYTES + WIRE_BYTES_PER_MESSAGE)
+        bytes_per_round += WIRE_BYTES_PER_CONTACT / ROUNDS_PER_OUTSIDE_PARTNER
         needed = datetime.timedelta(seconds=bytes_per_round / self._settings.bytes_per_second)
         self.interval = max(self._settings.interval, needed)
         if self._due_at is None:
@@ -79,12 +84,13 @@
         if self._last_tick_at is not None and now - self._last_tick_at > self.interval:
             self._table.forgive(now)
         self._last_tick_at = now
-        self._table.expire(self.times(), now)
-        if now < self._due_at:
-            return []
-        jitter = 1 + self._rng.uniform(-JITTER_SHARE, JITTER_SHARE)
-        self._due_at = now + self.interval * jitter
-        return self._round()
+        silent = self._table.expire(self.times(), now)
+        found = [actions.DisconnectPeer(peer=vm) for vm in silent]
+        if now >= self._due_at:
+            jitter = 1 + self._rng.uniform(-JITTER_SHARE, JITTER_SHARE)
+            self._due_at = now + self.interval * jitter
+            found.extend(self._round())
+        return found
 
     def receive(self, heartbeat: peers.Heartbeat, now: datetime.datetime) -> list[actions.Action]:
         """Take a heartbeat; answer it when the sender asked for an answer."""
@@ -106,9 +112,9 @@
     def _round(self) -> list[actions.Action]:
         found = [self._heartbeat(member) for member in self._table.others_in_domain()]
         outside = self._table.others_outside()
-        if outside:
-            self._turn += 1
-            partner = outside[self._turn % len(outside)]
+        self._turn += 1
+        if outside and self._turn % ROUNDS_PER_OUTSIDE_PARTNER == 0:
+            partner = outside[self._turn // ROUNDS_PER_OUTSIDE_PARTNER % len(outside)]
             found.append(self._heartbeat(partner, reply_wanted=True))
         return found
 
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -211,7 +211,8 @@
 
 @_handle.register
 def _(event: events.VmsListed, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.members.replace(event.listing, now)
+    gone = kernel.members.replace(event.listing, now)
+    kernel.dispatcher.outbox.extend(actions.DisconnectPeer(peer=vm) for vm in gone)
     kernel.heartbeats.listed(now)
     kernel.target_table.replace(event.listing)
     kernel.reach.replace_vms(kernel.target_table.vms_by_name)
@@ -237,7 +238,7 @@
 
 @_handle.register
 def _(event: events.PeerUnreachable, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.members.unreachable(event.name)
+    kernel.members.unreachable(event.peer)
 
 
 @_handle.register
--- a/packages/kernel/chiveridge_kernel/members.py
+++ b/packages/kernel/chiveridge_kernel/members.py
@@ -84,6 +84,7 @@
     unreachable_at: int = 0
     heard_at: datetime.datetime | None = None
     proved_at: datetime.datetime | None = None
+    reconnected_at: datetime.datetime | None = None
 
     def signal(self, signal: MemberSignal) -> bool:
         """Follow the state table; tell whether the state changed."""
@@ -108,8 +109,9 @@
         self.version = 0
         self._live_names_by_domain: dict[str | None, list[str]] = {}
 
-    def replace(self, listing: vms.VmList, now: datetime.datetime) -> None:
-        """Take the platform's list."""
+    def replace(self, listing: vms.VmList, now: datetime.datetime) -> list[vms.Vm]:
+        """Take the platform's list; return the VMs that are gone or have moved."""
+        before = self.vms_by_name
         self.vms_by_name = {vm.name: vm for vm in listing.vms if vm.role is vms.VmRole.ENTRY}
         for name, vm in self.vms_by_name.items():
             if name != self.own_name:
@@ -118,6 +120,7 @@
             if name not in self.vms_by_name:
                 member.vm = None
         self._changed()
+        return [vm for name, vm in before.items() if not _is_at(self.find(name), vm)]
 
     def find(self, name: str) -> vms.Vm | None:
         """Return a node's VM when it is listed."""
@@ -179,10 +182,10 @@
             self._confirmed(member, heartbeat.echo, now)
         return True
 
-    def unreachable(self, name: str) -> None:
-        """Learn that nothing can be sent to a node now."""
-        member = self.members_by_name.get(name)
-        if member is not None:
+    def unreachable(self, vm: vms.Vm) -> None:
+        """Learn that nothing can be sent to a VM now."""
+        member = self.members_by_name.get(vm.name)
+        if member is not None and _is_at(member.vm, vm):
             member.unreachable_at = member.sent
             self._signal(member, MemberSignal.UNREACHABLE)
 
@@ -194,8 +197,12 @@
             if member.proved_at is not None:
                 member.proved_at = now
 
-    def expire(self, times: MemberTimes, now: datetime.datetime) -> None:
-        """Suspect members of the domain that are silent, and forget those long gone."""
+    def expire(self, times: MemberTimes, now: datetime.datetime) -> list[vms.Vm]:
+        """Suspect members of the domain that are silent, and forget those long gone.
+
+        Return the VMs to which another connection is to be tried.
+        """
+        silent = []
         for member in list(self.members_by_name.values()):
             silence = now - min(member.heard_at or now, member.proved_at or now)
             if member.vm is None and silence > FORGET_AFTER:
@@ -204,8 +211,15 @@
                 continue
             if silence > times.suspect_after:
                 self._signal(member, MemberSignal.SILENT)
+                if (
+                    member.reconnected_at is None
+                    or now - member.reconnected_at > times.suspect_after
+                ):
+                    member.reconnected_at = now
+                    silent.append(member.vm)
             if silence > times.dead_after:
                 self._signal(member, MemberSignal.LOST)
+        return silent
 
     def _list(self, name: str, vm: vms.Vm, now: datetime.datetime) -> None:
         member = self.members_by_name.setdefault(name, Member(name=name))
@@ -213,7 +227,7 @@
         member.vm = vm
         if member.heard_at is None:
             member.heard_at = member.proved_at = now
-        moved = known is not None and _endpoint(known) != _endpoint(vm)
+        moved = known is not None and not _is_at(known, vm)
         if moved:
             member.heard_at = member.proved_at = now
             member.unreachable_at = member.sent
@@ -265,5 +279,8 @@
     member.proved_at = now
 
 
-def _endpoint(vm: vms.Vm) -> tuple[str, int]:
-    return vm.address, vm.peer_port
+def _is_at(found: vms.Vm | None, vm: vms.Vm) -> bool:
+    """Tell whether a listed VM has the address and the peer port of another."""
+    if found is None:
+        return False
+    return (found.address, found.peer_port) == (vm.address, vm.peer_port)
--- /dev/null
+++ b/packages/node/chiveridge_node/forwards.py
@@ -0,0 +1,90 @@
+"""Has a request served by the node that issued its submission id."""
+
+import enum
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from chiveridge_kernel import (
+    clocks,
+    identifiers,
+    kernels,
+    members,
+    peers,
+    results,
+    submissions,
+    vms,
+)
+
+SLICE_MS = 4000
+REPLY_MARGIN_MS = 1000
+MAX_SILENT_TRIES = 2
+
+Exchange = Callable[[vms.Vm, peers.CallerRequest, int], Awaitable[peers.CallerReply | None]]
+"""Sends a request to a peer; returns None when no reply came in so many milliseconds."""
+
+
+class NoReply(enum.Enum):
+    """Why the issuer does not reply."""
+
+    EXPIRED = "expired"
+    GONE = "gone"
+    UNREACHABLE = "unreachable"
+
+
+class Forwarder:
+    """Forwards requests to issuers.
+
+    A long wait is made of short exchanges, so that a silent connection is noticed. Each may
+    be sent again, as a submission id is used once however often it arrives.
+    """
+
+    def __init__(self, kernel: kernels.Kernel, clock: clocks.Clock):
+        self.exchange: Exchange | None = None
+        self._kernel = kernel
+        self._clock = clock
+
+    async def perform(
+        self, issued: submissions.IssuedId, request: peers.CallerRequest
+    ) -> peers.CallerReply | NoReply:
+        """Return the issuer's reply, or why there is none."""
+        if issued.expires_at_ms <= clocks.to_epoch_ms(self._clock.now()):
+            return NoReply.EXPIRED
+        silent_tries = 0
+        left_ms = request.wait_ms
+        while silent_tries < MAX_SILENT_TRIES:
+            found = self._find(issued)
+            if isinstance(found, NoReply):
+                return found
+            slice_ms = min(left_ms, SLICE_MS)
+            part = msgspec.structs.replace(request, wait_ms=slice_ms)
+            reply = await self.exchange(found, part, slice_ms + REPLY_MARGIN_MS)
+            if reply is None:
+                silent_tries += 1
+                continue
+            left_ms -= slice_ms
+            if reply.code is not results.ResultCode.ACCEPTED or left_ms <= 0:
+                return reply
+            silent_tries = 0
+            request = msgspec.structs.replace(request, operation=peers.Operation.ASK, body=b"")
+        return NoReply.UNREACHABLE
+
+    def _find(self, issued: submissions.IssuedId) -> vms.Vm | NoReply:
+        table = self._kernel.members
+        if table.was_replaced(issued.node, issued.incarnation):
+            return NoReply.GONE
+        member = table.members_by_name.get(issued.node)
+        if member is None or member.vm is None or member.state is members.MemberState.DEAD:
+            return NoReply.UNREACHABLE
+        return member.vm
+
+
+def verdict_on(issued: submissions.IssuedId, own: identifiers.Incarnation) -> NoReply | None:
+    """Return why a request that was forwarded here cannot be served, or None when it can.
+
+    An id of an earlier incarnation is lost. One of a later incarnation means that this node
+    is the one that was replaced, so that it cannot tell.
+    """
+    if issued.incarnation == own:
+        return None
+    return NoReply.GONE if issued.incarnation < own else NoReply.UNREACHABLE
--- a/packages/node/chiveridge_node/logevents.py
+++ b/packages/node/chiveridge_node/logevents.py
@@ -25,6 +25,7 @@
 
     PEER_MESSAGE_DROPPED = 300
     PEER_UNREACHABLE = 301
+    PEER_SILENT = 302
 
     START_LOST = 400
     STOP_LOST = 403
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -1,37 +1,37 @@
 """Messages between nodes over ZeroMQ: one ROUTER to receive, one DEALER for each peer."""
 
 import asyncio
-import functools
 import itertools
 
+import msgspec
 import zmq
 import zmq.asyncio
 
 from chiveridge_kernel import actions, events, peers, vms
-from chiveridge_node import logevents, plugins
+from chiveridge_node import links_zmq, logevents, plugins
 
-HIGH_WATER_MARK = 1000
-HEARTBEAT_INTERVAL_MS = 1000
-HEARTBEAT_TIMEOUT_MS = 3000
+MAX_REQUESTS_IN_PROGRESS = 4096
+IDLE_LINK_SECONDS = 30.0
+SWEEP_SECONDS = 5.0
 
 
 class ZmqPeers:
-    """Forwards requests to peers and serves those that peers forward here."""
+    """Sends to peers, and serves the requests that peers forward here."""
 
     def __init__(self, node):
         self._node = node
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
-        self._dealers_by_endpoint: dict[str, zmq.asyncio.Socket] = {}
-        self._replies_by_request: dict[int, asyncio.Future] = {}
+        self._links_by_endpoint: dict[tuple[str, int], links_zmq.Link] = {}
         self._request_ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
+        self._serving = 0
         self.port = 0
 
     async def open(self) -> None:
         """Bind the port and begin to receive."""
         section = self._node.settings.node
-        self._router = self._configured(zmq.ROUTER)
+        self._router = links_zmq.configured(self._context, zmq.ROUTER)
         endpoint = f"tcp://{section.address}"
         if section.peer_port:
             self._router.bind(f"{endpoint}:{section.peer_port}")
@@ -39,84 +39,109 @@
         else:
             self.port = self._router.bind_to_random_port(endpoint)
         self._in_background(self._receive_requests())
-        self._node.requests.forward = self.forward
+        self._in_background(self._close_idle_links())
+        self._node.requests.forwarder.exchange = self.exchange
         self._node.shell.perform_with(actions.SendToPeer, self.send)
+        self._node.shell.perform_with(actions.DisconnectPeer, self.disconnect)
 
     async def close(self) -> None:
         """Close every socket."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for link in self._links_by_endpoint.values():
+            link.close()
         self._context.destroy(linger=0)
 
-    async def forward(self, peer: vms.Vm, *, timeout_ms: int, **fields) -> peers.CallerReply | None:
-        """Send a caller's request to a peer; return its reply, or None when there is none."""
-        request = peers.CallerRequest(
-            request_id=next(self._request_ids), sender=self._node.settings.node.name, **fields
-        )
+    async def exchange(
+        self, peer: vms.Vm, request: peers.CallerRequest, timeout_ms: int
+    ) -> peers.CallerReply | None:
+        """Send a caller's request to a peer; return its reply, or None when there is none.
+
+        A connection that brought no reply in time is closed, as it may be silent for good.
+        """
+        link = self._link(peer)
+        if len(link.replies_by_request) >= MAX_REQUESTS_IN_PROGRESS:
+            return None
+        numbered = msgspec.structs.replace(request, request_id=next(self._request_ids))
         reply = asyncio.get_running_loop().create_future()
-        self._replies_by_request[request.request_id] = reply
+        link.replies_by_request[numbered.request_id] = reply
         try:
+            if not link.send(peers.encode(numbered)):
+                self._report_lost(link)
+                return None
             async with asyncio.timeout(timeout_ms / 1000):
-                await self._dealer(peer).send(peers.encode(request))
                 return await reply
-        except (TimeoutError, zmq.ZMQError) as error:
-            logevents.write(logevents.LogEvent.PEER_UNREACHABLE, peer=peer.name, error=repr(error))
+        except TimeoutError:
+            logevents.write(logevents.LogEvent.PEER_SILENT, peer=peer.name)
+            self._close_link(link)
             return None
         finally:
-            del self._replies_by_request[request.request_id]
+            del link.replies_by_request[numbered.request_id]
 
     def send(self, action: actions.SendToPeer) -> None:
-        """Send a message without waiting; it is dropped when the peer is not connected."""
-        sending = self._dealer(action.peer).send(peers.encode(action.message), zmq.NOBLOCK)
-        sending.add_done_callback(functools.partial(self._sent, action.peer))
-
-    def _sent(self, peer: vms.Vm, sending: asyncio.Future) -> None:
-        if not sending.cancelled() and isinstance(sending.exception(), zmq.Again):
-            self._node.shell.handle_safely(events.PeerUnreachable(name=peer.name))
-
-    def _dealer(self, peer: vms.Vm) -> zmq.asyncio.Socket:
-        endpoint = f"tcp://{peer.address}:{peer.peer_port}"
-        dealer = self._dealers_by_endpoint.get(endpoint)
-        if dealer is None:
-            dealer = self._configured(zmq.DEALER)
-            dealer.connect(endpoint)
-            self._dealers_by_endpoint[endpoint] = dealer
-            self._in_background(self._receive_replies(dealer))
-        return dealer
-
-    def _configured(self, kind: int) -> zmq.asyncio.Socket:
-        socket = self._context.socket(kind)
-        socket.linger = 0
-        socket.sndhwm = HIGH_WATER_MARK
-        socket.rcvhwm = HIGH_WATER_MARK
-        socket.maxmsgsize = peers.MAX_PEER_MESSAGE_BYTES
-        socket.heartbeat_ivl = HEARTBEAT_INTERVAL_MS
-        socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
-        # Nothing is queued for a peer that is not connected, so nothing arrives long after.
-        socket.immediate = True
-        return socket
+        """Send a message without waiting; it is dropped when the peer cannot be reached."""
+        link = self._link(action.peer)
+        if not link.send(peers.encode(action.message)):
+            self._report_lost(link)
+
+    def disconnect(self, action: actions.DisconnectPeer) -> None:
+        """Close the connection to a peer; the next message opens another."""
+        link = self._links_by_endpoint.get(_endpoint(action.peer))
+        if link is not None:
+            self._close_link(link)
+
+    def _link(self, peer: vms.Vm) -> links_zmq.Link:
+        endpoint = _endpoint(peer)
+        link = self._links_by_endpoint.get(endpoint)
+        if link is None:
+            link = links_zmq.Link(self._context, peer, self._receive_reply, self._report_lost)
+            self._links_by_endpoint[endpoint] = link
+        return link
+
+    def _close_link(self, link: links_zmq.Link) -> None:
+        if self._links_by_endpoint.get(_endpoint(link.peer)) is link:
+            del self._links_by_endpoint[_endpoint(link.peer)]
+            link.close()
+
+    def _report_lost(self, link: links_zmq.Link) -> None:
+        link.give_up_requests()
+        self._node.shell.handle_safely(events.PeerUnreachable(peer=link.peer))
+
+    async def _close_idle_links(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            oldest = loop.time() - IDLE_LINK_SECONDS
+            for link in list(self._links_by_endpoint.values()):
+                if link.used_at < oldest and not link.replies_by_request:
+                    self._close_link(link)
 
     async def _receive_requests(self) -> None:
         while True:
-            identity, data = await self._router.recv_multipart()
-            message = self._decode(data)
+            identity, *frames = await self._router.recv_multipart()
+            message = self._decode(b"".join(frames))
             if isinstance(message, peers.CallerRequest):
                 self._in_background(self._serve(identity, message))
             elif message is not None:
                 self._node.shell.handle_safely(events.PeerMessageReceived(message=message))
 
-    async def _receive_replies(self, dealer: zmq.asyncio.Socket) -> None:
-        while True:
-            message = self._decode(await dealer.recv())
-            if isinstance(message, peers.CallerReply):
-                waiting = self._replies_by_request.get(message.request_id)
-                if waiting is not None and not waiting.done():
-                    waiting.set_result(message)
+    def _receive_reply(self, link: links_zmq.Link, data: bytes) -> None:
+        message = self._decode(data)
+        if isinstance(message, peers.CallerReply):
+            waiting = link.replies_by_request.get(message.request_id)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(message)
 
     async def _serve(self, identity: bytes, request: peers.CallerRequest) -> None:
-        reply = await self._node.requests.serve_peer(request)
-        await self._router.send_multipart([identity, peers.encode(reply)])
+        if self._serving >= MAX_REQUESTS_IN_PROGRESS:
+            return
+        self._serving += 1
+        try:
+            reply = await self._node.requests.serve_peer(request)
+            await self._router.send_multipart([identity, peers.encode(reply)])
+        finally:
+            self._serving -= 1
 
     def _decode(self, data: bytes) -> peers.PeerMessage | None:
         try:
@@ -131,6 +156,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _endpoint(peer: vms.Vm) -> tuple[str, int]:
+    return peer.address, peer.peer_port
+
+
 def register() -> None:
     """Register the adapter under the name ``zmq``."""
     plugins.add(plugins.Kind.PEERS, "zmq", ZmqPeers)
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -16,12 +16,11 @@
     peers,
     results,
     submissions,
-    vms,
 )
-from chiveridge_node import shells
+from chiveridge_node import forwards, shells
 
 MAX_WAIT_MS = 300_000
-FORWARD_MARGIN_MS = 2000
+RETRY_AFTER_MS = 1000
 _DIGEST_BYTES = 16
 
 
@@ -34,13 +33,13 @@
 
 
 class Requests:
-    """Serves submit, ask and cancel; ``forwarder`` sends a request to another node."""
+    """Serves submit, ask and cancel; ``forwarder`` has others serve a request."""
 
     def __init__(self, shell: shells.Shell):
         self._shell = shell
         self._kernel = shell.kernel
         self._answered_by_id: dict[identifiers.SubmissionId, asyncio.Event] = {}
-        self.forward = None
+        self.forwarder = forwards.Forwarder(shell.kernel, shell.clock)
 
     def answered(self, action) -> None:
         """Wake those who wait for an answer."""
@@ -147,25 +146,18 @@
         body: bytes,
         wait_ms: int,
     ) -> Reply:
-        now_ms = clocks.to_epoch_ms(self._shell.clock.now())
-        if issued.expires_at_ms <= now_ms:
-            return unknown(
-                results.ResultCode.SUBMISSION_ID_EXPIRED, "submission_id: it has expired"
-            )
-        node: vms.Vm | None = self._kernel.members.find(issued.node)
-        if node is None:
-            return _unreachable(issued.node)
-        reply = await self.forward(
-            node,
+        request = peers.CallerRequest(
+            request_id=0,
+            sender=self._kernel.settings.node,
             operation=operation,
             team=team,
             submission_id=submission_id,
             body=body,
-            wait_ms=wait_ms,
-            timeout_ms=wait_ms + FORWARD_MARGIN_MS,
+            wait_ms=min(wait_ms, MAX_WAIT_MS),
         )
-        if reply is None:
-            return _unreachable(issued.node)
+        reply = await self.forwarder.perform(issued, request)
+        if isinstance(reply, forwards.NoReply):
+            return _no_reply(reply, issued)
         return Reply(code=reply.code, body=reply.body, retry_after_ms=reply.retry_after_ms)
 
     async def serve_peer(self, request: peers.CallerRequest) -> peers.CallerReply:
@@ -183,9 +175,9 @@
             issued = submissions.parse(request.submission_id)
         except errors.RefusedError as error:
             return refused(error)
-        if issued.incarnation != self._kernel.settings.incarnation:
-            message = "the node that issued the id was replaced; nothing more of it will start"
-            return unknown(results.ResultCode.ISSUER_GONE, message)
+        verdict = forwards.verdict_on(issued, self._kernel.settings.incarnation)
+        if verdict is not None:
+            return _no_reply(verdict, issued)
         return await self.perform_here(
             request.operation, request.team, request.submission_id, request.body, request.wait_ms
         )
@@ -198,15 +190,34 @@
 }
 
 
+_CODES_BY_REASON = {
+    forwards.NoReply.EXPIRED: results.ResultCode.SUBMISSION_ID_EXPIRED,
+    forwards.NoReply.GONE: results.ResultCode.ISSUER_GONE,
+    forwards.NoReply.UNREACHABLE: results.ResultCode.ISSUER_UNREACHABLE,
+}
+
+_MESSAGES_BY_REASON = {
+    forwards.NoReply.EXPIRED: "submission_id: it has expired",
+    forwards.NoReply.GONE: (
+        "node {node!r}, which issued the id, was replaced; nothing more of it will start"
+    ),
+    forwards.NoReply.UNREACHABLE: (
+        "node {node!r}, which issued the id, cannot be reached; ask again with the same id"
+    ),
+}
+
+
 def refused(error: errors.RefusedError) -> Reply:
     """Return the reply that tells of a refusal."""
     body = messages.encoder.encode(messages.refusal_of(error))
     return Reply(code=error.code, body=body, retry_after_ms=error.retry_after_ms)
 
 
-def _unreachable(node: str) -> Reply:
-    message = f"node {node!r}, which issued the id, cannot be reached; ask again with the same id"
-    return unknown(results.ResultCode.ISSUER_UNREACHABLE, message, retry_after_ms=1000)
+def _no_reply(reason: forwards.NoReply, issued: submissions.IssuedId) -> Reply:
+    code = _CODES_BY_REASON[reason]
+    message = _MESSAGES_BY_REASON[reason].format(node=issued.node)
+    retry_after_ms = RETRY_AFTER_MS if reason is forwards.NoReply.UNREACHABLE else None
+    return unknown(code, message, retry_after_ms)
 
 
 def unknown(code: results.ResultCode, message: str, retry_after_ms: int | None = None) -> Reply:
