Drop what peers send in error: counted by reason, logged at a bounded rate

A message of several frames ended the loop that receives, and a message of a type that only a later version knows was not told from a corrupt one. The fuzz of the ROUTER port also showed that the first message over a new connection could be lost: a socket notices an opened connection up to a millisecond late; such messages are now held and sent again.

--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -66,9 +66,13 @@
 
 
 class PeerMessageReceived(msgspec.Struct, frozen=True, kw_only=True):
-    """A message from another node; it may be late, repeated or out of order."""
+    """A message from another node; it may be late, repeated or out of order.
+
+    ``route`` is the way back over the connection that it came by.
+    """
 
     message: peers.PeerMessage
+    route: bytes = b""
 
 
 class PeerUnreachable(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -233,7 +233,7 @@
 
 @_handle.register
 def _(event: events.PeerMessageReceived, kernel: Kernel, now: datetime.datetime) -> None:
-    _handle_message(event.message, kernel, now)
+    _take_message(event.message, kernel, event.route, now)
 
 
 @_handle.register
@@ -248,10 +248,12 @@
 
 
 @functools.singledispatch
-def _handle_message(message: peers.PeerMessage, kernel: Kernel, now: datetime.datetime) -> None:
+def _take_message(
+    message: peers.PeerMessage, kernel: Kernel, route: bytes, now: datetime.datetime
+) -> None:
     raise TypeError(f"no handler for peer message {type(message).__name__}")
 
 
-@_handle_message.register
-def _(message: peers.Heartbeat, kernel: Kernel, now: datetime.datetime) -> None:
+@_take_message.register
+def _(message: peers.Heartbeat, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
     kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
--- a/packages/kernel/chiveridge_kernel/members.py
+++ b/packages/kernel/chiveridge_kernel/members.py
@@ -1,5 +1,6 @@
 """The nodes of the system as this node sees them: the platform's list joined with heartbeats."""
 
+import collections
 import datetime
 import enum
 
@@ -8,6 +9,8 @@
 from chiveridge_kernel import identifiers, peers, vms
 
 FORGET_AFTER = datetime.timedelta(minutes=10)
+MAX_UNLISTED_MEMBERS = 1000
+MAX_FORMER_INCARNATIONS = 100
 
 
 class MemberState(enum.Enum):
@@ -76,7 +79,9 @@
     vm: vms.Vm | None = None
     state: MemberState = MemberState.UNKNOWN
     incarnation: identifiers.Incarnation | None = None
-    former_incarnations: set[identifiers.Incarnation] = msgspec.field(default_factory=set)
+    former_incarnations: collections.deque[identifiers.Incarnation] = msgspec.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_FORMER_INCARNATIONS)
+    )
     offset: int = 0
     sent: int = 0
     echoed: int = 0
@@ -165,7 +170,11 @@
 
     def heard(self, heartbeat: peers.Heartbeat, times: MemberTimes, now: datetime.datetime) -> bool:
         """Take a heartbeat; tell whether it was from the current incarnation."""
-        member = self.members_by_name.setdefault(heartbeat.sender, Member(name=heartbeat.sender))
+        member = self.members_by_name.get(heartbeat.sender)
+        if member is None:
+            if len(self.members_by_name) >= len(self.vms_by_name) + MAX_UNLISTED_MEMBERS:
+                return False
+            member = self.members_by_name[heartbeat.sender] = Member(name=heartbeat.sender)
         if heartbeat.incarnation != member.incarnation:
             if not _may_follow(member, heartbeat.incarnation, times, now):
                 return False
@@ -225,7 +234,7 @@
         member = self.members_by_name.setdefault(name, Member(name=name))
         known = member.vm
         member.vm = vm
-        if member.heard_at is None:
+        if known is None:
             member.heard_at = member.proved_at = now
         moved = known is not None and not _is_at(known, vm)
         if moved:
@@ -272,7 +281,7 @@
 
 def _renew(member: Member, incarnation: identifiers.Incarnation, now: datetime.datetime) -> None:
     if member.incarnation is not None:
-        member.former_incarnations.add(member.incarnation)
+        member.former_incarnations.append(member.incarnation)
     member.incarnation = incarnation
     member.received = 0
     member.offset = 0
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -1,6 +1,8 @@
 """Messages between nodes, as msgpack with a type tag."""
 
 import enum
+import typing
+from typing import Annotated
 
 import msgspec
 
@@ -22,8 +24,22 @@
 }
 
 
+class DropReason(enum.Enum):
+    """Why a message from a peer is dropped."""
+
+    CORRUPT = "corrupt"
+    OVERSIZED = "oversized"
+    UNKNOWN_VERSION = "unknown_version"
+    UNKNOWN_TYPE = "unknown_type"
+    UNEXPECTED = "unexpected"
+
+
 class PeerMessageError(errors.ChiveridgeError):
-    """Bytes from a peer are not a message of this protocol version."""
+    """Bytes from a peer are not a message that can be taken here."""
+
+    def __init__(self, reason: DropReason, message: str):
+        super().__init__(message)
+        self.reason = reason
 
 
 class Operation(enum.Enum):
@@ -72,17 +88,24 @@
 
     sender: identifiers.NodeName
     incarnation: identifiers.Incarnation
-    sequence: int
-    echo: int = 0
-    offset: int = 0
+    sequence: Annotated[int, msgspec.Meta(ge=1)]
+    echo: Annotated[int, msgspec.Meta(ge=0)] = 0
+    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
     leaving: bool = False
     reply_wanted: bool = False
 
 
 PeerMessage = CallerRequest | CallerReply | Heartbeat
 
+
+class _Tagged(msgspec.Struct):
+    type: str
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
+_tag_decoder = msgspec.msgpack.Decoder(_Tagged)
+_KNOWN_TAGS = frozenset(kind.__struct_config__.tag for kind in typing.get_args(PeerMessage))
 _VERSION_PREFIX = bytes([PROTOCOL_VERSION])
 
 
@@ -97,10 +120,23 @@
     :raises PeerMessageError: when it is corrupt, oversized or of another version.
     """
     if len(data) > MAX_PEER_MESSAGE_BYTES:
-        raise PeerMessageError(f"message of {len(data)} bytes is too large")
+        message = f"message of {len(data)} bytes is too large"
+        raise PeerMessageError(DropReason.OVERSIZED, message)
     if data[:1] != _VERSION_PREFIX:
-        raise PeerMessageError(f"message has version {data[:1].hex()!r}")
+        message = f"message has version {data[:1].hex()!r}"
+        raise PeerMessageError(DropReason.UNKNOWN_VERSION, message)
+    content = memoryview(data)[1:]
+    try:
+        return _decoder.decode(content)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        message = f"message cannot be decoded: {error}"
+        raise PeerMessageError(_reason_of(content), message) from error
+
+
+def _reason_of(content: memoryview) -> DropReason:
+    """Return why bytes cannot be decoded; a later version may have more types."""
     try:
-        return _decoder.decode(memoryview(data)[1:])
-    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
-        raise PeerMessageError(f"message cannot be decoded: {error}") from error
+        tag = _tag_decoder.decode(content).type
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return DropReason.CORRUPT
+    return DropReason.CORRUPT if tag in _KNOWN_TAGS else DropReason.UNKNOWN_TYPE
--- /dev/null
+++ b/packages/node/chiveridge_node/drops.py
@@ -0,0 +1,35 @@
+"""Counts dropped peer messages, and logs them at a bounded rate."""
+
+import collections
+from collections.abc import Callable
+
+from chiveridge_kernel import peers
+from chiveridge_node import logevents, metrics
+
+LOG_INTERVAL_SECONDS = 10.0
+
+
+class DropCounter:
+    """Counts by reason; each reason is logged at most once an interval."""
+
+    def __init__(self, monotonic: Callable[[], float]):
+        self._monotonic = monotonic
+        self._unlogged_by_reason: collections.Counter[peers.DropReason] = collections.Counter()
+        self._logged_at_by_reason: dict[peers.DropReason, float] = {}
+
+    def count(self, error: peers.PeerMessageError) -> None:
+        """Count a dropped message."""
+        reason = error.reason
+        metrics.peer_messages_dropped.labels(reason.value).inc()
+        self._unlogged_by_reason[reason] += 1
+        now = self._monotonic()
+        logged_at = self._logged_at_by_reason.get(reason)
+        if logged_at is not None and now - logged_at < LOG_INTERVAL_SECONDS:
+            return
+        self._logged_at_by_reason[reason] = now
+        logevents.write(
+            logevents.LogEvent.PEER_MESSAGE_DROPPED,
+            reason=reason.value,
+            count=self._unlogged_by_reason.pop(reason),
+            error=str(error),
+        )
--- a/packages/node/chiveridge_node/forwards.py
+++ b/packages/node/chiveridge_node/forwards.py
@@ -16,6 +16,7 @@
     vms,
 )
 
+FIRST_SLICE_MS = 1000
 SLICE_MS = 4000
 REPLY_MARGIN_MS = 1000
 MAX_SILENT_TRIES = 2
@@ -52,11 +53,12 @@
             return NoReply.EXPIRED
         silent_tries = 0
         left_ms = request.wait_ms
+        longest_ms = FIRST_SLICE_MS
         while silent_tries < MAX_SILENT_TRIES:
             found = self._find(issued)
             if isinstance(found, NoReply):
                 return found
-            slice_ms = min(left_ms, SLICE_MS)
+            slice_ms = min(left_ms, longest_ms)
             part = msgspec.structs.replace(request, wait_ms=slice_ms)
             reply = await self.exchange(found, part, slice_ms + REPLY_MARGIN_MS)
             if reply is None:
@@ -66,6 +68,7 @@
             if reply.code is not results.ResultCode.ACCEPTED or left_ms <= 0:
                 return reply
             silent_tries = 0
+            longest_ms = SLICE_MS
             request = msgspec.structs.replace(request, operation=peers.Operation.ASK, body=b"")
         return NoReply.UNREACHABLE
 
--- a/packages/node/chiveridge_node/links_zmq.py
+++ b/packages/node/chiveridge_node/links_zmq.py
@@ -13,6 +13,7 @@
 
 HIGH_WATER_MARK = 1000
 CONNECT_TIMEOUT_SECONDS = 1.0
+FLUSH_INTERVAL_SECONDS = 0.005
 RECONNECT_MIN_MS = 200
 RECONNECT_MAX_MS = 2000
 MAX_MESSAGES_WHILE_CONNECTING = 64
@@ -43,11 +44,13 @@
         self.peer = peer
         self.replies_by_request: dict[int, asyncio.Future[peers.CallerReply | None]] = {}
         self.used_at = _loop_time()
+        self.heard_at = _loop_time()
         self._on_message = on_message
         self._on_lost = on_lost
         self._opened_at = _loop_time()
         self._is_up = False
         self._is_refused = False
+        self._flushing: asyncio.TimerHandle | None = None
         self._held: collections.deque[_Held] = collections.deque()
         self._socket = configured(context, zmq.DEALER)
         self._monitor = self._socket.get_monitor_socket(_EVENTS)
@@ -58,17 +61,21 @@
     def send(self, data: bytes) -> bool:
         """Send, or hold until the connection is open; tell whether either could be done."""
         self.used_at = _loop_time()
-        if self._send_now(data):
+        if not self._held and self._send_now(data):
             return True
-        if not self._is_connecting() or len(self._held) >= MAX_MESSAGES_WHILE_CONNECTING:
+        if not self._may_hold():
             return False
         self._held.append(_Held(data, _loop_time()))
+        if self._is_up:
+            self._flush_soon()
         return True
 
     def close(self) -> None:
         """Close the connection; requests without a reply get none."""
         for task in self._tasks:
             task.cancel()
+        if self._flushing is not None:
+            self._flushing.cancel()
         self._socket.disable_monitor()
         self._monitor.close(linger=0)
         self._socket.close(linger=0)
@@ -80,16 +87,19 @@
             if not reply.done():
                 reply.set_result(None)
 
-    def _is_connecting(self) -> bool:
+    def _may_hold(self) -> bool:
         age = _loop_time() - self._opened_at
-        return not self._is_up and not self._is_refused and age < CONNECT_TIMEOUT_SECONDS
+        room = len(self._held) < MAX_MESSAGES_WHILE_CONNECTING
+        return room and not self._is_refused and age < CONNECT_TIMEOUT_SECONDS
 
     def _send_now(self, data: bytes) -> bool:
         return self._socket.send(data, zmq.NOBLOCK).exception() is None
 
     async def _receive(self) -> None:
         while True:
-            self._on_message(self, await self._socket.recv())
+            data = await self._socket.recv()
+            self.heard_at = _loop_time()
+            self._on_message(self, data)
 
     async def _watch(self) -> None:
         while True:
@@ -100,19 +110,34 @@
         if event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
             self._is_up = True
             self._is_refused = False
+            self._opened_at = _loop_time()
             self._flush()
             return
-        self._is_up = False
-        self._is_refused = True
         self._held.clear()
-        self._on_lost(self)
+        self._is_up = False
+        if not self._is_refused:
+            self._is_refused = True
+            self._on_lost(self)
 
     def _flush(self) -> None:
         oldest = _loop_time() - CONNECT_TIMEOUT_SECONDS
         while self._held:
-            held = self._held.popleft()
-            if held.held_at >= oldest:
-                self._send_now(held.data)
+            held = self._held[0]
+            if held.held_at >= oldest and not self._send_now(held.data):
+                self._flush_soon()
+                return
+            self._held.popleft()
+
+    def _flush_soon(self) -> None:
+        # A socket notices a connection that has opened up to a millisecond late.
+        if self._flushing is None:
+            self._flushing = asyncio.get_running_loop().call_later(
+                FLUSH_INTERVAL_SECONDS, self._flush_now
+            )
+
+    def _flush_now(self) -> None:
+        self._flushing = None
+        self._flush()
 
 
 def configured(context: zmq.asyncio.Context, kind: int) -> zmq.asyncio.Socket:
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import itertools
+import time
 
 import msgspec
 import zmq
 import zmq.asyncio
 
 from chiveridge_kernel import actions, events, peers, vms
-from chiveridge_node import links_zmq, logevents, plugins
+from chiveridge_node import drops, links_zmq, logevents, metrics, plugins
 
 MAX_REQUESTS_IN_PROGRESS = 4096
 IDLE_LINK_SECONDS = 30.0
@@ -25,6 +26,7 @@
         self._links_by_endpoint: dict[tuple[str, int], links_zmq.Link] = {}
         self._request_ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
+        self._drops = drops.DropCounter(time.monotonic)
         self._serving = 0
         self.port = 0
 
@@ -63,6 +65,7 @@
         link = self._link(peer)
         if len(link.replies_by_request) >= MAX_REQUESTS_IN_PROGRESS:
             return None
+        sent_at = asyncio.get_running_loop().time()
         numbered = msgspec.structs.replace(request, request_id=next(self._request_ids))
         reply = asyncio.get_running_loop().create_future()
         link.replies_by_request[numbered.request_id] = reply
@@ -73,8 +76,9 @@
             async with asyncio.timeout(timeout_ms / 1000):
                 return await reply
         except TimeoutError:
-            logevents.write(logevents.LogEvent.PEER_SILENT, peer=peer.name)
-            self._close_link(link)
+            if link.heard_at < sent_at:
+                logevents.write(logevents.LogEvent.PEER_SILENT, peer=peer.name)
+                self._close_link(link)
             return None
         finally:
             del link.replies_by_request[numbered.request_id]
@@ -102,6 +106,7 @@
     def _close_link(self, link: links_zmq.Link) -> None:
         if self._links_by_endpoint.get(_endpoint(link.peer)) is link:
             del self._links_by_endpoint[_endpoint(link.peer)]
+            metrics.peer_links_closed.inc()
             link.close()
 
     def _report_lost(self, link: links_zmq.Link) -> None:
@@ -120,11 +125,14 @@
     async def _receive_requests(self) -> None:
         while True:
             identity, *frames = await self._router.recv_multipart()
-            message = self._decode(b"".join(frames))
-            if isinstance(message, peers.CallerRequest):
-                self._in_background(self._serve(identity, message))
-            elif message is not None:
-                self._node.shell.handle_safely(events.PeerMessageReceived(message=message))
+            self._take(identity, b"".join(frames))
+
+    def _take(self, identity: bytes, data: bytes) -> None:
+        message = self._decode(data)
+        if isinstance(message, peers.CallerRequest):
+            self._in_background(self._serve(identity, message))
+        elif message is not None:
+            self._hand_over(message, identity)
 
     def _receive_reply(self, link: links_zmq.Link, data: bytes) -> None:
         message = self._decode(data)
@@ -132,6 +140,15 @@
             waiting = link.replies_by_request.get(message.request_id)
             if waiting is not None and not waiting.done():
                 waiting.set_result(message)
+        elif message is not None:
+            self._hand_over(message, b"")
+
+    def _hand_over(self, message: peers.PeerMessage, route: bytes) -> None:
+        if isinstance(message, peers.CallerRequest | peers.CallerReply):
+            text = f"{type(message).__name__} is not expected over this connection"
+            self._drops.count(peers.PeerMessageError(peers.DropReason.UNEXPECTED, text))
+            return
+        self._node.shell.handle_safely(events.PeerMessageReceived(message=message, route=route))
 
     async def _serve(self, identity: bytes, request: peers.CallerRequest) -> None:
         if self._serving >= MAX_REQUESTS_IN_PROGRESS:
@@ -147,7 +164,7 @@
         try:
             return peers.decode(data)
         except peers.PeerMessageError as error:
-            logevents.write(logevents.LogEvent.PEER_MESSAGE_DROPPED, error=str(error))
+            self._drops.count(error)
             return None
 
     def _in_background(self, coroutine) -> None:
--- /dev/null
+++ b/packages/node/tests/test_forwards.py
@@ -0,0 +1,110 @@
+import datetime
+
+import msgspec
+import pytest
+
+from chiveridge_kernel import clocks, members, peers, results, submissions, vms
+from chiveridge_node import forwards
+
+TIMES = members.MemberTimes(
+    suspect_after=datetime.timedelta(seconds=3), dead_after=datetime.timedelta(seconds=10)
+)
+ISSUER = vms.Vm(
+    name="a", role=vms.VmRole.ENTRY, domain="ikeja", address="127.0.0.1", port=1, peer_port=2
+)
+REQUEST = peers.CallerRequest(
+    request_id=0,
+    sender="own",
+    operation=peers.Operation.SUBMIT,
+    team="desk",
+    submission_id="id",
+    body=b"job",
+    wait_ms=9000,
+)
+RUNNING = peers.CallerReply(request_id=1, code=results.ResultCode.ACCEPTED, body=b"")
+COMPLETE = peers.CallerReply(request_id=1, code=results.ResultCode.COMPLETE, body=b"")
+
+
+class Kernel(msgspec.Struct):
+    members: members.MemberTable
+
+
+class Exchanges:
+    """Answers exchanges with what the test lists."""
+
+    def __init__(self, replies: list):
+        self.requests: list[peers.CallerRequest] = []
+        self._replies = replies
+
+    async def __call__(self, peer, request, timeout_ms):
+        self.requests.append(request)
+        return self._replies.pop(0)
+
+
+@pytest.fixture
+def table() -> members.MemberTable:
+    found = members.MemberTable("own", "ikeja")
+    found.replace(vms.VmList(1, [ISSUER]), clocks.EPOCH)
+    heartbeat = peers.Heartbeat(sender="a", incarnation="c", sequence=1)
+    found.heard(heartbeat, TIMES, clocks.EPOCH)
+    return found
+
+
+async def perform(table, incarnation: str, replies: list, expires_at_ms: int = 1000):
+    forwarder = forwards.Forwarder(Kernel(table), clocks.ManualClock())
+    forwarder.exchange = Exchanges(replies)
+    issued = submissions.IssuedId("a", incarnation, expires_at_ms, 1, "mac")
+    return await forwarder.perform(issued, REQUEST), forwarder.exchange.requests
+
+
+@pytest.mark.promise("honest_refusal")
+async def test_an_id_of_an_earlier_incarnation_is_gone_at_once(table):
+    assert await perform(table, "b", []) == (forwards.NoReply.GONE, [])
+
+
+@pytest.mark.promise("honest_refusal")
+async def test_an_issuer_that_is_dead_or_not_listed_is_unreachable_at_once(table):
+    table.members_by_name["a"].state = members.MemberState.DEAD
+    assert await perform(table, "c", []) == (forwards.NoReply.UNREACHABLE, [])
+    table.replace(vms.VmList(2, []), clocks.EPOCH)
+    assert await perform(table, "c", []) == (forwards.NoReply.UNREACHABLE, [])
+
+
+async def test_a_silent_issuer_is_asked_again_a_bounded_number_of_times(table):
+    reply, requests = await perform(table, "c", [None, None])
+    assert reply is forwards.NoReply.UNREACHABLE
+    assert [request.body for request in requests] == [b"job"] * forwards.MAX_SILENT_TRIES
+
+
+async def test_a_replacement_seen_while_waiting_ends_the_wait(table):
+    class Replaced(Exchanges):
+        async def __call__(self, peer, request, timeout_ms):
+            heartbeat = peers.Heartbeat(sender="a", incarnation="d", sequence=1)
+            table.heard(heartbeat, TIMES, clocks.EPOCH)
+
+    forwarder = forwards.Forwarder(Kernel(table), clocks.ManualClock())
+    forwarder.exchange = Replaced([])
+    issued = submissions.IssuedId("a", "c", 1000, 1, "mac")
+    assert await forwarder.perform(issued, REQUEST) is forwards.NoReply.GONE
+
+
+async def test_a_long_wait_is_made_of_short_exchanges_that_send_the_job_once(table):
+    reply, requests = await perform(table, "c", [RUNNING, RUNNING, None, COMPLETE])
+    assert reply is COMPLETE
+    assert [request.body for request in requests] == [b"job", b"", b"", b""]
+    assert max(request.wait_ms for request in requests) <= forwards.SLICE_MS
+    assert requests[1].operation is peers.Operation.ASK
+
+
+async def test_a_wait_ends_with_the_state_of_a_job_that_still_runs(table):
+    reply, requests = await perform(table, "c", [RUNNING] * 10)
+    assert reply is RUNNING
+    assert sum(request.wait_ms for request in requests) == REQUEST.wait_ms
+
+
+@pytest.mark.promise("honest_refusal")
+def test_only_a_later_incarnation_calls_an_id_gone():
+    issued = submissions.IssuedId("a", "b", 1000, 1, "mac")
+    assert forwards.verdict_on(issued, "b") is None
+    assert forwards.verdict_on(issued, "c") is forwards.NoReply.GONE
+    assert forwards.verdict_on(issued, "a") is forwards.NoReply.UNREACHABLE
--- /dev/null
+++ b/packages/node/tests/test_peers_zmq.py
@@ -0,0 +1,149 @@
+import asyncio
+import contextlib
+import types
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+import zmq
+import zmq.asyncio
+
+from chiveridge_kernel import actions, events, peers, results, vms
+from chiveridge_node import metrics, peers_zmq
+from chiveridge_standins import proxies
+
+HOST = "127.0.0.1"
+REQUEST = peers.CallerRequest(
+    request_id=0,
+    sender="b",
+    operation=peers.Operation.ASK,
+    team="desk",
+    submission_id="id",
+)
+
+
+class Node:
+    """What the adapter needs of a node; it replies to every request."""
+
+    def __init__(self, name: str):
+        section = types.SimpleNamespace(name=name, address=HOST, peer_port=0)
+        self.settings = types.SimpleNamespace(node=section)
+        self.shell = self
+        self.requests = self
+        self.forwarder = types.SimpleNamespace(exchange=None)
+        self.events: list[events.Event] = []
+        self.changed = asyncio.Event()
+
+    def perform_with(self, action_type, performer) -> None:
+        pass
+
+    def handle_safely(self, event: events.Event) -> None:
+        self.events.append(event)
+        self.changed.set()
+
+    async def serve_peer(self, request: peers.CallerRequest) -> peers.CallerReply:
+        code = results.ResultCode.COMPLETE
+        return peers.CallerReply(request_id=request.request_id, code=code, body=b"whole")
+
+
+@contextlib.asynccontextmanager
+async def opened(name: str):
+    adapter = peers_zmq.ZmqPeers(Node(name))
+    await adapter.open()
+    try:
+        yield adapter
+    finally:
+        await adapter.close()
+
+
+def vm(port: int) -> vms.Vm:
+    return vms.Vm(
+        name="a", role=vms.VmRole.ENTRY, domain="ikeja", address=HOST, port=1, peer_port=port
+    )
+
+
+@contextlib.asynccontextmanager
+async def proxied(port: int):
+    proxy = proxies.FaultProxy(HOST, port)
+    await proxy.start()
+    try:
+        yield proxy
+    finally:
+        await proxy.close()
+
+
+async def until(condition) -> None:
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.promise("own_whole_answer")
+async def test_a_connection_that_is_silent_for_good_is_replaced():
+    async with opened("a") as server, opened("b") as sender, proxied(server.port) as proxy:
+        peer = vm(proxy.port)
+        first = await sender.exchange(peer, REQUEST, 5000)
+        proxy.go_silent()
+        assert await sender.exchange(peer, REQUEST, 200) is None
+        again = await sender.exchange(peer, REQUEST, 5000)
+    assert first.body == again.body == b"whole"
+
+
+async def test_a_refused_connection_ends_the_exchange_at_once_and_is_evidence():
+    async with opened("a") as server, opened("b") as sender, proxied(server.port) as proxy:
+        peer = vm(proxy.port)
+        await sender.exchange(peer, REQUEST, 5000)
+        proxy.freeze()
+        hanging = asyncio.ensure_future(sender.exchange(peer, REQUEST, 600_000))
+        await asyncio.sleep(0)
+        proxy.cut()
+        assert await asyncio.wait_for(hanging, 10) is None
+        assert sender._node.events == [events.PeerUnreachable(peer=peer)]
+
+
+async def test_a_connection_to_a_peer_that_is_gone_is_closed():
+    async with opened("a") as server, opened("b") as sender, proxied(server.port) as proxy:
+        await sender.exchange(vm(proxy.port), REQUEST, 5000)
+        sender.disconnect(actions.DisconnectPeer(peer=vm(proxy.port)))
+        await until(lambda: proxy.counts.open == 0)
+    assert proxy.counts.accepted == 1
+
+
+async def test_a_message_for_a_new_connection_is_held_until_it_opens():
+    heartbeat = peers.Heartbeat(sender="b", incarnation="c", sequence=1)
+    async with opened("a") as server, opened("b") as sender:
+        sender.send(actions.SendToPeer(peer=vm(server.port), message=heartbeat))
+        await asyncio.wait_for(server._node.changed.wait(), 10)
+        (received,) = server._node.events
+    assert received.message == heartbeat
+
+
+def dropped() -> float:
+    samples = metrics.peer_messages_dropped.collect()[0].samples
+    return sum(sample.value for sample in samples if sample.name.endswith("_total"))
+
+
+async def send_frames(messages: list[list[bytes]]) -> tuple[peers.CallerReply, list]:
+    async with opened("a") as server, opened("b") as sender:
+        context = zmq.asyncio.Context()
+        socket = context.socket(zmq.DEALER)
+        socket.connect(f"tcp://{HOST}:{server.port}")
+        for frames in messages:
+            await socket.send_multipart(frames)
+        # The reply to a request that follows on the same connection shows that all were read.
+        await socket.send(peers.encode(REQUEST))
+        reply = peers.decode(await asyncio.wait_for(socket.recv(), 10))
+        context.destroy(linger=0)
+        return reply, await sender.exchange(vm(server.port), REQUEST, 5000)
+
+
+@hypothesis.settings(derandomize=True, max_examples=15, deadline=None, database=None)
+@hypothesis.given(
+    st.lists(st.lists(st.binary(max_size=40), min_size=1, max_size=4), min_size=1, max_size=40)
+)
+def test_a_node_lives_on_and_counts_whatever_it_cannot_read(messages):
+    before = dropped()
+    reply, of_peer = asyncio.run(send_frames(messages))
+    assert isinstance(reply, peers.CallerReply)
+    assert of_peer.body == b"whole"
+    assert dropped() - before == len(messages)
