Keep used ids in a byte each and answers within a budget, and refuse honestly

Cause: a node remembered a struct, a digest and the whole answer object for each used id until it expired, without a limit. Reading the refusals showed words that had no proof: an expired id, a question about an id whose submission was still on its way, a bad key and a bad wait_ms were all told as not_run, and the refusal of a gone issuer came with status 200, which the client took for an unreadable answer. A fault in the middle of an admission left its id unused.

Now a ledger holds one byte for each issued id (free, admitted, or the code of its final refusal) in blocks that go with their last id, and answers are kept encoded once, within answers.keep_mb; over it the oldest that was fetched goes first. Such an id then gets ANSWER_NOT_KEPT (4007), ran unknown. An id is marked used before anything is started. Cancelling an id that nothing was submitted under uses it up. A pause of the process is noticed by its ticks, and deadlines count from its beginning for what was read in the second after it; a forwarded request carries its arrival.

Ruled out: keeping digests until the expiry (a used id of which the answer is gone is refused whatever its content), and a refused id that may be tried again.

Each new check was seen to fail with its line taken out: admit after the start, refusal not final, expiry told as not_run, no digest check, no check of the ledger, arrival ignored, cancel that leaves the id free, eviction of unseen answers first.

--- a/packages/client/chiveridge_client/calls.py
+++ b/packages/client/chiveridge_client/calls.py
@@ -31,6 +31,17 @@
 """Codes after which a job that never started may run under another submission id."""
 
 
+STARTED_NOTHING = frozenset(
+    {
+        results.ResultCode.ISSUER_GONE,
+        results.ResultCode.SUBMISSION_ID_EXPIRED,
+        results.ResultCode.ANSWER_NOT_KEPT,
+        results.ResultCode.UNKNOWN_SUBMISSION,
+    }
+)
+"""Codes of final refusals: the request started nothing, though an earlier one may have."""
+
+
 class Call(msgspec.Struct, kw_only=True):
     """A submission whose answer is awaited, with the state of its attempts.
 
@@ -99,12 +110,14 @@
     :raises errors.OutcomeUnknownError: when it is final and tasks may have started.
     """
     call.refusals += 1
-    if error.ran is results.TaskOutcome.UNKNOWN:
-        call.may_have_started = True
-        return
     if error.code is results.ResultCode.UNKNOWN_SUBMISSION and call.body and call.is_accepted:
         call.is_accepted = False
         return
+    if error.ran is results.TaskOutcome.UNKNOWN and error.code not in STARTED_NOTHING:
+        call.may_have_started = True
+        if error.code is results.ResultCode.ISSUER_UNREACHABLE or call.refusals <= MAX_REFUSALS:
+            return
+        raise final_error(call, error)
     if not _may_retry(call, error):
         raise final_error(call, error)
 
@@ -116,7 +129,7 @@
     if not isinstance(error, errors.RefusedError):
         return errors.OutcomeUnknownError(call.submission_id, str(error))
     leaves_doubt = error.code in REFUSED_FOR_NOW | ID_UNUSABLE
-    is_unknown = error.ran is results.TaskOutcome.UNKNOWN
+    is_unknown = error.ran is results.TaskOutcome.UNKNOWN and error.code not in STARTED_NOTHING
     if is_unknown or (call.may_have_started and leaves_doubt):
         return errors.OutcomeUnknownError(call.submission_id, str(error))
     return error
--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -35,6 +35,7 @@
 class AnswerJob(msgspec.Struct, frozen=True, kw_only=True):
     """Give a job's final answer to whoever waits for it."""
 
+    team: identifiers.TeamName
     answer: messages.JobAnswer
 
 
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/admissions.py
@@ -0,0 +1,208 @@
+"""Submissions of one node: issuing their ids, admitting each once, and finding what became of it.
+
+A refusal says ``not_run`` only where nothing was started under the id and nothing will be.
+"""
+
+import datetime
+from collections.abc import Callable
+
+from chiveridge_kernel import (
+    actions,
+    answers,
+    clocks,
+    dispatchers,
+    errors,
+    events,
+    identifiers,
+    jobs,
+    ledgers,
+    messages,
+    results,
+    submissions,
+)
+
+_RETRY_AFTER_MS_BY_CODE = {
+    results.ResultCode.DRAINING: 0,
+    results.ResultCode.NOT_READY: dispatchers.RETRY_AFTER_MS,
+    results.ResultCode.OVERLOADED: dispatchers.RETRY_AFTER_MS,
+    results.ResultCode.QUOTA_EXCEEDED: dispatchers.RETRY_AFTER_MS,
+    results.ResultCode.DEADLINE_UNREACHABLE: 0,
+}
+
+
+class Admissions:
+    """Uses each submission id once.
+
+    ``check_serving`` raises :class:`errors.RefusedError` while the node takes no new jobs.
+    """
+
+    def __init__(
+        self,
+        issuer: submissions.Issuer,
+        dispatcher: dispatchers.Dispatcher,
+        answer_store: answers.AnswerStore,
+        check_serving: Callable[[], None],
+    ):
+        self._issuer = issuer
+        self._dispatcher = dispatcher
+        self._answers = answer_store
+        self._check_serving = check_serving
+        self._ledger = ledgers.Ledger()
+        self._digests_by_running_id: dict[identifiers.SubmissionId, bytes] = {}
+
+    def issue(
+        self, team: identifiers.TeamName, count: int, now: datetime.datetime
+    ) -> messages.IdsAnswer:
+        """Issue submission ids to a team.
+
+        :raises errors.RefusedError: when this node drains or is not ready.
+        """
+        self._check_serving()
+        batch = self._issuer.issue(team, count, now)
+        self._ledger.note_issued(batch.serials, batch.expires_at_ms)
+        return messages.IdsAnswer(
+            results.ResultCode.ACCEPTED, batch.submission_ids, batch.expires_at_ms
+        )
+
+    def find(
+        self,
+        submission_id: identifiers.SubmissionId,
+        team: identifiers.TeamName,
+        now: datetime.datetime,
+    ) -> answers.KeptAnswer | jobs.Job:
+        """Return the answer to a team's submission, or its job while it runs.
+
+        :raises errors.RefusedError: when there is neither.
+        """
+        found = self._find_own(submission_id, team)
+        if found is not None:
+            return found
+        self._check_free(self._check_issued(submission_id, team, now))
+        message = f"submission_id: nothing was submitted so far under {submission_id!r}"
+        raise errors.RefusedError(
+            results.ResultCode.UNKNOWN_SUBMISSION, message, ran=results.TaskOutcome.UNKNOWN
+        )
+
+    def submit(self, event: events.SubmissionReceived, now: datetime.datetime) -> None:
+        """Admit a submission once; the same submission again changes nothing.
+
+        A refusal is final for its id: a copy that arrives later gets the same refusal, so
+        that a caller who was told "not run" can rely on it.
+        """
+        submission_id = identifiers.SubmissionId(event.submission.submission_id)
+        if not self._issuer.verify(submission_id, event.team):
+            message = f"submission_id: {submission_id!r} was not issued to team {event.team!r} here"
+            raise errors.RefusedError(results.ResultCode.UNKNOWN_SUBMISSION, message)
+        found = self._find_own(submission_id, event.team)
+        if found is not None:
+            self._check_same_content(submission_id, found, event.digest)
+            return
+        serial = _check_unexpired(submission_id, now)
+        self._check_free(serial)
+        _check_lifetime(submission_id, event.submission.deadline_ms, now)
+        # Used before anything is started, so that not even a fault in between lets it start twice.
+        self._ledger.admit(serial)
+        self._digests_by_running_id[submission_id] = event.digest
+        try:
+            self._check_serving()
+            self._dispatcher.admit(event, now)
+        except errors.RefusedError as refusal:
+            self._ledger.refuse(serial, refusal.code)
+            del self._digests_by_running_id[submission_id]
+            raise
+
+    def forget_expired(self, now: datetime.datetime) -> None:
+        """Forget ids that can no longer be used."""
+        self._ledger.forget_expired(clocks.to_epoch_ms(now))
+
+    def cancel(
+        self,
+        submission_id: identifiers.SubmissionId,
+        team: identifiers.TeamName,
+        now: datetime.datetime,
+    ) -> None:
+        """Cancel a job; an id that nothing was submitted under can't be used any more.
+
+        :raises errors.RefusedError: when the id is unknown or its answer is not kept.
+        """
+        if self._find_own(submission_id, team) is not None:
+            self._dispatcher.cancel(submission_id, now)
+            return
+        serial = self._check_issued(submission_id, team, now)
+        self._check_free(serial)
+        self._ledger.refuse(serial, results.ResultCode.CANCELLED)
+
+    def _find_own(
+        self, submission_id: identifiers.SubmissionId, team: identifiers.TeamName
+    ) -> answers.KeptAnswer | jobs.Job | None:
+        found = self._answers.find(submission_id) or self._dispatcher.jobs_by_id.get(submission_id)
+        return found if found is not None and found.team == team else None
+
+    def _check_issued(
+        self,
+        submission_id: identifiers.SubmissionId,
+        team: identifiers.TeamName,
+        now: datetime.datetime,
+    ) -> int:
+        """Return the serial of an unexpired id."""
+        if not self._issuer.verify(submission_id, team):
+            message = f"submission_id: {submission_id!r} was not issued to team {team!r} here"
+            raise errors.RefusedError(
+                results.ResultCode.UNKNOWN_SUBMISSION, message, ran=results.TaskOutcome.UNKNOWN
+            )
+        return _check_unexpired(submission_id, now)
+
+    def _check_free(self, serial: int) -> None:
+        code = self._ledger.refusal(serial)
+        if code is not None:
+            message = f"refused before with {code.name}; a refusal is final for its submission id"
+            raise errors.RefusedError(code, message, _RETRY_AFTER_MS_BY_CODE.get(code))
+        if self._ledger.is_admitted(serial):
+            message = "the job has ended and its answer is no longer kept"
+            raise errors.RefusedError(
+                results.ResultCode.ANSWER_NOT_KEPT, message, ran=results.TaskOutcome.UNKNOWN
+            )
+
+    def _check_same_content(
+        self,
+        submission_id: identifiers.SubmissionId,
+        found: answers.KeptAnswer | jobs.Job,
+        digest: bytes,
+    ) -> None:
+        known = getattr(found, "digest", None) or self._digests_by_running_id.get(submission_id)
+        if known is not None and known != digest:
+            message = "submission_id: it was used before with other content"
+            raise errors.RefusedError(results.ResultCode.SUBMISSION_ID_REUSED, message)
+
+    def keep(self, action: actions.AnswerJob) -> None:
+        """Keep the answer to a job that ended."""
+        submission_id = action.answer.submission_id
+        kept = answers.KeptAnswer(
+            team=action.team,
+            code=action.answer.code,
+            body=messages.encoder.encode(action.answer),
+            digest=self._digests_by_running_id.pop(submission_id, None),
+        )
+        self._answers.put(submission_id, kept)
+
+
+def _check_unexpired(submission_id: identifiers.SubmissionId, now: datetime.datetime) -> int:
+    """Return the serial of an id; what an expired id was used for is not remembered."""
+    issued = submissions.parse(submission_id)
+    if issued.expires_at_ms <= clocks.to_epoch_ms(now):
+        message = "submission_id: it has expired; ask for a new one"
+        raise errors.RefusedError(
+            results.ResultCode.SUBMISSION_ID_EXPIRED, message, ran=results.TaskOutcome.UNKNOWN
+        )
+    return issued.serial
+
+
+def _check_lifetime(
+    submission_id: identifiers.SubmissionId, deadline_ms: int, now: datetime.datetime
+) -> None:
+    left_ms = submissions.parse(submission_id).expires_at_ms - clocks.to_epoch_ms(now)
+    if deadline_ms > left_ms:
+        message = (
+            f"deadline_ms: {deadline_ms} is over the {left_ms} that the submission id has left"
+        )
+        raise errors.RefusedError(results.ResultCode.DEADLINE_TOO_LATE, message)
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/answers.py
@@ -0,0 +1,71 @@
+"""Final answers, kept encoded within a budget of bytes so that callers can fetch them again."""
+
+import collections
+
+import msgspec
+
+from chiveridge_kernel import identifiers, results
+
+DEFAULT_BUDGET_BYTES = 64 * 1024 * 1024
+ENTRY_OVERHEAD_BYTES = 400
+
+
+class KeptAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The encoded answer to a submission; without a ``digest`` any content is its own."""
+
+    team: identifiers.TeamName
+    code: results.ResultCode
+    body: bytes
+    digest: bytes | None = None
+
+
+_AnswersById = collections.OrderedDict[identifiers.SubmissionId, KeptAnswer]
+
+
+class AnswerStore:
+    """Keeps answers; over the budget the oldest goes, those that were fetched before others."""
+
+    def __init__(self, budget_bytes: int = DEFAULT_BUDGET_BYTES):
+        self.held_bytes = 0
+        self._budget_bytes = budget_bytes
+        self._fetched: _AnswersById = collections.OrderedDict()
+        self._unfetched: _AnswersById = collections.OrderedDict()
+
+    def put(self, submission_id: identifiers.SubmissionId, answer: KeptAnswer) -> None:
+        """Keep an answer; one that is kept already stands."""
+        if self.find(submission_id) is not None:
+            return
+        self._unfetched[submission_id] = answer
+        self.held_bytes += _cost(answer)
+        while self.held_bytes > self._budget_bytes:
+            self._evict()
+
+    def find(self, submission_id: identifiers.SubmissionId) -> KeptAnswer | None:
+        """Return the answer to a submission while it is kept."""
+        return self._unfetched.get(submission_id) or self._fetched.get(submission_id)
+
+    def note_fetched(self, submission_id: identifiers.SubmissionId) -> None:
+        """Note that an answer was given to its caller."""
+        answer = self._unfetched.pop(submission_id, None)
+        if answer is not None:
+            self._fetched[submission_id] = answer
+
+    def newest(self, limit_bytes: int) -> dict[identifiers.SubmissionId, KeptAnswer]:
+        """Return answers within a limit, those never fetched first and the newest first."""
+        found = {}
+        for answers_by_id in (self._unfetched, self._fetched):
+            for submission_id, answer in reversed(answers_by_id.items()):
+                limit_bytes -= _cost(answer)
+                if limit_bytes < 0:
+                    return found
+                found[submission_id] = answer
+        return found
+
+    def _evict(self) -> None:
+        answers_by_id = self._fetched or self._unfetched
+        _, answer = answers_by_id.popitem(last=False)
+        self.held_bytes -= _cost(answer)
+
+
+def _cost(answer: KeptAnswer) -> int:
+    return len(answer.body) + ENTRY_OVERHEAD_BYTES
--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -62,7 +62,8 @@
         :raises errors.RefusedError: when it can never run or no approved target is usable now.
         """
         candidates = self._reach.candidates(event.team, event.submission.selector)
-        job = jobs.Job(event.team, event.submission, candidates, now)
+        job = jobs.Job(event.team, event.submission, candidates, event.arrived_at or now)
+        _check_deadline(job, now)
         self._check_runnable(job)
         self.jobs_by_id[job.submission_id] = job
         heapq.heappush(self._deadlines, (job.deadline, job.submission_id))
@@ -264,10 +265,16 @@
             elapsed_ms=clocks.to_ms(now - job.arrived_at),
             tasks=[task.answer() for task in job.tasks],
         )
-        self.outbox.append(actions.AnswerJob(answer=answer))
+        self.outbox.append(actions.AnswerJob(team=job.team, answer=answer))
         self.policy.job_ended(job, now)
 
 
+def _check_deadline(job: jobs.Job, now: datetime.datetime) -> None:
+    if job.deadline <= now:
+        message = "deadline_ms: the deadline had passed when the submission was read"
+        raise errors.RefusedError(results.ResultCode.DEADLINE_UNREACHABLE, message, 0)
+
+
 _Handler = Callable[[Dispatcher, jobs.Task, events.LeaseReported, datetime.datetime], None]
 
 _HANDLERS_BY_OUTCOME: dict[events.LeaseOutcome, _Handler] = {
--- a/packages/kernel/chiveridge_kernel/errors.py
+++ b/packages/kernel/chiveridge_kernel/errors.py
@@ -8,13 +8,20 @@
 
 
 class RefusedError(ChiveridgeError):
-    """A request is refused and nothing of it was started."""
-
-    def __init__(self, code: results.ResultCode, message: str, retry_after_ms: int | None = None):
+    """A request is refused; ``ran`` says what is known of the tasks under its submission id."""
+
+    def __init__(
+        self,
+        code: results.ResultCode,
+        message: str,
+        retry_after_ms: int | None = None,
+        ran: results.TaskOutcome = results.TaskOutcome.NOT_RUN,
+    ):
         super().__init__(message)
         self.code = code
         self.message = message
         self.retry_after_ms = retry_after_ms
+        self.ran = ran
 
 
 class SelectorError(ChiveridgeError):
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -1,5 +1,6 @@
 """Events that the kernel handles."""
 
+import datetime
 import enum
 
 import msgspec
@@ -25,16 +26,22 @@
 
 
 class SubmissionReceived(msgspec.Struct, frozen=True, kw_only=True):
-    """A checked submission for this node; ``digest`` identifies its content."""
+    """A checked submission for this node; ``digest`` identifies its content.
+
+    The deadline counts from ``arrived_at``, or from now when it is unset. It is set earlier
+    when the submission may have waited unseen, for example while the process was paused.
+    """
 
     team: identifiers.TeamName
     submission: messages.Submission
     digest: bytes
+    arrived_at: datetime.datetime | None = None
 
 
 class CancelReceived(msgspec.Struct, frozen=True, kw_only=True):
     """The caller cancels a job."""
 
+    team: identifiers.TeamName
     submission_id: identifiers.SubmissionId
 
 
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -2,21 +2,20 @@
 
 import datetime
 import functools
-import heapq
 import random
 
 import msgspec
 
 from chiveridge_kernel import (
     actions,
-    clocks,
+    admissions,
+    answers,
     configurations,
     dispatchers,
     errors,
     events,
     identifiers,
     members,
-    messages,
     reaches,
     results,
     submissions,
@@ -32,15 +31,7 @@
     incarnation: identifiers.Incarnation
     secret: bytes
     policy: str = "power_of_two"
-
-
-class UsedId(msgspec.Struct):
-    """A submission id that was used, with its final answer or its refusal once there is one."""
-
-    team: identifiers.TeamName
-    digest: bytes
-    answer: messages.JobAnswer | None = None
-    refusal: errors.RefusedError | None = None
+    answer_budget_bytes: int = answers.DEFAULT_BUDGET_BYTES
 
 
 class Kernel:
@@ -51,84 +42,51 @@
         self.configuration = configurations.Configuration()
         self.target_table = targets.TargetTable()
         self.reach = reaches.Reach(self.configuration)
-        self.issuer = submissions.Issuer(settings.node, settings.incarnation, settings.secret)
         self.dispatcher = dispatchers.Dispatcher(
             self.reach, self.target_table, rng, settings.policy, settings.incarnation
         )
         self.members = members.MemberTable(settings.node, settings.domain)
         self.draining = False
         self.has_listing = False
-        self._used_by_id: dict[identifiers.SubmissionId, UsedId] = {}
-        self._expiries: list[tuple[int, identifiers.SubmissionId]] = []
+        self.answers = answers.AnswerStore(settings.answer_budget_bytes)
+        self.admissions = admissions.Admissions(
+            submissions.Issuer(settings.node, settings.incarnation, settings.secret),
+            self.dispatcher,
+            self.answers,
+            self._check_serving,
+        )
 
     def handle(self, event: events.Event, now: datetime.datetime) -> list[actions.Action]:
         """Handle one event and return what is to be done, in order.
 
-        :raises errors.RefusedError: when the event is a request that is refused.
+        :raises errors.RefusedError: when the event is a request that is refused; what else is
+            to be done is then left to :meth:`take_actions`.
         """
+        # Whatever woke the process up, nothing is started past a deadline.
+        self.dispatcher.expire(now)
         _handle(event, self, now)
-        return self._drain_outbox()
+        return self.take_actions()
+
+    def take_actions(self) -> list[actions.Action]:
+        """Return what is to be done and was not returned yet, in order."""
+        done = self.dispatcher.outbox
+        self.dispatcher.outbox = []
+        for action in done:
+            if isinstance(action, actions.AnswerJob):
+                self.admissions.keep(action)
+        if self.draining and not self.dispatcher.jobs_by_id:
+            done.append(actions.Exit())
+        return done
 
     def is_ready(self) -> bool:
         """Tell whether new jobs may be sent here."""
         return self.has_listing and self.configuration.offset > 0 and not self.draining
 
-    def used(
-        self, submission_id: identifiers.SubmissionId, team: identifiers.TeamName
-    ) -> UsedId | None:
-        """Return what is known of an id that a team has used here, or None."""
-        found = self._used_by_id.get(submission_id)
-        return found if found is not None and found.team == team else None
-
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next :class:`events.Ticked` is due."""
         moments = (self.dispatcher.next_deadline(), self.target_table.next_expiry())
         return min((moment for moment in moments if moment is not None), default=None)
 
-    def issue(
-        self, team: identifiers.TeamName, count: int, now: datetime.datetime
-    ) -> messages.IdsAnswer:
-        """Issue submission ids to a team.
-
-        :raises errors.RefusedError: when this node drains or is not ready.
-        """
-        self._check_serving()
-        ids, expires_at_ms = self.issuer.issue(team, count, now)
-        return messages.IdsAnswer(results.ResultCode.ACCEPTED, ids, expires_at_ms)
-
-    def submit(self, event: events.SubmissionReceived, now: datetime.datetime) -> None:
-        """Admit a submission once; the same submission again changes nothing.
-
-        A refusal is final for its id: a copy that arrives later gets the same refusal, so
-        that a caller who was told "not run" can rely on it.
-        """
-        submission_id = identifiers.SubmissionId(event.submission.submission_id)
-        if not self.issuer.verify(submission_id, event.team):
-            message = f"submission_id: {submission_id!r} was not issued to team {event.team!r} here"
-            raise errors.RefusedError(results.ResultCode.UNKNOWN_SUBMISSION, message)
-        known = self._used_by_id.get(submission_id)
-        if known is not None:
-            _check_same_content(known, event.digest)
-            return
-        expires_at_ms = submissions.parse(submission_id).expires_at_ms
-        _check_lifetime(expires_at_ms, event.submission.deadline_ms, now)
-        used = UsedId(event.team, event.digest)
-        self._used_by_id[submission_id] = used
-        heapq.heappush(self._expiries, (expires_at_ms, submission_id))
-        try:
-            self._check_serving()
-            self.dispatcher.admit(event, now)
-        except errors.RefusedError as refusal:
-            used.refusal = refusal
-            raise
-
-    def forget_expired(self, now: datetime.datetime) -> None:
-        """Forget ids that can no longer be used."""
-        now_ms = clocks.to_epoch_ms(now)
-        while self._expiries and self._expiries[0][0] <= now_ms:
-            _, submission_id = heapq.heappop(self._expiries)
-            self._used_by_id.pop(submission_id, None)
-
     def _check_serving(self) -> None:
         if self.draining:
             message = "this node is draining; ask another node for new submission ids"
@@ -139,36 +97,6 @@
                 results.ResultCode.NOT_READY, message, dispatchers.RETRY_AFTER_MS
             )
 
-    def _drain_outbox(self) -> list[actions.Action]:
-        done = self.dispatcher.outbox
-        self.dispatcher.outbox = []
-        for action in done:
-            if isinstance(action, actions.AnswerJob):
-                self._used_by_id[action.answer.submission_id].answer = action.answer
-        if self.draining and not self.dispatcher.jobs_by_id:
-            done.append(actions.Exit())
-        return done
-
-
-def _check_same_content(known: UsedId, digest: bytes) -> None:
-    if known.digest != digest:
-        message = "submission_id: it was used before with other content"
-        raise errors.RefusedError(results.ResultCode.SUBMISSION_ID_REUSED, message)
-    if known.refusal is not None:
-        raise known.refusal
-
-
-def _check_lifetime(expires_at_ms: int, deadline_ms: int, now: datetime.datetime) -> None:
-    left_ms = expires_at_ms - clocks.to_epoch_ms(now)
-    if left_ms <= 0:
-        message = "submission_id: it has expired; ask for a new one"
-        raise errors.RefusedError(results.ResultCode.SUBMISSION_ID_EXPIRED, message)
-    if deadline_ms > left_ms:
-        message = (
-            f"deadline_ms: {deadline_ms} is over the {left_ms} that the submission id has left"
-        )
-        raise errors.RefusedError(results.ResultCode.DEADLINE_TOO_LATE, message)
-
 
 @functools.singledispatch
 def _handle(event: events.Event, kernel: Kernel, now: datetime.datetime) -> None:
@@ -177,12 +105,12 @@
 
 @_handle.register
 def _(event: events.SubmissionReceived, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.submit(event, now)
+    kernel.admissions.submit(event, now)
 
 
 @_handle.register
 def _(event: events.CancelReceived, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.dispatcher.cancel(event.submission_id, now)
+    kernel.admissions.cancel(event.submission_id, event.team, now)
 
 
 @_handle.register
@@ -210,8 +138,7 @@
 
 @_handle.register
 def _(event: events.Ticked, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.dispatcher.expire(now)
-    kernel.forget_expired(now)
+    kernel.admissions.forget_expired(now)
     if kernel.target_table.expire(now):
         kernel.dispatcher.place_waiting(now)
     kernel.dispatcher.policy.ticked(now)
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/ledgers.py
@@ -0,0 +1,76 @@
+"""Which submission ids of this incarnation were used, in one byte an id until they expire.
+
+Ids carry serial numbers counted from 1, so a state is found by its place in a block.
+"""
+
+import collections
+
+import msgspec
+
+from chiveridge_kernel import results
+
+BLOCK_SIZE = 4096
+_FREE = 0
+_ADMITTED = 1
+_FIRST_REFUSAL = 2
+_REFUSAL_CODES = tuple(results.ResultCode)
+_STATES_BY_CODE = {code: _FIRST_REFUSAL + index for index, code in enumerate(_REFUSAL_CODES)}
+
+
+class _Block(msgspec.Struct):
+    """States of consecutive serials, and when the last of their ids expires."""
+
+    states: bytearray
+    expires_at_ms: int
+
+
+class Ledger:
+    """State of each issued id: free, admitted or refused with a code."""
+
+    def __init__(self):
+        self._blocks_by_index: collections.OrderedDict[int, _Block] = collections.OrderedDict()
+
+    def note_issued(self, serials: range, expires_at_ms: int) -> None:
+        """Make room for newly issued serials."""
+        for index in range(serials.start // BLOCK_SIZE, (serials.stop - 1) // BLOCK_SIZE + 1):
+            block = self._blocks_by_index.get(index)
+            if block is None:
+                self._blocks_by_index[index] = _Block(bytearray(BLOCK_SIZE), expires_at_ms)
+            else:
+                block.expires_at_ms = max(block.expires_at_ms, expires_at_ms)
+
+    def admit(self, serial: int) -> None:
+        """Note that the job of an id was admitted and may have run."""
+        self._set(serial, _ADMITTED)
+
+    def refuse(self, serial: int, code: results.ResultCode) -> None:
+        """Note that the job of an id was refused for good; nothing of it was started."""
+        self._set(serial, _STATES_BY_CODE[code])
+
+    def is_admitted(self, serial: int) -> bool:
+        """Tell whether the job of an unexpired id was admitted."""
+        return self._state(serial) == _ADMITTED
+
+    def refusal(self, serial: int) -> results.ResultCode | None:
+        """Return the code with which an unexpired id was refused, or None."""
+        state = self._state(serial)
+        return _REFUSAL_CODES[state - _FIRST_REFUSAL] if state >= _FIRST_REFUSAL else None
+
+    def forget_expired(self, now_ms: int) -> None:
+        """Drop the blocks of which every id has expired."""
+        while self._blocks_by_index:
+            index, block = next(iter(self._blocks_by_index.items()))
+            if block.expires_at_ms > now_ms:
+                return
+            del self._blocks_by_index[index]
+
+    def size_bytes(self) -> int:
+        """Return the bytes that the states take."""
+        return len(self._blocks_by_index) * BLOCK_SIZE
+
+    def _state(self, serial: int) -> int:
+        block = self._blocks_by_index.get(serial // BLOCK_SIZE)
+        return _FREE if block is None else block.states[serial % BLOCK_SIZE]
+
+    def _set(self, serial: int, state: int) -> None:
+        self._blocks_by_index[serial // BLOCK_SIZE].states[serial % BLOCK_SIZE] = state
--- a/packages/kernel/chiveridge_kernel/messages.py
+++ b/packages/kernel/chiveridge_kernel/messages.py
@@ -129,6 +129,7 @@
         code=error.code,
         name=error.code.name,
         message=error.message,
+        ran=error.ran,
         retry_after_ms=error.retry_after_ms,
     )
 
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -23,7 +23,10 @@
 
 
 class CallerRequest(msgspec.Struct, frozen=True, kw_only=True, tag="caller_request"):
-    """A caller's request, forwarded to the issuer; ``wait_ms`` bounds the wait for the answer."""
+    """A caller's request, forwarded to the issuer; ``wait_ms`` bounds the wait for the answer.
+
+    ``arrived_at_ms`` is when it arrived at the sender, in milliseconds since the Unix epoch.
+    """
 
     request_id: int
     sender: identifiers.NodeName
@@ -32,6 +35,7 @@
     submission_id: str
     body: bytes = b""
     wait_ms: int = 0
+    arrived_at_ms: int
 
 
 class CallerReply(msgspec.Struct, frozen=True, kw_only=True, tag="caller_reply"):
@@ -41,6 +45,7 @@
     code: results.ResultCode
     body: bytes
     retry_after_ms: int | None = None
+    refused: bool = False
 
 
 PeerMessage = CallerRequest | CallerReply
--- a/packages/kernel/chiveridge_kernel/results.py
+++ b/packages/kernel/chiveridge_kernel/results.py
@@ -42,6 +42,7 @@
     OUTCOME_UNKNOWN = 4004
     ISSUER_GONE = 4005
     APPROVAL_REVOKED = 4006
+    ANSWER_NOT_KEPT = 4007
     INTERNAL_ERROR = 4999
 
 
--- a/packages/kernel/chiveridge_kernel/submissions.py
+++ b/packages/kernel/chiveridge_kernel/submissions.py
@@ -7,6 +7,7 @@
 import datetime
 import hashlib
 import hmac
+from typing import NamedTuple
 
 import msgspec
 
@@ -27,6 +28,14 @@
     mac: str
 
 
+class IssuedBatch(NamedTuple):
+    """New ids, their serials and their expiry in milliseconds since the epoch."""
+
+    submission_ids: list[identifiers.SubmissionId]
+    serials: range
+    expires_at_ms: int
+
+
 class Issuer:
     """Issues ids of one incarnation and verifies them.
 
@@ -46,12 +55,12 @@
         self._lifetime = lifetime
         self._serial = 0
 
-    def issue(
-        self, team: identifiers.TeamName, count: int, now: datetime.datetime
-    ) -> tuple[list[identifiers.SubmissionId], int]:
-        """Return new ids for a team and their expiry in milliseconds since the epoch."""
+    def issue(self, team: identifiers.TeamName, count: int, now: datetime.datetime) -> IssuedBatch:
+        """Issue new ids to a team."""
         expires_at_ms = clocks.to_epoch_ms(now + self._lifetime)
-        return [self._issue_one(team, expires_at_ms) for _ in range(count)], expires_at_ms
+        first = self._serial + 1
+        ids = [self._issue_one(team, expires_at_ms) for _ in range(count)]
+        return IssuedBatch(ids, range(first, first + count), expires_at_ms)
 
     def verify(self, submission_id: identifiers.SubmissionId, team: identifiers.TeamName) -> bool:
         """Tell whether this incarnation issued the id to the team."""
--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -27,11 +27,16 @@
     results.ResultCode.QUOTA_EXCEEDED: 429,
     results.ResultCode.INTERNAL_ERROR: 500,
 }
-_HTTP_STATUS_BY_CLASS = {0: 200, 1: 400, 2: 403, 3: 503, 4: 200}
+_HTTP_STATUS_BY_CLASS = {0: 200, 1: 400, 2: 403, 3: 503, 4: 410}
 
 
-def http_status(code: results.ResultCode) -> int:
-    """Return the HTTP status for a result code; a failed job is a successful reply."""
+def http_status(code: results.ResultCode, refused: bool = True) -> int:
+    """Return the HTTP status for a result code; the answer to a failed job is a successful reply.
+
+    A refusal never gets a status of success, so that it is not taken for an answer.
+    """
+    if not refused and code // 1000 == 4:
+        return 200
     return _HTTP_STATUS_BY_CODE.get(code, _HTTP_STATUS_BY_CLASS[code // 1000])
 
 
@@ -40,7 +45,7 @@
         self._http = http
 
     async def on_post(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
-        team = self._http.authenticate(req)
+        team = self._http.authenticate(req, results.TaskOutcome.NOT_RUN)
         _write(resp, self._http.requests.issue_ids(team, await _read_body(req)))
 
 
@@ -151,8 +156,13 @@
         self._server.should_exit = True
         await self._task
 
-    def authenticate(self, req: falcon.asgi.Request) -> identifiers.TeamName:
-        """Return the calling team.
+    def authenticate(
+        self, req: falcon.asgi.Request, ran: results.TaskOutcome = results.TaskOutcome.UNKNOWN
+    ) -> identifiers.TeamName:
+        """Return the calling team; ``ran`` is what a refusal says of the request's tasks.
+
+        The configuration in force here may lag behind that of the node which issued a submission
+        id, so a bad key is no proof that nothing ran under the id.
 
         :raises errors.RefusedError: when the credential is missing or wrong.
         """
@@ -160,7 +170,7 @@
         team = self.node.kernel.configuration.authenticate(credential.strip())
         if scheme.lower() != "bearer" or team is None:
             message = "Authorization: no team has this key"
-            raise errors.RefusedError(results.ResultCode.BAD_CREDENTIALS, message)
+            raise errors.RefusedError(results.ResultCode.BAD_CREDENTIALS, message, ran=ran)
         return team
 
     def _app(self) -> falcon.asgi.App:
@@ -201,12 +211,14 @@
     text = req.get_param("wait_ms", default="0")
     if not text.isdecimal() or int(text) > requests.MAX_WAIT_MS:
         message = f"wait_ms: {text!r} is not a number from 0 to {requests.MAX_WAIT_MS}"
-        raise errors.RefusedError(results.ResultCode.INVALID_FIELD, message)
+        raise errors.RefusedError(
+            results.ResultCode.INVALID_FIELD, message, ran=results.TaskOutcome.UNKNOWN
+        )
     return int(text)
 
 
 def _write(resp: falcon.asgi.Response, reply: requests.Reply) -> None:
-    resp.status = http_status(reply.code)
+    resp.status = http_status(reply.code, reply.refused)
     resp.content_type = falcon.MEDIA_JSON
     resp.data = reply.body
     if reply.retry_after_ms is not None:
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -14,6 +14,7 @@
 
 _INCARNATION_BYTES = 8
 _SECRET_BYTES = 32
+_MEGABYTE = 1024 * 1024
 _LOG_EVENTS_BY_VERDICT = {records.Verdict.ACCEPTED: logevents.LogEvent.CHANGE_ACCEPTED}
 
 
@@ -122,6 +123,7 @@
         incarnation=identifiers.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
         secret=secrets.token_bytes(_SECRET_BYTES),
         policy=node_settings.placement.policy,
+        answer_budget_bytes=node_settings.answers.keep_mb * _MEGABYTE,
     )
 
 
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import contextlib
+import datetime
 import hashlib
 
 import msgspec
 
 from chiveridge_kernel import (
+    answers,
     clocks,
     errors,
     events,
     identifiers,
-    kernels,
+    jobs,
     messages,
     peers,
     results,
@@ -26,11 +28,12 @@
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True):
-    """What a caller is told: a result code and a JSON body."""
+    """What a caller is told: a result code and a JSON body, an answer or a refusal."""
 
     code: results.ResultCode
     body: bytes
     retry_after_ms: int | None = None
+    refused: bool = False
 
 
 class Requests:
@@ -52,7 +55,7 @@
         """Issue submission ids."""
         try:
             count = messages.decode_ids_request(body).count
-            answer = self._kernel.issue(team, count, self._shell.clock.now())
+            answer = self._kernel.admissions.issue(team, count, self._shell.clock.now())
         except errors.RefusedError as error:
             return refused(error)
         return Reply(code=answer.code, body=messages.encoder.encode(answer))
@@ -69,7 +72,9 @@
         try:
             issued = submissions.parse(submission_id)
             if issued.incarnation == self._kernel.settings.incarnation:
-                return await self.perform_here(operation, team, submission_id, body, wait_ms)
+                return await self.perform_here(
+                    operation, team, submission_id, body, wait_ms, self._shell.arrival()
+                )
             return await self._perform_at_issuer(
                 issued, operation, team, submission_id, body, wait_ms
             )
@@ -83,60 +88,79 @@
         submission_id: str,
         body: bytes,
         wait_ms: int,
+        arrived_at: datetime.datetime,
     ) -> Reply:
         """Serve a request whose id this incarnation issued."""
         try:
-            _OPERATIONS[operation](self, team, submission_id, body)
+            _OPERATIONS[operation](self, team, submission_id, body, arrived_at)
             return await self._answer(team, identifiers.SubmissionId(submission_id), wait_ms)
         except errors.RefusedError as error:
             return refused(error)
 
-    def _submit(self, team: identifiers.TeamName, submission_id: str, body: bytes) -> None:
+    def _submit(
+        self,
+        team: identifiers.TeamName,
+        submission_id: str,
+        body: bytes,
+        arrived_at: datetime.datetime,
+    ) -> None:
         submission = messages.decode_submission(body)
         digest = hashlib.blake2b(body, digest_size=_DIGEST_BYTES).digest()
         self._shell.handle(
-            events.SubmissionReceived(team=team, submission=submission, digest=digest)
+            events.SubmissionReceived(
+                team=team, submission=submission, digest=digest, arrived_at=arrived_at
+            )
         )
 
-    def _ask(self, team: identifiers.TeamName, submission_id: str, body: bytes) -> None:
-        self._known(team, submission_id)
+    def _ask(
+        self,
+        team: identifiers.TeamName,
+        submission_id: str,
+        body: bytes,
+        arrived_at: datetime.datetime,
+    ) -> None:
+        """Need nothing before the answer is looked up."""
 
-    def _cancel(self, team: identifiers.TeamName, submission_id: str, body: bytes) -> None:
-        self._known(team, submission_id)
+    def _cancel(
+        self,
+        team: identifiers.TeamName,
+        submission_id: str,
+        body: bytes,
+        arrived_at: datetime.datetime,
+    ) -> None:
         self._shell.handle(
-            events.CancelReceived(submission_id=identifiers.SubmissionId(submission_id))
+            events.CancelReceived(team=team, submission_id=identifiers.SubmissionId(submission_id))
         )
 
-    def _known(self, team: identifiers.TeamName, submission_id: str) -> kernels.UsedId:
-        used = self._kernel.used(identifiers.SubmissionId(submission_id), team)
-        if used is None:
-            message = f"submission_id: nothing was submitted here under {submission_id!r}"
-            raise errors.RefusedError(results.ResultCode.UNKNOWN_SUBMISSION, message)
-        if used.refusal is not None:
-            raise used.refusal
-        return used
-
     async def _answer(
         self, team: identifiers.TeamName, submission_id: identifiers.SubmissionId, wait_ms: int
     ) -> Reply:
-        used = self._known(team, submission_id)
-        if used.answer is None and wait_ms > 0:
+        found = self._find(team, submission_id)
+        if isinstance(found, jobs.Job) and wait_ms > 0:
             ended = self._answered_by_id.setdefault(submission_id, asyncio.Event())
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(ended.wait(), min(wait_ms, MAX_WAIT_MS) / 1000)
-        answer = used.answer or self._running(submission_id)
-        return Reply(code=answer.code, body=messages.encoder.encode(answer))
+            found = self._find(team, submission_id)
+        if isinstance(found, jobs.Job):
+            return self._running(found)
+        self._kernel.answers.note_fetched(submission_id)
+        return Reply(code=found.code, body=found.body)
+
+    def _find(
+        self, team: identifiers.TeamName, submission_id: identifiers.SubmissionId
+    ) -> answers.KeptAnswer | jobs.Job:
+        return self._kernel.admissions.find(submission_id, team, self._shell.clock.now())
 
-    def _running(self, submission_id: identifiers.SubmissionId) -> messages.JobAnswer:
+    def _running(self, job: jobs.Job) -> Reply:
         code = results.ResultCode.ACCEPTED
-        job = self._kernel.dispatcher.jobs_by_id[submission_id]
-        return messages.JobAnswer(
-            submission_id=submission_id,
+        answer = messages.JobAnswer(
+            submission_id=job.submission_id,
             state=results.JobState.RUNNING,
             code=code,
             name=code.name,
             elapsed_ms=clocks.to_ms(self._shell.clock.now() - job.arrived_at),
         )
+        return Reply(code=code, body=messages.encoder.encode(answer))
 
     async def _perform_at_issuer(
         self,
@@ -162,11 +186,17 @@
             submission_id=submission_id,
             body=body,
             wait_ms=wait_ms,
+            arrived_at_ms=clocks.to_epoch_ms(self._shell.arrival()),
             timeout_ms=wait_ms + FORWARD_MARGIN_MS,
         )
         if reply is None:
             return _unreachable(issued.node)
-        return Reply(code=reply.code, body=reply.body, retry_after_ms=reply.retry_after_ms)
+        return Reply(
+            code=reply.code,
+            body=reply.body,
+            retry_after_ms=reply.retry_after_ms,
+            refused=reply.refused,
+        )
 
     async def serve_peer(self, request: peers.CallerRequest) -> peers.CallerReply:
         """Serve a request that another node forwarded here."""
@@ -176,6 +206,7 @@
             code=reply.code,
             body=reply.body,
             retry_after_ms=reply.retry_after_ms,
+            refused=reply.refused,
         )
 
     async def _reply_to_peer(self, request: peers.CallerRequest) -> Reply:
@@ -186,8 +217,15 @@
         if issued.incarnation != self._kernel.settings.incarnation:
             message = "the node that issued the id was replaced; nothing more of it will start"
             return unknown(results.ResultCode.ISSUER_GONE, message)
+        # The clocks of the nodes may differ a little; an arrival in the future counts as now.
+        arrived_at = min(self._shell.arrival(), clocks.from_epoch_ms(request.arrived_at_ms))
         return await self.perform_here(
-            request.operation, request.team, request.submission_id, request.body, request.wait_ms
+            request.operation,
+            request.team,
+            request.submission_id,
+            request.body,
+            request.wait_ms,
+            arrived_at,
         )
 
 
@@ -200,22 +238,20 @@
 
 def refused(error: errors.RefusedError) -> Reply:
     """Return the reply that tells of a refusal."""
-    body = messages.encoder.encode(messages.refusal_of(error))
-    return Reply(code=error.code, body=body, retry_after_ms=error.retry_after_ms)
+    return Reply(
+        code=error.code,
+        body=messages.encoder.encode(messages.refusal_of(error)),
+        retry_after_ms=error.retry_after_ms,
+        refused=True,
+    )
+
+
+def unknown(code: results.ResultCode, message: str, retry_after_ms: int | None = None) -> Reply:
+    """Return the reply to a request of which it is not known whether it ran."""
+    unknown_outcome = results.TaskOutcome.UNKNOWN
+    return refused(errors.RefusedError(code, message, retry_after_ms, unknown_outcome))
 
 
 def _unreachable(node: str) -> Reply:
     message = f"node {node!r}, which issued the id, cannot be reached; ask again with the same id"
     return unknown(results.ResultCode.ISSUER_UNREACHABLE, message, retry_after_ms=1000)
-
-
-def unknown(code: results.ResultCode, message: str, retry_after_ms: int | None = None) -> Reply:
-    """Return the reply to a request of which it is not known whether it ran."""
-    refusal = messages.Refusal(
-        code=code,
-        name=code.name,
-        message=message,
-        ran=results.TaskOutcome.UNKNOWN,
-        retry_after_ms=retry_after_ms,
-    )
-    return Reply(code=code, body=messages.encoder.encode(refusal), retry_after_ms=retry_after_ms)
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -52,6 +52,12 @@
     idle_timeout_ms: _Milliseconds = 10_000
 
 
+class AnswersSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Answers kept for callers that fetch them later or again, in megabytes of memory."""
+
+    keep_mb: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 64
+
+
 class PluginsSection(msgspec.Struct, frozen=True, kw_only=True):
     """Which adapter serves each interface."""
 
@@ -69,6 +75,7 @@
     platform: PlatformSection
     placement: PlacementSection = PlacementSection()
     targets: TargetsSection = TargetsSection()
+    answers: AnswersSection = AnswersSection()
     plugins: PluginsSection = PluginsSection()
 
 
@@ -85,6 +92,7 @@
     "platform": PlatformSection,
     "placement": PlacementSection,
     "targets": TargetsSection,
+    "answers": AnswersSection,
     "plugins": PluginsSection,
 }
 
--- a/packages/node/chiveridge_node/shells.py
+++ b/packages/node/chiveridge_node/shells.py
@@ -9,6 +9,12 @@
 
 MAX_TICK_INTERVAL = datetime.timedelta(milliseconds=250)
 
+PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
+"""Time without a tick after which the process counts as having been paused."""
+
+PAUSE_AFTERMATH = datetime.timedelta(seconds=1)
+"""Time after a pause in which requests that arrived during it may still be read."""
+
 
 class Shell:
     """Connects the kernel to the adapters that perform its actions."""
@@ -19,6 +25,9 @@
         self._performers_by_type: dict[type, Callable[[actions.Action], None]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due: datetime.datetime | None = None
+        self._ticked_at = clock.now()
+        self._paused_at = self._ticked_at
+        self._pause_over_at = self._ticked_at
 
     def perform_with(self, action_type: type, performer: Callable[[actions.Action], None]) -> None:
         """Name the callable that performs actions of a type."""
@@ -26,6 +35,7 @@
 
     def start(self) -> None:
         """Begin to deliver ticks."""
+        self._ticked_at = self.clock.now()
         self._arm()
 
     def stop(self) -> None:
@@ -38,9 +48,22 @@
 
         :raises errors.RefusedError: when the event is a request that is refused.
         """
-        for action in self.kernel.handle(event, self.clock.now()):
-            self._perform(action)
-        self._arm()
+        try:
+            done = self.kernel.handle(event, self.clock.now())
+        except errors.RefusedError:
+            self._perform_all(self.kernel.take_actions())
+            raise
+        self._perform_all(done)
+
+    def arrival(self) -> datetime.datetime:
+        """Return the earliest moment at which a request read now may have arrived.
+
+        After the process was paused, requests have waited unseen for up to the whole pause.
+        """
+        now = self.clock.now()
+        if self._is_stalled(now):
+            return self._ticked_at
+        return self._paused_at if now < self._pause_over_at else now
 
     def handle_safely(self, event: events.Event) -> None:
         """Handle an event that nobody waits for; a fault is logged and the node goes on."""
@@ -51,6 +74,11 @@
         except Exception:
             logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, kind=type(event).__name__)
 
+    def _perform_all(self, done: list[actions.Action]) -> None:
+        for action in done:
+            self._perform(action)
+        self._arm()
+
     def _perform(self, action: actions.Action) -> None:
         try:
             self._performers_by_type[type(action)](action)
@@ -71,5 +99,19 @@
 
     def _tick(self) -> None:
         self._timer = None
+        self._note_pause()
         self.handle_safely(events.Ticked())
         self._arm()
+
+    def _note_pause(self) -> None:
+        now = self.clock.now()
+        if self._is_stalled(now):
+            logevents.write(
+                logevents.LogEvent.PROCESS_PAUSED, paused_ms=clocks.to_ms(now - self._ticked_at)
+            )
+            self._paused_at = self._ticked_at
+            self._pause_over_at = now + PAUSE_AFTERMATH
+        self._ticked_at = now
+
+    def _is_stalled(self, now: datetime.datetime) -> bool:
+        return now - self._ticked_at > PAUSE_THRESHOLD
