Ask about late starts, and prove that nothing is started twice

Cause: a start whose connection went silent without an error was only noticed at the deadline of its job. Now the kernel asks the target over a new connection once the reply is later than three times the expected time (declared or observed by team, within targets.probe_min_ms and probe_max_ms), with one list entry a task in steps of 50 ms. An end found so is taken and the silent connection is closed; a start that the target never saw is told as unknown, and the target gets nothing for 10 s, when its other idle connections are closed too. A start that still waits in the node for a connection is not given up. One question at a time: a connection that fails while one is on its way starts no second chain.

Found while proving: a policy could start what waits of a job in the moment in which one of its tasks failed; what waits is now given up first. A target that replied with an outcome that only a node can find (refused) was believed.

Ruled out: TCP keepalive alone (a proxy or a half-dead host keeps answering it), and a second start over another connection (nothing proves that the first is not in a buffer).

--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -18,11 +18,15 @@
 
 
 class AskOutcome(msgspec.Struct, frozen=True, kw_only=True):
-    """Ask a target over a new connection what became of a start, after ``delay``."""
+    """Ask a target over a new connection what became of a start, after ``delay``.
+
+    ``wait`` lets the target hold its reply for a while until the task ends.
+    """
 
     lease_id: identifiers.LeaseId
     target: vms.Vm
     delay: datetime.timedelta = datetime.timedelta()
+    wait: bool = False
 
 
 class StopTask(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -7,13 +7,12 @@
 
 from chiveridge_kernel import (
     actions,
-    clocks,
     errors,
     events,
     identifiers,
     jobs,
-    messages,
     placements,
+    probes,
     reaches,
     results,
     targets,
@@ -41,6 +40,7 @@
         rng: random.Random,
         policy_name: str,
         incarnation: identifiers.Incarnation,
+        probe_limits: probes.ProbeLimits,
     ):
         self.rng = rng
         self.in_flight_by_target: dict[str, int] = {}
@@ -54,6 +54,7 @@
         self._usable_by_fitting: dict[int, tuple[Sequence[vms.Vm], Sequence[vms.Vm]]] = {}
         self._usable_version = -1
         self._lease_serial = 0
+        self._prober = probes.Prober(probe_limits)
         self.policy = placements.create(policy_name, self)
 
     def admit(self, event: events.SubmissionReceived, now: datetime.datetime) -> None:
@@ -83,6 +84,7 @@
         if job.first_start_at is None:
             job.first_start_at = now
         self._tasks_by_lease[task.lease_id] = task
+        self._prober.started(task, now)
         self.in_flight_by_target[vm.name] = self.in_flight_by_target.get(vm.name, 0) + 1
         self.outbox.append(
             actions.StartTask(
@@ -112,6 +114,7 @@
         """Handle what a target or a connection told about a start."""
         task = self._tasks_by_lease.get(event.lease_id)
         if task is not None:
+            task.is_asked = task.is_asked and not event.asked
             _HANDLERS_BY_OUTCOME[event.outcome](self, task, event, now)
 
     def cancel(self, submission_id: identifiers.SubmissionId, now: datetime.datetime) -> None:
@@ -124,9 +127,7 @@
         self, job: jobs.Job, code: results.ResultCode, message: str, now: datetime.datetime
     ) -> None:
         """End a job as failed: start nothing more of it and stop what runs."""
-        for task in list(job.waiting):
-            task.signal(jobs.TaskSignal.GIVE_UP)
-        job.waiting.clear()
+        job.give_up_waiting()
         for task in job.running_tasks():
             self.outbox.append(actions.StopTask(lease_id=task.lease_id, target=task.target))
             self._release(task, now)
@@ -142,6 +143,13 @@
                 message = "the deadline passed before every task had ended"
                 self.fail(job, results.ResultCode.DEADLINE_EXCEEDED, message, now)
 
+    def probe(self, now: datetime.datetime) -> None:
+        """Ask about the starts whose reply is late."""
+        for lease_id in self._prober.take_due(now):
+            task = self._tasks_by_lease.get(lease_id)
+            if task is not None and not task.is_asked:
+                self._ask(task)
+
     def next_deadline(self) -> datetime.datetime | None:
         """Return the earliest deadline that may still matter."""
         return self._deadlines[0][0] if self._deadlines else None
@@ -174,6 +182,8 @@
     def _task_failed(
         self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
     ) -> None:
+        # First, as a policy may start what waits as soon as a target is released.
+        task.job.give_up_waiting()
         self._finish(task, event, jobs.TaskSignal.FAIL, now)
         message = f"tasks[{task.index}] {event.outcome.value} on {task.target.name}: {event.reason}"
         self.fail(task.job, results.ResultCode.TASK_FAILED, message, now)
@@ -197,30 +207,47 @@
     def _lost(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
         until = now + targets.UNREACHABLE_BACKOFF
         self._target_table.avoid(task.target.name, until)
+        task.is_cut = task.is_cut or not event.asked
+        if task.is_asked:
+            return
         task.lost_asks += 1
         if task.lost_asks > MAX_OUTCOME_ASKS:
             self._give_up(task, now)
             return
-        delay = OUTCOME_ASK_DELAY * (task.lost_asks - 1)
-        self.outbox.append(
-            actions.AskOutcome(lease_id=task.lease_id, target=task.target, delay=delay)
-        )
+        self._ask(task, OUTCOME_ASK_DELAY * (task.lost_asks - 1))
 
     def _still_running(
         self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
     ) -> None:
         task.lost_asks = 0
-        self.outbox.append(actions.AskOutcome(lease_id=task.lease_id, target=task.target))
+        if task.is_cut:
+            self._ask(task)
+        else:
+            self._prober.found_running(task, now)
+
+    def _queued(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
+        self._prober.found_queued(task, now)
 
     def _unseen(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
+        # Other idle connections to the target may be silent too; by then they are closed.
+        self._target_table.avoid(task.target.name, now + targets.SILENT_BACKOFF)
         self._give_up(task, now)
 
     def _give_up(self, task: jobs.Task, now: datetime.datetime) -> None:
+        task.job.give_up_waiting()
         self._release(task, now)
         task.signal(jobs.TaskSignal.LOSE)
         message = f"tasks[{task.index}] on {task.target.name}: {_OUTCOME_UNKNOWN_MESSAGE}"
         self.fail(task.job, results.ResultCode.OUTCOME_UNKNOWN, message, now)
 
+    def _ask(self, task: jobs.Task, delay: datetime.timedelta = datetime.timedelta()) -> None:
+        task.is_asked = True
+        self.outbox.append(
+            actions.AskOutcome(
+                lease_id=task.lease_id, target=task.target, delay=delay, wait=task.is_cut
+            )
+        )
+
     def _finish(
         self,
         task: jobs.Task,
@@ -229,6 +256,7 @@
         now: datetime.datetime,
     ) -> None:
         task.signal(signal)
+        self._prober.ended(task, now)
         task.run_ms = event.run_ms
         task.result = event.result
         task.reason = event.reason
@@ -253,18 +281,7 @@
     ) -> None:
         del self.jobs_by_id[job.submission_id]
         job.ended = True
-        queued = (job.first_start_at or now) - job.arrived_at
-        answer = messages.JobAnswer(
-            submission_id=job.submission_id,
-            state=state,
-            code=code,
-            name=code.name,
-            message=message,
-            may_resubmit=state is results.JobState.FAILED and (job.idempotent or job.nothing_ran()),
-            queued_ms=clocks.to_ms(queued),
-            elapsed_ms=clocks.to_ms(now - job.arrived_at),
-            tasks=[task.answer() for task in job.tasks],
-        )
+        answer = job.answer(state, code, message, now)
         self.outbox.append(actions.AnswerJob(team=job.team, answer=answer))
         self.policy.job_ended(job, now)
 
@@ -285,6 +302,7 @@
     events.LeaseOutcome.NOT_STARTED: Dispatcher._not_started,
     events.LeaseOutcome.REFUSED: Dispatcher._not_started,
     events.LeaseOutcome.UNSEEN: Dispatcher._unseen,
+    events.LeaseOutcome.QUEUED: Dispatcher._queued,
     events.LeaseOutcome.LOST: Dispatcher._lost,
 }
 
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -12,7 +12,8 @@
     """What is known of a start.
 
     ``LOST`` means that the connection failed after the request may have been sent;
-    ``REFUSED`` means that nothing was sent.
+    ``REFUSED`` means that nothing was sent. ``QUEUED`` means that the start still waits for a
+    connection, or was sent so shortly ago that the target need not know of it.
     """
 
     SUCCEEDED = "succeeded"
@@ -23,6 +24,7 @@
     UNSEEN = "unseen"
     LOST = "lost"
     REFUSED = "refused"
+    QUEUED = "queued"
 
 
 class SubmissionReceived(msgspec.Struct, frozen=True, kw_only=True):
@@ -49,7 +51,7 @@
     """A target, or the connection to it, told the outcome of a start.
 
     ``run_ms`` is the time the task ran, ``busy`` the slots in use at the target, or None
-    when the target did not say.
+    when the target did not say. ``asked`` tells the reply to a question from that to the start.
     """
 
     lease_id: identifiers.LeaseId
@@ -58,6 +60,7 @@
     result: msgspec.Raw = msgspec.Raw(b"null")
     reason: str = ""
     busy: int | None = None
+    asked: bool = False
 
 
 class RecordsRead(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/kernel/chiveridge_kernel/jobs.py
+++ b/packages/kernel/chiveridge_kernel/jobs.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chiveridge_kernel import errors, identifiers, messages, reaches, results, vms
+from chiveridge_kernel import clocks, errors, identifiers, messages, reaches, results, vms
 
 
 class TaskState(enum.Enum):
@@ -54,14 +54,21 @@
 
 
 class Task:
-    """One task of a job and the start it holds."""
+    """One task of a job and the start it holds.
+
+    ``is_cut`` tells that the connection of the start was lost, ``is_asked`` that a question
+    about it is on its way.
+    """
 
     __slots__ = (
         "attempts",
         "index",
+        "is_asked",
+        "is_cut",
         "job",
         "lease_id",
         "lost_asks",
+        "probe_delay",
         "reason",
         "result",
         "run_ms",
@@ -79,6 +86,9 @@
         self.state = TaskState.WAITING
         self.attempts = 0
         self.lost_asks = 0
+        self.is_asked = False
+        self.is_cut = False
+        self.probe_delay = datetime.timedelta()
         self.lease_id: identifiers.LeaseId | None = None
         self.target: vms.Vm | None = None
         self.started_at: datetime.datetime | None = None
@@ -134,6 +144,12 @@
         self.first_start_at: datetime.datetime | None = None
         self.ended = False
 
+    def give_up_waiting(self) -> None:
+        """Let no task be started any more."""
+        for task in self.waiting:
+            task.signal(TaskSignal.GIVE_UP)
+        self.waiting.clear()
+
     def running_tasks(self) -> list[Task]:
         """Return the tasks that are started and have not ended."""
         return [task for task in self.tasks if task.state is TaskState.STARTED]
@@ -141,3 +157,25 @@
     def nothing_ran(self) -> bool:
         """Tell whether every task is proved not to have run."""
         return all(task.state is TaskState.NOT_RUN for task in self.tasks)
+
+    def answer(
+        self,
+        state: results.JobState,
+        code: results.ResultCode,
+        message: str,
+        now: datetime.datetime,
+    ) -> messages.JobAnswer:
+        """Return what the caller is told once every task has ended."""
+        has_failed = state is results.JobState.FAILED
+        queued = (self.first_start_at or now) - self.arrived_at
+        return messages.JobAnswer(
+            submission_id=self.submission_id,
+            state=state,
+            code=code,
+            name=code.name,
+            message=message,
+            may_resubmit=has_failed and (self.idempotent or self.nothing_ran()),
+            queued_ms=clocks.to_ms(queued),
+            elapsed_ms=clocks.to_ms(now - self.arrived_at),
+            tasks=[task.answer() for task in self.tasks],
+        )
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -16,6 +16,7 @@
     events,
     identifiers,
     members,
+    probes,
     reaches,
     results,
     submissions,
@@ -32,6 +33,7 @@
     secret: bytes
     policy: str = "power_of_two"
     answer_budget_bytes: int = answers.DEFAULT_BUDGET_BYTES
+    probe_limits: probes.ProbeLimits = probes.ProbeLimits()
 
 
 class Kernel:
@@ -43,7 +45,12 @@
         self.target_table = targets.TargetTable()
         self.reach = reaches.Reach(self.configuration)
         self.dispatcher = dispatchers.Dispatcher(
-            self.reach, self.target_table, rng, settings.policy, settings.incarnation
+            self.reach,
+            self.target_table,
+            rng,
+            settings.policy,
+            settings.incarnation,
+            settings.probe_limits,
         )
         self.members = members.MemberTable(settings.node, settings.domain)
         self.draining = False
@@ -138,6 +145,7 @@
 
 @_handle.register
 def _(event: events.Ticked, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.dispatcher.probe(now)
     kernel.admissions.forget_expired(now)
     if kernel.target_table.expire(now):
         kernel.dispatcher.place_waiting(now)
--- a/packages/kernel/chiveridge_kernel/targets.py
+++ b/packages/kernel/chiveridge_kernel/targets.py
@@ -6,6 +6,7 @@
 
 BUSY_BACKOFF = datetime.timedelta(milliseconds=50)
 UNREACHABLE_BACKOFF = datetime.timedelta(seconds=1)
+SILENT_BACKOFF = datetime.timedelta(seconds=10)
 LEAVING_EVIDENCE_LIFETIME = datetime.timedelta(seconds=60)
 
 
--- /dev/null
+++ b/packages/kernel/tests/test_dispatchers.py
@@ -0,0 +1,251 @@
+import datetime
+
+import msgspec
+import pytest
+
+from chiveridge_kernel import actions, dispatchers, events, placements, results, targets, vms
+
+CODES = results.ResultCode
+LEASE = events.LeaseOutcome
+OUTCOME = results.TaskOutcome
+FINAL_REPORTS = [LEASE.SUCCEEDED, LEASE.FAILED, LEASE.STOPPED, LEASE.UNSEEN]
+
+
+@placements.register("one_of_a_job_at_a_time")
+class OneAtATimePolicy(placements.Policy):
+    """Starts the next waiting task of a job when one ends."""
+
+    def job_waiting(self, job, now):
+        if job.waiting and not job.running_tasks():
+            task = job.waiting[0]
+            self.starter.start(task, self.starter.usable(job, task)[0], now)
+
+    def start_ended(self, task, vm, now):
+        if task.job.waiting:
+            waiting = task.job.waiting[0]
+            self.starter.start(waiting, self.starter.usable(task.job, waiting)[0], now)
+
+
+def outcomes(driven) -> list[OUTCOME]:
+    return [task.outcome for task in driven.answer().tasks]
+
+
+def lease(driven, index: int = 0) -> str:
+    return driven.starts()[index].lease_id
+
+
+@pytest.mark.promise("complete_or_failed")
+def test_a_job_is_complete_when_every_task_succeeded(driven):
+    driven.submit(count=3)
+    for index in (2, 0, 1):
+        assert not driven.of(actions.AnswerJob)
+        result = msgspec.Raw(str(index).encode())
+        driven.report(lease(driven, index), LEASE.SUCCEEDED, result=result, run_ms=index)
+    answer = driven.answer()
+    assert (answer.state, answer.code) == (results.JobState.COMPLETE, CODES.COMPLETE)
+    assert [(task.index, bytes(task.result)) for task in answer.tasks] == [
+        (0, b"0"),
+        (1, b"1"),
+        (2, b"2"),
+    ]
+
+
+@pytest.mark.promise("complete_or_failed")
+@pytest.mark.parametrize("outcome", [LEASE.FAILED, LEASE.STOPPED])
+def test_a_failed_task_fails_its_job_and_stops_the_others(driven, outcome):
+    driven.submit(count=3)
+    driven.report(lease(driven, 0), LEASE.SUCCEEDED)
+    driven.report(lease(driven, 1), outcome, reason="it broke")
+    assert outcomes(driven) == [OUTCOME.SUCCEEDED, OUTCOME.RAN, OUTCOME.UNKNOWN]
+    assert [stop.lease_id for stop in driven.of(actions.StopTask)] == [lease(driven, 2)]
+    assert driven.answer().code is CODES.TASK_FAILED
+    assert not driven.answer().may_resubmit
+
+
+@pytest.mark.promise("at_most_once")
+@pytest.mark.parametrize("first", FINAL_REPORTS)
+@pytest.mark.parametrize("late", LEASE)
+def test_late_and_repeated_reports_change_nothing(driven, first, late):
+    driven.submit()
+    driven.report(lease(driven), first)
+    driven.report(lease(driven), late)
+    driven.advance(60_000)
+    assert len(driven.starts()) == len(driven.of(actions.AnswerJob)) == 1
+
+
+@pytest.mark.promise("at_most_once")
+@pytest.mark.parametrize("outcome", [LEASE.NOT_STARTED, LEASE.REFUSED])
+def test_only_a_start_proved_not_to_be_is_made_again(driven, outcome):
+    driven.submit()
+    driven.report(lease(driven), outcome)
+    first, second = driven.starts()
+    assert first.lease_id != second.lease_id
+    driven.report(first.lease_id, LEASE.SUCCEEDED)
+    assert not driven.of(actions.AnswerJob)
+    driven.report(second.lease_id, LEASE.SUCCEEDED)
+    assert outcomes(driven) == [OUTCOME.SUCCEEDED]
+
+
+@pytest.mark.promise("at_most_once")
+def test_a_lost_start_is_asked_about_and_never_made_again(driven):
+    driven.submit()
+    driven.report(lease(driven), LEASE.LOST)
+    for _ in range(dispatchers.MAX_OUTCOME_ASKS):
+        assert not driven.of(actions.AnswerJob)
+        driven.report(lease(driven), LEASE.LOST, asked=True)
+    assert len(driven.of(actions.AskOutcome)) == dispatchers.MAX_OUTCOME_ASKS
+    assert outcomes(driven) == [OUTCOME.UNKNOWN]
+    assert driven.answer().code is CODES.OUTCOME_UNKNOWN
+    assert len(driven.starts()) == 1
+
+
+@pytest.mark.promise("complete_or_failed")
+@pytest.mark.parametrize(
+    ("found", "outcome"),
+    [
+        (LEASE.SUCCEEDED, OUTCOME.SUCCEEDED),
+        (LEASE.FAILED, OUTCOME.RAN),
+        (LEASE.UNSEEN, OUTCOME.UNKNOWN),
+    ],
+)
+def test_a_lost_start_ends_as_the_target_tells(driven, found, outcome):
+    driven.submit()
+    driven.report(lease(driven), LEASE.LOST)
+    driven.report(lease(driven), LEASE.RUNNING, asked=True)
+    driven.report(lease(driven), found, asked=True)
+    assert outcomes(driven) == [outcome]
+
+
+@pytest.mark.promise("complete_or_failed")
+def test_a_start_without_a_reply_is_asked_about_over_a_new_connection(driven):
+    driven.submit()
+    assert not driven.advance(999)
+    (ask,) = driven.advance(51)
+    assert (ask.lease_id, ask.wait) == (lease(driven), False)
+    assert not driven.advance(5000)
+    driven.report(ask.lease_id, LEASE.RUNNING, asked=True)
+    assert not driven.advance(1950)
+    (ask,) = driven.advance(100)
+    driven.report(ask.lease_id, LEASE.SUCCEEDED, asked=True)
+    assert outcomes(driven) == [OUTCOME.SUCCEEDED]
+    assert not driven.advance(60_000)
+
+
+def test_a_declared_run_time_puts_off_the_question(driven):
+    driven.submit(needs={"run_time_ms": 2000})
+    assert not driven.advance(5990)
+    assert driven.advance(60)
+
+
+def test_a_start_that_waits_for_a_connection_is_not_given_up(driven):
+    driven.submit()
+    (ask,) = driven.advance(1050)
+    driven.report(ask.lease_id, LEASE.QUEUED, asked=True)
+    assert driven.advance(1050) == [ask]
+    driven.report(ask.lease_id, LEASE.SUCCEEDED)
+    assert outcomes(driven) == [OUTCOME.SUCCEEDED]
+
+
+def test_one_question_at_a_time_when_the_connection_fails_while_one_is_on_its_way(driven):
+    driven.submit()
+    driven.advance(1050)
+    driven.report(lease(driven), LEASE.LOST)
+    assert len(driven.of(actions.AskOutcome)) == 1
+    driven.report(lease(driven), LEASE.RUNNING, asked=True)
+    assert [ask.wait for ask in driven.of(actions.AskOutcome)] == [False, True]
+
+
+def test_a_target_whose_connection_went_silent_gets_nothing_until_its_connections_are_old(drive):
+    driven = drive(target_count=1)
+    driven.submit()
+    driven.advance(1050)
+    driven.report(lease(driven), LEASE.UNSEEN, asked=True)
+    assert driven.refusal_of(driven.submit).code is CODES.OVERLOADED
+    driven.clock.advance(targets.SILENT_BACKOFF)
+    driven.handle(events.Ticked())
+    driven.submit()
+    assert len(driven.starts()) == 2
+
+
+@pytest.mark.promise("complete_or_failed")
+def test_what_was_not_started_is_told_as_not_run_when_the_job_ends(drive):
+    driven = drive(policy="one_of_a_job_at_a_time")
+    driven.submit(count=3)
+    driven.report(lease(driven), LEASE.FAILED)
+    assert outcomes(driven) == [OUTCOME.RAN, OUTCOME.NOT_RUN, OUTCOME.NOT_RUN]
+    assert len(driven.starts()) == 1
+
+
+@pytest.mark.promise("complete_or_failed")
+def test_nothing_of_a_job_with_an_unknown_outcome_is_started_any_more(drive):
+    driven = drive(policy="one_of_a_job_at_a_time")
+    driven.submit(count=3)
+    driven.report(lease(driven), LEASE.UNSEEN)
+    assert outcomes(driven) == [OUTCOME.UNKNOWN, OUTCOME.NOT_RUN, OUTCOME.NOT_RUN]
+    assert len(driven.starts()) == 1
+
+
+@pytest.mark.promise("complete_or_failed")
+def test_a_cancelled_job_stops_what_runs_and_starts_nothing_more(drive):
+    driven = drive(policy="one_of_a_job_at_a_time")
+    submission_id = driven.submit(count=2)
+    driven.cancel(submission_id)
+    driven.cancel(submission_id)
+    assert outcomes(driven) == [OUTCOME.UNKNOWN, OUTCOME.NOT_RUN]
+    assert [stop.lease_id for stop in driven.of(actions.StopTask)] == [lease(driven)]
+    driven.report(lease(driven), LEASE.STOPPED)
+    assert len(driven.starts()) == 1
+
+
+@pytest.mark.promise("complete_or_failed")
+def test_at_the_deadline_the_job_fails_whatever_wakes_the_node(driven):
+    driven.submit(deadline_ms=1000)
+    driven.clock.advance(datetime.timedelta(hours=1))
+    driven.report(lease(driven), LEASE.NOT_STARTED)
+    assert driven.answer().code is CODES.DEADLINE_EXCEEDED
+    assert len(driven.starts()) == 1
+
+
+def test_a_list_that_arrives_after_the_deadline_starts_nothing(drive):
+    driven = drive(target_count=1)
+    driven.submit(deadline_ms=1000)
+    driven.report(lease(driven), LEASE.NOT_STARTED, reason="busy")
+    driven.clock.advance(datetime.timedelta(hours=1))
+    driven.list_targets(driven.targets_by_name.values())
+    assert len(driven.starts()) == 1
+    assert outcomes(driven) == [OUTCOME.NOT_RUN]
+    assert driven.answer().may_resubmit
+
+
+def test_a_start_has_a_limit_no_later_than_the_deadline(driven):
+    now = driven.clock.now()
+    driven.submit(deadline_ms=500)
+    driven.submit(deadline_ms=60_000)
+    limits = [start.start_before - now for start in driven.starts()]
+    assert limits == [datetime.timedelta(milliseconds=500), dispatchers.START_WINDOW]
+
+
+@pytest.mark.promise("leaving_target")
+def test_a_target_that_says_it_leaves_gets_no_further_start(drive):
+    driven = drive(target_count=2)
+    driven.submit(count=20)
+    leaver = driven.starts()[0].target.name
+    driven.report(lease(driven), LEASE.NOT_STARTED, reason="leaving")
+    before = len(driven.starts())
+    for _ in range(10):
+        driven.submit()
+        driven.advance(1000)
+        driven.list_targets(driven.targets_by_name.values())
+    later = driven.starts()[before:]
+    assert later
+    assert leaver not in {start.target.name for start in later}
+
+
+@pytest.mark.promise("leaving_target")
+def test_a_target_listed_as_leaving_gets_no_further_start(drive):
+    driven = drive(target_count=2)
+    first, second = driven.targets_by_name.values()
+    leaving = msgspec.structs.replace(first, state=vms.VmState.LEAVING)
+    driven.list_targets([leaving, second])
+    driven.submit(count=20)
+    assert {start.target.name for start in driven.starts()} == {second.name}
--- /dev/null
+++ b/packages/kernel/tests/test_kernels.py
@@ -0,0 +1,47 @@
+import datetime
+
+import pytest
+
+from chiveridge_kernel import actions, events, results
+
+CODES = results.ResultCode
+SUCCEEDED = events.LeaseOutcome.SUCCEEDED
+
+
+@pytest.mark.promise("graceful_shutdown")
+def test_a_draining_node_finishes_what_runs_and_then_exits(driven):
+    submission_id = driven.submit()
+    assert driven.handle(events.DrainRequested()) == []
+    assert not driven.kernel.is_ready()
+    driven.report(driven.starts()[0].lease_id, SUCCEEDED)
+    assert driven.answer().code is CODES.COMPLETE
+    assert driven.find(submission_id).code is CODES.COMPLETE
+    assert actions.Exit() in driven.performed
+
+
+@pytest.mark.promise("graceful_shutdown")
+def test_a_draining_node_refuses_new_jobs_as_not_run(driven):
+    held, running = driven.issue(), driven.submit()
+    driven.handle(events.DrainRequested())
+    refusal = driven.refusal_of(driven.submit, held)
+    assert (refusal.code, refusal.ran) == (CODES.DRAINING, results.TaskOutcome.NOT_RUN)
+    assert driven.refusal_of(driven.issue).code is CODES.DRAINING
+    driven.submit(running)
+    assert len(driven.starts()) == 1
+
+
+def test_answers_found_while_a_request_is_refused_are_not_lost(driven):
+    driven.submit(deadline_ms=1000)
+    reused = driven.submit(deadline_ms=5000)
+    driven.clock.advance(datetime.timedelta(seconds=2))
+    refusal = driven.refusal_of(driven.submit, reused, body=b"2")
+    assert refusal.code is CODES.SUBMISSION_ID_REUSED
+    (answer,) = driven.kernel.take_actions()[-1:]
+    assert answer.answer.code is CODES.DEADLINE_EXCEEDED
+
+
+def test_ticks_are_wanted_in_time_for_the_next_deadline(driven):
+    driven.submit(deadline_ms=700)
+    driven.submit(deadline_ms=300)
+    due = driven.kernel.next_wakeup()
+    assert due - driven.clock.now() == datetime.timedelta(milliseconds=300)
--- /dev/null
+++ b/packages/kernel/tests/test_probes.py
@@ -0,0 +1,40 @@
+import datetime
+
+import pytest
+
+from chiveridge_kernel import clocks, probes
+
+NOW = clocks.EPOCH + datetime.timedelta(days=20_000, microseconds=123)
+STEP = datetime.timedelta(milliseconds=50)
+SECOND = datetime.timedelta(seconds=1)
+
+
+def test_a_lease_is_due_never_early_and_at_most_one_step_late():
+    schedule = probes.ProbeSchedule()
+    schedule.add("a", NOW + SECOND)
+    assert schedule.take_due(NOW + SECOND - datetime.timedelta(microseconds=1)) == []
+    assert schedule.take_due(NOW + SECOND + STEP) == ["a"]
+    assert schedule.take_due(NOW + 2 * SECOND) == []
+
+
+def test_leases_come_in_the_order_of_their_times():
+    schedule = probes.ProbeSchedule()
+    for name, seconds in (("c", 3), ("a", 1), ("b", 2), ("d", 9)):
+        schedule.add(name, NOW + seconds * SECOND)
+    assert schedule.take_due(NOW + 4 * SECOND) == ["a", "b", "c"]
+
+
+@pytest.mark.parametrize(("asked", "given"), [(0, 1), (1, 1), (4, 4), (99, 10)])
+def test_delays_stay_within_their_limits(asked, given):
+    assert probes.ProbeLimits().clamp(asked * SECOND) == given * SECOND
+
+
+def test_the_longer_of_declared_and_observed_time_is_expected():
+    durations = probes.Durations()
+    assert durations.expected("a-team", 700) == 0.7 * SECOND
+    durations.observe("a-team", 2 * SECOND)
+    assert durations.expected("a-team", 700) == 2 * SECOND
+    assert durations.expected("b-team", 700) == 0.7 * SECOND
+    for _ in range(200):
+        durations.observe("a-team", SECOND / 10)
+    assert durations.expected("a-team", 0) < SECOND / 5
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -1,6 +1,7 @@
 """The node: kernel, shell and adapters put together, from start to drained exit."""
 
 import asyncio
+import datetime
 import json
 import random
 import secrets
@@ -9,7 +10,7 @@
 
 import msgspec
 
-from chiveridge_kernel import actions, events, identifiers, kernels, records
+from chiveridge_kernel import actions, events, identifiers, kernels, probes, records
 from chiveridge_node import clocks, logevents, plugins, requests, settings, shells, signals
 
 _INCARNATION_BYTES = 8
@@ -123,6 +124,10 @@
         incarnation=identifiers.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
         secret=secrets.token_bytes(_SECRET_BYTES),
         policy=node_settings.placement.policy,
+        probe_limits=probes.ProbeLimits(
+            shortest=datetime.timedelta(milliseconds=node_settings.targets.probe_min_ms),
+            longest=datetime.timedelta(milliseconds=node_settings.targets.probe_max_ms),
+        ),
         answer_budget_bytes=node_settings.answers.keep_mb * _MEGABYTE,
     )
 
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -45,11 +45,13 @@
 
 
 class TargetsSection(msgspec.Struct, frozen=True, kw_only=True):
-    """Connections to targets."""
+    """Connections to targets, and bounds of the wait for a reply before a target is asked."""
 
     connections_per_target: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 8
     connect_timeout_ms: _Milliseconds = 1000
     idle_timeout_ms: _Milliseconds = 10_000
+    probe_min_ms: _Milliseconds = 1000
+    probe_max_ms: _Milliseconds = 10_000
 
 
 class AnswersSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -12,6 +12,21 @@
 ASK_TIMEOUT_SECONDS = 3.0
 ASK_WAIT_MS = 1000
 STOP_TIMEOUT_SECONDS = 2.0
+MIN_ASK_AGE = datetime.timedelta(milliseconds=500)
+"""Age of a start below which the target need not have read it."""
+
+_ENDED_OUTCOMES = frozenset(
+    {
+        events.LeaseOutcome.SUCCEEDED,
+        events.LeaseOutcome.FAILED,
+        events.LeaseOutcome.STOPPED,
+        events.LeaseOutcome.NOT_STARTED,
+    }
+)
+
+_FOREIGN_OUTCOMES = frozenset(
+    {events.LeaseOutcome.LOST, events.LeaseOutcome.REFUSED, events.LeaseOutcome.QUEUED}
+)
 
 
 class LeaseReply(msgspec.Struct, frozen=True):
@@ -24,10 +39,29 @@
     busy: int | None = None
 
 
+class Sending(msgspec.Struct):
+    """A start on its way; ``sent_at`` is set when it is given to a connection."""
+
+    start_before: datetime.datetime
+    sent_at: datetime.datetime | None = None
+
+
 class StartTooLateError(Exception):
     """The start limit passed before anything was sent."""
 
 
+class ForeignOutcomeError(Exception):
+    """A target replied with an outcome that only a node can find."""
+
+
+_LOST_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    TimeoutError,
+    msgspec.MsgspecError,
+    ForeignOutcomeError,
+)
+
 _reply_decoder = msgspec.json.Decoder(LeaseReply)
 
 
@@ -38,6 +72,7 @@
         self._shell = node.shell
         self._settings = node.settings.targets
         self._tasks_by_lease: dict[identifiers.LeaseId, asyncio.Task] = {}
+        self._sendings_by_lease: dict[identifiers.LeaseId, Sending] = {}
         self._background: set[asyncio.Task] = set()
         self._starts: aiohttp.ClientSession | None = None
         self._asks: aiohttp.ClientSession | None = None
@@ -76,7 +111,8 @@
         """Send a start; its outcome is reported when the target replies."""
         task = asyncio.get_running_loop().create_task(self._start(action))
         self._tasks_by_lease[action.lease_id] = task
-        task.add_done_callback(lambda _: self._tasks_by_lease.pop(action.lease_id, None))
+        self._sendings_by_lease[action.lease_id] = Sending(action.start_before)
+        task.add_done_callback(lambda _: self._forget(action.lease_id))
 
     def ask(self, action: actions.AskOutcome) -> None:
         """Ask for the outcome of a start over a new connection."""
@@ -84,10 +120,18 @@
 
     def stop(self, action: actions.StopTask) -> None:
         """Give up waiting for a start and tell the target to stop it."""
-        task = self._tasks_by_lease.pop(action.lease_id, None)
+        self._abandon(action.lease_id)
+        self._in_background(self._stop(action))
+
+    def _abandon(self, lease_id: identifiers.LeaseId) -> None:
+        """Stop waiting for the reply to a start, and close its connection."""
+        task = self._tasks_by_lease.get(lease_id)
         if task is not None:
             task.cancel()
-        self._in_background(self._stop(action))
+
+    def _forget(self, lease_id: identifiers.LeaseId) -> None:
+        self._tasks_by_lease.pop(lease_id, None)
+        self._sendings_by_lease.pop(lease_id, None)
 
     def _in_background(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -101,7 +145,7 @@
             reply = LeaseReply(events.LeaseOutcome.NOT_STARTED, reason="too_late")
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             reply = LeaseReply(events.LeaseOutcome.REFUSED, reason="unreachable")
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
+        except _LOST_ERRORS as error:
             logevents.write(
                 logevents.LogEvent.START_LOST,
                 lease=action.lease_id,
@@ -112,7 +156,8 @@
         self._report(action.lease_id, reply)
 
     async def _send_start(self, action: actions.StartTask) -> LeaseReply:
-        self._check_start_limit(action.start_before)
+        sending = self._sendings_by_lease[action.lease_id]
+        self._check_start_limit(sending)
         headers = {
             "Content-Type": "application/json",
             "Chiveridge-Team": action.team,
@@ -121,19 +166,31 @@
         url = _lease_url(action.target, action.lease_id)
         # POST only: aiohttp sends idempotent methods again when a kept connection closes.
         async with self._starts.post(
-            url, data=action.body, headers=headers, trace_request_ctx=action.start_before
+            url, data=action.body, headers=headers, trace_request_ctx=sending
         ) as response:
-            return _reply_decoder.decode(await response.read())
+            return _decode(await response.read())
 
     async def _ask(self, action: actions.AskOutcome) -> None:
         await asyncio.sleep(action.delay.total_seconds())
-        url = f"{_lease_url(action.target, action.lease_id)}?wait_ms={ASK_WAIT_MS}"
+        if self._is_too_early_to_ask(action.lease_id):
+            self._report(action.lease_id, LeaseReply(events.LeaseOutcome.QUEUED), asked=True)
+            return
+        wait_ms = ASK_WAIT_MS if action.wait else 0
+        url = f"{_lease_url(action.target, action.lease_id)}?wait_ms={wait_ms}"
         try:
             async with self._asks.get(url) as response:
-                reply = _reply_decoder.decode(await response.read())
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+                reply = _decode(await response.read())
+        except _LOST_ERRORS:
             reply = LeaseReply(events.LeaseOutcome.LOST)
-        self._report(action.lease_id, reply)
+        if reply.outcome in _ENDED_OUTCOMES:
+            self._abandon(action.lease_id)
+        self._report(action.lease_id, reply, asked=True)
+
+    def _is_too_early_to_ask(self, lease_id: identifiers.LeaseId) -> bool:
+        sending = self._sendings_by_lease.get(lease_id)
+        if sending is None:
+            return False
+        return sending.sent_at is None or self._shell.clock.now() - sending.sent_at < MIN_ASK_AGE
 
     async def _stop(self, action: actions.StopTask) -> None:
         timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_SECONDS)
@@ -149,7 +206,9 @@
                 error=repr(error),
             )
 
-    def _report(self, lease_id: identifiers.LeaseId, reply: LeaseReply) -> None:
+    def _report(
+        self, lease_id: identifiers.LeaseId, reply: LeaseReply, *, asked: bool = False
+    ) -> None:
         self._shell.handle_safely(
             events.LeaseReported(
                 lease_id=lease_id,
@@ -158,6 +217,7 @@
                 result=reply.result,
                 reason=reply.reason,
                 busy=reply.busy,
+                asked=asked,
             )
         )
 
@@ -166,17 +226,25 @@
 
         async def check(session, context, params) -> None:
             self._check_start_limit(context.trace_request_ctx)
+            context.trace_request_ctx.sent_at = self._shell.clock.now()
 
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(check)
         trace.on_connection_reuseconn.append(check)
         return trace
 
-    def _check_start_limit(self, start_before: datetime.datetime) -> None:
-        if self._shell.clock.now() >= start_before:
+    def _check_start_limit(self, sending: Sending) -> None:
+        if self._shell.clock.now() >= sending.start_before:
             raise StartTooLateError
 
 
+def _decode(body: bytes) -> LeaseReply:
+    reply = _reply_decoder.decode(body)
+    if reply.outcome in _FOREIGN_OUTCOMES:
+        raise ForeignOutcomeError(reply.outcome.value)
+    return reply
+
+
 def _lease_url(target: vms.Vm, lease_id: identifiers.LeaseId) -> str:
     return f"http://{target.address}:{target.port}/v1/leases/{lease_id}"
 
--- /dev/null
+++ b/packages/node/tests/test_targets_http.py
@@ -0,0 +1,216 @@
+import asyncio
+import contextlib
+import datetime
+import types
+
+import aiohttp
+import pytest
+
+from chiveridge_kernel import actions, clocks, events, vms
+from chiveridge_node import settings, targets_http
+
+NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+REPLY = b'{"outcome": "succeeded", "run_ms": 1.5, "result": {"key": "k"}, "busy": 3}'
+
+
+class FakeShell:
+    """Collects what the adapter reports."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock(NOW)
+        self.reports = asyncio.Queue()
+
+    def perform_with(self, action_type, performer):
+        """Need no performers: the tests call them."""
+
+    def handle_safely(self, event):
+        self.reports.put_nowait(event)
+
+
+class FakeTarget:
+    """Counts requests; ``answers_left`` are replied to, then connections close without a reply."""
+
+    def __init__(self, body=REPLY, answers_left=1):
+        self.requests = []
+        self.connections = 0
+        self.port = 0
+        self.received = asyncio.Event()
+        self.replying = asyncio.Event()
+        self.replying.set()
+        self._body = body
+        self._answers_left = answers_left
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError
+        ):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                length = [line for line in head.split("\r\n") if "Content-Length" in line]
+                await reader.readexactly(int(length[0].split()[1]) if length else 0)
+                self.requests.append(head.split("\r\n")[0])
+                self.received.set()
+                await self.replying.wait()
+                if not self._answers_left:
+                    break
+                self._answers_left -= 1
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self._body)}\r\n\r\n"
+                writer.write(head.encode() + self._body)
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def serving(target):
+    server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+    target.port = server.sockets[0].getsockname()[1]
+    yield vms.Vm(
+        name="ikeja-t1",
+        role=vms.VmRole.TARGET,
+        domain="ikeja",
+        address="127.0.0.1",
+        port=target.port,
+    )
+    server.close()
+
+
+@pytest.fixture
+async def shell():
+    return FakeShell()
+
+
+@pytest.fixture
+async def adapter(shell):
+    node_settings = types.SimpleNamespace(targets=settings.TargetsSection())
+    adapter = targets_http.HttpTargets(types.SimpleNamespace(shell=shell, settings=node_settings))
+    await adapter.open()
+    yield adapter
+    await adapter.close()
+
+
+def start_of(vm, lease_id, limit=datetime.timedelta(seconds=2)):
+    return actions.StartTask(
+        lease_id=lease_id, target=vm, team="a-team", body=b"{}", start_before=NOW + limit
+    )
+
+
+async def report(shell) -> events.LeaseReported:
+    async with asyncio.timeout(20):
+        return await shell.reports.get()
+
+
+async def test_an_idempotent_method_is_sent_twice_by_the_http_library_itself():
+    """The hazard: this is why a start may not be sent with PUT."""
+    target = FakeTarget()
+    async with serving(target) as vm, aiohttp.ClientSession() as session:
+        target_url = f"http://127.0.0.1:{vm.port}"
+        async with session.put(f"{target_url}/first", data=b"{}") as response:
+            await response.read()
+        with pytest.raises(aiohttp.ClientError):
+            await session.put(f"{target_url}/second", data=b"{}")
+    assert [request.split()[1] for request in target.requests] == ["/first", "/second", "/second"]
+
+
+@pytest.mark.promise("at_most_once")
+async def test_a_start_on_a_kept_connection_that_closes_is_sent_once(adapter, shell):
+    target = FakeTarget()
+    async with serving(target) as vm:
+        for lease_id in ("first", "second"):
+            adapter.start(start_of(vm, lease_id))
+            outcome = (await report(shell)).outcome
+        assert outcome is events.LeaseOutcome.LOST
+        assert target.requests == [
+            "POST /v1/leases/first HTTP/1.1",
+            "POST /v1/leases/second HTTP/1.1",
+        ]
+        assert target.connections == 1
+
+
+async def test_a_reply_is_reported_with_all_it_says(adapter, shell):
+    async with serving(FakeTarget()) as vm:
+        adapter.start(start_of(vm, "first"))
+        found = await report(shell)
+    assert (found.lease_id, found.outcome) == ("first", events.LeaseOutcome.SUCCEEDED)
+    assert (found.run_ms, bytes(found.result), found.busy) == (1.5, b'{"key": "k"}', 3)
+    assert not found.asked
+
+
+@pytest.mark.promise("at_most_once")
+async def test_nothing_is_sent_at_or_after_the_limit(adapter, shell):
+    target = FakeTarget()
+    async with serving(target) as vm:
+        adapter.start(start_of(vm, "first", datetime.timedelta()))
+        found = await report(shell)
+    assert (found.outcome, found.reason) == (events.LeaseOutcome.NOT_STARTED, "too_late")
+    assert target.requests == []
+
+
+@pytest.mark.promise("at_most_once")
+async def test_a_limit_that_passes_while_the_start_waits_for_a_connection_holds(shell):
+    section = settings.TargetsSection(connections_per_target=1)
+    fake_node = types.SimpleNamespace(shell=shell, settings=types.SimpleNamespace(targets=section))
+    adapter = targets_http.HttpTargets(fake_node)
+    await adapter.open()
+    target = FakeTarget(answers_left=2)
+    target.replying.clear()
+    async with serving(target) as vm:
+        adapter.start(start_of(vm, "first"))
+        adapter.start(start_of(vm, "second"))
+        adapter.ask(actions.AskOutcome(lease_id="second", target=vm))
+        assert (await report(shell)).outcome is events.LeaseOutcome.QUEUED
+        await target.received.wait()
+        shell.clock.advance(datetime.timedelta(seconds=2))
+        target.replying.set()
+        found = [await report(shell), await report(shell)]
+    await adapter.close()
+    assert {report.lease_id: report.outcome.value for report in found} == {
+        "first": "succeeded",
+        "second": "not_started",
+    }
+    assert target.requests == ["POST /v1/leases/first HTTP/1.1"]
+
+
+@pytest.mark.promise("honest_refusal")
+async def test_a_refused_connection_is_reported_as_nothing_sent(adapter, shell):
+    async with serving(FakeTarget()) as vm:
+        pass
+    adapter.start(start_of(vm, "first"))
+    assert (await report(shell)).outcome is events.LeaseOutcome.REFUSED
+
+
+@pytest.mark.promise("honest_refusal")
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b'{"outcome": "refused"}', b'{"outcome": "lost"}', b'{"outcome": 3}']
+)
+async def test_a_reply_that_is_none_is_no_proof(adapter, shell, body):
+    async with serving(FakeTarget(body)) as vm:
+        adapter.start(start_of(vm, "first"))
+        assert (await report(shell)).outcome is events.LeaseOutcome.LOST
+
+
+async def test_an_end_that_was_asked_for_closes_the_connection_of_the_start(adapter, shell):
+    held = asyncio.Event()
+    closed = asyncio.Event()
+
+    class SilentStartTarget(FakeTarget):
+        async def serve(self, reader, writer):
+            if held.is_set():
+                await super().serve(reader, writer)
+                return
+            held.set()
+            await reader.read()
+            closed.set()
+            writer.close()
+
+    target = SilentStartTarget()
+    async with serving(target) as vm:
+        adapter.start(start_of(vm, "first"))
+        await held.wait()
+        shell.clock.advance(datetime.timedelta(seconds=1))
+        adapter.ask(actions.AskOutcome(lease_id="first", target=vm))
+        found = await report(shell)
+        async with asyncio.timeout(20):
+            await closed.wait()
+    assert (found.outcome, found.asked) == (events.LeaseOutcome.SUCCEEDED, True)
+    assert shell.reports.empty()
+    assert target.requests == ["GET /v1/leases/first?wait_ms=0 HTTP/1.1"]
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -1,10 +1,138 @@
 """Fixtures for tests that run real processes."""
 
+import asyncio
+import contextlib
+import datetime
+
+import aiohttp
+import msgspec
 import pytest
 
+from chiveridge_kernel import messages
 from chiveridge_load import deployments
+from chiveridge_standins import fleets
+
+PATIENCE_S = 30
+
+
+class Reply(msgspec.Struct, kw_only=True):
+    """A node's reply to a raw request, an answer or a refusal."""
+
+    status: int = 0
+    code: int
+    ran: str = ""
+    state: str = ""
+    name: str = ""
+    tasks: list[messages.TaskAnswer] = []
+
+
+class Caller:
+    """Sends raw requests with a team's key, without any retry."""
+
+    def __init__(self, session: aiohttp.ClientSession, credential: str):
+        self._session = session
+        self._headers = {"Authorization": f"Bearer {credential}"}
+
+    async def request(self, method: str, url: str, body: bytes | None = None) -> bytes:
+        async with self._session.request(method, url, data=body, headers=self._headers) as response:
+            return response.status, await response.read()
+
+    async def issue(self, node_url: str) -> str:
+        _, payload = await self.request("POST", f"{node_url}/v1/submission-ids")
+        return msgspec.json.decode(payload)["submission_ids"][0]
+
+    async def submit(self, node_url: str, submission: messages.Submission, wait_ms=0) -> Reply:
+        body = messages.encoder.encode(submission)
+        return await self._reply("POST", f"{node_url}/v1/jobs?wait_ms={wait_ms}", body)
+
+    async def ask(self, node_url: str, submission_id: str, wait_ms=0) -> Reply:
+        return await self._reply("GET", f"{node_url}/v1/jobs/{submission_id}?wait_ms={wait_ms}")
+
+    async def cancel(self, node_url: str, submission_id: str) -> Reply:
+        return await self._reply("DELETE", f"{node_url}/v1/jobs/{submission_id}")
+
+    async def _reply(self, method: str, url: str, body: bytes | None = None) -> Reply:
+        status, payload = await self.request(method, url, body)
+        reply = msgspec.json.decode(payload, type=Reply)
+        reply.status = status
+        return reply
+
+
+class Deployment:
+    """A ready fleet with one team, and a caller of it."""
+
+    def __init__(self, fleet: fleets.Fleet, caller: Caller, team: deployments.TeamPlan):
+        self.fleet = fleet
+        self.caller = caller
+        self.team = team
+
+    def url(self, node: str) -> str:
+        return self.fleet.nodes_by_name[node].url
+
+    async def submission(self, node: str, *tasks: messages.TaskSpec, **fields):
+        """Return a submission under a new id of a node."""
+        submission_id = await self.caller.issue(self.url(node))
+        return messages.Submission(submission_id=submission_id, tasks=list(tasks), **fields)
+
+    async def starts(self) -> dict[str, int]:
+        """Return how often each task was started, counted by the targets."""
+        starts_by_key: dict[str, int] = {}
+        for target in self.fleet.targets_by_name.values():
+            for key, count in (await target.counts()).starts.items():
+                starts_by_key[key] = starts_by_key.get(key, 0) + count
+        return starts_by_key
+
+    async def wait_started(self, key: str) -> None:
+        await eventually(lambda: self.has_started(key))
+
+    async def has_started(self, key: str) -> bool:
+        return key in await self.starts()
+
+
+async def eventually(condition) -> None:
+    """Wait until an asynchronous condition holds."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not await condition():
+            await asyncio.sleep(0.02)
+
+
+def new_task(key: str, run_ms: int = 20, **body) -> messages.TaskSpec:
+    content = msgspec.json.encode({"run_ms": run_ms, "key": key, **body})
+    return messages.TaskSpec(body=msgspec.Raw(content))
 
 
 @pytest.fixture(scope="session")
 def team() -> deployments.TeamPlan:
     return deployments.TeamPlan(name="dispatch-desk", secret="secret-of-the-tests")
+
+
+@pytest.fixture
+def make_task():
+    return new_task
+
+
+@pytest.fixture
+def until():
+    return eventually
+
+
+@pytest.fixture
+def deploy(team):
+    """Return a function that starts a fleet; use its result as an asynchronous context manager."""
+
+    @contextlib.asynccontextmanager
+    async def deployed(nodes: int = 1, targets: int = 1, domains=("ikeja",), **plan):
+        domain = fleets.DomainPlan(nodes=nodes, targets=targets)
+        fleet_plan = fleets.FleetPlan(domains=dict.fromkeys(domains, domain), **plan)
+        async with fleets.Fleet(fleet_plan) as fleet, aiohttp.ClientSession() as session:
+            change = deployments.first_change([team], list(fleet.targets_by_name))
+            await fleet.append_change(msgspec.to_builtins(change))
+            await fleet.wait_ready()
+            yield Deployment(fleet, Caller(session, team.credential), team)
+
+    return deployed
+
+
+@pytest.fixture
+def seconds():
+    return lambda count: datetime.timedelta(seconds=count)
