Hand over answers and admitted ids on a planned stop

Cause: a draining node exited with the last job, and a caller that had been told 202 found nobody who knew its answer; a call whose reply was cut by the exit was unknown for good, as no other node could tell whether the id had been used.

Now a node that has drained sends its peers (those of its domain, or two others) its kept answers, up to 8 MB with those nobody has fetched first, and one bit for each unexpired id that was admitted. From the first part on it starts nothing, so a peer that holds all parts can prove that another id never ran (ISSUER_GONE, not_run), and the client takes a new id then, also after a lost reply. The node stays until each part is confirmed, 0.3 s after the first peer has everything, and node.drain_linger_ms at most. A second signal ends the jobs in progress as failed (NODE_STOPPED, 4008) and stops their tasks before the exit. Only the bearer of the issuer's own name says ISSUER_GONE for an id that was not handed over.

The policy now hears that a job waits for nothing more before it hears of freed slots.

Ruled out: one successor for each node (lists differ while they lag), and a broadcast to all domains (400 nodes).

Seen to fail with the protection taken out, in focused tests: a job not marked as ended before slots are freed, exit at once, proof from a part, no marks, a client that trusts no proof, a second signal ignored. Not seen to fail: the tests with real processes when the node exits at once, when the client trusts no proof, or when stops are not awaited at the exit (the exit itself takes long enough).

--- a/packages/kernel/chiveridge_kernel/admissions.py
+++ b/packages/kernel/chiveridge_kernel/admissions.py
@@ -115,6 +115,10 @@
         """Forget ids that can no longer be used."""
         self._ledger.forget_expired(clocks.to_epoch_ms(now))
 
+    def admitted(self) -> dict[int, bytes]:
+        """Return which unexpired ids were admitted, see :meth:`ledgers.Ledger.admitted`."""
+        return self._ledger.admitted()
+
     def cancel(
         self,
         submission_id: identifiers.SubmissionId,
--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -11,6 +11,7 @@
     events,
     identifiers,
     jobs,
+    members,
     placements,
     probes,
     reaches,
@@ -37,6 +38,7 @@
         self,
         reach: reaches.Reach,
         target_table: targets.TargetTable,
+        member_table: members.MemberTable,
         rng: random.Random,
         policy_name: str,
         incarnation: identifiers.Incarnation,
@@ -46,8 +48,9 @@
         self.in_flight_by_target: dict[str, int] = {}
         self.jobs_by_id: dict[identifiers.SubmissionId, jobs.Job] = {}
         self.outbox: list[actions.Action] = []
-        self._reach = reach
-        self._target_table = target_table
+        self.reach = reach
+        self.target_table = target_table
+        self.members = member_table
         self._incarnation = incarnation
         self._tasks_by_lease: dict[identifiers.LeaseId, jobs.Task] = {}
         self._deadlines: list[tuple[datetime.datetime, identifiers.SubmissionId]] = []
@@ -62,7 +65,7 @@
 
         :raises errors.RefusedError: when it can never run or no approved target is usable now.
         """
-        candidates = self._reach.candidates(event.team, event.submission.selector)
+        candidates = self.reach.candidates(event.team, event.submission.selector)
         job = jobs.Job(event.team, event.submission, candidates, event.arrived_at or now)
         _check_deadline(job, now)
         self._check_runnable(job)
@@ -98,14 +101,14 @@
 
     def usable(self, job: jobs.Job, task: jobs.Task) -> Sequence[vms.Vm]:
         """Return the targets that may be sent the task now."""
-        if self._usable_version != self._target_table.version:
+        if self._usable_version != self.target_table.version:
             self._usable_by_fitting.clear()
-            self._usable_version = self._target_table.version
+            self._usable_version = self.target_table.version
         fitting = job.candidates.fitting(task.spec)
         # The key is an identity, so the entry keeps the object alive.
         entry = self._usable_by_fitting.get(id(fitting))
         if entry is None:
-            found = [vm for vm in fitting if self._target_table.is_usable(vm.name)]
+            found = [vm for vm in fitting if self.target_table.is_usable(vm.name)]
             entry = (fitting, found)
             self._usable_by_fitting[id(fitting)] = entry
         return entry[1]
@@ -127,13 +130,18 @@
         self, job: jobs.Job, code: results.ResultCode, message: str, now: datetime.datetime
     ) -> None:
         """End a job as failed: start nothing more of it and stop what runs."""
-        job.give_up_waiting()
+        self._start_no_more(job, now)
         for task in job.running_tasks():
             self.outbox.append(actions.StopTask(lease_id=task.lease_id, target=task.target))
-            self._release(task, now)
+            self._release(task, None, now)
             task.signal(jobs.TaskSignal.GIVE_UP)
         self._end(job, results.JobState.FAILED, code, message, now)
 
+    def fail_all(self, code: results.ResultCode, message: str, now: datetime.datetime) -> None:
+        """End every job as failed."""
+        for job in list(self.jobs_by_id.values()):
+            self.fail(job, code, message, now)
+
     def expire(self, now: datetime.datetime) -> None:
         """Fail the jobs whose deadline has passed."""
         while self._deadlines and self._deadlines[0][0] <= now:
@@ -156,9 +164,8 @@
 
     def place_waiting(self, now: datetime.datetime) -> None:
         """Offer the waiting tasks of every job to the policy again."""
-        for job in list(self.jobs_by_id.values()):
-            if job.waiting:
-                self.policy.job_waiting(job, now)
+        waiting = [job for job in self.jobs_by_id.values() if job.waiting]
+        self.policy.targets_changed(waiting, now)
 
     def _check_runnable(self, job: jobs.Job) -> None:
         any_usable = False
@@ -182,8 +189,7 @@
     def _task_failed(
         self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
     ) -> None:
-        # First, as a policy may start what waits as soon as a target is released.
-        task.job.give_up_waiting()
+        self._start_no_more(task.job, now)
         self._finish(task, event, jobs.TaskSignal.FAIL, now)
         message = f"tasks[{task.index}] {event.outcome.value} on {task.target.name}: {event.reason}"
         self.fail(task.job, results.ResultCode.TASK_FAILED, message, now)
@@ -192,13 +198,13 @@
         self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
     ) -> None:
         vm = task.target
-        self._release(task, now)
+        self._release(task, event, now)
         task.signal(jobs.TaskSignal.NOT_STARTED)
         task.target = None
         job = task.job
         job.waiting.append(task)
         until = now + _BACKOFFS_BY_REASON.get(event.reason, targets.UNREACHABLE_BACKOFF)
-        self._target_table.avoid(vm.name, until)
+        self.target_table.avoid(vm.name, until)
         if job.deadline <= now:
             self.expire(now)
         else:
@@ -206,13 +212,13 @@
 
     def _lost(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
         until = now + targets.UNREACHABLE_BACKOFF
-        self._target_table.avoid(task.target.name, until)
+        self.target_table.avoid(task.target.name, until)
         task.is_cut = task.is_cut or not event.asked
         if task.is_asked:
             return
         task.lost_asks += 1
         if task.lost_asks > MAX_OUTCOME_ASKS:
-            self._give_up(task, now)
+            self._give_up(task, event, now)
             return
         self._ask(task, OUTCOME_ASK_DELAY * (task.lost_asks - 1))
 
@@ -230,12 +236,14 @@
 
     def _unseen(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
         # Other idle connections to the target may be silent too; by then they are closed.
-        self._target_table.avoid(task.target.name, now + targets.SILENT_BACKOFF)
-        self._give_up(task, now)
+        self.target_table.avoid(task.target.name, now + targets.SILENT_BACKOFF)
+        self._give_up(task, event, now)
 
-    def _give_up(self, task: jobs.Task, now: datetime.datetime) -> None:
-        task.job.give_up_waiting()
-        self._release(task, now)
+    def _give_up(
+        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
+    ) -> None:
+        self._start_no_more(task.job, now)
+        self._release(task, event, now)
         task.signal(jobs.TaskSignal.LOSE)
         message = f"tasks[{task.index}] on {task.target.name}: {_OUTCOME_UNKNOWN_MESSAGE}"
         self.fail(task.job, results.ResultCode.OUTCOME_UNKNOWN, message, now)
@@ -261,15 +269,17 @@
         task.result = event.result
         task.reason = event.reason
         task.job.unfinished -= 1
-        self._release(task, now)
+        self._release(task, event, now)
 
-    def _release(self, task: jobs.Task, now: datetime.datetime) -> None:
+    def _release(
+        self, task: jobs.Task, report: events.LeaseReported | None, now: datetime.datetime
+    ) -> None:
         del self._tasks_by_lease[task.lease_id]
         name = task.target.name
         self.in_flight_by_target[name] -= 1
         if not self.in_flight_by_target[name]:
             del self.in_flight_by_target[name]
-        self.policy.start_ended(task, task.target, now)
+        self.policy.start_ended(task, task.target, report, now)
 
     def _end(
         self,
@@ -279,11 +289,17 @@
         message: str,
         now: datetime.datetime,
     ) -> None:
+        self._start_no_more(job, now)
         del self.jobs_by_id[job.submission_id]
-        job.ended = True
         answer = job.answer(state, code, message, now)
         self.outbox.append(actions.AnswerJob(team=job.team, answer=answer))
-        self.policy.job_ended(job, now)
+
+    def _start_no_more(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Give up what waits, before the policy hears of targets that are released."""
+        if not job.ended:
+            job.ended = True
+            job.give_up_waiting()
+            self.policy.job_ended(job, now)
 
 
 def _check_deadline(job: jobs.Job, now: datetime.datetime) -> None:
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -86,7 +86,9 @@
 
 
 class DrainRequested(msgspec.Struct, frozen=True):
-    """The process was asked to stop."""
+    """The process was asked to stop; ``forced`` ends the jobs in progress as failed."""
+
+    forced: bool = False
 
 
 Event = (
--- a/packages/kernel/chiveridge_kernel/jobs.py
+++ b/packages/kernel/chiveridge_kernel/jobs.py
@@ -122,7 +122,7 @@
 
 
 class Job:
-    """One submission while it runs; ``answer`` is set once and never changes."""
+    """One submission while it runs; once ``ended`` is set nothing more of it is started."""
 
     def __init__(
         self,
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -14,8 +14,11 @@
     dispatchers,
     errors,
     events,
+    handovers,
     identifiers,
     members,
+    peers,
+    policies,
     probes,
     reaches,
     results,
@@ -31,8 +34,9 @@
     domain: identifiers.DomainName
     incarnation: identifiers.Incarnation
     secret: bytes
-    policy: str = "power_of_two"
+    policy: str = policies.DEFAULT
     answer_budget_bytes: int = answers.DEFAULT_BUDGET_BYTES
+    linger: datetime.timedelta = handovers.DEFAULT_LINGER
     probe_limits: probes.ProbeLimits = probes.ProbeLimits()
 
 
@@ -43,16 +47,17 @@
         self.settings = settings
         self.configuration = configurations.Configuration()
         self.target_table = targets.TargetTable()
+        self.members = members.MemberTable(settings.node, settings.domain)
         self.reach = reaches.Reach(self.configuration)
         self.dispatcher = dispatchers.Dispatcher(
             self.reach,
             self.target_table,
+            self.members,
             rng,
             settings.policy,
             settings.incarnation,
             settings.probe_limits,
         )
-        self.members = members.MemberTable(settings.node, settings.domain)
         self.draining = False
         self.has_listing = False
         self.answers = answers.AnswerStore(settings.answer_budget_bytes)
@@ -62,6 +67,8 @@
             self.answers,
             self._check_serving,
         )
+        self.handovers = handovers.HandoverTable(self.answers)
+        self._leaving: handovers.Sender | None = None
 
     def handle(self, event: events.Event, now: datetime.datetime) -> list[actions.Action]:
         """Handle one event and return what is to be done, in order.
@@ -72,17 +79,18 @@
         # Whatever woke the process up, nothing is started past a deadline.
         self.dispatcher.expire(now)
         _handle(event, self, now)
+        if self.draining and not self.dispatcher.jobs_by_id:
+            self._leave(now)
         return self.take_actions()
 
     def take_actions(self) -> list[actions.Action]:
         """Return what is to be done and was not returned yet, in order."""
+        self.dispatcher.policy.flush()
         done = self.dispatcher.outbox
         self.dispatcher.outbox = []
         for action in done:
             if isinstance(action, actions.AnswerJob):
                 self.admissions.keep(action)
-        if self.draining and not self.dispatcher.jobs_by_id:
-            done.append(actions.Exit())
         return done
 
     def is_ready(self) -> bool:
@@ -91,9 +99,47 @@
 
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next :class:`events.Ticked` is due."""
-        moments = (self.dispatcher.next_deadline(), self.target_table.next_expiry())
+        moments = [
+            self.dispatcher.next_deadline(),
+            self.target_table.next_expiry(),
+            self.dispatcher.policy.next_wakeup(),
+            None if self._leaving is None else self._leaving.due,
+        ]
         return min((moment for moment in moments if moment is not None), default=None)
 
+    def drain(self, forced: bool, now: datetime.datetime) -> None:
+        """Take no new jobs; with ``forced``, end those in progress as failed."""
+        self.draining = True
+        if forced:
+            message = "the node was told to stop at once"
+            self.dispatcher.fail_all(results.ResultCode.NODE_STOPPED, message, now)
+
+    def handover_kept(self, message: peers.HandoverKept, now: datetime.datetime) -> None:
+        """Learn that a peer keeps a part of what this node leaves."""
+        if self._leaving is not None and message.incarnation == self.settings.incarnation:
+            self._leaving.confirmed(message, now)
+
+    def _leave(self, now: datetime.datetime) -> None:
+        """Hand over to peers, and exit once they have it."""
+        # Answers that are given in this same step are kept before they are handed over.
+        done = self.take_actions()
+        if self._leaving is None:
+            self._leaving = self._new_handover(now)
+        due = self._leaving.messages_due(now)
+        done += [actions.SendToPeer(peer=vm, message=part) for vm, part in due]
+        if self._leaving.is_over(now):
+            done.append(actions.Exit())
+        self.dispatcher.outbox = done
+
+    def _new_handover(self, now: datetime.datetime) -> handovers.Sender:
+        admitted = self.admissions.admitted()
+        kept = self.answers.newest(handovers.MAX_ANSWER_BYTES) if admitted else {}
+        parts = handovers.parts_of(self.settings.node, self.settings.incarnation, admitted, kept)
+        # Without an unexpired id there is nothing that anybody could ask for.
+        listed = list(self.members.vms_by_name.values()) if admitted else []
+        to_peers = handovers.choose_peers(self.settings.node, self.settings.domain, listed)
+        return handovers.Sender(parts, to_peers, now, self.settings.linger)
+
     def _check_serving(self) -> None:
         if self.draining:
             message = "this node is draining; ask another node for new submission ids"
@@ -147,6 +193,7 @@
 def _(event: events.Ticked, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.dispatcher.probe(now)
     kernel.admissions.forget_expired(now)
+    kernel.handovers.forget_expired(now)
     if kernel.target_table.expire(now):
         kernel.dispatcher.place_waiting(now)
     kernel.dispatcher.policy.ticked(now)
@@ -154,4 +201,30 @@
 
 @_handle.register
 def _(event: events.DrainRequested, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.draining = True
+    kernel.drain(event.forced, now)
+
+
+@_handle.register
+def _(event: events.PeerMessageReceived, kernel: Kernel, now: datetime.datetime) -> None:
+    _take_message(event.message, kernel, now)
+
+
+@functools.singledispatch
+def _take_message(message: peers.PeerMessage, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.dispatcher.policy.received(message, now)
+
+
+@_take_message.register
+def _(message: peers.Handover, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.handovers.receive(message, now)
+    sender = kernel.members.find(message.sender)
+    if sender is not None:
+        kept = peers.HandoverKept(
+            sender=kernel.settings.node, incarnation=message.incarnation, part=message.part
+        )
+        kernel.dispatcher.outbox.append(actions.SendToPeer(peer=sender, message=kept))
+
+
+@_take_message.register
+def _(message: peers.HandoverKept, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.handover_kept(message, now)
--- a/packages/kernel/chiveridge_kernel/ledgers.py
+++ b/packages/kernel/chiveridge_kernel/ledgers.py
@@ -15,6 +15,7 @@
 _FIRST_REFUSAL = 2
 _REFUSAL_CODES = tuple(results.ResultCode)
 _STATES_BY_CODE = {code: _FIRST_REFUSAL + index for index, code in enumerate(_REFUSAL_CODES)}
+_BIT_DIGITS = bytes(ord("1") if state == _ADMITTED else ord("0") for state in range(256))
 
 
 class _Block(msgspec.Struct):
@@ -64,6 +65,13 @@
                 return
             del self._blocks_by_index[index]
 
+    def admitted(self) -> dict[int, bytes]:
+        """Return which ids were admitted, one bit each, by block; see :func:`is_marked`."""
+        return {
+            index: int(block.states.translate(_BIT_DIGITS), 2).to_bytes(BLOCK_SIZE // 8, "big")
+            for index, block in self._blocks_by_index.items()
+        }
+
     def size_bytes(self) -> int:
         """Return the bytes that the states take."""
         return len(self._blocks_by_index) * BLOCK_SIZE
@@ -74,3 +82,10 @@
 
     def _set(self, serial: int, state: int) -> None:
         self._blocks_by_index[serial // BLOCK_SIZE].states[serial % BLOCK_SIZE] = state
+
+
+def is_marked(marks_by_block: dict[int, bytes], serial: int) -> bool:
+    """Tell whether a serial is among those of :meth:`Ledger.admitted`."""
+    marks = marks_by_block.get(serial // BLOCK_SIZE)
+    byte, bit = divmod(serial % BLOCK_SIZE, 8)
+    return marks is not None and bool(marks[byte] & (0x80 >> bit))
--- a/packages/kernel/chiveridge_kernel/results.py
+++ b/packages/kernel/chiveridge_kernel/results.py
@@ -43,6 +43,7 @@
     ISSUER_GONE = 4005
     APPROVAL_REVOKED = 4006
     ANSWER_NOT_KEPT = 4007
+    NODE_STOPPED = 4008
     INTERNAL_ERROR = 4999
 
 
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -57,8 +57,15 @@
         await self._close()
 
     def drain(self) -> None:
-        """Refuse new work and exit once everything in progress has ended."""
+        """Refuse new work and exit once everything in progress has ended.
+
+        A second request ends what is in progress as failed.
+        """
         if self.kernel.draining:
+            logevents.write(
+                logevents.LogEvent.STOP_FORCED, jobs=len(self.kernel.dispatcher.jobs_by_id)
+            )
+            self.shell.handle(events.DrainRequested(forced=True))
             return
         logevents.write(
             logevents.LogEvent.DRAIN_STARTED, jobs=len(self.kernel.dispatcher.jobs_by_id)
@@ -124,6 +131,7 @@
         incarnation=identifiers.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
         secret=secrets.token_bytes(_SECRET_BYTES),
         policy=node_settings.placement.policy,
+        linger=datetime.timedelta(milliseconds=node_settings.node.drain_linger_ms),
         probe_limits=probes.ProbeLimits(
             shortest=datetime.timedelta(milliseconds=node_settings.targets.probe_min_ms),
             longest=datetime.timedelta(milliseconds=node_settings.targets.probe_max_ms),
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -12,6 +12,8 @@
 HIGH_WATER_MARK = 1000
 HEARTBEAT_INTERVAL_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
+CLOSE_TIMEOUT_SECONDS = 1.0
+CLOSE_LINGER_MS = 500
 
 
 class ZmqPeers:
@@ -25,6 +27,7 @@
         self._replies_by_request: dict[int, asyncio.Future] = {}
         self._request_ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
+        self._servings: set[asyncio.Task] = set()
         self.port = 0
 
     async def open(self) -> None:
@@ -42,11 +45,13 @@
         self._node.shell.perform_with(actions.SendToPeer, self.send)
 
     async def close(self) -> None:
-        """Close every socket."""
+        """Finish the replies in progress and close every socket."""
+        if self._servings:
+            await asyncio.wait(self._servings, timeout=CLOSE_TIMEOUT_SECONDS)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._context.destroy(linger=0)
+        self._context.destroy(linger=CLOSE_LINGER_MS)
 
     async def forward(self, peer: vms.Vm, *, timeout_ms: int, **fields) -> peers.CallerReply | None:
         """Send a caller's request to a peer; return its reply, or None when there is none."""
@@ -98,7 +103,9 @@
             identity, data = await self._router.recv_multipart()
             message = self._decode(data)
             if isinstance(message, peers.CallerRequest):
-                self._in_background(self._serve(identity, message))
+                serving = self._in_background(self._serve(identity, message))
+                self._servings.add(serving)
+                serving.add_done_callback(self._servings.discard)
             elif message is not None:
                 self._node.shell.handle_safely(events.PeerMessageReceived(message=message))
 
@@ -121,10 +128,11 @@
             logevents.write(logevents.LogEvent.PEER_MESSAGE_DROPPED, error=str(error))
             return None
 
-    def _in_background(self, coroutine) -> None:
+    def _in_background(self, coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def _ignore_dropped(sending: asyncio.Future) -> None:
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -171,11 +171,10 @@
         body: bytes,
         wait_ms: int,
     ) -> Reply:
-        now_ms = clocks.to_epoch_ms(self._shell.clock.now())
-        if issued.expires_at_ms <= now_ms:
-            return unknown(
-                results.ResultCode.SUBMISSION_ID_EXPIRED, "submission_id: it has expired"
-            )
+        handed = self._handed_over(team, submission_id)
+        if handed is not None:
+            return handed
+        _check_unexpired(issued, self._shell.clock.now())
         node: vms.Vm | None = self._kernel.members.find(issued.node)
         if node is None:
             return _unreachable(issued.node)
@@ -190,7 +189,7 @@
             timeout_ms=wait_ms + FORWARD_MARGIN_MS,
         )
         if reply is None:
-            return _unreachable(issued.node)
+            return self._handed_over(team, submission_id) or _unreachable(issued.node)
         return Reply(
             code=reply.code,
             body=reply.body,
@@ -198,6 +197,16 @@
             refused=reply.refused,
         )
 
+    def _handed_over(self, team: identifiers.TeamName, submission_id: str) -> Reply | None:
+        """Return what a stopped issuer left about an id, or None."""
+        found = self._kernel.handovers.find(
+            identifiers.SubmissionId(submission_id), team, self._shell.clock.now()
+        )
+        if found is None:
+            return None
+        self._kernel.answers.note_fetched(identifiers.SubmissionId(submission_id))
+        return Reply(code=found.code, body=found.body)
+
     async def serve_peer(self, request: peers.CallerRequest) -> peers.CallerReply:
         """Serve a request that another node forwarded here."""
         reply = await self._reply_to_peer(request)
@@ -212,11 +221,10 @@
     async def _reply_to_peer(self, request: peers.CallerRequest) -> Reply:
         try:
             issued = submissions.parse(request.submission_id)
+            if issued.incarnation != self._kernel.settings.incarnation:
+                return self._reply_for_other(issued, request)
         except errors.RefusedError as error:
             return refused(error)
-        if issued.incarnation != self._kernel.settings.incarnation:
-            message = "the node that issued the id was replaced; nothing more of it will start"
-            return unknown(results.ResultCode.ISSUER_GONE, message)
         # The clocks of the nodes may differ a little; an arrival in the future counts as now.
         arrived_at = min(self._shell.arrival(), clocks.from_epoch_ms(request.arrived_at_ms))
         return await self.perform_here(
@@ -228,6 +236,16 @@
             arrived_at,
         )
 
+    def _reply_for_other(self, issued: submissions.IssuedId, request: peers.CallerRequest) -> Reply:
+        """Reply for an id that another incarnation, or another node, has issued."""
+        handed = self._handed_over(request.team, request.submission_id)
+        if handed is not None:
+            return handed
+        if issued.node != self._kernel.settings.node:
+            return _unreachable(issued.node)
+        message = "the node that issued the id was replaced; nothing more of it will start"
+        return unknown(results.ResultCode.ISSUER_GONE, message)
+
 
 _OPERATIONS = {
     peers.Operation.SUBMIT: Requests._submit,
@@ -252,6 +270,14 @@
     return refused(errors.RefusedError(code, message, retry_after_ms, unknown_outcome))
 
 
+def _check_unexpired(issued: submissions.IssuedId, now: datetime.datetime) -> None:
+    if issued.expires_at_ms <= clocks.to_epoch_ms(now):
+        message = "submission_id: it has expired; ask for a new one"
+        raise errors.RefusedError(
+            results.ResultCode.SUBMISSION_ID_EXPIRED, message, ran=results.TaskOutcome.UNKNOWN
+        )
+
+
 def _unreachable(node: str) -> Reply:
     message = f"node {node!r}, which issued the id, cannot be reached; ask again with the same id"
     return unknown(results.ResultCode.ISSUER_UNREACHABLE, message, retry_after_ms=1000)
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from chiveridge_kernel import errors, placements
+from chiveridge_kernel import errors, policies
 
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 _Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9-]{0,62}$")]
@@ -18,13 +18,17 @@
 
 
 class NodeSection(msgspec.Struct, frozen=True, kw_only=True):
-    """Who this node is; a port of 0 lets the system choose one."""
+    """Who this node is; a port of 0 lets the system choose one.
+
+    ``drain_linger_ms`` bounds the stay of a stopping node until its peers keep its answers.
+    """
 
     name: _Name
     domain: _Name
     address: str = "127.0.0.1"
     caller_port: _Port = 0
     peer_port: _Port = 0
+    drain_linger_ms: _Milliseconds = 3000
 
 
 class PlatformSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -41,7 +45,7 @@
 class PlacementSection(msgspec.Struct, frozen=True, kw_only=True):
     """How targets are chosen."""
 
-    policy: str = "power_of_two"
+    policy: str = policies.DEFAULT
 
 
 class TargetsSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -171,8 +175,8 @@
 
 
 def _check_policy(value: str) -> None:
-    if value not in placements.names():
-        raise ValueError(f"{value!r} is not one of {', '.join(placements.names())}")
+    if value not in policies.names():
+        raise ValueError(f"{value!r} is not one of {', '.join(policies.names())}")
 
 
 _CHECKS_BY_KEY = {
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -99,7 +99,9 @@
         self._shell.perform_with(actions.StopTask, self.stop)
 
     async def close(self) -> None:
-        """Give up what still runs and close the pools."""
+        """Give up the starts in progress, let stops be delivered, and close the pools."""
+        if self._background:
+            await asyncio.wait(self._background, timeout=STOP_TIMEOUT_SECONDS)
         pending = [*self._tasks_by_lease.values(), *self._background]
         for task in pending:
             task.cancel()
