--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -11,12 +11,9 @@
 OTHER_NODE = "ikeja-e2"
 TARGET = "ikeja-t1"
 
-pytestmark = [
-    pytest.mark.promise("at_most_once"),
-    pytest.mark.promise("non_idempotent_once"),
-]
-
 
+@pytest.mark.promise("at_most_once", failures=["lost_reply"])
+@pytest.mark.promise("non_idempotent_once", failures=["lost_reply"])
 async def test_a_start_whose_reply_was_dropped_is_asked_about_and_not_sent_again(deploy, make_task):
     async with deploy(proxied=frozenset({TARGET})) as deployed:
         proxy = deployed.fleet.proxies_by_name[TARGET]
@@ -27,6 +24,8 @@
         assert await deployed.starts() == {"dropped": 1}
 
 
+@pytest.mark.promise("at_most_once", failures=["cut"])
+@pytest.mark.promise("non_idempotent_once", failures=["cut"])
 async def test_a_start_whose_connection_was_reset_is_asked_about_and_not_sent_again(
     deploy, make_task
 ):
@@ -42,6 +41,8 @@
         assert await deployed.starts() == {"cut": 1}
 
 
+@pytest.mark.promise("at_most_once")
+@pytest.mark.promise("non_idempotent_once")
 async def test_copies_of_a_submission_at_two_nodes_run_once(deploy, make_task):
     async with deploy(nodes=2, targets=2) as deployed:
         tasks = [make_task(f"task-{index}") for index in range(8)]
@@ -54,6 +55,9 @@
         assert await deployed.starts() == {f"task-{index}": 1 for index in range(8)}
 
 
+@pytest.mark.promise("at_most_once", failures=["freeze"])
+@pytest.mark.promise("non_idempotent_once", failures=["freeze"])
+@pytest.mark.promise("honest_refusal", failures=["freeze"])
 async def test_a_frozen_node_starts_nothing_after_the_deadline(deploy, make_task):
     settings = {"targets": {"connections_per_target": "1"}}
     async with deploy(settings=settings) as deployed:
@@ -78,6 +82,8 @@
         assert await deployed.starts() == {"holder": 1, "last": 1}
 
 
+@pytest.mark.promise("at_most_once", failures=["silent_connection"])
+@pytest.mark.promise("non_idempotent_once", failures=["silent_connection"])
 async def test_a_start_delivered_long_after_its_limit_does_not_run(deploy, make_task):
     async with deploy(proxied=frozenset({TARGET})) as deployed:
         proxy = deployed.fleet.proxies_by_name[TARGET]
@@ -94,6 +100,9 @@
         assert await deployed.starts() == {"last": 1}
 
 
+@pytest.mark.promise("at_most_once", failures=["kill", "replaced_vm"])
+@pytest.mark.promise("non_idempotent_once", failures=["kill", "replaced_vm"])
+@pytest.mark.promise("honest_refusal", failures=["kill", "replaced_vm"])
 async def test_a_job_of_a_killed_node_is_never_started_again(deploy, make_task, until):
     async with deploy(nodes=2) as deployed:
         caller, other = deployed.caller, deployed.url(OTHER_NODE)
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -12,8 +12,6 @@
 NODE = "ikeja-e1"
 OTHER_NODE = "ikeja-e2"
 
-pytestmark = pytest.mark.promise("graceful_shutdown")
-
 
 async def stop_twice(deployed) -> int:
     """Send SIGTERM and, once the node drains, SIGINT; return the exit code."""
@@ -24,7 +22,8 @@
     return await process.wait()
 
 
-@pytest.mark.promise("honest_refusal")
+@pytest.mark.promise("graceful_shutdown", failures=["platform_outage"])
+@pytest.mark.promise("honest_refusal", failures=["platform_outage"])
 async def test_a_stopping_node_finishes_and_leaves_its_answers_with_its_peers(deploy, make_task):
     async with deploy(nodes=2, proxied=frozenset({"platform"})) as deployed:
         caller, url, other = deployed.caller, deployed.url(NODE), deployed.url(OTHER_NODE)
@@ -60,6 +59,8 @@
         assert await deployed.starts() == {"awaited": 1, "unseen": 1}
 
 
+@pytest.mark.promise("graceful_shutdown")
+@pytest.mark.promise("complete_or_failed")
 async def test_a_second_signal_ends_what_runs_as_failed(deploy, make_task, until):
     async with deploy(nodes=2) as deployed:
         submission = await deployed.submission(NODE, make_task("long", run_ms=25_000))
@@ -84,7 +85,8 @@
         assert await deployed.starts() == {"long": 1}
 
 
-@pytest.mark.promise("non_idempotent_once")
+@pytest.mark.promise("graceful_shutdown", failures=["kill"])
+@pytest.mark.promise("non_idempotent_once", failures=["kill"])
 async def test_a_node_killed_while_it_drains_leaves_its_job_unknown(deploy, make_task):
     async with deploy(nodes=2) as deployed:
         submission = await deployed.submission(NODE, make_task("once", run_ms=2000))
@@ -98,6 +100,7 @@
         assert await deployed.starts() == {"once": 1}
 
 
+@pytest.mark.promise("graceful_shutdown")
 @pytest.mark.promise("at_most_once")
 async def test_no_call_of_the_client_is_lost_while_nodes_stop_one_after_another(
     deploy, make_task, until
--- a/tests/integration/test_silent_connections.py
+++ b/tests/integration/test_silent_connections.py
@@ -10,8 +10,8 @@
 SETTINGS = {"targets": {"probe_min_ms": "300", "probe_max_ms": "1000"}}
 
 
-@pytest.mark.promise("complete_or_failed")
-@pytest.mark.promise("at_most_once")
+@pytest.mark.promise("complete_or_failed", failures=["silent_connection"])
+@pytest.mark.promise("at_most_once", failures=["silent_connection"])
 async def test_the_result_of_a_start_is_found_over_a_new_connection(deploy, make_task):
     async with deploy(proxied=frozenset({TARGET}), settings=SETTINGS) as deployed:
         submission = await deployed.submission(NODE, make_task("silent", run_ms=400))
@@ -28,8 +28,8 @@
         assert await deployed.starts() == {"silent": 1, "after": 1}
 
 
-@pytest.mark.promise("complete_or_failed")
-@pytest.mark.promise("at_most_once")
+@pytest.mark.promise("complete_or_failed", failures=["silent_connection"])
+@pytest.mark.promise("at_most_once", failures=["silent_connection"])
 async def test_a_start_that_the_target_never_saw_is_given_up_as_unknown(deploy, make_task):
     async with deploy(proxied=frozenset({TARGET}), settings=SETTINGS) as deployed:
         first = await deployed.submission(NODE, make_task("first"))
