--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -2,26 +2,27 @@
 
 import datetime
 import functools
-import heapq
 import random
 
 import msgspec
 
 from chiveridge_kernel import (
     actions,
+    admissions,
+    answers,
     catch_ups,
-    clocks,
     configurations,
     dispatchers,
     errors,
     events,
     followers,
+    handovers,
     heartbeats,
     identifiers,
     members,
-    messages,
     peers,
     policies,
+    probes,
     reaches,
     records,
     results,
@@ -44,15 +45,9 @@
     snapshots: snapshot_schedules.SnapshotSettings = snapshot_schedules.SnapshotSettings()
     catch_up: catch_ups.CatchUpSettings = catch_ups.CatchUpSettings()
     heartbeat: heartbeats.HeartbeatSettings = heartbeats.HeartbeatSettings()
-
-
-class UsedId(msgspec.Struct):
-    """A submission id that was used, with its final answer or its refusal once there is one."""
-
-    team: identifiers.TeamName
-    digest: bytes
-    answer: messages.JobAnswer | None = None
-    refusal: errors.RefusedError | None = None
+    answer_budget_bytes: int = answers.DEFAULT_BUDGET_BYTES
+    linger: datetime.timedelta = handovers.DEFAULT_LINGER
+    probe_limits: probes.ProbeLimits = probes.ProbeLimits()
 
 
 class Kernel:
@@ -64,9 +59,14 @@
         self.target_table = targets.TargetTable()
         self.members = members.MemberTable(settings.node, settings.domain)
         self.reach = reaches.Reach(self.configuration)
-        self.issuer = submissions.Issuer(settings.node, settings.incarnation, settings.secret)
         self.dispatcher = dispatchers.Dispatcher(
-            self.reach, self.target_table, self.members, rng, settings.policy, settings.incarnation
+            self.reach,
+            self.target_table,
+            self.members,
+            rng,
+            settings.policy,
+            settings.incarnation,
+            settings.probe_limits,
         )
         self.revoker = revocations.Revoker(self.dispatcher, self.reach)
         self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
@@ -77,74 +77,87 @@
         )
         self.draining = False
         self.has_listing = False
-        self._used_by_id: dict[identifiers.SubmissionId, UsedId] = {}
-        self._expiries: list[tuple[int, identifiers.SubmissionId]] = []
+        self.answers = answers.AnswerStore(settings.answer_budget_bytes)
+        self.admissions = admissions.Admissions(
+            submissions.Issuer(settings.node, settings.incarnation, settings.secret),
+            self.dispatcher,
+            self.answers,
+            self._check_serving,
+        )
+        self.handovers = handovers.HandoverTable(self.answers)
+        self._leaving: handovers.Sender | None = None
 
     def handle(self, event: events.Event, now: datetime.datetime) -> list[actions.Action]:
         """Handle one event and return what is to be done, in order.
 
-        :raises errors.RefusedError: when the event is a request that is refused.
+        :raises errors.RefusedError: when the event is a request that is refused; what else is
+            to be done is then left to :meth:`take_actions`.
         """
+        # Whatever woke the process up, nothing is started past a deadline.
+        self.dispatcher.expire(now)
         _handle(event, self, now)
-        return self._drain_outbox()
+        if self.draining and not self.dispatcher.jobs_by_id:
+            self._leave(now)
+        return self.take_actions()
+
+    def take_actions(self) -> list[actions.Action]:
+        """Return what is to be done and was not returned yet, in order."""
+        self.dispatcher.policy.flush()
+        done = self.dispatcher.outbox
+        self.dispatcher.outbox = []
+        for action in done:
+            if isinstance(action, actions.AnswerJob):
+                self.admissions.keep(action)
+        return done
 
     def is_ready(self) -> bool:
         """Tell whether new jobs may be sent here."""
         return self.has_listing and self.configuration.offset > 0 and not self.draining
 
-    def used(
-        self, submission_id: identifiers.SubmissionId, team: identifiers.TeamName
-    ) -> UsedId | None:
-        """Return what is known of an id that a team has used here, or None."""
-        found = self._used_by_id.get(submission_id)
-        return found if found is not None and found.team == team else None
-
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next :class:`events.Ticked` is due."""
-        moments = (
+        moments = [
             self.dispatcher.next_deadline(),
             self.target_table.next_expiry(),
             self.dispatcher.policy.next_wakeup(),
             self.heartbeats.next_due(),
-        )
+            None if self._leaving is None else self._leaving.due,
+        ]
         return min((moment for moment in moments if moment is not None), default=None)
 
-    def issue(
-        self, team: identifiers.TeamName, count: int, now: datetime.datetime
-    ) -> messages.IdsAnswer:
-        """Issue submission ids to a team.
-
-        :raises errors.RefusedError: when this node drains or is not ready.
-        """
-        self._check_serving()
-        ids, expires_at_ms = self.issuer.issue(team, count, now)
-        return messages.IdsAnswer(results.ResultCode.ACCEPTED, ids, expires_at_ms)
-
-    def submit(self, event: events.SubmissionReceived, now: datetime.datetime) -> None:
-        """Admit a submission once; the same submission again changes nothing.
+    def drain(self, forced: bool, now: datetime.datetime) -> None:
+        """Take no new jobs; with ``forced``, end those in progress as failed."""
+        self.draining = True
+        self.dispatcher.outbox.extend(self.heartbeats.farewell())
+        if forced:
+            message = "the node was told to stop at once"
+            self.dispatcher.fail_all(results.ResultCode.NODE_STOPPED, message, now)
+
+    def handover_kept(self, message: peers.HandoverKept, now: datetime.datetime) -> None:
+        """Learn that a peer keeps a part of what this node leaves."""
+        if self._leaving is not None and message.incarnation == self.settings.incarnation:
+            self._leaving.confirmed(message, now)
+
+    def _leave(self, now: datetime.datetime) -> None:
+        """Hand over to peers, and exit once they have it."""
+        # Answers that are given in this same step are kept before they are handed over.
+        done = self.take_actions()
+        if self._leaving is None:
+            self._leaving = self._new_handover(now)
+        due = self._leaving.messages_due(now)
+        done += [actions.SendToPeer(peer=vm, message=part) for vm, part in due]
+        if self._leaving.is_over(now):
+            done.append(actions.Exit())
+        self.dispatcher.outbox = done
 
-        A refusal is final for its id: a copy that arrives later gets the same refusal, so
-        that a caller who was told "not run" can rely on it.
-        """
-        submission_id = identifiers.SubmissionId(event.submission.submission_id)
-        if not self.issuer.verify(submission_id, event.team):
-            message = f"submission_id: {submission_id!r} was not issued to team {event.team!r} here"
-            raise errors.RefusedError(results.ResultCode.UNKNOWN_SUBMISSION, message)
-        known = self._used_by_id.get(submission_id)
-        if known is not None:
-            _check_same_content(known, event.digest)
-            return
-        expires_at_ms = submissions.parse(submission_id).expires_at_ms
-        _check_lifetime(expires_at_ms, event.submission.deadline_ms, now)
-        used = UsedId(event.team, event.digest)
-        self._used_by_id[submission_id] = used
-        heapq.heappush(self._expiries, (expires_at_ms, submission_id))
-        try:
-            self._check_serving()
-            self.dispatcher.admit(event, now)
-        except errors.RefusedError as refusal:
-            used.refusal = refusal
-            raise
+    def _new_handover(self, now: datetime.datetime) -> handovers.Sender:
+        admitted = self.admissions.admitted()
+        kept = self.answers.newest(handovers.MAX_ANSWER_BYTES) if admitted else {}
+        parts = handovers.parts_of(self.settings.node, self.settings.incarnation, admitted, kept)
+        # Without an unexpired id there is nothing that anybody could ask for.
+        listed = list(self.members.vms_by_name.values()) if admitted else []
+        to_peers = handovers.choose_peers(self.settings.node, self.settings.domain, listed)
+        return handovers.Sender(parts, to_peers, now, self.settings.linger)
 
     def configuration_moved(
         self, changes: list[configurations.ChangeResult], now: datetime.datetime
@@ -186,13 +199,6 @@
             count = len(self.members.live_names())
             self.snapshot_schedule.update(offset, self.follower.first, count, now)
 
-    def forget_expired(self, now: datetime.datetime) -> None:
-        """Forget ids that can no longer be used."""
-        now_ms = clocks.to_epoch_ms(now)
-        while self._expiries and self._expiries[0][0] <= now_ms:
-            _, submission_id = heapq.heappop(self._expiries)
-            self._used_by_id.pop(submission_id, None)
-
     def _check_serving(self) -> None:
         if self.draining:
             message = "this node is draining; ask another node for new submission ids"
@@ -203,37 +209,6 @@
                 results.ResultCode.NOT_READY, message, dispatchers.RETRY_AFTER_MS
             )
 
-    def _drain_outbox(self) -> list[actions.Action]:
-        self.dispatcher.policy.flush()
-        done = self.dispatcher.outbox
-        self.dispatcher.outbox = []
-        for action in done:
-            if isinstance(action, actions.AnswerJob):
-                self._used_by_id[action.answer.submission_id].answer = action.answer
-        if self.draining and not self.dispatcher.jobs_by_id:
-            done.append(actions.Exit())
-        return done
-
-
-def _check_same_content(known: UsedId, digest: bytes) -> None:
-    if known.digest != digest:
-        message = "submission_id: it was used before with other content"
-        raise errors.RefusedError(results.ResultCode.SUBMISSION_ID_REUSED, message)
-    if known.refusal is not None:
-        raise known.refusal
-
-
-def _check_lifetime(expires_at_ms: int, deadline_ms: int, now: datetime.datetime) -> None:
-    left_ms = expires_at_ms - clocks.to_epoch_ms(now)
-    if left_ms <= 0:
-        message = "submission_id: it has expired; ask for a new one"
-        raise errors.RefusedError(results.ResultCode.SUBMISSION_ID_EXPIRED, message)
-    if deadline_ms > left_ms:
-        message = (
-            f"deadline_ms: {deadline_ms} is over the {left_ms} that the submission id has left"
-        )
-        raise errors.RefusedError(results.ResultCode.DEADLINE_TOO_LATE, message)
-
 
 @functools.singledispatch
 def _handle(event: events.Event, kernel: Kernel, now: datetime.datetime) -> None:
@@ -242,12 +217,12 @@
 
 @_handle.register
 def _(event: events.SubmissionReceived, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.submit(event, now)
+    kernel.admissions.submit(event, now)
 
 
 @_handle.register
 def _(event: events.CancelReceived, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.dispatcher.cancel(event.submission_id, now)
+    kernel.admissions.cancel(event.submission_id, event.team, now)
 
 
 @_handle.register
@@ -289,8 +264,9 @@
 
 @_handle.register
 def _(event: events.Ticked, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.dispatcher.expire(now)
-    kernel.forget_expired(now)
+    kernel.dispatcher.probe(now)
+    kernel.admissions.forget_expired(now)
+    kernel.handovers.forget_expired(now)
     if kernel.target_table.expire(now):
         kernel.dispatcher.place_waiting(now)
     kernel.dispatcher.policy.ticked(now)
@@ -309,8 +285,7 @@
 
 @_handle.register
 def _(event: events.DrainRequested, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.draining = True
-    kernel.dispatcher.outbox.extend(kernel.heartbeats.farewell())
+    kernel.drain(event.forced, now)
 
 
 @functools.singledispatch
@@ -346,3 +321,19 @@
 @_take_message.register
 def _(message: peers.Heartbeat, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
     kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
+
+
+@_take_message.register
+def _(message: peers.Handover, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    kernel.handovers.receive(message, now)
+    sender = kernel.members.find(message.sender)
+    if sender is not None:
+        kept = peers.HandoverKept(
+            sender=kernel.settings.node, incarnation=message.incarnation, part=message.part
+        )
+        kernel.dispatcher.outbox.append(actions.SendToPeer(peer=sender, message=kept))
+
+
+@_take_message.register
+def _(message: peers.HandoverKept, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    kernel.handover_kept(message, now)
--- /dev/null
+++ b/packages/kernel/tests/test_handovers.py
@@ -0,0 +1,194 @@
+import datetime
+
+import msgspec
+import pytest
+
+from chiveridge_kernel import (
+    actions,
+    answers,
+    errors,
+    events,
+    handovers,
+    ledgers,
+    peers,
+    results,
+    submissions,
+    vms,
+)
+
+CODES = results.ResultCode
+TEAM = "dispatch-desk"
+NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+SECOND = datetime.timedelta(seconds=1)
+
+
+def node_vm(name: str, domain: str = "ikeja", state=vms.VmState.LIVE) -> vms.Vm:
+    return vms.Vm(
+        name=name, role=vms.VmRole.ENTRY, domain=domain, address="127.0.0.1", port=1, state=state
+    )
+
+
+PEERS = [node_vm("ikeja-e2"), node_vm("ikeja-e3")]
+
+
+def kept(body: bytes = b"{}") -> answers.KeptAnswer:
+    return answers.KeptAnswer(team=TEAM, code=CODES.COMPLETE, body=body)
+
+
+def issued_ids(count: int) -> submissions.IssuedBatch:
+    return submissions.Issuer("ikeja-e1", "life", b"secret").issue(TEAM, count, NOW)
+
+
+def parts_for(admitted_serials=(), kept_by_id=None) -> list[peers.Handover]:
+    ledger = ledgers.Ledger()
+    ledger.note_issued(range(1, 10_000), 1)
+    for serial in admitted_serials:
+        ledger.admit(serial)
+    return handovers.parts_of("ikeja-e1", "life", ledger.admitted(), kept_by_id or {})
+
+
+def table_with(parts) -> handovers.HandoverTable:
+    table = handovers.HandoverTable(answers.AnswerStore())
+    for part in parts:
+        table.receive(peers.decode(peers.encode(part)), NOW)
+    return table
+
+
+def refusal_of(table, submission_id, now=NOW):
+    try:
+        return table.find(submission_id, TEAM, now)
+    except errors.RefusedError as error:
+        return error.code, error.ran
+
+
+@pytest.mark.promise("honest_refusal")
+def test_not_run_is_said_only_of_ids_that_were_never_admitted():
+    ids = issued_ids(5000).submission_ids
+    admitted = {1, 7, 8, 4095, 4096, 4999}
+    table = table_with(parts_for(admitted))
+    told = {serial + 1: refusal_of(table, found) for serial, found in enumerate(ids)}
+    unknown = {
+        serial for serial, found in told.items() if found[1] is not results.TaskOutcome.NOT_RUN
+    }
+    assert unknown == admitted
+    assert {told[serial] for serial in admitted} == {
+        (CODES.ANSWER_NOT_KEPT, results.TaskOutcome.UNKNOWN)
+    }
+    assert told[2] == (CODES.ISSUER_GONE, results.TaskOutcome.NOT_RUN)
+
+
+@pytest.mark.promise("honest_refusal")
+def test_a_part_of_a_handover_proves_nothing():
+    ids = issued_ids(4).submission_ids
+    body = b"x" * (handovers.MAX_PART_BYTES // 2 + 1)
+    parts = parts_for({1, 2, 3}, {found: kept(body) for found in ids[:3]})
+    assert [len(part.answers) for part in parts] == [1, 1, 1]
+    table = table_with(parts[:2])
+    assert table.find(ids[0], TEAM, NOW).body == body
+    assert table.find(ids[2], TEAM, NOW) is table.find(ids[3], TEAM, NOW) is None
+    table.receive(parts[2], NOW)
+    assert table.find(ids[2], TEAM, NOW).body == body
+    assert refusal_of(table, ids[3]) == (CODES.ISSUER_GONE, results.TaskOutcome.NOT_RUN)
+
+
+def test_an_answer_is_for_its_team_alone():
+    (submission_id,) = issued_ids(1).submission_ids
+    table = table_with(parts_for({1}, {submission_id: kept()}))
+    with pytest.raises(errors.RefusedError):
+        table.find(submission_id, "other-team", NOW)
+
+
+def test_a_handover_is_forgotten_when_every_id_has_expired():
+    (submission_id,) = issued_ids(1).submission_ids
+    table = table_with(parts_for())
+    later = NOW + submissions.ID_LIFETIME
+    assert table.find(submission_id, TEAM, later) is None
+    table.forget_expired(later)
+    assert table.find(submission_id, TEAM, NOW) is None
+
+
+def test_an_id_of_another_incarnation_is_not_known():
+    (foreign,) = submissions.Issuer("ikeja-e1", "next", b"s").issue(TEAM, 1, NOW).submission_ids
+    assert table_with(parts_for()).find(foreign, TEAM, NOW) is None
+
+
+def test_a_part_is_sent_again_until_it_is_confirmed():
+    sender = handovers.Sender(parts_for(), PEERS, NOW, 3 * SECOND)
+    assert [vm.name for vm, _ in sender.messages_due(NOW)] == ["ikeja-e2", "ikeja-e3"]
+    assert sender.messages_due(NOW) == []
+    confirm(sender, "ikeja-e2")
+    later = NOW + handovers.RESEND_INTERVAL
+    assert [vm.name for vm, _ in sender.messages_due(later)] == ["ikeja-e3"]
+    assert not sender.is_over(later)
+    confirm(sender, "ikeja-e3")
+    assert sender.is_over(later)
+
+
+def test_the_stay_is_bounded_and_short_once_one_peer_has_everything():
+    alone = handovers.Sender(parts_for(), PEERS, NOW, 3 * SECOND)
+    assert not alone.is_over(NOW + 2.9 * SECOND)
+    assert alone.is_over(NOW + 3 * SECOND)
+    confirm(alone, "ikeja-e9")
+    heard = handovers.Sender(parts_for(), PEERS, NOW, 3 * SECOND)
+    confirm(heard, "ikeja-e2")
+    assert not heard.is_over(NOW)
+    assert heard.is_over(NOW + handovers.OTHERS_LINGER)
+
+
+def confirm(sender, name: str) -> None:
+    sender.confirmed(peers.HandoverKept(sender=name, incarnation="life", part=0), NOW)
+
+
+def test_the_peers_are_those_of_the_domain_or_a_few_others():
+    leaving = node_vm("ikeja-e4", state=vms.VmState.LEAVING)
+    far = [node_vm(f"lekki-e{number}", "lekki") for number in (3, 1, 2)]
+    own = node_vm("ikeja-e1")
+    chosen = handovers.choose_peers("ikeja-e1", "ikeja", [own, leaving, *far, *PEERS])
+    assert chosen == PEERS
+    chosen = handovers.choose_peers("ikeja-e1", "ikeja", [own, leaving, *far])
+    assert [vm.name for vm in chosen] == ["lekki-e1", "lekki-e2"]
+
+
+@pytest.mark.promise("graceful_shutdown")
+def test_a_node_stays_until_a_peer_has_its_answers(driven):
+    driven.list_targets([*driven.targets_by_name.values(), *PEERS])
+    submission_id = driven.submit()
+    driven.handle(events.DrainRequested())
+    driven.report(driven.starts()[0].lease_id, events.LeaseOutcome.SUCCEEDED)
+    sent = [
+        action
+        for action in driven.of(actions.SendToPeer)
+        if isinstance(action.message, peers.Handover)
+    ]
+    assert [action.peer.name for action in sent] == ["ikeja-e2", "ikeja-e3"]
+    assert sent[0].message.answers[0].submission_id == submission_id
+    assert not driven.of(actions.Exit)
+    for vm in PEERS:
+        done = peers.HandoverKept(sender=vm.name, incarnation="first-life", part=0)
+        driven.handle(events.PeerMessageReceived(message=done))
+    assert driven.of(actions.Exit)
+
+
+@pytest.mark.promise("graceful_shutdown")
+def test_a_forced_stop_fails_what_runs_and_stops_it(driven):
+    driven.submit()
+    driven.handle(events.DrainRequested())
+    assert not driven.of(actions.AnswerJob)
+    driven.handle(events.DrainRequested(forced=True))
+    assert driven.answer().code is CODES.NODE_STOPPED
+    assert len(driven.of(actions.StopTask)) == 1
+    assert driven.of(actions.Exit)
+
+
+def test_a_node_confirms_what_it_keeps(driven):
+    driven.list_targets([*driven.targets_by_name.values(), *PEERS])
+    part = msg(parts_for())
+    driven.handle(events.PeerMessageReceived(message=part))
+    (sent,) = driven.of(actions.SendToPeer)
+    assert sent.peer == PEERS[0]
+    assert sent.message == peers.HandoverKept(sender="ikeja-e1", incarnation="life", part=0)
+
+
+def msg(parts) -> peers.Handover:
+    (part,) = parts
+    return msgspec.structs.replace(part, sender="ikeja-e2")
--- a/packages/kernel/tests/test_revocations.py
+++ b/packages/kernel/tests/test_revocations.py
@@ -81,7 +81,7 @@
         self.handle(events.RecordsRead(records=pairs))
 
     def submit(self):
-        submission_id = self.kernel.issue(TEAM, 1, self.clock.now()).submission_ids[0]
+        submission_id = self.kernel.admissions.issue(TEAM, 1, self.clock.now()).submission_ids[0]
         submission = messages.Submission(
             submission_id=submission_id, tasks=[messages.TaskSpec()] * 4, deadline_ms=60_000
         )
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -18,6 +18,7 @@
     heartbeats,
     identifiers,
     kernels,
+    probes,
     records,
     snapshot_schedules,
 )
@@ -35,6 +36,7 @@
 _INCARNATION_BYTES = 4
 _SECRET_BYTES = 32
 _OUTAGE_MARGIN = datetime.timedelta(seconds=5)
+_MEGABYTE = 1024 * 1024
 _LOG_EVENTS_BY_VERDICT = {records.Verdict.ACCEPTED: logevents.LogEvent.CHANGE_ACCEPTED}
 
 
@@ -61,8 +63,15 @@
         await self._close()
 
     def drain(self) -> None:
-        """Refuse new work and exit once everything in progress has ended."""
+        """Refuse new work and exit once everything in progress has ended.
+
+        A second request ends what is in progress as failed.
+        """
         if self.kernel.draining:
+            logevents.write(
+                logevents.LogEvent.STOP_FORCED, jobs=len(self.kernel.dispatcher.jobs_by_id)
+            )
+            self.shell.handle(events.DrainRequested(forced=True))
             return
         logevents.write(
             logevents.LogEvent.DRAIN_STARTED, jobs=len(self.kernel.dispatcher.jobs_by_id)
@@ -124,6 +133,12 @@
             suspect_intervals=node_settings.membership.suspect_heartbeats,
             dead_intervals=node_settings.membership.dead_heartbeats,
         ),
+        linger=datetime.timedelta(milliseconds=node_settings.node.drain_linger_ms),
+        probe_limits=probes.ProbeLimits(
+            shortest=datetime.timedelta(milliseconds=node_settings.targets.probe_min_ms),
+            longest=datetime.timedelta(milliseconds=node_settings.targets.probe_max_ms),
+        ),
+        answer_budget_bytes=node_settings.answers.keep_mb * _MEGABYTE,
     )
 
 
