--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -116,6 +116,10 @@
         if task is not None:
             _HANDLERS_BY_OUTCOME[event.outcome](self, task, event, now)
 
+    def awaits(self, lease_id: identifiers.LeaseId) -> bool:
+        """Tell whether the outcome of a start is still wanted."""
+        return lease_id in self._tasks_by_lease
+
     def cancel(self, submission_id: identifiers.SubmissionId, now: datetime.datetime) -> None:
         """Cancel a running job; one that has ended keeps its answer."""
         job = self.jobs_by_id.get(submission_id)
--- a/packages/load/chiveridge_load/fault_checks.py
+++ b/packages/load/chiveridge_load/fault_checks.py
@@ -36,6 +36,7 @@
     PARTLY_COMPLETE = "a complete answer has a task that did not succeed"
     STARTED_WHILE_LEAVING = "a task started on a target long after it began to leave"
     UNKNOWN_START = "a task started that nobody submitted"
+    DRAIN_FAILED = "a planned stop did not end by itself with exit code 0"
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -50,12 +51,17 @@
     records: list[fault_jobs.JobRecord],
     starts: list[journals.Start],
     spans: list[fault_injectors.Span],
+    drains: list[fault_injectors.Drain],
 ) -> list[Violation]:
     """Return every violation of a run."""
     counts_by_key = collections.Counter(start.key for start in starts)
     found = [item for record in records for item in _check_job(record, counts_by_key)]
     found += _check_unknown_starts(records, counts_by_key)
     found += _check_leaving(records, starts, spans)
+    for drain in drains:
+        if drain.exit_code != 0:
+            detail = f"{drain.name}: {drain.exit_code}\n{drain.log_tail}"
+            found.append(Violation(Rule.DRAIN_FAILED, "", detail))
     return found
 
 
--- a/packages/load/chiveridge_load/fault_injectors.py
+++ b/packages/load/chiveridge_load/fault_injectors.py
@@ -24,6 +24,14 @@
     until_ms: int
 
 
+class Drain(msgspec.Struct, frozen=True):
+    """A planned stop: the exit code of the node, and the end of what it logged."""
+
+    name: str
+    exit_code: int
+    log_tail: str
+
+
 class Injector:
     """Injects faults until stopped, and then ends those in force."""
 
@@ -31,7 +39,7 @@
         self.fleet = fleet
         self.spans: list[Span] = []
         self.counts_by_fault: collections.Counter[_Fault] = collections.Counter()
-        self.drain_exit_codes: list[int | None] = []
+        self.drains: list[Drain] = []
         self._stopping = asyncio.Event()
         self._running: set[asyncio.Task[None]] = set()
         self._names_in_fault: set[str] = set()
@@ -88,13 +96,12 @@
         self.fleet.thaw(name)
 
     async def _terminate(self, name: str) -> None:
-        code = None
-        try:
-            async with asyncio.timeout(DRAIN_LIMIT_S):
-                code = await self.fleet.terminate(name)
-        except TimeoutError:
+        stopping = asyncio.create_task(self.fleet.terminate(name))
+        done, _ = await asyncio.wait({stopping}, timeout=DRAIN_LIMIT_S)
+        if not done:
             await self.fleet.kill(name)
-        self.drain_exit_codes.append(code)
+        drain = Drain(name, await stopping, self.fleet.stderr_tail(name))
+        self.drains.append(drain)
 
     async def _cut(self, name: str) -> None:
         self.fleet.proxies_by_name[name].cut()
--- a/packages/load/chiveridge_load/faults.py
+++ b/packages/load/chiveridge_load/faults.py
@@ -43,7 +43,7 @@
     records: list[fault_jobs.JobRecord]
     starts: list[journals.Start]
     counts_by_fault: dict[fault_schedules.Fault, int]
-    drain_exit_codes: list[int | None]
+    drains: list[fault_injectors.Drain]
     violations: list[fault_checks.Violation]
 
 
@@ -61,8 +61,8 @@
         records=records,
         starts=starts,
         counts_by_fault=dict(injector.counts_by_fault),
-        drain_exit_codes=injector.drain_exit_codes,
-        violations=fault_checks.check(records, starts, injector.spans),
+        drains=injector.drains,
+        violations=fault_checks.check(records, starts, injector.spans, injector.drains),
     )
 
 
@@ -133,7 +133,7 @@
         f"jobs without an answer: {unanswered}",
         _counts("refusals", refusals),
         _counts("tasks", [task.outcome.value for task in tasks]),
-        _counts("exit codes of drained nodes", [str(code) for code in result.drain_exit_codes]),
+        _counts("exit codes of drained nodes", [str(drain.exit_code) for drain in result.drains]),
         f"violations: {len(result.violations)}",
     ]
     lines += [f"  {v.rule.value}: {v.submission_id} {v.detail}" for v in result.violations]
--- a/packages/load/tests/test_fault_checks.py
+++ b/packages/load/tests/test_fault_checks.py
@@ -33,9 +33,10 @@
     return [fault_jobs.Attempt(method=method, url="", refusal=refusal)]
 
 
-def rules(attempts, starts=STARTS, spans=()):
+def rules(attempts, starts=STARTS, spans=(), drains=()):
     record = fault_jobs.JobRecord(PLAN, "s", attempts)
-    return {found.rule for found in fault_checks.check([record], list(starts), list(spans))}
+    found = fault_checks.check([record], list(starts), list(spans), list(drains))
+    return {violation.rule for violation in found}
 
 
 WHOLE = answer(task(0), task(1))
@@ -112,3 +113,9 @@
         fault_injectors.Span(Fault.CUT_PLATFORM, "platform", 500, 1500),
     ]
     assert rules(answered(WHOLE), spans=spans) == expected
+
+
+@pytest.mark.parametrize(("code", "expected"), [(0, set()), (-9, {Rule.DRAIN_FAILED})])
+def test_a_drain_has_to_end_by_itself(code, expected):
+    drains = [fault_injectors.Drain("ikeja-e1", code, "")]
+    assert rules(answered(WHOLE), drains=drains) == expected
--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -99,9 +99,12 @@
 
 
 class _MetricsResource:
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
     async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
         resp.content_type = prometheus_client.CONTENT_TYPE_LATEST
-        resp.data = prometheus_client.generate_latest()
+        resp.data = self._http.node.measures.text()
 
 
 class _StatusResource:
@@ -113,6 +116,18 @@
         resp.data = msgspec.json.encode(self._http.node.status())
 
 
+class _RefusalCounter:
+    """Counts the refusals that are told to callers."""
+
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
+    async def process_response(self, req, resp, resource, req_succeeded: bool) -> None:
+        code = getattr(resp.context, "code", None)
+        if code is not None and resp.status_code >= 400:
+            self._http.node.measures.note_refusal(code)
+
+
 class _Server(uvicorn.Server):
     """Leaves signals to the node."""
 
@@ -167,14 +182,14 @@
         return team
 
     def _app(self) -> falcon.asgi.App:
-        app = falcon.asgi.App()
+        app = falcon.asgi.App(middleware=[_RefusalCounter(self)])
         app.add_route("/v1/submission-ids", _IdsResource(self))
         app.add_route("/v1/jobs", _JobsResource(self))
         app.add_route("/v1/jobs/{submission_id}", _JobResource(self))
         app.add_route("/v1/status", _StatusResource(self))
         app.add_route("/healthz", _HealthResource())
         app.add_route("/readyz", _ReadyResource(self))
-        app.add_route("/metrics", _MetricsResource())
+        app.add_route("/metrics", _MetricsResource(self))
         app.add_error_handler(errors.RefusedError, _refuse)
         app.add_error_handler(falcon.HTTPError, _refuse_http)
         app.add_error_handler(Exception, _fail)
@@ -215,6 +230,7 @@
 
 def _write(resp: falcon.asgi.Response, reply: requests.Reply) -> None:
     resp.status = http_status(reply.code)
+    resp.context.code = reply.code
     resp.content_type = falcon.MEDIA_JSON
     resp.data = reply.body
     if reply.retry_after_ms is not None:
--- a/packages/node/chiveridge_node/mains.py
+++ b/packages/node/chiveridge_node/mains.py
@@ -5,11 +5,20 @@
 
 from absl import app, flags
 
-from chiveridge_node import callers_http, nodes, peers_zmq, platforms_http, settings, targets_http
+from chiveridge_node import (
+    callers_http,
+    nodes,
+    peers_zmq,
+    platforms_http,
+    recorders,
+    settings,
+    targets_http,
+)
 
 EXIT_BAD_SETTINGS = 2
 
 _CONFIG = flags.DEFINE_string("config", None, "Path of the INI file with the settings.")
+_RECORD = flags.DEFINE_string("record", None, "Path of a trace of kernel events, for debugging.")
 _CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit.")
 
 BUILT_IN_PLUGINS = (callers_http, peers_zmq, platforms_http, targets_http)
@@ -32,7 +41,10 @@
 
 
 async def _serve(node_settings: settings.Settings) -> None:
-    await nodes.Node(node_settings).run()
+    node = nodes.Node(node_settings)
+    if _RECORD.value:
+        recorders.Recorder(_RECORD.value, node.shell)
+    await node.run()
 
 
 def run() -> None:
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -10,7 +10,16 @@
 import msgspec
 
 from chiveridge_kernel import actions, events, identifiers, kernels, records
-from chiveridge_node import clocks, logevents, plugins, requests, settings, shells, signals
+from chiveridge_node import (
+    clocks,
+    logevents,
+    measures,
+    plugins,
+    requests,
+    settings,
+    shells,
+    signals,
+)
 
 _INCARNATION_BYTES = 8
 _SECRET_BYTES = 32
@@ -40,6 +49,7 @@
         self.rng = random.Random(secrets.randbits(64))
         self.kernel = kernels.Kernel(_kernel_settings(node_settings), self.rng)
         self.shell = shells.Shell(self.kernel, clocks.SystemClock())
+        self.measures = measures.Measures(self.shell)
         self.requests = requests.Requests(self.shell)
         self._stopped = asyncio.Event()
         self._adapters_by_kind = {
@@ -90,6 +100,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.drain)
         self.shell.start()
+        self.measures.start()
         for adapter in self._adapters_by_kind.values():
             await adapter.open()
         self._announce()
@@ -99,6 +110,7 @@
         await self._adapters_by_kind[plugins.Kind.CALLERS].close()
         for kind in (plugins.Kind.PEERS, plugins.Kind.LOG, plugins.Kind.VMS, plugins.Kind.TARGETS):
             await self._adapters_by_kind[kind].close()
+        self.measures.stop()
         self.shell.stop()
         signals.node_stopped.send(self)
         logevents.write(logevents.LogEvent.NODE_STOPPED)
--- /dev/null
+++ b/packages/node/chiveridge_node/recorders.py
@@ -0,0 +1,90 @@
+"""Records the events that a kernel handles, for replay in tests; a debugging aid.
+
+Each line of the file is a JSON object of ``at_ms`` since the first event, ``kind`` and ``value``.
+Submission ids and leases are numbered in the order of their first use, as ``$id1`` and
+``$lease1``, so that a replay can put its own in their place.
+"""
+
+import datetime
+import functools
+import os
+import typing
+
+import msgspec
+
+from chiveridge_kernel import actions, clocks, events
+from chiveridge_node import shells
+
+FILE_MODE = 0o600
+
+
+class Recorder:
+    """Writes a trace of one node to a file."""
+
+    def __init__(self, path: str, shell: shells.Shell):
+        self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, FILE_MODE)
+        self._shell = shell
+        self._started_at: datetime.datetime | None = None
+        self._names_by_id: dict[str, str] = {}
+        self._names_by_lease: dict[str, str] = {}
+        for event_type in typing.get_args(events.Event):
+            shell.observe_with(event_type, functools.partial(_note, self))
+        shell.observe_with(actions.StartTask, self._note_start)
+        settings = shell.kernel.settings
+        header = {"node": settings.node, "domain": settings.domain, "policy": settings.policy}
+        self.write("settings", msgspec.json.encode(header))
+
+    def close(self) -> None:
+        """Close the file."""
+        os.close(self._file)
+
+    def write(self, kind: str, value: bytes) -> None:
+        """Write one line."""
+        now = self._shell.clock.now()
+        self._started_at = self._started_at or now
+        at_ms = round(clocks.to_ms(now - self._started_at))
+        line = {"at_ms": at_ms, "kind": kind, "value": msgspec.Raw(value)}
+        os.write(self._file, msgspec.json.encode(line) + b"\n")
+
+    def name_of_id(self, submission_id: str, team: str) -> str:
+        """Return the name of a submission id, which counts as issued before its first use."""
+        if submission_id not in self._names_by_id:
+            self._names_by_id[submission_id] = f"$id{len(self._names_by_id) + 1}"
+            self.write("issue", msgspec.json.encode({"team": team}))
+        return self._names_by_id[submission_id]
+
+    def name_of_lease(self, lease_id: str) -> str:
+        """Return the name of a lease."""
+        return self._names_by_lease.get(lease_id, lease_id)
+
+    def _note_start(self, action: actions.StartTask) -> None:
+        self._names_by_lease[action.lease_id] = f"$lease{len(self._names_by_lease) + 1}"
+
+
+@functools.singledispatch
+def _named(event: events.Event, recorder: Recorder) -> events.Event:
+    """Return the event with names in place of ids."""
+    return event
+
+
+@_named.register
+def _(event: events.SubmissionReceived, recorder: Recorder) -> events.Event:
+    name = recorder.name_of_id(event.submission.submission_id, event.team)
+    submission = msgspec.structs.replace(event.submission, submission_id=name)
+    return msgspec.structs.replace(event, submission=submission)
+
+
+@_named.register
+def _(event: events.CancelReceived, recorder: Recorder) -> events.Event:
+    name = recorder.name_of_id(event.submission_id, getattr(event, "team", ""))
+    return msgspec.structs.replace(event, submission_id=name)
+
+
+@_named.register
+def _(event: events.LeaseReported, recorder: Recorder) -> events.Event:
+    return msgspec.structs.replace(event, lease_id=recorder.name_of_lease(event.lease_id))
+
+
+def _note(recorder: Recorder, event: events.Event) -> None:
+    named = _named(event, recorder)
+    recorder.write(type(event).__name__, msgspec.json.encode(named))
--- a/packages/node/chiveridge_node/shells.py
+++ b/packages/node/chiveridge_node/shells.py
@@ -17,6 +17,7 @@
         self.kernel = kernel
         self.clock = clock
         self._performers_by_type: dict[type, Callable[[actions.Action], None]] = {}
+        self._observers_by_type: dict[type, list[Callable]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due: datetime.datetime | None = None
 
@@ -24,6 +25,10 @@
         """Name the callable that performs actions of a type."""
         self._performers_by_type[action_type] = performer
 
+    def observe_with(self, observed_type: type, observer: Callable) -> None:
+        """Have every event or action of a type told to a callable, before it is handled."""
+        self._observers_by_type.setdefault(observed_type, []).append(observer)
+
     def start(self) -> None:
         """Begin to deliver ticks."""
         self._arm()
@@ -38,6 +43,7 @@
 
         :raises errors.RefusedError: when the event is a request that is refused.
         """
+        self._observe(event)
         for action in self.kernel.handle(event, self.clock.now()):
             self._perform(action)
         self._arm()
@@ -53,10 +59,15 @@
 
     def _perform(self, action: actions.Action) -> None:
         try:
+            self._observe(action)
             self._performers_by_type[type(action)](action)
         except Exception:
             logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, kind=type(action).__name__)
 
+    def _observe(self, subject: events.Event | actions.Action) -> None:
+        for observer in self._observers_by_type.get(type(subject), ()):
+            observer(subject)
+
     def _arm(self) -> None:
         now = self.clock.now()
         wakeup = self.kernel.next_wakeup()
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -103,6 +103,15 @@
         finally:
             connection.close()
 
+    def get_text(self, path) -> str:
+        """Return the text of a page."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=TIMEOUT_S)
+        try:
+            connection.request("GET", path)
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def new_id(self, credential=DESK.credential) -> str:
         """Return a submission id that was issued to a team."""
         reply = self.request("POST", "/v1/submission-ids", b"", credential)
@@ -145,6 +154,7 @@
         node = nodes.Node(settings.parse(_settings_text()))
         node._perform_actions()
         node.shell.start()
+        node.measures.start()
         change = deployments.first_change([DESK, REGISTRY], [TARGET.name])
         node.shell.handle(events.RecordsRead(records=[(0, msgspec.to_builtins(change))]))
         node.shell.handle(events.VmsListed(listing=vms.VmList(1, [TARGET])))
@@ -153,6 +163,7 @@
 
     async def _close(self) -> None:
         await self._callers.close()
+        self.node.measures.stop()
         self.node.shell.stop()
 
 
