--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from chiveridge_kernel import configurations, identifiers, messages, peers, vms
+from chiveridge_kernel import configurations, identifiers, messages, peers, snapshots, vms
+
+WITHDRAWN = "withdrawn"
 
 
 class StartTask(msgspec.Struct, frozen=True, kw_only=True):
@@ -25,6 +27,12 @@
     delay: datetime.timedelta = datetime.timedelta()
 
 
+class WithdrawStart(msgspec.Struct, frozen=True, kw_only=True):
+    """Report a start as refused, for :data:`WITHDRAWN`, if nothing of it was sent yet."""
+
+    lease_id: identifiers.LeaseId
+
+
 class StopTask(msgspec.Struct, frozen=True, kw_only=True):
     """Stop a task whose result is no longer wanted."""
 
@@ -45,6 +53,26 @@
     message: peers.PeerMessage
 
 
+class ReplyToPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """Send a message back by the way that another came; it may be lost."""
+
+    route: bytes
+    message: peers.PeerMessage
+
+
+class SendSnapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """Send a snapshot back to a peer, one :class:`peers.ConfigurationChunk` a chunk."""
+
+    route: bytes
+    snapshot: snapshots.Snapshot
+
+
+class AppendSnapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """Append the chunks of a snapshot to the log; appends may be lost or repeated."""
+
+    snapshot: snapshots.Snapshot
+
+
 class NoteChange(msgspec.Struct, frozen=True, kw_only=True):
     """Write the verdict on a configuration record to the audit trail."""
 
@@ -55,4 +83,16 @@
     """The drain is done; the process may exit."""
 
 
-Action = StartTask | AskOutcome | StopTask | AnswerJob | SendToPeer | NoteChange | Exit
+Action = (
+    StartTask
+    | AskOutcome
+    | WithdrawStart
+    | StopTask
+    | AnswerJob
+    | SendToPeer
+    | ReplyToPeer
+    | SendSnapshot
+    | AppendSnapshot
+    | NoteChange
+    | Exit
+)
