--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -93,6 +93,12 @@
     route: bytes = b""
 
 
+class PeerUnreachable(msgspec.Struct, frozen=True, kw_only=True):
+    """Nothing can be sent to a node at its address now."""
+
+    peer: vms.Vm
+
+
 class Ticked(msgspec.Struct, frozen=True):
     """Time has passed; due deadlines are handled."""
 
@@ -110,6 +116,7 @@
     | VmsListed
     | VmsConfirmed
     | PeerMessageReceived
+    | PeerUnreachable
     | Ticked
     | DrainRequested
 )
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -1,6 +1,8 @@
 """Messages between nodes, as msgpack with a type tag."""
 
 import enum
+import typing
+from typing import Annotated
 
 import msgspec
 
@@ -10,8 +12,34 @@
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
 
 
+# Short keys, as heartbeats are most of the control traffic.
+_HEARTBEAT_KEYS_BY_FIELD = {
+    "sender": "s",
+    "incarnation": "i",
+    "sequence": "q",
+    "echo": "e",
+    "offset": "o",
+    "leaving": "l",
+    "reply_wanted": "r",
+}
+
+
+class DropReason(enum.Enum):
+    """Why a message from a peer is dropped."""
+
+    CORRUPT = "corrupt"
+    OVERSIZED = "oversized"
+    UNKNOWN_VERSION = "unknown_version"
+    UNKNOWN_TYPE = "unknown_type"
+    UNEXPECTED = "unexpected"
+
+
 class PeerMessageError(errors.ChiveridgeError):
-    """Bytes from a peer are not a message of this protocol version."""
+    """Bytes from a peer are not a message that can be taken here."""
+
+    def __init__(self, reason: DropReason, message: str):
+        super().__init__(message)
+        self.reason = reason
 
 
 class Operation(enum.Enum):
@@ -123,9 +151,34 @@
     listing: vms.VmList
 
 
+class Heartbeat(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag="hb",
+    rename=_HEARTBEAT_KEYS_BY_FIELD.get,
+):
+    """Tells that an incarnation of a node runs, and what it has applied.
+
+    ``sequence`` counts the heartbeats of this incarnation to the receiver; ``echo`` is the
+    last sequence that the sender has from the receiver. ``offset`` is the applied offset of
+    the configuration. ``leaving`` tells that the node drains.
+    """
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    sequence: Annotated[int, msgspec.Meta(ge=1)]
+    echo: Annotated[int, msgspec.Meta(ge=0)] = 0
+    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
+    leaving: bool = False
+    reply_wanted: bool = False
+
+
 PeerMessage = (
     CallerRequest
     | CallerReply
+    | Heartbeat
     | ConfigurationAsk
     | ConfigurationChunk
     | ListingReply
@@ -135,8 +188,15 @@
     | SlotReport
 )
 
+
+class _Tagged(msgspec.Struct):
+    type: str
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
+_tag_decoder = msgspec.msgpack.Decoder(_Tagged)
+_KNOWN_TAGS = frozenset(kind.__struct_config__.tag for kind in typing.get_args(PeerMessage))
 _VERSION_PREFIX = bytes([PROTOCOL_VERSION])
 
 
@@ -151,10 +211,23 @@
     :raises PeerMessageError: when it is corrupt, oversized or of another version.
     """
     if len(data) > MAX_PEER_MESSAGE_BYTES:
-        raise PeerMessageError(f"message of {len(data)} bytes is too large")
+        message = f"message of {len(data)} bytes is too large"
+        raise PeerMessageError(DropReason.OVERSIZED, message)
     if data[:1] != _VERSION_PREFIX:
-        raise PeerMessageError(f"message has version {data[:1].hex()!r}")
+        message = f"message has version {data[:1].hex()!r}"
+        raise PeerMessageError(DropReason.UNKNOWN_VERSION, message)
+    content = memoryview(data)[1:]
+    try:
+        return _decoder.decode(content)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        message = f"message cannot be decoded: {error}"
+        raise PeerMessageError(_reason_of(content), message) from error
+
+
+def _reason_of(content: memoryview) -> DropReason:
+    """Return why bytes cannot be decoded; a later version may have more types."""
     try:
-        return _decoder.decode(memoryview(data)[1:])
-    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
-        raise PeerMessageError(f"message cannot be decoded: {error}") from error
+        tag = _tag_decoder.decode(content).type
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return DropReason.CORRUPT
+    return DropReason.CORRUPT if tag in _KNOWN_TAGS else DropReason.UNKNOWN_TYPE
