--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -120,6 +120,10 @@
             task.is_asked = task.is_asked and not event.asked
             _HANDLERS_BY_OUTCOME[event.outcome](self, task, event, now)
 
+    def awaits(self, lease_id: identifiers.LeaseId) -> bool:
+        """Tell whether the outcome of a start is still wanted."""
+        return lease_id in self._tasks_by_lease
+
     def cancel(self, submission_id: identifiers.SubmissionId, now: datetime.datetime) -> None:
         """Cancel a running job; one that has ended keeps its answer."""
         job = self.jobs_by_id.get(submission_id)
