--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -20,6 +20,7 @@
     members,
     messages,
     peers,
+    policies,
     reaches,
     records,
     results,
@@ -38,7 +39,7 @@
     domain: identifiers.DomainName
     incarnation: identifiers.Incarnation
     secret: bytes
-    policy: str = "power_of_two"
+    policy: str = policies.DEFAULT
     snapshots: snapshot_schedules.SnapshotSettings = snapshot_schedules.SnapshotSettings()
     catch_up: catch_ups.CatchUpSettings = catch_ups.CatchUpSettings()
 
@@ -59,13 +60,13 @@
         self.settings = settings
         self.configuration = configurations.Configuration()
         self.target_table = targets.TargetTable()
+        self.members = members.MemberTable(settings.node, settings.domain)
         self.reach = reaches.Reach(self.configuration)
         self.issuer = submissions.Issuer(settings.node, settings.incarnation, settings.secret)
         self.dispatcher = dispatchers.Dispatcher(
-            self.reach, self.target_table, rng, settings.policy, settings.incarnation
+            self.reach, self.target_table, self.members, rng, settings.policy, settings.incarnation
         )
         self.revoker = revocations.Revoker(self.dispatcher, self.reach)
-        self.members = members.MemberTable(settings.node, settings.domain)
         self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
         self.follower = followers.Follower(self.configuration, self.snapshot_schedule.saw_chunk)
         self.catch_up = catch_ups.CatchUp(settings.catch_up, self.configuration, self.members, rng)
@@ -95,7 +96,11 @@
 
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next :class:`events.Ticked` is due."""
-        moments = (self.dispatcher.next_deadline(), self.target_table.next_expiry())
+        moments = (
+            self.dispatcher.next_deadline(),
+            self.target_table.next_expiry(),
+            self.dispatcher.policy.next_wakeup(),
+        )
         return min((moment for moment in moments if moment is not None), default=None)
 
     def issue(
@@ -191,6 +196,7 @@
             )
 
     def _drain_outbox(self) -> list[actions.Action]:
+        self.dispatcher.policy.flush()
         done = self.dispatcher.outbox
         self.dispatcher.outbox = []
         for action in done:
@@ -295,7 +301,7 @@
 def _take_message(
     message: peers.PeerMessage, kernel: Kernel, route: bytes, now: datetime.datetime
 ) -> None:
-    raise TypeError(f"no handler for peer message {type(message).__name__}")
+    kernel.dispatcher.policy.received(message, now)
 
 
 @_take_message.register
--- a/packages/kernel/chiveridge_kernel/reaches.py
+++ b/packages/kernel/chiveridge_kernel/reaches.py
@@ -20,6 +20,9 @@
 
 MAX_QUERIES_PER_TEAM = 16
 
+Capacity = tuple[int, int, int]
+"""Memory in megabytes, cores and accelerators of a target."""
+
 
 class Candidates:
     """Targets that a query may use, grouped by capacity so that needs are checked per group."""
@@ -27,11 +30,12 @@
     def __init__(self, found: tuple[vms.Vm, ...]):
         self.vms = found
         self._capacities = frozenset(map(_capacity, found))
+        self._names: frozenset[str] | None = None
         self._fitting_by_capacities: dict[tuple, tuple[vms.Vm, ...]] = {}
 
     def fitting(self, task: messages.TaskSpec) -> tuple[vms.Vm, ...]:
         """Return the targets that are large enough for a task's declared needs."""
-        capacities = tuple(capacity for capacity in self._capacities if _fits(task, capacity))
+        capacities = self._fitting_capacities(task)
         if len(capacities) == len(self._capacities):
             return self.vms
         found = self._fitting_by_capacities.get(capacities)
@@ -40,6 +44,23 @@
             self._fitting_by_capacities[capacities] = found
         return found
 
+    def threshold(self, task: messages.TaskSpec) -> Capacity:
+        """Return the smallest needs that the same targets fit, so that like tasks compare equal.
+
+        The task must fit at least one target.
+        """
+        capacities = self._fitting_capacities(task)
+        return tuple(min(amounts) for amounts in zip(*capacities, strict=True))
+
+    def _fitting_capacities(self, task: messages.TaskSpec) -> tuple[Capacity, ...]:
+        return tuple(capacity for capacity in self._capacities if _fits(task, capacity))
+
+    def includes(self, name: str) -> bool:
+        """Tell whether a target is among them."""
+        if self._names is None:
+            self._names = frozenset(vm.name for vm in self.vms)
+        return name in self._names
+
 
 class _Answer(msgspec.Struct, frozen=True):
     """The answer to a query: candidates, or the code and the message of a refusal."""
@@ -54,10 +75,11 @@
     """Answers for one configuration and one list of VMs.
 
     Answers are kept until a change touches them, :data:`MAX_QUERIES_PER_TEAM` for each team;
-    equal sets of targets are kept once.
+    equal sets of targets are kept once. ``version`` grows whenever an answer may differ.
     """
 
     def __init__(self, configuration: configurations.Configuration):
+        self.version = 0
         self._index = reach_indexes.ReachIndex(configuration)
         self._vms_by_name: Mapping[str, vms.Vm] = {}
         self._answers_by_team: dict[str, collections.OrderedDict[str, _Answer]] = {}
@@ -66,6 +88,7 @@
 
     def update(self, touched: Collection[configurations.ObjectKey]) -> reach_indexes.ReachChanges:
         """Take over objects of the configuration that were written or deleted."""
+        self.version += 1
         changes = self._index.update(touched)
         if changes.is_bulk:
             self._answers_by_team.clear()
@@ -81,15 +104,12 @@
         changed = [name for name in names if known.get(name) != vms_by_name.get(name)]
         if not changed:
             return
+        self.version += 1
         self._candidates_by_digest.clear()
         if len(changed) > reach_indexes.MAX_SINGLE_CHANGES:
             self._answers_by_team.clear()
         self._forget_where(lambda team, answer: self._holds_any(team, answer, changed))
 
-    def includes(self, team: identifiers.TeamName, target_name: str) -> bool:
-        """Tell whether a team reaches a target."""
-        return self._index.reaches(team, target_name)
-
     def candidates(self, team: identifiers.TeamName, selector_text: str) -> Candidates:
         """Return the targets that a team's submission may run on.
 
@@ -165,11 +185,11 @@
     return False
 
 
-def _capacity(vm: vms.Vm) -> tuple[int, int, int]:
+def _capacity(vm: vms.Vm) -> Capacity:
     return vm.memory_mb, vm.cores, vm.accelerators
 
 
-def _fits(task: messages.TaskSpec, capacity: tuple[int, int, int]) -> bool:
+def _fits(task: messages.TaskSpec, capacity: Capacity) -> bool:
     memory_mb, cores, accelerators = capacity
     return task.memory_mb <= memory_mb and task.cores <= cores and task.accelerators <= accelerators
 
