--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -73,6 +73,12 @@
     snapshot: snapshots.Snapshot
 
 
+class DisconnectPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """Close the connection to a node, which is gone or silent; a later message opens another."""
+
+    peer: vms.Vm
+
+
 class NoteChange(msgspec.Struct, frozen=True, kw_only=True):
     """Write the verdict on a configuration record to the audit trail."""
 
@@ -90,6 +96,7 @@
     | StopTask
     | AnswerJob
     | SendToPeer
+    | DisconnectPeer
     | ReplyToPeer
     | SendSnapshot
     | AppendSnapshot
--- a/packages/kernel/chiveridge_kernel/catch_ups.py
+++ b/packages/kernel/chiveridge_kernel/catch_ups.py
@@ -94,9 +94,14 @@
         return self.log_read_at is None or now - self.log_read_at >= self._settings.silence
 
     def _choose_peers(self) -> Sequence[vms.Vm]:
-        names = [name for name in self._members.live_names() if name != self._members.own_name]
-        found = [vm for vm in map(self._members.find, names) if vm is not None]
-        known = found or list(self._settings.seeds)
+        """Choose among the live nodes, else those listed, else the seeds."""
+        listed = {
+            name: vm
+            for name, vm in self._members.vms_by_name.items()
+            if name != self._members.own_name
+        }
+        live = [listed[name] for name in self._members.live_names() if name in listed]
+        known = live or list(listed.values()) or list(self._settings.seeds)
         return self._rng.sample(known, min(PEERS_PER_ASK, len(known)))
 
 
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -16,6 +16,7 @@
     errors,
     events,
     followers,
+    heartbeats,
     identifiers,
     members,
     messages,
@@ -42,6 +43,7 @@
     policy: str = policies.DEFAULT
     snapshots: snapshot_schedules.SnapshotSettings = snapshot_schedules.SnapshotSettings()
     catch_up: catch_ups.CatchUpSettings = catch_ups.CatchUpSettings()
+    heartbeat: heartbeats.HeartbeatSettings = heartbeats.HeartbeatSettings()
 
 
 class UsedId(msgspec.Struct):
@@ -70,6 +72,9 @@
         self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
         self.follower = followers.Follower(self.configuration, self.snapshot_schedule.saw_chunk)
         self.catch_up = catch_ups.CatchUp(settings.catch_up, self.configuration, self.members, rng)
+        self.heartbeats = heartbeats.Heartbeats(
+            settings.heartbeat, self.members, settings.incarnation, rng
+        )
         self.draining = False
         self.has_listing = False
         self._used_by_id: dict[identifiers.SubmissionId, UsedId] = {}
@@ -100,6 +105,7 @@
             self.dispatcher.next_deadline(),
             self.target_table.next_expiry(),
             self.dispatcher.policy.next_wakeup(),
+            self.heartbeats.next_due(),
         )
         return min((moment for moment in moments if moment is not None), default=None)
 
@@ -165,7 +171,9 @@
     def take_listing(self, listing: vms.VmList, now: datetime.datetime) -> None:
         """Take a list of VMs, of the platform or of a peer."""
         self.catch_up.listing = listing
-        self.members.replace(listing)
+        gone = self.members.replace(listing, now)
+        self.dispatcher.outbox.extend(actions.DisconnectPeer(peer=vm) for vm in gone)
+        self.heartbeats.listed(now)
         self.target_table.replace(listing)
         self.reach.replace_vms(self.target_table.vms_by_name)
         self.has_listing = True
@@ -290,17 +298,26 @@
     if kernel.snapshot_schedule.take_due(now):
         outbox.append(actions.AppendSnapshot(snapshot=kernel.configuration.snapshot()))
     outbox.extend(kernel.catch_up.ask_if_due(now, kernel.follower.is_scanning))
+    kernel.heartbeats.offset = kernel.configuration.offset
+    kernel.dispatcher.outbox.extend(kernel.heartbeats.tick(now))
+
+
+@_handle.register
+def _(event: events.PeerUnreachable, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.members.unreachable(event.peer)
 
 
 @_handle.register
 def _(event: events.DrainRequested, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.draining = True
+    kernel.dispatcher.outbox.extend(kernel.heartbeats.farewell())
 
 
 @functools.singledispatch
 def _take_message(
     message: peers.PeerMessage, kernel: Kernel, route: bytes, now: datetime.datetime
 ) -> None:
+    """Handle a message from another node; those that no part handles are the policy's."""
     kernel.dispatcher.policy.received(message, now)
 
 
@@ -324,3 +341,8 @@
 def _(message: peers.ListingReply, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
     if kernel.catch_up.listing is None:
         kernel.take_listing(message.listing, now)
+
+
+@_take_message.register
+def _(message: peers.Heartbeat, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
--- a/packages/kernel/chiveridge_kernel/owner_policies.py
+++ b/packages/kernel/chiveridge_kernel/owner_policies.py
@@ -194,9 +194,8 @@
         table = self.starter.target_table
         for name in names:
             vm = table.vms_by_name.get(name)
-            # The owner may not know yet that the target is no longer approved.
-            is_approved = demand.job.candidates.includes(name)
-            if vm is None or not table.is_usable(name) or not is_approved:
+            is_allowed = name in demand.job.candidates.names
+            if vm is None or not is_allowed or not table.is_usable(name):
                 self._give_back(name, demand.query.team, "unusable", 0.0, now)
             elif demand.tasks and not demand.job.ended:
                 self.starter.start(demand.tasks.popleft(), vm, now)
--- a/packages/kernel/chiveridge_kernel/reaches.py
+++ b/packages/kernel/chiveridge_kernel/reaches.py
@@ -1,6 +1,7 @@
 """Which targets a team may reach, and why not when it may not."""
 
 import collections
+import functools
 import hashlib
 import weakref
 from collections.abc import Collection, Mapping
@@ -30,9 +31,13 @@
     def __init__(self, found: tuple[vms.Vm, ...]):
         self.vms = found
         self._capacities = frozenset(map(_capacity, found))
-        self._names: frozenset[str] | None = None
         self._fitting_by_capacities: dict[tuple, tuple[vms.Vm, ...]] = {}
 
+    @functools.cached_property
+    def names(self) -> frozenset[str]:
+        """Names of the targets."""
+        return frozenset(vm.name for vm in self.vms)
+
     def fitting(self, task: messages.TaskSpec) -> tuple[vms.Vm, ...]:
         """Return the targets that are large enough for a task's declared needs."""
         capacities = self._fitting_capacities(task)
@@ -55,12 +60,6 @@
     def _fitting_capacities(self, task: messages.TaskSpec) -> tuple[Capacity, ...]:
         return tuple(capacity for capacity in self._capacities if _fits(task, capacity))
 
-    def includes(self, name: str) -> bool:
-        """Tell whether a target is among them."""
-        if self._names is None:
-            self._names = frozenset(vm.name for vm in self.vms)
-        return name in self._names
-
 
 class _Answer(msgspec.Struct, frozen=True):
     """The answer to a query: candidates, or the code and the message of a refusal."""
--- a/packages/kernel/chiveridge_kernel/revocations.py
+++ b/packages/kernel/chiveridge_kernel/revocations.py
@@ -21,7 +21,7 @@
         for job in self._jobs_of(teams):
             self._reconsider_job(job, now)
             for task in job.running_tasks():
-                if job.revocation or not job.candidates.includes(task.target.name):
+                if job.revocation or task.target.name not in job.candidates.names:
                     self._withdraw(task)
 
     def refuse(self, teams: set[str], now: datetime.datetime) -> None:
