--- a/packages/kernel/chiveridge_kernel/reaches.py
+++ b/packages/kernel/chiveridge_kernel/reaches.py
@@ -1,6 +1,7 @@
 """Which targets a team may reach, and why not when it may not."""
 
 import collections
+import functools
 import hashlib
 import weakref
 from collections.abc import Collection, Mapping
@@ -29,10 +30,14 @@
 
     def __init__(self, found: tuple[vms.Vm, ...]):
         self.vms = found
-        self.names = frozenset(vm.name for vm in found)
         self._capacities = frozenset(map(_capacity, found))
         self._fitting_by_capacities: dict[tuple, tuple[vms.Vm, ...]] = {}
 
+    @functools.cached_property
+    def names(self) -> frozenset[str]:
+        """Names of the targets."""
+        return frozenset(vm.name for vm in self.vms)
+
     def fitting(self, task: messages.TaskSpec) -> tuple[vms.Vm, ...]:
         """Return the targets that are large enough for a task's declared needs."""
         capacities = self._fitting_capacities(task)
@@ -69,7 +74,7 @@
     """Answers for one configuration and one list of VMs.
 
     Answers are kept until a change touches them, :data:`MAX_QUERIES_PER_TEAM` for each team;
-    equal sets of targets are kept once.
+    equal sets of targets are kept once. ``version`` grows whenever an answer may differ.
     """
 
     def __init__(self, configuration: configurations.Configuration):
@@ -98,15 +103,12 @@
         changed = [name for name in names if known.get(name) != vms_by_name.get(name)]
         if not changed:
             return
+        self.version += 1
         self._candidates_by_digest.clear()
         if len(changed) > reach_indexes.MAX_SINGLE_CHANGES:
             self._answers_by_team.clear()
         self._forget_where(lambda team, answer: self._holds_any(team, answer, changed))
 
-    def includes(self, team: identifiers.TeamName, target_name: str) -> bool:
-        """Tell whether a team reaches a target."""
-        return self._index.reaches(team, target_name)
-
     def candidates(self, team: identifiers.TeamName, selector_text: str) -> Candidates:
         """Return the targets that a team's submission may run on.
 
