--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -19,6 +19,7 @@
     members,
     messages,
     peers,
+    policies,
     reaches,
     results,
     submissions,
@@ -33,7 +34,7 @@
     domain: identifiers.DomainName
     incarnation: identifiers.Incarnation
     secret: bytes
-    policy: str = "power_of_two"
+    policy: str = policies.DEFAULT
     heartbeat: heartbeats.HeartbeatSettings = heartbeats.HeartbeatSettings()
 
 
@@ -53,12 +54,12 @@
         self.settings = settings
         self.configuration = configurations.Configuration()
         self.target_table = targets.TargetTable()
+        self.members = members.MemberTable(settings.node, settings.domain)
         self.reach = reaches.Reach(self.configuration)
         self.issuer = submissions.Issuer(settings.node, settings.incarnation, settings.secret)
         self.dispatcher = dispatchers.Dispatcher(
-            self.reach, self.target_table, rng, settings.policy, settings.incarnation
+            self.reach, self.target_table, self.members, rng, settings.policy, settings.incarnation
         )
-        self.members = members.MemberTable(settings.node, settings.domain)
         self.heartbeats = heartbeats.Heartbeats(
             settings.heartbeat, self.members, settings.incarnation, rng
         )
@@ -92,6 +93,7 @@
             self.dispatcher.next_deadline(),
             self.target_table.next_expiry(),
             self.heartbeats.next_due(),
+            self.dispatcher.policy.next_wakeup(),
         )
         return min((moment for moment in moments if moment is not None), default=None)
 
@@ -150,6 +152,7 @@
             )
 
     def _drain_outbox(self) -> list[actions.Action]:
+        self.dispatcher.policy.flush()
         done = self.dispatcher.outbox
         self.dispatcher.outbox = []
         for action in done:
@@ -251,7 +254,7 @@
 def _take_message(
     message: peers.PeerMessage, kernel: Kernel, route: bytes, now: datetime.datetime
 ) -> None:
-    raise TypeError(f"no handler for peer message {type(message).__name__}")
+    kernel.dispatcher.policy.received(message, now)
 
 
 @_take_message.register
--- a/packages/load/chiveridge_load/deployments.py
+++ b/packages/load/chiveridge_load/deployments.py
@@ -1,14 +1,32 @@
-"""Configurations for fleets of stand-ins: teams with keys, approved for every target."""
+"""The two deployments, and configurations in which every team reaches every target."""
 
+import datetime
 import hashlib
 
 import msgspec
 
 from chiveridge_kernel import records
+from chiveridge_standins import fleets
 
 ALL_TEAMS_RULE = "every-team-every-target"
 
 
+class Deployment(msgspec.Struct, frozen=True):
+    """Failure domains, the cores of the targets, and the one-way delay between domains."""
+
+    domains: tuple[str, str, str]
+    cores: int
+    delay: datetime.timedelta
+
+
+DEPLOYMENTS_BY_NAME = {
+    "lagos": Deployment(("ikeja", "surulere", "lekki"), 64, datetime.timedelta(milliseconds=1)),
+    "hokkaido": Deployment(
+        ("sapporo-chuo", "asahikawa", "hakodate"), 32, datetime.timedelta(microseconds=500)
+    ),
+}
+
+
 class TeamPlan(msgspec.Struct, frozen=True, kw_only=True):
     """A calling team; ``max_starts`` limits its starts in progress."""
 
@@ -59,3 +77,35 @@
 def _rule_write() -> records.ObjectWrite:
     rule = records.RuleObject(name=ALL_TEAMS_RULE, targets="kind=dryer")
     return records.ObjectWrite(kind=records.ObjectKind.RULE, name=rule.name, rule=rule)
+
+
+def fleet_plan(name: str, policy: str) -> fleets.FleetPlan:
+    """Return the fleet of a deployment: 3 domains, 9 nodes and 24 targets of 8 slots."""
+    deployment = DEPLOYMENTS_BY_NAME[name]
+    domain = fleets.DomainPlan(nodes=3, targets=8)
+    nodes = [
+        f"{domain_name}-e{number}" for domain_name in deployment.domains for number in (1, 2, 3)
+    ]
+    return fleets.FleetPlan(
+        domains={domain_name: domain for domain_name in deployment.domains},
+        slots=8,
+        cores=deployment.cores,
+        proxied=frozenset(nodes),
+        settings={"placement": {"policy": policy}},
+    )
+
+
+def peer_delay(name: str, delayed: bool) -> datetime.timedelta:
+    """Return the one-way delay between nodes of a deployment, none unless ``delayed``."""
+    return DEPLOYMENTS_BY_NAME[name].delay if delayed else datetime.timedelta(0)
+
+
+def delay_peers(fleet: fleets.Fleet, delay: datetime.timedelta) -> None:
+    """Delay the messages between nodes, those of the same domain included."""
+    for proxy in fleet.proxies_by_name.values():
+        proxy.delay = delay
+
+
+def slots(plan: fleets.FleetPlan) -> int:
+    """Return the slots of all targets of a fleet."""
+    return plan.slots * sum(domain.targets for domain in plan.domains.values())
--- /dev/null
+++ b/packages/load/chiveridge_load/scenarios.py
@@ -0,0 +1,100 @@
+"""Scenarios of the benchmark: their workloads, their disturbances and their limits."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from chiveridge_load import disturbances, judgements, measurements, reports, traces
+
+FIRST_TEAM = "dispatch-desk"
+FAULT_S = 4.0
+RESTART_S = 3.0
+FAILING_TARGET = 5
+STRAGGLERS = (2, 10, 18)
+
+
+class Scenario(msgspec.Struct, frozen=True, kw_only=True):
+    """A workload, what happens meanwhile, and how the measurement is judged.
+
+    ``load``, ``job_mean`` and ``seconds`` are fixed where they are set.
+    """
+
+    name: str
+    jobs: Callable[[traces.Options], list]
+    limits: Callable[[measurements.Measurement], list[reports.Limit]]
+    disturb: disturbances.Disturbance | None = None
+    load: float | None = None
+    job_mean: float | None = None
+    seconds: float | None = None
+
+    def options(self, chosen: traces.Options) -> traces.Options:
+        """Return the options with those replaced that the scenario fixes."""
+        fixed = {"load": self.load, "job_mean": self.job_mean, "seconds": self.seconds}
+        known = {name: value for name, value in fixed.items() if value is not None}
+        return msgspec.structs.replace(chosen, **known)
+
+
+_ALL = [
+    Scenario(name="steady", jobs=traces.steady, limits=judgements.steady),
+    Scenario(
+        name="burst",
+        jobs=traces.burst,
+        limits=judgements.burst,
+        load=traces.BURST_LOAD,
+        job_mean=8,
+        seconds=traces.BURST_END_S + traces.BURST_TAIL_S,
+    ),
+    Scenario(
+        name="failing_target",
+        jobs=traces.steady,
+        limits=judgements.failing_target(FAILING_TARGET, FAULT_S),
+        disturb=disturbances.failing_target(FAILING_TARGET, FAULT_S),
+        load=0.5,
+        job_mean=1,
+        seconds=12,
+    ),
+    Scenario(
+        name="failing_team",
+        jobs=traces.failing_team,
+        limits=judgements.failing_team,
+        load=0.8,
+        job_mean=1,
+        seconds=12,
+    ),
+    Scenario(
+        name="stragglers",
+        jobs=traces.steady,
+        limits=judgements.stragglers(STRAGGLERS),
+        disturb=disturbances.stragglers(STRAGGLERS),
+        load=0.6,
+        job_mean=1,
+        seconds=15,
+    ),
+    Scenario(
+        name="wrong_sizes",
+        jobs=traces.wrong_sizes,
+        limits=judgements.wrong_sizes,
+        load=0.8,
+        job_mean=8,
+        seconds=15,
+    ),
+    Scenario(
+        name="cancel_wave",
+        jobs=traces.cancel_wave,
+        limits=judgements.cancel_wave,
+        load=traces.CANCEL_LOAD,
+        job_mean=8,
+        seconds=traces.CANCEL_S + traces.CANCEL_TAIL_S,
+    ),
+    Scenario(
+        name="restarts",
+        jobs=traces.steady,
+        limits=judgements.restarts,
+        disturb=disturbances.rolling_restart(RESTART_S),
+        load=0.5,
+        job_mean=8,
+        seconds=45,
+    ),
+]
+
+SCENARIOS_BY_NAME = {scenario.name: scenario for scenario in _ALL}
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -4,13 +4,15 @@
 """
 
 import configparser
+import functools
 import ipaddress
 import urllib.parse
 from typing import Annotated
 
 import msgspec
 
-from chiveridge_kernel import errors, placements
+from chiveridge_kernel import errors, policies
+from chiveridge_node import plugins
 
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 _Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9-]{0,62}$")]
@@ -41,7 +43,7 @@
 class PlacementSection(msgspec.Struct, frozen=True, kw_only=True):
     """How targets are chosen."""
 
-    policy: str = "power_of_two"
+    policy: str = policies.DEFAULT
 
 
 class MembershipSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -172,8 +174,13 @@
 
 
 def _check_policy(value: str) -> None:
-    if value not in placements.names():
-        raise ValueError(f"{value!r} is not one of {', '.join(placements.names())}")
+    if value not in policies.names():
+        raise ValueError(f"{value!r} is not one of {', '.join(policies.names())}")
+
+
+def _check_plugin(kind: plugins.Kind, value: str) -> None:
+    if value not in plugins.names(kind):
+        raise ValueError(f"{value!r} is not one of {', '.join(plugins.names(kind))}")
 
 
 _CHECKS_BY_KEY = {
@@ -182,3 +189,6 @@
     ("platform", "vms_url"): _check_url,
     ("placement", "policy"): _check_policy,
 }
+_CHECKS_BY_KEY |= {
+    ("plugins", kind.value): functools.partial(_check_plugin, kind) for kind in plugins.Kind
+}
