--- a/packages/kernel/chiveridge_kernel/owner_policies.py
+++ b/packages/kernel/chiveridge_kernel/owner_policies.py
@@ -194,7 +194,8 @@
         table = self.starter.target_table
         for name in names:
             vm = table.vms_by_name.get(name)
-            if vm is None or not table.is_usable(name):
+            is_allowed = name in demand.job.candidates.names
+            if vm is None or not is_allowed or not table.is_usable(name):
                 self._give_back(name, demand.query.team, "unusable", 0.0, now)
             elif demand.tasks and not demand.job.ended:
                 self.starter.start(demand.tasks.popleft(), vm, now)
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chiveridge_kernel import errors, identifiers, results
+from chiveridge_kernel import errors, identifiers, records, results, vms
 
 PROTOCOL_VERSION = 1
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -156,8 +156,36 @@
     free: int
 
 
+class ConfigurationAsk(msgspec.Struct, frozen=True, kw_only=True, tag="configuration_ask"):
+    """Asks for the configuration when the peer's offset is higher, and for a list of VMs."""
+
+    offset: identifiers.Offset
+    wants_listing: bool = False
+
+
+class ConfigurationChunk(msgspec.Struct, frozen=True, kw_only=True, tag="configuration_chunk"):
+    """A part of the peer's configuration."""
+
+    chunk: records.SnapshotRecord
+
+
+class ListingReply(msgspec.Struct, frozen=True, kw_only=True, tag="listing_reply"):
+    """The list of VMs that the peer last read."""
+
+    listing: vms.VmList
+
+
 PeerMessage = (
-    CallerRequest | CallerReply | Heartbeat | SlotRequest | SlotGrant | SlotReturn | SlotReport
+    CallerRequest
+    | CallerReply
+    | Heartbeat
+    | ConfigurationAsk
+    | ConfigurationChunk
+    | ListingReply
+    | SlotRequest
+    | SlotGrant
+    | SlotReturn
+    | SlotReport
 )
 
 
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -13,11 +13,13 @@
 
 from chiveridge_kernel import (
     actions,
+    catch_ups,
     events,
     heartbeats,
     identifiers,
     kernels,
     records,
+    snapshot_schedules,
 )
 from chiveridge_node import (
     clocks,
@@ -32,6 +34,7 @@
 
 _INCARNATION_BYTES = 4
 _SECRET_BYTES = 32
+_OUTAGE_MARGIN = datetime.timedelta(seconds=5)
 _LOG_EVENTS_BY_VERDICT = {records.Verdict.ACCEPTED: logevents.LogEvent.CHANGE_ACCEPTED}
 
 
@@ -119,6 +122,29 @@
             suspect_intervals=node_settings.membership.suspect_heartbeats,
             dead_intervals=node_settings.membership.dead_heartbeats,
         ),
+        snapshots=_snapshot_settings(node_settings.snapshots),
+        catch_up=_catch_up_settings(node_settings),
+    )
+
+
+def _snapshot_settings(
+    section: settings.SnapshotsSection,
+) -> snapshot_schedules.SnapshotSettings:
+    return snapshot_schedules.SnapshotSettings(
+        max_records=section.records,
+        max_age=datetime.timedelta(milliseconds=section.max_age_ms),
+        min_interval=datetime.timedelta(milliseconds=section.min_interval_ms),
+        delay_per_node=datetime.timedelta(milliseconds=section.delay_ms_per_node),
+    )
+
+
+def _catch_up_settings(node_settings: settings.Settings) -> catch_ups.CatchUpSettings:
+    # An idle read lasts as long as it may wait; only a longer silence is an outage.
+    idle_read = datetime.timedelta(milliseconds=node_settings.platform.poll_wait_ms)
+    seeds = settings.parse_seeds(node_settings.node.seeds)
+    return catch_ups.CatchUpSettings(
+        silence=idle_read + _OUTAGE_MARGIN,
+        seeds=tuple(catch_ups.seed_of(address, port) for address, port in seeds),
     )
 
 
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -8,7 +8,7 @@
 import zmq
 import zmq.asyncio
 
-from chiveridge_kernel import actions, events, peers, vms
+from chiveridge_kernel import actions, events, peers, records, snapshots, vms
 from chiveridge_node import drops, links_zmq, logevents, metrics, plugins
 
 MAX_REQUESTS_IN_PROGRESS = 4096
@@ -24,6 +24,8 @@
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
         self._links_by_endpoint: dict[tuple[str, int], links_zmq.Link] = {}
+        self._encoding = asyncio.Lock()
+        self._chunks: list[records.SnapshotRecord] = []
         self._request_ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
         self._drops = drops.DropCounter(time.monotonic)
@@ -45,6 +47,8 @@
         self._node.requests.forwarder.exchange = self.exchange
         self._node.shell.perform_with(actions.SendToPeer, self.send)
         self._node.shell.perform_with(actions.DisconnectPeer, self.disconnect)
+        self._node.shell.perform_with(actions.ReplyToPeer, self._reply)
+        self._node.shell.perform_with(actions.SendSnapshot, self._send_snapshot)
 
     async def close(self) -> None:
         """Close every socket."""
@@ -95,6 +99,25 @@
         if link is not None:
             self._close_link(link)
 
+    def _reply(self, action: actions.ReplyToPeer) -> None:
+        """Send a message back without waiting; it is dropped when the peer has gone."""
+        parts = [action.route, peers.encode(action.message)]
+        # Retrieves the exception of a send that would block.
+        self._router.send_multipart(parts, zmq.NOBLOCK).exception()
+
+    def _send_snapshot(self, action: actions.SendSnapshot) -> None:
+        self._in_background(self._send_chunks(action.route, action.snapshot))
+
+    async def _send_chunks(self, route: bytes, snapshot: snapshots.Snapshot) -> None:
+        """Send the chunks, encoded once for each offset."""
+        async with self._encoding:
+            if not self._chunks or self._chunks[0].base != snapshot.base:
+                self._chunks = await asyncio.to_thread(snapshots.encode, snapshot)
+            chunks = self._chunks
+        for chunk in chunks:
+            data = peers.encode(peers.ConfigurationChunk(chunk=chunk))
+            await self._router.send_multipart([route, data])
+
     def _link(self, peer: vms.Vm) -> links_zmq.Link:
         endpoint = _endpoint(peer)
         link = self._links_by_endpoint.get(endpoint)
--- a/packages/node/chiveridge_node/statuses.py
+++ b/packages/node/chiveridge_node/statuses.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chiveridge_kernel import clocks, kernels, members
+from chiveridge_kernel import catch_ups, clocks, kernels, members
 
 
 class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -19,7 +19,12 @@
 
 
 class NodeStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """A node's view of the system, for operators."""
+    """A node's view of the system, for operators.
+
+    Staleness is the time since the platform's log or list of VMs was last read, None when it
+    never was; ``config_is_complete`` is false while records have expired before they were
+    read and no snapshot of them was found.
+    """
 
     name: str
     domain: str
@@ -27,6 +32,9 @@
     ready: bool
     draining: bool
     config_offset: int
+    config_staleness_s: float | None
+    config_is_complete: bool
+    vms_staleness_s: float | None
     targets: list[str]
     nodes: list[str]
     live_nodes: list[str]
@@ -45,6 +53,9 @@
         ready=kernel.is_ready(),
         draining=kernel.draining,
         config_offset=kernel.configuration.offset,
+        config_staleness_s=catch_ups.staleness_s(kernel.catch_up.log_read_at, now),
+        config_is_complete=not kernel.follower.is_scanning,
+        vms_staleness_s=catch_ups.staleness_s(kernel.catch_up.vms_read_at, now),
         targets=sorted(kernel.target_table.vms_by_name),
         nodes=sorted(table.vms_by_name),
         live_nodes=table.live_names(),
