--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -53,12 +53,6 @@
     message: peers.PeerMessage
 
 
-class DisconnectPeer(msgspec.Struct, frozen=True, kw_only=True):
-    """Close the connection to a node, which is gone or silent; a later message opens another."""
-
-    peer: vms.Vm
-
-
 class ReplyToPeer(msgspec.Struct, frozen=True, kw_only=True):
     """Send a message back by the way that another came; it may be lost."""
 
@@ -79,6 +73,12 @@
     snapshot: snapshots.Snapshot
 
 
+class DisconnectPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """Close the connection to a node, which is gone or silent; a later message opens another."""
+
+    peer: vms.Vm
+
+
 class NoteChange(msgspec.Struct, frozen=True, kw_only=True):
     """Write the verdict on a configuration record to the audit trail."""
 
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -41,9 +41,9 @@
     incarnation: identifiers.Incarnation
     secret: bytes
     policy: str = policies.DEFAULT
-    heartbeat: heartbeats.HeartbeatSettings = heartbeats.HeartbeatSettings()
     snapshots: snapshot_schedules.SnapshotSettings = snapshot_schedules.SnapshotSettings()
     catch_up: catch_ups.CatchUpSettings = catch_ups.CatchUpSettings()
+    heartbeat: heartbeats.HeartbeatSettings = heartbeats.HeartbeatSettings()
 
 
 class UsedId(msgspec.Struct):
@@ -68,13 +68,13 @@
         self.dispatcher = dispatchers.Dispatcher(
             self.reach, self.target_table, self.members, rng, settings.policy, settings.incarnation
         )
-        self.heartbeats = heartbeats.Heartbeats(
-            settings.heartbeat, self.members, settings.incarnation, rng
-        )
         self.revoker = revocations.Revoker(self.dispatcher, self.reach)
         self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
         self.follower = followers.Follower(self.configuration, self.snapshot_schedule.saw_chunk)
         self.catch_up = catch_ups.CatchUp(settings.catch_up, self.configuration, self.members, rng)
+        self.heartbeats = heartbeats.Heartbeats(
+            settings.heartbeat, self.members, settings.incarnation, rng
+        )
         self.draining = False
         self.has_listing = False
         self._used_by_id: dict[identifiers.SubmissionId, UsedId] = {}
@@ -104,8 +104,8 @@
         moments = (
             self.dispatcher.next_deadline(),
             self.target_table.next_expiry(),
-            self.heartbeats.next_due(),
             self.dispatcher.policy.next_wakeup(),
+            self.heartbeats.next_due(),
         )
         return min((moment for moment in moments if moment is not None), default=None)
 
@@ -294,12 +294,12 @@
     if kernel.target_table.expire(now):
         kernel.dispatcher.place_waiting(now)
     kernel.dispatcher.policy.ticked(now)
-    kernel.heartbeats.offset = kernel.configuration.offset
-    kernel.dispatcher.outbox.extend(kernel.heartbeats.tick(now))
     outbox = kernel.dispatcher.outbox
     if kernel.snapshot_schedule.take_due(now):
         outbox.append(actions.AppendSnapshot(snapshot=kernel.configuration.snapshot()))
     outbox.extend(kernel.catch_up.ask_if_due(now, kernel.follower.is_scanning))
+    kernel.heartbeats.offset = kernel.configuration.offset
+    kernel.dispatcher.outbox.extend(kernel.heartbeats.tick(now))
 
 
 @_handle.register
@@ -321,11 +321,6 @@
     kernel.dispatcher.policy.received(message, now)
 
 
-@_take_message.register
-def _(message: peers.Heartbeat, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
-    kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
-
-
 @_take_message.register
 def _(
     message: peers.ConfigurationAsk, kernel: Kernel, route: bytes, now: datetime.datetime
@@ -346,3 +341,8 @@
 def _(message: peers.ListingReply, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
     if kernel.catch_up.listing is None:
         kernel.take_listing(message.listing, now)
+
+
+@_take_message.register
+def _(message: peers.Heartbeat, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -71,30 +71,6 @@
     retry_after_ms: int | None = None
 
 
-class Heartbeat(
-    msgspec.Struct,
-    frozen=True,
-    kw_only=True,
-    omit_defaults=True,
-    tag="hb",
-    rename=_HEARTBEAT_KEYS_BY_FIELD.get,
-):
-    """Tells that an incarnation of a node runs, and what it has applied.
-
-    ``sequence`` counts the heartbeats of this incarnation to the receiver; ``echo`` is the
-    last sequence that the sender has from the receiver. ``offset`` is the applied offset of
-    the configuration. ``leaving`` tells that the node drains.
-    """
-
-    sender: identifiers.NodeName
-    incarnation: identifiers.Incarnation
-    sequence: Annotated[int, msgspec.Meta(ge=1)]
-    echo: Annotated[int, msgspec.Meta(ge=0)] = 0
-    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
-    leaving: bool = False
-    reply_wanted: bool = False
-
-
 class SlotRequest(msgspec.Struct, frozen=True, kw_only=True, tag="slot_request"):
     """Asks the owner of targets for slots; it replaces an earlier request of the demand.
 
@@ -175,6 +151,30 @@
     listing: vms.VmList
 
 
+class Heartbeat(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag="hb",
+    rename=_HEARTBEAT_KEYS_BY_FIELD.get,
+):
+    """Tells that an incarnation of a node runs, and what it has applied.
+
+    ``sequence`` counts the heartbeats of this incarnation to the receiver; ``echo`` is the
+    last sequence that the sender has from the receiver. ``offset`` is the applied offset of
+    the configuration. ``leaving`` tells that the node drains.
+    """
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    sequence: Annotated[int, msgspec.Meta(ge=1)]
+    echo: Annotated[int, msgspec.Meta(ge=0)] = 0
+    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
+    leaving: bool = False
+    reply_wanted: bool = False
+
+
 PeerMessage = (
     CallerRequest
     | CallerReply
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -116,14 +116,14 @@
         incarnation=identifiers.Incarnation(_new_incarnation()),
         secret=secrets.token_bytes(_SECRET_BYTES),
         policy=node_settings.placement.policy,
+        snapshots=_snapshot_settings(node_settings.snapshots),
+        catch_up=_catch_up_settings(node_settings),
         heartbeat=heartbeats.HeartbeatSettings(
             interval=datetime.timedelta(milliseconds=node_settings.membership.heartbeat_ms),
             bytes_per_second=node_settings.membership.bytes_per_second,
             suspect_intervals=node_settings.membership.suspect_heartbeats,
             dead_intervals=node_settings.membership.dead_heartbeats,
         ),
-        snapshots=_snapshot_settings(node_settings.snapshots),
-        catch_up=_catch_up_settings(node_settings),
     )
 
 
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -23,9 +23,9 @@
         self._node = node
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
-        self._links_by_endpoint: dict[tuple[str, int], links_zmq.Link] = {}
         self._encoding = asyncio.Lock()
         self._chunks: list[records.SnapshotRecord] = []
+        self._links_by_endpoint: dict[tuple[str, int], links_zmq.Link] = {}
         self._request_ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
         self._drops = drops.DropCounter(time.monotonic)
@@ -46,9 +46,9 @@
         self._in_background(self._close_idle_links())
         self._node.requests.forwarder.exchange = self.exchange
         self._node.shell.perform_with(actions.SendToPeer, self.send)
-        self._node.shell.perform_with(actions.DisconnectPeer, self.disconnect)
         self._node.shell.perform_with(actions.ReplyToPeer, self._reply)
         self._node.shell.perform_with(actions.SendSnapshot, self._send_snapshot)
+        self._node.shell.perform_with(actions.DisconnectPeer, self.disconnect)
 
     async def close(self) -> None:
         """Close every socket."""
@@ -93,17 +93,11 @@
         if not link.send(peers.encode(action.message)):
             self._report_lost(link)
 
-    def disconnect(self, action: actions.DisconnectPeer) -> None:
-        """Close the connection to a peer; the next message opens another."""
-        link = self._links_by_endpoint.get(_endpoint(action.peer))
-        if link is not None:
-            self._close_link(link)
-
     def _reply(self, action: actions.ReplyToPeer) -> None:
         """Send a message back without waiting; it is dropped when the peer has gone."""
         parts = [action.route, peers.encode(action.message)]
-        # Retrieves the exception of a send that would block.
-        self._router.send_multipart(parts, zmq.NOBLOCK).exception()
+        sending = self._router.send_multipart(parts, zmq.NOBLOCK)
+        sending.add_done_callback(_ignore_dropped)
 
     def _send_snapshot(self, action: actions.SendSnapshot) -> None:
         self._in_background(self._send_chunks(action.route, action.snapshot))
@@ -118,6 +112,12 @@
             data = peers.encode(peers.ConfigurationChunk(chunk=chunk))
             await self._router.send_multipart([route, data])
 
+    def disconnect(self, action: actions.DisconnectPeer) -> None:
+        """Close the connection to a peer; the next message opens another."""
+        link = self._links_by_endpoint.get(_endpoint(action.peer))
+        if link is not None:
+            self._close_link(link)
+
     def _link(self, peer: vms.Vm) -> links_zmq.Link:
         endpoint = _endpoint(peer)
         link = self._links_by_endpoint.get(endpoint)
@@ -196,6 +196,11 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _ignore_dropped(sending: asyncio.Future) -> None:
+    if not sending.cancelled() and isinstance(sending.exception(), zmq.Again):
+        return
+
+
 def _endpoint(peer: vms.Vm) -> tuple[str, int]:
     return peer.address, peer.peer_port
 
