Measure what a task costs a node

Nothing said how many starts a core carries, nor what a task holds in memory. The cost command saturates one node through real sockets, fills another with 10,000 running tasks, times the decisions of kernels joined in memory over growing numbers, and can profile the node.

--- /dev/null
+++ b/packages/load/chiveridge_load/costs.py
@@ -0,0 +1,130 @@
+"""Command that measures what a task costs a node: processor time, memory and slopes.
+
+Usage: ``python -m chiveridge_load.costs --out=build/costs.json``
+"""
+
+import asyncio
+import datetime
+import os
+import pathlib
+import pstats
+import tempfile
+
+import absl.app
+import msgspec
+from absl import flags, logging
+
+from chiveridge_load import saturations, slopes, suites
+
+JOB_SIZES = (1, 8, 64, 740)
+PROFILE_JOB_SIZE = 8
+PROFILE_LINES = 40
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that the command measured; ``command`` and ``cores`` say how and where."""
+
+    command: str
+    cores: int
+    seconds: float
+    policy: str
+    saturations: list[saturations.Cost]
+    memory: saturations.Memory | None
+    slopes: list[slopes.Slope]
+
+
+def main(_argv: list[str]) -> None:
+    """Run the command."""
+    options = flags.FLAGS
+    out = pathlib.Path(options.out)
+    out.parent.mkdir(parents=True, exist_ok=True)
+    report = asyncio.run(_measure(options))
+    content = msgspec.json.format(msgspec.json.encode(report), indent=1)
+    out.write_bytes(content + b"\n")
+    print(_table(report))
+    if options.profile:
+        print(asyncio.run(_profile(options, out.with_suffix(".profile.txt"))))
+
+
+async def _measure(options: flags.FlagValues) -> Report:
+    policy = options.policy or suites.chosen_policy()
+    return Report(
+        command=f"python -m chiveridge_load.costs --policy={policy} --seconds={options.seconds:g}",
+        cores=os.cpu_count() or 0,
+        seconds=options.seconds,
+        policy=policy,
+        saturations=await _saturations(policy, options),
+        memory=await saturations.memory(policy) if options.memory else None,
+        slopes=_slopes(policy, options),
+    )
+
+
+async def _saturations(policy: str, options: flags.FlagValues) -> list[saturations.Cost]:
+    plan = saturations.plan(policy)
+    async with saturations.ready_fleet(plan) as fleet:
+        found = []
+        for size in JOB_SIZES:
+            logging.info("saturating one node with jobs of %d tasks", size)
+            found.append(await saturations.saturate(fleet, size, _duration(options)))
+        return found
+
+
+def _slopes(policy: str, options: flags.FlagValues) -> list[slopes.Slope]:
+    if not options.slopes:
+        return []
+    logging.info("timing the decisions of %s", policy)
+    return [slopes.measure(axis, policy, options.seed) for axis in slopes.SIZES_BY_AXIS]
+
+
+async def _profile(options: flags.FlagValues, out: pathlib.Path) -> str:
+    """Profile a saturated node; return where the report is, sorted by the time in functions."""
+    policy = options.policy or suites.chosen_policy()
+    with tempfile.TemporaryDirectory(prefix="chiveridge-profile-") as directory:
+        plan = saturations.plan(policy, profiles=directory)
+        async with saturations.ready_fleet(plan) as fleet:
+            await saturations.saturate(fleet, PROFILE_JOB_SIZE, _duration(options))
+        path = pathlib.Path(directory, f"{saturations.NODE}.prof")
+        with out.open("w") as stream:
+            stats = pstats.Stats(str(path), stream=stream).strip_dirs()
+            stats.sort_stats("tottime").print_stats(PROFILE_LINES)
+    return f"profile written to {out}"
+
+
+def _duration(options: flags.FlagValues) -> datetime.timedelta:
+    return datetime.timedelta(seconds=options.seconds)
+
+
+def _table(report: Report) -> str:
+    lines = [f"{'job size':>8} {'starts/s':>9} {'per core':>9} {'us/task':>8} {'node MB':>8}"]
+    lines += [
+        f"{cost.job_size:>8} {cost.starts_per_second:>9.0f} {cost.starts_per_core:>9.0f} "
+        f"{cost.us_per_task:>8.0f} {cost.memory_mb:>8.0f}"
+        for cost in report.saturations
+    ]
+    if report.memory is not None:
+        memory = report.memory
+        lines.append(
+            f"{memory.tasks} tasks in progress: {memory.memory_mb:.0f} MB, idle "
+            f"{memory.idle_mb:.0f} MB, {memory.bytes_per_task:.0f} bytes a task"
+        )
+    for slope in report.slopes:
+        times = "  ".join(
+            f"{size}: {us:.0f}" for size, us in zip(slope.sizes, slope.us_per_task, strict=True)
+        )
+        lines.append(f"us a task over {slope.axis:<8} {times}  growth {slope.growth:.2f}")
+    return "\n".join(lines)
+
+
+def _define_flags() -> None:
+    flags.DEFINE_string("policy", "", "Placement policy; the chosen one when empty.")
+    flags.DEFINE_float("seconds", 5, "Length of each saturation.", lower_bound=1)
+    flags.DEFINE_integer("seed", 1, "Seed of the timed decisions.")
+    flags.DEFINE_bool("memory", True, "Measure the memory of 10,000 tasks in progress.")
+    flags.DEFINE_bool("slopes", True, "Time the decisions over growing numbers.")
+    flags.DEFINE_bool("profile", False, "Profile a saturated node as well.")
+    flags.DEFINE_string("out", "build/costs.json", "Report to write, as JSON.")
+
+
+if __name__ == "__main__":
+    _define_flags()
+    absl.app.run(main)
--- a/packages/load/chiveridge_load/deployments.py
+++ b/packages/load/chiveridge_load/deployments.py
@@ -46,13 +46,19 @@
 
 
 def first_change(
-    teams: list[TeamPlan], target_names: list[str], changed_at: str = "2026-01-01T00:00:00Z"
+    teams: list[TeamPlan],
+    target_names: list[str],
+    changed_at: str = "2026-01-01T00:00:00Z",
+    rules: int = 1,
 ) -> records.ChangeRecord:
-    """Return the first change of a log: it lets every team reach every target."""
+    """Return the first change of a log: it lets every team reach every target.
+
+    More ``rules`` than one say the same again.
+    """
     team_names = [team.name for team in teams]
     writes = [_team_write(team) for team in teams]
     writes += [_target_write(name, team_names) for name in target_names]
-    writes.append(_rule_write())
+    writes += [_rule_write(number) for number in range(rules)]
     return records.ChangeRecord(
         change_id="first-change", actor="operator", changed_at=changed_at, writes=writes
     )
@@ -74,8 +80,9 @@
     return records.ObjectWrite(kind=records.ObjectKind.TARGET, name=name, target=value)
 
 
-def _rule_write() -> records.ObjectWrite:
-    rule = records.RuleObject(name=ALL_TEAMS_RULE, targets="kind=dryer")
+def _rule_write(number: int) -> records.ObjectWrite:
+    name = f"{ALL_TEAMS_RULE}-{number}" if number else ALL_TEAMS_RULE
+    rule = records.RuleObject(name=name, targets="kind=dryer")
     return records.ObjectWrite(kind=records.ObjectKind.RULE, name=rule.name, rule=rule)
 
 
--- /dev/null
+++ b/packages/load/chiveridge_load/saturations.py
@@ -0,0 +1,172 @@
+"""Loads one node through real sockets as far as it goes, and measures what a task costs it."""
+
+import asyncio
+import contextlib
+import datetime
+import time
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+
+from chiveridge_client import clients
+from chiveridge_kernel import messages
+from chiveridge_load import deployments, usages
+from chiveridge_standins import fleets, members
+
+DOMAIN = "ikeja"
+NODE = f"{DOMAIN}-e1"
+TEAM = deployments.TeamPlan(name="dispatch-desk", secret="cost-secret-of-no-value")
+
+TARGETS = 24
+TARGETS_PER_PROCESS = 4
+SLOTS = 64
+TASKS_IN_PROGRESS = 256
+"""Tasks that the callers keep at the node while they saturate it."""
+
+MIN_CALLERS = 2
+IDS_PER_REQUEST = 200
+WARMUP = datetime.timedelta(seconds=1)
+
+MEMORY_TASKS = 10_000
+MEMORY_SLOTS = 500
+MEMORY_RUN_MS = 15_000
+MEMORY_TIMEOUT_S = 60
+POLL_S = 0.1
+
+
+class Cost(msgspec.Struct, frozen=True, kw_only=True):
+    """Cost of a task at a saturated node; ``starts_per_core`` counts a second of its processor."""
+
+    job_size: int
+    tasks: int
+    starts_per_second: float
+    starts_per_core: float
+    us_per_task: float
+    memory_mb: float
+
+
+class Memory(msgspec.Struct, frozen=True, kw_only=True):
+    """Resident memory of a node with tasks in progress."""
+
+    tasks: int
+    idle_mb: float
+    memory_mb: float
+    bytes_per_task: float
+
+
+class _Status(msgspec.Struct):
+    starts_in_progress: int
+
+
+def plan(policy: str, profiles: str = "") -> fleets.FleetPlan:
+    """Return a fleet of one node with targets that are never the limit."""
+    return fleets.FleetPlan(
+        domains={DOMAIN: fleets.DomainPlan(nodes=1, targets=TARGETS)},
+        slots=SLOTS,
+        targets_per_process=TARGETS_PER_PROCESS,
+        settings={
+            "placement": {"policy": policy},
+            "targets": {"connections_per_target": str(SLOTS)},
+        },
+        profiles=profiles,
+    )
+
+
+@contextlib.asynccontextmanager
+async def ready_fleet(fleet_plan: fleets.FleetPlan) -> AsyncIterator[fleets.Fleet]:
+    """Run a fleet in which the team may reach every target."""
+    async with fleets.Fleet(fleet_plan) as fleet:
+        change = deployments.first_change([TEAM], list(fleet.targets_by_name))
+        await fleet.append_change(msgspec.to_builtins(change))
+        await fleet.wait_ready()
+        yield fleet
+
+
+async def saturate(fleet: fleets.Fleet, job_size: int, duration: datetime.timedelta) -> Cost:
+    """Submit jobs of empty tasks without a pause and measure the node after a warm-up."""
+    callers = max(TASKS_IN_PROGRESS // job_size, MIN_CALLERS)
+    counter = _Counter()
+    urls = fleet.node_urls()
+    pid = fleet.pid(NODE)
+    async with clients.Client(urls, TEAM.credential, id_batch_size=IDS_PER_REQUEST) as client:
+        calling = [asyncio.create_task(_call(client, job_size, counter)) for _ in range(callers)]
+        await asyncio.sleep(WARMUP.total_seconds())
+        tasks, cpu_s, began = counter.tasks, usages.cpu_s(pid), time.monotonic()
+        await asyncio.sleep(duration.total_seconds())
+        tasks, cpu_s = counter.tasks - tasks, usages.cpu_s(pid) - cpu_s
+        elapsed_s = time.monotonic() - began
+        memory_mb = usages.memory_mb(pid)
+        counter.stopped = True
+        await asyncio.gather(*calling)
+    return Cost(
+        job_size=job_size,
+        tasks=tasks,
+        starts_per_second=tasks / elapsed_s,
+        starts_per_core=tasks / cpu_s,
+        us_per_task=cpu_s / tasks * 1e6,
+        memory_mb=memory_mb,
+    )
+
+
+async def memory(policy: str) -> Memory:
+    """Measure a node that has :data:`MEMORY_TASKS` tasks running on targets."""
+    changes = {"slots": MEMORY_SLOTS, "targets_per_process": 1}
+    fleet_plan = msgspec.structs.replace(plan(policy), **changes)
+    fleet_plan.settings["targets"]["connections_per_target"] = str(MEMORY_SLOTS)
+    async with ready_fleet(fleet_plan) as fleet:
+        for target in fleet.targets_by_name.values():
+            await target.control(max_connections=MEMORY_SLOTS)
+        idle_mb = usages.memory_mb(fleet.pid(NODE))
+        return await _fill(fleet, idle_mb)
+
+
+async def _fill(fleet: fleets.Fleet, idle_mb: float) -> Memory:
+    sizes = _job_sizes(MEMORY_TASKS)
+    async with clients.Client(fleet.node_urls(), TEAM.credential) as client:
+        jobs = [asyncio.create_task(client.submit(_tasks(size, MEMORY_RUN_MS))) for size in sizes]
+        started = await _wait_for_starts(fleet, MEMORY_TASKS)
+        memory_mb = usages.memory_mb(fleet.pid(NODE))
+        await asyncio.gather(*jobs)
+    extra_bytes = (memory_mb - idle_mb) * 1024 * 1024
+    return Memory(
+        tasks=started,
+        idle_mb=idle_mb,
+        memory_mb=memory_mb,
+        bytes_per_task=extra_bytes / started,
+    )
+
+
+async def _wait_for_starts(fleet: fleets.Fleet, count: int) -> int:
+    url = f"{fleet.node_urls()[0]}/v1/status"
+    started = 0
+    async with aiohttp.ClientSession() as session, asyncio.timeout(MEMORY_TIMEOUT_S):
+        while started < count:
+            await asyncio.sleep(POLL_S)
+            content = await members.request(session, "GET", url)
+            started = msgspec.json.decode(content, type=_Status).starts_in_progress
+    return started
+
+
+def _job_sizes(tasks: int) -> list[int]:
+    """Return the sizes of the largest jobs that make a number of tasks."""
+    whole, rest = divmod(tasks, messages.MAX_TASKS_PER_JOB)
+    return [messages.MAX_TASKS_PER_JOB] * whole + ([rest] if rest else [])
+
+
+class _Counter:
+    def __init__(self) -> None:
+        self.tasks = 0
+        self.stopped = False
+
+
+async def _call(client: clients.Client, job_size: int, counter: _Counter) -> None:
+    tasks = _tasks(job_size, run_ms=0)
+    while not counter.stopped:
+        answer = await client.submit(tasks)
+        counter.tasks += len(answer.tasks)
+
+
+def _tasks(count: int, run_ms: int) -> list[messages.TaskSpec]:
+    body = msgspec.Raw(msgspec.json.encode({"run_ms": run_ms}))
+    return [messages.TaskSpec(body=body)] * count
--- a/packages/standins/chiveridge_standins/configs.py
+++ b/packages/standins/chiveridge_standins/configs.py
@@ -1,6 +1,7 @@
 """INI files that the fleet gives to its nodes."""
 
 import configparser
+import pathlib
 
 from chiveridge_standins import servers
 
@@ -27,3 +28,12 @@
     config["placement"] = {"policy": "power_of_two"}
     config.read_dict(settings)
     return config
+
+
+def node_command(name: str, config: pathlib.Path, profiles: str) -> tuple[str, list[str]]:
+    """Return the module to run for a node, under cProfile if ``profiles`` names a directory."""
+    arguments = ["--config", str(config)]
+    if not profiles:
+        return "chiveridge_node", arguments
+    profile = pathlib.Path(profiles, f"{name}.prof")
+    return "cProfile", ["-o", str(profile), "-m", "chiveridge_node", *arguments]
--- a/packages/standins/chiveridge_standins/fleets.py
+++ b/packages/standins/chiveridge_standins/fleets.py
@@ -35,7 +35,8 @@
 
     ``slots``, ``memory_mb`` and ``cores`` are those of each target. ``settings`` adds to the
     nodes' INI files, by section and key. ``proxied`` names what has a proxy in front: targets,
-    nodes (their peer ports) and ``platform``, which only the nodes reach by its proxy.
+    nodes (their peer ports) and ``platform``, which only the nodes reach by its proxy. With
+    ``profiles``, a directory, the nodes run under cProfile and leave ``NAME.prof`` there.
     """
 
     domains: dict[str, DomainPlan]
@@ -45,6 +46,7 @@
     settings: dict[str, dict[str, str]] = {}
     targets_per_process: int = 8
     proxied: frozenset[str] = frozenset()
+    profiles: str = ""
 
 
 class Fleet:
@@ -133,8 +135,8 @@
         await self._stop_process(name)
         process = self._new_process(name)
         config = self._write_config(name, domain)
-        arguments = ["--config", str(config)]
-        listening = await process.start("chiveridge_node", arguments, members.NodeListening)
+        module, arguments = configs.node_command(name, config, self.plan.profiles)
+        listening = await process.start(module, arguments, members.NodeListening)
         node = members.Node(name, domain, listening)
         self.nodes_by_name[name] = node
         await self.put_vm(await self._node_vm(node))
@@ -152,6 +154,10 @@
         ]
         await asyncio.gather(*(self._wait_node_ready(node, timeout_s) for node in running))
 
+    def pid(self, name: str) -> int:
+        """Return the process id of a node, a target or the platform."""
+        return self._process(name).pid
+
     def stderr_tail(self, name: str) -> str:
         """Return the end of what a process wrote to standard error."""
         return self._process(name).stderr_tail()
--- a/packages/standins/chiveridge_standins/processes.py
+++ b/packages/standins/chiveridge_standins/processes.py
@@ -32,6 +32,16 @@
         """Exit code, negative for a signal, or nothing while the process runs."""
         return None if self._child is None else self._child.returncode
 
+    @property
+    def pid(self) -> int:
+        """Process id.
+
+        :raises ProcessError: when the process was not started.
+        """
+        if self._child is None:
+            raise ProcessError(f"{self.name} was not started")
+        return self._child.pid
+
     async def start(self, module: str, arguments: list[str], announcement: type[T]) -> T:
         """Run a module and return the announcement that it prints when it listens.
 
