--- a/packages/load/chiveridge_load/benches.py
+++ b/packages/load/chiveridge_load/benches.py
@@ -10,6 +10,7 @@
 import absl.app
 from absl import flags, logging
 
+from chiveridge_kernel import policies
 from chiveridge_load import deployments, plots, reports, runs, scenarios, suites, workloads
 
 DEFAULT_OUT = "build/bench.json"
@@ -45,7 +46,7 @@
         for scenario in options.scenario
         for load in options.load
         for mean in options.job_mean
-        for policy in options.policy or [suites.chosen_policy()]
+        for policy in options.policy or [policies.DEFAULT]
     ]
 
 
--- a/packages/load/chiveridge_load/costs.py
+++ b/packages/load/chiveridge_load/costs.py
@@ -14,7 +14,8 @@
 import msgspec
 from absl import flags, logging
 
-from chiveridge_load import saturations, slopes, suites
+from chiveridge_kernel import policies
+from chiveridge_load import saturations, slopes
 
 JOB_SIZES = (1, 8, 64, 740)
 PROFILE_JOB_SIZE = 8
@@ -47,7 +48,7 @@
 
 
 async def _measure(options: flags.FlagValues) -> Report:
-    policy = options.policy or suites.chosen_policy()
+    policy = options.policy or policies.DEFAULT
     return Report(
         command=f"python -m chiveridge_load.costs --policy={policy} --seconds={options.seconds:g}",
         cores=os.cpu_count() or 0,
@@ -78,7 +79,7 @@
 
 async def _profile(options: flags.FlagValues, out: pathlib.Path) -> str:
     """Profile a saturated node; return where the report is, sorted by the time in functions."""
-    policy = options.policy or suites.chosen_policy()
+    policy = options.policy or policies.DEFAULT
     with tempfile.TemporaryDirectory(prefix="chiveridge-profile-") as directory:
         plan = saturations.plan(policy, profiles=directory)
         async with saturations.ready_fleet(plan) as fleet:
--- a/packages/load/chiveridge_load/suites.py
+++ b/packages/load/chiveridge_load/suites.py
@@ -2,10 +2,9 @@
 
 import msgspec
 
-from chiveridge_kernel import placements
+from chiveridge_kernel import policies
 from chiveridge_load import scenarios, traces
 
-PREFERRED_POLICY = "owners"
 BASELINE_POLICIES = ("power_of_two", "round_robin", "random")
 STEADY_LOADS = (0.8, 0.5)
 JOB_MEANS = (8.0, 1.0)
@@ -37,15 +36,9 @@
         return scenarios.SCENARIOS_BY_NAME[self.scenario].options(asked)
 
 
-def chosen_policy() -> str:
-    """Return the policy that the benchmark is about: the preferred one where it exists."""
-    known = PREFERRED_POLICY in placements.names()
-    return PREFERRED_POLICY if known else BASELINE_POLICIES[0]
-
-
 def full(seed: int) -> list[Case]:
     """Return all cases; baselines run only the steady 80%."""
-    chosen = chosen_policy()
+    chosen = policies.DEFAULT
     baselines = [policy for policy in BASELINE_POLICIES if policy != chosen]
     cases = [
         _steady(policy, MAIN_DEPLOYMENT, STEADY_LOADS[0], mean, seed)
--- a/packages/load/tests/test_meshes.py
+++ b/packages/load/tests/test_meshes.py
@@ -1,6 +1,6 @@
 import pytest
 
-from chiveridge_kernel import placements
+from chiveridge_kernel import policies
 from chiveridge_load import meshes, slopes
 
 
@@ -9,7 +9,7 @@
     return meshes.Mesh(plan, seed=1)
 
 
-@pytest.mark.parametrize("policy", placements.names())
+@pytest.mark.parametrize("policy", policies.names())
 def test_every_job_starts_and_is_answered(policy):
     mesh = _mesh(policy)
     for _ in range(10):
