--- /dev/null
+++ b/packages/load/chiveridge_load/pages.py
@@ -0,0 +1,180 @@
+"""Command that writes the results page and its plots from the reports.
+
+Usage: ``python -m chiveridge_load.pages --bench=build/bench.json --page=docs/results.md``
+"""
+
+import pathlib
+
+import absl.app
+import msgspec
+from absl import flags
+
+from chiveridge_load import costs, plots, reports
+
+IMAGES = "images"
+
+_HEADER = """# Results
+
+Written by `python -m chiveridge_load.pages` from the reports of `make bench` and
+`python -m chiveridge_load.costs`. [load-tool.md](load-tool.md) explains the scenarios, the ratios
+and the bound.
+"""
+
+
+def page(rows: list[reports.Row], report: costs.Report | None, images: list[str]) -> str:
+    """Return the results page in Markdown; ``images`` are paths relative to it."""
+    steady = [row for row in rows if row.scenario == "steady"]
+    others = [row for row in rows if row.scenario != "steady"]
+    missed = [(row, limit) for row in rows for limit in row.limits if not limit.passed]
+    parts = [
+        _HEADER,
+        _verdict(rows),
+        "## Steady load\n",
+        _steady_table(steady),
+        "\n".join(f"![{_image_title(image)}]({image})\n" for image in images),
+        "## Other scenarios\n",
+        _limits_table(others),
+        "## Limits missed\n",
+        _missed_list(missed),
+    ]
+    if report is not None:
+        parts += ["## Cost of a task\n", _costs(report)]
+    return "\n".join(parts)
+
+
+def _verdict(rows: list[reports.Row]) -> str:
+    passed = sum(row.passed for row in rows)
+    wrong = sum(row.wrong_answers for row in rows)
+    jobs = sum(row.jobs for row in rows)
+    return f"{passed} of {len(rows)} runs kept every limit; {jobs} jobs, {wrong} wrong answers.\n"
+
+
+def _steady_table(rows: list[reports.Row]) -> str:
+    header = [
+        "deployment",
+        "load",
+        "mean tasks",
+        "policy",
+        "p50",
+        "bound",
+        "p99",
+        "bound",
+        "wasted",
+        "limits",
+    ]
+    lines = [
+        [
+            row.deployment,
+            f"{row.load:.0%}",
+            f"{row.job_mean:g}",
+            row.policy,
+            f"{row.p50_ratio:.3f}",
+            f"{row.p50_bound:.3f}",
+            f"{row.p99_ratio:.3f}",
+            f"{row.p99_bound:.3f}",
+            f"{row.wasted_share:.3%}",
+            _word(row.passed),
+        ]
+        for row in sorted(rows, key=lambda row: (row.deployment, row.load, row.job_mean))
+    ]
+    return _table(header, lines)
+
+
+def _limits_table(rows: list[reports.Row]) -> str:
+    header = ["scenario", "policy", "measured", "value", "limit", "kept"]
+    lines = [
+        [
+            row.scenario,
+            row.policy,
+            limit.name,
+            f"{limit.measured:.3f}",
+            f"{'at least' if limit.at_least else 'at most'} {limit.limit:.3f}",
+            _word(limit.passed),
+        ]
+        for row in rows
+        for limit in row.limits
+    ]
+    return _table(header, lines)
+
+
+def _missed_list(missed: list[tuple[reports.Row, reports.LimitResult]]) -> str:
+    if not missed:
+        return "None.\n"
+    lines = [
+        f"- {row.scenario}, {row.deployment}, {row.policy}, load {row.load:.0%}, mean "
+        f"{row.job_mean:g}: {limit.name} {limit.measured:.3f}, limit {limit.limit:.3f}"
+        for row, limit in missed
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _costs(report: costs.Report) -> str:
+    lines = [
+        [
+            str(cost.job_size),
+            f"{cost.starts_per_second:.0f}",
+            f"{cost.starts_per_core:.0f}",
+            f"{cost.us_per_task:.0f}",
+            f"{cost.memory_mb:.0f}",
+        ]
+        for cost in report.saturations
+    ]
+    header = ["tasks a job", "starts/s", "starts/s and core", "us a task", "node MB"]
+    parts = [f"`{report.command}`, {report.cores} cores.\n", _table(header, lines)]
+    if report.memory is not None:
+        memory = report.memory
+        parts.append(
+            f"A node with {memory.tasks} tasks in progress holds {memory.memory_mb:.0f} MB, "
+            f"{memory.idle_mb:.0f} MB without: {memory.bytes_per_task:.0f} bytes a task.\n"
+        )
+    slopes = [
+        [
+            slope.axis,
+            ", ".join(map(str, slope.sizes)),
+            ", ".join(f"{us:.0f}" for us in slope.us_per_task),
+            ", ".join(f"{us:.0f}" for us in slope.us_per_tick),
+            f"{slope.growth:.2f}",
+        ]
+        for slope in report.slopes
+    ]
+    header = ["axis", "sizes", "us a task", "us a tick", "growth"]
+    return "\n".join([*parts, _table(header, slopes)])
+
+
+def _table(header: list[str], lines: list[list[str]]) -> str:
+    rule = ["---"] * len(header)
+    return "\n".join(f"| {' | '.join(cells)} |" for cells in [header, rule, *lines]) + "\n"
+
+
+def _word(passed: bool) -> str:
+    return "kept" if passed else "**missed**"
+
+
+def _image_title(image: str) -> str:
+    _, deployment, load, mean = pathlib.PurePath(image).stem.split("-")
+    return f"{deployment}, {load}% load, jobs of mean {mean}"
+
+
+def main(_argv: list[str]) -> None:
+    """Run the command."""
+    options = flags.FLAGS
+    target = pathlib.Path(options.page)
+    images = target.parent / IMAGES
+    images.mkdir(parents=True, exist_ok=True)
+    rows = reports.read(pathlib.Path(options.bench))
+    paths = plots.draw(rows, images)
+    names = [f"{IMAGES}/{path.name}" for path in paths]
+    target.write_text(page(rows, _read_costs(pathlib.Path(options.costs)), names))
+
+
+def _read_costs(path: pathlib.Path) -> costs.Report | None:
+    if not path.exists():
+        return None
+    return msgspec.json.decode(path.read_bytes(), type=costs.Report)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("bench", "build/bench.json", "Report of the benchmark.")
+    flags.DEFINE_string("costs", "build/costs.json", "Report of the costs, left out when missing.")
+    flags.DEFINE_string("page", "docs/results.md", "Page to write; plots go beside it.")
+    absl.app.run(main)
--- /dev/null
+++ b/packages/load/tests/test_pages.py
@@ -0,0 +1,84 @@
+import msgspec
+
+from chiveridge_load import costs, measurements, pages, reports, saturations, slopes
+
+QUANTILES = [1.0] * len(measurements.QUANTILES)
+
+
+def _row(**changes):
+    row = reports.Row(
+        scenario="steady",
+        deployment="lagos",
+        policy="owners",
+        load=0.8,
+        job_mean=8,
+        p50_ratio=1.01,
+        p99_ratio=1.9,
+        mean_ratio=1.1,
+        p50_bound=1.0,
+        p99_bound=1.5,
+        quantiles=QUANTILES,
+        bound_quantiles=QUANTILES,
+        wasted_share=0.0,
+        goodput_share=1.0,
+        refused_share=0.0,
+        wrong_answers=0,
+        jobs=1100,
+        jobs_by_code={"COMPLETE": 1100},
+        lateness_ms=2.0,
+        seed=1,
+        seconds=20,
+        faults=[],
+        limits=[
+            reports.LimitResult(
+                name="p99_ratio", measured=1.9, limit=1.65, at_least=False, passed=False
+            )
+        ],
+        passed=False,
+    )
+    return msgspec.structs.replace(row, **changes)
+
+
+def test_page_shows_tables_plots_and_what_was_missed():
+    burst = _row(scenario="burst", limits=[], passed=True)
+    text = pages.page([_row(), burst], None, ["images/steady-lagos-80-8.png"])
+    assert "1 of 2 runs kept every limit; 2200 jobs, 0 wrong answers." in text
+    assert "| lagos | 80% | 8 | owners | 1.010 | 1.000 | 1.900 | 1.500 |" in text
+    assert "![lagos, 80% load, jobs of mean 8](images/steady-lagos-80-8.png)" in text
+    assert "- steady, lagos, owners, load 80%, mean 8: p99_ratio 1.900, limit 1.650" in text
+    assert "Cost of a task" not in text
+
+
+def test_page_shows_costs_when_there_are_some():
+    report = costs.Report(
+        command="the command",
+        cores=4,
+        seconds=5,
+        policy="owners",
+        saturations=[
+            saturations.Cost(
+                job_size=8,
+                tasks=100,
+                starts_per_second=2000,
+                starts_per_core=2500,
+                us_per_task=400,
+                memory_mb=60,
+            )
+        ],
+        memory=saturations.Memory(tasks=10_000, idle_mb=50, memory_mb=150, bytes_per_task=10_000),
+        slopes=[
+            slopes.Slope(
+                axis="teams",
+                policy="owners",
+                sizes=[2, 160],
+                us_per_task=[90, 99],
+                us_per_tick=[10, 20],
+                growth=1.1,
+            )
+        ],
+    )
+    text = pages.page([_row(limits=[], passed=True)], report, [])
+    assert "| 8 | 2000 | 2500 | 400 | 60 |" in text
+    assert "10000 tasks in progress holds 150 MB" in text
+    assert "| teams | 2, 160 | 90, 99 | 10, 20 | 1.10 |" in text
+    assert "None." in text
