--- a/packages/load/tests/test_suites.py
+++ b/packages/load/tests/test_suites.py
@@ -1,6 +1,6 @@
 import collections
 
-from chiveridge_kernel import placements
+from chiveridge_kernel import policies
 from chiveridge_load import scenarios, suites
 
 CASES = suites.full(seed=1)
@@ -8,14 +8,14 @@
 
 def test_suite_has_every_scenario_under_a_known_policy():
     assert {case.scenario for case in CASES} == set(scenarios.SCENARIOS_BY_NAME)
-    assert {case.policy for case in CASES} <= set(placements.names())
+    assert {case.policy for case in CASES} <= set(policies.names())
 
 
 def test_steady_cases_cover_both_deployments_loads_and_sizes():
     covered = {
         (case.deployment, case.load, case.job_mean)
         for case in CASES
-        if case.scenario == "steady" and case.policy == suites.chosen_policy()
+        if case.scenario == "steady" and case.policy == policies.DEFAULT
     }
     assert covered == {
         (deployment, load, mean)
@@ -26,7 +26,7 @@
 
 
 def test_baselines_run_only_at_steady_80_percent():
-    others = [case for case in CASES if case.policy != suites.chosen_policy()]
+    others = [case for case in CASES if case.policy != policies.DEFAULT]
     assert {(case.scenario, case.load) for case in others} == {("steady", 0.8)}
 
 
