--- a/packages/load/chiveridge_load/meshes.py
+++ b/packages/load/chiveridge_load/meshes.py
@@ -58,7 +58,7 @@
         name = self._rng.choice(self._names)
         team = identifiers.TeamName(self._rng.choice(self._teams))
         kernel = self._kernels_by_name[name]
-        submission_id = kernel.issue(team, 1, self._now).submission_ids[0]
+        submission_id = kernel.admissions.issue(team, 1, self._now).submission_ids[0]
         submission = messages.Submission(
             submission_id=submission_id, tasks=[messages.TaskSpec()], deadline_ms=300_000
         )
