Bound what a node asks for, and do without owners that never answer

And a node whose owners are silent, such as one that boots while the platform is cut off, never started anything. Change: other owners are asked for the eight oldest demands of a team at a time, asks are repeated ever more seldom, and after three asks without any answer tasks start by the node's own counts. A slot returned unused now names its team; the owner's count of a team drifted upwards without it, which turned the fair order against quiet teams. The policy is split by side: demands, borrowers, slotreturns, lenders. Tests: the slots of no use and the silent owners fail on the old code, pass on the new; all of the kernel's tests pass.

--- a/packages/kernel/chiveridge_kernel/borrowers.py
+++ b/packages/kernel/chiveridge_kernel/borrowers.py
@@ -1,71 +1,29 @@
-"""The requester's side of slot sharing: demands of jobs, and the owners asked for slots."""
+"""The requester's side of slot sharing: asks owners for slots and starts tasks on them."""
 
-import collections
 import datetime
-import itertools
-import math
+import heapq
 
-from chiveridge_kernel import clocks, jobs, slotqueues
+from chiveridge_kernel import (
+    clocks,
+    demands,
+    identifiers,
+    jobs,
+    lenders,
+    owners,
+    peers,
+    placements,
+    slotqueues,
+    slotreturns,
+    vms,
+)
 
 ANSWER_TIME = datetime.timedelta(milliseconds=60)
-OWNER_PENALTY = datetime.timedelta(seconds=1)
-
-
-class Demand:
-    """Waiting tasks of a job that fit the same targets, and who was asked to serve them."""
-
-    def __init__(self, demand_id: int, job: jobs.Job, query: slotqueues.Query, expected_ms: float):
-        self.demand_id = demand_id
-        self.job = job
-        self.query = query
-        self.tasks: collections.deque[jobs.Task] = collections.deque()
-        self.arrived_at_ms = clocks.to_epoch_ms(job.arrived_at)
-        self.due_ms = self.arrived_at_ms
-        self.asked_nodes: set[str] = set()
-        self.ask_all_at: datetime.datetime | None = None
-        self.asked_all = False
-
-    @property
-    def wanted(self) -> int:
-        """Return how many slots are still wanted."""
-        return len(self.tasks)
-
-
-class DemandTable:
-    """Demands of this node's jobs."""
-
-    def __init__(self):
-        self.demands_by_id: dict[int, Demand] = {}
-        self._demands_by_job: dict[jobs.Job, dict[slotqueues.Query, Demand]] = {}
-        self._ids = itertools.count(1)
-
-    def add(self, job: jobs.Job, mean_run_ms: float) -> list[Demand]:
-        """Put the waiting tasks of a job into demands by their needs; return these demands.
-
-        ``mean_run_ms`` is that of a task, as far as it is known.
-        """
-        by_query = self._demands_by_job.setdefault(job, {})
-        expected_ms = mean_run_ms * (1.0 + math.log(len(job.tasks)))
-        for demand in by_query.values():
-            demand.tasks.clear()
-        for task in job.waiting:
-            query = _query_of(job, task)
-            demand = by_query.get(query) or self._create(job, query, expected_ms)
-            demand.tasks.append(task)
-        return [demand for demand in by_query.values() if demand.tasks]
-
-    def remove_job(self, job: jobs.Job) -> list[Demand]:
-        """Remove and return the demands of a job."""
-        removed = list(self._demands_by_job.pop(job, {}).values())
-        for demand in removed:
-            del self.demands_by_id[demand.demand_id]
-        return removed
-
-    def _create(self, job: jobs.Job, query: slotqueues.Query, expected_ms: float) -> Demand:
-        demand = Demand(next(self._ids), job, query, expected_ms)
-        self._demands_by_job[job][query] = demand
-        self.demands_by_id[demand.demand_id] = demand
-        return demand
+ASK_AGAIN_INTERVAL = datetime.timedelta(milliseconds=500)
+MAX_ASK_AGAIN_INTERVAL = datetime.timedelta(seconds=4)
+SILENT_OWNER_PENALTY = datetime.timedelta(seconds=1)
+MAX_ASKED_NODES = 12
+MAX_UNANSWERED_ASKS = 3
+"""Asks without any answer after which tasks are started without their targets' owners."""
 
 
 class OwnerHints:
@@ -90,7 +48,7 @@
 
     def silent(self, node: str, now: datetime.datetime) -> None:
         """Ask an owner that did not answer last, for a while."""
-        self._avoided_until_by_node[node] = now + OWNER_PENALTY
+        self._avoided_until_by_node[node] = now + SILENT_OWNER_PENALTY
 
     def is_silent(self, node: str, now: datetime.datetime) -> bool:
         """Tell whether the owner did not answer lately."""
@@ -98,6 +56,224 @@
         return until is not None and until > now
 
 
-def _query_of(job: jobs.Job, task: jobs.Task) -> slotqueues.Query:
-    memory_mb, cores, accelerators = job.candidates.threshold(task.spec)
-    return slotqueues.Query(job.team, job.selector, memory_mb, cores, accelerators)
+class Borrower:
+    """Has the waiting tasks of this node's jobs started on slots, its own first."""
+
+    def __init__(
+        self,
+        starter: placements.Starter,
+        owner_table: owners.OwnerTable,
+        lender: lenders.Lender,
+        returns: slotreturns.SlotReturns,
+    ):
+        self.table = demands.DemandTable()
+        self.hints = OwnerHints()
+        self._starter = starter
+        self._owner_table = owner_table
+        self._lender = lender
+        self._returns = returns
+        self._own_name = starter.members.own_name
+        self._window = demands.AskingWindow()
+        self._timeouts: list[tuple[datetime.datetime, int]] = []
+        self._owners_by_query: dict[slotqueues.Query, list[str]] = {}
+        self._query_version: tuple[int, int] | None = None
+
+    def job_waiting(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Start what own slots allow and ask other owners for the rest."""
+        for demand in self.table.add(job):
+            self._serve_here(demand, now)
+            if demand.wanted:
+                self._queue_here(demand)
+                self._ask(demand, now)
+
+    def job_ended(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Withdraw what was asked for a job."""
+        for demand in self.table.remove_job(job):
+            demand.tasks.clear()
+            self._withdraw(demand, now)
+
+    def owners_changed(self, now: datetime.datetime) -> None:
+        """Ask the owners as they are now."""
+        self._owners_by_query.clear()
+        for demand in list(self.table.demands_by_id.values()):
+            if demand.wanted and demand.asks:
+                self._ask_all(demand, now)
+
+    def take(self, demand: demands.Demand, names: list[str], now: datetime.datetime) -> None:
+        """Start tasks on slots that were lent, and give back those of no use."""
+        table = self._starter.target_table
+        for name in names:
+            vm = table.vms_by_name.get(name)
+            is_allowed = name in demand.job.candidates.names
+            if vm is None or not is_allowed or not table.is_usable(name):
+                self._give_back(name, demand.query.team, "unusable", now)
+            elif demand.tasks and not demand.job.ended:
+                self._starter.start(demand.tasks.popleft(), vm, now)
+            else:
+                self._give_back(name, demand.query.team, "", now)
+        if not demand.wanted:
+            self._withdraw(demand, now)
+
+    def handle_grant(self, message: peers.SlotGrant, now: datetime.datetime) -> None:
+        """Use the slots lent by another owner."""
+        self.hints.learn(message.sender, message.free)
+        self._returns.granted(message.sender, message.serial)
+        demand = self.table.find(message.demand_id)
+        if demand is None:
+            for name in message.targets:
+                self._give_back(name, message.team, "", now)
+            return
+        demand.was_answered = True
+        self.take(demand, message.targets, now)
+        if demand.wanted and not demand.asked_all:
+            self._ask_all(demand, now)
+
+    def handle_timeouts(self, now: datetime.datetime) -> None:
+        """Ask again where an answer is overdue, and do without owners that never answer."""
+        while self._timeouts and self._timeouts[0][0] <= now:
+            due, demand_id = heapq.heappop(self._timeouts)
+            demand = self.table.find(demand_id)
+            if demand is None or demand.ask_again_at != due or not demand.wanted:
+                continue
+            if not demand.was_answered:
+                for node in demand.asked_nodes:
+                    self.hints.silent(node, now)
+            if not demand.was_answered and demand.asks >= MAX_UNANSWERED_ASKS:
+                self._start_without_owners(demand, now)
+            if demand.wanted:
+                self._ask_all(demand, now)
+
+    def next_timeout(self) -> datetime.datetime | None:
+        """Return when the next answer is due."""
+        return self._timeouts[0][0] if self._timeouts else None
+
+    def _serve_here(self, demand: demands.Demand, now: datetime.datetime) -> None:
+        waited_ms = clocks.to_epoch_ms(now) - demand.arrived_at_ms
+        loan = self._lender.lend(self._own_name, demand.query, demand.wanted, waited_ms, now)
+        self.take(demand, loan.names, now)
+
+    def _queue_here(self, demand: demands.Demand) -> None:
+        self._lender.queue.put(
+            slotqueues.Waiting(
+                node=self._own_name,
+                demand_id=demand.demand_id,
+                query=demand.query,
+                arrived_at_ms=demand.arrived_at_ms,
+                due_ms=demand.due_ms,
+                wanted=demand.wanted,
+            )
+        )
+
+    def _ask(self, demand: demands.Demand, now: datetime.datetime) -> None:
+        """Ask the owners that probably have enough free slots; all when they are too few."""
+        if not self._window.admit(demand):
+            return
+        missing = demand.wanted
+        likely = []
+        for node in self._likely_owners(demand, now):
+            if missing <= 0:
+                break
+            likely.append((node, min(missing, self.hints.free(node))))
+            missing -= self.hints.free(node)
+        if missing > 0:
+            self._ask_all(demand, now)
+            return
+        demand.asks += 1
+        for node, count in likely:
+            self._request(demand, node, count)
+        self._set_timeout(demand, now + ANSWER_TIME)
+
+    def _ask_all(self, demand: demands.Demand, now: datetime.datetime) -> None:
+        if not self._window.admit(demand):
+            return
+        demand.asked_all = True
+        demand.asks += 1
+        demand.was_answered = False
+        for node in self._other_owners(demand.query)[:MAX_ASKED_NODES]:
+            self._request(demand, node, demand.wanted)
+        delay = min(ASK_AGAIN_INTERVAL * demand.asks, MAX_ASK_AGAIN_INTERVAL)
+        self._set_timeout(demand, now + delay)
+
+    def _set_timeout(self, demand: demands.Demand, due: datetime.datetime) -> None:
+        demand.ask_again_at = due
+        heapq.heappush(self._timeouts, (due, demand.demand_id))
+
+    def _start_without_owners(self, demand: demands.Demand, now: datetime.datetime) -> None:
+        """Start tasks where this node itself has slots to spare by its own counts.
+
+        The owners cannot be reached but the targets may be; at worst a target is crowded.
+        """
+        counts = self._starter.in_flight_by_target
+        while demand.tasks:
+            usable = self._starter.usable(demand.job, demand.tasks[0])
+            found = [vm for vm in usable if counts.get(vm.name, 0) < vm.slots]
+            if not found:
+                return
+            vm = min(self._starter.rng.choices(found, k=2), key=lambda vm: counts.get(vm.name, 0))
+            self._starter.start(demand.tasks.popleft(), vm, now)
+        self._withdraw(demand, now)
+
+    def _likely_owners(self, demand: demands.Demand, now: datetime.datetime) -> list[str]:
+        """Return owners with free slots, those of this domain first, then by free slots."""
+        found = [
+            node
+            for node in self._other_owners(demand.query)
+            if self.hints.free(node) > 0 and not self.hints.is_silent(node, now)
+        ]
+        return sorted(found, key=lambda node: (not self._is_near(node), -self.hints.free(node)))
+
+    def _other_owners(self, query: slotqueues.Query) -> list[str]:
+        """Return the other nodes that own a target the query may use, in a random order."""
+        version = (self._starter.reach.version, self._starter.target_table.list_version)
+        if version != self._query_version:
+            self._query_version = version
+            self._owners_by_query.clear()
+        found = self._owners_by_query.get(query)
+        if found is None:
+            targets = self._lender.targets_of(query)
+            names = {self._owner_table.owner_by_target.get(vm.name) for vm in targets}
+            found = sorted(names - {None, self._own_name})
+            self._owners_by_query[query] = found
+        self._starter.rng.shuffle(found)
+        return found
+
+    def _is_near(self, node: str) -> bool:
+        vm: vms.Vm | None = self._starter.members.find(node)
+        return vm is not None and vm.domain == self._starter.members.own_domain
+
+    def _request(self, demand: demands.Demand, node: str, count: int) -> None:
+        query = demand.query
+        self.hints.spend(node, count)
+        self._returns.contacted(node)
+        demand.asked_nodes.add(node)
+        message = peers.SlotRequest(
+            sender=self._own_name,
+            demand_id=demand.demand_id,
+            team=query.team,
+            selector=query.selector,
+            wanted=count,
+            arrived_at_ms=demand.arrived_at_ms,
+            due_ms=demand.due_ms,
+            memory_mb=query.memory_mb,
+            cores=query.cores,
+            accelerators=query.accelerators,
+        )
+        self._returns.send(node, message)
+
+    def _withdraw(self, demand: demands.Demand, now: datetime.datetime) -> None:
+        """Cancel what was asked for a demand, and ask for the one that waits behind it."""
+        self._lender.queue.cancel(self._own_name, demand.demand_id)
+        if demand.asked_all:
+            for node in demand.asked_nodes:
+                self._request(demand, node, 0)
+        demand.asked_nodes.clear()
+        demand.asked_all = False
+        demand.ask_again_at = None
+        following = self._window.leave(demand)
+        if following is not None:
+            self._ask_all(following, now)
+
+    def _give_back(
+        self, name: str, team: identifiers.TeamName, outcome: str, now: datetime.datetime
+    ) -> None:
+        self._returns.give_back(peers.SlotEnd(identifiers.TargetName(name), team, outcome), now)
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/demands.py
@@ -0,0 +1,115 @@
+"""Demands for slots: the waiting tasks of this node's jobs, grouped by the targets they fit."""
+
+import collections
+import datetime
+import heapq
+import itertools
+
+from chiveridge_kernel import clocks, jobs, slotqueues
+
+MAX_ASKING_PER_TEAM = 8
+"""Demands of a team for which other owners are asked at a time; later ones wait here."""
+
+
+class Demand:
+    """Waiting tasks of a job that fit the same targets, and who was asked to serve them."""
+
+    def __init__(self, demand_id: int, job: jobs.Job, query: slotqueues.Query):
+        self.demand_id = demand_id
+        self.job = job
+        self.query = query
+        self.tasks: collections.deque[jobs.Task] = collections.deque()
+        self.arrived_at_ms = clocks.to_epoch_ms(job.arrived_at)
+        self.asked_nodes: set[str] = set()
+        self.asked_all = False
+        self.ask_again_at: datetime.datetime | None = None
+        self.asks = 0
+        self.was_answered = False
+
+    @property
+    def wanted(self) -> int:
+        """Return how many slots are still wanted."""
+        return len(self.tasks)
+
+    @property
+    def due_ms(self) -> int:
+        """Return by what demands are ordered: the arrival of the job."""
+        return self.arrived_at_ms
+
+
+class DemandTable:
+    """Demands of this node's jobs."""
+
+    def __init__(self):
+        self.demands_by_id: dict[int, Demand] = {}
+        self._demands_by_job: dict[jobs.Job, dict[slotqueues.Query, Demand]] = {}
+        self._ids = itertools.count(1)
+
+    def add(self, job: jobs.Job) -> list[Demand]:
+        """Put the waiting tasks of a job into demands by their needs; return these demands."""
+        by_query = self._demands_by_job.setdefault(job, {})
+        for demand in by_query.values():
+            demand.tasks.clear()
+        for task in job.waiting:
+            query = _query_of(job, task)
+            demand = by_query.get(query) or self._create(job, query)
+            demand.tasks.append(task)
+        return [demand for demand in by_query.values() if demand.tasks]
+
+    def find(self, demand_id: int) -> Demand | None:
+        """Return a demand, or None when its job has ended."""
+        return self.demands_by_id.get(demand_id)
+
+    def remove_job(self, job: jobs.Job) -> list[Demand]:
+        """Remove and return the demands of a job."""
+        removed = list(self._demands_by_job.pop(job, {}).values())
+        for demand in removed:
+            del self.demands_by_id[demand.demand_id]
+        return removed
+
+    def _create(self, job: jobs.Job, query: slotqueues.Query) -> Demand:
+        demand = Demand(next(self._ids), job, query)
+        self._demands_by_job[job][query] = demand
+        self.demands_by_id[demand.demand_id] = demand
+        return demand
+
+
+class AskingWindow:
+    """Which demands other owners are asked for: the oldest few of each team."""
+
+    def __init__(self):
+        self._asking_by_team: dict[str, set[int]] = collections.defaultdict(set)
+        self._backlog_by_team: dict[str, list[tuple[int, int, Demand]]] = {}
+
+    def admit(self, demand: Demand) -> bool:
+        """Tell whether other owners may be asked now; else the demand waits for its turn."""
+        asking = self._asking_by_team[demand.query.team]
+        if demand.demand_id in asking:
+            return True
+        if len(asking) < MAX_ASKING_PER_TEAM:
+            asking.add(demand.demand_id)
+            return True
+        backlog = self._backlog_by_team.setdefault(demand.query.team, [])
+        heapq.heappush(backlog, (demand.due_ms, demand.demand_id, demand))
+        return False
+
+    def leave(self, demand: Demand) -> Demand | None:
+        """Let a demand leave; return the one that takes its place, or None."""
+        team = demand.query.team
+        asking = self._asking_by_team[team]
+        if demand.demand_id not in asking:
+            return None
+        asking.discard(demand.demand_id)
+        backlog = self._backlog_by_team.get(team, [])
+        while backlog:
+            _, _, following = heapq.heappop(backlog)
+            if following.wanted and not following.job.ended:
+                asking.add(following.demand_id)
+                return following
+        self._backlog_by_team.pop(team, None)
+        return None
+
+
+def _query_of(job: jobs.Job, task: jobs.Task) -> slotqueues.Query:
+    memory_mb, cores, accelerators = job.candidates.threshold(task.spec)
+    return slotqueues.Query(job.team, job.selector, memory_mb, cores, accelerators)
--- a/packages/kernel/chiveridge_kernel/lenders.py
+++ b/packages/kernel/chiveridge_kernel/lenders.py
@@ -72,6 +72,10 @@
         known = self._starter.target_table.vms_by_name
         return sum(known[name].slots for name in self._owner_table.owned if name in known)
 
+    def lent_count(self, team: str) -> int:
+        """Return the slots lent to a team, as far as they were given back."""
+        return self._lent_by_team[team]
+
     def lend(
         self,
         node: str,
@@ -89,16 +93,14 @@
         self._lent_by_team[query.team] += len(chosen)
         return Loan(chosen, self.ledger.lend(node, chosen, now))
 
-    def ended(
-        self, node: str, target: str, team: str, outcome: str, run_ms: float, now: datetime.datetime
-    ) -> None:
+    def ended(self, node: str, end: peers.SlotEnd, now: datetime.datetime) -> None:
         """Take a slot back and learn from the outcome of its start."""
-        self.ledger.give_back(node, target, now)
-        if self._lent_by_team[team] > 0:
-            self._lent_by_team[team] -= 1
-        learn = _LEARNERS_BY_OUTCOME.get(outcome)
-        if learn is not None and self.ledger.owns(target):
-            learn(self, peers.SlotEnd(target, team, outcome, run_ms), node, now)
+        self.ledger.give_back(node, end.target, now)
+        if self._lent_by_team[end.team] > 0:
+            self._lent_by_team[end.team] -= 1
+        learn = _LEARNERS_BY_OUTCOME.get(end.outcome)
+        if learn is not None and self.ledger.owns(end.target):
+            learn(self, end, node, now)
 
     def serve_queue(
         self, now: datetime.datetime, *, probing: bool = False
@@ -146,16 +148,19 @@
             self.queue.take(head, len(loan.names))
         return loan
 
-    def _select(self, query: slotqueues.Query) -> tuple[vms.Vm, ...]:
+    def targets_of(self, query: slotqueues.Query) -> tuple[vms.Vm, ...]:
+        """Return the targets that a query may use, whoever owns them."""
         needs = messages.TaskSpec(
             memory_mb=query.memory_mb, cores=query.cores, accelerators=query.accelerators
         )
         try:
-            found = self._starter.reach.candidates(query.team, query.selector).fitting(needs)
+            return self._starter.reach.candidates(query.team, query.selector).fitting(needs)
         except errors.RefusedError:
             return ()
+
+    def _select(self, query: slotqueues.Query) -> tuple[vms.Vm, ...]:
         owned = self._owner_table.owned
-        return tuple(vm for vm in found if vm.name in owned)
+        return tuple(vm for vm in self.targets_of(query) if vm.name in owned)
 
     def _healthy(
         self, usable: list[vms.Vm], count: int, waited_ms: float, now: datetime.datetime
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -134,6 +134,7 @@
 
     sender: identifiers.NodeName
     demand_id: int
+    team: identifiers.TeamName
     serial: int
     targets: list[identifiers.TargetName]
     free: int
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/slotreturns.py
@@ -0,0 +1,108 @@
+"""Gives slots back to their owners, and tells owners which of their slots are held."""
+
+import collections
+import datetime
+
+from chiveridge_kernel import actions, identifiers, lenders, owners, peers, placements
+
+REPORT_INTERVAL = datetime.timedelta(seconds=1)
+SECOND_REPORT_DELAY = datetime.timedelta(milliseconds=100)
+REPORTS_AFTER_CONTACT = 3
+"""Reports by which an owner is told of grants and returns that were lost."""
+
+
+class SlotReturns:
+    """Collects what goes back to owners during one event, and reports what is held."""
+
+    def __init__(
+        self,
+        starter: placements.Starter,
+        owner_table: owners.OwnerTable,
+        lender: lenders.Lender,
+    ):
+        self._starter = starter
+        self._owner_table = owner_table
+        self._lender = lender
+        self._own_name = starter.members.own_name
+        self._ends_by_owner: dict[str, list[peers.SlotEnd]] = {}
+        self._reports_due_by_owner: dict[str, int] = {}
+        self._last_serial_by_owner: dict[str, int] = {}
+        self._report_at: datetime.datetime | None = None
+
+    def give_back(self, end: peers.SlotEnd, now: datetime.datetime) -> bool:
+        """Give a slot back; tell whether it was this node's own."""
+        owner = self._owner_table.owner_by_target.get(end.target)
+        if owner == self._own_name:
+            self._lender.ended(self._own_name, end, now)
+            return True
+        if owner is not None:
+            self._ends_by_owner.setdefault(owner, []).append(end)
+        return False
+
+    def flush(self) -> None:
+        """Send the slots that were given back during one event together."""
+        if not self._ends_by_owner:
+            return
+        free = self._lender.free_count()
+        for owner, ends in self._ends_by_owner.items():
+            self.send(owner, peers.SlotReturn(sender=self._own_name, ends=ends, free=free))
+        self._ends_by_owner = {}
+
+    def contacted(self, owner: str) -> None:
+        """Report to an owner in the next intervals even when none of its slots is held."""
+        self._reports_due_by_owner[owner] = REPORTS_AFTER_CONTACT
+
+    def granted(self, owner: str, serial: int) -> None:
+        """Note the last grant received from an owner."""
+        self._last_serial_by_owner[owner] = serial
+
+    def owners_changed(self, now: datetime.datetime) -> None:
+        """Report to every owner, so that none waits for a holder that holds nothing."""
+        for owner in set(self._owner_table.owner_by_target.values()) - {self._own_name}:
+            self.contacted(owner)
+        self.report(now)
+        self._report_at = now + SECOND_REPORT_DELAY
+
+    def report_if_due(self, now: datetime.datetime) -> None:
+        """Report once an interval."""
+        if self._report_at is None or self._report_at <= now:
+            self.report(now)
+            self._report_at = now + REPORT_INTERVAL
+
+    def next_report(self) -> datetime.datetime | None:
+        """Return when the next report is due."""
+        return self._report_at
+
+    def report(self, now: datetime.datetime) -> None:
+        """Tell every owner concerned which of its slots this node holds."""
+        held_by_owner = self._held_by_owner()
+        own = held_by_owner.pop(self._own_name, {})
+        ledger = self._lender.ledger
+        holder = ledger.holders_by_node.get(self._own_name)
+        ledger.report(self._own_name, holder.serial if holder else 0, own, now)
+        free = self._lender.free_count()
+        for owner in self._reports_due_by_owner.keys() | held_by_owner.keys():
+            message = peers.SlotReport(
+                sender=self._own_name,
+                last_serial=self._last_serial_by_owner.get(owner, 0),
+                held_by_target=held_by_owner.get(owner, {}),
+                free=free,
+            )
+            self.send(owner, message)
+        self._reports_due_by_owner = {
+            owner: count - 1 for owner, count in self._reports_due_by_owner.items() if count > 1
+        }
+
+    def send(self, node: str, message: peers.PeerMessage) -> None:
+        """Send a message to a node, if it is known."""
+        vm = self._starter.members.find(node)
+        if vm is not None:
+            self._starter.outbox.append(actions.SendToPeer(peer=vm, message=message))
+
+    def _held_by_owner(self) -> dict[str, dict[identifiers.TargetName, int]]:
+        held_by_owner: dict[str, dict[identifiers.TargetName, int]] = collections.defaultdict(dict)
+        for target, count in self._starter.in_flight_by_target.items():
+            owner = self._owner_table.owner_by_target.get(target)
+            if owner is not None:
+                held_by_owner[owner][identifiers.TargetName(target)] = count
+        return held_by_owner
--- /dev/null
+++ b/packages/kernel/tests/test_demands.py
@@ -0,0 +1,47 @@
+import collections
+
+import pytest
+
+from chiveridge_kernel import clocks, demands, messages, reaches, slotqueues, vms
+from chiveridge_kernel import jobs as jobs_module
+
+TARGET = vms.Vm(
+    name="t1", role=vms.VmRole.TARGET, domain="ikeja", address="127.0.0.1", port=1, memory_mb=64
+)
+
+
+@pytest.fixture
+def table() -> demands.DemandTable:
+    return demands.DemandTable()
+
+
+def new_job(team: str, memory_mb: tuple[int, ...] = (1,)) -> jobs_module.Job:
+    submission = messages.Submission(
+        submission_id="id", tasks=[messages.TaskSpec(memory_mb=amount) for amount in memory_mb]
+    )
+    return jobs_module.Job(team, submission, reaches.Candidates((TARGET,)), clocks.EPOCH)
+
+
+def test_tasks_that_fit_the_same_targets_are_one_demand(table):
+    (demand,) = table.add(new_job("desk", (1, 20, 64)))
+    assert demand.wanted == 3
+    assert demand.query == slotqueues.Query("desk", "", 64, 0, 0)
+
+
+def test_only_some_demands_of_a_team_are_asked_for_at_a_time(table):
+    window = demands.AskingWindow()
+    found = [table.add(new_job("burst"))[0] for _ in range(demands.MAX_ASKING_PER_TEAM + 2)]
+    admitted = [demand for demand in found if window.admit(demand)]
+    assert admitted == found[: demands.MAX_ASKING_PER_TEAM]
+    assert window.admit(table.add(new_job("quiet"))[0])
+    assert window.admit(admitted[0])
+    assert window.leave(admitted[0]) is found[-2]
+    assert window.leave(admitted[0]) is None
+
+
+def test_a_demand_that_ended_in_the_backlog_takes_no_place(table):
+    window = demands.AskingWindow()
+    found = [table.add(new_job("burst"))[0] for _ in range(demands.MAX_ASKING_PER_TEAM + 2)]
+    admitted = collections.deque(demand for demand in found if window.admit(demand))
+    found[-2].job.ended = True
+    assert window.leave(admitted[0]) is found[-1]
--- a/packages/kernel/tests/test_owner_policies.py
+++ b/packages/kernel/tests/test_owner_policies.py
@@ -197,6 +197,30 @@
     assert max(network.most_running.values()) == SLOTS
 
 
+def test_slots_of_no_use_are_returned_for_their_team(network):
+    network.submit("e1", len(TARGETS) * SLOTS)
+    network.submit("e2", 2)
+    waiting = next(iter(network.kernels_by_name["e2"].dispatcher.jobs_by_id))
+    for lease_id in list(network.running):
+        name, _ = network.running.pop(lease_id)
+        ended = events.LeaseReported(lease_id=lease_id, outcome=events.LeaseOutcome.SUCCEEDED)
+        network.handle(name, ended)
+    # The slots given back now are granted to a job that is cancelled meanwhile.
+    network.handle("e2", events.CancelReceived(team=TEAM, submission_id=waiting))
+    network.deliver()
+    for kernel in network.kernels_by_name.values():
+        assert kernel.dispatcher.policy.lender.lent_count(TEAM) == 0
+
+
+def test_tasks_start_without_owners_that_never_answer(network):
+    network.dropped_types = (peers.SlotGrant,)
+    network.submit("e1", len(TARGETS) * SLOTS)
+    assert len(network.running) < len(TARGETS) * SLOTS
+    network.advance(5.0)
+    assert len(network.running) == len(TARGETS) * SLOTS
+    assert max(network.most_running.values()) == SLOTS
+
+
 def test_a_cancelled_job_returns_its_slots_and_waits_nowhere(network):
     network.submit("e1", len(TARGETS) * SLOTS)
     network.submit("e2", 4)
@@ -209,7 +233,7 @@
     for name in NODES:
         policy = network.kernels_by_name[name].dispatcher.policy
         assert len(policy.lender.queue) == 0
-        assert policy.demands.demands_by_id == {}
+        assert policy.borrower.table.demands_by_id == {}
     network.submit("e3", len(TARGETS) * SLOTS)
     assert len(network.running) == len(TARGETS) * SLOTS
 
--- a/packages/kernel/tests/test_revocations.py
+++ b/packages/kernel/tests/test_revocations.py
@@ -225,10 +225,10 @@
 def test_a_slot_lent_by_an_owner_that_knows_no_revocation_is_not_used(lending_system):
     system = lending_system
     system.put(records.TargetObject(name="t2"))
-    [demand] = system.kernel.dispatcher.policy.demands.demands_by_id.values()
+    [demand] = system.kernel.dispatcher.policy.borrower.table.demands_by_id.values()
     for name, count in (("t2", 2), ("t1", 3)):
         grant = peers.SlotGrant(
-            sender="e2", demand_id=demand.demand_id, serial=1, targets=[name], free=0
+            sender="e2", team=TEAM, demand_id=demand.demand_id, serial=1, targets=[name], free=0
         )
         system.handle(events.PeerMessageReceived(message=grant))
         assert len(system.starts()) == count
