Refuse at once what the backlog leaves no time for

Change: each node knows the waiting tasks and the start rate of each team, and refuses a job whose expected wait and own tasks take over 70% of its deadline, with when to come back.

--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/backlogs.py
@@ -0,0 +1,86 @@
+"""How long new work of a team would wait, so that what cannot be in time is refused at once."""
+
+import collections
+import datetime
+
+import msgspec
+
+MIN_OBSERVATION = datetime.timedelta(milliseconds=500)
+RATE_SMOOTHING = 0.3
+DEADLINE_SHARE = 0.7
+"""Share of its deadline that a new job's expected wait may take."""
+
+
+class StartRate(msgspec.Struct):
+    """Starts a second of one team, averaged over observations."""
+
+    starts_per_second: float = 0.0
+    started: int = 0
+    since: datetime.datetime | None = None
+
+
+class Backlogs:
+    """Waiting tasks and start rates by team, on this node."""
+
+    def __init__(self):
+        self._waiting_by_team: collections.Counter[str] = collections.Counter()
+        self._rates_by_team: dict[str, StartRate] = {}
+
+    def added(self, team: str, count: int) -> None:
+        """Note tasks that wait now."""
+        self._waiting_by_team[team] += count
+
+    def dropped(self, team: str, count: int) -> None:
+        """Note tasks that wait no longer and were not started."""
+        self._waiting_by_team[team] -= count
+
+    def started(self, team: str, now: datetime.datetime) -> None:
+        """Note a task that was started."""
+        self._waiting_by_team[team] -= 1
+        rate = self._rates_by_team.get(team)
+        if rate is None:
+            rate = StartRate(since=now)
+            self._rates_by_team[team] = rate
+        rate.started += 1
+
+    def waiting(self, team: str) -> int:
+        """Return how many tasks of a team wait."""
+        return self._waiting_by_team[team]
+
+    def observe(self, now: datetime.datetime) -> None:
+        """Bring the rates up to date, and forget teams that start nothing and wait for nothing."""
+        for team, rate in list(self._rates_by_team.items()):
+            if now - rate.since < MIN_OBSERVATION:
+                continue
+            observed = rate.started / (now - rate.since).total_seconds()
+            if not rate.starts_per_second:
+                rate.starts_per_second = observed
+            rate.starts_per_second += RATE_SMOOTHING * (observed - rate.starts_per_second)
+            rate.started = 0
+            rate.since = now
+            if not observed and not self._waiting_by_team[team]:
+                del self._rates_by_team[team]
+                del self._waiting_by_team[team]
+
+    def expected_wait(self, team: str) -> datetime.timedelta | None:
+        """Return how long a new task of a team would wait; None when that is not known."""
+        waiting = self._waiting_by_team[team]
+        if waiting <= 0:
+            return datetime.timedelta()
+        rate = self._rates_by_team.get(team)
+        if rate is None or not rate.starts_per_second:
+            return None
+        return datetime.timedelta(seconds=waiting / rate.starts_per_second)
+
+    def excess(
+        self, team: str, task_count: int, deadline: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Return how long to stay away with a new job, None when it can be in time."""
+        wait = self.expected_wait(team)
+        if wait is None:
+            return None
+        rate = self._rates_by_team.get(team)
+        own = task_count / rate.starts_per_second if wait and rate else 0.0
+        allowed = deadline * DEADLINE_SHARE
+        expected = wait + datetime.timedelta(seconds=own)
+        return expected - allowed if expected > allowed else None
--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -7,6 +7,8 @@
 
 from chiveridge_kernel import (
     actions,
+    backlogs,
+    clocks,
     errors,
     events,
     identifiers,
@@ -57,6 +59,7 @@
         self._usable_by_fitting: dict[int, tuple[Sequence[vms.Vm], Sequence[vms.Vm]]] = {}
         self._usable_version = -1
         self._lease_serial = 0
+        self.backlogs = backlogs.Backlogs()
         self._prober = probes.Prober(probe_limits)
         self.policy = placements.create(policy_name, self)
 
@@ -69,7 +72,9 @@
         job = jobs.Job(event.team, event.submission, candidates, event.arrived_at or now)
         _check_deadline(job, now)
         self._check_runnable(job)
+        self._check_backlog(job, now)
         self.jobs_by_id[job.submission_id] = job
+        self.backlogs.added(job.team, len(job.waiting))
         heapq.heappush(self._deadlines, (job.deadline, job.submission_id))
         self.policy.job_waiting(job, now)
 
@@ -78,6 +83,7 @@
         job = task.job
         task.signal(jobs.TaskSignal.START)
         job.waiting.remove(task)
+        self.backlogs.started(job.team, now)
         self._lease_serial += 1
         task.lease_id = identifiers.LeaseId(f"{self._incarnation}-{self._lease_serial}")
         task.target = vm
@@ -177,6 +183,7 @@
         A job whose tasks are all started goes on.
         """
         job.revocation = reason
+        self.backlogs.dropped(job.team, len(job.waiting))
         for task in job.waiting:
             self._give_up_revoked(task)
         job.waiting.clear()
@@ -206,6 +213,14 @@
             message = "every target that the team may use is leaving or unreachable"
             raise errors.RefusedError(results.ResultCode.OVERLOADED, message, RETRY_AFTER_MS)
 
+    def _check_backlog(self, job: jobs.Job, now: datetime.datetime) -> None:
+        excess = self.backlogs.excess(job.team, len(job.tasks), job.deadline - now)
+        if excess is not None:
+            message = "deadline_ms: tasks of the team that wait already leave too little time"
+            retry_after_ms = max(int(clocks.to_ms(excess)), RETRY_AFTER_MS)
+            code = results.ResultCode.DEADLINE_UNREACHABLE
+            raise errors.RefusedError(code, message, retry_after_ms)
+
     def _succeed(
         self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
     ) -> None:
@@ -238,6 +253,7 @@
             self._end_if_revoked(job, now)
             return
         job.waiting.append(task)
+        self.backlogs.added(job.team, 1)
         if job.deadline <= now:
             self.expire(now)
         else:
@@ -331,6 +347,7 @@
         """Give up what waits, before the policy hears of targets that are released."""
         if not job.ended:
             job.ended = True
+            self.backlogs.dropped(job.team, len(job.waiting))
             job.give_up_waiting()
             self.policy.job_ended(job, now)
 
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -265,6 +265,7 @@
 @_handle.register
 def _(event: events.Ticked, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.dispatcher.probe(now)
+    kernel.dispatcher.backlogs.observe(now)
     kernel.admissions.forget_expired(now)
     kernel.handovers.forget_expired(now)
     if kernel.target_table.expire(now):
