Order demands by arrival and expected length; least served team first

Change: a demand is due at its job's arrival plus 2 x mean run time x ln(tasks); among teams over their share, the one holding least goes first.

--- a/packages/kernel/chiveridge_kernel/borrowers.py
+++ b/packages/kernel/chiveridge_kernel/borrowers.py
@@ -80,7 +80,7 @@
 
     def job_waiting(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Start what own slots allow and ask other owners for the rest."""
-        for demand in self.table.add(job):
+        for demand in self.table.add(job, self._lender.speeds.mean_run_ms()):
             self._serve_here(demand, now)
             if demand.wanted:
                 self._queue_here(demand)
--- a/packages/kernel/chiveridge_kernel/demands.py
+++ b/packages/kernel/chiveridge_kernel/demands.py
@@ -4,22 +4,35 @@
 import datetime
 import heapq
 import itertools
+import math
 
 from chiveridge_kernel import clocks, jobs, slotqueues
 
+LENGTH_WEIGHT = 2.0
+"""Weight of a job's expected length against its arrival in the order of demands."""
+
 MAX_ASKING_PER_TEAM = 8
 """Demands of a team for which other owners are asked at a time; later ones wait here."""
 
 
 class Demand:
-    """Waiting tasks of a job that fit the same targets, and who was asked to serve them."""
+    """Waiting tasks of a job that fit the same targets, and who was asked to serve them.
+
+    ``due_ms`` orders demands: the arrival of the job and its expected length, in milliseconds
+    since the Unix epoch.
+    """
 
-    def __init__(self, demand_id: int, job: jobs.Job, query: slotqueues.Query):
+    def __init__(self, demand_id: int, job: jobs.Job, query: slotqueues.Query, mean_run_ms: float):
         self.demand_id = demand_id
         self.job = job
         self.query = query
         self.tasks: collections.deque[jobs.Task] = collections.deque()
         self.arrived_at_ms = clocks.to_epoch_ms(job.arrived_at)
+        # The longest of n tasks grows like the logarithm of n; a job that takes long anyway is
+        # hurt less by the same wait, so that small jobs go first among those of one moment.
+        self.due_ms = self.arrived_at_ms + int(
+            LENGTH_WEIGHT * mean_run_ms * math.log(len(job.tasks))
+        )
         self.asked_nodes: set[str] = set()
         self.asked_all = False
         self.ask_again_at: datetime.datetime | None = None
@@ -31,11 +44,6 @@
         """Return how many slots are still wanted."""
         return len(self.tasks)
 
-    @property
-    def due_ms(self) -> int:
-        """Return by what demands are ordered: the arrival of the job."""
-        return self.arrived_at_ms
-
 
 class DemandTable:
     """Demands of this node's jobs."""
@@ -45,14 +53,17 @@
         self._demands_by_job: dict[jobs.Job, dict[slotqueues.Query, Demand]] = {}
         self._ids = itertools.count(1)
 
-    def add(self, job: jobs.Job) -> list[Demand]:
-        """Put the waiting tasks of a job into demands by their needs; return these demands."""
+    def add(self, job: jobs.Job, mean_run_ms: float) -> list[Demand]:
+        """Put the waiting tasks of a job into demands by their needs; return these demands.
+
+        ``mean_run_ms`` is that of a task, 0 when it is not known.
+        """
         by_query = self._demands_by_job.setdefault(job, {})
         for demand in by_query.values():
             demand.tasks.clear()
         for task in job.waiting:
             query = _query_of(job, task)
-            demand = by_query.get(query) or self._create(job, query)
+            demand = by_query.get(query) or self._create(job, query, mean_run_ms)
             demand.tasks.append(task)
         return [demand for demand in by_query.values() if demand.tasks]
 
@@ -67,8 +78,8 @@
             del self.demands_by_id[demand.demand_id]
         return removed
 
-    def _create(self, job: jobs.Job, query: slotqueues.Query) -> Demand:
-        demand = Demand(next(self._ids), job, query)
+    def _create(self, job: jobs.Job, query: slotqueues.Query, mean_run_ms: float) -> Demand:
+        demand = Demand(next(self._ids), job, query, mean_run_ms)
         self._demands_by_job[job][query] = demand
         self.demands_by_id[demand.demand_id] = demand
         return demand
--- a/packages/kernel/chiveridge_kernel/slotqueues.py
+++ b/packages/kernel/chiveridge_kernel/slotqueues.py
@@ -90,12 +90,15 @@
 def fair_order(
     heads: list[Waiting], lent_by_team: collections.Counter[str], slot_count: int
 ) -> list[Waiting]:
-    """Order requests by when they are due, those of teams over their share of the slots last."""
+    """Order requests by when they are due, those of teams over their share of the slots last.
+
+    Among teams over their share, the one that holds the fewest slots goes first.
+    """
     if len(heads) < 2:
         return heads
     active = {head.query.team for head in heads} | {team for team, n in lent_by_team.items() if n}
     share = slot_count / max(len(active), 1)
     return sorted(
         heads,
-        key=lambda head: (lent_by_team[head.query.team] >= share, head.due_ms),
+        key=lambda head: (max(lent_by_team[head.query.team] - share, 0), head.due_ms),
     )
--- a/packages/kernel/tests/test_demands.py
+++ b/packages/kernel/tests/test_demands.py
@@ -1,4 +1,5 @@
 import collections
+import math
 
 import pytest
 
@@ -8,6 +9,7 @@
 TARGET = vms.Vm(
     name="t1", role=vms.VmRole.TARGET, domain="ikeja", address="127.0.0.1", port=1, memory_mb=64
 )
+MEAN_RUN_MS = 100.0
 
 
 @pytest.fixture
@@ -23,17 +25,19 @@
 
 
 def test_tasks_that_fit_the_same_targets_are_one_demand(table):
-    (demand,) = table.add(new_job("desk", (1, 20, 64)))
+    (demand,) = table.add(new_job("desk", (1, 20, 64)), MEAN_RUN_MS)
     assert demand.wanted == 3
     assert demand.query == slotqueues.Query("desk", "", 64, 0, 0)
 
 
 def test_only_some_demands_of_a_team_are_asked_for_at_a_time(table):
     window = demands.AskingWindow()
-    found = [table.add(new_job("burst"))[0] for _ in range(demands.MAX_ASKING_PER_TEAM + 2)]
+    found = [
+        table.add(new_job("burst"), MEAN_RUN_MS)[0] for _ in range(demands.MAX_ASKING_PER_TEAM + 2)
+    ]
     admitted = [demand for demand in found if window.admit(demand)]
     assert admitted == found[: demands.MAX_ASKING_PER_TEAM]
-    assert window.admit(table.add(new_job("quiet"))[0])
+    assert window.admit(table.add(new_job("quiet"), MEAN_RUN_MS)[0])
     assert window.admit(admitted[0])
     assert window.leave(admitted[0]) is found[-2]
     assert window.leave(admitted[0]) is None
@@ -41,7 +45,16 @@
 
 def test_a_demand_that_ended_in_the_backlog_takes_no_place(table):
     window = demands.AskingWindow()
-    found = [table.add(new_job("burst"))[0] for _ in range(demands.MAX_ASKING_PER_TEAM + 2)]
+    found = [
+        table.add(new_job("burst"), MEAN_RUN_MS)[0] for _ in range(demands.MAX_ASKING_PER_TEAM + 2)
+    ]
     admitted = collections.deque(demand for demand in found if window.admit(demand))
     found[-2].job.ended = True
     assert window.leave(admitted[0]) is found[-1]
+
+
+def test_a_smaller_job_of_the_same_moment_is_due_first(table):
+    (small,) = table.add(new_job("desk", (1,)), MEAN_RUN_MS)
+    (large,) = table.add(new_job("desk", (1,) * 8), MEAN_RUN_MS)
+    assert small.due_ms == small.arrived_at_ms
+    assert large.due_ms - small.due_ms == int(demands.LENGTH_WEIGHT * MEAN_RUN_MS * math.log(8))
