--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -51,7 +51,10 @@
 
 
 class CallerRequest(msgspec.Struct, frozen=True, kw_only=True, tag="caller_request"):
-    """A caller's request, forwarded to the issuer; ``wait_ms`` bounds the wait for the answer."""
+    """A caller's request, forwarded to the issuer; ``wait_ms`` bounds the wait for the answer.
+
+    ``arrived_at_ms`` is when it arrived at the sender, in milliseconds since the Unix epoch.
+    """
 
     request_id: int
     sender: identifiers.NodeName
@@ -60,6 +63,7 @@
     submission_id: str
     body: bytes = b""
     wait_ms: int = 0
+    arrived_at_ms: int
 
 
 class CallerReply(msgspec.Struct, frozen=True, kw_only=True, tag="caller_reply"):
@@ -69,6 +73,38 @@
     code: results.ResultCode
     body: bytes
     retry_after_ms: int | None = None
+    refused: bool = False
+
+
+class HandedAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The encoded answer to a submission, for its team."""
+
+    submission_id: identifiers.SubmissionId
+    team: identifiers.TeamName
+    code: results.ResultCode
+    body: bytes
+
+
+class Handover(msgspec.Struct, frozen=True, kw_only=True, tag="handover"):
+    """What a stopping node leaves, in parts; ``admitted`` has a bit for each issued id.
+
+    The sender starts nothing more once it has sent the first part.
+    """
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    part: int
+    part_count: int
+    admitted: dict[int, bytes] = {}
+    answers: list[HandedAnswer] = []
+
+
+class HandoverKept(msgspec.Struct, frozen=True, kw_only=True, tag="handover_kept"):
+    """The sender keeps a part of the handover of an incarnation."""
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    part: int
 
 
 class SlotRequest(msgspec.Struct, frozen=True, kw_only=True, tag="slot_request"):
@@ -178,6 +214,8 @@
 PeerMessage = (
     CallerRequest
     | CallerReply
+    | Handover
+    | HandoverKept
     | Heartbeat
     | ConfigurationAsk
     | ConfigurationChunk
--- a/packages/node/tests/test_forwards.py
+++ b/packages/node/tests/test_forwards.py
@@ -13,6 +13,7 @@
     name="a", role=vms.VmRole.ENTRY, domain="ikeja", address="127.0.0.1", port=1, peer_port=2
 )
 REQUEST = peers.CallerRequest(
+    arrived_at_ms=0,
     request_id=0,
     sender="own",
     operation=peers.Operation.SUBMIT,
