--- a/packages/node/chiveridge_node/recorders.py
+++ b/packages/node/chiveridge_node/recorders.py
@@ -1,11 +1,10 @@
 """Records the events that a kernel handles, for replay in tests; a debugging aid.
 
-Each line of the file is a JSON object of ``at_ms`` since the first event, ``kind`` and ``value``.
+Each line of the file is a JSON object of ``at_ms`` since the start, ``kind`` and ``value``.
 Submission ids and leases are numbered in the order of their first use, as ``$id1`` and
 ``$lease1``, so that a replay can put its own in their place.
 """
 
-import datetime
 import functools
 import os
 import typing
@@ -24,25 +23,24 @@
     def __init__(self, path: str, shell: shells.Shell):
         self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, FILE_MODE)
         self._shell = shell
-        self._started_at: datetime.datetime | None = None
+        self._started_at = shell.clock.now()
         self._names_by_id: dict[str, str] = {}
         self._names_by_lease: dict[str, str] = {}
         for event_type in typing.get_args(events.Event):
             shell.observe_with(event_type, functools.partial(_note, self))
         shell.observe_with(actions.StartTask, self._note_start)
         settings = shell.kernel.settings
-        header = {"node": settings.node, "domain": settings.domain, "policy": settings.policy}
+        header = {
+            "node": settings.node,
+            "domain": settings.domain,
+            "policy": settings.policy,
+            "started_at": self._started_at,
+        }
         self.write("settings", msgspec.json.encode(header))
 
-    def close(self) -> None:
-        """Close the file."""
-        os.close(self._file)
-
     def write(self, kind: str, value: bytes) -> None:
         """Write one line."""
-        now = self._shell.clock.now()
-        self._started_at = self._started_at or now
-        at_ms = round(clocks.to_ms(now - self._started_at))
+        at_ms = round(clocks.to_ms(self._shell.clock.now() - self._started_at))
         line = {"at_ms": at_ms, "kind": kind, "value": msgspec.Raw(value)}
         os.write(self._file, msgspec.json.encode(line) + b"\n")
 
@@ -85,6 +83,16 @@
     return msgspec.structs.replace(event, lease_id=recorder.name_of_lease(event.lease_id))
 
 
+@_named.register
+def _(event: events.RecordsRead, recorder: Recorder) -> events.Event:
+    pairs = [(offset, _readable(value)) for offset, value in event.records]
+    return msgspec.structs.replace(event, records=pairs)
+
+
+def _readable(value: object) -> object:
+    return msgspec.Raw(value) if isinstance(value, bytes) else value
+
+
 def _note(recorder: Recorder, event: events.Event) -> None:
     named = _named(event, recorder)
     recorder.write(type(event).__name__, msgspec.json.encode(named))
--- /dev/null
+++ b/tests/test_reference_pages.py
@@ -0,0 +1,80 @@
+"""The tables of the reference pages agree with the code."""
+
+import pathlib
+import re
+
+import msgspec
+import prometheus_client.parser
+import pytest
+
+from chiveridge_kernel import messages, results
+from chiveridge_node import callers_http, logevents, mains, nodes, settings
+
+DOCS = pathlib.Path(__file__).parent.parent / "docs"
+SECTION_DOC = "### [{}]"
+
+
+def rows(page, after=""):
+    """Return the cells of the rows of the first table after some text, without its head."""
+    text = DOCS.joinpath(page).read_text().partition(after)[2] if after else ""
+    text = text or DOCS.joinpath(page).read_text()
+    table = re.search(r"(?:^\|.*\n)+", text, re.MULTILINE).group()
+    cells = [[cell.strip() for cell in line.split("|")[1:-1]] for line in table.splitlines()]
+    return cells[2:]
+
+
+def test_every_result_code_has_its_row():
+    found = [(int(row[0]), row[1]) for row in rows("result-codes.md")]
+    assert found == [(int(code), code.name) for code in results.ResultCode]
+
+
+@pytest.mark.parametrize("row", rows("result-codes.md"), ids=lambda row: row[1])
+def test_a_result_code_has_its_http_status(row):
+    code = results.ResultCode(int(row[0]))
+    is_answer = row[3] == "per task"
+    assert int(row[4]) == callers_http.http_status(code, refused=not is_answer)
+
+
+def test_every_log_event_has_its_row():
+    found = [(int(row[0]), row[1]) for row in rows("events.md")]
+    assert found == sorted((int(event), event.name) for event in logevents.LogEvent)
+
+
+@pytest.mark.parametrize(
+    "section", msgspec.structs.fields(settings.Settings), ids=lambda field: field.name
+)
+def test_every_setting_has_its_row(section):
+    found = {row[0]: row[2] for row in rows("operating.md", SECTION_DOC.format(section.name))}
+    expected = {
+        field.name: "required" if field.required else str(field.default)
+        for field in msgspec.structs.fields(section.type)
+    }
+    assert found == expected
+
+
+def test_every_metric_has_its_row():
+    for plugin in mains.BUILT_IN_PLUGINS:
+        plugin.register()
+    platform = {"log_url": "http://127.0.0.1:1", "vms_url": "http://127.0.0.1:1"}
+    node_settings = settings.parse({"node": {"name": "a", "domain": "b"}, "platform": platform})
+    text = nodes.Node(node_settings).metrics.text().decode()
+    families = prometheus_client.parser.text_string_to_metric_families(text)
+    names = {family.name for family in families if family.name.startswith("chiveridge_")}
+    assert {row[0] for row in rows("operating.md", "## Metrics")} == names
+
+
+def test_glossary_is_sorted_after_the_words_of_the_brief():
+    words = [row[0] for row in rows("glossary.md")]
+    assert words[:4] == ["VM", "failure domain", "team", "target"]
+    assert words[4:] == sorted(words[4:])
+
+
+@pytest.mark.parametrize(
+    ("head", "message"),
+    [("| field | value", messages.Submission), ("| field of a task", messages.TaskSpec)],
+)
+def test_every_field_of_a_submission_has_its_row(head, message):
+    text = DOCS.joinpath("api.md").read_text()
+    table = text[text.index(head) :].partition("\n\n")[0].splitlines()[2:]
+    names = [line.split("|")[1].strip() for line in table]
+    assert sorted(names) == sorted(field.name for field in msgspec.structs.fields(message))
