Give operators diff, list, explain, why, audit and status

Cause: operators could publish and validate, and had to read the log by hand to see what is in force, who changed it and why a team reaches a target. A file could not delete, its labels and selectors were checked only by the nodes, and nobody told when a change is in force.

The new commands fold the log with the kernel's Configuration. The caller's `status ID` is now `job ID`, as `status` shows the nodes. Node status tells each target's state.

--- a/packages/client/chiveridge_client/changes.py
+++ b/packages/client/chiveridge_client/changes.py
@@ -1,4 +1,7 @@
-"""Parses an INI file of configuration objects into the writes of a change."""
+"""Parses an INI file of configuration objects into the writes of a change.
+
+A section ``[KIND NAME]`` writes an object, ``[delete KIND NAME]`` deletes it.
+"""
 
 import collections
 import configparser
@@ -7,7 +10,10 @@
 import msgspec
 
 from chiveridge_client import errors
-from chiveridge_kernel import records
+from chiveridge_kernel import errors as kernel_errors
+from chiveridge_kernel import records, selectors
+
+DELETE = "delete"
 
 Section = configparser.SectionProxy
 
@@ -51,13 +57,19 @@
 
 
 def _read_section(section: Section, problems: list[str]) -> records.ObjectWrite | None:
-    kind_name, _, name = section.name.partition(" ")
-    name = name.strip()
+    words = section.name.split()
+    is_deletion = words[:1] == [DELETE]
+    kind_name, name = (words[is_deletion:] + ["", ""])[:2]
+    if len(words) > 2 + is_deletion:
+        name = ""
     reader = _readers_by_kind_name.get(kind_name)
     if reader is None or not name:
-        known = ", ".join(f"[{kind} NAME]" for kind in _readers_by_kind_name)
+        known = ", ".join(f"[{kind} NAME]" for kind in [*_readers_by_kind_name, f"{DELETE} KIND"])
         problems.append(f"[{section.name}]: the section must be one of {known}")
         return None
+    if is_deletion:
+        problems.extend(f"[{section.name}] {key}: a deletion has no keys" for key in section)
+        return records.ObjectWrite(kind=reader.kind, name=name)
     fields = {"name": name} | _read_keys(section, reader, problems)
     return _build(section, reader, fields, problems)
 
@@ -72,7 +84,7 @@
             continue
         try:
             fields[key] = parse_value(text)
-        except ValueError as error:
+        except (ValueError, kernel_errors.SelectorError) as error:
             problems.append(f"[{section.name}] {key}: {error}")
     return fields
 
@@ -98,10 +110,16 @@
             raise ValueError(f"{item!r} is not of the form key=value")
         if key in labels:
             raise ValueError(f"label {key!r} is given twice")
+        selectors.check_label(key, value)
         labels[key] = value
     return labels
 
 
+def _parse_selector(text: str) -> str:
+    selectors.parse(text)
+    return text
+
+
 def _parse_list(text: str) -> list[str]:
     items = text.replace("\n", ",").split(",")
     return [item.strip() for item in items if item.strip()]
@@ -135,6 +153,6 @@
     "rule": KindReader(
         records.ObjectKind.RULE,
         records.RuleObject,
-        {"teams": str, "targets": str},
+        {"teams": _parse_selector, "targets": _parse_selector},
     ),
 }
--- a/packages/client/chiveridge_client/commands.py
+++ b/packages/client/chiveridge_client/commands.py
@@ -1,12 +1,10 @@
 """Subcommands of the command line, each registered in :data:`handlers_by_name`."""
 
-import getpass
 import pathlib
 import random
 from collections.abc import Awaitable, Callable
 from typing import TextIO
 
-import aiohttp
 import msgspec
 
 from chiveridge_client import (
@@ -16,10 +14,7 @@
     exits,
     keys,
     options,
-    platforms,
-    publications,
     settings,
-    statuses,
     tables,
 )
 from chiveridge_kernel import identifiers, messages
@@ -79,8 +74,8 @@
     return _print_answer(context, answer)
 
 
-@command("status", "ID", minimum=1, maximum=1, credential=True)
-async def status(context: Context) -> exits.ExitCode:
+@command("job", "ID", minimum=1, maximum=1, credential=True)
+async def job(context: Context) -> exits.ExitCode:
     """Print the answer or the state of a job."""
     submission_id = identifiers.SubmissionId(context.arguments[0])
     wait = context.options.wait or options.NO_WAIT
@@ -99,54 +94,12 @@
     return exits.ExitCode.DONE
 
 
-@command("publish", "FILE", minimum=1, maximum=1)
-async def publish(context: Context) -> exits.ExitCode:
-    """Publish the configuration objects of an INI file as one change."""
-    writes = publications.parse(_read_text(context.arguments[0]))
-    actor = context.settings.actor or getpass.getuser()
-    async with aiohttp.ClientSession() as session:
-        publisher = publications.Publisher(
-            platforms.Log(context.settings.log_url, session),
-            rng=context.rng,
-            clock=context.clock,
-            stream=context.settings.stream,
-        )
-        publication = await publisher.publish(
-            writes, actor, context.options.comment, context.options.change_id
-        )
-    titles = ["CHANGE", "OFFSET", "VERDICT", "LOST REPLIES"]
-    verdict = publication.verdict
-    row = [publication.change_id, publication.offset, verdict.value, publication.lost_replies]
-    _print(context, publication, tables.render(titles, [row]))
-    return exits.exit_codes_by_verdict[verdict]
-
-
-@command("validate", "FILE", minimum=1, maximum=1)
-async def validate(context: Context) -> exits.ExitCode:
-    """Check an INI file of configuration objects without publishing it."""
-    writes = publications.parse(_read_text(context.arguments[0]))
-    rows = [[write.kind.value, write.name] for write in writes]
-    _print(context, writes, tables.render(["KIND", "NAME"], rows))
-    return exits.ExitCode.DONE
-
-
-@command("nodes", minimum=0, maximum=0)
-async def nodes(context: Context) -> exits.ExitCode:
-    """Print the status of each node; exits with 7 when one can't be reached."""
-    async with aiohttp.ClientSession() as session:
-        found = await statuses.fetch_all(context.settings.node_urls, session)
-    rows = [[node.url, _reachability(node), _summary(node)] for node in found]
-    _print(context, found, tables.render(["NODE", "STATE", "DETAILS"], rows))
-    is_complete = all(node.status is not None for node in found)
-    return exits.ExitCode.DONE if is_complete else exits.ExitCode.UNREACHABLE
-
-
 @command("keys new", "TEAM", minimum=1, maximum=1)
 async def new_key(context: Context) -> exits.ExitCode:
     """Print a new secret for a team and its digest for ``key_digests``."""
     key = keys.create(context.arguments[0])
     rows = [["credential", key.credential], ["secret", key.secret], ["digest", key.digest]]
-    _print(context, key, tables.render(["KEY", key.team], rows))
+    show(context, key, tables.render(["KEY", key.team], rows))
     return exits.ExitCode.DONE
 
 
@@ -165,7 +118,7 @@
     if bool(body) == bool(context.arguments):
         raise errors.InvalidInputError(["submit: give either FILE or --task-body"])
     if not body:
-        return _decode_tasks(context.arguments[0], _read_text(context.arguments[0]))
+        return _decode_tasks(context.arguments[0], read_text(context.arguments[0]))
     try:
         msgspec.json.decode(body)
     except msgspec.MsgspecError as error:
@@ -183,7 +136,11 @@
     return tasks
 
 
-def _read_text(path: str) -> str:
+def read_text(path: str) -> str:
+    """Return the text of a file.
+
+    :raises errors.InvalidInputError: when it can't be read.
+    """
     try:
         return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -200,7 +157,7 @@
     lines = [f"{head}  {answer.message}".rstrip()]
     if rows:
         lines.append(tables.render(titles, rows))
-    _print(context, answer, "\n".join(lines))
+    show(context, answer, "\n".join(lines))
     return exits.of_answer(answer)
 
 
@@ -208,18 +165,7 @@
     return task.reason or bytes(task.result).decode()
 
 
-def _reachability(node: statuses.NodeStatus) -> str:
-    return "unreachable" if node.status is None else "up"
-
-
-def _summary(node: statuses.NodeStatus) -> str:
-    if node.status is None:
-        return node.error
-    scalars = {k: v for k, v in node.status.items() if not isinstance(v, dict | list)}
-    return " ".join(f"{key}={value}" for key, value in scalars.items())
-
-
-def _print(context: Context, value: object, text: str) -> None:
+def show(context: Context, value: object, text: str) -> None:
     """Print ``value`` as one line of JSON with ``--json``, else ``text``."""
     line = msgspec.json.encode(value).decode() if context.options.json else text
     print(line, file=context.output)
--- /dev/null
+++ b/packages/client/chiveridge_client/diffs.py
@@ -0,0 +1,124 @@
+"""Compares the writes of a file with the configuration in force."""
+
+import enum
+
+import msgspec
+
+from chiveridge_kernel import configurations, records
+
+
+class Effect(enum.Enum):
+    """What a write does to its object."""
+
+    CREATE = "create"
+    CHANGE = "change"
+    DELETE = "delete"
+    NOTHING = "nothing"
+
+
+class Difference(msgspec.Struct, frozen=True, kw_only=True):
+    """One field of an object before and after; a whole object that is deleted has no field."""
+
+    kind: records.ObjectKind
+    name: str
+    effect: Effect
+    field: str = ""
+    before: object = None
+    after: object = None
+
+
+def differences(
+    writes: list[records.ObjectWrite], configuration: configurations.Configuration
+) -> list[Difference]:
+    """Return every field that the writes would change; an object without any is named once."""
+    return [found for write in writes for found in _compare(write, configuration)]
+
+
+def warnings(
+    writes: list[records.ObjectWrite], configuration: configurations.Configuration
+) -> list[str]:
+    """Return the references that would lead nowhere once the writes are in force.
+
+    They are allowed: an approval counts as soon as a team of its name exists.
+    """
+    teams, targets = _after(writes, configuration)
+    found = []
+    for write in writes:
+        if write.target is not None:
+            found += _unknown_teams(write.target, teams)
+        if write.kind is records.ObjectKind.TEAM and write.is_deletion():
+            found += _left_approvals(write.name, targets)
+    return found
+
+
+def _after(
+    writes: list[records.ObjectWrite], configuration: configurations.Configuration
+) -> tuple[set[str], dict[str, records.TargetObject]]:
+    """Return the names of teams, and the targets, that there will be."""
+    written = {(write.kind, write.name): write for write in writes}
+    teams = {write.name for write in writes if write.team is not None}
+    teams |= {
+        name
+        for name in configuration.teams_by_name
+        if (records.ObjectKind.TEAM, name) not in written
+    }
+    targets = {write.name: write.target for write in writes if write.target is not None}
+    targets |= {
+        name: target
+        for name, target in configuration.targets_by_name.items()
+        if (records.ObjectKind.TARGET, name) not in written
+    }
+    return teams, targets
+
+
+def _unknown_teams(target: records.TargetObject, teams: set[str]) -> list[str]:
+    return [
+        f"target {target.name}: approves team {team}, which does not exist"
+        for team in target.approved_teams
+        if team not in teams
+    ]
+
+
+def _left_approvals(team: str, targets: dict[str, records.TargetObject]) -> list[str]:
+    count = sum(team in target.approved_teams for target in targets.values())
+    if not count:
+        return []
+    return [
+        f"team {team}: {count} targets still approve it; a new team of this name would have "
+        "these approvals"
+    ]
+
+
+def object_of(
+    configuration: configurations.Configuration, kind: records.ObjectKind, name: str
+) -> msgspec.Struct | None:
+    """Return an object of the configuration, None when it does not exist."""
+    tables_by_kind = {
+        records.ObjectKind.TEAM: configuration.teams_by_name,
+        records.ObjectKind.TARGET: configuration.targets_by_name,
+        records.ObjectKind.RULE: configuration.rules_by_name,
+    }
+    return tables_by_kind[kind].get(name)
+
+
+def _compare(write: records.ObjectWrite, configuration: configurations.Configuration):
+    known = object_of(configuration, write.kind, write.name)
+    before = msgspec.to_builtins(known) if known is not None else {}
+    if write.is_deletion():
+        yield Difference(kind=write.kind, name=write.name, effect=Effect.DELETE, before=before)
+        return
+    after = msgspec.to_builtins(getattr(write, write.kind.value))
+    effect = Effect.CHANGE if known is not None else Effect.CREATE
+    fields = [field for field in after if before.get(field) != after[field]]
+    if not fields:
+        yield Difference(kind=write.kind, name=write.name, effect=Effect.NOTHING)
+    for field in fields:
+        if field != "name":
+            yield Difference(
+                kind=write.kind,
+                name=write.name,
+                effect=effect,
+                field=field,
+                before=before.get(field),
+                after=after[field],
+            )
--- a/packages/client/chiveridge_client/exits.py
+++ b/packages/client/chiveridge_client/exits.py
@@ -17,6 +17,7 @@
     OUTCOME_UNKNOWN = 5
     CONFLICT = 6
     UNREACHABLE = 7
+    NOT_IN_FORCE = 8
 
 
 exit_codes_by_verdict = {
--- a/packages/client/chiveridge_client/mains.py
+++ b/packages/client/chiveridge_client/mains.py
@@ -5,14 +5,28 @@
 import sys
 from typing import TextIO
 
-from chiveridge_client import clocks, commands, errors, exits, options, settings
+from chiveridge_client import (
+    clocks,
+    commands,
+    errors,
+    exits,
+    operator_commands,
+    options,
+    settings,
+)
+
+GROUPS = (commands, operator_commands)
+"""Modules whose import registers subcommands."""
 
 EXAMPLES = """\
 examples:
   chiveridge submit --task-body '{"run_ms": 50}' --count 8 --credential-file key.txt
   chiveridge submit tasks.json --selector kind=dryer --deadline 5 --json
-  chiveridge status ID --wait 10
-  chiveridge publish teams.ini --log-url http://127.0.0.1:7900 --comment "add lekki"
+  chiveridge job ID --wait 10
+  chiveridge diff teams.ini
+  chiveridge publish teams.ini --log-url http://127.0.0.1:7900 --comment "add lekki" --wait 10
+  chiveridge why lekki dryer-1
+  chiveridge status --nodes 10.1.0.4:7001,10.1.0.5:7001
   chiveridge keys new ikeja
 """
 
@@ -38,7 +52,7 @@
 def help_text() -> str:
     """Return the help page: subcommands, examples and flags."""
     lines = [
-        f"  {command.usage:<16} {command.handler.__doc__.splitlines()[0]}"
+        f"  {command.usage:<30} {command.handler.__doc__.splitlines()[0]}"
         for command in commands.handlers_by_name.values()
     ]
     usage = "usage: chiveridge COMMAND [ARGUMENTS] [FLAGS]\n\ncommands:"
--- a/packages/client/chiveridge_client/options.py
+++ b/packages/client/chiveridge_client/options.py
@@ -101,7 +101,7 @@
     flags.DEFINE_float(
         "wait",
         None,
-        "seconds to wait for a running job [submit: the deadline; status: 0]",
+        "seconds to wait [submit: the deadline; job: 0; publish: not at all]",
         lower_bound=0.0,
         upper_bound=_MAX_SECONDS,
         flag_values=values,
--- a/packages/client/chiveridge_client/publications.py
+++ b/packages/client/chiveridge_client/publications.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from chiveridge_client import backoffs, changes, clocks, errors, platforms, readers
-from chiveridge_kernel import identifiers, records
+from chiveridge_kernel import configurations, identifiers, records
 
 DEFAULT_STREAM = "configuration"
 DEFAULT_TIMEOUT = datetime.timedelta(seconds=30)
@@ -72,17 +72,34 @@
         ``based_on`` of each write is set from the log as it is now. Pass the ``change_id`` of a
         change whose outcome is unknown to find it, or to append it again.
 
+        :raises errors.InvalidInputError: when an object to delete does not exist.
         :raises errors.UnreachableError: when the log can't be read; nothing was appended.
         :raises errors.PublicationUnknownError: when the outcome could not be found out in time.
         :raises errors.LogError: when the log refused the record.
         """
         until = self._clock.elapsed() + self._timeout
         found = await self._read_before_append(change_id, until)
+        if found is None:
+            self._check_deletions(writes)
         change = self._new_change(writes, actor, comment, change_id or str(uuid.uuid4()))
         if found is not None:
             return _publication(change, found, 0)
         return await self._append_until_found(change, until)
 
+    @property
+    def configuration(self) -> configurations.Configuration:
+        """The configuration as of the last read."""
+        return self._reader.configuration
+
+    def _check_deletions(self, writes: list[records.ObjectWrite]) -> None:
+        problems = [
+            f"[{changes.DELETE} {write.kind.value} {write.name}]: there is no such object"
+            for write in writes
+            if write.is_deletion() and not self.configuration.revision_of(write.kind, write.name)
+        ]
+        if problems:
+            raise errors.InvalidInputError(problems)
+
     def _new_change(
         self, writes: list[records.ObjectWrite], actor: str, comment: str, change_id: str
     ) -> records.ChangeRecord:
--- a/packages/client/chiveridge_client/statuses.py
+++ b/packages/client/chiveridge_client/statuses.py
@@ -6,7 +6,10 @@
 import aiohttp
 import msgspec
 
+from chiveridge_client import tables
+
 REQUEST_TIMEOUT = datetime.timedelta(seconds=3)
+POLL_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
@@ -22,6 +25,66 @@
     return await asyncio.gather(*(_fetch(url, session) for url in urls))
 
 
+def is_in_force(found: list[NodeStatus], offset: int) -> bool:
+    """Tell whether every node asked, and every live node that these see, has applied an offset."""
+    applied = []
+    for node in found:
+        status = node.status or {"config_offset": 0}
+        applied.append(status["config_offset"])
+        live = [member for member in status.get("members", []) if member["state"] == "live"]
+        applied += [member["config_offset"] for member in live]
+    return all(value > offset for value in applied)
+
+
+def text_of(found: list[NodeStatus]) -> str:
+    """Return tables of the nodes, of what they see of each other, and of their targets."""
+    rows = [_node_row(node) for node in found]
+    parts = [tables.render(_NODE_TITLES, rows)]
+    seen = [node.status for node in found if node.status is not None]
+    members = [
+        [status.get("name", ""), member["name"], member["domain"], member["state"]]
+        + [member["config_offset"], f"{member['silent_ms'] / 1000:.1f}"]
+        for status in seen
+        for member in status.get("members", [])
+    ]
+    if members:
+        titles = ["SEEN BY", "MEMBER", "DOMAIN", "STATE", "OFFSET", "SILENT S"]
+        parts.append(tables.render(titles, members))
+    targets = [
+        [status.get("name", ""), name, state]
+        for status in seen
+        for name, state in status.get("target_states", {}).items()
+    ]
+    if targets:
+        parts.append(tables.render(["SEEN BY", "TARGET", "STATE"], targets))
+    return "\n\n".join(parts)
+
+
+_NODE_TITLES = ["NODE", "NAME", "STATE", "OFFSET", "LOG READ S AGO", "VMS READ S AGO", "JOBS"]
+
+
+def _node_row(node: NodeStatus) -> list[object]:
+    if node.status is None:
+        return [node.url, "-", "unreachable", node.error, "-", "-", "-"]
+    status = node.status
+    state = (
+        "draining" if status.get("draining") else "ready" if status.get("ready") else "not ready"
+    )
+    return [
+        node.url,
+        status.get("name", ""),
+        state,
+        status.get("config_offset", ""),
+        _seconds(status.get("config_staleness_s")),
+        _seconds(status.get("vms_staleness_s")),
+        status.get("jobs_in_progress", ""),
+    ]
+
+
+def _seconds(value: float | None) -> str:
+    return "never" if value is None else f"{value:.1f}"
+
+
 async def _fetch(url: str, session: aiohttp.ClientSession) -> NodeStatus:
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT.total_seconds())
     try:
--- a/packages/kernel/chiveridge_kernel/explanations.py
+++ b/packages/kernel/chiveridge_kernel/explanations.py
@@ -48,6 +48,64 @@
     )
 
 
+class Links(msgspec.Struct, frozen=True, kw_only=True):
+    """An object, the rules that match it, and who reaches what through it.
+
+    For a rule, ``teams`` and ``targets`` are those that its selectors match.
+    """
+
+    kind: records.ObjectKind
+    value: msgspec.Struct
+    rules: list[str] = []
+    teams: list[str] = []
+    targets: list[str] = []
+
+
+def links(
+    configuration: configurations.Configuration, kind: records.ObjectKind, name: str
+) -> Links:
+    """Return what an object that exists is linked to."""
+    return _LINKERS_BY_KIND[kind](configuration, name)
+
+
+def _links_of_team(configuration: configurations.Configuration, name: str) -> Links:
+    team = configuration.teams_by_name[name]
+    rules = configuration.rules_by_name.values()
+    matching = [r.name for r in rules if selectors.parse(r.teams).matches(team.labels)]
+    targets = configuration.targets_by_name
+    reached = [target for target in targets if explain(configuration, name, target).reaches]
+    return Links(kind=records.ObjectKind.TEAM, value=team, rules=matching, targets=reached)
+
+
+def _links_of_target(configuration: configurations.Configuration, name: str) -> Links:
+    target = configuration.targets_by_name[name]
+    rules = configuration.rules_by_name.values()
+    matching = [r.name for r in rules if selectors.parse(r.targets).matches(target.labels)]
+    teams = configuration.teams_by_name
+    reaching = [team for team in teams if explain(configuration, team, name).reaches]
+    return Links(kind=records.ObjectKind.TARGET, value=target, rules=matching, teams=reaching)
+
+
+def _links_of_rule(configuration: configurations.Configuration, name: str) -> Links:
+    rule = configuration.rules_by_name[name]
+    for_teams, for_targets = selectors.parse(rule.teams), selectors.parse(rule.targets)
+    return Links(
+        kind=records.ObjectKind.RULE,
+        value=rule,
+        teams=[n for n, t in configuration.teams_by_name.items() if for_teams.matches(t.labels)],
+        targets=[
+            n for n, t in configuration.targets_by_name.items() if for_targets.matches(t.labels)
+        ],
+    )
+
+
+_LINKERS_BY_KIND = {
+    records.ObjectKind.TEAM: _links_of_team,
+    records.ObjectKind.TARGET: _links_of_target,
+    records.ObjectKind.RULE: _links_of_rule,
+}
+
+
 def _match(
     rule: records.RuleObject,
     team: records.TeamObject | None,
--- a/packages/kernel/chiveridge_kernel/selectors.py
+++ b/packages/kernel/chiveridge_kernel/selectors.py
@@ -19,6 +19,7 @@
 _MEMBERSHIP = re.compile(rf"^({_KEY})\s+(in|notin)\s*\(([^()]*)\)$")
 _EXISTENCE = re.compile(rf"^(!?)\s*({_KEY})$")
 _VALUE_ONLY = re.compile(rf"^{_VALUE}$")
+_KEY_ONLY = re.compile(rf"^{_KEY}$")
 _SEPARATOR = re.compile(r",(?![^(]*\))")
 
 
@@ -76,6 +77,17 @@
     return Selector(tuple(_parse_requirement(part) for part in parts))
 
 
+def check_label(key: str, value: str) -> None:
+    """Check that a label can be named by selectors.
+
+    :raises errors.SelectorError: naming the part that cannot.
+    """
+    if not _KEY_ONLY.match(key):
+        raise errors.SelectorError(f"label key {key!r} is not a label key")
+    if not _VALUE_ONLY.match(value):
+        raise errors.SelectorError(f"label value {value!r} is not a label value")
+
+
 def _parse_requirement(text: str) -> Requirement:
     if match := _EQUALITY.match(text):
         key, sign, value = match.groups()
--- a/packages/kernel/chiveridge_kernel/targets.py
+++ b/packages/kernel/chiveridge_kernel/targets.py
@@ -1,6 +1,7 @@
 """The targets as this node sees them: the platform's list joined with direct evidence."""
 
 import datetime
+import enum
 
 from chiveridge_kernel import vms
 
@@ -10,6 +11,14 @@
 LEAVING_EVIDENCE_LIFETIME = datetime.timedelta(seconds=60)
 
 
+class TargetState(enum.Enum):
+    """Whether a listed target is given new work."""
+
+    USABLE = "usable"
+    LEAVING = "leaving"
+    AVOIDED = "avoided"
+
+
 class TargetTable:
     """Known targets, those listed as leaving, and those to avoid for a while.
 
@@ -60,3 +69,11 @@
             and name not in self._leaving_names
             and name not in self._avoided_until_by_name
         )
+
+    def state_of(self, name: str) -> TargetState:
+        """Return the state of a listed target."""
+        if name in self._leaving_names:
+            return TargetState.LEAVING
+        if name in self._avoided_until_by_name:
+            return TargetState.AVOIDED
+        return TargetState.USABLE
--- a/packages/node/chiveridge_node/statuses.py
+++ b/packages/node/chiveridge_node/statuses.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chiveridge_kernel import catch_ups, clocks, kernels, members
+from chiveridge_kernel import catch_ups, clocks, kernels, members, targets
 
 
 class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -36,6 +36,7 @@
     config_is_complete: bool
     vms_staleness_s: float | None
     targets: list[str]
+    target_states: dict[str, targets.TargetState]
     nodes: list[str]
     live_nodes: list[str]
     members: list[MemberStatus]
@@ -46,6 +47,7 @@
 def status_of(kernel: kernels.Kernel, now: datetime.datetime) -> NodeStatus:
     """Return a kernel's view of the system."""
     table = kernel.members
+    names = sorted(kernel.target_table.vms_by_name)
     return NodeStatus(
         name=kernel.settings.node,
         domain=kernel.settings.domain,
@@ -56,7 +58,8 @@
         config_staleness_s=catch_ups.staleness_s(kernel.catch_up.log_read_at, now),
         config_is_complete=not kernel.follower.is_scanning,
         vms_staleness_s=catch_ups.staleness_s(kernel.catch_up.vms_read_at, now),
-        targets=sorted(kernel.target_table.vms_by_name),
+        targets=names,
+        target_states={name: kernel.target_table.state_of(name) for name in names},
         nodes=sorted(table.vms_by_name),
         live_nodes=table.live_names(),
         members=[_member_status(found, now) for _, found in sorted(table.members_by_name.items())],
