--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -90,6 +90,13 @@
     result: configurations.ChangeResult
 
 
+class NoteRestored(msgspec.Struct, frozen=True, kw_only=True):
+    """Write to the log that the configuration was taken from a snapshot, of a peer or the log."""
+
+    offset: identifiers.Offset
+    is_from_peer: bool
+
+
 class Exit(msgspec.Struct, frozen=True):
     """The drain is done; the process may exit."""
 
@@ -106,5 +113,6 @@
     | SendSnapshot
     | AppendSnapshot
     | NoteChange
+    | NoteRestored
     | Exit
 )
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -192,6 +192,12 @@
         self.has_listing = True
         self.dispatcher.place_waiting(now)
 
+    def note_restored(self, *, is_from_peer: bool) -> None:
+        """Tell that the configuration was taken from a snapshot."""
+        self.dispatcher.outbox.append(
+            actions.NoteRestored(offset=self.configuration.offset, is_from_peer=is_from_peer)
+        )
+
     def plan_snapshot(self, now: datetime.datetime) -> None:
         """Note when to write a snapshot, once every record of the log has been read."""
         offset = self.configuration.offset
@@ -233,7 +239,10 @@
 @_handle.register
 def _(event: events.RecordsRead, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.catch_up.log_read_at = now
+    was_scanning = kernel.follower.is_scanning
     changes = kernel.follower.read(event.records, event.first, event.next_offset)
+    if was_scanning and not kernel.follower.is_scanning:
+        kernel.note_restored(is_from_peer=False)
     for change in changes:
         kernel.snapshot_schedule.saw_change(change.offset)
     kernel.configuration_moved(changes, now)
@@ -309,6 +318,7 @@
 ) -> None:
     if kernel.catch_up.take(message):
         kernel.snapshot_schedule.assume_base(kernel.configuration.offset)
+        kernel.note_restored(is_from_peer=True)
         kernel.configuration_moved([], now)
 
 
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -88,6 +88,7 @@
     def _perform_actions(self) -> None:
         self.shell.perform_with(actions.AnswerJob, self.requests.answered)
         self.shell.perform_with(actions.NoteChange, _note_change)
+        self.shell.perform_with(actions.NoteRestored, _note_restored)
         self.shell.perform_with(actions.Exit, lambda action: self._stopped.set())
 
     async def _open(self) -> None:
@@ -177,3 +178,10 @@
     signals.change_noted.send(result=result)
     event = _LOG_EVENTS_BY_VERDICT.get(result.verdict, logevents.LogEvent.CHANGE_REJECTED)
     logevents.write(event, **msgspec.to_builtins(result))
+
+
+def _note_restored(action: actions.NoteRestored) -> None:
+    event = logevents.LogEvent.CONFIGURATION_FROM_SNAPSHOT
+    if action.is_from_peer:
+        event = logevents.LogEvent.CONFIGURATION_FROM_PEER
+    logevents.write(event, offset=action.offset)
