Measure the time from an accepted change to its being in force

Nodes follow the log by long polls, so the time is one reply of the log to each node.

Not measured: nodes on machines of their own, and a log that lags.

--- a/packages/client/chiveridge_client/statuses.py
+++ b/packages/client/chiveridge_client/statuses.py
@@ -25,13 +25,18 @@
     return await asyncio.gather(*(_fetch(url, session) for url in urls))
 
 
-def is_in_force(found: list[NodeStatus], offset: int) -> bool:
-    """Tell whether every node asked, and every live node that these see, has applied an offset."""
+def is_in_force(found: list[NodeStatus], offset: int, *, with_members: bool = True) -> bool:
+    """Tell whether every node asked has applied an offset.
+
+    ``with_members`` asks the same of every live node that these see; what they know of each
+    other is as old as the last heartbeat.
+    """
     applied = []
     for node in found:
         status = node.status or {"config_offset": 0}
         applied.append(status["config_offset"])
-        live = [member for member in status.get("members", []) if member["state"] == "live"]
+        members = status.get("members", []) if with_members else []
+        live = [member for member in members if member["state"] == "live"]
         applied += [member["config_offset"] for member in live]
     return all(value > offset for value in applied)
 
--- /dev/null
+++ b/packages/load/chiveridge_load/publication_benches.py
@@ -0,0 +1,99 @@
+"""Measures the time from an accepted change to its being in force on every node.
+
+``python -m chiveridge_load.publication_benches`` starts a fleet on this machine and prints one
+line of JSON.
+"""
+
+import asyncio
+import random
+import sys
+import time
+
+import aiohttp
+import msgspec
+from absl import app, flags
+
+from chiveridge_client import clocks, errors, platforms, publications, statuses
+from chiveridge_kernel import records
+from chiveridge_load import deployments
+from chiveridge_standins import fleets
+
+DOMAINS = ("ikeja", "lekki", "surulere")
+POLL_SECONDS = 0.002
+TEAM = deployments.TeamPlan(name="dispatch-desk", secret="bench-secret-of-no-value")
+
+_NODES = flags.DEFINE_integer("nodes", 3, "Nodes in each of three domains.", lower_bound=1)
+_CHANGES = flags.DEFINE_integer("changes", 50, "Changes to publish.", lower_bound=1)
+
+
+class PublicationFigures(msgspec.Struct, frozen=True, kw_only=True):
+    """Milliseconds: ``publish_ms`` until the operator knows, ``in_force_ms`` after that.
+
+    ``in_force_ms`` ends when the status of every node shows the change; it includes the time
+    of these requests.
+    """
+
+    nodes: int
+    changes: int
+    publish_ms_median: float
+    publish_ms_max: float
+    in_force_ms_median: float
+    in_force_ms_max: float
+
+
+async def measure(nodes_per_domain: int, changes: int) -> PublicationFigures:
+    """Publish changes one after the other and wait for each on every node."""
+    domain = fleets.DomainPlan(nodes=nodes_per_domain, targets=1)
+    plan = fleets.FleetPlan(domains=dict.fromkeys(DOMAINS, domain))
+    async with fleets.Fleet(plan) as fleet, aiohttp.ClientSession() as session:
+        first = deployments.first_change([TEAM], list(fleet.targets_by_name))
+        await fleet.append_change(msgspec.to_builtins(first))
+        await fleet.wait_ready()
+        publisher = publications.Publisher(
+            platforms.Log(fleet.platform_url, session),
+            rng=random.Random(1),
+            clock=clocks.SystemClock(),
+        )
+        times = [await _publish(fleet, session, publisher, i) for i in range(changes)]
+    published = sorted(found[0] * 1e3 for found in times)
+    in_force = sorted(found[1] * 1e3 for found in times)
+    return PublicationFigures(
+        nodes=nodes_per_domain * len(DOMAINS),
+        changes=changes,
+        publish_ms_median=round(published[changes // 2], 1),
+        publish_ms_max=round(published[-1], 1),
+        in_force_ms_median=round(in_force[changes // 2], 1),
+        in_force_ms_max=round(in_force[-1], 1),
+    )
+
+
+async def _publish(
+    fleet: fleets.Fleet,
+    session: aiohttp.ClientSession,
+    publisher: publications.Publisher,
+    number: int,
+) -> tuple[float, float]:
+    """Return the seconds until the verdict, and from then until every node has the change."""
+    begin = time.perf_counter()
+    writes = publications.parse(f"[team team-{number}]\nlabels = number={number}\n")
+    found = await publisher.publish(writes, "bench")
+    if found.verdict is not records.Verdict.ACCEPTED:
+        raise errors.ClientError(f"change {number} got the verdict {found.verdict.value}")
+    accepted = time.perf_counter()
+    while not statuses.is_in_force(
+        await statuses.fetch_all(fleet.node_urls(), session), found.offset, with_members=False
+    ):
+        await asyncio.sleep(POLL_SECONDS)
+    return accepted - begin, time.perf_counter() - accepted
+
+
+def main(argv: list[str]) -> int:
+    """Measure and print the figures."""
+    del argv
+    figures = asyncio.run(measure(_NODES.value, _CHANGES.value))
+    sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    app.run(main)
