Test that the reach benchmark's changes take effect

Cause: figures of changes that the fold refused, or of queries that were refused, would look like those of real ones. Each kind of change must be accepted, and every team must get an answer after it.

--- /dev/null
+++ b/packages/load/tests/test_reach_benches.py
@@ -0,0 +1,18 @@
+from chiveridge_load import reach_benches
+
+
+def test_figures_of_a_small_size_are_complete():
+    figures = reach_benches.measure(targets=8, teams=4, rules=3, rounds=2, seed=1)
+    assert (figures.targets, figures.teams, figures.rules) == (8, 4, 3)
+    assert min(figures.task_us, figures.query_us, figures.requery_us, figures.memory_mb) > 0
+    assert figures.snapshot_chunks == 1
+
+
+def test_every_team_reaches_targets_after_each_change():
+    bench = reach_benches.Bench(targets=8, teams=4, rules=3, seed=1)
+    bench.load()
+    for kind, names in (("team", bench.teams), ("target", bench.targets), ("rule", bench.rules)):
+        kind = reach_benches.records.ObjectKind(kind)
+        bench.change([bench.write(kind, name) for name in names])
+        bench.query_all()
+        assert bench.configuration.trail.entries()[-1].verdict.value == "accepted"
