--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -10,8 +10,10 @@
     clocks,
     errors,
     events,
+    evidence,
     identifiers,
     jobs,
+    limits,
     members,
     messages,
     placements,
@@ -57,6 +59,7 @@
         self._usable_by_fitting: dict[int, tuple[Sequence[vms.Vm], Sequence[vms.Vm]]] = {}
         self._usable_version = -1
         self._lease_serial = 0
+        self.limiter = limits.Limiter(member_table, incarnation, self._emit)
         self.policy = placements.create(policy_name, self)
 
     def admit(self, event: events.SubmissionReceived, now: datetime.datetime) -> None:
@@ -67,9 +70,17 @@
         candidates = self.reach.candidates(event.team, event.submission.selector)
         job = jobs.Job(event.team, event.submission, candidates, now)
         self._check_runnable(job)
+        self.limiter.hold(job, now)
         self.jobs_by_id[job.submission_id] = job
         heapq.heappush(self._deadlines, (job.deadline, job.submission_id))
-        self.policy.job_waiting(job, now)
+        if job.waiting:
+            self.policy.job_waiting(job, now)
+
+    def place_permitted(self, now: datetime.datetime) -> None:
+        """Place the tasks that their team's limit no longer holds back."""
+        for job in self.limiter.pump(now):
+            if not job.ended:
+                self.policy.job_waiting(job, now)
 
     def start(self, task: jobs.Task, vm: vms.Vm, now: datetime.datetime) -> None:
         """Start a waiting task on a target."""
@@ -126,7 +137,7 @@
         self, job: jobs.Job, code: results.ResultCode, message: str, now: datetime.datetime
     ) -> None:
         """End a job as failed: start nothing more of it and stop what runs."""
-        for task in list(job.waiting):
+        for task in [*job.waiting, *self.limiter.give_up(job)]:
             task.signal(jobs.TaskSignal.GIVE_UP)
         job.waiting.clear()
         for task in job.running_tasks():
@@ -159,7 +170,8 @@
         A job whose tasks are all started goes on.
         """
         job.revocation = reason
-        for task in job.waiting:
+        for task in [*job.waiting, *self.limiter.give_up(job)]:
+            self.limiter.ended(task)
             self._give_up_revoked(task)
         job.waiting.clear()
         self.policy.job_ended(job, now)
@@ -177,6 +189,9 @@
             code = results.ResultCode.APPROVAL_REVOKED
             self._end(job, results.JobState.FAILED, code, message, now)
 
+    def _emit(self, action: actions.Action) -> None:
+        self.outbox.append(action)
+
     def _check_runnable(self, job: jobs.Job) -> None:
         any_usable = False
         for task in job.tasks:
@@ -213,15 +228,20 @@
         task.target = None
         job = task.job
         until = now + _BACKOFFS_BY_REASON.get(event.reason, targets.UNREACHABLE_BACKOFF)
+        if event.reason == "leaving":
+            self.outbox.extend(evidence.tell_leaving(self.members, self.target_table, vm))
+            self.target_table.leaving(vm.name, until)
         self.target_table.avoid(vm.name, until)
         if job.revocation:
             self._give_up_revoked(task)
             self._end_if_revoked(job, now)
             return
-        job.waiting.append(task)
+        is_held = self.limiter.hold_again(task)
+        if not is_held:
+            job.waiting.append(task)
         if job.deadline <= now:
             self.expire(now)
-        else:
+        elif not is_held:
             self.policy.job_waiting(job, now)
 
     def _lost(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
@@ -271,6 +291,7 @@
         self, task: jobs.Task, report: events.LeaseReported | None, now: datetime.datetime
     ) -> None:
         del self._tasks_by_lease[task.lease_id]
+        self.limiter.ended(task)
         name = task.target.name
         self.in_flight_by_target[name] -= 1
         if not self.in_flight_by_target[name]:
@@ -287,6 +308,8 @@
     ) -> None:
         del self.jobs_by_id[job.submission_id]
         job.ended = True
+        for task in job.tasks:
+            self.limiter.ended(task)
         queued = (job.first_start_at or now) - job.arrived_at
         answer = messages.JobAnswer(
             submission_id=job.submission_id,
--- a/packages/kernel/chiveridge_kernel/jobs.py
+++ b/packages/kernel/chiveridge_kernel/jobs.py
@@ -59,6 +59,7 @@
     __slots__ = (
         "attempts",
         "index",
+        "is_counted",
         "job",
         "lease_id",
         "lost_asks",
@@ -78,6 +79,7 @@
         self.spec = spec
         self.state = TaskState.WAITING
         self.attempts = 0
+        self.is_counted = False
         self.lost_asks = 0
         self.lease_id: identifiers.LeaseId | None = None
         self.target: vms.Vm | None = None
@@ -114,6 +116,8 @@
 class Job:
     """One submission while it runs; ``answer`` is set once and never changes.
 
+    ``waiting`` are tasks to be placed, ``held`` those that its team's limit holds back.
+
     ``revocation`` says why nothing more of it may start; what runs then still ends by itself,
     and the job fails only if it ``was_cut_short``, that is, a task of it was never started.
     """
@@ -134,6 +138,7 @@
         self.deadline = arrived_at + datetime.timedelta(milliseconds=submission.deadline_ms)
         self.tasks = [Task(self, index, spec) for index, spec in enumerate(submission.tasks)]
         self.waiting = collections.deque(self.tasks)
+        self.held: collections.deque[Task] = collections.deque()
         self.unfinished = len(self.tasks)
         self.first_start_at: datetime.datetime | None = None
         self.ended = False
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -15,6 +15,7 @@
     dispatchers,
     errors,
     events,
+    evidence,
     followers,
     heartbeats,
     identifiers,
@@ -68,6 +69,7 @@
         self.dispatcher = dispatchers.Dispatcher(
             self.reach, self.target_table, self.members, rng, settings.policy, settings.incarnation
         )
+        self.dispatcher.limiter.limit_of = self._limit_of
         self.revoker = revocations.Revoker(self.dispatcher, self.reach)
         self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
         self.follower = followers.Follower(self.configuration, self.snapshot_schedule.saw_chunk)
@@ -86,6 +88,7 @@
         :raises errors.RefusedError: when the event is a request that is refused.
         """
         _handle(event, self, now)
+        self.dispatcher.place_permitted(now)
         return self._drain_outbox()
 
     def is_ready(self) -> bool:
@@ -106,6 +109,7 @@
             self.target_table.next_expiry(),
             self.dispatcher.policy.next_wakeup(),
             self.heartbeats.next_due(),
+            self.dispatcher.limiter.next_wakeup(),
         )
         return min((moment for moment in moments if moment is not None), default=None)
 
@@ -193,6 +197,10 @@
             _, submission_id = heapq.heappop(self._expiries)
             self._used_by_id.pop(submission_id, None)
 
+    def _limit_of(self, team: identifiers.TeamName) -> int | None:
+        found = self.configuration.teams_by_name.get(team)
+        return None if found is None else found.max_starts
+
     def _check_serving(self) -> None:
         if self.draining:
             message = "this node is draining; ask another node for new submission ids"
@@ -294,6 +302,7 @@
     if kernel.target_table.expire(now):
         kernel.dispatcher.place_waiting(now)
     kernel.dispatcher.policy.ticked(now)
+    kernel.dispatcher.limiter.tick(now)
     outbox = kernel.dispatcher.outbox
     if kernel.snapshot_schedule.take_due(now):
         outbox.append(actions.AppendSnapshot(snapshot=kernel.configuration.snapshot()))
@@ -346,3 +355,18 @@
 @_take_message.register
 def _(message: peers.Heartbeat, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
     kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
+
+
+@_take_message.register
+def _(message: peers.TargetLeaving, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    evidence.take_leaving(message, kernel.target_table, now)
+
+
+@_take_message.register
+def _(message: peers.LimitReport, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    kernel.dispatcher.limiter.take_report(message, now)
+
+
+@_take_message.register
+def _(message: peers.LimitGrant, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    kernel.dispatcher.limiter.take_grant(message)
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/limit_keepers.py
@@ -0,0 +1,132 @@
+"""The keeper of a team's limit: divides the starts that the team may have in a domain."""
+
+import datetime
+
+import msgspec
+
+from chiveridge_kernel import identifiers, peers
+
+LEASE = datetime.timedelta(seconds=4)
+RECLAIM_AFTER = datetime.timedelta(seconds=8)
+MAX_UNSEEN_GRANTS = 16
+
+Holder = tuple[identifiers.NodeName, identifiers.Incarnation]
+
+
+class Account(msgspec.Struct):
+    """What is known of one holder; ``unseen_by_serial`` are grants that it may act on."""
+
+    heard_at: datetime.datetime
+    sequence: int = 0
+    in_use: int = 0
+    wanted: int = 0
+    reserved: int = 0
+    serial: int = 0
+    allowed: int = 0
+    unseen_by_serial: dict[int, int] = msgspec.field(default_factory=dict)
+
+    def counted(self) -> int:
+        """Return the most starts that the holder may have in progress."""
+        return max(self.in_use, self.reserved, *self.unseen_by_serial.values(), 0)
+
+    def forget_older_grants(self, serial_seen: int) -> None:
+        """Learn that the holder no longer acts on grants before a serial."""
+        for serial in [known for known in self.unseen_by_serial if known < serial_seen]:
+            del self.unseen_by_serial[serial]
+
+
+class Keeper:
+    """Grants for one team; what all holders may have together stays within the limit.
+
+    Nothing is granted for the first :data:`LEASE`, as grants of an earlier keeper may hold.
+    """
+
+    def __init__(
+        self,
+        team: identifiers.TeamName,
+        node: identifiers.NodeName,
+        incarnation: identifiers.Incarnation,
+        now: datetime.datetime,
+    ):
+        self._team = team
+        self._node = node
+        self._incarnation = incarnation
+        self._quiet_until = now + LEASE
+        self._accounts_by_holder: dict[Holder, Account] = {}
+
+    def report(
+        self, report: peers.LimitReport, limit: int, now: datetime.datetime
+    ) -> list[tuple[identifiers.NodeName, peers.LimitGrant]]:
+        """Take a holder's report; return grants by the node that each is for."""
+        holder = (report.sender, report.incarnation)
+        account = self._accounts_by_holder.setdefault(holder, Account(now))
+        if report.sequence <= account.sequence:
+            return []
+        self._update(account, report, limit, now)
+        self._forget_silent(now)
+        changed = self._divide(limit) if now >= self._quiet_until else set()
+        return [self._grant(each) for each in changed | {holder}]
+
+    def _update(
+        self, account: Account, report: peers.LimitReport, limit: int, now: datetime.datetime
+    ) -> None:
+        account.heard_at = now
+        account.sequence = report.sequence
+        account.in_use = report.in_use
+        account.wanted = report.wanted
+        # A holder that follows an earlier keeper may still use all that it may lend.
+        follows_other = report.keeper_seen not in ("", self._incarnation)
+        account.reserved = limit if follows_other else 0
+        if report.keeper_seen == self._incarnation:
+            account.forget_older_grants(report.serial_seen)
+
+    def counted(self) -> int:
+        """Return the most starts that all holders may have in progress."""
+        return sum(account.counted() for account in self._accounts_by_holder.values())
+
+    def _divide(self, limit: int) -> set[Holder]:
+        needs = {
+            holder: account.in_use + account.wanted
+            for holder, account in self._accounts_by_holder.items()
+        }
+        shares = divide(limit, needs)
+        return {holder for holder in needs if self._change(holder, shares[holder], limit)}
+
+    def _change(self, holder: Holder, share: int, limit: int) -> bool:
+        account = self._accounts_by_holder[holder]
+        room = limit - (self.counted() - account.counted())
+        allowed = max(0, min(share, room))
+        if allowed == account.allowed or len(account.unseen_by_serial) >= MAX_UNSEEN_GRANTS:
+            return False
+        account.serial += 1
+        account.allowed = allowed
+        account.unseen_by_serial[account.serial] = allowed
+        return True
+
+    def _forget_silent(self, now: datetime.datetime) -> None:
+        for holder, account in list(self._accounts_by_holder.items()):
+            if now - account.heard_at >= RECLAIM_AFTER:
+                del self._accounts_by_holder[holder]
+
+    def _grant(self, holder: Holder) -> tuple[identifiers.NodeName, peers.LimitGrant]:
+        account = self._accounts_by_holder[holder]
+        grant = peers.LimitGrant(
+            sender=self._node,
+            incarnation=self._incarnation,
+            holder_incarnation=holder[1],
+            team=self._team,
+            sequence=account.sequence,
+            serial=account.serial,
+            allowed=account.allowed,
+        )
+        return holder[0], grant
+
+
+def divide(limit: int, needs: dict[Holder, int]) -> dict[Holder, int]:
+    """Divide a limit evenly among needs, none of which gets more than it is."""
+    shares = {}
+    remaining = limit
+    for index, holder in enumerate(sorted(needs, key=needs.__getitem__)):
+        shares[holder] = min(needs[holder], remaining // (len(needs) - index))
+        remaining -= shares[holder]
+    return shares
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/limit_shares.py
@@ -0,0 +1,66 @@
+"""A node's share of a team's limit, as its keeper granted it."""
+
+import datetime
+
+import msgspec
+
+from chiveridge_kernel import clocks, identifiers, limit_keepers, peers
+
+RENEW_INTERVAL = datetime.timedelta(milliseconds=1500)
+ASK_AGAIN_INTERVAL = datetime.timedelta(milliseconds=500)
+IDLE_REPORT_DELAY = datetime.timedelta(milliseconds=200)
+MAX_REPORTS_KEPT = 16
+
+
+class Share(msgspec.Struct, kw_only=True):
+    """Starts that a team may have in progress here.
+
+    ``in_use`` counts tasks that were let through and have not ended, ``wanted`` those that
+    wait. A grant holds for a lease counted from the report that it answers, so that a node
+    which was frozen, or is cut off, starts nothing more.
+    """
+
+    keeper: identifiers.NodeName
+    in_use: int = 0
+    wanted: int = 0
+    allowed: int = 0
+    valid_until: datetime.datetime = clocks.EPOCH
+    last_grant: tuple[str, int] = ("", 0)
+    report_at: datetime.datetime = clocks.EPOCH
+    sent_at_by_sequence: dict[int, datetime.datetime] = msgspec.field(default_factory=dict)
+
+    def free(self, now: datetime.datetime) -> int:
+        """Return how many more tasks may be let through now."""
+        return max(0, self.allowed - self.in_use) if now < self.valid_until else 0
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing runs or waits."""
+        return self.in_use == 0 and self.wanted == 0
+
+    def change_keeper(self, keeper: identifiers.NodeName) -> None:
+        """Forget what an earlier keeper granted."""
+        self.keeper = keeper
+        self.allowed = 0
+        self.last_grant = ("", 0)
+        self.report_at = clocks.EPOCH
+        self.sent_at_by_sequence.clear()
+
+    def note_report(self, sequence: int, now: datetime.datetime) -> None:
+        """Note when a report was sent, and when the next is due."""
+        self.sent_at_by_sequence[sequence] = now
+        if len(self.sent_at_by_sequence) > MAX_REPORTS_KEPT:
+            del self.sent_at_by_sequence[min(self.sent_at_by_sequence)]
+        self.report_at = now + (ASK_AGAIN_INTERVAL if self.wanted else RENEW_INTERVAL)
+
+    def take(self, grant: peers.LimitGrant) -> None:
+        """Take a grant; one that is older than the last changes nothing."""
+        sent_at = self.sent_at_by_sequence.get(grant.sequence)
+        key = (grant.incarnation, grant.serial)
+        if sent_at is None or key < self.last_grant:
+            return
+        if grant.allowed < self.allowed:
+            # The keeper lends the difference on as soon as it knows that this was seen.
+            self.report_at = clocks.EPOCH
+        self.last_grant = key
+        self.allowed = grant.allowed
+        self.valid_until = max(self.valid_until, sent_at + limit_keepers.LEASE)
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/limits.py
@@ -0,0 +1,240 @@
+"""Holds back tasks of teams that have a limit on their starts in progress.
+
+A limit holds for each failure domain. One live node of the domain, chosen by hashing, is its
+keeper and divides it among the nodes; see ``docs/design/limits.md``.
+"""
+
+import collections
+import datetime
+import functools
+import hashlib
+from collections.abc import Callable
+
+from chiveridge_kernel import (
+    actions,
+    errors,
+    identifiers,
+    jobs,
+    limit_keepers,
+    limit_shares,
+    members,
+    peers,
+    results,
+)
+
+QUEUED_PER_START = 8
+RETRY_AFTER_MS = 1000
+
+Send = Callable[[actions.Action], None]
+LimitOf = Callable[[identifiers.TeamName], int | None]
+
+
+class Limiter:
+    """Lets tasks of limited teams through to placement; others pass at no cost.
+
+    ``offer`` is called with each job of which tasks were let through later.
+    """
+
+    def __init__(
+        self, member_table: members.MemberTable, incarnation: identifiers.Incarnation, send: Send
+    ):
+        self.limit_of: LimitOf = _no_limit
+        self._members = member_table
+        self._incarnation = incarnation
+        self._send = send
+        self._sequence = 0
+        self._shares_by_team: dict[identifiers.TeamName, limit_shares.Share] = {}
+        self._keepers_by_team: dict[identifiers.TeamName, limit_keepers.Keeper] = {}
+        self._jobs_by_team: dict[identifiers.TeamName, collections.deque[jobs.Job]] = {}
+        self._touched: set[identifiers.TeamName] = set()
+        self._names_by_team: dict[identifiers.TeamName, identifiers.NodeName] = {}
+        self._names_version = -1
+
+    def hold(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Hold back the tasks of a new job that are over its team's limit.
+
+        :raises errors.RefusedError: when too much of the team waits already.
+        """
+        limit = self.limit_of(job.team)
+        if limit is None:
+            return
+        share = self._share(job.team)
+        if share.wanted >= limit * QUEUED_PER_START:
+            message = f"team {job.team!r} has {share.wanted} tasks waiting for its limit of {limit}"
+            raise errors.RefusedError(results.ResultCode.QUOTA_EXCEEDED, message, RETRY_AFTER_MS)
+        job.held.extend(job.waiting)
+        job.waiting.clear()
+        share.wanted += len(job.held)
+        self._jobs_by_team.setdefault(job.team, collections.deque()).append(job)
+        self._let_through(job.team, now)
+        self._touched.add(job.team)
+
+    def hold_again(self, task: jobs.Task) -> bool:
+        """Hold back a task that was not started; tell whether its team has a limit."""
+        share = self._shares_by_team.get(task.job.team)
+        if share is None or self.limit_of(task.job.team) is None:
+            return False
+        job = task.job
+        queue = self._jobs_by_team.setdefault(job.team, collections.deque())
+        if not job.held:
+            queue.appendleft(job)
+        job.held.append(task)
+        share.wanted += 1
+        self._touched.add(job.team)
+        return True
+
+    def ended(self, task: jobs.Task) -> None:
+        """Learn that a task that was let through has ended or will not start."""
+        if task.is_counted:
+            task.is_counted = False
+            self._shares_by_team[task.job.team].in_use -= 1
+            self._touched.add(task.job.team)
+
+    def give_up(self, job: jobs.Job) -> list[jobs.Task]:
+        """Hold back nothing more of a job; return the tasks that were held back."""
+        tasks = list(job.held)
+        job.held.clear()
+        if tasks:
+            self._shares_by_team[job.team].wanted -= len(tasks)
+            self._touched.add(job.team)
+        return tasks
+
+    def pump(self, now: datetime.datetime) -> list[jobs.Job]:
+        """Let through what has become free; return the jobs to place."""
+        found: list[jobs.Job] = []
+        while self._touched:
+            team = self._touched.pop()
+            if team not in self._shares_by_team:
+                continue
+            found.extend(self._let_through(team, now))
+            share = self._shares_by_team[team]
+            if share.is_idle():
+                share.report_at = min(share.report_at, now + limit_shares.IDLE_REPORT_DELAY)
+            elif share.report_at <= now:
+                self._report(team, share, now)
+        return found
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Renew the shares in use, ask again, and give back the idle ones."""
+        for team, share in list(self._shares_by_team.items()):
+            self._follow_keeper(team, share)
+            if share.report_at > now:
+                continue
+            self._report(team, share, now)
+            is_given_back = share.allowed == 0 or now >= share.valid_until
+            if share.is_idle() and is_given_back and share.report_at > now:
+                del self._shares_by_team[team]
+                self._jobs_by_team.pop(team, None)
+            else:
+                self._touched.add(team)
+
+    def next_wakeup(self) -> datetime.datetime | None:
+        """Return when the next report is due."""
+        return min((share.report_at for share in self._shares_by_team.values()), default=None)
+
+    def take_report(self, report: peers.LimitReport, now: datetime.datetime) -> None:
+        """Answer a holder's report when this node is the keeper."""
+        limit = self.limit_of(report.team)
+        if limit is None or self._keeper_name(report.team) != self._members.own_name:
+            self._keepers_by_team.pop(report.team, None)
+            return
+        keeper = self._keepers_by_team.get(report.team)
+        if keeper is None:
+            keeper = limit_keepers.Keeper(
+                report.team, self._members.own_name, self._incarnation, now
+            )
+            self._keepers_by_team[report.team] = keeper
+        for node, grant in keeper.report(report, limit, now):
+            self._deliver(node, grant)
+
+    def take_grant(self, grant: peers.LimitGrant) -> None:
+        """Take a grant of the keeper."""
+        share = self._shares_by_team.get(grant.team)
+        is_ours = grant.holder_incarnation == self._incarnation
+        if share is not None and is_ours and grant.sender == share.keeper:
+            share.take(grant)
+            self._touched.add(grant.team)
+
+    def _let_through(self, team: identifiers.TeamName, now: datetime.datetime) -> list[jobs.Job]:
+        share = self._shares_by_team[team]
+        queue = self._jobs_by_team.get(team, collections.deque())
+        free = share.wanted if self.limit_of(team) is None else share.free(now)
+        found = []
+        while queue and free > 0:
+            job = queue[0]
+            count = min(free, len(job.held))
+            for _ in range(count):
+                self._let_one_through(share, job)
+            free -= count
+            if count:
+                found.append(job)
+            if not job.held:
+                queue.popleft()
+        return found
+
+    def _let_one_through(self, share: limit_shares.Share, job: jobs.Job) -> None:
+        task = job.held.popleft()
+        task.is_counted = True
+        job.waiting.append(task)
+        share.in_use += 1
+        share.wanted -= 1
+
+    def _share(self, team: identifiers.TeamName) -> limit_shares.Share:
+        share = self._shares_by_team.get(team)
+        if share is None:
+            share = limit_shares.Share(keeper=self._keeper_name(team))
+            self._shares_by_team[team] = share
+        return share
+
+    def _follow_keeper(self, team: identifiers.TeamName, share: limit_shares.Share) -> None:
+        keeper = self._keeper_name(team)
+        if keeper != share.keeper:
+            share.change_keeper(keeper)
+            self._keepers_by_team.pop(team, None)
+
+    def _report(
+        self, team: identifiers.TeamName, share: limit_shares.Share, now: datetime.datetime
+    ) -> None:
+        self._sequence += 1
+        share.note_report(self._sequence, now)
+        report = peers.LimitReport(
+            sender=self._members.own_name,
+            incarnation=self._incarnation,
+            team=team,
+            sequence=self._sequence,
+            in_use=share.in_use,
+            wanted=share.wanted,
+            keeper_seen=share.last_grant[0],
+            serial_seen=share.last_grant[1],
+        )
+        if share.keeper == self._members.own_name:
+            self.take_report(report, now)
+        else:
+            self._deliver(share.keeper, report)
+
+    def _deliver(self, node: identifiers.NodeName, message: peers.PeerMessage) -> None:
+        if node == self._members.own_name:
+            self.take_grant(message)
+            return
+        vm = self._members.find(node)
+        if vm is not None:
+            self._send(actions.SendToPeer(peer=vm, message=message))
+
+    def _keeper_name(self, team: identifiers.TeamName) -> identifiers.NodeName:
+        if self._names_version != self._members.version:
+            self._names_by_team.clear()
+            self._names_version = self._members.version
+        name = self._names_by_team.get(team)
+        if name is None:
+            names = self._members.live_names(self._members.own_domain)
+            name = max(names, key=functools.partial(_weight, team))
+            self._names_by_team[team] = name
+        return name
+
+
+def _weight(team: str, node: str) -> bytes:
+    return hashlib.blake2b(f"{team}/{node}".encode(), digest_size=8).digest()
+
+
+def _no_limit(team: identifiers.TeamName) -> int | None:
+    return None
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -132,6 +132,48 @@
     free: int
 
 
+class TargetLeaving(msgspec.Struct, frozen=True, kw_only=True, tag="target_leaving"):
+    """Tells that a target refused a start as leaving; the address tells VMs of a name apart."""
+
+    target: identifiers.TargetName
+    address: str
+    port: int
+    lifetime_ms: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class LimitReport(msgspec.Struct, frozen=True, kw_only=True, tag="limit_report"):
+    """Tells the keeper of a team's limit what a node uses and wants.
+
+    ``sequence`` counts the reports of this incarnation; ``keeper_seen`` and ``serial_seen`` name
+    the incarnation and the serial of the last grant that the sender follows.
+    """
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    team: identifiers.TeamName
+    sequence: int
+    in_use: Annotated[int, msgspec.Meta(ge=0)]
+    wanted: Annotated[int, msgspec.Meta(ge=0)]
+    keeper_seen: str = ""
+    serial_seen: int = 0
+
+
+class LimitGrant(msgspec.Struct, frozen=True, kw_only=True, tag="limit_grant"):
+    """Lets a node have ``allowed`` starts of a team in progress, for a lease.
+
+    The lease counts from when the node sent the report ``sequence``; ``serial`` counts the
+    changes of the grant.
+    """
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    holder_incarnation: identifiers.Incarnation
+    team: identifiers.TeamName
+    sequence: int
+    serial: int
+    allowed: Annotated[int, msgspec.Meta(ge=0)]
+
+
 class ConfigurationAsk(msgspec.Struct, frozen=True, kw_only=True, tag="configuration_ask"):
     """Asks for the configuration when the peer's offset is higher, and for a list of VMs."""
 
@@ -179,6 +221,9 @@
     CallerRequest
     | CallerReply
     | Heartbeat
+    | TargetLeaving
+    | LimitReport
+    | LimitGrant
     | ConfigurationAsk
     | ConfigurationChunk
     | ListingReply
--- a/packages/kernel/chiveridge_kernel/revocations.py
+++ b/packages/kernel/chiveridge_kernel/revocations.py
@@ -41,7 +41,7 @@
         except errors.RefusedError as refusal:
             self._dispatcher.revoke(job, refusal.message, now)
             return
-        if not all(job.candidates.fitting(task.spec) for task in job.waiting):
+        if not all(job.candidates.fitting(task.spec) for task in [*job.waiting, *job.held]):
             reason = "a task fits no target that the team may still use"
             self._dispatcher.revoke(job, reason, now)
 
--- a/packages/kernel/chiveridge_kernel/targets.py
+++ b/packages/kernel/chiveridge_kernel/targets.py
@@ -22,16 +22,25 @@
         self.list_version = 0
         self._leaving_names: frozenset[str] = frozenset()
         self._avoided_until_by_name: dict[str, datetime.datetime] = {}
+        self._told_leaving: set[str] = set()
 
     def replace(self, listing: vms.VmList) -> None:
         """Take the platform's list; evidence from targets outlives a list that lags behind."""
+        before = self.vms_by_name
         self.vms_by_name = {vm.name: vm for vm in listing.vms if vm.role is vms.VmRole.TARGET}
+        for name, vm in before.items():
+            self._forget_if_replaced(vm, self.vms_by_name.get(name))
         self._leaving_names = frozenset(
             vm.name for vm in self.vms_by_name.values() if vm.state is vms.VmState.LEAVING
         )
         self.version += 1
         self.list_version += 1
 
+    def _forget_if_replaced(self, vm: vms.Vm, following: vms.Vm | None) -> None:
+        if following is None or (following.address, following.port) != (vm.address, vm.port):
+            self._avoided_until_by_name.pop(vm.name, None)
+            self._told_leaving.discard(vm.name)
+
     def avoid(self, name: str, until: datetime.datetime) -> None:
         """Give the target no new work until a moment; a later moment set before stands."""
         known = self._avoided_until_by_name.get(name)
@@ -39,11 +48,21 @@
             self._avoided_until_by_name[name] = until
             self.version += 1
 
+    def leaving(self, name: str, until: datetime.datetime) -> None:
+        """Learn that a target said, here or to a peer, that it is leaving."""
+        self._told_leaving.add(name)
+        self.avoid(name, until)
+
+    def is_known_leaving(self, name: str) -> bool:
+        """Tell whether the list, the target or a peer said that the target is leaving."""
+        return name in self._leaving_names or name in self._told_leaving
+
     def expire(self, now: datetime.datetime) -> bool:
         """Let avoided targets be used again when their time is over; tell whether any is."""
         due = [name for name, until in self._avoided_until_by_name.items() if until <= now]
         for name in due:
             del self._avoided_until_by_name[name]
+            self._told_leaving.discard(name)
         if due:
             self.version += 1
         return bool(due)
