--- a/packages/kernel/chiveridge_kernel/catch_ups.py
+++ b/packages/kernel/chiveridge_kernel/catch_ups.py
@@ -2,7 +2,7 @@
 
 import datetime
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
@@ -94,12 +94,18 @@
         return self.log_read_at is None or now - self.log_read_at >= self._settings.silence
 
     def _choose_peers(self) -> Sequence[vms.Vm]:
-        own_name = self._members.own_name
-        listed = {name: vm for name, vm in self._members.vms_by_name.items() if name != own_name}
-        live = [listed[name] for name in self._members.live_names() if name in listed]
-        known = live or list(listed.values()) or list(self._settings.seeds)
+        # Nodes that seem dead are asked too when none is live: the view may be wrong.
+        known = (
+            self._others(self._members.live_names())
+            or self._others(self._members.vms_by_name)
+            or list(self._settings.seeds)
+        )
         return self._rng.sample(known, min(PEERS_PER_ASK, len(known)))
 
+    def _others(self, names: Iterable[str]) -> list[vms.Vm]:
+        others = (self._members.find(name) for name in names if name != self._members.own_name)
+        return [vm for vm in others if vm is not None]
+
 
 def seed_of(address: str, peer_port: int) -> vms.Vm:
     """Return a stand-in for the VM of a node of which only the endpoint is known."""
--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -30,11 +30,16 @@
     results.ResultCode.QUOTA_EXCEEDED: 429,
     results.ResultCode.INTERNAL_ERROR: 500,
 }
-_HTTP_STATUS_BY_CLASS = {0: 200, 1: 400, 2: 403, 3: 503, 4: 200}
+_HTTP_STATUS_BY_CLASS = {0: 200, 1: 400, 2: 403, 3: 503, 4: 410}
 
 
-def http_status(code: results.ResultCode) -> int:
-    """Return the HTTP status for a result code; a failed job is a successful reply."""
+def http_status(code: results.ResultCode, refused: bool = True) -> int:
+    """Return the HTTP status for a result code; the answer to a failed job is a successful reply.
+
+    A refusal never gets a status of success, so that it is not taken for an answer.
+    """
+    if not refused and code // 1000 == 4:
+        return 200
     return _HTTP_STATUS_BY_CODE.get(code, _HTTP_STATUS_BY_CLASS[code // 1000])
 
 
@@ -43,7 +48,7 @@
         self._http = http
 
     async def on_post(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
-        team = self._http.authenticate(req)
+        team = self._http.authenticate(req, results.TaskOutcome.NOT_RUN)
         _write(resp, self._http.requests.issue_ids(team, await _read_body(req)))
 
 
@@ -99,9 +104,12 @@
 
 
 class _MetricsResource:
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
     async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
         resp.content_type = prometheus_client.CONTENT_TYPE_LATEST
-        resp.data = prometheus_client.generate_latest()
+        resp.data = self._http.node.measures.text()
 
 
 class _StatusResource:
@@ -113,6 +121,18 @@
         resp.data = msgspec.json.encode(self._http.node.status())
 
 
+class _RefusalCounter:
+    """Counts the refusals that are told to callers."""
+
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
+    async def process_response(self, req, resp, resource, req_succeeded: bool) -> None:
+        code = getattr(resp.context, "code", None)
+        if code is not None and resp.status_code >= 400:
+            self._http.node.measures.note_refusal(code)
+
+
 class _Server(uvicorn.Server):
     """Leaves signals to the node."""
 
@@ -154,8 +174,13 @@
         self._server.should_exit = True
         await self._task
 
-    def authenticate(self, req: falcon.asgi.Request) -> identifiers.TeamName:
-        """Return the calling team.
+    def authenticate(
+        self, req: falcon.asgi.Request, ran: results.TaskOutcome = results.TaskOutcome.UNKNOWN
+    ) -> identifiers.TeamName:
+        """Return the calling team; ``ran`` is what a refusal says of the request's tasks.
+
+        The configuration in force here may lag behind that of the node which issued a submission
+        id, so a bad key is no proof that nothing ran under the id.
 
         :raises errors.RefusedError: when the credential is missing or wrong, or can't be
             checked because there is no configuration yet.
@@ -163,23 +188,23 @@
         if not self.node.kernel.configuration.offset:
             message = "this node has no configuration yet; ask another node"
             code = results.ResultCode.NOT_READY
-            raise errors.RefusedError(code, message, dispatchers.RETRY_AFTER_MS)
+            raise errors.RefusedError(code, message, dispatchers.RETRY_AFTER_MS, ran)
         scheme, _, credential = (req.auth or "").partition(" ")
         team = self.node.kernel.configuration.authenticate(credential.strip())
         if scheme.lower() != "bearer" or team is None:
             message = "Authorization: no team has this key"
-            raise errors.RefusedError(results.ResultCode.BAD_CREDENTIALS, message)
+            raise errors.RefusedError(results.ResultCode.BAD_CREDENTIALS, message, ran=ran)
         return team
 
     def _app(self) -> falcon.asgi.App:
-        app = falcon.asgi.App()
+        app = falcon.asgi.App(middleware=[_RefusalCounter(self)])
         app.add_route("/v1/submission-ids", _IdsResource(self))
         app.add_route("/v1/jobs", _JobsResource(self))
         app.add_route("/v1/jobs/{submission_id}", _JobResource(self))
         app.add_route("/v1/status", _StatusResource(self))
         app.add_route("/healthz", _HealthResource())
         app.add_route("/readyz", _ReadyResource(self))
-        app.add_route("/metrics", _MetricsResource())
+        app.add_route("/metrics", _MetricsResource(self))
         app.add_error_handler(errors.RefusedError, _refuse)
         app.add_error_handler(falcon.HTTPError, _refuse_http)
         app.add_error_handler(Exception, _fail)
@@ -214,12 +239,15 @@
         message = (
             f"wait_ms: {text[:_MAX_QUOTED]!r} is not a number from 0 to {requests.MAX_WAIT_MS}"
         )
-        raise errors.RefusedError(results.ResultCode.INVALID_FIELD, message)
+        raise errors.RefusedError(
+            results.ResultCode.INVALID_FIELD, message, ran=results.TaskOutcome.UNKNOWN
+        )
     return int(text)
 
 
 def _write(resp: falcon.asgi.Response, reply: requests.Reply) -> None:
-    resp.status = http_status(reply.code)
+    resp.status = http_status(reply.code, reply.refused)
+    resp.context.code = reply.code
     resp.content_type = falcon.MEDIA_JSON
     resp.data = reply.body
     if reply.retry_after_ms is not None:
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -18,12 +18,14 @@
     heartbeats,
     identifiers,
     kernels,
+    probes,
     records,
     snapshot_schedules,
 )
 from chiveridge_node import (
     clocks,
     logevents,
+    measures,
     plugins,
     requests,
     settings,
@@ -35,6 +37,7 @@
 _INCARNATION_BYTES = 4
 _SECRET_BYTES = 32
 _OUTAGE_MARGIN = datetime.timedelta(seconds=5)
+_MEGABYTE = 1024 * 1024
 _LOG_EVENTS_BY_VERDICT = {records.Verdict.ACCEPTED: logevents.LogEvent.CHANGE_ACCEPTED}
 
 
@@ -46,6 +49,7 @@
         self.rng = random.Random(secrets.randbits(64))
         self.kernel = kernels.Kernel(_kernel_settings(node_settings), self.rng)
         self.shell = shells.Shell(self.kernel, clocks.SystemClock())
+        self.measures = measures.Measures(self.shell)
         self.requests = requests.Requests(self.shell)
         self._stopped = asyncio.Event()
         self._adapters_by_kind = {
@@ -61,8 +65,15 @@
         await self._close()
 
     def drain(self) -> None:
-        """Refuse new work and exit once everything in progress has ended."""
+        """Refuse new work and exit once everything in progress has ended.
+
+        A second request ends what is in progress as failed.
+        """
         if self.kernel.draining:
+            logevents.write(
+                logevents.LogEvent.STOP_FORCED, jobs=len(self.kernel.dispatcher.jobs_by_id)
+            )
+            self.shell.handle(events.DrainRequested(forced=True))
             return
         logevents.write(
             logevents.LogEvent.DRAIN_STARTED, jobs=len(self.kernel.dispatcher.jobs_by_id)
@@ -84,6 +95,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.drain)
         self.shell.start()
+        self.measures.start()
         for adapter in self._adapters_by_kind.values():
             await adapter.open()
         self._announce()
@@ -93,6 +105,7 @@
         await self._adapters_by_kind[plugins.Kind.CALLERS].close()
         for kind in (plugins.Kind.PEERS, plugins.Kind.LOG, plugins.Kind.VMS, plugins.Kind.TARGETS):
             await self._adapters_by_kind[kind].close()
+        self.measures.stop()
         self.shell.stop()
         signals.node_stopped.send(self)
         logevents.write(logevents.LogEvent.NODE_STOPPED)
@@ -124,6 +137,12 @@
             suspect_intervals=node_settings.membership.suspect_heartbeats,
             dead_intervals=node_settings.membership.dead_heartbeats,
         ),
+        linger=datetime.timedelta(milliseconds=node_settings.node.drain_linger_ms),
+        probe_limits=probes.ProbeLimits(
+            shortest=datetime.timedelta(milliseconds=node_settings.targets.probe_min_ms),
+            longest=datetime.timedelta(milliseconds=node_settings.targets.probe_max_ms),
+        ),
+        answer_budget_bytes=node_settings.answers.keep_mb * _MEGABYTE,
     )
 
 
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -14,6 +14,8 @@
 MAX_REQUESTS_IN_PROGRESS = 4096
 IDLE_LINK_SECONDS = 30.0
 SWEEP_SECONDS = 5.0
+CLOSE_TIMEOUT_SECONDS = 1.0
+CLOSE_LINGER_MS = 500
 
 
 class ZmqPeers:
@@ -30,6 +32,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._drops = drops.DropCounter(time.monotonic)
         self._serving = 0
+        self._servings: set[asyncio.Task] = set()
         self.port = 0
 
     async def open(self) -> None:
@@ -51,13 +54,15 @@
         self._node.shell.perform_with(actions.DisconnectPeer, self.disconnect)
 
     async def close(self) -> None:
-        """Close every socket."""
+        """Finish the replies in progress and close every socket."""
+        if self._servings:
+            await asyncio.wait(self._servings, timeout=CLOSE_TIMEOUT_SECONDS)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for link in self._links_by_endpoint.values():
             link.close()
-        self._context.destroy(linger=0)
+        self._context.destroy(linger=CLOSE_LINGER_MS)
 
     async def exchange(
         self, peer: vms.Vm, request: peers.CallerRequest, timeout_ms: int
@@ -153,7 +158,9 @@
     def _take(self, identity: bytes, data: bytes) -> None:
         message = self._decode(data)
         if isinstance(message, peers.CallerRequest):
-            self._in_background(self._serve(identity, message))
+            serving = self._in_background(self._serve(identity, message))
+            self._servings.add(serving)
+            serving.add_done_callback(self._servings.discard)
         elif message is not None:
             self._hand_over(message, identity)
 
@@ -190,10 +197,11 @@
             self._drops.count(error)
             return None
 
-    def _in_background(self, coroutine) -> None:
+    def _in_background(self, coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def _ignore_dropped(sending: asyncio.Future) -> None:
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -23,6 +23,7 @@
     """Who this node is; a port of 0 lets the system choose one.
 
     ``seeds`` are peers, ``IP:PEER_PORT,...``, to ask at start when the list of VMs is down.
+    ``drain_linger_ms`` bounds the stay of a stopping node until its peers keep its answers.
     """
 
     name: _Name
@@ -31,6 +32,7 @@
     caller_port: _Port = 0
     peer_port: _Port = 0
     seeds: str = ""
+    drain_linger_ms: _Milliseconds = 3000
 
 
 class PlatformSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -73,11 +75,19 @@
 
 
 class TargetsSection(msgspec.Struct, frozen=True, kw_only=True):
-    """Connections to targets."""
+    """Connections to targets, and bounds of the wait for a reply before a target is asked."""
 
     connections_per_target: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 8
     connect_timeout_ms: _Milliseconds = 1000
     idle_timeout_ms: _Milliseconds = 10_000
+    probe_min_ms: _Milliseconds = 1000
+    probe_max_ms: _Milliseconds = 10_000
+
+
+class AnswersSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Answers kept for callers that fetch them later or again, in megabytes of memory."""
+
+    keep_mb: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 64
 
 
 class PluginsSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,6 +109,7 @@
     placement: PlacementSection = PlacementSection()
     membership: MembershipSection = MembershipSection()
     targets: TargetsSection = TargetsSection()
+    answers: AnswersSection = AnswersSection()
     plugins: PluginsSection = PluginsSection()
 
 
@@ -117,6 +128,7 @@
     "placement": PlacementSection,
     "membership": MembershipSection,
     "targets": TargetsSection,
+    "answers": AnswersSection,
     "plugins": PluginsSection,
 }
 
--- a/packages/node/chiveridge_node/shells.py
+++ b/packages/node/chiveridge_node/shells.py
@@ -9,6 +9,12 @@
 
 MAX_TICK_INTERVAL = datetime.timedelta(milliseconds=250)
 
+PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
+"""Time without a tick after which the process counts as having been paused."""
+
+PAUSE_AFTERMATH = datetime.timedelta(seconds=1)
+"""Time after a pause in which requests that arrived during it may still be read."""
+
 
 class Shell:
     """Connects the kernel to the adapters that perform its actions."""
@@ -17,15 +23,24 @@
         self.kernel = kernel
         self.clock = clock
         self._performers_by_type: dict[type, Callable[[actions.Action], None]] = {}
+        self._observers_by_type: dict[type, list[Callable]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due: datetime.datetime | None = None
+        self._ticked_at = clock.now()
+        self._paused_at = self._ticked_at
+        self._pause_over_at = self._ticked_at
 
     def perform_with(self, action_type: type, performer: Callable[[actions.Action], None]) -> None:
         """Name the callable that performs actions of a type."""
         self._performers_by_type[action_type] = performer
 
+    def observe_with(self, observed_type: type, observer: Callable) -> None:
+        """Have every event or action of a type told to a callable, before it is handled."""
+        self._observers_by_type.setdefault(observed_type, []).append(observer)
+
     def start(self) -> None:
         """Begin to deliver ticks."""
+        self._ticked_at = self.clock.now()
         self._arm()
 
     def stop(self) -> None:
@@ -38,9 +53,23 @@
 
         :raises errors.RefusedError: when the event is a request that is refused.
         """
-        for action in self.kernel.handle(event, self.clock.now()):
-            self._perform(action)
-        self._arm()
+        self._observe(event)
+        try:
+            done = self.kernel.handle(event, self.clock.now())
+        except errors.RefusedError:
+            self._perform_all(self.kernel.take_actions())
+            raise
+        self._perform_all(done)
+
+    def arrival(self) -> datetime.datetime:
+        """Return the earliest moment at which a request read now may have arrived.
+
+        After the process was paused, requests have waited unseen for up to the whole pause.
+        """
+        now = self.clock.now()
+        if self._is_stalled(now):
+            return self._ticked_at
+        return self._paused_at if now < self._pause_over_at else now
 
     def handle_safely(self, event: events.Event) -> None:
         """Handle an event that nobody waits for; a fault is logged and the node goes on."""
@@ -51,12 +80,22 @@
         except Exception:
             logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, kind=type(event).__name__)
 
+    def _perform_all(self, done: list[actions.Action]) -> None:
+        for action in done:
+            self._perform(action)
+        self._arm()
+
     def _perform(self, action: actions.Action) -> None:
         try:
+            self._observe(action)
             self._performers_by_type[type(action)](action)
         except Exception:
             logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, kind=type(action).__name__)
 
+    def _observe(self, subject: events.Event | actions.Action) -> None:
+        for observer in self._observers_by_type.get(type(subject), ()):
+            observer(subject)
+
     def _arm(self) -> None:
         now = self.clock.now()
         wakeup = self.kernel.next_wakeup()
@@ -71,5 +110,19 @@
 
     def _tick(self) -> None:
         self._timer = None
+        self._note_pause()
         self.handle_safely(events.Ticked())
         self._arm()
+
+    def _note_pause(self) -> None:
+        now = self.clock.now()
+        if self._is_stalled(now):
+            logevents.write(
+                logevents.LogEvent.PROCESS_PAUSED, paused_ms=clocks.to_ms(now - self._ticked_at)
+            )
+            self._paused_at = self._ticked_at
+            self._pause_over_at = now + PAUSE_AFTERMATH
+        self._ticked_at = now
+
+    def _is_stalled(self, now: datetime.datetime) -> bool:
+        return now - self._ticked_at > PAUSE_THRESHOLD
--- a/packages/node/tests/test_peers_zmq.py
+++ b/packages/node/tests/test_peers_zmq.py
@@ -14,6 +14,7 @@
 
 HOST = "127.0.0.1"
 REQUEST = peers.CallerRequest(
+    arrived_at_ms=0,
     request_id=0,
     sender="b",
     operation=peers.Operation.ASK,
--- /dev/null
+++ b/tests/integration/test_graceful_shutdown.py
@@ -0,0 +1,133 @@
+"""Planned stops: nothing in progress is cut, nothing is lost, nothing runs twice."""
+
+import asyncio
+import signal
+
+import pytest
+
+from chiveridge_client import clients
+from chiveridge_kernel import results
+
+CODES = results.ResultCode
+NODE = "ikeja-e1"
+OTHER_NODE = "ikeja-e2"
+
+
+async def stop_twice(deployed) -> int:
+    """Send SIGTERM and, once the node drains, SIGINT; return the exit code."""
+    process = deployed.fleet._process(NODE)
+    process.signal(signal.SIGTERM)
+    await deployed.wait_draining(NODE)
+    process.signal(signal.SIGINT)
+    return await process.wait()
+
+
+@pytest.mark.promise("graceful_shutdown", failures=["platform_outage"])
+@pytest.mark.promise("honest_refusal", failures=["platform_outage"])
+async def test_a_stopping_node_finishes_and_leaves_its_answers_with_its_peers(deploy, make_task):
+    async with deploy(nodes=2, proxied=frozenset({"platform"})) as deployed:
+        caller, url, other = deployed.caller, deployed.url(NODE), deployed.url(OTHER_NODE)
+        awaited = await deployed.submission(NODE, make_task("awaited", run_ms=800))
+        unseen = await deployed.submission(NODE, make_task("unseen", run_ms=800))
+        unused = await deployed.submission(NODE, make_task("unused"))
+        refused = await deployed.submission(NODE, make_task("refused"))
+        for submission in (awaited, unseen):
+            await caller.submit(url, submission)
+        await deployed.wait_started("awaited")
+        await deployed.wait_started("unseen")
+        waiting = asyncio.create_task(caller.ask(url, awaited.submission_id, 10_000))
+        forwarded = asyncio.create_task(caller.ask(other, awaited.submission_id, 10_000))
+
+        # The platform is out during the whole stop.
+        deployed.fleet.proxies_by_name["platform"].cut()
+        stopping = asyncio.create_task(deployed.fleet.terminate(NODE))
+        await deployed.wait_draining(NODE)
+        refusal = await caller.submit(url, refused)
+        assert (refusal.code, refusal.ran) == (CODES.DRAINING, "not_run")
+        assert (await caller.request("GET", f"{url}/readyz"))[0] == 503
+        assert (await caller.request("GET", f"{url}/healthz"))[0] == 200
+        assert (await waiting).code == (await forwarded).code == CODES.COMPLETE
+        assert await stopping == 0
+
+        for submission in (awaited, unseen):
+            answer = await caller.ask(other, submission.submission_id)
+            assert (answer.code, len(answer.tasks)) == (CODES.COMPLETE, 1)
+            assert (await caller.submit(other, submission)).code == CODES.COMPLETE
+        for submission in (unused, refused):
+            refusal = await caller.submit(other, submission)
+            assert (refusal.code, refusal.ran) == (CODES.ISSUER_GONE, "not_run")
+        assert await deployed.starts() == {"awaited": 1, "unseen": 1}
+
+
+@pytest.mark.promise("graceful_shutdown")
+@pytest.mark.promise("complete_or_failed")
+async def test_a_second_signal_ends_what_runs_as_failed(deploy, make_task, until):
+    async with deploy(nodes=2) as deployed:
+        submission = await deployed.submission(NODE, make_task("long", run_ms=25_000))
+        await deployed.caller.submit(deployed.url(NODE), submission)
+        await deployed.wait_started("long")
+        waiting = asyncio.create_task(
+            deployed.caller.ask(deployed.url(NODE), submission.submission_id, 20_000)
+        )
+        await asyncio.sleep(0)
+        assert await stop_twice(deployed) == 0
+        answer = await waiting
+        assert (answer.code, answer.state) == (CODES.NODE_STOPPED, "failed")
+        assert [task.outcome.value for task in answer.tasks] == ["unknown"]
+        again = await deployed.caller.submit(deployed.url(OTHER_NODE), submission)
+        assert again.code == CODES.NODE_STOPPED
+
+        async def is_stopped() -> bool:
+            (target,) = deployed.fleet.targets_by_name.values()
+            return (await target.counts()).stops == {"long": 1}
+
+        await until(is_stopped)
+        assert await deployed.starts() == {"long": 1}
+
+
+@pytest.mark.promise("graceful_shutdown", failures=["kill"])
+@pytest.mark.promise("non_idempotent_once", failures=["kill"])
+async def test_a_node_killed_while_it_drains_leaves_its_job_unknown(deploy, make_task):
+    async with deploy(nodes=2) as deployed:
+        submission = await deployed.submission(NODE, make_task("once", run_ms=2000))
+        await deployed.caller.submit(deployed.url(NODE), submission)
+        await deployed.wait_started("once")
+        deployed.fleet._process(NODE).signal(signal.SIGTERM)
+        await deployed.wait_draining(NODE)
+        await deployed.fleet.kill(NODE)
+        refusal = await deployed.caller.submit(deployed.url(OTHER_NODE), submission)
+        assert (refusal.code, refusal.ran) == (CODES.ISSUER_UNREACHABLE, "unknown")
+        assert await deployed.starts() == {"once": 1}
+
+
+@pytest.mark.promise("graceful_shutdown")
+@pytest.mark.promise("at_most_once")
+async def test_no_call_of_the_client_is_lost_while_nodes_stop_one_after_another(
+    deploy, make_task, until
+):
+    async with deploy(nodes=3, targets=2) as deployed:
+        running = True
+        answers = {}
+
+        async def submit_until_stopped(client: clients.Client, caller: int) -> None:
+            while running:
+                key = f"job-{caller}-{len(answers)}"
+                answers[key] = None
+                answers[key] = await client.submit([make_task(key, run_ms=30)])
+
+        async def has_completed(count: int) -> bool:
+            return sum(answer is not None for answer in answers.values()) >= count
+
+        urls = deployed.fleet.node_urls()
+        async with clients.Client(urls, deployed.team.credential, id_batch_size=8) as client:
+            callers = [asyncio.create_task(submit_until_stopped(client, i)) for i in range(8)]
+            await until(lambda: has_completed(40))
+            for name in (NODE, OTHER_NODE):
+                assert await deployed.fleet.terminate(name) == 0
+                await deployed.fleet.delete_vm(name)
+                done = len(answers)
+                await until(lambda done=done: has_completed(done + 20))
+            running = False
+            await asyncio.gather(*callers)
+        assert {answer.code for answer in answers.values()} == {CODES.COMPLETE}
+        assert await deployed.starts() == dict.fromkeys(answers, 1)
