--- /dev/null
+++ b/packages/load/chiveridge_load/control_benches.py
@@ -0,0 +1,175 @@
+"""Measures the control traffic, CPU and memory of nodes at several domain sizes.
+
+``python -m chiveridge_load.control_benches`` prints JSON: one measurement a size and load, and
+the slopes by node. Bytes are those that nodes hand to the peer sockets, and an estimate with
+the headers of TCP and IP.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import re
+import sys
+import time
+
+import aiohttp
+import msgspec
+from absl import app, flags
+
+from chiveridge_client import clients
+from chiveridge_kernel import heartbeats, messages
+from chiveridge_load import deployments
+from chiveridge_standins import fleets
+
+_SIZES = flags.DEFINE_list("sizes", ["3", "9", "25"], "Numbers of nodes in the domain.")
+_SECONDS = flags.DEFINE_integer("seconds", 20, "Length of a measurement.")
+_JOBS_PER_SECOND = flags.DEFINE_float("jobs_per_second", 5.0, "Load of the loaded measurement.")
+
+SETTLE_SECONDS = 6
+TARGETS = 2
+CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_BYTES = re.compile(r"^chiveridge_peer_sent_bytes_total (\S+)$", re.MULTILINE)
+_MESSAGES = re.compile(r"^chiveridge_peer_sent_messages_total (\S+)$", re.MULTILINE)
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Totals of one node at one time."""
+
+    sent_bytes: float
+    sent_messages: float
+    cpu_seconds: float
+    resident_bytes: int
+
+
+class Measurement(msgspec.Struct, frozen=True):
+    """Means over the nodes of a fleet; ``cpu_share`` is that of one core."""
+
+    nodes: int
+    jobs_per_second: float
+    bytes_per_second: float
+    wire_bytes_per_second: float
+    messages_per_second: float
+    cpu_share: float
+    resident_mb: float
+
+
+class Report(msgspec.Struct, frozen=True):
+    """All measurements, and the slopes of the idle ones by node."""
+
+    measurements: list[Measurement]
+    idle_bytes_per_second_per_node: float
+    idle_cpu_share_per_node: float
+
+
+async def usage_of(fleet: fleets.Fleet, name: str, session: aiohttp.ClientSession) -> Usage:
+    """Return what a node has used since its start."""
+    async with session.get(f"{fleet.nodes_by_name[name].url}/metrics") as reply:
+        text = await reply.text()
+    process = pathlib.Path("/proc", str(fleet.pid(name)))
+    fields = process.joinpath("stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    pages = int(process.joinpath("statm").read_text().split()[1])
+    return Usage(
+        sent_bytes=float(_BYTES.search(text)[1]),
+        sent_messages=float(_MESSAGES.search(text)[1]),
+        cpu_seconds=ticks / CLOCK_TICKS_PER_SECOND,
+        resident_bytes=pages * PAGE_BYTES,
+    )
+
+
+async def measure(
+    fleet: fleets.Fleet, session: aiohttp.ClientSession, seconds: float, jobs_per_second: float
+) -> Measurement:
+    """Measure the nodes of a fleet for a while."""
+    names = list(fleet.nodes_by_name)
+    before = [await usage_of(fleet, name, session) for name in names]
+    started_at = time.monotonic()
+    await asyncio.sleep(seconds)
+    after = [await usage_of(fleet, name, session) for name in names]
+    elapsed = (time.monotonic() - started_at) * len(names)
+    pairs = list(zip(before, after, strict=True))
+    sent_bytes = sum(last.sent_bytes - first.sent_bytes for first, last in pairs)
+    sent_messages = sum(last.sent_messages - first.sent_messages for first, last in pairs)
+    headers = sent_messages * heartbeats.WIRE_BYTES_PER_MESSAGE
+    cpu_seconds = sum(last.cpu_seconds - first.cpu_seconds for first, last in pairs)
+    return Measurement(
+        nodes=len(names),
+        jobs_per_second=jobs_per_second,
+        bytes_per_second=round(sent_bytes / elapsed, 1),
+        wire_bytes_per_second=round((sent_bytes + headers) / elapsed, 1),
+        messages_per_second=round(sent_messages / elapsed, 2),
+        cpu_share=round(cpu_seconds / elapsed, 5),
+        resident_mb=round(sum(last.resident_bytes for last in after) / len(names) / 1e6, 1),
+    )
+
+
+async def submit_steadily(fleet: fleets.Fleet, credential: str, jobs_per_second: float) -> None:
+    """Submit small jobs at a steady rate until cancelled."""
+    body = msgspec.Raw(msgspec.json.encode({"run_ms": 5}))
+    async with (
+        clients.Client(fleet.node_urls(), credential) as client,
+        asyncio.TaskGroup() as group,
+    ):
+        while True:
+            group.create_task(client.submit([messages.TaskSpec(body=body)] * 4))
+            await asyncio.sleep(1 / jobs_per_second)
+
+
+async def measure_size(nodes: int, seconds: float, jobs_per_second: float) -> list[Measurement]:
+    """Measure a domain of so many nodes, idle and under a light load."""
+    domain = fleets.DomainPlan(nodes=nodes, targets=TARGETS)
+    team = deployments.TeamPlan(name="bench", secret="secret-of-the-bench")
+    async with (
+        fleets.Fleet(fleets.FleetPlan(domains={"ikeja": domain})) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
+        change = deployments.first_change([team], list(fleet.targets_by_name))
+        await fleet.append_change(msgspec.to_builtins(change))
+        await fleet.wait_ready()
+        await asyncio.sleep(SETTLE_SECONDS)
+        idle = await measure(fleet, session, seconds, 0.0)
+        load = asyncio.create_task(submit_steadily(fleet, team.credential, jobs_per_second))
+        loaded = await measure(fleet, session, seconds, jobs_per_second)
+        load.cancel()
+        await asyncio.gather(load, return_exceptions=True)
+        return [idle, loaded]
+
+
+async def run(sizes: list[int], seconds: float, jobs_per_second: float) -> Report:
+    """Measure every size."""
+    found: list[Measurement] = []
+    for size in sizes:
+        found.extend(await measure_size(size, seconds, jobs_per_second))
+    idle = [measurement for measurement in found if not measurement.jobs_per_second]
+    return Report(
+        measurements=found,
+        idle_bytes_per_second_per_node=_slope(
+            [(each.nodes, each.bytes_per_second) for each in idle]
+        ),
+        idle_cpu_share_per_node=_slope([(each.nodes, each.cpu_share) for each in idle]),
+    )
+
+
+def _slope(points: list[tuple[float, float]]) -> float:
+    """Return the slope of the least-squares line, 0 for fewer than two points."""
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    if not spread:
+        return 0.0
+    return round(sum((x - mean_x) * (y - mean_y) for x, y in points) / spread, 6)
+
+
+def main(argv: list[str]) -> None:
+    """Measure and print."""
+    del argv
+    sizes = [int(text) for text in _SIZES.value]
+    report = asyncio.run(run(sizes, _SECONDS.value, _JOBS_PER_SECOND.value))
+    json.dump(msgspec.to_builtins(report), sys.stdout, indent=2)
+    print()
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/node/chiveridge_node/links_zmq.py
+++ b/packages/node/chiveridge_node/links_zmq.py
@@ -10,6 +10,7 @@
 import zmq.utils.monitor
 
 from chiveridge_kernel import peers, vms
+from chiveridge_node import metrics
 
 HIGH_WATER_MARK = 1000
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -93,7 +94,11 @@
         return room and not self._is_refused and age < CONNECT_TIMEOUT_SECONDS
 
     def _send_now(self, data: bytes) -> bool:
-        return self._socket.send(data, zmq.NOBLOCK).exception() is None
+        is_sent = self._socket.send(data, zmq.NOBLOCK).exception() is None
+        if is_sent:
+            metrics.peer_sent_bytes.inc(len(data))
+            metrics.peer_sent_messages.inc()
+        return is_sent
 
     async def _receive(self) -> None:
         while True:
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -127,7 +127,7 @@
         endpoint = _endpoint(peer)
         link = self._links_by_endpoint.get(endpoint)
         if link is None:
-            link = links_zmq.Link(self._context, peer, self._receive_reply, self._report_lost)
+            link = links_zmq.Link(self._context, peer, self._receive_reply, self._note_lost)
             self._links_by_endpoint[endpoint] = link
         return link
 
@@ -137,6 +137,10 @@
             metrics.peer_links_closed.inc()
             link.close()
 
+    def _note_lost(self, link: links_zmq.Link) -> None:
+        logevents.write(logevents.LogEvent.PEER_UNREACHABLE, peer=link.peer.name)
+        self._report_lost(link)
+
     def _report_lost(self, link: links_zmq.Link) -> None:
         link.give_up_requests()
         self._node.shell.handle_safely(events.PeerUnreachable(peer=link.peer))
