--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -15,6 +15,7 @@
     dispatchers,
     errors,
     events,
+    evidence,
     followers,
     handovers,
     heartbeats,
@@ -68,6 +69,7 @@
             settings.incarnation,
             settings.probe_limits,
         )
+        self.dispatcher.limiter.limit_of = self._limit_of
         self.revoker = revocations.Revoker(self.dispatcher, self.reach)
         self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
         self.follower = followers.Follower(self.configuration, self.snapshot_schedule.saw_chunk)
@@ -96,6 +98,7 @@
         # Whatever woke the process up, nothing is started past a deadline.
         self.dispatcher.expire(now)
         _handle(event, self, now)
+        self.dispatcher.place_permitted(now)
         if self.draining and not self.dispatcher.jobs_by_id:
             self._leave(now)
         return self.take_actions()
@@ -121,6 +124,7 @@
             self.target_table.next_expiry(),
             self.dispatcher.policy.next_wakeup(),
             self.heartbeats.next_due(),
+            self.dispatcher.limiter.next_wakeup(),
             None if self._leaving is None else self._leaving.due,
         ]
         return min((moment for moment in moments if moment is not None), default=None)
@@ -205,6 +209,10 @@
             count = len(self.members.live_names())
             self.snapshot_schedule.update(offset, self.follower.first, count, now)
 
+    def _limit_of(self, team: identifiers.TeamName) -> int | None:
+        found = self.configuration.teams_by_name.get(team)
+        return None if found is None else found.max_starts
+
     def _check_serving(self) -> None:
         if self.draining:
             message = "this node is draining; ask another node for new submission ids"
@@ -280,6 +288,7 @@
     if kernel.target_table.expire(now):
         kernel.dispatcher.place_waiting(now)
     kernel.dispatcher.policy.ticked(now)
+    kernel.dispatcher.limiter.tick(now)
     outbox = kernel.dispatcher.outbox
     if kernel.snapshot_schedule.take_due(now):
         outbox.append(actions.AppendSnapshot(snapshot=kernel.configuration.snapshot()))
@@ -334,6 +343,21 @@
     kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
 
 
+@_take_message.register
+def _(message: peers.TargetLeaving, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    evidence.take_leaving(message, kernel.target_table, now)
+
+
+@_take_message.register
+def _(message: peers.LimitReport, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    kernel.dispatcher.limiter.take_report(message, now)
+
+
+@_take_message.register
+def _(message: peers.LimitGrant, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
+    kernel.dispatcher.limiter.take_grant(message)
+
+
 @_take_message.register
 def _(message: peers.Handover, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
     kernel.handovers.receive(message, now)
--- a/packages/node/chiveridge_node/metrics.py
+++ b/packages/node/chiveridge_node/metrics.py
@@ -36,6 +36,9 @@
         size = counter(
             "chiveridge_peer_bytes", "Bytes of messages to and from peers.", ["direction"]
         )
+        count = counter("chiveridge_peer_messages", "Messages to and from peers.", ["direction"])
+        self.messages_sent = count.labels("sent")
+        self.messages_received = count.labels("received")
         self.bytes_sent = size.labels("sent")
         self.bytes_received = size.labels("received")
 
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -128,7 +128,7 @@
         endpoint = _endpoint(peer)
         link = self._links_by_endpoint.get(endpoint)
         if link is None:
-            link = links_zmq.Link(self._context, peer, self._receive_reply, self._report_lost)
+            link = links_zmq.Link(self._context, peer, self._receive_reply, self._note_lost)
             self._links_by_endpoint[endpoint] = link
         return link
 
@@ -138,6 +138,10 @@
             self._metrics.links_closed.inc()
             link.close()
 
+    def _note_lost(self, link: links_zmq.Link) -> None:
+        logevents.write(logevents.LogEvent.PEER_UNREACHABLE, peer=link.peer.name)
+        self._report_lost(link)
+
     def _report_lost(self, link: links_zmq.Link) -> None:
         link.give_up_requests()
         self._node.shell.handle_safely(events.PeerUnreachable(peer=link.peer))
@@ -194,10 +198,12 @@
     def _encode(self, message: peers.PeerMessage) -> bytes:
         data = peers.encode(message)
         self._metrics.bytes_sent.inc(len(data))
+        self._metrics.messages_sent.inc()
         return data
 
     def _decode(self, data: bytes) -> peers.PeerMessage | None:
         self._metrics.bytes_received.inc(len(data))
+        self._metrics.messages_received.inc()
         try:
             return peers.decode(data)
         except peers.PeerMessageError as error:
