--- a/packages/kernel/chiveridge_kernel/jobs.py
+++ b/packages/kernel/chiveridge_kernel/jobs.py
@@ -122,7 +122,11 @@
 
 
 class Job:
-    """One submission while it runs; once ``ended`` is set nothing more of it is started."""
+    """One submission while it runs; once ``ended`` is set nothing more of it is started.
+
+    ``revocation`` says why nothing more of it may start; what runs then still ends by itself,
+    and the job fails only if it ``was_cut_short``, that is, a task of it was never started.
+    """
 
     def __init__(
         self,
@@ -143,6 +147,8 @@
         self.unfinished = len(self.tasks)
         self.first_start_at: datetime.datetime | None = None
         self.ended = False
+        self.revocation = ""
+        self.was_cut_short = False
 
     def give_up_waiting(self) -> None:
         """Let no task be started any more."""
--- a/packages/kernel/tests/test_handovers.py
+++ b/packages/kernel/tests/test_handovers.py
@@ -1,6 +1,5 @@
 import datetime
 
-import msgspec
 import pytest
 
 from chiveridge_kernel import (
@@ -155,7 +154,11 @@
     submission_id = driven.submit()
     driven.handle(events.DrainRequested())
     driven.report(driven.starts()[0].lease_id, events.LeaseOutcome.SUCCEEDED)
-    sent = driven.of(actions.SendToPeer)
+    sent = [
+        action
+        for action in driven.of(actions.SendToPeer)
+        if isinstance(action.message, peers.Handover)
+    ]
     assert [action.peer.name for action in sent] == ["ikeja-e2", "ikeja-e3"]
     assert sent[0].message.answers[0].submission_id == submission_id
     assert not driven.of(actions.Exit)
@@ -177,14 +180,8 @@
 
 
 def test_a_node_confirms_what_it_keeps(driven):
-    driven.list_targets([*driven.targets_by_name.values(), *PEERS])
-    part = msg(parts_for())
-    driven.handle(events.PeerMessageReceived(message=part))
-    (sent,) = driven.of(actions.SendToPeer)
-    assert sent.peer == PEERS[0]
+    (part,) = parts_for()
+    driven.handle(events.PeerMessageReceived(message=part, route=b"way back"))
+    (sent,) = driven.of(actions.ReplyToPeer)
+    assert sent.route == b"way back"
     assert sent.message == peers.HandoverKept(sender="ikeja-e1", incarnation="life", part=0)
-
-
-def msg(parts) -> peers.Handover:
-    (part,) = parts
-    return msgspec.structs.replace(part, sender="ikeja-e2")
--- a/packages/kernel/tests/test_kernels.py
+++ b/packages/kernel/tests/test_kernels.py
@@ -43,5 +43,6 @@
 def test_ticks_are_wanted_in_time_for_the_next_deadline(driven):
     driven.submit(deadline_ms=700)
     driven.submit(deadline_ms=300)
+    driven.handle(events.Ticked())
     due = driven.kernel.next_wakeup()
     assert due - driven.clock.now() == datetime.timedelta(milliseconds=300)
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -18,12 +18,11 @@
     peers,
     results,
     submissions,
-    vms,
 )
-from chiveridge_node import shells
+from chiveridge_node import forwards, shells
 
 MAX_WAIT_MS = 300_000
-FORWARD_MARGIN_MS = 2000
+RETRY_AFTER_MS = 1000
 _DIGEST_BYTES = 16
 
 
@@ -37,13 +36,13 @@
 
 
 class Requests:
-    """Serves submit, ask and cancel; ``forwarder`` sends a request to another node."""
+    """Serves submit, ask and cancel; ``forwarder`` has others serve a request."""
 
     def __init__(self, shell: shells.Shell):
         self._shell = shell
         self._kernel = shell.kernel
         self._answered_by_id: dict[identifiers.SubmissionId, asyncio.Event] = {}
-        self.forward = None
+        self.forwarder = forwards.Forwarder(shell.kernel, shell.clock)
 
     def answered(self, action) -> None:
         """Wake those who wait for an answer."""
@@ -174,22 +173,21 @@
         handed = self._handed_over(team, submission_id)
         if handed is not None:
             return handed
-        _check_unexpired(issued, self._shell.clock.now())
-        node: vms.Vm | None = self._kernel.members.find(issued.node)
-        if node is None:
-            return _unreachable(issued.node)
-        reply = await self.forward(
-            node,
+        if issued.node == self._kernel.settings.node:
+            return self._reply_for_former(issued)
+        request = peers.CallerRequest(
+            request_id=0,
+            sender=self._kernel.settings.node,
             operation=operation,
             team=team,
             submission_id=submission_id,
             body=body,
-            wait_ms=wait_ms,
+            wait_ms=min(wait_ms, MAX_WAIT_MS),
             arrived_at_ms=clocks.to_epoch_ms(self._shell.arrival()),
-            timeout_ms=wait_ms + FORWARD_MARGIN_MS,
         )
-        if reply is None:
-            return self._handed_over(team, submission_id) or _unreachable(issued.node)
+        reply = await self.forwarder.perform(issued, request)
+        if isinstance(reply, forwards.NoReply):
+            return self._handed_over(team, submission_id) or _no_reply(reply, issued)
         return Reply(
             code=reply.code,
             body=reply.body,
@@ -242,9 +240,14 @@
         if handed is not None:
             return handed
         if issued.node != self._kernel.settings.node:
-            return _unreachable(issued.node)
-        message = "the node that issued the id was replaced; nothing more of it will start"
-        return unknown(results.ResultCode.ISSUER_GONE, message)
+            # The address of the issuer now belongs to this node; the issuer may live elsewhere.
+            return _no_reply(forwards.NoReply.UNREACHABLE, issued)
+        return self._reply_for_former(issued)
+
+    def _reply_for_former(self, issued: submissions.IssuedId) -> Reply:
+        """Reply for an id of another incarnation of this node."""
+        verdict = forwards.verdict_on(issued, self._kernel.settings.incarnation)
+        return _no_reply(verdict, issued)
 
 
 _OPERATIONS = {
@@ -254,6 +257,23 @@
 }
 
 
+_CODES_BY_REASON = {
+    forwards.NoReply.EXPIRED: results.ResultCode.SUBMISSION_ID_EXPIRED,
+    forwards.NoReply.GONE: results.ResultCode.ISSUER_GONE,
+    forwards.NoReply.UNREACHABLE: results.ResultCode.ISSUER_UNREACHABLE,
+}
+
+_MESSAGES_BY_REASON = {
+    forwards.NoReply.EXPIRED: "submission_id: it has expired",
+    forwards.NoReply.GONE: (
+        "node {node!r}, which issued the id, was replaced; nothing more of it will start"
+    ),
+    forwards.NoReply.UNREACHABLE: (
+        "node {node!r}, which issued the id, cannot be reached; ask again with the same id"
+    ),
+}
+
+
 def refused(error: errors.RefusedError) -> Reply:
     """Return the reply that tells of a refusal."""
     return Reply(
@@ -270,14 +290,8 @@
     return refused(errors.RefusedError(code, message, retry_after_ms, unknown_outcome))
 
 
-def _check_unexpired(issued: submissions.IssuedId, now: datetime.datetime) -> None:
-    if issued.expires_at_ms <= clocks.to_epoch_ms(now):
-        message = "submission_id: it has expired; ask for a new one"
-        raise errors.RefusedError(
-            results.ResultCode.SUBMISSION_ID_EXPIRED, message, ran=results.TaskOutcome.UNKNOWN
-        )
-
-
-def _unreachable(node: str) -> Reply:
-    message = f"node {node!r}, which issued the id, cannot be reached; ask again with the same id"
-    return unknown(results.ResultCode.ISSUER_UNREACHABLE, message, retry_after_ms=1000)
+def _no_reply(reason: forwards.NoReply, issued: submissions.IssuedId) -> Reply:
+    code = _CODES_BY_REASON[reason]
+    message = _MESSAGES_BY_REASON[reason].format(node=issued.node)
+    retry_after_ms = RETRY_AFTER_MS if reason is forwards.NoReply.UNREACHABLE else None
+    return unknown(code, message, retry_after_ms)
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -23,6 +23,7 @@
     """Who this node is; a port of 0 lets the system choose one.
 
     ``drain_linger_ms`` bounds the stay of a stopping node until its peers keep its answers.
+    ``seeds`` are peers, ``IP:PEER_PORT,...``, to ask at start when the list of VMs is down.
     """
 
     name: _Name
@@ -31,6 +32,7 @@
     caller_port: _Port = 0
     peer_port: _Port = 0
     drain_linger_ms: _Milliseconds = 3000
+    seeds: str = ""
 
 
 class PlatformSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -44,12 +46,34 @@
     request_timeout_ms: _Milliseconds = 10_000
 
 
+class SnapshotsSection(msgspec.Struct, frozen=True, kw_only=True):
+    """When a snapshot of the configuration is written into the log.
+
+    It is due after ``records`` records or, once there was a change, ``max_age_ms``; each node
+    waits up to ``delay_ms_per_node`` for each node, and ``min_interval_ms`` between attempts.
+    """
+
+    records: Annotated[int, msgspec.Meta(ge=10, le=100_000)] = 500
+    max_age_ms: Annotated[int, msgspec.Meta(ge=1000, le=86_400_000)] = 21_600_000
+    min_interval_ms: _Milliseconds = 30_000
+    delay_ms_per_node: _Milliseconds = 500
+
+
 class PlacementSection(msgspec.Struct, frozen=True, kw_only=True):
     """How targets are chosen."""
 
     policy: str = policies.DEFAULT
 
 
+class MembershipSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Heartbeats between nodes, see ``docs/membership.md``."""
+
+    heartbeat_ms: Annotated[int, msgspec.Meta(ge=50, le=60_000)] = 1000
+    bytes_per_second: Annotated[int, msgspec.Meta(ge=200)] = 2600
+    suspect_heartbeats: Annotated[int, msgspec.Meta(ge=2, le=100)] = 3
+    dead_heartbeats: Annotated[int, msgspec.Meta(ge=3, le=1000)] = 10
+
+
 class TargetsSection(msgspec.Struct, frozen=True, kw_only=True):
     """Connections to targets, and bounds of the wait for a reply before a target is asked."""
 
@@ -81,7 +105,9 @@
 
     node: NodeSection
     platform: PlatformSection
+    snapshots: SnapshotsSection = SnapshotsSection()
     placement: PlacementSection = PlacementSection()
+    membership: MembershipSection = MembershipSection()
     targets: TargetsSection = TargetsSection()
     answers: AnswersSection = AnswersSection()
     plugins: PluginsSection = PluginsSection()
@@ -98,7 +124,9 @@
 _SECTIONS_BY_NAME = {
     "node": NodeSection,
     "platform": PlatformSection,
+    "snapshots": SnapshotsSection,
     "placement": PlacementSection,
+    "membership": MembershipSection,
     "targets": TargetsSection,
     "answers": AnswersSection,
     "plugins": PluginsSection,
@@ -134,6 +162,22 @@
     return Settings(**sections)
 
 
+def parse_seeds(value: str) -> list[tuple[str, int]]:
+    """Return addresses and peer ports of ``IP:PEER_PORT,...``.
+
+    :raises ValueError: when one is not of this form.
+    """
+    return [_parse_endpoint(text.strip()) for text in value.split(",") if text.strip()]
+
+
+def _parse_endpoint(text: str) -> tuple[str, int]:
+    parts = urllib.parse.urlsplit(f"//{text}")
+    if not parts.hostname or not parts.port:
+        raise ValueError(f"{text!r} is not of the form IP:PEER_PORT")
+    ipaddress.ip_address(parts.hostname)
+    return parts.hostname, parts.port
+
+
 def _parse_section(
     name: str, section_type: type, text_by_key: dict[str, str], problems: list[str]
 ) -> object:
@@ -176,6 +220,10 @@
     ipaddress.ip_address(parts.hostname or "")
 
 
+def _check_seeds(value: str) -> None:
+    parse_seeds(value)
+
+
 def _check_policy(value: str) -> None:
     if value not in policies.names():
         raise ValueError(f"{value!r} is not one of {', '.join(policies.names())}")
@@ -188,6 +236,7 @@
 
 _CHECKS_BY_KEY = {
     ("node", "address"): _check_address,
+    ("node", "seeds"): _check_seeds,
     ("platform", "log_url"): _check_url,
     ("platform", "vms_url"): _check_url,
     ("placement", "policy"): _check_policy,
--- /dev/null
+++ b/packages/node/chiveridge_node/statuses.py
@@ -0,0 +1,76 @@
+"""What a node tells operators of itself and of the others."""
+
+import datetime
+
+import msgspec
+
+from chiveridge_kernel import catch_ups, clocks, kernels, members
+
+
+class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Another node as this one sees it; ``silent_ms`` counts from its last heartbeat."""
+
+    name: str
+    domain: str
+    state: members.MemberState
+    incarnation: str
+    config_offset: int
+    silent_ms: float
+
+
+class NodeStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A node's view of the system, for operators.
+
+    Staleness is the time since the platform's log or list of VMs was last read, None when it
+    never was; ``config_is_complete`` is false while records have expired before they were
+    read and no snapshot of them was found.
+    """
+
+    name: str
+    domain: str
+    incarnation: str
+    ready: bool
+    draining: bool
+    config_offset: int
+    config_staleness_s: float | None
+    config_is_complete: bool
+    vms_staleness_s: float | None
+    targets: list[str]
+    nodes: list[str]
+    live_nodes: list[str]
+    members: list[MemberStatus]
+    jobs_in_progress: int
+    starts_in_progress: int
+
+
+def status_of(kernel: kernels.Kernel, now: datetime.datetime) -> NodeStatus:
+    """Return a kernel's view of the system."""
+    table = kernel.members
+    return NodeStatus(
+        name=kernel.settings.node,
+        domain=kernel.settings.domain,
+        incarnation=kernel.settings.incarnation,
+        ready=kernel.is_ready(),
+        draining=kernel.draining,
+        config_offset=kernel.configuration.offset,
+        config_staleness_s=catch_ups.staleness_s(kernel.catch_up.log_read_at, now),
+        config_is_complete=not kernel.follower.is_scanning,
+        vms_staleness_s=catch_ups.staleness_s(kernel.catch_up.vms_read_at, now),
+        targets=sorted(kernel.target_table.vms_by_name),
+        nodes=sorted(table.vms_by_name),
+        live_nodes=table.live_names(),
+        members=[_member_status(found, now) for _, found in sorted(table.members_by_name.items())],
+        jobs_in_progress=len(kernel.dispatcher.jobs_by_id),
+        starts_in_progress=sum(kernel.dispatcher.in_flight_by_target.values()),
+    )
+
+
+def _member_status(member: members.Member, now: datetime.datetime) -> MemberStatus:
+    return MemberStatus(
+        name=member.name,
+        domain=member.vm.domain if member.vm else "",
+        state=member.state,
+        incarnation=member.incarnation or "",
+        config_offset=member.offset,
+        silent_ms=clocks.to_ms(now - member.heard_at) if member.heard_at else 0.0,
+    )
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -97,6 +97,7 @@
         self._shell.perform_with(actions.StartTask, self.start)
         self._shell.perform_with(actions.AskOutcome, self.ask)
         self._shell.perform_with(actions.StopTask, self.stop)
+        self._shell.perform_with(actions.WithdrawStart, self.withdraw)
 
     async def close(self) -> None:
         """Give up the starts in progress, let stops be delivered, and close the pools."""
@@ -131,6 +132,17 @@
         if task is not None:
             task.cancel()
 
+    def withdraw(self, action: actions.WithdrawStart) -> None:
+        """Cancel a start that still waits for a connection."""
+        sending = self._sendings_by_lease.get(action.lease_id)
+        if sending is None or sending.sent_at is not None:
+            return
+        self._abandon(action.lease_id)
+        self._forget(action.lease_id)
+        reply = LeaseReply(events.LeaseOutcome.REFUSED, reason=actions.WITHDRAWN)
+        # The kernel is handling an event now, so that the report has to wait for its end.
+        asyncio.get_running_loop().call_soon(self._report, action.lease_id, reply)
+
     def _forget(self, lease_id: identifiers.LeaseId) -> None:
         self._tasks_by_lease.pop(lease_id, None)
         self._sendings_by_lease.pop(lease_id, None)
