--- a/packages/kernel/chiveridge_kernel/jobs.py
+++ b/packages/kernel/chiveridge_kernel/jobs.py
@@ -122,7 +122,7 @@
 
 
 class Job:
-    """One submission while it runs; once ``ended`` is set nothing more of it is started.
+    """One submission while it runs; ``answer`` is set once and never changes.
 
     ``revocation`` says why nothing more of it may start; what runs then still ends by itself,
     and the job fails only if it ``was_cut_short``, that is, a task of it was never started.
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -42,12 +42,12 @@
     incarnation: identifiers.Incarnation
     secret: bytes
     policy: str = policies.DEFAULT
-    answer_budget_bytes: int = answers.DEFAULT_BUDGET_BYTES
-    linger: datetime.timedelta = handovers.DEFAULT_LINGER
-    probe_limits: probes.ProbeLimits = probes.ProbeLimits()
     snapshots: snapshot_schedules.SnapshotSettings = snapshot_schedules.SnapshotSettings()
     catch_up: catch_ups.CatchUpSettings = catch_ups.CatchUpSettings()
     heartbeat: heartbeats.HeartbeatSettings = heartbeats.HeartbeatSettings()
+    answer_budget_bytes: int = answers.DEFAULT_BUDGET_BYTES
+    linger: datetime.timedelta = handovers.DEFAULT_LINGER
+    probe_limits: probes.ProbeLimits = probes.ProbeLimits()
 
 
 class Kernel:
@@ -128,6 +128,7 @@
     def drain(self, forced: bool, now: datetime.datetime) -> None:
         """Take no new jobs; with ``forced``, end those in progress as failed."""
         self.draining = True
+        self.dispatcher.outbox.extend(self.heartbeats.farewell())
         if forced:
             message = "the node was told to stop at once"
             self.dispatcher.fail_all(results.ResultCode.NODE_STOPPED, message, now)
@@ -285,8 +286,6 @@
 @_handle.register
 def _(event: events.DrainRequested, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.drain(event.forced, now)
-    if not event.forced:
-        kernel.dispatcher.outbox.extend(kernel.heartbeats.farewell())
 
 
 @functools.singledispatch
--- a/packages/kernel/chiveridge_kernel/revocations.py
+++ b/packages/kernel/chiveridge_kernel/revocations.py
@@ -21,7 +21,7 @@
         for job in self._jobs_of(teams):
             self._reconsider_job(job, now)
             for task in job.running_tasks():
-                if not self._reach.includes(job.team, task.target.name):
+                if job.revocation or task.target.name not in job.candidates.names:
                     self._withdraw(task)
 
     def refuse(self, teams: set[str], now: datetime.datetime) -> None:
@@ -36,6 +36,7 @@
         return [job for job in found if job.team in teams and not job.revocation]
 
     def _reconsider_job(self, job: jobs.Job, now: datetime.datetime) -> None:
+        known = job.candidates
         try:
             job.candidates = self._reach.candidates(job.team, job.selector)
         except errors.RefusedError as refusal:
@@ -44,6 +45,8 @@
         if not all(job.candidates.fitting(task.spec) for task in job.waiting):
             reason = "a task fits no target that the team may still use"
             self._dispatcher.revoke(job, reason, now)
+        elif job.waiting and job.candidates is not known:
+            self._dispatcher.policy.job_waiting(job, now)
 
     def _withdraw(self, task: jobs.Task) -> None:
         self._dispatcher.outbox.append(actions.WithdrawStart(lease_id=task.lease_id))
--- a/packages/kernel/tests/test_kernels.py
+++ b/packages/kernel/tests/test_kernels.py
@@ -43,6 +43,14 @@
 def test_ticks_are_wanted_in_time_for_the_next_deadline(driven):
     driven.submit(deadline_ms=700)
     driven.submit(deadline_ms=300)
-    driven.handle(events.Ticked())
-    due = driven.kernel.next_wakeup()
-    assert due - driven.clock.now() == datetime.timedelta(milliseconds=300)
+    deadline = driven.clock.now() + datetime.timedelta(milliseconds=300)
+    while driven.clock.now() < deadline:
+        assert not driven.of(actions.AnswerJob)
+        # Other parts of the kernel may want earlier ticks, but none may pass the deadline.
+        due = driven.kernel.next_wakeup()
+        assert due <= deadline
+        driven.clock.advance(max(due - driven.clock.now(), datetime.timedelta(milliseconds=1)))
+        driven.handle(events.Ticked())
+    assert [action.answer.code for action in driven.of(actions.AnswerJob)] == [
+        CODES.DEADLINE_EXCEEDED
+    ]
--- a/packages/kernel/tests/test_revocations.py
+++ b/packages/kernel/tests/test_revocations.py
@@ -12,6 +12,7 @@
     identifiers,
     kernels,
     messages,
+    peers,
     placements,
     records,
     results,
@@ -43,15 +44,22 @@
 class System:
     """A kernel with two targets of one team, and a job of four tasks."""
 
-    def __init__(self):
+    def __init__(self, policy="two_at_once", slots=8):
         self.clock = clocks.ManualClock()
         settings = kernels.KernelSettings(
-            node="e1", domain="d", incarnation="i1", secret=b"s", policy="two_at_once"
+            node="e1", domain="d", incarnation="i1", secret=b"s", policy=policy
         )
         self.kernel = kernels.Kernel(settings, random.Random(4))
         self.done = []
         found = [
-            vms.Vm(name=name, role=vms.VmRole.TARGET, domain="d", address="127.0.0.1", port=1)
+            vms.Vm(
+                name=name,
+                role=vms.VmRole.TARGET,
+                domain="d",
+                address="127.0.0.1",
+                port=1,
+                slots=slots,
+            )
             for name in ("t1", "t2")
         ]
         self.handle(events.VmsListed(listing=vms.VmList(1, found)))
@@ -191,3 +199,36 @@
     with pytest.raises(errors.RefusedError, match="not approved") as caught:
         system.submit()
     assert caught.value.code is results.ResultCode.NOT_APPROVED
+
+
+@pytest.fixture
+def lending_system():
+    built = System("owners", slots=1)
+    built.submit()
+    assert {start.target.name for start in built.starts()} == {"t1", "t2"}
+    return built
+
+
+@pytest.mark.promise("configuration_in_force")
+def test_tasks_that_wait_for_a_slot_are_not_started(lending_system):
+    system = lending_system
+    revoke_all(system)
+    for start in list(system.starts()):
+        system.report(start, Outcome.SUCCEEDED)
+    assert len(system.starts()) == 2
+    [answer] = system.answers()
+    assert answer.code is results.ResultCode.APPROVAL_REVOKED
+    assert [task.outcome for task in answer.tasks].count(Word.NOT_RUN) == 2
+
+
+@pytest.mark.promise("configuration_in_force")
+def test_a_slot_lent_by_an_owner_that_knows_no_revocation_is_not_used(lending_system):
+    system = lending_system
+    system.put(records.TargetObject(name="t2"))
+    [demand] = system.kernel.dispatcher.policy.demands.demands_by_id.values()
+    for name, count in (("t2", 2), ("t1", 3)):
+        grant = peers.SlotGrant(
+            sender="e2", demand_id=demand.demand_id, serial=1, targets=[name], free=0
+        )
+        system.handle(events.PeerMessageReceived(message=grant))
+        assert len(system.starts()) == count
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -31,6 +31,7 @@
         self._request_ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
         self._drops = drops.DropCounter(time.monotonic)
+        self._serving = 0
         self._servings: set[asyncio.Task] = set()
         self.port = 0
 
@@ -157,7 +158,9 @@
     def _take(self, identity: bytes, data: bytes) -> None:
         message = self._decode(data)
         if isinstance(message, peers.CallerRequest):
-            self._serve_in_background(identity, message)
+            serving = self._in_background(self._serve(identity, message))
+            self._servings.add(serving)
+            serving.add_done_callback(self._servings.discard)
         elif message is not None:
             self._hand_over(message, identity)
 
@@ -177,16 +180,15 @@
             return
         self._node.shell.handle_safely(events.PeerMessageReceived(message=message, route=route))
 
-    def _serve_in_background(self, identity: bytes, request: peers.CallerRequest) -> None:
-        if len(self._servings) >= MAX_REQUESTS_IN_PROGRESS:
-            return
-        serving = self._in_background(self._serve(identity, request))
-        self._servings.add(serving)
-        serving.add_done_callback(self._servings.discard)
-
     async def _serve(self, identity: bytes, request: peers.CallerRequest) -> None:
-        reply = await self._node.requests.serve_peer(request)
-        await self._router.send_multipart([identity, peers.encode(reply)])
+        if self._serving >= MAX_REQUESTS_IN_PROGRESS:
+            return
+        self._serving += 1
+        try:
+            reply = await self._node.requests.serve_peer(request)
+            await self._router.send_multipart([identity, peers.encode(reply)])
+        finally:
+            self._serving -= 1
 
     def _decode(self, data: bytes) -> peers.PeerMessage | None:
         try:
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -173,8 +173,10 @@
         handed = self._handed_over(team, submission_id)
         if handed is not None:
             return handed
+        _check_unexpired(issued, self._shell.clock.now())
         if issued.node == self._kernel.settings.node:
-            return self._reply_for_former(issued)
+            verdict = forwards.verdict_on(issued, self._kernel.settings.incarnation)
+            return _no_reply(verdict or forwards.NoReply.GONE, issued)
         request = peers.CallerRequest(
             request_id=0,
             sender=self._kernel.settings.node,
@@ -240,14 +242,9 @@
         if handed is not None:
             return handed
         if issued.node != self._kernel.settings.node:
-            # The address of the issuer now belongs to this node; the issuer may live elsewhere.
             return _no_reply(forwards.NoReply.UNREACHABLE, issued)
-        return self._reply_for_former(issued)
-
-    def _reply_for_former(self, issued: submissions.IssuedId) -> Reply:
-        """Reply for an id of another incarnation of this node."""
         verdict = forwards.verdict_on(issued, self._kernel.settings.incarnation)
-        return _no_reply(verdict, issued)
+        return _no_reply(verdict or forwards.NoReply.GONE, issued)
 
 
 _OPERATIONS = {
@@ -290,6 +287,14 @@
     return refused(errors.RefusedError(code, message, retry_after_ms, unknown_outcome))
 
 
+def _check_unexpired(issued: submissions.IssuedId, now: datetime.datetime) -> None:
+    if issued.expires_at_ms <= clocks.to_epoch_ms(now):
+        message = "submission_id: it has expired; ask for a new one"
+        raise errors.RefusedError(
+            results.ResultCode.SUBMISSION_ID_EXPIRED, message, ran=results.TaskOutcome.UNKNOWN
+        )
+
+
 def _no_reply(reason: forwards.NoReply, issued: submissions.IssuedId) -> Reply:
     code = _CODES_BY_REASON[reason]
     message = _MESSAGES_BY_REASON[reason].format(node=issued.node)
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -22,8 +22,8 @@
 class NodeSection(msgspec.Struct, frozen=True, kw_only=True):
     """Who this node is; a port of 0 lets the system choose one.
 
-    ``drain_linger_ms`` bounds the stay of a stopping node until its peers keep its answers.
     ``seeds`` are peers, ``IP:PEER_PORT,...``, to ask at start when the list of VMs is down.
+    ``drain_linger_ms`` bounds the stay of a stopping node until its peers keep its answers.
     """
 
     name: _Name
@@ -31,8 +31,8 @@
     address: str = "127.0.0.1"
     caller_port: _Port = 0
     peer_port: _Port = 0
-    drain_linger_ms: _Milliseconds = 3000
     seeds: str = ""
+    drain_linger_ms: _Milliseconds = 3000
 
 
 class PlatformSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -132,21 +132,20 @@
         if task is not None:
             task.cancel()
 
+    def _forget(self, lease_id: identifiers.LeaseId) -> None:
+        self._tasks_by_lease.pop(lease_id, None)
+        self._sendings_by_lease.pop(lease_id, None)
+
     def withdraw(self, action: actions.WithdrawStart) -> None:
         """Cancel a start that still waits for a connection."""
         sending = self._sendings_by_lease.get(action.lease_id)
         if sending is None or sending.sent_at is not None:
             return
         self._abandon(action.lease_id)
-        self._forget(action.lease_id)
         reply = LeaseReply(events.LeaseOutcome.REFUSED, reason=actions.WITHDRAWN)
         # The kernel is handling an event now, so that the report has to wait for its end.
         asyncio.get_running_loop().call_soon(self._report, action.lease_id, reply)
 
-    def _forget(self, lease_id: identifiers.LeaseId) -> None:
-        self._tasks_by_lease.pop(lease_id, None)
-        self._sendings_by_lease.pop(lease_id, None)
-
     def _in_background(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._background.add(task)
--- a/packages/node/tests/test_peers_zmq.py
+++ b/packages/node/tests/test_peers_zmq.py
@@ -14,8 +14,8 @@
 
 HOST = "127.0.0.1"
 REQUEST = peers.CallerRequest(
-    request_id=0,
     arrived_at_ms=0,
+    request_id=0,
     sender="b",
     operation=peers.Operation.ASK,
     team="desk",
