--- a/packages/client/chiveridge_client/calls.py
+++ b/packages/client/chiveridge_client/calls.py
@@ -37,6 +37,7 @@
         results.ResultCode.SUBMISSION_ID_EXPIRED,
         results.ResultCode.ANSWER_NOT_KEPT,
         results.ResultCode.UNKNOWN_SUBMISSION,
+        results.ResultCode.SUBMISSION_ID_REUSED,
     }
 )
 """Codes of final refusals: the request started nothing, though an earlier one may have."""
--- a/packages/kernel/chiveridge_kernel/admissions.py
+++ b/packages/kernel/chiveridge_kernel/admissions.py
@@ -176,7 +176,9 @@
         known = getattr(found, "digest", None) or self._digests_by_running_id.get(submission_id)
         if known is not None and known != digest:
             message = "submission_id: it was used before with other content"
-            raise errors.RefusedError(results.ResultCode.SUBMISSION_ID_REUSED, message)
+            raise errors.RefusedError(
+                results.ResultCode.SUBMISSION_ID_REUSED, message, ran=results.TaskOutcome.UNKNOWN
+            )
 
     def keep(self, action: actions.AnswerJob) -> None:
         """Keep the answer to a job that ended."""
--- a/packages/kernel/tests/test_admissions.py
+++ b/packages/kernel/tests/test_admissions.py
@@ -29,7 +29,7 @@
     assert refusal.code is CODES.SUBMISSION_ID_REUSED
     driven.report(driven.starts()[0].lease_id, SUCCEEDED)
     refusal = driven.refusal_of(driven.submit, submission_id, body=b"2")
-    assert refusal.code is CODES.SUBMISSION_ID_REUSED
+    assert (refusal.code, refusal.ran) == (CODES.SUBMISSION_ID_REUSED, UNKNOWN)
     assert len(driven.starts()) == 1
 
 
