Find what a stopped node left from other domains too

Cause: a caller that only reached nodes of another domain was told that the issuer is unreachable, though the issuer's peers had its answers. A node whose issuer does not reply now asks one serving node of the domain in which the issuer was last listed; any request may go there, as only the issuer starts jobs. A stopping node hands over to the nodes that serve by their heartbeats: a dead one that is still listed kept it for its whole linger. A start that came too late at its target, or in this node's own queue for a connection, kept the target without work for 1 s; now 50 ms, as for a busy one.

A job on a frozen target fails by its deadline with unknown, and the target is used again when it wakes.

Seen to fail: nobody near asked, dead peers chosen, a second's pause after a late start. Not seen to fail with the limit on the wire taken out: the frozen target (the stop closes the connection first); it is marked for its answers only.

--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -357,6 +357,7 @@
 
 _BACKOFFS_BY_REASON = {
     "busy": targets.BUSY_BACKOFF,
+    "too_late": targets.BUSY_BACKOFF,
     "leaving": targets.LEAVING_EVIDENCE_LIFETIME,
     actions.WITHDRAWN: datetime.timedelta(),
 }
--- a/packages/kernel/chiveridge_kernel/handovers.py
+++ b/packages/kernel/chiveridge_kernel/handovers.py
@@ -13,6 +13,7 @@
     errors,
     identifiers,
     ledgers,
+    members,
     peers,
     results,
     submissions,
@@ -29,12 +30,10 @@
 """Nodes of other domains that get a handover when there is no other in the own domain."""
 
 
-def choose_peers(
-    own: identifiers.NodeName, domain: identifiers.DomainName, listed: list[vms.Vm]
-) -> list[vms.Vm]:
+def choose_peers(table: members.MemberTable) -> list[vms.Vm]:
     """Return the nodes that a node hands over to: those of its domain, or a few others."""
-    others = [vm for vm in listed if vm.state is vms.VmState.LIVE and vm.name != own]
-    near = [vm for vm in others if vm.domain == domain]
+    near = table.serving_near(table.own_name)
+    others = [member.vm for member in table.others_outside() if member.serves()]
     return near or sorted(others, key=lambda vm: vm.name)[:FOREIGN_PEERS]
 
 
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -155,8 +155,7 @@
         kept = self.answers.newest(handovers.MAX_ANSWER_BYTES) if admitted else {}
         parts = handovers.parts_of(self.settings.node, self.settings.incarnation, admitted, kept)
         # Without an unexpired id there is nothing that anybody could ask for.
-        listed = list(self.members.vms_by_name.values()) if admitted else []
-        to_peers = handovers.choose_peers(self.settings.node, self.settings.domain, listed)
+        to_peers = handovers.choose_peers(self.members) if admitted else []
         return handovers.Sender(parts, to_peers, now, self.settings.linger)
 
     def configuration_moved(
--- a/packages/kernel/chiveridge_kernel/members.py
+++ b/packages/kernel/chiveridge_kernel/members.py
@@ -69,7 +69,7 @@
 
 
 class Member(msgspec.Struct, kw_only=True):
-    """One node; ``vm`` is None while the list does not show it.
+    """One node; ``vm`` is None while the list does not show it, ``domain`` is the last listed.
 
     ``sent`` counts the heartbeats sent to it, ``echoed`` is the last of them that it has
     confirmed, and ``received`` the last that it sent here.
@@ -77,6 +77,7 @@
 
     name: str
     vm: vms.Vm | None = None
+    domain: str = ""
     state: MemberState = MemberState.UNKNOWN
     incarnation: identifiers.Incarnation | None = None
     former_incarnations: collections.deque[identifiers.Incarnation] = msgspec.field(
@@ -147,6 +148,17 @@
         listed = self.members_by_name.values()
         return [found for found in listed if found.vm and found.vm.domain == self.own_domain]
 
+    def serving_near(self, name: str) -> list[vms.Vm]:
+        """Return the other serving nodes in the domain in which a node is, or last was, listed."""
+        member = self.members_by_name.get(name)
+        domain = self.own_domain if name == self.own_name else member and member.domain
+        others = self.members_by_name.values()
+        return [
+            other.vm
+            for other in others
+            if other.serves() and other.vm.domain == domain and other.name != name
+        ]
+
     def others_outside(self) -> list[Member]:
         """Return the listed members of other domains, in whatever state."""
         listed = self.members_by_name.values()
@@ -234,6 +246,7 @@
         member = self.members_by_name.setdefault(name, Member(name=name))
         known = member.vm
         member.vm = vm
+        member.domain = vm.domain
         if known is None:
             member.heard_at = member.proved_at = now
         moved = known is not None and not _is_at(known, vm)
--- a/packages/kernel/tests/test_dispatchers.py
+++ b/packages/kernel/tests/test_dispatchers.py
@@ -87,6 +87,14 @@
     assert outcomes(driven) == [OUTCOME.SUCCEEDED]
 
 
+def test_a_start_that_came_too_late_is_made_again_soon(drive):
+    driven = drive(target_count=1)
+    driven.submit()
+    driven.report(lease(driven), LEASE.NOT_STARTED, reason="too_late")
+    driven.advance(60)
+    assert len(driven.starts()) == 2
+
+
 @pytest.mark.promise("at_most_once")
 def test_a_lost_start_is_asked_about_and_never_made_again(driven):
     driven.submit()
--- a/packages/kernel/tests/test_handovers.py
+++ b/packages/kernel/tests/test_handovers.py
@@ -9,6 +9,7 @@
     events,
     handovers,
     ledgers,
+    members,
     peers,
     results,
     submissions,
@@ -138,14 +139,21 @@
     sender.confirmed(peers.HandoverKept(sender=name, incarnation="life", part=0), NOW)
 
 
+def chosen_from(listed: list[vms.Vm], dead: str = "") -> list[str]:
+    table = members.MemberTable("ikeja-e1", "ikeja")
+    table.replace(vms.VmList(1, listed), NOW)
+    if dead:
+        table.members_by_name[dead].state = members.MemberState.DEAD
+    return sorted(vm.name for vm in handovers.choose_peers(table))
+
+
 def test_the_peers_are_those_of_the_domain_or_a_few_others():
     leaving = node_vm("ikeja-e4", state=vms.VmState.LEAVING)
     far = [node_vm(f"lekki-e{number}", "lekki") for number in (3, 1, 2)]
     own = node_vm("ikeja-e1")
-    chosen = handovers.choose_peers("ikeja-e1", "ikeja", [own, leaving, *far, *PEERS])
-    assert chosen == PEERS
-    chosen = handovers.choose_peers("ikeja-e1", "ikeja", [own, leaving, *far])
-    assert [vm.name for vm in chosen] == ["lekki-e1", "lekki-e2"]
+    assert chosen_from([own, leaving, *far, *PEERS]) == ["ikeja-e2", "ikeja-e3"]
+    assert chosen_from([own, leaving, *far, *PEERS], dead="ikeja-e2") == ["ikeja-e3"]
+    assert chosen_from([own, leaving, *far]) == ["lekki-e1", "lekki-e2"]
 
 
 @pytest.mark.promise("graceful_shutdown")
--- a/packages/node/chiveridge_node/forwards.py
+++ b/packages/node/chiveridge_node/forwards.py
@@ -72,6 +72,22 @@
             request = msgspec.structs.replace(request, operation=peers.Operation.ASK, body=b"")
         return NoReply.UNREACHABLE
 
+    async def ask_near(
+        self, issued: submissions.IssuedId, request: peers.CallerRequest
+    ) -> peers.CallerReply | None:
+        """Ask a node near an issuer that has stopped for what was left there, or return None.
+
+        Only the issuer starts jobs, so that any request may be sent to another node.
+        """
+        near = self._kernel.members.serving_near(issued.node)
+        if not near or near[0].domain == self._kernel.members.own_domain:
+            return None
+        chosen = near[issued.serial % len(near)]
+        short = msgspec.structs.replace(request, wait_ms=0)
+        reply = await self.exchange(chosen, short, REPLY_MARGIN_MS)
+        unreachable = results.ResultCode.ISSUER_UNREACHABLE
+        return None if reply is None or reply.code is unreachable else reply
+
     def _find(self, issued: submissions.IssuedId) -> vms.Vm | NoReply:
         table = self._kernel.members
         if table.was_replaced(issued.node, issued.incarnation):
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -189,13 +189,10 @@
         )
         reply = await self.forwarder.perform(issued, request)
         if isinstance(reply, forwards.NoReply):
-            return self._handed_over(team, submission_id) or _no_reply(reply, issued)
-        return Reply(
-            code=reply.code,
-            body=reply.body,
-            retry_after_ms=reply.retry_after_ms,
-            refused=reply.refused,
-        )
+            handed = self._handed_over(team, submission_id)
+            left = None if handed else await self.forwarder.ask_near(issued, request)
+            return handed or (_reply_of(left) if left else _no_reply(reply, issued))
+        return _reply_of(reply)
 
     def _handed_over(self, team: identifiers.TeamName, submission_id: str) -> Reply | None:
         """Return what a stopped issuer left about an id, or None."""
@@ -295,6 +292,15 @@
         )
 
 
+def _reply_of(reply: peers.CallerReply) -> Reply:
+    return Reply(
+        code=reply.code,
+        body=reply.body,
+        retry_after_ms=reply.retry_after_ms,
+        refused=reply.refused,
+    )
+
+
 def _no_reply(reason: forwards.NoReply, issued: submissions.IssuedId) -> Reply:
     code = _CODES_BY_REASON[reason]
     message = _MESSAGES_BY_REASON[reason].format(node=issued.node)
--- a/packages/node/tests/test_forwards.py
+++ b/packages/node/tests/test_forwards.py
@@ -109,3 +109,41 @@
     assert forwards.verdict_on(issued, "b") is None
     assert forwards.verdict_on(issued, "c") is forwards.NoReply.GONE
     assert forwards.verdict_on(issued, "a") is forwards.NoReply.UNREACHABLE
+
+
+def far_table(*others: vms.Vm) -> members.MemberTable:
+    found = members.MemberTable("own", "lekki")
+    found.replace(vms.VmList(1, [ISSUER, *others]), clocks.EPOCH)
+    return found
+
+
+async def ask_near(table, replies: list):
+    forwarder = forwards.Forwarder(Kernel(table), clocks.ManualClock())
+    forwarder.exchange = Exchanges(replies)
+    issued = submissions.IssuedId("a", "c", 1000, 1, "mac")
+    return await forwarder.ask_near(issued, REQUEST), forwarder.exchange.requests
+
+
+@pytest.mark.promise("graceful_shutdown")
+async def test_a_node_near_a_stopped_issuer_of_another_domain_is_asked_once():
+    near = msgspec.structs.replace(ISSUER, name="b", port=3)
+    table = far_table(near)
+    table.replace(vms.VmList(2, [near]), clocks.EPOCH)
+    reply, requests = await ask_near(table, [COMPLETE])
+    assert reply == COMPLETE
+    assert [request.wait_ms for request in requests] == [0]
+
+
+async def test_nobody_is_asked_when_the_issuer_was_alone_or_of_the_own_domain(table):
+    assert await ask_near(far_table(), []) == (None, [])
+    table.replace(vms.VmList(2, [ISSUER, msgspec.structs.replace(ISSUER, name="b")]), clocks.EPOCH)
+    assert await ask_near(table, []) == (None, [])
+
+
+async def test_a_near_node_that_knows_nothing_leaves_the_issuer_unreachable():
+    unknown = peers.CallerReply(
+        request_id=1, code=results.ResultCode.ISSUER_UNREACHABLE, body=b"", refused=True
+    )
+    near = msgspec.structs.replace(ISSUER, name="b", port=3)
+    for reply in (unknown, None):
+        assert (await ask_near(far_table(near), [reply]))[0] is None
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -25,8 +25,11 @@
 @pytest.mark.promise("graceful_shutdown", failures=["platform_outage"])
 @pytest.mark.promise("honest_refusal", failures=["platform_outage"])
 async def test_a_stopping_node_finishes_and_leaves_its_answers_with_its_peers(deploy, make_task):
-    async with deploy(nodes=2, proxied=frozenset({"platform"})) as deployed:
+    domains = ("ikeja", "lekki")
+    proxied = frozenset({"platform"})
+    async with deploy(nodes=2, domains=domains, proxied=proxied) as deployed:
         caller, url, other = deployed.caller, deployed.url(NODE), deployed.url(OTHER_NODE)
+        far = deployed.url("lekki-e1")
         awaited = await deployed.submission(NODE, make_task("awaited", run_ms=800))
         unseen = await deployed.submission(NODE, make_task("unseen", run_ms=800))
         unused = await deployed.submission(NODE, make_task("unused"))
@@ -53,9 +56,11 @@
             answer = await caller.ask(other, submission.submission_id)
             assert (answer.code, len(answer.tasks)) == (CODES.COMPLETE, 1)
             assert (await caller.submit(other, submission)).code == CODES.COMPLETE
+            assert (await caller.ask(far, submission.submission_id)).code == CODES.COMPLETE
         for submission in (unused, refused):
-            refusal = await caller.submit(other, submission)
-            assert (refusal.code, refusal.ran) == (CODES.ISSUER_GONE, "not_run")
+            for node_url in (other, far):
+                refusal = await caller.submit(node_url, submission)
+                assert (refusal.code, refusal.ran) == (CODES.ISSUER_GONE, "not_run")
         assert await deployed.starts() == {"awaited": 1, "unseen": 1}
 
 
--- a/tests/integration/test_whole_answers.py
+++ b/tests/integration/test_whole_answers.py
@@ -101,3 +101,30 @@
 
         await deployed.until(are_stopped)
         assert (await survivor.counts()).total_starts == 2
+
+
+@pytest.mark.promise("complete_or_failed", failures=["freeze"])
+async def test_a_frozen_target_fails_its_jobs_by_their_deadline(deploy, make_task):
+    async with deploy() as deployed:
+        running = await deployed.submission(NODE, make_task("running", 500), deadline_ms=2500)
+        unread = await deployed.submission(NODE, make_task("unread"), deadline_ms=2500)
+        await deployed.caller.submit(deployed.url(NODE), running)
+        await deployed.wait_started("running")
+        process_name = deployed.fleet.targets_by_name["ikeja-t1"].process_name
+        deployed.fleet.freeze(process_name)
+        answers = await asyncio.gather(
+            deployed.caller.submit(deployed.url(NODE), unread, wait_ms=15_000),
+            deployed.caller.ask(deployed.url(NODE), running.submission_id, 15_000),
+        )
+        deployed.fleet.thaw(process_name)
+        assert [answer.code for answer in answers] == [CODES.DEADLINE_EXCEEDED] * 2
+        told = [task.outcome.value for answer in answers for task in answer.tasks]
+        assert told == ["unknown", "unknown"]
+
+        async def is_usable_again() -> bool:
+            last = await deployed.submission(NODE, make_task("last"))
+            answer = await deployed.caller.submit(deployed.url(NODE), last, wait_ms=5000)
+            return answer.code == CODES.COMPLETE
+
+        await deployed.until(is_usable_again)
+        assert await deployed.starts() == {"running": 1, "last": 1}
