--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -159,8 +159,7 @@
         kept = self.answers.newest(handovers.MAX_ANSWER_BYTES) if admitted else {}
         parts = handovers.parts_of(self.settings.node, self.settings.incarnation, admitted, kept)
         # Without an unexpired id there is nothing that anybody could ask for.
-        listed = list(self.members.vms_by_name.values()) if admitted else []
-        to_peers = handovers.choose_peers(self.settings.node, self.settings.domain, listed)
+        to_peers = handovers.choose_peers(self.members) if admitted else []
         return handovers.Sender(parts, to_peers, now, self.settings.linger)
 
     def configuration_moved(
@@ -361,12 +360,10 @@
 @_take_message.register
 def _(message: peers.Handover, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
     kernel.handovers.receive(message, now)
-    sender = kernel.members.find(message.sender)
-    if sender is not None:
-        kept = peers.HandoverKept(
-            sender=kernel.settings.node, incarnation=message.incarnation, part=message.part
-        )
-        kernel.dispatcher.outbox.append(actions.SendToPeer(peer=sender, message=kept))
+    kept = peers.HandoverKept(
+        sender=kernel.settings.node, incarnation=message.incarnation, part=message.part
+    )
+    kernel.dispatcher.outbox.append(actions.ReplyToPeer(route=route, message=kept))
 
 
 @_take_message.register
