Let operators race in fault runs, and prove promises under one failure at a time

Cause: the fault run appended no changes, so dropped append replies met nobody; a job without any final word was only counted; and the matrix had no cell for most promises under a single failure.

A job whose last reply is neither an answer nor a final refusal is a violation.

--- a/packages/load/chiveridge_load/fault_callers.py
+++ b/packages/load/chiveridge_load/fault_callers.py
@@ -46,9 +46,17 @@
             await _BEHAVIOURS[plan.behaviour](self, record, issuer)
         return record
 
-    async def ask(self, record: fault_jobs.JobRecord) -> None:
+    async def ask_until_settled(self, record: fault_jobs.JobRecord) -> None:
+        """Ask for the answer of a job until it has ended or cannot be found any more."""
+        until = asyncio.get_running_loop().time() + GIVE_UP_S
+        while not (await self.ask(record)).is_last_word():
+            if asyncio.get_running_loop().time() >= until:
+                return
+            await asyncio.sleep(RETRY_DELAY_S)
+
+    async def ask(self, record: fault_jobs.JobRecord) -> fault_jobs.Attempt:
         """Ask once for the answer of a job."""
-        await self._attempt(record, "GET", self._any_url())
+        return await self._attempt(record, "GET", self._any_url())
 
     async def _take_id(self, record: fault_jobs.JobRecord) -> str:
         for _ in range(round(GIVE_UP_S / RETRY_DELAY_S)):
--- a/packages/load/chiveridge_load/fault_checks.py
+++ b/packages/load/chiveridge_load/fault_checks.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chiveridge_kernel import messages, results
-from chiveridge_load import fault_injectors, fault_jobs, fault_schedules
+from chiveridge_load import fault_injectors, fault_jobs, fault_operators, fault_schedules
 from chiveridge_standins import journals, leases
 
 LEAVING_LIMIT_MS = 3000
@@ -32,10 +32,13 @@
     SUCCEEDED_NOT_ONCE = "a task was told as succeeded and did not start exactly once"
     WRONG_RESULT = "a succeeded task carries the result of another"
     NOT_RUN_BUT_STARTED = "a task was told as not run, and it started"
+    NOT_ENDED = "long after its deadline a job had neither an answer nor a final refusal"
     NOT_WHOLE = "an answer does not have every task in order"
     PARTLY_COMPLETE = "a complete answer has a task that did not succeed"
     STARTED_WHILE_LEAVING = "a task started on a target long after it began to leave"
     UNKNOWN_START = "a task started that nobody submitted"
+    VERDICT_DIFFERS = "an operator was told another verdict than the log gives"
+    NODE_BEHIND = "a node has not applied the whole configuration in time"
     DRAIN_FAILED = "a planned stop did not end by itself with exit code 0"
 
 
@@ -65,6 +68,21 @@
     return found
 
 
+def check_configuration(outcome: fault_operators.ConfigurationOutcome) -> list[Violation]:
+    """Return the violations by changes of the configuration."""
+    found = []
+    for told in outcome.told:
+        verdict = outcome.verdicts_by_change_id.get(told.change_id)
+        if told.verdict is not None and told.verdict is not verdict:
+            detail = f"{told.change_id}: told {told.verdict.value}, in the log {verdict}"
+            found.append(Violation(Rule.VERDICT_DIFFERS, "", detail))
+    for name, offset in outcome.offsets_by_node.items():
+        if offset < outcome.log_offset:
+            detail = f"{name}: at {offset} of {outcome.log_offset}"
+            found.append(Violation(Rule.NODE_BEHIND, "", detail))
+    return found
+
+
 def _check_job(
     record: fault_jobs.JobRecord, counts_by_key: collections.Counter[str]
 ) -> Iterator[Violation]:
@@ -79,6 +97,8 @@
         if counts_by_key[key] > 1:
             yield Rule.STARTED_TWICE, f"{key}: {counts_by_key[key]} starts"
     yield from _refusal_breaches(record, counts_by_key)
+    if record.submission_id and not any(attempt.is_last_word() for attempt in record.attempts[-1:]):
+        yield Rule.NOT_ENDED, f"{len(record.attempts)} attempts"
     answers = record.final_answers()
     if any(answer != answers[0] for answer in answers):
         yield Rule.ANSWERS_DIFFER, ", ".join(sorted({answer.name for answer in answers}))
--- a/packages/load/chiveridge_load/fault_jobs.py
+++ b/packages/load/chiveridge_load/fault_jobs.py
@@ -46,6 +46,13 @@
     answer: messages.JobAnswer | None = None
     refusal: messages.Refusal | None = None
 
+    def is_last_word(self) -> bool:
+        """Tell whether the reply says how the job ended, or that it will never be known."""
+        if self.answer is not None:
+            return self.answer.state is not results.JobState.RUNNING
+        unreachable = results.ResultCode.ISSUER_UNREACHABLE
+        return self.refusal is not None and self.refusal.code is not unreachable
+
 
 class JobRecord(msgspec.Struct):
     """A job with every attempt of its caller, in the order of the replies."""
--- a/packages/load/chiveridge_load/fault_schedules.py
+++ b/packages/load/chiveridge_load/fault_schedules.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 import msgspec
 
@@ -80,16 +80,17 @@
     rng: random.Random,
     names_by_subject: dict[Subject, list[str]],
     mean_gap_ms: float,
+    faults: Collection[Fault] = tuple(Fault),
     recovery_ms: int = 500,
 ) -> Iterator[Step]:
     """Yield steps for ever, in order; a subject has at most one fault at a time."""
     free_at_by_name: dict[str, int] = {}
-    faults = list(PROFILES_BY_FAULT)
-    weights = [profile.weight for profile in PROFILES_BY_FAULT.values()]
+    drawn = [fault for fault in Fault if fault in faults]
+    weights = [PROFILES_BY_FAULT[fault].weight for fault in drawn]
     at_ms = 0
     while True:
         at_ms += round(rng.expovariate(1 / mean_gap_ms)) + 1
-        fault = rng.choices(faults, weights)[0]
+        fault = rng.choices(drawn, weights)[0]
         profile = PROFILES_BY_FAULT[fault]
         name = rng.choice(names_by_subject[profile.subject])
         for_ms = rng.randint(profile.min_ms, profile.max_ms)
--- a/packages/load/chiveridge_load/faults.py
+++ b/packages/load/chiveridge_load/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 import sys
 
@@ -15,6 +16,7 @@
     fault_checks,
     fault_injectors,
     fault_jobs,
+    fault_operators,
     fault_schedules,
 )
 from chiveridge_standins import fleets, journals
@@ -22,18 +24,24 @@
 DOMAINS = ("ikeja", "surulere", "lekki")
 DOMAIN_PLAN = fleets.DomainPlan(nodes=2, targets=4)
 TEAM = deployments.TeamPlan(name="dispatch-desk", secret="secret-of-no-value")
+OPERATORS = ("operator-a", "operator-b")
 VMS_INTERVAL_MS = 200
 
 _Subject = fault_schedules.Subject
 
 
 class RunPlan(msgspec.Struct, frozen=True, kw_only=True):
-    """Size and seed of a run; ``mean_gap_ms`` is the mean time between two faults."""
+    """Size and seed of a run, and its faults; ``mean_gap_ms`` is the mean time between two.
+
+    After ``limit_s`` seconds no more jobs are submitted.
+    """
 
     jobs: int
     seed: int
     callers: int = 24
+    limit_s: float = math.inf
     mean_gap_ms: float = 250
+    faults: frozenset[fault_schedules.Fault] = frozenset(fault_schedules.Fault)
 
 
 class RunResult(msgspec.Struct, kw_only=True):
@@ -44,6 +52,7 @@
     starts: list[journals.Start]
     counts_by_fault: dict[fault_schedules.Fault, int]
     drains: list[fault_injectors.Drain]
+    configuration: fault_operators.ConfigurationOutcome
     violations: list[fault_checks.Violation]
 
 
@@ -54,43 +63,58 @@
         await fleet.append_change(msgspec.to_builtins(change))
         await fleet.wait_ready()
         injector = fault_injectors.Injector(fleet)
-        records = await _run_jobs(plan, fleet, injector)
+        records, configuration = await _run_jobs(plan, fleet, injector)
         starts = fleet.starts()
+    violations = fault_checks.check(records, starts, injector.spans, injector.drains)
     return RunResult(
         plan=plan,
         records=records,
         starts=starts,
         counts_by_fault=dict(injector.counts_by_fault),
         drains=injector.drains,
-        violations=fault_checks.check(records, starts, injector.spans, injector.drains),
+        configuration=configuration,
+        violations=violations + fault_checks.check_configuration(configuration),
     )
 
 
 async def _run_jobs(
     plan: RunPlan, fleet: fleets.Fleet, injector: fault_injectors.Injector
-) -> list[fault_jobs.JobRecord]:
+) -> tuple[list[fault_jobs.JobRecord], fault_operators.ConfigurationOutcome]:
     steps = fault_schedules.steps(
-        random.Random(plan.seed), _names_by_subject(fleet), plan.mean_gap_ms
+        random.Random(plan.seed), _names_by_subject(fleet), plan.mean_gap_ms, plan.faults
     )
-    injecting = asyncio.create_task(injector.run(steps))
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession() as session, asyncio.TaskGroup() as background:
+        operators = fault_operators.Operators(fleet, session, random.Random(plan.seed + 3))
+        operating = [background.create_task(operators.run(name)) for name in OPERATORS]
+        injecting = background.create_task(injector.run(steps))
         caller = fault_callers.Caller(
             session, fleet.node_urls, TEAM.credential, random.Random(plan.seed + 1)
         )
-        jobs = iter(fault_jobs.plans(random.Random(plan.seed + 2), plan.jobs))
-        records: list[fault_jobs.JobRecord] = []
-        await asyncio.gather(*(_call(caller, jobs, records) for _ in range(plan.callers)))
+        records = await _run_callers(plan, caller)
+        operators.stop()
         injector.stop()
-        await injecting
+        await asyncio.gather(injecting, *operating)
         await fleet.wait_ready()
         for record in records:
             if record.submission_id:
-                await caller.ask(record)
+                await caller.ask_until_settled(record)
+        return records, await operators.outcome()
+
+
+async def _run_callers(plan: RunPlan, caller: fault_callers.Caller) -> list[fault_jobs.JobRecord]:
+    jobs = iter(fault_jobs.plans(random.Random(plan.seed + 2), plan.jobs))
+    records: list[fault_jobs.JobRecord] = []
+    until = asyncio.get_running_loop().time() + plan.limit_s
+    await asyncio.gather(*(_call(caller, jobs, records, until) for _ in range(plan.callers)))
     return records
 
 
-async def _call(caller: fault_callers.Caller, jobs, records: list[fault_jobs.JobRecord]) -> None:
+async def _call(
+    caller: fault_callers.Caller, jobs, records: list[fault_jobs.JobRecord], until: float
+) -> None:
     for job in jobs:
+        if asyncio.get_running_loop().time() >= until:
+            return
         records.append(await caller.run(job))
 
 
@@ -124,6 +148,7 @@
         for attempt in record.attempts
         if attempt.refusal is not None
     ]
+    changes = result.configuration.told
     unanswered = sum(not record.final_answers() for record in result.records)
     lines = [
         f"seed {result.plan.seed}, jobs {len(result.records)}, starts {len(result.starts)}",
@@ -134,6 +159,7 @@
         _counts("refusals", refusals),
         _counts("tasks", [task.outcome.value for task in tasks]),
         _counts("exit codes of drained nodes", [str(drain.exit_code) for drain in result.drains]),
+        _counts("changes", [told.verdict.value if told.verdict else "unknown" for told in changes]),
         f"violations: {len(result.violations)}",
     ]
     lines += [f"  {v.rule.value}: {v.submission_id} {v.detail}" for v in result.violations]
--- a/packages/load/tests/test_fault_checks.py
+++ b/packages/load/tests/test_fault_checks.py
@@ -1,8 +1,14 @@
 import msgspec
 import pytest
 
-from chiveridge_kernel import messages, results
-from chiveridge_load import fault_checks, fault_injectors, fault_jobs, fault_schedules
+from chiveridge_kernel import messages, records, results
+from chiveridge_load import (
+    fault_checks,
+    fault_injectors,
+    fault_jobs,
+    fault_operators,
+    fault_schedules,
+)
 from chiveridge_standins import journals
 
 KEYS = ["a", "b"]
@@ -40,6 +46,7 @@
 
 
 WHOLE = answer(task(0), task(1))
+RUNNING = answer(state=results.JobState.RUNNING, code=results.ResultCode.ACCEPTED)
 UNKNOWN = results.TaskOutcome.UNKNOWN
 NOT_RUN = results.TaskOutcome.NOT_RUN
 FAILED = {"state": results.JobState.FAILED, "code": results.ResultCode.CANCELLED}
@@ -54,7 +61,6 @@
         (refused(NOT_RUN), []),
         (answered(answer(task(0), task(1, NOT_RUN), **FAILED)), STARTS[:1]),
         (answered(answer(task(0, UNKNOWN), task(1, UNKNOWN), **FAILED)), STARTS[:1]),
-        ([], STARTS),
     ],
 )
 def test_honest_runs_have_no_violation(attempts, starts):
@@ -64,6 +70,8 @@
 @pytest.mark.parametrize(
     ("attempts", "starts", "expected"),
     [
+        ([], STARTS, Rule.NOT_ENDED),
+        (answered(RUNNING), STARTS, Rule.NOT_ENDED),
         ([], [*STARTS, STARTS[0]], Rule.STARTED_TWICE),
         (
             answered(WHOLE, answer(task(0, UNKNOWN), task(1), **FAILED)),
@@ -119,3 +127,31 @@
 def test_a_drain_has_to_end_by_itself(code, expected):
     drains = [fault_injectors.Drain("ikeja-e1", code, "")]
     assert rules(answered(WHOLE), drains=drains) == expected
+
+
+ACCEPTED = records.Verdict.ACCEPTED
+CONFLICT = records.Verdict.CONFLICT
+
+
+@pytest.mark.parametrize(
+    ("told", "verdicts", "offset", "expected"),
+    [
+        (ACCEPTED, {"c1": ACCEPTED}, 7, set()),
+        (CONFLICT, {"c1": CONFLICT}, 8, set()),
+        (None, {"c1": ACCEPTED}, 7, set()),
+        (None, {}, 7, set()),
+        (ACCEPTED, {}, 7, {Rule.VERDICT_DIFFERS}),
+        (ACCEPTED, {"c1": CONFLICT}, 7, {Rule.VERDICT_DIFFERS}),
+        (CONFLICT, {"c1": ACCEPTED}, 7, {Rule.VERDICT_DIFFERS}),
+        (ACCEPTED, {"c1": ACCEPTED}, 6, {Rule.NODE_BEHIND}),
+    ],
+)
+def test_the_configuration_has_to_be_as_told_and_applied(told, verdicts, offset, expected):
+    outcome = fault_operators.ConfigurationOutcome(
+        told=[fault_operators.Told("c1", told)],
+        verdicts_by_change_id=verdicts,
+        log_offset=7,
+        offsets_by_node={"ikeja-e1": offset},
+    )
+    found = fault_checks.check_configuration(outcome)
+    assert {violation.rule for violation in found} == expected
