Give the benchmark's memory to the kilobyte

Cause: the test of a size of eight targets failed, as less than 0.05 MB was rounded to 0. The figure is given to three places; the test is unchanged.

--- a/packages/load/chiveridge_load/reach_benches.py
+++ b/packages/load/chiveridge_load/reach_benches.py
@@ -218,7 +218,7 @@
     bench.query_all()
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    return round(used / 2**20, 1)
+    return round(used / 2**20, 3)
 
 
 def main(argv: list[str]) -> int:
