--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -7,10 +7,14 @@
 
 from chiveridge_kernel import (
     actions,
+    backlogs,
+    clocks,
     errors,
     events,
+    evidence,
     identifiers,
     jobs,
+    limits,
     members,
     placements,
     probes,
@@ -57,6 +61,8 @@
         self._usable_by_fitting: dict[int, tuple[Sequence[vms.Vm], Sequence[vms.Vm]]] = {}
         self._usable_version = -1
         self._lease_serial = 0
+        self.backlogs = backlogs.Backlogs()
+        self.limiter = limits.Limiter(member_table, incarnation, self._emit)
         self._prober = probes.Prober(probe_limits)
         self.policy = placements.create(policy_name, self)
 
@@ -69,15 +75,27 @@
         job = jobs.Job(event.team, event.submission, candidates, event.arrived_at or now)
         _check_deadline(job, now)
         self._check_runnable(job)
+        self._check_backlog(job, now)
+        task_count = len(job.waiting)
+        self.limiter.hold(job, now)
         self.jobs_by_id[job.submission_id] = job
+        self.backlogs.added(job.team, task_count)
         heapq.heappush(self._deadlines, (job.deadline, job.submission_id))
-        self.policy.job_waiting(job, now)
+        if job.waiting:
+            self.policy.job_waiting(job, now)
+
+    def place_permitted(self, now: datetime.datetime) -> None:
+        """Place the tasks that their team's limit no longer holds back."""
+        for job in self.limiter.pump(now):
+            if not job.ended:
+                self.policy.job_waiting(job, now)
 
     def start(self, task: jobs.Task, vm: vms.Vm, now: datetime.datetime) -> None:
         """Start a waiting task on a target."""
         job = task.job
         task.signal(jobs.TaskSignal.START)
         job.waiting.remove(task)
+        self.backlogs.started(job.team, now)
         self._lease_serial += 1
         task.lease_id = identifiers.LeaseId(f"{self._incarnation}-{self._lease_serial}")
         task.target = vm
@@ -177,7 +195,9 @@
         A job whose tasks are all started goes on.
         """
         job.revocation = reason
-        for task in job.waiting:
+        self.backlogs.dropped(job.team, len(job.waiting) + len(job.held))
+        for task in [*job.waiting, *self.limiter.give_up(job)]:
+            self.limiter.ended(task)
             self._give_up_revoked(task)
         job.waiting.clear()
         self.policy.job_ended(job, now)
@@ -195,6 +215,9 @@
             code = results.ResultCode.APPROVAL_REVOKED
             self._end(job, results.JobState.FAILED, code, message, now)
 
+    def _emit(self, action: actions.Action) -> None:
+        self.outbox.append(action)
+
     def _check_runnable(self, job: jobs.Job) -> None:
         any_usable = False
         for task in job.tasks:
@@ -206,6 +229,14 @@
             message = "every target that the team may use is leaving or unreachable"
             raise errors.RefusedError(results.ResultCode.OVERLOADED, message, RETRY_AFTER_MS)
 
+    def _check_backlog(self, job: jobs.Job, now: datetime.datetime) -> None:
+        excess = self.backlogs.excess(job.team, len(job.tasks), job.deadline - now)
+        if excess is not None:
+            message = "deadline_ms: tasks of the team that wait already leave too little time"
+            retry_after_ms = max(int(clocks.to_ms(excess)), RETRY_AFTER_MS)
+            code = results.ResultCode.DEADLINE_UNREACHABLE
+            raise errors.RefusedError(code, message, retry_after_ms)
+
     def _succeed(
         self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
     ) -> None:
@@ -232,15 +263,21 @@
         task.target = None
         job = task.job
         until = now + _BACKOFFS_BY_REASON.get(event.reason, targets.UNREACHABLE_BACKOFF)
+        if event.reason == "leaving":
+            self.outbox.extend(evidence.tell_leaving(self.members, self.target_table, vm))
+            self.target_table.leaving(vm.name, until)
         self.target_table.avoid(vm.name, until)
         if job.revocation:
             self._give_up_revoked(task)
             self._end_if_revoked(job, now)
             return
-        job.waiting.append(task)
+        is_held = self.limiter.hold_again(task)
+        if not is_held:
+            job.waiting.append(task)
+        self.backlogs.added(job.team, 1)
         if job.deadline <= now:
             self.expire(now)
-        else:
+        elif not is_held:
             self.policy.job_waiting(job, now)
 
     def _lost(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
@@ -308,6 +345,7 @@
         self, task: jobs.Task, report: events.LeaseReported | None, now: datetime.datetime
     ) -> None:
         del self._tasks_by_lease[task.lease_id]
+        self.limiter.ended(task)
         name = task.target.name
         self.in_flight_by_target[name] -= 1
         if not self.in_flight_by_target[name]:
@@ -324,6 +362,8 @@
     ) -> None:
         self._start_no_more(job, now)
         del self.jobs_by_id[job.submission_id]
+        for task in job.tasks:
+            self.limiter.ended(task)
         answer = job.answer(state, code, message, now)
         self.outbox.append(actions.AnswerJob(team=job.team, answer=answer))
 
@@ -331,7 +371,10 @@
         """Give up what waits, before the policy hears of targets that are released."""
         if not job.ended:
             job.ended = True
+            self.backlogs.dropped(job.team, len(job.waiting))
             job.give_up_waiting()
+            for task in self.limiter.give_up(job):
+                task.signal(jobs.TaskSignal.GIVE_UP)
             self.policy.job_ended(job, now)
 
 
--- a/packages/kernel/tests/test_revocations.py
+++ b/packages/kernel/tests/test_revocations.py
@@ -108,7 +108,7 @@
 
     def demand(self):
         """Return what the owners policy asks for."""
-        demands = self.kernel.dispatcher.policy.demands.demands_by_id.values()
+        demands = self.kernel.dispatcher.policy.borrower.table.demands_by_id.values()
         [found] = [demand for demand in demands if demand.wanted]
         return found
 
@@ -235,7 +235,7 @@
     demand = system.demand()
     for name, count in (("t2", 2), ("t1", 3)):
         grant = peers.SlotGrant(
-            sender="e2", demand_id=demand.demand_id, serial=1, targets=[name], free=0
+            sender="e2", team=TEAM, demand_id=demand.demand_id, serial=1, targets=[name], free=0
         )
         system.handle(events.PeerMessageReceived(message=grant))
         assert len(system.starts()) == count
@@ -247,7 +247,7 @@
     demand = system.demand()
     system.put(records.TargetObject(name="t1"))
     grant = peers.SlotGrant(
-        sender="e2", demand_id=demand.demand_id, serial=1, targets=["t1"], free=0
+        sender="e2", team=TEAM, demand_id=demand.demand_id, serial=1, targets=["t1"], free=0
     )
     system.handle(events.PeerMessageReceived(message=grant))
     assert len(system.starts()) == 2
