--- a/packages/kernel/chiveridge_kernel/limits.py
+++ b/packages/kernel/chiveridge_kernel/limits.py
@@ -43,12 +43,14 @@
         self._incarnation = incarnation
         self._send = send
         self._sequence = 0
+        self._due_at: datetime.datetime | None = None
         self._shares_by_team: dict[identifiers.TeamName, limit_shares.Share] = {}
         self._keepers_by_team: dict[identifiers.TeamName, limit_keepers.Keeper] = {}
         self._jobs_by_team: dict[identifiers.TeamName, collections.deque[jobs.Job]] = {}
         self._touched: set[identifiers.TeamName] = set()
         self._names_by_team: dict[identifiers.TeamName, identifiers.NodeName] = {}
         self._names_version = -1
+        self._followed_version = -1
 
     def hold(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Hold back the tasks of a new job that are over its team's limit.
@@ -112,10 +114,16 @@
                 share.report_at = min(share.report_at, now + limit_shares.IDLE_REPORT_DELAY)
             elif share.report_at <= now:
                 self._report(team, share, now)
+            self._due_at = min(self._due_at or share.report_at, share.report_at)
         return found
 
     def tick(self, now: datetime.datetime) -> None:
         """Renew the shares in use, ask again, and give back the idle ones."""
+        if self._due_at is None:
+            return
+        if now < self._due_at and self._followed_version == self._members.version:
+            return
+        self._followed_version = self._members.version
         for team, share in list(self._shares_by_team.items()):
             self._follow_keeper(team, share)
             if share.report_at > now:
@@ -127,10 +135,12 @@
                 self._jobs_by_team.pop(team, None)
             else:
                 self._touched.add(team)
+        moments = (share.report_at for share in self._shares_by_team.values())
+        self._due_at = min(moments, default=None)
 
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next report is due."""
-        return min((share.report_at for share in self._shares_by_team.values()), default=None)
+        return self._due_at
 
     def take_report(self, report: peers.LimitReport, now: datetime.datetime) -> None:
         """Answer a holder's report when this node is the keeper."""
