--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -7,6 +7,8 @@
 
 from chiveridge_kernel import (
     actions,
+    backlogs,
+    clocks,
     errors,
     events,
     evidence,
@@ -59,6 +61,7 @@
         self._usable_by_fitting: dict[int, tuple[Sequence[vms.Vm], Sequence[vms.Vm]]] = {}
         self._usable_version = -1
         self._lease_serial = 0
+        self.backlogs = backlogs.Backlogs()
         self.limiter = limits.Limiter(member_table, incarnation, self._emit)
         self._prober = probes.Prober(probe_limits)
         self.policy = placements.create(policy_name, self)
@@ -72,8 +75,11 @@
         job = jobs.Job(event.team, event.submission, candidates, event.arrived_at or now)
         _check_deadline(job, now)
         self._check_runnable(job)
+        self._check_backlog(job, now)
+        task_count = len(job.waiting)
         self.limiter.hold(job, now)
         self.jobs_by_id[job.submission_id] = job
+        self.backlogs.added(job.team, task_count)
         heapq.heappush(self._deadlines, (job.deadline, job.submission_id))
         if job.waiting:
             self.policy.job_waiting(job, now)
@@ -89,6 +95,7 @@
         job = task.job
         task.signal(jobs.TaskSignal.START)
         job.waiting.remove(task)
+        self.backlogs.started(job.team, now)
         self._lease_serial += 1
         task.lease_id = identifiers.LeaseId(f"{self._incarnation}-{self._lease_serial}")
         task.target = vm
@@ -188,6 +195,7 @@
         A job whose tasks are all started goes on.
         """
         job.revocation = reason
+        self.backlogs.dropped(job.team, len(job.waiting) + len(job.held))
         for task in [*job.waiting, *self.limiter.give_up(job)]:
             self.limiter.ended(task)
             self._give_up_revoked(task)
@@ -221,6 +229,14 @@
             message = "every target that the team may use is leaving or unreachable"
             raise errors.RefusedError(results.ResultCode.OVERLOADED, message, RETRY_AFTER_MS)
 
+    def _check_backlog(self, job: jobs.Job, now: datetime.datetime) -> None:
+        excess = self.backlogs.excess(job.team, len(job.tasks), job.deadline - now)
+        if excess is not None:
+            message = "deadline_ms: tasks of the team that wait already leave too little time"
+            retry_after_ms = max(int(clocks.to_ms(excess)), RETRY_AFTER_MS)
+            code = results.ResultCode.DEADLINE_UNREACHABLE
+            raise errors.RefusedError(code, message, retry_after_ms)
+
     def _succeed(
         self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
     ) -> None:
@@ -258,6 +274,7 @@
         is_held = self.limiter.hold_again(task)
         if not is_held:
             job.waiting.append(task)
+        self.backlogs.added(job.team, 1)
         if job.deadline <= now:
             self.expire(now)
         elif not is_held:
@@ -354,6 +371,7 @@
         """Give up what waits, before the policy hears of targets that are released."""
         if not job.ended:
             job.ended = True
+            self.backlogs.dropped(job.team, len(job.waiting))
             job.give_up_waiting()
             for task in self.limiter.give_up(job):
                 task.signal(jobs.TaskSignal.GIVE_UP)
--- a/packages/load/chiveridge_load/control_benches.py
+++ b/packages/load/chiveridge_load/control_benches.py
@@ -30,8 +30,8 @@
 TARGETS = 2
 CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-_BYTES = re.compile(r"^chiveridge_peer_sent_bytes_total (\S+)$", re.MULTILINE)
-_MESSAGES = re.compile(r"^chiveridge_peer_sent_messages_total (\S+)$", re.MULTILINE)
+_BYTES = re.compile(r'^chiveridge_peer_bytes_total{direction="sent"} (\S+)$', re.MULTILINE)
+_MESSAGES = re.compile(r'^chiveridge_peer_messages_total{direction="sent"} (\S+)$', re.MULTILINE)
 
 
 class Usage(msgspec.Struct, frozen=True):
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -25,7 +25,7 @@
 from chiveridge_node import (
     clocks,
     logevents,
-    measures,
+    metrics,
     plugins,
     requests,
     settings,
@@ -49,7 +49,7 @@
         self.rng = random.Random(secrets.randbits(64))
         self.kernel = kernels.Kernel(_kernel_settings(node_settings), self.rng)
         self.shell = shells.Shell(self.kernel, clocks.SystemClock())
-        self.measures = measures.Measures(self.shell)
+        self.metrics = metrics.Metrics(self.shell)
         self.requests = requests.Requests(self.shell)
         self._stopped = asyncio.Event()
         self._adapters_by_kind = {
@@ -88,6 +88,7 @@
     def _perform_actions(self) -> None:
         self.shell.perform_with(actions.AnswerJob, self.requests.answered)
         self.shell.perform_with(actions.NoteChange, _note_change)
+        self.shell.perform_with(actions.NoteRestored, _note_restored)
         self.shell.perform_with(actions.Exit, lambda action: self._stopped.set())
 
     async def _open(self) -> None:
@@ -95,7 +96,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.drain)
         self.shell.start()
-        self.measures.start()
+        self.metrics.start()
         for adapter in self._adapters_by_kind.values():
             await adapter.open()
         self._announce()
@@ -105,7 +106,7 @@
         await self._adapters_by_kind[plugins.Kind.CALLERS].close()
         for kind in (plugins.Kind.PEERS, plugins.Kind.LOG, plugins.Kind.VMS, plugins.Kind.TARGETS):
             await self._adapters_by_kind[kind].close()
-        self.measures.stop()
+        self.metrics.stop()
         self.shell.stop()
         signals.node_stopped.send(self)
         logevents.write(logevents.LogEvent.NODE_STOPPED)
@@ -177,3 +178,10 @@
     signals.change_noted.send(result=result)
     event = _LOG_EVENTS_BY_VERDICT.get(result.verdict, logevents.LogEvent.CHANGE_REJECTED)
     logevents.write(event, **msgspec.to_builtins(result))
+
+
+def _note_restored(action: actions.NoteRestored) -> None:
+    event = logevents.LogEvent.CONFIGURATION_FROM_SNAPSHOT
+    if action.is_from_peer:
+        event = logevents.LogEvent.CONFIGURATION_FROM_PEER
+    logevents.write(event, offset=action.offset)
