Say nothing certain of ids that had expired before a handover

Found by reading: a peer that holds the handover of a stopped node answered from the list of admitted ids alone. The issuer forgets ids when they expire, so one that had run and expired before the stop was told as not_run, for up to ten minutes. The handover now carries when it was made, by the issuer's clock, and ids that had expired by then, or have on the peer's own clock, are told as expired with unknown.

Seen to fail with the check taken out, and with the peer's clock alone when that clock is behind.

--- a/packages/kernel/chiveridge_kernel/admissions.py
+++ b/packages/kernel/chiveridge_kernel/admissions.py
@@ -193,13 +193,10 @@
 
 
 def _check_unexpired(submission_id: identifiers.SubmissionId, now: datetime.datetime) -> int:
-    """Return the serial of an id; what an expired id was used for is not remembered."""
+    """Return the serial of an id."""
     issued = submissions.parse(submission_id)
     if issued.expires_at_ms <= clocks.to_epoch_ms(now):
-        message = "submission_id: it has expired; ask for a new one"
-        raise errors.RefusedError(
-            results.ResultCode.SUBMISSION_ID_EXPIRED, message, ran=results.TaskOutcome.UNKNOWN
-        )
+        raise submissions.expired()
     return issued.serial
 
 
--- a/packages/kernel/chiveridge_kernel/handovers.py
+++ b/packages/kernel/chiveridge_kernel/handovers.py
@@ -10,6 +10,7 @@
 
 from chiveridge_kernel import (
     answers,
+    clocks,
     errors,
     identifiers,
     ledgers,
@@ -42,6 +43,7 @@
     incarnation: identifiers.Incarnation,
     admitted: dict[int, bytes],
     kept: dict[identifiers.SubmissionId, answers.KeptAnswer],
+    made_at: datetime.datetime,
 ) -> list[peers.Handover]:
     """Return the messages of a handover; the first carries the admitted ids."""
     groups: list[list[peers.HandedAnswer]] = [[]]
@@ -58,6 +60,7 @@
             incarnation=incarnation,
             part=number,
             part_count=len(groups),
+            made_at_ms=clocks.to_epoch_ms(made_at),
             admitted=admitted if number == 0 else {},
             answers=group,
         )
@@ -113,6 +116,7 @@
     """Parts of a handover that have arrived."""
 
     expires_at: datetime.datetime
+    made_at_ms: int
     parts_missing: set[int]
     admitted: dict[int, bytes] = {}
 
@@ -130,7 +134,7 @@
         if received is None:
             self._make_room()
             expires_at = now + submissions.ID_LIFETIME
-            received = _Received(expires_at, set(range(message.part_count)))
+            received = _Received(expires_at, message.made_at_ms, set(range(message.part_count)))
             self._received_by_incarnation[message.incarnation] = received
         received.parts_missing.discard(message.part)
         received.admitted = received.admitted or message.admitted
@@ -153,8 +157,10 @@
             return answer
         issued = submissions.parse(submission_id)
         received = self._received_by_incarnation.get(issued.incarnation)
-        if received is None or received.parts_missing or received.expires_at <= now:
+        if received is None or received.parts_missing:
             return None
+        if issued.expires_at_ms <= max(received.made_at_ms, clocks.to_epoch_ms(now)):
+            raise submissions.expired()
         raise _refusal(ledgers.is_marked(received.admitted, issued.serial))
 
     def forget_expired(self, now: datetime.datetime) -> None:
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -153,7 +153,9 @@
     def _new_handover(self, now: datetime.datetime) -> handovers.Sender:
         admitted = self.admissions.admitted()
         kept = self.answers.newest(handovers.MAX_ANSWER_BYTES) if admitted else {}
-        parts = handovers.parts_of(self.settings.node, self.settings.incarnation, admitted, kept)
+        parts = handovers.parts_of(
+            self.settings.node, self.settings.incarnation, admitted, kept, now
+        )
         # Without an unexpired id there is nothing that anybody could ask for.
         to_peers = handovers.choose_peers(self.members) if admitted else []
         return handovers.Sender(parts, to_peers, now, self.settings.linger)
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -88,13 +88,15 @@
 class Handover(msgspec.Struct, frozen=True, kw_only=True, tag="handover"):
     """What a stopping node leaves, in parts; ``admitted`` has a bit for each issued id.
 
-    The sender starts nothing more once it has sent the first part.
+    The sender starts nothing more once it has sent the first part. Ids that had expired at
+    ``made_at_ms``, on the sender's clock, are not among the admitted.
     """
 
     sender: identifiers.NodeName
     incarnation: identifiers.Incarnation
     part: int
     part_count: int
+    made_at_ms: int
     admitted: dict[int, bytes] = {}
     answers: list[HandedAnswer] = []
 
--- a/packages/kernel/chiveridge_kernel/submissions.py
+++ b/packages/kernel/chiveridge_kernel/submissions.py
@@ -108,3 +108,11 @@
     except ValueError as error:
         message = f"submission_id: {submission_id!r} is not a submission id"
         raise errors.RefusedError(results.ResultCode.UNKNOWN_SUBMISSION, message) from error
+
+
+def expired() -> errors.RefusedError:
+    """Return the refusal of an expired id; what it was used for is not remembered."""
+    message = "submission_id: it has expired; ask for a new one"
+    return errors.RefusedError(
+        results.ResultCode.SUBMISSION_ID_EXPIRED, message, ran=results.TaskOutcome.UNKNOWN
+    )
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -286,10 +286,7 @@
 
 def _check_unexpired(issued: submissions.IssuedId, now: datetime.datetime) -> None:
     if issued.expires_at_ms <= clocks.to_epoch_ms(now):
-        message = "submission_id: it has expired; ask for a new one"
-        raise errors.RefusedError(
-            results.ResultCode.SUBMISSION_ID_EXPIRED, message, ran=results.TaskOutcome.UNKNOWN
-        )
+        raise submissions.expired()
 
 
 def _reply_of(reply: peers.CallerReply) -> Reply:
