--- a/packages/load/chiveridge_load/costs.py
+++ b/packages/load/chiveridge_load/costs.py
@@ -15,7 +15,7 @@
 from absl import flags, logging
 
 from chiveridge_kernel import policies
-from chiveridge_load import saturations, slopes
+from chiveridge_load import idles, saturations, slopes
 
 JOB_SIZES = (1, 8, 64, 740)
 PROFILE_JOB_SIZE = 8
@@ -31,6 +31,7 @@
     policy: str
     saturations: list[saturations.Cost]
     memory: saturations.Memory | None
+    idle: idles.Idle | None
     slopes: list[slopes.Slope]
 
 
@@ -56,6 +57,7 @@
         policy=policy,
         saturations=await _saturations(policy, options),
         memory=await saturations.memory(policy) if options.memory else None,
+        idle=await idles.measure(policy, _duration(options)) if options.idle else None,
         slopes=_slopes(policy, options),
     )
 
@@ -108,6 +110,8 @@
             f"{memory.tasks} tasks in progress: {memory.memory_mb:.0f} MB, idle "
             f"{memory.idle_mb:.0f} MB, {memory.bytes_per_task:.0f} bytes a task"
         )
+    if report.idle is not None:
+        lines.append(idles.describe(report.idle))
     lines += [
         f"us over {slope.axis:<8} {_times(slope)}  growth {slope.growth:.2f}"
         for slope in report.slopes
@@ -128,6 +132,7 @@
     flags.DEFINE_float("seconds", 5, "Length of each saturation.", lower_bound=1)
     flags.DEFINE_integer("seed", 1, "Seed of the timed decisions.")
     flags.DEFINE_bool("memory", True, "Measure the memory of 10,000 tasks in progress.")
+    flags.DEFINE_bool("idle", True, "Measure what a fleet costs without jobs.")
     flags.DEFINE_bool("slopes", True, "Time the decisions over growing numbers.")
     flags.DEFINE_bool("profile", False, "Profile a saturated node as well.")
     flags.DEFINE_string("out", "build/costs.json", "Report to write, as JSON.")
--- /dev/null
+++ b/packages/load/chiveridge_load/idles.py
@@ -0,0 +1,66 @@
+"""What a fleet costs without jobs: processor time, memory and messages between nodes."""
+
+import asyncio
+import datetime
+import statistics
+
+import msgspec
+
+from chiveridge_load import deployments, runs, usages
+from chiveridge_standins import fleets
+
+DEPLOYMENT = "lagos"
+TEAM = deployments.TeamPlan(name="dispatch-desk", secret=runs.SECRET)
+
+
+class Idle(msgspec.Struct, frozen=True, kw_only=True):
+    """Shares of one core, resident memory of the largest node, bytes a second of one node."""
+
+    nodes: int
+    seconds: float
+    cpu_share: float
+    max_cpu_share: float
+    memory_mb: float
+    peer_bytes: float
+
+
+async def measure(policy: str, duration: datetime.timedelta) -> Idle:
+    """Measure a fleet of a deployment that gets no jobs."""
+    plan = deployments.fleet_plan(DEPLOYMENT, policy)
+    async with fleets.Fleet(plan) as fleet:
+        change = deployments.first_change([TEAM], list(fleet.targets_by_name))
+        await fleet.append_change(msgspec.to_builtins(change))
+        await fleet.wait_ready(runs.READY_TIMEOUT_S)
+        await asyncio.sleep(runs.SETTLE_S)
+        return await _watch(fleet, duration.total_seconds())
+
+
+async def _watch(fleet: fleets.Fleet, seconds: float) -> Idle:
+    pids = [fleet.pid(name) for name in fleet.nodes_by_name]
+    cpu_s = [usages.cpu_s(pid) for pid in pids]
+    passed = _passed_bytes(fleet)
+    await asyncio.sleep(seconds)
+    shares = [
+        (usages.cpu_s(pid) - before) / seconds for pid, before in zip(pids, cpu_s, strict=True)
+    ]
+    return Idle(
+        nodes=len(pids),
+        seconds=seconds,
+        cpu_share=statistics.fmean(shares),
+        max_cpu_share=max(shares),
+        memory_mb=max(usages.memory_mb(pid) for pid in pids),
+        peer_bytes=(_passed_bytes(fleet) - passed) / seconds / len(pids),
+    )
+
+
+def _passed_bytes(fleet: fleets.Fleet) -> int:
+    return sum(proxy.counts.passed_bytes for proxy in fleet.proxies_by_name.values())
+
+
+def describe(idle: Idle) -> str:
+    """Return a line of text."""
+    return (
+        f"{idle.nodes} nodes without jobs: {idle.cpu_share:.2%} of a core on average and "
+        f"{idle.max_cpu_share:.2%} at most, {idle.memory_mb:.0f} MB, {idle.peer_bytes:.0f} bytes/s "
+        "between nodes"
+    )
--- a/packages/load/chiveridge_load/pages.py
+++ b/packages/load/chiveridge_load/pages.py
@@ -9,7 +9,7 @@
 import msgspec
 from absl import flags
 
-from chiveridge_load import costs, plots, reports
+from chiveridge_load import costs, idles, plots, reports
 
 IMAGES = "images"
 
@@ -127,6 +127,8 @@
             f"A node with {memory.tasks} tasks in progress holds {memory.memory_mb:.0f} MB, "
             f"{memory.idle_mb:.0f} MB without: {memory.bytes_per_task:.0f} bytes a task.\n"
         )
+    if report.idle is not None:
+        parts.append(f"{idles.describe(report.idle)}.\n")
     slopes = [
         [
             slope.axis,
--- a/packages/load/tests/test_pages.py
+++ b/packages/load/tests/test_pages.py
@@ -1,6 +1,6 @@
 import msgspec
 
-from chiveridge_load import costs, measurements, pages, reports, saturations, slopes
+from chiveridge_load import costs, idles, measurements, pages, reports, saturations, slopes
 
 QUANTILES = [1.0] * len(measurements.QUANTILES)
 
@@ -66,6 +66,9 @@
             )
         ],
         memory=saturations.Memory(tasks=10_000, idle_mb=50, memory_mb=150, bytes_per_task=10_000),
+        idle=idles.Idle(
+            nodes=9, seconds=5, cpu_share=0.01, max_cpu_share=0.02, memory_mb=50, peer_bytes=900
+        ),
         slopes=[
             slopes.Slope(
                 axis="teams",
@@ -80,5 +83,6 @@
     text = pages.page([_row(limits=[], passed=True)], report, [])
     assert "| 8 | 2000 | 2500 | 400 | 60 |" in text
     assert "10000 tasks in progress holds 150 MB" in text
+    assert "1.00% of a core on average and 2.00% at most" in text
     assert "| teams | 2, 160 | 90, 99 | 10, 20 | 1.10 |" in text
     assert "None." in text
--- a/packages/standins/chiveridge_standins/proxies.py
+++ b/packages/standins/chiveridge_standins/proxies.py
@@ -15,12 +15,13 @@
 
 
 class ConnectionCounts(msgspec.Struct):
-    """Connections of a proxy since its start, and how many are open now."""
+    """Connections of a proxy since its start, how many are open now, and bytes passed on."""
 
     accepted: int = 0
     open: int = 0
     cut: int = 0
     dropped_replies: int = 0
+    passed_bytes: int = 0
 
 
 class FaultProxy:
@@ -208,6 +209,7 @@
         await self._proxy.flowing.wait()
 
     async def _write_chunk(self, writer: asyncio.StreamWriter, chunk: bytes) -> None:
+        self._proxy.counts.passed_bytes += len(chunk)
         try:
             writer.write(chunk)
             await writer.drain()
--- a/packages/standins/tests/test_proxies.py
+++ b/packages/standins/tests/test_proxies.py
@@ -65,6 +65,7 @@
         connection.writer.write_eof()
         assert await connection.reader.read() == b""
         assert proxy.counts.accepted == 1
+        assert proxy.counts.passed_bytes == 2 * len(message)
 
 
 async def test_cut_resets_and_refuses_until_healed(connected):
