Count jobs refused after a wait as refused, and label plots plainly

A queue that refuses a job after some time answers it as failed with nothing run; the refused share and the refusal time left such jobs out.

--- a/packages/load/chiveridge_load/judgements.py
+++ b/packages/load/chiveridge_load/judgements.py
@@ -194,7 +194,7 @@
     refused = [
         record.response_ms - record.node_ms
         for record in measured.records
-        if record.ran is results.TaskOutcome.NOT_RUN
+        if measurements.is_refused(record)
     ]
     return max(refused, default=0.0)
 
--- a/packages/load/chiveridge_load/measurements.py
+++ b/packages/load/chiveridge_load/measurements.py
@@ -95,7 +95,7 @@
                 ),
             )
             for record in self.records
-            if record.ran is not results.TaskOutcome.NOT_RUN
+            if not is_refused(record)
         ]
         return sorted(arrivals, key=lambda arrival: arrival.at_s)
 
@@ -117,8 +117,8 @@
 
     def refused_share(self) -> float:
         """Return the share of the jobs of which no task was run."""
-        refused = [record for record in self.records if record.ran is results.TaskOutcome.NOT_RUN]
-        return len(refused) / len(self.jobs) if self.jobs else 0.0
+        refused = sum(is_refused(record) for record in self.records)
+        return refused / len(self.jobs) if self.jobs else 0.0
 
     def jobs_by_code(self) -> dict[str, int]:
         """Return the number of jobs by result code."""
@@ -130,6 +130,14 @@
         return late[int(len(late) * 0.99)] if late else 0.0
 
 
+def is_refused(record: generators.JobRecord) -> bool:
+    """Tell whether a job was refused, at once or after it had waited, and not by its caller."""
+    if record.code is results.ResultCode.CANCELLED:
+        return False
+    told = set(record.outcomes) or {record.ran}
+    return told == {results.TaskOutcome.NOT_RUN}
+
+
 def percentiles(ratios: Iterable[float]) -> Percentiles:
     """Return the distribution of ratios."""
     recorded = histogram.HdrHistogram(1, _MAX_RATIO * _RATIO_UNITS, _SIGNIFICANT_DIGITS)
--- a/packages/load/chiveridge_load/plots.py
+++ b/packages/load/chiveridge_load/plots.py
@@ -7,12 +7,13 @@
 
 matplotlib.use("Agg")
 
-from matplotlib import axes, pyplot  # noqa: E402
+from matplotlib import axes, pyplot, ticker  # noqa: E402
 
 from chiveridge_load import measurements, reports  # noqa: E402
 
 SIZE_INCHES = (7.0, 4.0)
 DOTS_PER_INCH = 100
+RATIO_TICKS = (1, 1.1, 1.2, 1.5, 2, 3, 5, 10, 20, 50, 100)
 
 
 def draw(rows: list[reports.Row], directory: pathlib.Path) -> list[pathlib.Path]:
@@ -31,6 +32,9 @@
         _draw_curve(axis, row.quantiles, row.policy, "-")
     _draw_curve(axis, first.bound_quantiles, "central queue (bound)", "--")
     axis.set_yscale("log")
+    axis.yaxis.set_major_locator(ticker.FixedLocator(RATIO_TICKS))
+    axis.yaxis.set_major_formatter(ticker.FormatStrFormatter("%g"))
+    axis.yaxis.set_minor_locator(ticker.NullLocator())
     axis.set_xlabel("percentile of jobs")
     axis.set_ylabel("response / ideal")
     axis.set_title(f"{first.deployment}, {first.load:.0%} load, jobs of mean {first.job_mean:g}")
--- a/packages/load/tests/test_reports.py
+++ b/packages/load/tests/test_reports.py
@@ -54,6 +54,20 @@
     assert row.jobs_by_code == {"COMPLETE": 2, "OVERLOADED": 1}
 
 
+def test_job_refused_after_it_waited_counts_as_refused():
+    record = _measurement().records[1]
+    assert not measurements.is_refused(record)
+    not_run = [results.TaskOutcome.NOT_RUN] * 2
+    waited = msgspec.structs.replace(
+        record, code=results.ResultCode.DEADLINE_UNREACHABLE, outcomes=not_run
+    )
+    assert measurements.is_refused(waited)
+    partly = msgspec.structs.replace(waited, outcomes=[*not_run, results.TaskOutcome.RAN])
+    assert not measurements.is_refused(partly)
+    cancelled = msgspec.structs.replace(waited, code=results.ResultCode.CANCELLED)
+    assert not measurements.is_refused(cancelled)
+
+
 def test_jobs_of_the_warm_up_are_left_out_of_the_ratios():
     measured = _measurement()
     assert measured.ratios().count == 2
