--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -20,11 +20,15 @@
 
 
 class AskOutcome(msgspec.Struct, frozen=True, kw_only=True):
-    """Ask a target over a new connection what became of a start, after ``delay``."""
+    """Ask a target over a new connection what became of a start, after ``delay``.
+
+    ``wait`` lets the target hold its reply for a while until the task ends.
+    """
 
     lease_id: identifiers.LeaseId
     target: vms.Vm
     delay: datetime.timedelta = datetime.timedelta()
+    wait: bool = False
 
 
 class WithdrawStart(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,6 +47,7 @@
 class AnswerJob(msgspec.Struct, frozen=True, kw_only=True):
     """Give a job's final answer to whoever waits for it."""
 
+    team: identifiers.TeamName
     answer: messages.JobAnswer
 
 
@@ -73,6 +78,12 @@
     snapshot: snapshots.Snapshot
 
 
+class DisconnectPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """Close the connection to a node, which is gone or silent; a later message opens another."""
+
+    peer: vms.Vm
+
+
 class NoteChange(msgspec.Struct, frozen=True, kw_only=True):
     """Write the verdict on a configuration record to the audit trail."""
 
@@ -90,6 +101,7 @@
     | StopTask
     | AnswerJob
     | SendToPeer
+    | DisconnectPeer
     | ReplyToPeer
     | SendSnapshot
     | AppendSnapshot
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -1,5 +1,6 @@
 """Events that the kernel handles."""
 
+import datetime
 import enum
 
 import msgspec
@@ -11,7 +12,8 @@
     """What is known of a start.
 
     ``LOST`` means that the connection failed after the request may have been sent;
-    ``REFUSED`` means that nothing was sent.
+    ``REFUSED`` means that nothing was sent. ``QUEUED`` means that the start still waits for a
+    connection, or was sent so shortly ago that the target need not know of it.
     """
 
     SUCCEEDED = "succeeded"
@@ -22,19 +24,26 @@
     UNSEEN = "unseen"
     LOST = "lost"
     REFUSED = "refused"
+    QUEUED = "queued"
 
 
 class SubmissionReceived(msgspec.Struct, frozen=True, kw_only=True):
-    """A checked submission for this node; ``digest`` identifies its content."""
+    """A checked submission for this node; ``digest`` identifies its content.
+
+    The deadline counts from ``arrived_at``, or from now when it is unset. It is set earlier
+    when the submission may have waited unseen, for example while the process was paused.
+    """
 
     team: identifiers.TeamName
     submission: messages.Submission
     digest: bytes
+    arrived_at: datetime.datetime | None = None
 
 
 class CancelReceived(msgspec.Struct, frozen=True, kw_only=True):
     """The caller cancels a job."""
 
+    team: identifiers.TeamName
     submission_id: identifiers.SubmissionId
 
 
@@ -42,7 +51,7 @@
     """A target, or the connection to it, told the outcome of a start.
 
     ``run_ms`` is the time the task ran, ``busy`` the slots in use at the target, or None
-    when the target did not say.
+    when the target did not say. ``asked`` tells the reply to a question from that to the start.
     """
 
     lease_id: identifiers.LeaseId
@@ -51,6 +60,7 @@
     result: msgspec.Raw = msgspec.Raw(b"null")
     reason: str = ""
     busy: int | None = None
+    asked: bool = False
 
 
 class RecordsRead(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,12 +103,20 @@
     route: bytes = b""
 
 
+class PeerUnreachable(msgspec.Struct, frozen=True, kw_only=True):
+    """Nothing can be sent to a node at its address now."""
+
+    peer: vms.Vm
+
+
 class Ticked(msgspec.Struct, frozen=True):
     """Time has passed; due deadlines are handled."""
 
 
 class DrainRequested(msgspec.Struct, frozen=True):
-    """The process was asked to stop."""
+    """The process was asked to stop; ``forced`` ends the jobs in progress as failed."""
+
+    forced: bool = False
 
 
 Event = (
@@ -110,6 +128,7 @@
     | VmsListed
     | VmsConfirmed
     | PeerMessageReceived
+    | PeerUnreachable
     | Ticked
     | DrainRequested
 )
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -1,6 +1,8 @@
 """Messages between nodes, as msgpack with a type tag."""
 
 import enum
+import typing
+from typing import Annotated
 
 import msgspec
 
@@ -10,8 +12,34 @@
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
 
 
+# Short keys, as heartbeats are most of the control traffic.
+_HEARTBEAT_KEYS_BY_FIELD = {
+    "sender": "s",
+    "incarnation": "i",
+    "sequence": "q",
+    "echo": "e",
+    "offset": "o",
+    "leaving": "l",
+    "reply_wanted": "r",
+}
+
+
+class DropReason(enum.Enum):
+    """Why a message from a peer is dropped."""
+
+    CORRUPT = "corrupt"
+    OVERSIZED = "oversized"
+    UNKNOWN_VERSION = "unknown_version"
+    UNKNOWN_TYPE = "unknown_type"
+    UNEXPECTED = "unexpected"
+
+
 class PeerMessageError(errors.ChiveridgeError):
-    """Bytes from a peer are not a message of this protocol version."""
+    """Bytes from a peer are not a message that can be taken here."""
+
+    def __init__(self, reason: DropReason, message: str):
+        super().__init__(message)
+        self.reason = reason
 
 
 class Operation(enum.Enum):
@@ -23,7 +51,10 @@
 
 
 class CallerRequest(msgspec.Struct, frozen=True, kw_only=True, tag="caller_request"):
-    """A caller's request, forwarded to the issuer; ``wait_ms`` bounds the wait for the answer."""
+    """A caller's request, forwarded to the issuer; ``wait_ms`` bounds the wait for the answer.
+
+    ``arrived_at_ms`` is when it arrived at the sender, in milliseconds since the Unix epoch.
+    """
 
     request_id: int
     sender: identifiers.NodeName
@@ -32,6 +63,7 @@
     submission_id: str
     body: bytes = b""
     wait_ms: int = 0
+    arrived_at_ms: int
 
 
 class CallerReply(msgspec.Struct, frozen=True, kw_only=True, tag="caller_reply"):
@@ -41,6 +73,38 @@
     code: results.ResultCode
     body: bytes
     retry_after_ms: int | None = None
+    refused: bool = False
+
+
+class HandedAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The encoded answer to a submission, for its team."""
+
+    submission_id: identifiers.SubmissionId
+    team: identifiers.TeamName
+    code: results.ResultCode
+    body: bytes
+
+
+class Handover(msgspec.Struct, frozen=True, kw_only=True, tag="handover"):
+    """What a stopping node leaves, in parts; ``admitted`` has a bit for each issued id.
+
+    The sender starts nothing more once it has sent the first part.
+    """
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    part: int
+    part_count: int
+    admitted: dict[int, bytes] = {}
+    answers: list[HandedAnswer] = []
+
+
+class HandoverKept(msgspec.Struct, frozen=True, kw_only=True, tag="handover_kept"):
+    """The sender keeps a part of the handover of an incarnation."""
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    part: int
 
 
 class SlotRequest(msgspec.Struct, frozen=True, kw_only=True, tag="slot_request"):
@@ -123,9 +187,36 @@
     listing: vms.VmList
 
 
+class Heartbeat(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag="hb",
+    rename=_HEARTBEAT_KEYS_BY_FIELD.get,
+):
+    """Tells that an incarnation of a node runs, and what it has applied.
+
+    ``sequence`` counts the heartbeats of this incarnation to the receiver; ``echo`` is the
+    last sequence that the sender has from the receiver. ``offset`` is the applied offset of
+    the configuration. ``leaving`` tells that the node drains.
+    """
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    sequence: Annotated[int, msgspec.Meta(ge=1)]
+    echo: Annotated[int, msgspec.Meta(ge=0)] = 0
+    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
+    leaving: bool = False
+    reply_wanted: bool = False
+
+
 PeerMessage = (
     CallerRequest
     | CallerReply
+    | Handover
+    | HandoverKept
+    | Heartbeat
     | ConfigurationAsk
     | ConfigurationChunk
     | ListingReply
@@ -135,8 +226,15 @@
     | SlotReport
 )
 
+
+class _Tagged(msgspec.Struct):
+    type: str
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
+_tag_decoder = msgspec.msgpack.Decoder(_Tagged)
+_KNOWN_TAGS = frozenset(kind.__struct_config__.tag for kind in typing.get_args(PeerMessage))
 _VERSION_PREFIX = bytes([PROTOCOL_VERSION])
 
 
@@ -151,10 +249,23 @@
     :raises PeerMessageError: when it is corrupt, oversized or of another version.
     """
     if len(data) > MAX_PEER_MESSAGE_BYTES:
-        raise PeerMessageError(f"message of {len(data)} bytes is too large")
+        message = f"message of {len(data)} bytes is too large"
+        raise PeerMessageError(DropReason.OVERSIZED, message)
     if data[:1] != _VERSION_PREFIX:
-        raise PeerMessageError(f"message has version {data[:1].hex()!r}")
+        message = f"message has version {data[:1].hex()!r}"
+        raise PeerMessageError(DropReason.UNKNOWN_VERSION, message)
+    content = memoryview(data)[1:]
+    try:
+        return _decoder.decode(content)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        message = f"message cannot be decoded: {error}"
+        raise PeerMessageError(_reason_of(content), message) from error
+
+
+def _reason_of(content: memoryview) -> DropReason:
+    """Return why bytes cannot be decoded; a later version may have more types."""
     try:
-        return _decoder.decode(memoryview(data)[1:])
-    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
-        raise PeerMessageError(f"message cannot be decoded: {error}") from error
+        tag = _tag_decoder.decode(content).type
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return DropReason.CORRUPT
+    return DropReason.CORRUPT if tag in _KNOWN_TAGS else DropReason.UNKNOWN_TYPE
--- a/packages/kernel/tests/test_owner_policies.py
+++ b/packages/kernel/tests/test_owner_policies.py
@@ -111,7 +111,7 @@
 
     def submit(self, name: str, task_count: int) -> None:
         kernel = self.kernels_by_name[name]
-        issued = kernel.issue(TEAM, 1, self.clock.now())
+        issued = kernel.admissions.issue(TEAM, 1, self.clock.now())
         submission = messages.Submission(
             submission_id=issued.submission_ids[0],
             tasks=[messages.TaskSpec()] * task_count,
@@ -202,8 +202,8 @@
     network.submit("e2", 4)
     waiting = next(iter(network.kernels_by_name["e2"].dispatcher.jobs_by_id))
     running = next(iter(network.kernels_by_name["e1"].dispatcher.jobs_by_id))
-    network.handle("e2", events.CancelReceived(submission_id=waiting))
-    network.handle("e1", events.CancelReceived(submission_id=running))
+    network.handle("e2", events.CancelReceived(team=TEAM, submission_id=waiting))
+    network.handle("e1", events.CancelReceived(team=TEAM, submission_id=running))
     network.deliver()
     assert network.running == {}
     for name in NODES:
--- a/packages/node/chiveridge_node/logevents.py
+++ b/packages/node/chiveridge_node/logevents.py
@@ -14,6 +14,7 @@
     DRAIN_STARTED = 102
     NODE_STOPPED = 103
     STOP_FORCED = 104
+    PROCESS_PAUSED = 105
 
     CHANGE_ACCEPTED = 200
     CHANGE_REJECTED = 201
@@ -28,6 +29,7 @@
 
     PEER_MESSAGE_DROPPED = 300
     PEER_UNREACHABLE = 301
+    PEER_SILENT = 302
 
     START_LOST = 400
     STOP_LOST = 403
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -7,6 +7,7 @@
 import secrets
 import signal
 import sys
+import time
 
 import msgspec
 
@@ -14,42 +15,32 @@
     actions,
     catch_ups,
     events,
+    heartbeats,
     identifiers,
     kernels,
+    probes,
     records,
     snapshot_schedules,
 )
-from chiveridge_node import clocks, logevents, plugins, requests, settings, shells, signals
+from chiveridge_node import (
+    clocks,
+    logevents,
+    measures,
+    plugins,
+    requests,
+    settings,
+    shells,
+    signals,
+    statuses,
+)
 
-_INCARNATION_BYTES = 8
+_INCARNATION_BYTES = 4
 _SECRET_BYTES = 32
 _OUTAGE_MARGIN = datetime.timedelta(seconds=5)
+_MEGABYTE = 1024 * 1024
 _LOG_EVENTS_BY_VERDICT = {records.Verdict.ACCEPTED: logevents.LogEvent.CHANGE_ACCEPTED}
 
 
-class NodeStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """A node's view of the system, for operators.
-
-    Staleness is the time since the platform's log or list of VMs was last read, None when it
-    never was; ``config_is_complete`` is false while records have expired before they were
-    read and no snapshot of them was found.
-    """
-
-    name: str
-    domain: str
-    incarnation: str
-    ready: bool
-    draining: bool
-    config_offset: int
-    config_staleness_s: float | None
-    config_is_complete: bool
-    vms_staleness_s: float | None
-    targets: list[str]
-    nodes: list[str]
-    jobs_in_progress: int
-    starts_in_progress: int
-
-
 class Node:
     """One node process."""
 
@@ -58,6 +49,7 @@
         self.rng = random.Random(secrets.randbits(64))
         self.kernel = kernels.Kernel(_kernel_settings(node_settings), self.rng)
         self.shell = shells.Shell(self.kernel, clocks.SystemClock())
+        self.measures = measures.Measures(self.shell)
         self.requests = requests.Requests(self.shell)
         self._stopped = asyncio.Event()
         self._adapters_by_kind = {
@@ -73,8 +65,15 @@
         await self._close()
 
     def drain(self) -> None:
-        """Refuse new work and exit once everything in progress has ended."""
+        """Refuse new work and exit once everything in progress has ended.
+
+        A second request ends what is in progress as failed.
+        """
         if self.kernel.draining:
+            logevents.write(
+                logevents.LogEvent.STOP_FORCED, jobs=len(self.kernel.dispatcher.jobs_by_id)
+            )
+            self.shell.handle(events.DrainRequested(forced=True))
             return
         logevents.write(
             logevents.LogEvent.DRAIN_STARTED, jobs=len(self.kernel.dispatcher.jobs_by_id)
@@ -82,26 +81,9 @@
         signals.node_draining.send(self)
         self.shell.handle(events.DrainRequested())
 
-    def status(self) -> NodeStatus:
+    def status(self) -> statuses.NodeStatus:
         """Return the node's view of the system."""
-        dispatcher = self.kernel.dispatcher
-        catch_up = self.kernel.catch_up
-        now = self.shell.clock.now()
-        return NodeStatus(
-            name=self.settings.node.name,
-            domain=self.settings.node.domain,
-            incarnation=self.kernel.settings.incarnation,
-            ready=self.kernel.is_ready(),
-            draining=self.kernel.draining,
-            config_offset=self.kernel.configuration.offset,
-            config_staleness_s=catch_ups.staleness_s(catch_up.log_read_at, now),
-            config_is_complete=not self.kernel.follower.is_scanning,
-            vms_staleness_s=catch_ups.staleness_s(catch_up.vms_read_at, now),
-            targets=sorted(self.kernel.target_table.vms_by_name),
-            nodes=sorted(self.kernel.members.vms_by_name),
-            jobs_in_progress=len(dispatcher.jobs_by_id),
-            starts_in_progress=sum(dispatcher.in_flight_by_target.values()),
-        )
+        return statuses.status_of(self.kernel, self.shell.clock.now())
 
     def _perform_actions(self) -> None:
         self.shell.perform_with(actions.AnswerJob, self.requests.answered)
@@ -113,6 +95,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.drain)
         self.shell.start()
+        self.measures.start()
         for adapter in self._adapters_by_kind.values():
             await adapter.open()
         self._announce()
@@ -122,6 +105,7 @@
         await self._adapters_by_kind[plugins.Kind.CALLERS].close()
         for kind in (plugins.Kind.PEERS, plugins.Kind.LOG, plugins.Kind.VMS, plugins.Kind.TARGETS):
             await self._adapters_by_kind[kind].close()
+        self.measures.stop()
         self.shell.stop()
         signals.node_stopped.send(self)
         logevents.write(logevents.LogEvent.NODE_STOPPED)
@@ -142,11 +126,23 @@
     return kernels.KernelSettings(
         node=identifiers.NodeName(node_settings.node.name),
         domain=identifiers.DomainName(node_settings.node.domain),
-        incarnation=identifiers.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
+        incarnation=identifiers.Incarnation(_new_incarnation()),
         secret=secrets.token_bytes(_SECRET_BYTES),
         policy=node_settings.placement.policy,
         snapshots=_snapshot_settings(node_settings.snapshots),
         catch_up=_catch_up_settings(node_settings),
+        heartbeat=heartbeats.HeartbeatSettings(
+            interval=datetime.timedelta(milliseconds=node_settings.membership.heartbeat_ms),
+            bytes_per_second=node_settings.membership.bytes_per_second,
+            suspect_intervals=node_settings.membership.suspect_heartbeats,
+            dead_intervals=node_settings.membership.dead_heartbeats,
+        ),
+        linger=datetime.timedelta(milliseconds=node_settings.node.drain_linger_ms),
+        probe_limits=probes.ProbeLimits(
+            shortest=datetime.timedelta(milliseconds=node_settings.targets.probe_min_ms),
+            longest=datetime.timedelta(milliseconds=node_settings.targets.probe_max_ms),
+        ),
+        answer_budget_bytes=node_settings.answers.keep_mb * _MEGABYTE,
     )
 
 
@@ -171,6 +167,11 @@
     )
 
 
+def _new_incarnation() -> str:
+    """Return an incarnation that sorts after the earlier ones of the same VM."""
+    return f"{time.time_ns() // 1_000_000:012x}{secrets.token_hex(_INCARNATION_BYTES)}"
+
+
 def _note_change(action: actions.NoteChange) -> None:
     result = action.result
     signals.change_noted.send(result=result)
