Report what the nodes used, and name targets in a fixed order

Rows now hold the nodes' processor time, memory and messages, and missed limits are printed as each run ends.

--- a/packages/load/chiveridge_load/benches.py
+++ b/packages/load/chiveridge_load/benches.py
@@ -59,9 +59,9 @@
         row = _measure(case, options)
         rows.append(row)
         elapsed_s = time.monotonic() - began
-        summary = "passed" if row.passed else "MISSED"
-        logging.info("p50 %.3f, p99 %.3f, %s", row.p50_ratio, row.p99_ratio, summary)
-        logging.info("%.0f s so far", elapsed_s)
+        logging.info("p50 %.3f, p99 %.3f, %.0f s so far", row.p50_ratio, row.p99_ratio, elapsed_s)
+        for line in reports.missed(row):
+            logging.warning("%s", line)
     return rows
 
 
--- a/packages/load/chiveridge_load/disturbances.py
+++ b/packages/load/chiveridge_load/disturbances.py
@@ -41,7 +41,7 @@
 
     async def disturb(stage: Stage) -> None:
         await stage.wait_until(at_s)
-        name = list(stage.fleet.targets_by_name)[name_index]
+        name = sorted(stage.fleet.targets_by_name)[name_index]
         await stage.fleet.targets_by_name[name].control(failing=True)
 
     return disturb
@@ -51,7 +51,7 @@
     """Return a disturbance that slows targets down from the start."""
 
     async def disturb(stage: Stage) -> None:
-        names = list(stage.fleet.targets_by_name)
+        names = sorted(stage.fleet.targets_by_name)
         for index in name_indices:
             await stage.fleet.targets_by_name[names[index]].control(slowdown=STRAGGLER_SLOWDOWN)
 
--- a/packages/load/chiveridge_load/measurements.py
+++ b/packages/load/chiveridge_load/measurements.py
@@ -7,7 +7,7 @@
 from hdrh import histogram
 
 from chiveridge_kernel import results
-from chiveridge_load import bounds, generators, reconciliations, timelines, workloads
+from chiveridge_load import bounds, footprints, generators, reconciliations, timelines, workloads
 
 WARMUP_S = 2.0
 """Jobs that arrive earlier are checked but not in the ratios: connections open meanwhile."""
@@ -43,6 +43,7 @@
     starts: reconciliations.Starts = reconciliations.Starts(0, {})
     origin_ms: float = 0.0
     node_names_by_url: dict[str, str] = {}
+    load_on_nodes: footprints.Footprint = footprints.Footprint()
     slots: int
     seconds: float
     warmup_s: float = WARMUP_S
--- a/packages/load/chiveridge_load/reconciliations.py
+++ b/packages/load/chiveridge_load/reconciliations.py
@@ -17,7 +17,7 @@
 
 
 class Starts(msgspec.Struct, frozen=True):
-    """Start requests that the targets counted, and starts by task key."""
+    """Start requests that the targets counted, starts by task key, and the targets by name."""
 
     requests: int
     by_key: dict[str, list[Start]]
@@ -49,7 +49,7 @@
         for key, times in counted.started_at_ms.items():
             by_key[key] += [Start(target, at_ms) for at_ms in times]
     requests = sum(counted.total_requests for counted in counts_by_target.values())
-    return Starts(requests, dict(by_key), list(counts_by_target))
+    return Starts(requests, dict(by_key), sorted(counts_by_target))
 
 
 def reconcile(
--- a/packages/load/chiveridge_load/reports.py
+++ b/packages/load/chiveridge_load/reports.py
@@ -60,6 +60,9 @@
     jobs: int
     jobs_by_code: dict[str, int]
     lateness_ms: float
+    node_cpu_share: float
+    node_memory_mb: float
+    node_peer_bytes: float
     seed: int
     seconds: float
     faults: list[str]
@@ -102,6 +105,9 @@
         jobs=len(measured.jobs),
         jobs_by_code=measured.jobs_by_code(),
         lateness_ms=measured.lateness_ms(),
+        node_cpu_share=measured.load_on_nodes.cpu_share,
+        node_memory_mb=measured.load_on_nodes.memory_mb,
+        node_peer_bytes=measured.load_on_nodes.peer_bytes,
         seed=seed,
         seconds=measured.seconds,
         faults=measured.verdict.faults[:MAX_FAULTS_SHOWN],
@@ -127,9 +133,10 @@
     header = (
         f"{'scenario':<18} {'deployment':<9} {'policy':<13} {'load':>5} {'mean':>4} {'p50':>7} "
         f"{'bound':>7} {'p99':>7} {'bound':>7} {'wasted':>8} {'goodput':>7} {'refused':>7} "
-        f"{'wrong':>5} {'late ms':>7}"
+        f"{'wrong':>5} {'late ms':>7} {'cpu':>5} {'peer KB/s':>9}"
     )
-    return "\n".join([header, *map(_line, rows), *_missed(rows)])
+    below = [line for row in rows for line in missed(row)]
+    return "\n".join([header, *map(_line, rows), *below])
 
 
 def _line(row: Row) -> str:
@@ -137,19 +144,16 @@
         f"{row.scenario:<18} {row.deployment:<9} {row.policy:<13} {row.load:>5.2f} "
         f"{row.job_mean:>4.0f} {row.p50_ratio:>7.3f} {row.p50_bound:>7.3f} {row.p99_ratio:>7.3f} "
         f"{row.p99_bound:>7.3f} {row.wasted_share:>8.4%} {row.goodput_share:>7.3f} "
-        f"{row.refused_share:>7.3f} {row.wrong_answers:>5} {row.lateness_ms:>7.1f}"
+        f"{row.refused_share:>7.3f} {row.wrong_answers:>5} {row.lateness_ms:>7.1f} "
+        f"{row.node_cpu_share:>5.2f} {row.node_peer_bytes / 1024:>9.1f}"
     )
 
 
-def _missed(rows: list[Row]) -> list[str]:
-    lines = []
-    for row in rows:
-        title = f"{row.scenario} {row.deployment} {row.policy} {row.load:.2f} {row.job_mean:.0f}"
-        for result in row.limits:
-            if not result.passed:
-                lines.append(_missed_line(title, result))
-        lines += [f"FAULT {title}: {fault}" for fault in row.faults]
-    return lines
+def missed(row: Row) -> list[str]:
+    """Return a line for each limit that a row missed and each fault that it shows."""
+    title = f"{row.scenario} {row.deployment} {row.policy} {row.load:.2f} {row.job_mean:.0f}"
+    lines = [_missed_line(title, result) for result in row.limits if not result.passed]
+    return lines + [f"FAULT {title}: {fault}" for fault in row.faults]
 
 
 def _missed_line(title: str, result: LimitResult) -> str:
--- a/packages/load/chiveridge_load/runs.py
+++ b/packages/load/chiveridge_load/runs.py
@@ -10,6 +10,7 @@
     deployments,
     disturbances,
     fanouts,
+    footprints,
     measurements,
     reconciliations,
     workloads,
@@ -65,7 +66,9 @@
             node_names_by_url=names_by_url,
             peer_delay=run.peer_delay,
         )
+        before = footprints.take(fleet)
         records, _ = await asyncio.gather(fanout.records(), _disturb(run, stage))
+        after = footprints.take(fleet)
     counted = {name: await target.counts() for name, target in fleet.targets_by_name.items()}
     starts = reconciliations.total(counted)
     return measurements.Measurement(
@@ -75,6 +78,7 @@
         starts=starts,
         origin_ms=origin_ms,
         node_names_by_url=names_by_url,
+        load_on_nodes=footprints.difference(before, after),
         slots=deployments.slots(run.plan),
         seconds=run.seconds,
     )
--- a/packages/load/chiveridge_load/suites.py
+++ b/packages/load/chiveridge_load/suites.py
@@ -53,7 +53,7 @@
         if (deployment, load) != (MAIN_DEPLOYMENT, STEADY_LOADS[0])
     ]
     others = [name for name in scenarios.SCENARIOS_BY_NAME if name != "steady"]
-    return cases + [_fixed(name, chosen, seed) for name in others]
+    return [_fixed(name, chosen, seed) for name in others] + cases
 
 
 def _steady(policy: str, deployment: str, load: float, mean: float, seed: int) -> Case:
