--- a/packages/load/tests/test_pages.py
+++ b/packages/load/tests/test_pages.py
@@ -1,6 +1,6 @@
 import msgspec
 
-from chiveridge_load import costs, measurements, pages, reports, saturations, slopes
+from chiveridge_load import costs, idles, measurements, pages, reports, saturations, slopes
 
 QUANTILES = [1.0] * len(measurements.QUANTILES)
 
@@ -12,6 +12,7 @@
         policy="owners",
         load=0.8,
         job_mean=8,
+        delays=False,
         p50_ratio=1.01,
         p99_ratio=1.9,
         mean_ratio=1.1,
@@ -26,6 +27,9 @@
         jobs=1100,
         jobs_by_code={"COMPLETE": 1100},
         lateness_ms=2.0,
+        node_cpu_share=0.1,
+        node_memory_mb=60.0,
+        node_peer_bytes=9000.0,
         seed=1,
         seconds=20,
         faults=[],
@@ -66,6 +70,9 @@
             )
         ],
         memory=saturations.Memory(tasks=10_000, idle_mb=50, memory_mb=150, bytes_per_task=10_000),
+        idle=idles.Idle(
+            nodes=9, seconds=5, cpu_share=0.01, max_cpu_share=0.02, memory_mb=50, peer_bytes=900
+        ),
         slopes=[
             slopes.Slope(
                 axis="teams",
@@ -80,5 +87,6 @@
     text = pages.page([_row(limits=[], passed=True)], report, [])
     assert "| 8 | 2000 | 2500 | 400 | 60 |" in text
     assert "10000 tasks in progress holds 150 MB" in text
+    assert "1.00% of a core on average and 2.00% at most" in text
     assert "| teams | 2, 160 | 90, 99 | 10, 20 | 1.10 |" in text
     assert "None." in text
