--- a/packages/kernel/chiveridge_kernel/admissions.py
+++ b/packages/kernel/chiveridge_kernel/admissions.py
@@ -14,6 +14,7 @@
     errors,
     events,
     identifiers,
+    jobchecks,
     jobs,
     ledgers,
     messages,
@@ -23,9 +24,9 @@
 
 _RETRY_AFTER_MS_BY_CODE = {
     results.ResultCode.DRAINING: 0,
-    results.ResultCode.NOT_READY: dispatchers.RETRY_AFTER_MS,
-    results.ResultCode.OVERLOADED: dispatchers.RETRY_AFTER_MS,
-    results.ResultCode.QUOTA_EXCEEDED: dispatchers.RETRY_AFTER_MS,
+    results.ResultCode.NOT_READY: jobchecks.RETRY_AFTER_MS,
+    results.ResultCode.OVERLOADED: jobchecks.RETRY_AFTER_MS,
+    results.ResultCode.QUOTA_EXCEEDED: jobchecks.RETRY_AFTER_MS,
     results.ResultCode.DEADLINE_UNREACHABLE: 0,
 }
 
--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -8,11 +8,10 @@
 from chiveridge_kernel import (
     actions,
     backlogs,
-    clocks,
-    errors,
     events,
     evidence,
     identifiers,
+    jobchecks,
     jobs,
     limits,
     members,
@@ -27,7 +26,6 @@
 START_WINDOW = datetime.timedelta(seconds=2)
 MAX_OUTCOME_ASKS = 5
 OUTCOME_ASK_DELAY = datetime.timedelta(milliseconds=200)
-RETRY_AFTER_MS = 1000
 
 _OUTCOME_UNKNOWN_MESSAGE = "the outcome of a start is unknown; nothing more of this job will start"
 
@@ -73,9 +71,9 @@
         """
         candidates = self.reach.candidates(event.team, event.submission.selector)
         job = jobs.Job(event.team, event.submission, candidates, event.arrived_at or now)
-        _check_deadline(job, now)
-        self._check_runnable(job)
-        self._check_backlog(job, now)
+        jobchecks.check_deadline(job, now)
+        jobchecks.check_runnable(job, self.usable)
+        jobchecks.check_backlog(job, self.backlogs, now)
         task_count = len(job.waiting)
         self.limiter.hold(job, now)
         self.jobs_by_id[job.submission_id] = job
@@ -218,25 +216,6 @@
     def _emit(self, action: actions.Action) -> None:
         self.outbox.append(action)
 
-    def _check_runnable(self, job: jobs.Job) -> None:
-        any_usable = False
-        for task in job.tasks:
-            if not job.candidates.fitting(task.spec):
-                message = f"tasks[{task.index}]: its declared needs fit no target it may run on"
-                raise errors.RefusedError(results.ResultCode.NEVER_RUNNABLE, message)
-            any_usable = any_usable or bool(self.usable(job, task))
-        if not any_usable:
-            message = "every target that the team may use is leaving or unreachable"
-            raise errors.RefusedError(results.ResultCode.OVERLOADED, message, RETRY_AFTER_MS)
-
-    def _check_backlog(self, job: jobs.Job, now: datetime.datetime) -> None:
-        excess = self.backlogs.excess(job.team, len(job.tasks), job.deadline - now)
-        if excess is not None:
-            message = "deadline_ms: tasks of the team that wait already leave too little time"
-            retry_after_ms = max(int(clocks.to_ms(excess)), RETRY_AFTER_MS)
-            code = results.ResultCode.DEADLINE_UNREACHABLE
-            raise errors.RefusedError(code, message, retry_after_ms)
-
     def _succeed(
         self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
     ) -> None:
@@ -378,12 +357,6 @@
             self.policy.job_ended(job, now)
 
 
-def _check_deadline(job: jobs.Job, now: datetime.datetime) -> None:
-    if job.deadline <= now:
-        message = "deadline_ms: the deadline had passed when the submission was read"
-        raise errors.RefusedError(results.ResultCode.DEADLINE_UNREACHABLE, message, 0)
-
-
 _Handler = Callable[[Dispatcher, jobs.Task, events.LeaseReported, datetime.datetime], None]
 
 _HANDLERS_BY_OUTCOME: dict[events.LeaseOutcome, _Handler] = {
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/jobchecks.py
@@ -0,0 +1,49 @@
+"""Reasons to refuse a job on arrival, before anything of it is started."""
+
+import datetime
+from collections.abc import Callable, Sequence
+
+from chiveridge_kernel import backlogs, clocks, errors, jobs, results, vms
+
+RETRY_AFTER_MS = 1000
+
+Usable = Callable[[jobs.Job, jobs.Task], Sequence[vms.Vm]]
+"""Returns the targets that may be sent a task of a job now."""
+
+
+def check_deadline(job: jobs.Job, now: datetime.datetime) -> None:
+    """Check that a job came before its deadline.
+
+    :raises errors.RefusedError: when it is too late.
+    """
+    if job.deadline <= now:
+        message = "deadline_ms: the deadline had passed when the submission was read"
+        raise errors.RefusedError(results.ResultCode.DEADLINE_UNREACHABLE, message, 0)
+
+
+def check_runnable(job: jobs.Job, usable: Usable) -> None:
+    """Check that every task fits a target and that some target is usable now.
+
+    :raises errors.RefusedError: when a task can never run, or nothing can run now.
+    """
+    any_usable = False
+    for task in job.tasks:
+        if not job.candidates.fitting(task.spec):
+            message = f"tasks[{task.index}]: its declared needs fit no target it may run on"
+            raise errors.RefusedError(results.ResultCode.NEVER_RUNNABLE, message)
+        any_usable = any_usable or bool(usable(job, task))
+    if not any_usable:
+        message = "every target that the team may use is leaving or unreachable"
+        raise errors.RefusedError(results.ResultCode.OVERLOADED, message, RETRY_AFTER_MS)
+
+
+def check_backlog(job: jobs.Job, waiting: backlogs.Backlogs, now: datetime.datetime) -> None:
+    """Check that what waits already leaves a job enough time.
+
+    :raises errors.RefusedError: with when to come back, when it does not.
+    """
+    excess = waiting.excess(job.team, len(job.tasks), job.deadline - now)
+    if excess is not None:
+        message = "deadline_ms: tasks of the team that wait already leave too little time"
+        retry_after_ms = max(int(clocks.to_ms(excess)), RETRY_AFTER_MS)
+        raise errors.RefusedError(results.ResultCode.DEADLINE_UNREACHABLE, message, retry_after_ms)
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -1,7 +1,6 @@
 """The kernel: typed events in, typed actions out, no I/O and no clock of its own."""
 
 import datetime
-import functools
 import random
 
 import msgspec
@@ -15,11 +14,12 @@
     dispatchers,
     errors,
     events,
-    evidence,
     followers,
+    handlers,
     handovers,
     heartbeats,
     identifiers,
+    jobchecks,
     members,
     peers,
     policies,
@@ -97,7 +97,7 @@
         """
         # Whatever woke the process up, nothing is started past a deadline.
         self.dispatcher.expire(now)
-        _handle(event, self, now)
+        handlers.handle(event, self, now)
         self.dispatcher.place_permitted(now)
         if self.draining and not self.dispatcher.jobs_by_id:
             self._leave(now)
@@ -221,153 +221,5 @@
         if not self.is_ready():
             message = "this node has no configuration or no list of VMs yet"
             raise errors.RefusedError(
-                results.ResultCode.NOT_READY, message, dispatchers.RETRY_AFTER_MS
+                results.ResultCode.NOT_READY, message, jobchecks.RETRY_AFTER_MS
             )
-
-
-@functools.singledispatch
-def _handle(event: events.Event, kernel: Kernel, now: datetime.datetime) -> None:
-    raise TypeError(f"no handler for event {type(event).__name__}")
-
-
-@_handle.register
-def _(event: events.SubmissionReceived, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.admissions.submit(event, now)
-
-
-@_handle.register
-def _(event: events.CancelReceived, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.admissions.cancel(event.submission_id, event.team, now)
-
-
-@_handle.register
-def _(event: events.LeaseReported, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.dispatcher.report(event, now)
-
-
-@_handle.register
-def _(event: events.RecordsRead, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.catch_up.log_read_at = now
-    was_scanning = kernel.follower.is_scanning
-    changes = kernel.follower.read(event.records, event.first, event.next_offset)
-    if was_scanning and not kernel.follower.is_scanning:
-        kernel.note_restored(is_from_peer=False)
-    for change in changes:
-        kernel.snapshot_schedule.saw_change(change.offset)
-    kernel.configuration_moved(changes, now)
-    kernel.plan_snapshot(now)
-
-
-@_handle.register
-def _(event: events.RecordsExpired, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.catch_up.log_read_at = now
-    kernel.follower.expired(event.first, event.next_offset)
-
-
-@_handle.register
-def _(event: events.VmsListed, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.catch_up.vms_read_at = now
-    kernel.take_listing(event.listing, now)
-
-
-@_handle.register
-def _(event: events.VmsConfirmed, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.catch_up.vms_read_at = now
-
-
-@_handle.register
-def _(event: events.PeerMessageReceived, kernel: Kernel, now: datetime.datetime) -> None:
-    _take_message(event.message, kernel, event.route, now)
-
-
-@_handle.register
-def _(event: events.Ticked, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.dispatcher.probe(now)
-    kernel.dispatcher.backlogs.observe(now)
-    kernel.admissions.forget_expired(now)
-    kernel.handovers.forget_expired(now)
-    if kernel.target_table.expire(now):
-        kernel.dispatcher.place_waiting(now)
-    kernel.dispatcher.policy.ticked(now)
-    kernel.dispatcher.limiter.tick(now)
-    outbox = kernel.dispatcher.outbox
-    if kernel.snapshot_schedule.take_due(now):
-        outbox.append(actions.AppendSnapshot(snapshot=kernel.configuration.snapshot()))
-    outbox.extend(kernel.catch_up.ask_if_due(now, kernel.follower.is_scanning))
-    kernel.heartbeats.offset = kernel.configuration.offset
-    kernel.dispatcher.outbox.extend(kernel.heartbeats.tick(now))
-
-
-@_handle.register
-def _(event: events.PeerUnreachable, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.members.unreachable(event.peer)
-
-
-@_handle.register
-def _(event: events.DrainRequested, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.drain(event.forced, now)
-
-
-@functools.singledispatch
-def _take_message(
-    message: peers.PeerMessage, kernel: Kernel, route: bytes, now: datetime.datetime
-) -> None:
-    """Handle a message from another node; those that no part handles are the policy's."""
-    kernel.dispatcher.policy.received(message, now)
-
-
-@_take_message.register
-def _(
-    message: peers.ConfigurationAsk, kernel: Kernel, route: bytes, now: datetime.datetime
-) -> None:
-    kernel.dispatcher.outbox.extend(kernel.catch_up.answer(message, route))
-
-
-@_take_message.register
-def _(
-    message: peers.ConfigurationChunk, kernel: Kernel, route: bytes, now: datetime.datetime
-) -> None:
-    if kernel.catch_up.take(message):
-        kernel.snapshot_schedule.assume_base(kernel.configuration.offset)
-        kernel.note_restored(is_from_peer=True)
-        kernel.configuration_moved([], now)
-
-
-@_take_message.register
-def _(message: peers.ListingReply, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
-    if kernel.catch_up.listing is None:
-        kernel.take_listing(message.listing, now)
-
-
-@_take_message.register
-def _(message: peers.Heartbeat, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
-    kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
-
-
-@_take_message.register
-def _(message: peers.TargetLeaving, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
-    evidence.take_leaving(message, kernel.target_table, now)
-
-
-@_take_message.register
-def _(message: peers.LimitReport, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
-    kernel.dispatcher.limiter.take_report(message, now)
-
-
-@_take_message.register
-def _(message: peers.LimitGrant, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
-    kernel.dispatcher.limiter.take_grant(message)
-
-
-@_take_message.register
-def _(message: peers.Handover, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
-    kernel.handovers.receive(message, now)
-    kept = peers.HandoverKept(
-        sender=kernel.settings.node, incarnation=message.incarnation, part=message.part
-    )
-    kernel.dispatcher.outbox.append(actions.ReplyToPeer(route=route, message=kept))
-
-
-@_take_message.register
-def _(message: peers.HandoverKept, kernel: Kernel, route: bytes, now: datetime.datetime) -> None:
-    kernel.handover_kept(message, now)
--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -12,7 +12,7 @@
 import prometheus_client
 import uvicorn
 
-from chiveridge_kernel import dispatchers, errors, identifiers, messages, peers, results
+from chiveridge_kernel import errors, identifiers, jobchecks, messages, peers, results
 from chiveridge_node import logevents, plugins, requests
 
 LISTEN_BACKLOG = 2048
@@ -188,7 +188,7 @@
         if not self.node.kernel.configuration.offset:
             message = "this node has no configuration yet; ask another node"
             code = results.ResultCode.NOT_READY
-            raise errors.RefusedError(code, message, dispatchers.RETRY_AFTER_MS, ran)
+            raise errors.RefusedError(code, message, jobchecks.RETRY_AFTER_MS, ran)
         scheme, _, credential = (req.auth or "").partition(" ")
         team = self.node.kernel.configuration.authenticate(credential.strip())
         if scheme.lower() != "bearer" or team is None:
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -26,7 +26,6 @@
         self._metrics: metrics.PeerMetrics = node.metrics.peers
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
-        self._encoding = asyncio.Lock()
         self._chunks: list[records.SnapshotRecord] = []
         self._links_by_endpoint: dict[tuple[str, int], links_zmq.Link] = {}
         self._request_ids = itertools.count(1)
@@ -110,11 +109,9 @@
 
     async def _send_chunks(self, route: bytes, snapshot: snapshots.Snapshot) -> None:
         """Send the chunks, encoded once for each offset."""
-        async with self._encoding:
-            if not self._chunks or self._chunks[0].base != snapshot.base:
-                self._chunks = await asyncio.to_thread(snapshots.encode, snapshot)
-            chunks = self._chunks
-        for chunk in chunks:
+        if not self._chunks or self._chunks[0].base != snapshot.base:
+            self._chunks = snapshots.encode(snapshot)
+        for chunk in list(self._chunks):
             data = self._encode(peers.ConfigurationChunk(chunk=chunk))
             await self._router.send_multipart([route, data])
 
--- a/packages/node/chiveridge_node/platforms_http.py
+++ b/packages/node/chiveridge_node/platforms_http.py
@@ -154,7 +154,7 @@
     async def _append_chunks(self, snapshot: snapshots.Snapshot) -> None:
         """Append every chunk once; the kernel asks again when the log does not show them all."""
         try:
-            chunks = await asyncio.to_thread(snapshots.encode, snapshot)
+            chunks = snapshots.encode(snapshot)
             for chunk in chunks:
                 await self._append(msgspec.json.encode(chunk))
         except (errors.SnapshotError, aiohttp.ClientError, OSError, TimeoutError) as error:
