--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -371,7 +371,7 @@
         """Give up what waits, before the policy hears of targets that are released."""
         if not job.ended:
             job.ended = True
-            self.backlogs.dropped(job.team, len(job.waiting))
+            self.backlogs.dropped(job.team, len(job.waiting) + len(job.held))
             job.give_up_waiting()
             for task in self.limiter.give_up(job):
                 task.signal(jobs.TaskSignal.GIVE_UP)
