Remove a dead method of the ledger and a branch without effect

Cause: the read-through found SlotLedger.lent unused and a test in _ignore_dropped whose two ways did the same; the latter now says what it is for. Behaviour is unchanged.

--- a/packages/kernel/chiveridge_kernel/slots.py
+++ b/packages/kernel/chiveridge_kernel/slots.py
@@ -103,10 +103,6 @@
             return 0
         return max(vm.slots - self._lent_by_target[name], 0)
 
-    def lent(self, name: str) -> int:
-        """Return how many slots of a target are lent."""
-        return self._lent_by_target[name]
-
     def lend(self, node: str, names: list[str], now: datetime.datetime) -> int:
         """Lend one slot for each name and return the serial number of the grant."""
         self._lent_by_target.update(names)
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -215,8 +215,9 @@
 
 
 def _ignore_dropped(sending: asyncio.Future) -> None:
-    if not sending.cancelled() and isinstance(sending.exception(), zmq.Again):
-        return
+    """Take the error of a dropped message, which asyncio would log otherwise."""
+    if not sending.cancelled():
+        sending.exception()
 
 
 def _endpoint(peer: vms.Vm) -> tuple[str, int]:
