Reach a replaced node before the list of VMs shows it

A node hears the heartbeat of a new incarnation up to one read of the list (and its lag) before the list shows its VM; a forward then finds no address, or the earlier one's.

Ruled out: the link (a refused or connecting link was not involved; the forward never reached it when the member was unlisted) and timeouts (the refusal came at once).

Change: the first five heartbeats to an incarnation carry the sender's endpoint until one is confirmed; it is used where the list has no address or the listed one cannot be reached. Heartbeats after that are as long as before; the byte budget at 400 nodes is tested with the longest endpoint.

Before: with the list lagging by 60 s, test_a_replaced_node_is_reached_before_the_list_shows_it fails each time.

--- a/packages/kernel/chiveridge_kernel/heartbeats.py
+++ b/packages/kernel/chiveridge_kernel/heartbeats.py
@@ -19,6 +19,8 @@
 
 ROUNDS_PER_OUTSIDE_PARTNER = 5
 JITTER_SHARE = 0.1
+MAX_ANNOUNCEMENTS = 5
+"""Heartbeats to one incarnation that tell where this node listens, as they are longer."""
 
 
 class HeartbeatSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,6 +54,7 @@
         self._last_tick_at: datetime.datetime | None = None
         self._turn = 0
         self.interval = settings.interval
+        self.endpoint: peers.Endpoint | None = None
         self.leaving = False
         self.offset = 0
         self.stale_count = 0
@@ -118,6 +121,12 @@
             found.append(self._heartbeat(partner, reply_wanted=True))
         return found
 
+    def _announced_to(self, member: members.Member) -> peers.Endpoint | None:
+        if member.echoed or member.announcements >= MAX_ANNOUNCEMENTS:
+            return None
+        member.announcements += 1
+        return self.endpoint
+
     def _heartbeat(self, member: members.Member, reply_wanted: bool = False) -> actions.Action:
         member.sent += 1
         heartbeat = peers.Heartbeat(
@@ -129,5 +138,6 @@
             leaving=self.leaving,
             # The first exchange is answered at once, so that a new node is known at once.
             reply_wanted=reply_wanted or member.incarnation is None,
+            endpoint=self._announced_to(member),
         )
         return actions.SendToPeer(peer=member.vm, message=heartbeat)
--- a/packages/kernel/chiveridge_kernel/members.py
+++ b/packages/kernel/chiveridge_kernel/members.py
@@ -69,14 +69,20 @@
 
 
 class Member(msgspec.Struct, kw_only=True):
-    """One node; ``vm`` is None while the list does not show it, ``domain`` is the last listed.
+    """One node; ``vm`` is where it is reached, None while that is not known.
+
+    ``listed`` is its VM in the platform's list, and ``announced`` the one that a new incarnation
+    told of itself, until the node confirms what was sent to either. ``domain`` is the last known.
 
     ``sent`` counts the heartbeats sent to it, ``echoed`` is the last of them that it has
-    confirmed, and ``received`` the last that it sent here.
+    confirmed, and ``received`` the last that it sent here. ``announcements`` counts how often
+    this incarnation of it was told where this node listens.
     """
 
     name: str
     vm: vms.Vm | None = None
+    listed: vms.Vm | None = None
+    announced: vms.Vm | None = None
     domain: str = ""
     state: MemberState = MemberState.UNKNOWN
     incarnation: identifiers.Incarnation | None = None
@@ -87,6 +93,7 @@
     sent: int = 0
     echoed: int = 0
     received: int = 0
+    announcements: int = 0
     unreachable_at: int = 0
     heard_at: datetime.datetime | None = None
     proved_at: datetime.datetime | None = None
@@ -117,20 +124,21 @@
 
     def replace(self, listing: vms.VmList, now: datetime.datetime) -> list[vms.Vm]:
         """Take the platform's list; return the VMs that are gone or have moved."""
-        before = self.vms_by_name
+        before = {name: member.vm for name, member in self.members_by_name.items() if member.vm}
         self.vms_by_name = {vm.name: vm for vm in listing.vms if vm.role is vms.VmRole.ENTRY}
         for name, vm in self.vms_by_name.items():
             if name != self.own_name:
                 self._list(name, vm, now)
         for name, member in self.members_by_name.items():
             if name not in self.vms_by_name:
-                member.vm = None
+                _unlist(member)
         self._changed()
         return [vm for name, vm in before.items() if not _is_at(self.find(name), vm)]
 
     def find(self, name: str) -> vms.Vm | None:
-        """Return a node's VM when it is listed."""
-        return self.vms_by_name.get(name)
+        """Return the VM at which a node, this one included, is reached, or None."""
+        member = self.members_by_name.get(name)
+        return self.vms_by_name.get(name) if member is None else member.vm
 
     def live_names(self, domain: str | None = None) -> list[str]:
         """Return the names of the nodes that take part now, this one included, in order.
@@ -144,9 +152,9 @@
         return found
 
     def others_in_domain(self) -> list[Member]:
-        """Return the listed members of this node's domain, in whatever state."""
-        listed = self.members_by_name.values()
-        return [found for found in listed if found.vm and found.vm.domain == self.own_domain]
+        """Return the members of this node's domain that have a VM, in whatever state."""
+        known = self.members_by_name.values()
+        return [found for found in known if found.vm and found.vm.domain == self.own_domain]
 
     def serving_near(self, name: str) -> list[vms.Vm]:
         """Return the other serving nodes in the domain in which a node is, or last was, listed."""
@@ -160,9 +168,9 @@
         ]
 
     def others_outside(self) -> list[Member]:
-        """Return the listed members of other domains, in whatever state."""
-        listed = self.members_by_name.values()
-        return [found for found in listed if found.vm and found.vm.domain != self.own_domain]
+        """Return the members of other domains that have a VM, in whatever state."""
+        known = self.members_by_name.values()
+        return [found for found in known if found.vm and found.vm.domain != self.own_domain]
 
     def is_current(self, name: str, incarnation: identifiers.Incarnation) -> bool:
         """Tell whether an incarnation is the one last known under a name."""
@@ -190,8 +198,9 @@
         if heartbeat.incarnation != member.incarnation:
             if not _may_follow(member, heartbeat.incarnation, times, now):
                 return False
-            _renew(member, heartbeat.incarnation, now)
-            self._signal(member, MemberSignal.RENEWED)
+            _renew(member, heartbeat, now)
+            member.signal(MemberSignal.RENEWED)
+            self._changed()
         elif heartbeat.sequence <= member.received:
             return False
         member.received = heartbeat.sequence
@@ -204,11 +213,16 @@
         return True
 
     def unreachable(self, vm: vms.Vm) -> None:
-        """Learn that nothing can be sent to a VM now."""
+        """Learn that nothing can be sent to a VM now; try the one announced, if there is one."""
         member = self.members_by_name.get(vm.name)
-        if member is not None and _is_at(member.vm, vm):
-            member.unreachable_at = member.sent
-            self._signal(member, MemberSignal.UNREACHABLE)
+        if member is None or not _is_at(member.vm, vm):
+            return
+        member.unreachable_at = member.sent
+        if member.announced is not None and not _is_at(member.announced, vm):
+            member.vm = member.announced
+            self._changed()
+            return
+        self._signal(member, MemberSignal.UNREACHABLE)
 
     def forgive(self, now: datetime.datetime) -> None:
         """Count every silence from now on, as this node itself did not run for a while."""
@@ -226,7 +240,7 @@
         silent = []
         for member in list(self.members_by_name.values()):
             silence = now - min(member.heard_at or now, member.proved_at or now)
-            if member.vm is None and silence > FORGET_AFTER:
+            if member.listed is None and silence > FORGET_AFTER:
                 del self.members_by_name[member.name]
             if member.vm is None or member.vm.domain != self.own_domain:
                 continue
@@ -240,17 +254,20 @@
                     silent.append(member.vm)
             if silence > times.dead_after:
                 self._signal(member, MemberSignal.LOST)
+                self._give_up_announced(member)
         return silent
 
     def _list(self, name: str, vm: vms.Vm, now: datetime.datetime) -> None:
         member = self.members_by_name.setdefault(name, Member(name=name))
-        known = member.vm
-        member.vm = vm
         member.domain = vm.domain
-        if known is None:
+        used, before = member.vm, member.listed
+        member.listed = vm
+        if used is not None and used is member.announced and _is_at(before, vm):
+            return
+        member.vm = vm
+        if used is None:
             member.heard_at = member.proved_at = now
-        moved = known is not None and not _is_at(known, vm)
-        if moved:
+        elif not _is_at(used, vm):
             member.heard_at = member.proved_at = now
             member.unreachable_at = member.sent
             self._signal(member, MemberSignal.MOVED)
@@ -258,9 +275,17 @@
     def _confirmed(self, member: Member, echo: int, now: datetime.datetime) -> None:
         member.echoed = echo
         member.proved_at = now
+        if member.vm is not member.announced:
+            member.announced = None
         if echo > member.unreachable_at:
             self._signal(member, MemberSignal.HEARD)
 
+    def _give_up_announced(self, member: Member) -> None:
+        if member.vm is not None and member.vm is member.announced:
+            member.vm = member.listed
+            member.announced = None
+            self._changed()
+
     def _signal(self, member: Member, signal: MemberSignal) -> None:
         if member.signal(signal):
             self._changed()
@@ -292,13 +317,40 @@
     return now - member.heard_at > times.dead_after
 
 
-def _renew(member: Member, incarnation: identifiers.Incarnation, now: datetime.datetime) -> None:
+def _renew(member: Member, heartbeat: peers.Heartbeat, now: datetime.datetime) -> None:
     if member.incarnation is not None:
         member.former_incarnations.append(member.incarnation)
-    member.incarnation = incarnation
+    member.incarnation = heartbeat.incarnation
     member.received = 0
+    member.echoed = 0
+    member.announcements = 0
     member.offset = 0
     member.proved_at = now
+    member.announced = _announced_vm(heartbeat)
+    if member.listed is None and member.announced is not None:
+        member.vm = member.announced
+        member.domain = member.announced.domain
+
+
+def _announced_vm(heartbeat: peers.Heartbeat) -> vms.Vm | None:
+    endpoint = heartbeat.endpoint
+    if endpoint is None:
+        return None
+    return vms.Vm(
+        name=heartbeat.sender,
+        role=vms.VmRole.ENTRY,
+        domain=endpoint.domain,
+        address=endpoint.address,
+        port=endpoint.port,
+        peer_port=endpoint.peer_port,
+    )
+
+
+def _unlist(member: Member) -> None:
+    """Reach a member that the list shows no more only where it announced itself, if it did."""
+    if member.vm is member.listed:
+        member.vm = None
+    member.listed = None
 
 
 def _is_at(found: vms.Vm | None, vm: vms.Vm) -> bool:
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -21,9 +21,13 @@
     "offset": "o",
     "leaving": "l",
     "reply_wanted": "r",
+    "endpoint": "a",
 }
 
 
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+
+
 class DropReason(enum.Enum):
     """Why a message from a peer is dropped."""
 
@@ -232,6 +236,15 @@
     listing: vms.VmList
 
 
+class Endpoint(msgspec.Struct, frozen=True, array_like=True):
+    """Where a node listens: its failure domain, IP number and TCP ports, as in :class:`vms.Vm`."""
+
+    domain: identifiers.DomainName
+    address: str
+    port: Port
+    peer_port: Port
+
+
 class Heartbeat(
     msgspec.Struct,
     frozen=True,
@@ -244,7 +257,8 @@
 
     ``sequence`` counts the heartbeats of this incarnation to the receiver; ``echo`` is the
     last sequence that the sender has from the receiver. ``offset`` is the applied offset of
-    the configuration. ``leaving`` tells that the node drains.
+    the configuration. ``leaving`` tells that the node drains. ``endpoint`` is told until the
+    receiver has confirmed a heartbeat, as its list of VMs may not show this incarnation yet.
     """
 
     sender: identifiers.NodeName
@@ -254,6 +268,7 @@
     offset: Annotated[int, msgspec.Meta(ge=0)] = 0
     leaving: bool = False
     reply_wanted: bool = False
+    endpoint: Endpoint | None = None
 
 
 PeerMessage = (
--- a/packages/kernel/tests/test_members.py
+++ b/packages/kernel/tests/test_members.py
@@ -137,6 +137,7 @@
     beats = heartbeats.Heartbeats(
         settings, found, identifiers.Incarnation("0" * 20), random.Random(1)
     )
+    beats.endpoint = peers.Endpoint("failure-domain-16", "255.255.255.255", 65_000, 65_000)
     beats.listed(START)
     sent = 0
     for step in range(600):
@@ -145,3 +146,67 @@
             data = peers.encode(action.message)
             sent += len(data) + heartbeats.WIRE_BYTES_PER_MESSAGE
     assert 0 < sent / 60 < settings.bytes_per_second
+
+
+def announcing(sender: str, port: int, incarnation: str = "b", **fields) -> peers.Heartbeat:
+    endpoint = peers.Endpoint("ikeja", "127.0.0.1", 1, port)
+    return heartbeat(sender, incarnation, endpoint=endpoint, **fields)
+
+
+def test_a_node_that_is_not_listed_yet_is_reached_where_it_announced_itself():
+    found = table()
+    found.heard(announcing("a", port=7102), TIMES, START)
+    assert found.find("a") == entry("a", port=7102)
+    assert found.live_names() == ["a", "own"]
+    found.replace(vms.VmList(2, [entry("own")]), START)
+    assert found.find("a") == entry("a", port=7102)
+    found.replace(vms.VmList(3, [entry("own"), entry("a", port=7102)]), START)
+    assert found.live_names() == ["a", "own"]
+    found.replace(vms.VmList(4, [entry("own")]), START)
+    assert found.find("a") is None
+
+
+def test_a_listed_address_goes_first_and_an_announced_one_once_that_fails():
+    found = table(entry("a"))
+    found.heard(announcing("a", port=7102), TIMES, START)
+    assert found.find("a") == entry("a")
+    found.unreachable(entry("a"))
+    assert found.find("a") == entry("a", port=7102)
+    assert found.live_names() == ["a", "own"]
+    found.unreachable(entry("a", port=7102))
+    assert found.live_names() == ["own"]
+    found.replace(vms.VmList(2, [entry("own"), entry("a", port=7103)]), START)
+    assert found.find("a") == entry("a", port=7103)
+
+
+def test_an_announcement_counts_no_more_once_the_listed_address_has_answered():
+    found = table(entry("a"))
+    found.members_by_name["a"].sent = 1
+    found.heard(announcing("a", port=7102, echo=1), TIMES, START)
+    found.unreachable(entry("a"))
+    assert found.find("a") == entry("a")
+    assert found.live_names() == ["own"]
+
+
+def test_an_announced_node_that_falls_silent_is_no_longer_reached():
+    found = table()
+    found.heard(announcing("a", port=7102), TIMES, START)
+    found.expire(TIMES, START + 11 * SECOND)
+    assert state_of(found, "a") is members.MemberState.DEAD
+    assert found.find("a") is None
+
+
+def test_a_node_tells_where_it_listens_until_that_is_confirmed():
+    found = table(entry("a"))
+    beats = heartbeats.Heartbeats(
+        heartbeats.HeartbeatSettings(), found, identifiers.Incarnation("o"), random.Random(1)
+    )
+    beats.endpoint = peers.Endpoint("ikeja", "127.0.0.1", 1, 7100)
+    beats.listed(START)
+    (first,) = beats.tick(START)
+    assert first.message.endpoint == beats.endpoint
+    beats.receive(heartbeat("a", echo=1), START)
+    (second,) = beats.tick(START + 2 * SECOND)
+    assert second.message.endpoint is None
+    (third,) = beats.receive(heartbeat("a", "c", reply_wanted=True), START + 2 * SECOND)
+    assert third.message.endpoint == beats.endpoint
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -18,6 +18,7 @@
     heartbeats,
     identifiers,
     kernels,
+    peers,
     probes,
     records,
     snapshot_schedules,
@@ -99,6 +100,7 @@
         self.metrics.start()
         for adapter in self._adapters_by_kind.values():
             await adapter.open()
+        self.kernel.heartbeats.endpoint = self._endpoint()
         self._announce()
         signals.node_listening.send(self)
 
@@ -111,12 +113,21 @@
         signals.node_stopped.send(self)
         logevents.write(logevents.LogEvent.NODE_STOPPED)
 
+    def _endpoint(self) -> peers.Endpoint:
+        return peers.Endpoint(
+            domain=identifiers.DomainName(self.settings.node.domain),
+            address=self.settings.node.address,
+            port=self._adapters_by_kind[plugins.Kind.CALLERS].port,
+            peer_port=self._adapters_by_kind[plugins.Kind.PEERS].port,
+        )
+
     def _announce(self) -> None:
+        endpoint = self._endpoint()
         fields = {
             "name": self.settings.node.name,
-            "address": self.settings.node.address,
-            "port": self._adapters_by_kind[plugins.Kind.CALLERS].port,
-            "peer_port": self._adapters_by_kind[plugins.Kind.PEERS].port,
+            "address": endpoint.address,
+            "port": endpoint.port,
+            "peer_port": endpoint.peer_port,
             "incarnation": self.kernel.settings.incarnation,
         }
         print(json.dumps({"event": "listening", **fields}), file=sys.stdout, flush=True)
--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -11,6 +11,7 @@
 
 HEARTBEAT_MS = 200
 WAIT_MS = 8000
+LONG_LAG_MS = 60_000
 REQUEST_TIMEOUT_S = 30
 
 
@@ -142,6 +143,20 @@
         assert set(starts.values()) == {1}
 
 
+@pytest.mark.promise("complete_or_failed", failures=["replaced_vm", "two_at_once"])
+async def test_a_replaced_node_is_reached_before_the_list_shows_it(team):
+    async with running(team, 2, ("ikeja",)) as domain:
+        await domain.until_known("ikeja-e2", "ikeja-e1")
+        await domain.fleet.control_vms(lag_ms=LONG_LAG_MS)
+        await domain.fleet.kill("ikeja-e1")
+        await domain.fleet.start_node("ikeja-e1")
+        await domain.until_known("ikeja-e2", "ikeja-e1")
+        submission_id = await domain.issue("ikeja-e1")
+        answer = await domain.submit("ikeja-e2", submission_id, "unlisted")
+        assert name_of(answer) == "COMPLETE"
+        assert await domain.starts() == {f"unlisted-{number}": 1 for number in range(3)}
+
+
 @pytest.mark.promise("at_most_once", failures=["freeze"])
 @pytest.mark.promise("honest_refusal", failures=["freeze"])
 async def test_a_node_frozen_past_its_suspicion_time_goes_on_when_woken(team):
