--- a/packages/kernel/chiveridge_kernel/errors.py
+++ b/packages/kernel/chiveridge_kernel/errors.py
@@ -32,5 +32,9 @@
     """A record of the platform's log is not a valid configuration change."""
 
 
+class VmListError(ChiveridgeError):
+    """Changes of the list of VMs do not follow what is known of it."""
+
+
 class SnapshotError(ChiveridgeError):
     """A snapshot is torn, corrupt or too large."""
--- a/packages/kernel/chiveridge_kernel/vms.py
+++ b/packages/kernel/chiveridge_kernel/vms.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from chiveridge_kernel import errors
+
 
 class VmRole(enum.Enum):
     """What a VM is for."""
@@ -41,3 +43,35 @@
 
     version: int
     vms: list[Vm]
+
+
+class VmListReply(msgspec.Struct, frozen=True, kw_only=True):
+    """What a read of the list returns: the whole list, or the changes since a version.
+
+    With ``since``, ``vms`` holds the VMs that are new or differ, and ``gone`` the names of those
+    that are no longer listed.
+    """
+
+    version: int
+    vms: list[Vm] = []
+    since: int | None = None
+    gone: list[str] = []
+
+
+def merged(known: VmList | None, reply: VmListReply) -> VmList:
+    """Return the list after a reply; VMs that did not change are the same objects.
+
+    :raises errors.VmListError: when the reply holds changes since another version.
+    """
+    if reply.since is None:
+        return VmList(reply.version, reply.vms)
+    if known is None or known.version != reply.since:
+        version = None if known is None else known.version
+        raise errors.VmListError(f"changes since version {reply.since} do not fit {version}")
+    if reply.version == known.version:
+        return known
+    vms_by_name = {vm.name: vm for vm in known.vms}
+    for name in reply.gone:
+        vms_by_name.pop(name, None)
+    vms_by_name.update((vm.name, vm) for vm in reply.vms)
+    return VmList(reply.version, list(vms_by_name.values()))
--- a/packages/load/chiveridge_load/control_benches.py
+++ b/packages/load/chiveridge_load/control_benches.py
@@ -7,9 +7,6 @@
 
 import asyncio
 import json
-import os
-import pathlib
-import re
 import sys
 import time
 
@@ -19,7 +16,7 @@
 
 from chiveridge_client import clients
 from chiveridge_kernel import heartbeats, messages
-from chiveridge_load import deployments
+from chiveridge_load import deployments, usages
 from chiveridge_standins import fleets
 
 _SIZES = flags.DEFINE_list("sizes", ["3", "9", "25"], "Numbers of nodes in the domain.")
@@ -28,19 +25,6 @@
 
 SETTLE_SECONDS = 6
 TARGETS = 2
-CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-_BYTES = re.compile(r'^chiveridge_peer_bytes_total{direction="sent"} (\S+)$', re.MULTILINE)
-_MESSAGES = re.compile(r'^chiveridge_peer_messages_total{direction="sent"} (\S+)$', re.MULTILINE)
-
-
-class Usage(msgspec.Struct, frozen=True):
-    """Totals of one node at one time."""
-
-    sent_bytes: float
-    sent_messages: float
-    cpu_seconds: float
-    resident_bytes: int
 
 
 class Measurement(msgspec.Struct, frozen=True):
@@ -63,31 +47,15 @@
     idle_cpu_share_per_node: float
 
 
-async def usage_of(fleet: fleets.Fleet, name: str, session: aiohttp.ClientSession) -> Usage:
-    """Return what a node has used since its start."""
-    async with session.get(f"{fleet.nodes_by_name[name].url}/metrics") as reply:
-        text = await reply.text()
-    process = pathlib.Path("/proc", str(fleet.pid(name)))
-    fields = process.joinpath("stat").read_text().rpartition(")")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    pages = int(process.joinpath("statm").read_text().split()[1])
-    return Usage(
-        sent_bytes=float(_BYTES.search(text)[1]),
-        sent_messages=float(_MESSAGES.search(text)[1]),
-        cpu_seconds=ticks / CLOCK_TICKS_PER_SECOND,
-        resident_bytes=pages * PAGE_BYTES,
-    )
-
-
 async def measure(
     fleet: fleets.Fleet, session: aiohttp.ClientSession, seconds: float, jobs_per_second: float
 ) -> Measurement:
     """Measure the nodes of a fleet for a while."""
     names = list(fleet.nodes_by_name)
-    before = [await usage_of(fleet, name, session) for name in names]
+    before = [await usages.usage_of(fleet, name, session) for name in names]
     started_at = time.monotonic()
     await asyncio.sleep(seconds)
-    after = [await usage_of(fleet, name, session) for name in names]
+    after = [await usages.usage_of(fleet, name, session) for name in names]
     elapsed = (time.monotonic() - started_at) * len(names)
     pairs = list(zip(before, after, strict=True))
     sent_bytes = sum(last.sent_bytes - first.sent_bytes for first, last in pairs)
--- a/packages/node/chiveridge_node/metrics.py
+++ b/packages/node/chiveridge_node/metrics.py
@@ -43,12 +43,27 @@
         self.bytes_received = size.labels("received")
 
 
+class PlatformMetrics:
+    """Counts what is read from the platform."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry):
+        size = prometheus_client.Counter(
+            "chiveridge_platform_bytes",
+            "Bytes of replies of the platform, headers included, by what was read.",
+            ["source"],
+            registry=registry,
+        )
+        self.log_bytes = size.labels("log")
+        self.vms_bytes = size.labels("vms")
+
+
 class Metrics:
     """Counts what the kernel of a node is told and decides."""
 
     def __init__(self, shell: shells.Shell):
         self.registry = prometheus_client.CollectorRegistry()
         self.peers = PeerMetrics(self.registry)
+        self.platform = PlatformMetrics(self.registry)
         self._shell = shell
         self._timer: asyncio.TimerHandle | None = None
         self._due = 0.0
--- a/packages/node/chiveridge_node/platforms_http.py
+++ b/packages/node/chiveridge_node/platforms_http.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import msgspec
+import prometheus_client
 
 from chiveridge_kernel import actions, errors, events, identifiers, snapshots, vms
 from chiveridge_node import logevents, plugins
@@ -12,9 +13,17 @@
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 READ_LIMIT = 500
+_HEADER_SEPARATORS = len(": \r\n")
 
 
-_POLL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError, UnicodeError)
+_POLL_ERRORS = (
+    aiohttp.ClientError,
+    errors.VmListError,
+    OSError,
+    TimeoutError,
+    msgspec.MsgspecError,
+    UnicodeError,
+)
 
 
 class LogRecord(msgspec.Struct, frozen=True):
@@ -38,13 +47,14 @@
     lost_event: logevents.LogEvent
     found_event: logevents.LogEvent
 
-    def __init__(self, node):
+    def __init__(self, node, bytes_read: prometheus_client.Counter):
         self.shell = node.shell
         self.settings = node.settings.platform
         self._rng: random.Random = node.rng
         self._session: aiohttp.ClientSession | None = None
         self._task: asyncio.Task | None = None
         self._failures = 0
+        self._bytes_read = bytes_read
 
     async def open(self) -> None:
         """Begin to poll."""
@@ -66,6 +76,7 @@
         """Return status and decoded body of a GET."""
         async with self._session.get(url) as response:
             body = await response.read()
+            self._bytes_read.inc(len(body) + _header_bytes(response))
             if response.status not in (200, 410):
                 raise aiohttp.ClientError(f"status {response.status} from {url}")
             return response.status, decoder.decode(body)
@@ -100,7 +111,7 @@
     _decoder = msgspec.json.Decoder(LogPage)
 
     def __init__(self, node):
-        super().__init__(node)
+        super().__init__(node, node.metrics.platform.log_bytes)
         self._stream_url = (
             f"{self.settings.log_url}/v1/streams/{self.settings.config_stream}/records"
         )
@@ -171,26 +182,47 @@
 
 
 class HttpVms(_Poller):
-    """Reads the list of VMs at a fixed interval."""
+    """Follows the list of VMs by long polls for its changes, with a pause after each.
+
+    A platform that does not know the query answers with the whole list at once.
+    """
 
     lost_event = logevents.LogEvent.VMS_UNREACHABLE
     found_event = logevents.LogEvent.VMS_REACHABLE
-    _decoder = msgspec.json.Decoder(vms.VmList)
+    _decoder = msgspec.json.Decoder(vms.VmListReply)
 
     def __init__(self, node):
-        super().__init__(node)
-        self._version = -1
+        super().__init__(node, node.metrics.platform.vms_bytes)
+        self._listing: vms.VmList | None = None
 
     async def poll(self) -> None:
-        """Read the list and report it when it changed."""
-        _, listing = await self.get(f"{self.settings.vms_url}/v1/vms", self._decoder)
-        if listing.version != self._version:
-            self._version = listing.version
-            self.shell.handle_safely(events.VmsListed(listing=listing))
+        """Read what changed and report it."""
+        known = self._listing
+        _, reply = await self.get(self._url(known), self._decoder)
+        self._listing = self._merged(known, reply)
+        if known is None or self._listing.version != known.version:
+            self.shell.handle_safely(events.VmsListed(listing=self._listing))
         else:
             self.shell.handle_safely(events.VmsConfirmed())
         await asyncio.sleep(self.settings.vms_interval_ms / 1000)
 
+    def _merged(self, known: vms.VmList | None, reply: vms.VmListReply) -> vms.VmList:
+        try:
+            return vms.merged(known, reply)
+        except errors.VmListError:
+            self._listing = None
+            raise
+
+    def _url(self, known: vms.VmList | None) -> str:
+        url = f"{self.settings.vms_url}/v1/vms"
+        if known is None:
+            return url
+        return f"{url}?since={known.version}&wait_ms={self.settings.poll_wait_ms}"
+
+
+def _header_bytes(response: aiohttp.ClientResponse) -> int:
+    return sum(len(name) + len(value) + _HEADER_SEPARATORS for name, value in response.raw_headers)
+
 
 def register() -> None:
     """Register the adapters under the name ``http``."""
--- a/packages/node/tests/test_platforms_http.py
+++ b/packages/node/tests/test_platforms_http.py
@@ -1,13 +1,16 @@
 import asyncio
+import contextlib
 import json
 import random
 import types
 
+import msgspec
+import prometheus_client
 import pytest
 from aiohttp import web
 
-from chiveridge_kernel import actions, configurations, events, followers, records, snapshots
-from chiveridge_node import platforms_http, settings
+from chiveridge_kernel import actions, configurations, events, followers, records, snapshots, vms
+from chiveridge_node import metrics, platforms_http, settings
 
 DEEP = b'{"a":' * 5000 + b"1" + b"}" * 5000
 WAIT_S = 10
@@ -65,25 +68,38 @@
         self.verdicts += [change.verdict for change in found]
 
 
-@pytest.fixture
-async def system():
-    log = FakeLog()
-    runner = web.AppRunner(log.app(), shutdown_timeout=0.1)
+def node_of(shell, checked):
+    platform = metrics.PlatformMetrics(prometheus_client.CollectorRegistry())
+    return types.SimpleNamespace(
+        shell=shell,
+        settings=checked,
+        rng=random.Random(1),
+        metrics=types.SimpleNamespace(platform=platform),
+    )
+
+
+@contextlib.asynccontextmanager
+async def serving(app):
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
     await site.start()
-    url = f"http://127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
-    checked = settings.parse(
-        {"node": {"name": "e1", "domain": "d"}, "platform": {"log_url": url, "vms_url": url}}
-    )
-    shell = FakeShell()
-    node = types.SimpleNamespace(shell=shell, settings=checked, rng=random.Random(1))
-    adapter = platforms_http.HttpLog(node)
-    yield types.SimpleNamespace(log=log, shell=shell, adapter=adapter)
-    await adapter.close()
+    yield f"http://127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
     await runner.cleanup()
 
 
+@pytest.fixture
+async def system():
+    log = FakeLog()
+    async with serving(log.app()) as url:
+        section = {"log_url": url, "vms_url": url}
+        checked = settings.parse({"node": {"name": "e1", "domain": "d"}, "platform": section})
+        shell = FakeShell()
+        adapter = platforms_http.HttpLog(node_of(shell, checked))
+        yield types.SimpleNamespace(log=log, shell=shell, adapter=adapter)
+        await adapter.close()
+
+
 def change(name):
     value = records.TeamObject(name=name)
     write = records.ObjectWrite(kind=records.ObjectKind.TEAM, name=name, team=value)
@@ -132,3 +148,63 @@
     system.adapter.shell = late
     await until(lambda: late.configuration.offset == 4)
     assert set(late.configuration.teams_by_name) == {"a", "b"}
+
+
+class FakeVms:
+    """A list of VMs that answers what it is told, and the queries that it was asked."""
+
+    def __init__(self):
+        self.replies = []
+        self.queries = []
+
+    def app(self):
+        app = web.Application()
+        app.router.add_get("/v1/vms", self._read)
+        return app
+
+    async def _read(self, request):
+        self.queries.append(dict(request.query))
+        reply = self.replies.pop(0) if self.replies else vms.VmListReply(version=0)
+        return web.Response(body=msgspec.json.encode(reply))
+
+
+class EventList:
+    """Stands for the kernel: it keeps the events."""
+
+    def __init__(self):
+        self.events = []
+
+    def handle_safely(self, event):
+        self.events.append(event)
+
+
+async def test_changes_of_the_list_are_followed_and_a_gap_is_read_whole():
+    vm_a, vm_b = (
+        vms.Vm(name=name, role=vms.VmRole.TARGET, domain="d", address="127.0.0.1", port=1)
+        for name in "ab"
+    )
+    platform, shell = FakeVms(), EventList()
+    platform.replies = [
+        vms.VmListReply(version=3, vms=[vm_a]),
+        vms.VmListReply(version=3, since=3),
+        vms.VmListReply(version=5, since=3, vms=[vm_b]),
+        vms.VmListReply(version=9, since=8, gone=["a"]),
+        vms.VmListReply(version=9, vms=[vm_b]),
+    ]
+    async with serving(platform.app()) as url:
+        section = {"log_url": url, "vms_url": url, "vms_interval_ms": "1"}
+        checked = settings.parse({"node": {"name": "e1", "domain": "d"}, "platform": section})
+        node = node_of(shell, checked)
+        adapter = platforms_http.HttpVms(node)
+        await adapter.open()
+        await until(lambda: len(platform.queries) > 5)
+        await adapter.close()
+    assert shell.events[:4] == [
+        events.VmsListed(listing=vms.VmList(3, [vm_a])),
+        events.VmsConfirmed(),
+        events.VmsListed(listing=vms.VmList(5, [vm_a, vm_b])),
+        events.VmsListed(listing=vms.VmList(9, [vm_b])),
+    ]
+    assert node.metrics.platform.vms_bytes._value.get() > 0
+    asked = [query.get("since") for query in platform.queries[:6]]
+    assert asked == [None, "3", "3", "5", None, "9"]
--- a/packages/standins/chiveridge_standins/vms.py
+++ b/packages/standins/chiveridge_standins/vms.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's list of VMs."""
 
 import asyncio
+import collections
 import datetime
 import enum
 
@@ -10,6 +11,9 @@
 
 from chiveridge_standins import clocks, controls, lags
 
+MAX_WRITES = 10_000
+WAIT_INTERVAL_S = 0.02
+
 
 class VmRole(enum.Enum):
     """What a VM is for."""
@@ -49,46 +53,90 @@
     vms: list[Vm]
 
 
+class VmListReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The whole list, or with ``since`` what changed after that version."""
+
+    version: int
+    vms: list[Vm]
+    since: int | None = None
+    gone: list[str] = []
+
+
 class VmFaults(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """Faults of the list; reads lag behind writes by ``lag_ms``."""
+    """Faults of the list.
+
+    Reads lag behind writes by ``lag_ms``; with ``whole`` they know no query, and answer the whole
+    list at once.
+    """
 
     down: bool = False
     delay_ms: float = 0
     lag_ms: float = 0
+    whole: bool = False
+
+
+class VmWrite(msgspec.Struct, frozen=True):
+    """The name that was written to make a version."""
+
+    version: int
+    name: str
 
 
 class VmRegistry:
-    """VMs by name, and the lagging list that readers see."""
+    """VMs by name, and the lagging list that readers see.
+
+    Changes are known for the last ``MAX_WRITES`` versions.
+    """
 
     def __init__(self, clock: clocks.Clock):
         self.faults = VmFaults()
         self._vms_by_name: dict[str, Vm] = {}
         self._version = 0
+        self._writes: collections.deque[VmWrite] = collections.deque(maxlen=MAX_WRITES)
         self._listed = lags.LaggedValue(VmList(0, []), clock, datetime.timedelta())
 
     def put(self, vm: Vm) -> None:
         """Add or replace a VM."""
         self._vms_by_name[vm.name] = vm
-        self._write()
+        self._write(vm.name)
 
     def delete(self, name: str) -> bool:
         """Remove a VM; return whether it was there."""
         if self._vms_by_name.pop(name, None) is None:
             return False
-        self._write()
+        self._write(name)
         return True
 
     def listed(self) -> VmList:
         """Return the list as it was when the lag began."""
         return self._listed.read()
 
+    def read(self, since: int | None) -> VmListReply:
+        """Return the changes after a version of the list, or all of it when they are unknown."""
+        listed = self.listed()
+        oldest = self._writes[0].version - 1 if self._writes else self._version
+        if since is None or not oldest <= since <= listed.version:
+            return VmListReply(version=listed.version, vms=listed.vms)
+        written = {write.name for write in self._writes if since < write.version <= listed.version}
+        found = [vm for vm in listed.vms if vm.name in written]
+        gone = sorted(written.difference(vm.name for vm in found))
+        return VmListReply(version=listed.version, vms=found, since=since, gone=gone)
+
+    async def wait_beyond(self, version: int, wait_s: float) -> None:
+        """Wait until the list is of another version or down, for at most ``wait_s`` seconds."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while loop.time() < until and self.listed().version == version and not self.faults.down:
+            await asyncio.sleep(WAIT_INTERVAL_S)
+
     def set_faults(self, faults: VmFaults) -> None:
         """Replace the faults."""
         self.faults = faults
         self._listed.lag = datetime.timedelta(milliseconds=faults.lag_ms)
 
-    def _write(self) -> None:
+    def _write(self, name: str) -> None:
         self._version += 1
+        self._writes.append(VmWrite(self._version, name))
         self._listed.write(VmList(self._version, list(self._vms_by_name.values())))
 
 
@@ -98,13 +146,19 @@
     def __init__(self, registry: VmRegistry):
         self._registry = registry
 
-    async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
-        """Answer the lagging list."""
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer the lagging list, or wait for changes after a version of it."""
+        since = None
+        if not self._registry.faults.whole:
+            since = req.get_param_as_int("since", min_value=0)
+        wait_ms = req.get_param_as_int("wait_ms", min_value=0, default=0)
         faults = self._registry.faults
         await asyncio.sleep(faults.delay_ms / 1000)
+        if since is not None:
+            await self._registry.wait_beyond(since, wait_ms / 1000)
         if self._registry.faults.down:
             raise falcon.HTTPServiceUnavailable(description="the list of VMs is down")
-        resp.data = msgspec.json.encode(self._registry.listed())
+        resp.data = msgspec.json.encode(self._registry.read(since))
 
 
 class VmResource:
--- a/packages/standins/tests/test_vms.py
+++ b/packages/standins/tests/test_vms.py
@@ -43,3 +43,22 @@
     assert names(registry) == ["t1"]
     clock.advance(300)
     assert names(registry) == ["t1", "t2"]
+
+
+def test_reads_of_changes_hold_only_what_differs():
+    registry = vms.VmRegistry(ManualClock())
+    for name in ("t1", "t2", "t3"):
+        registry.put(target(name))
+    registry.delete("t2")
+    assert registry.read(4) == vms.VmListReply(version=4, vms=[], since=4)
+    assert registry.read(2) == vms.VmListReply(version=4, vms=[target("t3")], since=2, gone=["t2"])
+
+
+def test_changes_that_are_unknown_are_answered_with_the_whole_list():
+    registry = vms.VmRegistry(ManualClock())
+    for number in range(vms.MAX_WRITES + 1):
+        registry.put(target(f"t{number % 2}"))
+    for since in (None, 0, vms.MAX_WRITES + 2):
+        reply = registry.read(since)
+        assert (reply.since, len(reply.vms)) == (None, 2)
+    assert registry.read(1).since == 1
