Restore the reading of process usage that the listing bench overwrote

Ruled out: any effect on the product; the two modules serve only benches.

The new module is node_usages.py and reads /proc by usages.py.

--- a/packages/load/chiveridge_load/control_benches.py
+++ b/packages/load/chiveridge_load/control_benches.py
@@ -16,7 +16,7 @@
 
 from chiveridge_client import clients
 from chiveridge_kernel import heartbeats, messages
-from chiveridge_load import deployments, usages
+from chiveridge_load import deployments, node_usages
 from chiveridge_standins import fleets
 
 _SIZES = flags.DEFINE_list("sizes", ["3", "9", "25"], "Numbers of nodes in the domain.")
@@ -52,10 +52,10 @@
 ) -> Measurement:
     """Measure the nodes of a fleet for a while."""
     names = list(fleet.nodes_by_name)
-    before = [await usages.usage_of(fleet, name, session) for name in names]
+    before = [await node_usages.usage_of(fleet, name, session) for name in names]
     started_at = time.monotonic()
     await asyncio.sleep(seconds)
-    after = [await usages.usage_of(fleet, name, session) for name in names]
+    after = [await node_usages.usage_of(fleet, name, session) for name in names]
     elapsed = (time.monotonic() - started_at) * len(names)
     pairs = list(zip(before, after, strict=True))
     sent_bytes = sum(last.sent_bytes - first.sent_bytes for first, last in pairs)
@@ -69,7 +69,7 @@
         wire_bytes_per_second=round((sent_bytes + headers) / elapsed, 1),
         messages_per_second=round(sent_messages / elapsed, 2),
         cpu_share=round(cpu_seconds / elapsed, 5),
-        resident_mb=round(sum(last.resident_bytes for last in after) / len(names) / 1e6, 1),
+        resident_mb=round(sum(last.resident_mb for last in after) / len(names), 1),
     )
 
 
--- a/packages/load/chiveridge_load/listing_benches.py
+++ b/packages/load/chiveridge_load/listing_benches.py
@@ -13,7 +13,7 @@
 import msgspec
 from absl import app, flags
 
-from chiveridge_load import usages
+from chiveridge_load import node_usages
 from chiveridge_standins import fleets, vms
 
 _TARGETS = flags.DEFINE_integer("targets", 4_100, "Listed targets.", lower_bound=1)
@@ -80,11 +80,11 @@
     """Measure the node of a fleet while the list changes at a pace."""
     (name,) = fleet.nodes_by_name
     changing = asyncio.create_task(change_steadily(fleet, _TARGETS.value, per_second))
-    before = await usages.usage_of(fleet, name, session)
+    before = await node_usages.usage_of(fleet, name, session)
     begin = time.monotonic()
     await asyncio.sleep(_SECONDS.value)
     elapsed = time.monotonic() - begin
-    after = await usages.usage_of(fleet, name, session)
+    after = await node_usages.usage_of(fleet, name, session)
     changing.cancel()
     await asyncio.gather(changing, return_exceptions=True)
     return Measurement(
@@ -93,7 +93,7 @@
         changes_per_second=per_second,
         bytes_per_second=round((after.listing_bytes - before.listing_bytes) / elapsed, 1),
         cpu_share=round((after.cpu_seconds - before.cpu_seconds) / elapsed, 5),
-        resident_mb=round(after.resident_bytes / 1e6, 1),
+        resident_mb=round(after.resident_mb, 1),
     )
 
 
--- /dev/null
+++ b/packages/load/chiveridge_load/node_usages.py
@@ -0,0 +1,37 @@
+"""What a node of a fleet has used, from its metrics and from ``/proc``."""
+
+import re
+
+import aiohttp
+import msgspec
+
+from chiveridge_load import usages
+from chiveridge_standins import fleets
+
+_BYTES = re.compile(r'^chiveridge_peer_bytes_total{direction="sent"} (\S+)$', re.MULTILINE)
+_MESSAGES = re.compile(r'^chiveridge_peer_messages_total{direction="sent"} (\S+)$', re.MULTILINE)
+_VMS_BYTES = re.compile(r'^chiveridge_platform_bytes_total{source="vms"} (\S+)$', re.MULTILINE)
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Totals of one node at one time; ``sent`` to peers, ``listing`` read of the list of VMs."""
+
+    sent_bytes: float
+    sent_messages: float
+    listing_bytes: float
+    cpu_seconds: float
+    resident_mb: float
+
+
+async def usage_of(fleet: fleets.Fleet, name: str, session: aiohttp.ClientSession) -> Usage:
+    """Return what a node has used since its start."""
+    async with session.get(f"{fleet.nodes_by_name[name].url}/metrics") as reply:
+        text = await reply.text()
+    pid = fleet.pid(name)
+    return Usage(
+        sent_bytes=float(_BYTES.search(text)[1]),
+        sent_messages=float(_MESSAGES.search(text)[1]),
+        listing_bytes=float(_VMS_BYTES.search(text)[1]),
+        cpu_seconds=usages.cpu_s(pid),
+        resident_mb=usages.memory_mb(pid),
+    )
--- a/packages/load/chiveridge_load/usages.py
+++ b/packages/load/chiveridge_load/usages.py
@@ -1,43 +1,24 @@
-"""Reads what a node has used from its metrics and from /proc."""
+"""Processor time and memory of a process, from ``/proc``."""
 
 import os
 import pathlib
-import re
 
-import aiohttp
-import msgspec
+_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+_USER_FIELD = 11
+_SYSTEM_FIELD = 12
 
-from chiveridge_standins import fleets
 
-CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-_BYTES = re.compile(r'^chiveridge_peer_bytes_total{direction="sent"} (\S+)$', re.MULTILINE)
-_MESSAGES = re.compile(r'^chiveridge_peer_messages_total{direction="sent"} (\S+)$', re.MULTILINE)
-_VMS_BYTES = re.compile(r'^chiveridge_platform_bytes_total{source="vms"} (\S+)$', re.MULTILINE)
+def cpu_s(pid: int) -> float:
+    """Return the user and system time of a process in seconds."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    # The name in brackets may hold blanks; the fields after it count from the state.
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])) / _TICKS_PER_SECOND
 
 
-class Usage(msgspec.Struct, frozen=True):
-    """Totals of one node at one time; ``sent`` to peers, ``listing`` read of the list of VMs."""
-
-    sent_bytes: float
-    sent_messages: float
-    listing_bytes: float
-    cpu_seconds: float
-    resident_bytes: int
-
-
-async def usage_of(fleet: fleets.Fleet, name: str, session: aiohttp.ClientSession) -> Usage:
-    """Return what a node has used since its start."""
-    async with session.get(f"{fleet.nodes_by_name[name].url}/metrics") as reply:
-        text = await reply.text()
-    process = pathlib.Path("/proc", str(fleet.pid(name)))
-    fields = process.joinpath("stat").read_text().rpartition(")")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    pages = int(process.joinpath("statm").read_text().split()[1])
-    return Usage(
-        sent_bytes=float(_BYTES.search(text)[1]),
-        sent_messages=float(_MESSAGES.search(text)[1]),
-        listing_bytes=float(_VMS_BYTES.search(text)[1]),
-        cpu_seconds=ticks / CLOCK_TICKS_PER_SECOND,
-        resident_bytes=pages * PAGE_BYTES,
-    )
+def memory_mb(pid: int) -> float:
+    """Return the resident memory of a process in megabytes."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    raise ValueError(f"process {pid} has no resident memory")
