Work out owners again only in the domains that changed

Cause: every change of a listed VM and of any member's state worked out the owner of each of 4,096 targets among 18 nodes, 73,728 scores, in one step of the loop. Of the 36 to 60 ms that one change of the list cost the kernel, the profile gave four fifths to it.

Change: an owner stays while its target's domain and the nodes that may own there stay the same. test_owners.py compares with the owners worked out from nothing over random lists and members, and counts what is worked out; the count fails on the code before.

What is left are whole passes over the list that compare and copy.

--- a/packages/kernel/chiveridge_kernel/owners.py
+++ b/packages/kernel/chiveridge_kernel/owners.py
@@ -25,6 +25,8 @@
         self._targets = target_table
         self._versions: tuple[int, int] | None = None
         self._scores: dict[tuple[str, str], int] = {}
+        self._names_by_domain: dict[str, tuple[str, ...]] = {}
+        self._domain_by_target: dict[str, str] = {}
         self.owner_by_target: dict[str, str] = {}
         self.owned: frozenset[str] = frozenset()
 
@@ -34,28 +36,41 @@
         if versions == self._versions:
             return False
         self._versions = versions
-        names_by_domain = self._names_by_domain()
-        everybody = [name for names in names_by_domain.values() for name in names]
+        domain_by_target = {vm.name: vm.domain for vm in self._targets.vms_by_name.values()}
+        names_by_domain = self._candidates_by_domain(set(domain_by_target.values()))
+        changed = {
+            domain
+            for domain, names in names_by_domain.items()
+            if names != self._names_by_domain.get(domain)
+        }
+        before, known_domains = self.owner_by_target, self._domain_by_target
         self.owner_by_target = {
-            vm.name: self._owner(vm.name, names_by_domain.get(vm.domain) or everybody)
-            for vm in self._targets.vms_by_name.values()
+            target: (
+                before[target]
+                if domain not in changed and known_domains.get(target) == domain
+                else self._owner(target, names_by_domain[domain])
+            )
+            for target, domain in domain_by_target.items()
         }
+        self._names_by_domain, self._domain_by_target = names_by_domain, domain_by_target
         own_name = self._members.own_name
         self.owned = frozenset(
             target for target, owner in self.owner_by_target.items() if owner == own_name
         )
-        self._forget_scores(set(everybody))
+        self._forget_scores(set(self._members.live_names()))
         return True
 
-    def _names_by_domain(self) -> dict[str, list[str]]:
-        names_by_domain: dict[str, list[str]] = {}
+    def _candidates_by_domain(self, domains: set[str]) -> dict[str, tuple[str, ...]]:
+        """Return the nodes that may own the targets of each domain."""
+        live_by_domain: dict[str, list[str]] = {}
         for name in self._members.live_names():
             vm = self._members.find(name)
             domain = vm.domain if vm is not None else self._members.own_domain
-            names_by_domain.setdefault(domain, []).append(name)
-        return names_by_domain
+            live_by_domain.setdefault(domain, []).append(name)
+        everybody = self._members.live_names()
+        return {domain: tuple(live_by_domain.get(domain, everybody)) for domain in domains}
 
-    def _owner(self, target: str, names: list[str]) -> str:
+    def _owner(self, target: str, names: tuple[str, ...]) -> str:
         return max(names, key=lambda name: (self._score(name, target), name))
 
     def _score(self, node: str, target: str) -> int:
--- /dev/null
+++ b/packages/kernel/tests/test_owners.py
@@ -0,0 +1,77 @@
+from hypothesis import given, settings, strategies
+
+from chiveridge_kernel import clocks, identifiers, members, owners, targets, vms
+
+DOMAINS = ("ikeja", "lekki", "surulere")
+PLACED = strategies.dictionaries(
+    strategies.sampled_from([f"v{number}" for number in range(6)]), strategies.sampled_from(DOMAINS)
+)
+
+
+def vm(name: str, domain: str, role: vms.VmRole) -> vms.Vm:
+    return vms.Vm(name=name, role=role, domain=domain, address="127.0.0.1", port=1, peer_port=1)
+
+
+class System:
+    """Owners of one node's view, with the list that it was given."""
+
+    def __init__(self):
+        self.members = members.MemberTable(identifiers.NodeName("own"), DOMAINS[0])
+        self.targets = targets.TargetTable()
+        self.table = owners.OwnerTable(self.members, self.targets)
+
+    def listed(self, nodes: dict[str, str], placed: dict[str, str]) -> None:
+        entries = [vm(f"e-{name}", domain, vms.VmRole.ENTRY) for name, domain in nodes.items()]
+        found = [vm(f"t-{name}", domain, vms.VmRole.TARGET) for name, domain in placed.items()]
+        own = vm("own", DOMAINS[0], vms.VmRole.ENTRY)
+        listing = vms.VmList(1, [own, *entries, *found])
+        self.members.replace(listing, clocks.EPOCH)
+        self.targets.replace(listing)
+
+    def reference(self) -> dict[str, str]:
+        """Return the owners worked out from nothing."""
+        found = {}
+        for target in self.targets.vms_by_name.values():
+            names = self.members.live_names(target.domain) or self.members.live_names()
+            found[target.name] = max(
+                names, key=lambda name, target=target: (owners.score(name, target.name), name)
+            )
+        return found
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(strategies.lists(strategies.tuples(PLACED, PLACED, strategies.booleans()), max_size=8))
+def test_owners_are_those_worked_out_from_nothing_after_every_change(steps):
+    system = System()
+    for nodes, placed, loses_one in steps:
+        system.listed(nodes, placed)
+        others = [found.vm for found in system.members.members_by_name.values() if found.vm]
+        if loses_one and others:
+            system.members.unreachable(others[0])
+        assert system.table.refresh()
+        assert system.table.owner_by_target == system.reference()
+        owned = {name for name, owner in system.table.owner_by_target.items() if owner == "own"}
+        assert system.table.owned == owned
+        assert not system.table.refresh()
+
+
+def test_a_change_in_one_domain_works_out_no_owner_of_another(monkeypatch):
+    system = System()
+    nodes = {f"n{number}": DOMAINS[number % 3] for number in range(9)}
+    placed = {f"p{number}": DOMAINS[number % 3] for number in range(30)}
+    system.listed(nodes, placed)
+    system.table.refresh()
+    asked = []
+    owner = owners.OwnerTable._owner
+    monkeypatch.setattr(
+        owners.OwnerTable,
+        "_owner",
+        lambda table, target, names: asked.append(target) or owner(table, target, names),
+    )
+    system.listed(nodes, placed | {"p30": DOMAINS[1]})
+    system.table.refresh()
+    assert asked == ["t-p30"]
+    asked.clear()
+    system.members.unreachable(system.members.find("e-n2"))
+    system.table.refresh()
+    assert set(asked) == {f"t-p{number}" for number in range(30) if number % 3 == 2}
