Work a change of a target into kept answers instead of forgetting them

Cause: a change of one target's labels or approvals, and a VM that was added, still forgot each answer that it touched, though only one target of it is to be chosen anew.

Change: changes of targets and of VMs take one path; a kept answer notes the names and chooses just those when it is asked next. The property tests hold it to the plain reference.

--- a/packages/kernel/chiveridge_kernel/reaches.py
+++ b/packages/kernel/chiveridge_kernel/reaches.py
@@ -4,7 +4,7 @@
 import functools
 import hashlib
 import weakref
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import msgspec
 
@@ -21,6 +21,7 @@
 
 MAX_QUERIES_PER_TEAM = 16
 _KEY_BYTES = 16
+_MAX_KEPT_KEYS = 16_384
 
 Capacity = tuple[int, int, int]
 """Memory in megabytes, cores and accelerators of a target."""
@@ -32,7 +33,7 @@
     Of one list of VMs, candidates with equal keys hold the same targets.
     """
 
-    def __init__(self, found: tuple[vms.Vm, ...], key: bytes = b""):
+    def __init__(self, found: tuple[vms.Vm, ...], key: int = 0):
         self.vms = found
         self.key = key
         self._capacities = frozenset(map(_capacity, found))
@@ -69,7 +70,7 @@
 class _Answer(msgspec.Struct, frozen=True):
     """The answer to a query: candidates, or the code and the message of a refusal.
 
-    ``stale`` names candidates whose VMs have moved or gone since.
+    ``stale`` names targets that have changed since, and may belong to it or no longer.
     """
 
     selector: selectors.Selector
@@ -82,8 +83,10 @@
 class Reach:
     """Answers for one configuration and one list of VMs.
 
-    Answers are kept until a change touches them, :data:`MAX_QUERIES_PER_TEAM` for each team;
-    equal sets of targets are kept once. ``version`` grows whenever an answer may differ.
+    :data:`MAX_QUERIES_PER_TEAM` answers are kept for each team. A change of a target or a VM is
+    worked into the answers that it touches when they are asked next, and one of a team or a rule
+    forgets those of its teams; equal sets of targets are kept once. ``version`` grows whenever an
+    answer may differ.
     """
 
     def __init__(self, configuration: configurations.Configuration):
@@ -91,7 +94,7 @@
         self._index = reach_indexes.ReachIndex(configuration)
         self._vms_by_name: Mapping[str, vms.Vm] = {}
         self._answers_by_team: dict[str, collections.OrderedDict[str, _Answer]] = {}
-        self._candidates_by_key: weakref.WeakValueDictionary[bytes, Candidates]
+        self._candidates_by_key: weakref.WeakValueDictionary[int, Candidates]
         self._candidates_by_key = weakref.WeakValueDictionary()
 
     def update(self, touched: Collection[configurations.ObjectKey]) -> reach_indexes.ReachChanges:
@@ -102,7 +105,7 @@
             self._answers_by_team.clear()
         for team in changes.teams:
             self._answers_by_team.pop(team, None)
-        self._forget_where(lambda team, answer: _is_touched(team, answer, changes))
+        self._mark_stale(lambda team, answer: _touched(team, answer, changes))
         return changes
 
     def replace_vms(self, vms_by_name: Mapping[str, vms.Vm]) -> None:
@@ -116,9 +119,7 @@
         self._candidates_by_key.clear()
         if len(changed) > reach_indexes.MAX_SINGLE_CHANGES:
             self._answers_by_team.clear()
-        added = [name for name in changed if name not in known]
-        self._forget_where(lambda team, answer: self._holds_any(team, answer, added))
-        self._mark_stale(frozenset(changed).difference(added))
+        self._mark_stale(lambda team, answer: self._held(team, answer, changed))
 
     def candidates(self, team: identifiers.TeamName, selector_text: str) -> Candidates:
         """Return the targets that a team's submission may run on.
@@ -128,7 +129,7 @@
         answers = self._answers_by_team.setdefault(team, collections.OrderedDict())
         answer = answers.get(selector_text)
         if answer is not None and answer.stale:
-            answer = self._without_stale(answer)
+            answer = self._renewed(team, answer)
             answers[selector_text] = answer
         if answer is None or (answer.candidates and not answer.candidates.vms):
             answer = self._select(team, selector_text)
@@ -155,29 +156,31 @@
 
     def _candidates_of(self, names: set[str]) -> Candidates:
         found = tuple(vm for name, vm in self._vms_by_name.items() if name in names)
-        key = _digest(vm.name for vm in found)
+        key = _key_of_all(names)
         candidates = self._candidates_by_key.get(key)
         if candidates is None:
             candidates = self._candidates_by_key[key] = Candidates(found, key)
         return candidates
 
-    def _mark_stale(self, names: frozenset[str]) -> None:
+    def _mark_stale(self, stale_names: Callable[[str, _Answer], frozenset[str]]) -> None:
+        """Note what has changed of each answer; a refusal has to be worked out again."""
         for team, answers in self._answers_by_team.items():
-            for text, answer in answers.items():
-                if names and answer.candidates and self._holds_any(team, answer, names):
+            for text, answer in list(answers.items()):
+                if answer.candidates is None:
+                    del answers[text]
+                elif names := stale_names(team, answer):
                     answers[text] = msgspec.structs.replace(answer, stale=answer.stale | names)
 
-    def _without_stale(self, answer: _Answer) -> _Answer:
-        """Return an answer with its VMs as they are now; its choice of targets stays."""
-        key = _digest([answer.candidates.key.hex(), *sorted(answer.stale)])
+    def _renewed(self, team: str, answer: _Answer) -> _Answer:
+        """Return an answer in which the targets that have changed are chosen anew."""
+        known = self._vms_by_name
+        held = sorted(self._held(team, answer, answer.stale) & known.keys())
+        left = [vm.name for vm in answer.candidates.vms if vm.name in answer.stale]
+        key = answer.candidates.key - _key_of_all(left) + _key_of_all(held)
         candidates = self._candidates_by_key.get(key)
         if candidates is None:
-            known = self._vms_by_name
-            found = (
-                known.get(vm.name) if vm.name in answer.stale else vm
-                for vm in answer.candidates.vms
-            )
-            candidates = Candidates(tuple(filter(None, found)), key)
+            kept = [vm for vm in answer.candidates.vms if vm.name not in answer.stale]
+            candidates = Candidates((*kept, *(known[name] for name in held)), key)
             self._candidates_by_key[key] = candidates
         return _Answer(answer.selector, candidates)
 
@@ -189,35 +192,35 @@
         has_plain_vm = any(name not in labels_by_name for name in self._vms_by_name)
         return has_plain_vm and selector.matches({})
 
-    def _forget_where(self, is_stale) -> None:
-        for team, answers in self._answers_by_team.items():
-            stale = [text for text, answer in answers.items() if is_stale(team, answer)]
-            for text in stale:
-                del answers[text]
-
-    def _holds_any(self, team: str, answer: _Answer, names: Collection[str]) -> bool:
-        if answer.candidates is None:
-            return True
+    def _held(self, team: str, answer: _Answer, names: Iterable[str]) -> frozenset[str]:
+        """Return those of some targets that belong to an answer, listed or not."""
         labels_by_name = self._index.targets.labels_by_name
-        return any(
-            self._index.reaches(team, name) and answer.selector.matches(labels_by_name[name])
+        return frozenset(
+            name
             for name in names
+            if self._index.reaches(team, name) and answer.selector.matches(labels_by_name[name])
         )
 
 
-def _is_touched(team: str, answer: _Answer, changes: reach_indexes.ReachChanges) -> bool:
-    if answer.candidates is None:
-        return True
+def _touched(team: str, answer: _Answer, changes: reach_indexes.ReachChanges) -> frozenset[str]:
+    """Return the targets that a change added to an answer or took from it."""
+    found = set()
     for target in changes.targets:
         was_in = team in target.old_teams and answer.selector.matches(target.old_labels)
         is_in = team in target.new_teams and answer.selector.matches(target.new_labels)
         if was_in != is_in:
-            return True
-    return False
+            found.add(target.name)
+    return frozenset(found)
+
+
+def _key_of_all(names: Iterable[str]) -> int:
+    """Return a key of a set of names that follows a change without the other names."""
+    return sum(map(_key_of, names))
 
 
-def _digest(parts: Iterable[str]) -> bytes:
-    return hashlib.blake2b("\n".join(parts).encode(), digest_size=_KEY_BYTES).digest()
+@functools.lru_cache(maxsize=_MAX_KEPT_KEYS)
+def _key_of(name: str) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=_KEY_BYTES).digest(), "big")
 
 
 def _capacity(vm: vms.Vm) -> Capacity:
--- a/packages/kernel/tests/test_reaches.py
+++ b/packages/kernel/tests/test_reaches.py
@@ -199,6 +199,17 @@
     assert len(found) == 1
 
 
+def test_answers_that_were_asked_at_other_times_share_their_targets_again(system):
+    system.query("ikeja", "kind=dryer")
+    system.query("lekki", "kind=dryer")
+    for target in ("t2", "t3"):
+        system.apply((records.ObjectKind.TARGET, target, ({"kind": "other"}, TEAMS)))
+        system.query("ikeja", "kind=dryer")
+    found = [system.reach.candidates(team, "kind=dryer") for team in TEAMS]
+    assert {vm.name for vm in found[0].vms} == {"t1", "t4"}
+    assert found[0] is found[1] is found[2]
+
+
 def test_a_change_of_many_objects_at_once_counts_for_every_answer(system, monkeypatch):
     monkeypatch.setattr(reach_indexes, "MAX_SINGLE_CHANGES", 0)
     assert system.query("ikeja", "kind=dryer") == set(TARGETS)
