Replace single targets in a set of candidates without going through the others

Cause: after a listed VM changed, each of 640 kept answers built its set of 4,100 candidates and their capacities anew when it was asked, 0.3 to 0.5 ms each.

Change: candidates are sorted by name and count their capacities, so that a change finds its place by bisection and copies the rest. They move to a module of their own.

--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/candidate_sets.py
@@ -0,0 +1,105 @@
+"""Targets that a query may use."""
+
+import bisect
+import collections
+import functools
+import hashlib
+import operator
+from collections.abc import Iterable
+
+from chiveridge_kernel import messages, vms
+
+Capacity = tuple[int, int, int]
+"""Memory in megabytes, cores and accelerators of a target."""
+
+_KEY_BYTES = 16
+_MAX_KEPT_KEYS = 16_384
+_name = operator.attrgetter("name")
+
+
+class Candidates:
+    """Targets by name, grouped by capacity so that needs are checked per group.
+
+    Of one list of VMs, candidates with equal keys hold the same targets.
+    """
+
+    def __init__(self, found: Iterable[vms.Vm]):
+        self.vms = tuple(sorted(found, key=_name))
+        self.key = key_of(map(_name, self.vms))
+        self._counts_by_capacity = collections.Counter(map(_capacity, self.vms))
+        self._fitting_by_capacities: dict[tuple, tuple[vms.Vm, ...]] = {}
+
+    @functools.cached_property
+    def names(self) -> frozenset[str]:
+        """Names of the targets."""
+        return frozenset(map(_name, self.vms))
+
+    def among(self, names: Iterable[str]) -> list[str]:
+        """Return those of some names that are candidates."""
+        return [name for name in names if self._index(name) is not None]
+
+    def key_with(self, left: Iterable[str], added: Iterable[str]) -> int:
+        """Return the key of these candidates without some, and with others."""
+        return self.key - key_of(left) + key_of(added)
+
+    def replaced(self, left: Iterable[str], added: Iterable[vms.Vm]) -> "Candidates":
+        """Return these candidates without some, and with others."""
+        found = Candidates(())
+        changed = list(self.vms)
+        counts = self._counts_by_capacity.copy()
+        for name in left:
+            vm = changed.pop(bisect.bisect_left(changed, name, key=_name))
+            counts[_capacity(vm)] -= 1
+        for vm in added:
+            bisect.insort(changed, vm, key=_name)
+            counts[_capacity(vm)] += 1
+        found.vms = tuple(changed)
+        found.key = self.key_with(left, map(_name, added))
+        found._counts_by_capacity = +counts
+        return found
+
+    def fitting(self, task: messages.TaskSpec) -> tuple[vms.Vm, ...]:
+        """Return the targets that are large enough for a task's declared needs."""
+        capacities = self._fitting_capacities(task)
+        if len(capacities) == len(self._counts_by_capacity):
+            return self.vms
+        found = self._fitting_by_capacities.get(capacities)
+        if found is None:
+            found = tuple(vm for vm in self.vms if _capacity(vm) in capacities)
+            self._fitting_by_capacities[capacities] = found
+        return found
+
+    def threshold(self, task: messages.TaskSpec) -> Capacity:
+        """Return the smallest needs that the same targets fit, so that like tasks compare equal.
+
+        The task must fit at least one target.
+        """
+        capacities = self._fitting_capacities(task)
+        return tuple(min(amounts) for amounts in zip(*capacities, strict=True))
+
+    def _fitting_capacities(self, task: messages.TaskSpec) -> tuple[Capacity, ...]:
+        return tuple(capacity for capacity in self._counts_by_capacity if _fits(task, capacity))
+
+    def _index(self, name: str) -> int | None:
+        index = bisect.bisect_left(self.vms, name, key=_name)
+        is_there = index < len(self.vms) and self.vms[index].name == name
+        return index if is_there else None
+
+
+def key_of(names: Iterable[str]) -> int:
+    """Return a key of a set of names that follows a change without the other names."""
+    return sum(map(_key_of_name, names))
+
+
+@functools.lru_cache(maxsize=_MAX_KEPT_KEYS)
+def _key_of_name(name: str) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=_KEY_BYTES).digest(), "big")
+
+
+def _capacity(vm: vms.Vm) -> Capacity:
+    return vm.memory_mb, vm.cores, vm.accelerators
+
+
+def _fits(task: messages.TaskSpec, capacity: Capacity) -> bool:
+    memory_mb, cores, accelerators = capacity
+    return task.memory_mb <= memory_mb and task.cores <= cores and task.accelerators <= accelerators
--- a/packages/kernel/chiveridge_kernel/jobs.py
+++ b/packages/kernel/chiveridge_kernel/jobs.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chiveridge_kernel import clocks, errors, identifiers, messages, reaches, results, vms
+from chiveridge_kernel import candidate_sets, clocks, errors, identifiers, messages, results, vms
 
 
 class TaskState(enum.Enum):
@@ -136,7 +136,7 @@
         self,
         team: identifiers.TeamName,
         submission: messages.Submission,
-        candidates: reaches.Candidates,
+        candidates: candidate_sets.Candidates,
         arrived_at: datetime.datetime,
     ):
         self.submission_id = identifiers.SubmissionId(submission.submission_id)
--- a/packages/kernel/chiveridge_kernel/reaches.py
+++ b/packages/kernel/chiveridge_kernel/reaches.py
@@ -1,18 +1,16 @@
 """Which targets a team may reach, and why not when it may not."""
 
 import collections
-import functools
-import hashlib
 import weakref
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 import msgspec
 
 from chiveridge_kernel import (
+    candidate_sets,
     configurations,
     errors,
     identifiers,
-    messages,
     reach_indexes,
     results,
     selectors,
@@ -20,51 +18,6 @@
 )
 
 MAX_QUERIES_PER_TEAM = 16
-_KEY_BYTES = 16
-_MAX_KEPT_KEYS = 16_384
-
-Capacity = tuple[int, int, int]
-"""Memory in megabytes, cores and accelerators of a target."""
-
-
-class Candidates:
-    """Targets that a query may use, grouped by capacity so that needs are checked per group.
-
-    Of one list of VMs, candidates with equal keys hold the same targets.
-    """
-
-    def __init__(self, found: tuple[vms.Vm, ...], key: int = 0):
-        self.vms = found
-        self.key = key
-        self._capacities = frozenset(map(_capacity, found))
-        self._fitting_by_capacities: dict[tuple, tuple[vms.Vm, ...]] = {}
-
-    @functools.cached_property
-    def names(self) -> frozenset[str]:
-        """Names of the targets."""
-        return frozenset(vm.name for vm in self.vms)
-
-    def fitting(self, task: messages.TaskSpec) -> tuple[vms.Vm, ...]:
-        """Return the targets that are large enough for a task's declared needs."""
-        capacities = self._fitting_capacities(task)
-        if len(capacities) == len(self._capacities):
-            return self.vms
-        found = self._fitting_by_capacities.get(capacities)
-        if found is None:
-            found = tuple(vm for vm in self.vms if _capacity(vm) in capacities)
-            self._fitting_by_capacities[capacities] = found
-        return found
-
-    def threshold(self, task: messages.TaskSpec) -> Capacity:
-        """Return the smallest needs that the same targets fit, so that like tasks compare equal.
-
-        The task must fit at least one target.
-        """
-        capacities = self._fitting_capacities(task)
-        return tuple(min(amounts) for amounts in zip(*capacities, strict=True))
-
-    def _fitting_capacities(self, task: messages.TaskSpec) -> tuple[Capacity, ...]:
-        return tuple(capacity for capacity in self._capacities if _fits(task, capacity))
 
 
 class _Answer(msgspec.Struct, frozen=True):
@@ -74,7 +27,7 @@
     """
 
     selector: selectors.Selector
-    candidates: Candidates | None = None
+    candidates: candidate_sets.Candidates | None = None
     stale: frozenset[str] = frozenset()
     code: results.ResultCode = results.ResultCode.NOT_APPROVED
     message: str = ""
@@ -94,7 +47,7 @@
         self._index = reach_indexes.ReachIndex(configuration)
         self._vms_by_name: Mapping[str, vms.Vm] = {}
         self._answers_by_team: dict[str, collections.OrderedDict[str, _Answer]] = {}
-        self._candidates_by_key: weakref.WeakValueDictionary[int, Candidates]
+        self._candidates_by_key: weakref.WeakValueDictionary[int, candidate_sets.Candidates]
         self._candidates_by_key = weakref.WeakValueDictionary()
 
     def update(self, touched: Collection[configurations.ObjectKey]) -> reach_indexes.ReachChanges:
@@ -121,7 +74,9 @@
             self._answers_by_team.clear()
         self._mark_stale(lambda team, answer: self._held(team, answer, changed))
 
-    def candidates(self, team: identifiers.TeamName, selector_text: str) -> Candidates:
+    def candidates(
+        self, team: identifiers.TeamName, selector_text: str
+    ) -> candidate_sets.Candidates:
         """Return the targets that a team's submission may run on.
 
         :raises errors.RefusedError: when there is none, with the reason.
@@ -154,13 +109,13 @@
         message = f"selector {selector_text!r} matches no target"
         return _Answer(selector, code=results.ResultCode.NO_SUCH_TARGET, message=message)
 
-    def _candidates_of(self, names: set[str]) -> Candidates:
-        found = tuple(vm for name, vm in self._vms_by_name.items() if name in names)
-        key = _key_of_all(names)
-        candidates = self._candidates_by_key.get(key)
-        if candidates is None:
-            candidates = self._candidates_by_key[key] = Candidates(found, key)
-        return candidates
+    def _candidates_of(self, names: set[str]) -> candidate_sets.Candidates:
+        key = candidate_sets.key_of(names)
+        found = self._candidates_by_key.get(key)
+        if found is None:
+            found = candidate_sets.Candidates(self._vms_by_name[name] for name in names)
+            self._candidates_by_key[key] = found
+        return found
 
     def _mark_stale(self, stale_names: Callable[[str, _Answer], frozenset[str]]) -> None:
         """Note what has changed of each answer; a refusal has to be worked out again."""
@@ -173,16 +128,15 @@
 
     def _renewed(self, team: str, answer: _Answer) -> _Answer:
         """Return an answer in which the targets that have changed are chosen anew."""
-        known = self._vms_by_name
-        held = sorted(self._held(team, answer, answer.stale) & known.keys())
-        left = [vm.name for vm in answer.candidates.vms if vm.name in answer.stale]
-        key = answer.candidates.key - _key_of_all(left) + _key_of_all(held)
-        candidates = self._candidates_by_key.get(key)
-        if candidates is None:
-            kept = [vm for vm in answer.candidates.vms if vm.name not in answer.stale]
-            candidates = Candidates((*kept, *(known[name] for name in held)), key)
-            self._candidates_by_key[key] = candidates
-        return _Answer(answer.selector, candidates)
+        known = answer.candidates
+        left = known.among(answer.stale)
+        held = self._held(team, answer, answer.stale) & self._vms_by_name.keys()
+        key = known.key_with(left, held)
+        found = self._candidates_by_key.get(key)
+        if found is None:
+            found = known.replaced(left, [self._vms_by_name[name] for name in held])
+            self._candidates_by_key[key] = found
+        return _Answer(answer.selector, found)
 
     def _matches_any_vm(self, selector: selectors.Selector, matching: set[str]) -> bool:
         if not matching.isdisjoint(self._vms_by_name):
@@ -213,25 +167,6 @@
     return frozenset(found)
 
 
-def _key_of_all(names: Iterable[str]) -> int:
-    """Return a key of a set of names that follows a change without the other names."""
-    return sum(map(_key_of, names))
-
-
-@functools.lru_cache(maxsize=_MAX_KEPT_KEYS)
-def _key_of(name: str) -> int:
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=_KEY_BYTES).digest(), "big")
-
-
-def _capacity(vm: vms.Vm) -> Capacity:
-    return vm.memory_mb, vm.cores, vm.accelerators
-
-
-def _fits(task: messages.TaskSpec, capacity: Capacity) -> bool:
-    memory_mb, cores, accelerators = capacity
-    return task.memory_mb <= memory_mb and task.cores <= cores and task.accelerators <= accelerators
-
-
 def _parse(text: str) -> selectors.Selector:
     try:
         return selectors.parse(text)
