Report slots only to the nodes that do not know of them

Cause: whenever anything about any member changed, even that an unknown node became known, each node sent three reports to every owner of any target.

Ruled out: heartbeats (2.4 messages/s by arithmetic) and limits (no team had any work).

Change: the owner table tells which nodes came to own a target or own one as another incarnation; only these are reported to. The test with 40 domains reports to all 39 on the code before. Jobs ask again when an owner changed or was replaced, as before. Candidates are looked up by bisection, without the set of names that each kept for it (131 kB at 4,100 targets).

--- a/packages/kernel/chiveridge_kernel/borrowers.py
+++ b/packages/kernel/chiveridge_kernel/borrowers.py
@@ -104,7 +104,7 @@
         table = self._starter.target_table
         for name in names:
             vm = table.vms_by_name.get(name)
-            is_allowed = name in demand.job.candidates.names
+            is_allowed = demand.job.candidates.holds(name)
             if vm is None or not is_allowed or not table.is_usable(name):
                 self._give_back(name, demand.query.team, "unusable", now)
             elif demand.tasks and not demand.job.ended:
--- a/packages/kernel/chiveridge_kernel/candidate_sets.py
+++ b/packages/kernel/chiveridge_kernel/candidate_sets.py
@@ -29,14 +29,14 @@
         self._counts_by_capacity = collections.Counter(map(_capacity, self.vms))
         self._fitting_by_capacities: dict[tuple, tuple[vms.Vm, ...]] = {}
 
-    @functools.cached_property
-    def names(self) -> frozenset[str]:
-        """Names of the targets."""
-        return frozenset(map(_name, self.vms))
+    def holds(self, name: str) -> bool:
+        """Tell whether a target is a candidate."""
+        index = bisect.bisect_left(self.vms, name, key=_name)
+        return index < len(self.vms) and self.vms[index].name == name
 
     def among(self, names: Iterable[str]) -> list[str]:
         """Return those of some names that are candidates."""
-        return [name for name in names if self._index(name) is not None]
+        return [name for name in names if self.holds(name)]
 
     def key_with(self, left: Iterable[str], added: Iterable[str]) -> int:
         """Return the key of these candidates without some, and with others."""
@@ -80,11 +80,6 @@
     def _fitting_capacities(self, task: messages.TaskSpec) -> tuple[Capacity, ...]:
         return tuple(capacity for capacity in self._counts_by_capacity if _fits(task, capacity))
 
-    def _index(self, name: str) -> int | None:
-        index = bisect.bisect_left(self.vms, name, key=_name)
-        is_there = index < len(self.vms) and self.vms[index].name == name
-        return index if is_there else None
-
 
 def key_of(names: Iterable[str]) -> int:
     """Return a key of a set of names that follows a change without the other names."""
--- a/packages/kernel/chiveridge_kernel/owner_policies.py
+++ b/packages/kernel/chiveridge_kernel/owner_policies.py
@@ -135,9 +135,12 @@
         self._serve_queue(now)
 
     def _refresh(self, now: datetime.datetime) -> None:
-        if self.owner_table.refresh():
-            self.lender.refresh(now)
-            self.returns.owners_changed(now)
+        changes = self.owner_table.refresh()
+        if changes is None:
+            return
+        self.lender.refresh(now)
+        if changes.uninformed or changes.is_moved:
+            self.returns.inform(changes.uninformed, now)
             self.borrower.owners_changed(now)
 
     def _grant(
--- a/packages/kernel/chiveridge_kernel/owners.py
+++ b/packages/kernel/chiveridge_kernel/owners.py
@@ -6,7 +6,9 @@
 
 import hashlib
 
-from chiveridge_kernel import members, targets
+import msgspec
+
+from chiveridge_kernel import identifiers, members, targets
 
 _SCORE_BYTES = 8
 
@@ -17,6 +19,17 @@
     return int.from_bytes(digest.digest(), "big")
 
 
+class OwnerChanges(msgspec.Struct, frozen=True):
+    """What differs from before: owners, and nodes that do not know who holds their slots.
+
+    ``uninformed`` are the nodes that came to own a target, and those that own targets as another
+    incarnation.
+    """
+
+    is_moved: bool
+    uninformed: frozenset[str]
+
+
 class OwnerTable:
     """Owners by target; a domain without live nodes is served by the nodes of all domains."""
 
@@ -27,14 +40,15 @@
         self._scores: dict[tuple[str, str], int] = {}
         self._names_by_domain: dict[str, tuple[str, ...]] = {}
         self._domain_by_target: dict[str, str] = {}
+        self._incarnation_by_owner: dict[str, identifiers.Incarnation | None] = {}
         self.owner_by_target: dict[str, str] = {}
         self.owned: frozenset[str] = frozenset()
 
-    def refresh(self) -> bool:
-        """Work out the owners again when members or targets changed; tell whether they did."""
+    def refresh(self) -> OwnerChanges | None:
+        """Work out the owners again; return None when neither members nor targets changed."""
         versions = (self._members.version, self._targets.list_version)
         if versions == self._versions:
-            return False
+            return None
         self._versions = versions
         domain_by_target = {vm.name: vm.domain for vm in self._targets.vms_by_name.values()}
         names_by_domain = self._candidates_by_domain(set(domain_by_target.values()))
@@ -58,7 +72,24 @@
             target for target, owner in self.owner_by_target.items() if owner == own_name
         )
         self._forget_scores(set(self._members.live_names()))
-        return True
+        return OwnerChanges(
+            is_moved=self.owner_by_target != before,
+            uninformed=self._gaining(before) | self._renewed(),
+        )
+
+    def _gaining(self, before: dict[str, str]) -> frozenset[str]:
+        changed = self.owner_by_target.items() - before.items()
+        return frozenset(owner for _, owner in changed if owner != self._members.own_name)
+
+    def _renewed(self) -> frozenset[str]:
+        known = self._incarnation_by_owner
+        members_by_name = self._members.members_by_name
+        self._incarnation_by_owner = {
+            owner: members_by_name[owner].incarnation
+            for owner in set(self.owner_by_target.values()) & members_by_name.keys()
+        }
+        renewed = self._incarnation_by_owner.items() - known.items()
+        return frozenset(owner for owner, _ in renewed)
 
     def _candidates_by_domain(self, domains: set[str]) -> dict[str, tuple[str, ...]]:
         """Return the nodes that may own the targets of each domain."""
--- a/packages/kernel/chiveridge_kernel/revocations.py
+++ b/packages/kernel/chiveridge_kernel/revocations.py
@@ -21,7 +21,7 @@
         for job in self._jobs_of(teams):
             self._reconsider_job(job, now)
             for task in job.running_tasks():
-                if job.revocation or task.target.name not in job.candidates.names:
+                if job.revocation or not job.candidates.holds(task.target.name):
                     self._withdraw(task)
 
     def refuse(self, teams: set[str], now: datetime.datetime) -> None:
--- a/packages/kernel/chiveridge_kernel/slotreturns.py
+++ b/packages/kernel/chiveridge_kernel/slotreturns.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+from collections.abc import Iterable
 
 from chiveridge_kernel import actions, identifiers, lenders, owners, peers, placements
 
@@ -56,9 +57,9 @@
         """Note the last grant received from an owner."""
         self._last_serial_by_owner[owner] = serial
 
-    def owners_changed(self, now: datetime.datetime) -> None:
-        """Report to every owner, so that none waits for a holder that holds nothing."""
-        for owner in set(self._owner_table.owner_by_target.values()) - {self._own_name}:
+    def inform(self, names: Iterable[str], now: datetime.datetime) -> None:
+        """Report to some owners, so that none waits for a holder that holds nothing."""
+        for owner in names:
             self.contacted(owner)
         self.report(now)
         self._report_at = now + SECOND_REPORT_DELAY
--- a/packages/kernel/tests/test_candidate_sets.py
+++ b/packages/kernel/tests/test_candidate_sets.py
@@ -29,7 +29,8 @@
     found = known.replaced(left, [vm(name, cores) for name, cores in added.items()])
     kept = {name: cores for name, cores in before.items() if name not in left}
     whole = candidate_sets.Candidates(vm(name, cores) for name, cores in (kept | added).items())
-    assert (found.vms, found.key, found.names) == (whole.vms, whole.key, whole.names)
+    assert (found.vms, found.key) == (whole.vms, whole.key)
+    assert {name for name in before | added if found.holds(name)} == kept.keys() | added.keys()
     for cores in (1, 8, 64):
         task = messages.TaskSpec(cores=cores)
         assert found.fitting(task) == whole.fitting(task)
--- a/packages/kernel/tests/test_owner_policies.py
+++ b/packages/kernel/tests/test_owner_policies.py
@@ -17,6 +17,7 @@
     peers,
     records,
     results,
+    slotreturns,
     vms,
 )
 
@@ -28,17 +29,17 @@
 STEP = datetime.timedelta(milliseconds=20)
 
 
-def entry(name: str) -> vms.Vm:
+def entry(name: str, domain: str = "ikeja") -> vms.Vm:
     return vms.Vm(
-        name=name, role=vms.VmRole.ENTRY, domain="ikeja", address="127.0.0.1", port=1, peer_port=2
+        name=name, role=vms.VmRole.ENTRY, domain=domain, address="127.0.0.1", port=1, peer_port=2
     )
 
 
-def target(name: str) -> vms.Vm:
+def target(name: str, domain: str = "ikeja") -> vms.Vm:
     return vms.Vm(
         name=name,
         role=vms.VmRole.TARGET,
-        domain="ikeja",
+        domain=domain,
         address="127.0.0.1",
         port=3,
         slots=SLOTS,
@@ -68,6 +69,29 @@
     return msgspec.to_builtins(change)
 
 
+def test_a_node_that_becomes_known_is_told_of_slots_and_no_other_node_is():
+    names = [f"e{number}" for number in range(1, 41)]
+    listing = [entry(name, f"domain-{name}") for name in names]
+    listing += [target(f"t{number}", f"domain-e{number}") for number in range(1, 41)]
+    settings = kernels.KernelSettings(
+        node="e1", domain="domain-e1", incarnation="a", secret=b"k", policy="owners"
+    )
+    clock, kernel = clocks.ManualClock(), kernels.Kernel(settings, random.Random(1))
+    kernel.handle(events.VmsListed(listing=vms.VmList(1, listing)), clock.now())
+    for _ in range(100):
+        clock.advance(STEP)
+        kernel.handle(events.Ticked(), clock.now())
+    beat = peers.Heartbeat(sender="e7", incarnation="b", sequence=1)
+    done = kernel.handle(events.PeerMessageReceived(message=beat), clock.now())
+    for _ in range(100):
+        clock.advance(STEP)
+        done += kernel.handle(events.Ticked(), clock.now())
+    sends = [action for action in done if isinstance(action, actions.SendToPeer)]
+    reports = [send.peer.name for send in sends if isinstance(send.message, peers.SlotReport)]
+    assert set(reports) == {"e7"}
+    assert len(reports) <= slotreturns.REPORTS_AFTER_CONTACT
+
+
 class Network:
     """Kernels whose messages arrive in order, at once, unless their type is dropped."""
 
--- a/packages/kernel/tests/test_owners.py
+++ b/packages/kernel/tests/test_owners.py
@@ -1,6 +1,8 @@
+import datetime
+
 from hypothesis import given, settings, strategies
 
-from chiveridge_kernel import clocks, identifiers, members, owners, targets, vms
+from chiveridge_kernel import clocks, identifiers, members, owners, peers, targets, vms
 
 DOMAINS = ("ikeja", "lekki", "surulere")
 PLACED = strategies.dictionaries(
@@ -48,11 +50,16 @@
         others = [found.vm for found in system.members.members_by_name.values() if found.vm]
         if loses_one and others:
             system.members.unreachable(others[0])
-        assert system.table.refresh()
+        before = system.table.owner_by_target
+        changes = system.table.refresh()
+        after = system.table.owner_by_target
+        gaining = {owner for target, owner in after.items() if before.get(target) != owner}
+        assert changes.uninformed == gaining - {"own"}
+        assert changes.is_moved == (before != after)
         assert system.table.owner_by_target == system.reference()
         owned = {name for name, owner in system.table.owner_by_target.items() if owner == "own"}
         assert system.table.owned == owned
-        assert not system.table.refresh()
+        assert system.table.refresh() is None
 
 
 def test_a_change_in_one_domain_works_out_no_owner_of_another(monkeypatch):
@@ -75,3 +82,17 @@
     system.members.unreachable(system.members.find("e-n2"))
     system.table.refresh()
     assert set(asked) == {f"t-p{number}" for number in range(30) if number % 3 == 2}
+
+
+def test_an_owner_that_was_replaced_is_to_be_informed():
+    system = System()
+    system.listed({"n1": DOMAINS[0], "n2": DOMAINS[1]}, {f"p{n}": DOMAINS[n % 2] for n in range(9)})
+    system.table.refresh()
+    times = members.MemberTimes(
+        suspect_after=datetime.timedelta(seconds=3), dead_after=datetime.timedelta(seconds=10)
+    )
+    for incarnation in ("b", "c"):
+        beat = peers.Heartbeat(sender="e-n2", incarnation=incarnation, sequence=1)
+        system.members.heard(beat, times, clocks.EPOCH)
+        changes = system.table.refresh()
+        assert (changes.is_moved, changes.uninformed) == (False, {"e-n2"})
--- a/packages/load/chiveridge_load/control_benches.py
+++ b/packages/load/chiveridge_load/control_benches.py
@@ -19,7 +19,8 @@
 from chiveridge_load import deployments, node_usages
 from chiveridge_standins import fleets
 
-_SIZES = flags.DEFINE_list("sizes", ["3", "9", "25"], "Numbers of nodes in the domain.")
+_SIZES = flags.DEFINE_list("sizes", ["3", "9", "25"], "Numbers of nodes in each domain.")
+_DOMAINS = flags.DEFINE_integer("domains", 1, "Number of domains.", lower_bound=1)
 _SECONDS = flags.DEFINE_integer("seconds", 20, "Length of a measurement.")
 _JOBS_PER_SECOND = flags.DEFINE_float("jobs_per_second", 5.0, "Load of the loaded measurement.")
 
@@ -28,8 +29,12 @@
 
 
 class Measurement(msgspec.Struct, frozen=True):
-    """Means over the nodes of a fleet; ``cpu_share`` is that of one core."""
+    """Means over the nodes of a fleet; ``cpu_share`` is that of one core.
 
+    ``nodes`` counts those of all ``domains``.
+    """
+
+    domains: int
     nodes: int
     jobs_per_second: float
     bytes_per_second: float
@@ -63,6 +68,7 @@
     headers = sent_messages * heartbeats.WIRE_BYTES_PER_MESSAGE
     cpu_seconds = sum(last.cpu_seconds - first.cpu_seconds for first, last in pairs)
     return Measurement(
+        domains=_DOMAINS.value,
         nodes=len(names),
         jobs_per_second=jobs_per_second,
         bytes_per_second=round(sent_bytes / elapsed, 1),
@@ -86,11 +92,14 @@
 
 
 async def measure_size(nodes: int, seconds: float, jobs_per_second: float) -> list[Measurement]:
-    """Measure a domain of so many nodes, idle and under a light load."""
+    """Measure domains of so many nodes, idle and under a light load."""
     domain = fleets.DomainPlan(nodes=nodes, targets=TARGETS)
+    plan = fleets.FleetPlan(
+        domains={f"domain-{number + 1}": domain for number in range(_DOMAINS.value)}
+    )
     team = deployments.TeamPlan(name="bench", secret="secret-of-the-bench")
     async with (
-        fleets.Fleet(fleets.FleetPlan(domains={"ikeja": domain})) as fleet,
+        fleets.Fleet(plan) as fleet,
         aiohttp.ClientSession() as session,
     ):
         change = deployments.first_change([team], list(fleet.targets_by_name))
