--- /dev/null
+++ b/packages/kernel/tests/test_limit_faults.py
@@ -0,0 +1,135 @@
+import contextlib
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import limited_domains
+import pytest
+
+from chiveridge_kernel import errors, limit_keepers
+
+
+@pytest.fixture
+def domain() -> limited_domains.Domain:
+    return limited_domains.Domain()
+
+
+def test_the_share_of_a_dead_node_is_reclaimed(domain):
+    first, second, third = domain.nodes_by_name.values()
+    keeper = next(node for node in (first, second, third) if node.limiter._keepers_by_team == {})
+    keeper_name = keeper.limiter._keeper_name(limited_domains.TEAM)
+    dead, alive = [n for n in domain.nodes_by_name.values() if n.name != keeper_name]
+    dead.submit(limited_domains.LIMIT)
+    domain.advance(60)
+    assert len(dead.running) == limited_domains.LIMIT
+    dead.frozen = True
+    alive.submit(limited_domains.LIMIT)
+    domain.advance(60)
+    assert len(alive.running) == 0
+    domain.advance(60)
+    assert len(alive.running) == limited_domains.LIMIT
+
+
+def test_each_side_of_a_cut_has_at_most_the_limit_and_it_ends_with_the_cut(domain):
+    for node in domain.nodes_by_name.values():
+        node.submit(limited_domains.LIMIT * 8)
+    domain.advance(60)
+    domain.cut(["e1"], ["e2", "e3"])
+    for _ in range(100):
+        domain.advance(1)
+        assert len(domain.nodes_by_name["e1"].running) <= limited_domains.LIMIT
+        assert domain.running() <= 2 * limited_domains.LIMIT
+    assert domain.running() == 2 * limited_domains.LIMIT
+    domain.cut(limited_domains.NAMES)
+    for _ in range(100):
+        domain.advance(1)
+        for node in domain.nodes_by_name.values():
+            if len(node.running) > 1:
+                node.end(0)
+    domain.advance(100)
+    assert domain.running() <= limited_domains.LIMIT
+
+
+class RandomRun:
+    """Random operations; counts the tasks of holders that their keeper does not know."""
+
+    OPERATIONS = (
+        "submit",
+        "end",
+        "tick",
+        "tick",
+        "deliver",
+        "deliver",
+        "drop",
+        "freeze",
+        "restart",
+    )
+
+    def __init__(self, seed: int):
+        self.rng = random.Random(seed)
+        self.domain = limited_domains.Domain()
+        self.excused: set[int] = set()
+        self.restarts = 0
+
+    def step(self) -> None:
+        self.domain.clock.advance(limited_domains.STEP * self.rng.choice([0, 1, 1, 5]))
+        self.excuse_unknown()
+        node = self.domain.nodes_by_name[self.rng.choice(limited_domains.NAMES)]
+        getattr(self, self.rng.choice(self.OPERATIONS))(node)
+
+    def excuse_unknown(self) -> None:
+        for node in self.domain.nodes_by_name.values():
+            keeper = node.limiter._keepers_by_team.get(limited_domains.TEAM)
+            if keeper is not None and self.domain.now() >= keeper._quiet_until:
+                self.excuse_unknown_to(keeper)
+
+    def excuse_unknown_to(self, keeper: limit_keepers.Keeper) -> None:
+        for node in self.domain.nodes_by_name.values():
+            account = keeper._accounts_by_holder.get((node.name, node.limiter._incarnation))
+            silent = limit_keepers.RECLAIM_AFTER
+            if account is None or self.domain.now() - account.heard_at >= silent:
+                self.excused.update(map(id, node.running))
+
+    def unexcused(self) -> int:
+        running = [task for node in self.domain.nodes_by_name.values() for task in node.running]
+        return sum(id(task) not in self.excused for task in running)
+
+    def submit(self, node: limited_domains.Node) -> None:
+        if not node.frozen:
+            with contextlib.suppress(errors.RefusedError):
+                node.submit(self.rng.randint(1, 8))
+
+    def end(self, node: limited_domains.Node) -> None:
+        if node.running and not node.frozen:
+            index = self.rng.randrange(len(node.running))
+            self.excused.discard(id(node.running[index]))
+            node.end(index)
+
+    def tick(self, node: limited_domains.Node) -> None:
+        if not node.frozen:
+            node.tick()
+
+    def deliver(self, node: limited_domains.Node) -> None:
+        if self.domain.network:
+            self.domain.deliver(self.rng.randrange(len(self.domain.network)))
+
+    def drop(self, node: limited_domains.Node) -> None:
+        if self.domain.network:
+            self.domain.network.pop()
+
+    def freeze(self, node: limited_domains.Node) -> None:
+        node.frozen = not node.frozen
+
+    def restart(self, node: limited_domains.Node) -> None:
+        if self.rng.random() < 0.2:
+            self.restarts += 1
+            self.domain.restart(node.name, f"b{self.restarts:04}")
+
+
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None, database=None)
+@hypothesis.given(seed=st.integers(0, 2**32))
+def test_the_limit_holds_under_loss_reordering_freezes_and_restarts(seed):
+    run = RandomRun(seed)
+    for _ in range(400):
+        run.step()
+        assert run.unexcused() <= limited_domains.LIMIT
--- /dev/null
+++ b/packages/kernel/tests/test_limit_keepers.py
@@ -0,0 +1,58 @@
+import datetime
+
+import limited_domains
+import msgspec
+
+from chiveridge_kernel import clocks, limit_keepers, peers
+
+
+def test_a_new_keeper_grants_nothing_while_earlier_grants_may_hold():
+    keeper = limit_keepers.Keeper(limited_domains.TEAM, "e1", "a", clocks.EPOCH)
+
+    def report(sequence: int, now: datetime.datetime) -> int:
+        message = peers.LimitReport(
+            sender="e2",
+            incarnation="a",
+            team=limited_domains.TEAM,
+            sequence=sequence,
+            in_use=0,
+            wanted=9,
+            serial_seen=0,
+        )
+        ((_, grant),) = keeper.report(message, limited_domains.LIMIT, now)
+        return grant.allowed
+
+    assert report(1, clocks.EPOCH + limit_keepers.LEASE - limited_domains.STEP) == 0
+    assert report(2, clocks.EPOCH + limit_keepers.LEASE) == limited_domains.LIMIT
+
+
+def test_a_holder_that_follows_an_earlier_keeper_counts_as_using_all():
+    keeper = limit_keepers.Keeper(limited_domains.TEAM, "e1", "b", clocks.EPOCH)
+    now = clocks.EPOCH + limit_keepers.LEASE
+
+    def allowed_for_e3(sequence: int) -> int:
+        report = peers.LimitReport(
+            sender="e3",
+            incarnation="a",
+            team=limited_domains.TEAM,
+            sequence=sequence,
+            in_use=0,
+            wanted=9,
+        )
+        return dict(keeper.report(report, limited_domains.LIMIT, now))["e3"].allowed
+
+    follower = peers.LimitReport(
+        sender="e2",
+        incarnation="a",
+        team=limited_domains.TEAM,
+        sequence=1,
+        in_use=0,
+        wanted=0,
+        keeper_seen="a",
+    )
+    keeper.report(follower, limited_domains.LIMIT, now)
+    assert allowed_for_e3(1) == 0
+    keeper.report(
+        msgspec.structs.replace(follower, sequence=2, keeper_seen="b"), limited_domains.LIMIT, now
+    )
+    assert allowed_for_e3(2) == limited_domains.LIMIT
--- /dev/null
+++ b/packages/kernel/tests/test_limit_shares.py
@@ -0,0 +1,21 @@
+import limited_domains
+import msgspec
+
+from chiveridge_kernel import clocks, limit_shares, peers
+
+
+def test_a_late_grant_changes_nothing():
+    share = limit_shares.Share(keeper="e1")
+    share.note_report(1, clocks.EPOCH)
+    later = peers.LimitGrant(
+        sender="e1",
+        incarnation="a",
+        holder_incarnation="a",
+        team=limited_domains.TEAM,
+        sequence=1,
+        serial=2,
+        allowed=1,
+    )
+    share.take(later)
+    share.take(msgspec.structs.replace(later, serial=1, allowed=limited_domains.LIMIT))
+    assert share.allowed == 1
--- /dev/null
+++ b/tests/plugins/limited_domains.py
@@ -0,0 +1,122 @@
+"""A failure domain of limiters with one clock and a network that the test holds."""
+
+import collections
+import datetime
+
+import msgspec
+
+from chiveridge_kernel import (
+    actions,
+    clocks,
+    jobs,
+    limits,
+    members,
+    messages,
+    peers,
+    reaches,
+    vms,
+)
+
+TEAM = "desk"
+LIMIT = 5
+STEP = datetime.timedelta(milliseconds=100)
+NAMES = ("e1", "e2", "e3")
+
+
+def entry(name: str) -> vms.Vm:
+    return vms.Vm(
+        name=name, role=vms.VmRole.ENTRY, domain="ikeja", address=name, port=1, peer_port=2
+    )
+
+
+class Node:
+    """A limiter whose tasks run until the test ends them."""
+
+    def __init__(self, name: str, incarnation: str, domain: "Domain"):
+        self.name = name
+        self.frozen = False
+        self.running: list[jobs.Task] = []
+        self.domain = domain
+        self.table = members.MemberTable(name, "ikeja")
+        self.see(NAMES)
+        self.limiter = limits.Limiter(self.table, incarnation, self._send)
+        self.limiter.limit_of = lambda team: domain.limit
+
+    def see(self, names) -> None:
+        self.table.replace(vms.VmList(1, [entry(name) for name in names]), self.domain.now())
+
+    def _send(self, action: actions.SendToPeer) -> None:
+        message = peers.decode(peers.encode(action.message))
+        self.domain.network.append((self.name, action.peer.name, message))
+
+    def submit(self, count: int) -> jobs.Job:
+        tasks = [messages.TaskSpec(body=msgspec.Raw(b"null"))] * count
+        submission = messages.Submission(submission_id="id", tasks=tasks)
+        job = jobs.Job(TEAM, submission, reaches.Candidates(()), self.domain.now())
+        self.limiter.hold(job, self.domain.now())
+        self.place(job)
+        self.pump()
+        return job
+
+    def pump(self) -> None:
+        for job in self.limiter.pump(self.domain.now()):
+            self.place(job)
+
+    def place(self, job: jobs.Job) -> None:
+        self.running.extend(job.waiting)
+        job.waiting.clear()
+
+    def end(self, index: int) -> None:
+        self.limiter.ended(self.running.pop(index % len(self.running)))
+        self.pump()
+
+    def tick(self) -> None:
+        self.limiter.tick(self.domain.now())
+        self.pump()
+
+    def take(self, message: peers.PeerMessage) -> None:
+        if isinstance(message, peers.LimitReport):
+            self.limiter.take_report(message, self.domain.now())
+        else:
+            self.limiter.take_grant(message)
+        self.pump()
+
+
+class Domain:
+    """Nodes of a domain with one limited team and a network that the test holds."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock()
+        self.limit: int | None = LIMIT
+        self.network: collections.deque = collections.deque()
+        self.nodes_by_name = {name: Node(name, "a", self) for name in NAMES}
+
+    def now(self) -> datetime.datetime:
+        return self.clock.now()
+
+    def running(self) -> int:
+        return sum(len(node.running) for node in self.nodes_by_name.values())
+
+    def advance(self, steps: int) -> None:
+        for _ in range(steps):
+            self.clock.advance(STEP)
+            for node in self.nodes_by_name.values():
+                if not node.frozen:
+                    node.tick()
+            while self.network:
+                self.deliver(0)
+
+    def deliver(self, index: int) -> None:
+        self.network.rotate(-index)
+        _, receiver, message = self.network.popleft()
+        if not self.nodes_by_name[receiver].frozen:
+            self.nodes_by_name[receiver].take(message)
+
+    def cut(self, *groups) -> None:
+        for group in groups:
+            for name in group:
+                self.nodes_by_name[name].see(group)
+
+    def restart(self, name: str, incarnation: str) -> None:
+        """Replace a node; what it had started runs on, and is counted by itself."""
+        self.nodes_by_name[name] = Node(name, incarnation, self)
