Batch reports and grants of team limits within a byte budget

Ruled out: sending only differences (a lost message would leave a wrong state), one keeper for all teams (its node alone would answer everybody). Tests: the harness hands batches to the limiter in place of single messages; no expectation was changed.

--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -151,18 +151,11 @@
     evidence.take_leaving(message, kernel.target_table, now)
 
 
-@take_message.register(peers.LimitReport)
+@take_message.register(peers.LimitBatch)
 def _(
-    message: peers.LimitReport, kernel: "kernels.Kernel", route: bytes, now: datetime.datetime
+    message: peers.LimitBatch, kernel: "kernels.Kernel", route: bytes, now: datetime.datetime
 ) -> None:
-    kernel.dispatcher.limiter.take_report(message, now)
-
-
-@take_message.register(peers.LimitGrant)
-def _(
-    message: peers.LimitGrant, kernel: "kernels.Kernel", route: bytes, now: datetime.datetime
-) -> None:
-    kernel.dispatcher.limiter.take_grant(message)
+    kernel.dispatcher.limiter.take_batch(message, now)
 
 
 @take_message.register(peers.Handover)
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -20,6 +20,7 @@
     heartbeats,
     identifiers,
     jobchecks,
+    limit_outboxes,
     members,
     peers,
     policies,
@@ -192,6 +193,10 @@
         gone = self.members.replace(listing, now)
         self.dispatcher.outbox.extend(actions.DisconnectPeer(peer=vm) for vm in gone)
         self.heartbeats.listed(now)
+        partners = len(self.members.others_in_domain())
+        self.dispatcher.limiter.bytes_per_second = limit_outboxes.left_by_heartbeats(
+            partners, self.heartbeats.interval
+        )
         self.target_table.replace(listing)
         self.reach.replace_vms(self.target_table.vms_by_name)
         self.has_listing = True
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/limit_batches.py
@@ -0,0 +1,76 @@
+"""Puts reports and grants of many teams into one message, and takes them out again."""
+
+import itertools
+from collections.abc import Iterable, Iterator
+
+from chiveridge_kernel import identifiers, peers
+
+
+def pack(
+    reports: Iterable[peers.LimitReport], grants: Iterable[peers.LimitGrant]
+) -> Iterator[peers.LimitBatch]:
+    """Yield as few batches as hold the reports of one batch number and the grants to a node.
+
+    A batch names one keeper that its reports follow, and one incarnation of the holder.
+    """
+    reports_by_keeper: dict[str, list[peers.LimitReport]] = {}
+    for report in reports:
+        reports_by_keeper.setdefault(report.keeper_seen, []).append(report)
+    grants_by_holder: dict[str, list[peers.LimitGrant]] = {}
+    for grant in grants:
+        grants_by_holder.setdefault(grant.holder_incarnation, []).append(grant)
+    groups = itertools.zip_longest(
+        reports_by_keeper.values(), grants_by_holder.values(), fillvalue=[]
+    )
+    for some_reports, some_grants in groups:
+        yield _batch(some_reports, some_grants)
+
+
+def _batch(reports: list[peers.LimitReport], grants: list[peers.LimitGrant]) -> peers.LimitBatch:
+    any_part = [*reports, *grants][0]
+    return peers.LimitBatch(
+        sender=any_part.sender,
+        incarnation=any_part.incarnation,
+        sequence=reports[0].sequence if reports else 0,
+        lease_ms=reports[0].lease_ms if reports else 0,
+        keeper_seen=reports[0].keeper_seen if reports else "",
+        uses=[
+            peers.LimitUse(report.team, report.in_use, report.wanted, report.serial_seen)
+            for report in reports
+        ],
+        holder_incarnation=identifiers.Incarnation(grants[0].holder_incarnation if grants else ""),
+        allowances=[
+            peers.LimitAllowance(grant.team, grant.sequence, grant.serial, grant.allowed)
+            for grant in grants
+        ],
+    )
+
+
+def reports_of(batch: peers.LimitBatch) -> Iterator[peers.LimitReport]:
+    """Yield the reports of a batch."""
+    for use in batch.uses:
+        yield peers.LimitReport(
+            sender=batch.sender,
+            incarnation=batch.incarnation,
+            team=use.team,
+            sequence=batch.sequence,
+            in_use=use.in_use,
+            wanted=use.wanted,
+            keeper_seen=batch.keeper_seen,
+            serial_seen=use.serial_seen,
+            lease_ms=batch.lease_ms,
+        )
+
+
+def grants_of(batch: peers.LimitBatch) -> Iterator[peers.LimitGrant]:
+    """Yield the grants of a batch."""
+    for allowance in batch.allowances:
+        yield peers.LimitGrant(
+            sender=batch.sender,
+            incarnation=batch.incarnation,
+            holder_incarnation=batch.holder_incarnation,
+            team=allowance.team,
+            sequence=allowance.sequence,
+            serial=allowance.serial,
+            allowed=allowance.allowed,
+        )
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/limit_exchanges.py
@@ -0,0 +1,120 @@
+"""Sends the reports and the grants of a node in batches, within the bytes that limits may take."""
+
+import datetime
+import math
+from collections.abc import Callable, Collection
+
+from chiveridge_kernel import (
+    actions,
+    clocks,
+    heartbeats,
+    identifiers,
+    limit_batches,
+    limit_keepers,
+    limit_outboxes,
+    limit_shares,
+    members,
+    peers,
+)
+
+MAX_SCALE = 60.0
+PIGGYBACK_SHARE = 0.5
+"""Share of an interval by which a report may be early when another goes to the same keeper."""
+
+Send = Callable[[actions.Action], None]
+SharesByTeam = dict[identifiers.TeamName, limit_shares.Share]
+
+
+class Exchange:
+    """The messages about limits of one node; ``scale`` lengthens intervals and leases."""
+
+    def __init__(
+        self,
+        member_table: members.MemberTable,
+        incarnation: identifiers.Incarnation,
+        shares_by_team: SharesByTeam,
+        send: Send,
+    ):
+        self.outbox = limit_outboxes.Outbox()
+        self.scale = 1.0
+        self._members = member_table
+        self._incarnation = incarnation
+        self._shares_by_team = shares_by_team
+        self._send = send
+        self._sequence = 0
+
+    def lease(self) -> datetime.timedelta:
+        """Return how long a grant that answers a report sent now holds, in whole milliseconds."""
+        milliseconds = math.floor(clocks.to_ms(limit_keepers.LEASE * self.scale))
+        return datetime.timedelta(milliseconds=milliseconds)
+
+    def pace(self, grants_by_team: dict[identifiers.TeamName, int]) -> None:
+        """Adapt the scale to the reports and the grants that a round takes."""
+        entries = {team: 1 for team in self._shares_by_team}
+        for team, count in grants_by_team.items():
+            entries[team] = entries.get(team, 0) + count
+        partners = min(len(self._members.others_in_domain()), sum(entries.values()))
+        byte_count = partners * (
+            limit_outboxes.BATCH_BYTES + heartbeats.WIRE_BYTES_PER_MESSAGE
+        ) + sum(count * (limit_outboxes.ENTRY_BYTES + len(team)) for team, count in entries.items())
+        wanted = limit_outboxes.scale(byte_count, self.outbox.bytes_per_second)
+        self.scale = min(wanted, MAX_SCALE)
+
+    def new_report(
+        self, team: identifiers.TeamName, now: datetime.datetime, sequence: int
+    ) -> peers.LimitReport:
+        """Return the report of a team that is made now, and note when it was."""
+        share = self._shares_by_team[team]
+        lease = self.lease()
+        share.note_report(sequence, now, lease)
+        return peers.LimitReport(
+            sender=self._members.own_name,
+            incarnation=self._incarnation,
+            team=team,
+            sequence=sequence,
+            in_use=share.in_use,
+            wanted=share.wanted,
+            keeper_seen=share.last_grant[0],
+            serial_seen=share.last_grant[1],
+            lease_ms=lease // datetime.timedelta(milliseconds=1),
+        )
+
+    def next_sequence(self) -> int:
+        """Return the number of the next batch."""
+        self._sequence += 1
+        return self._sequence
+
+    def flush(self, now: datetime.datetime) -> None:
+        """Send what the budget allows, in the order in which the peers came to wait."""
+        while (found := self.outbox.take(now)) is not None:
+            node, pending = found
+            vm = self._members.find(node)
+            if vm is not None:
+                self._send_pending(vm.name, pending, now)
+
+    def _send_pending(
+        self, node: identifiers.NodeName, pending: limit_outboxes.Pending, now: datetime.datetime
+    ) -> None:
+        sequence = self.next_sequence()
+        reports = [
+            self.new_report(team, now, sequence)
+            for team in self._teams_to_report(node, pending.teams, now)
+        ]
+        for batch in limit_batches.pack(reports, pending.grants.values()):
+            byte_count = len(peers.encode(batch)) + heartbeats.WIRE_BYTES_PER_MESSAGE
+            self.outbox.spend(byte_count)
+            self._send(actions.SendToPeer(peer=self._members.find(node), message=batch))
+
+    def _teams_to_report(
+        self,
+        node: identifiers.NodeName,
+        wanted: Collection[identifiers.TeamName],
+        now: datetime.datetime,
+    ) -> list[identifiers.TeamName]:
+        """Return the teams that wait and, as a message goes anyway, those that are due soon."""
+        soon = now + limit_shares.RENEW_INTERVAL * self.scale * PIGGYBACK_SHARE
+        return [
+            team
+            for team, share in self._shares_by_team.items()
+            if share.keeper == node and (team in wanted or share.report_at <= soon)
+        ]
--- a/packages/kernel/chiveridge_kernel/limit_keepers.py
+++ b/packages/kernel/chiveridge_kernel/limit_keepers.py
@@ -7,7 +7,8 @@
 from chiveridge_kernel import identifiers, peers
 
 LEASE = datetime.timedelta(seconds=4)
-RECLAIM_AFTER = datetime.timedelta(seconds=8)
+RECLAIM_LEASES = 2
+RECLAIM_AFTER = LEASE * RECLAIM_LEASES
 MAX_UNSEEN_GRANTS = 16
 
 Holder = tuple[identifiers.NodeName, identifiers.Incarnation]
@@ -17,6 +18,7 @@
     """What is known of one holder; ``unseen_by_serial`` are grants that it may act on."""
 
     heard_at: datetime.datetime
+    lease: datetime.timedelta = LEASE
     sequence: int = 0
     in_use: int = 0
     wanted: int = 0
@@ -38,7 +40,7 @@
 class Keeper:
     """Grants for one team; what all holders may have together stays within the limit.
 
-    Nothing is granted for the first :data:`LEASE`, as grants of an earlier keeper may hold.
+    Nothing is granted for the first ``lease``, as grants of an earlier keeper may hold.
     """
 
     def __init__(
@@ -47,11 +49,12 @@
         node: identifiers.NodeName,
         incarnation: identifiers.Incarnation,
         now: datetime.datetime,
+        lease: datetime.timedelta = LEASE,
     ):
         self._team = team
         self._node = node
         self._incarnation = incarnation
-        self._quiet_until = now + LEASE
+        self._quiet_until = now + lease
         self._accounts_by_holder: dict[Holder, Account] = {}
 
     def report(
@@ -71,6 +74,7 @@
         self, account: Account, report: peers.LimitReport, limit: int, now: datetime.datetime
     ) -> None:
         account.heard_at = now
+        account.lease = datetime.timedelta(milliseconds=report.lease_ms)
         account.sequence = report.sequence
         account.in_use = report.in_use
         account.wanted = report.wanted
@@ -80,6 +84,10 @@
         if report.keeper_seen == self._incarnation:
             account.forget_older_grants(report.serial_seen)
 
+    def holder_count(self) -> int:
+        """Return how many holders are known."""
+        return len(self._accounts_by_holder)
+
     def counted(self) -> int:
         """Return the most starts that all holders may have in progress."""
         return sum(account.counted() for account in self._accounts_by_holder.values())
@@ -105,7 +113,7 @@
 
     def _forget_silent(self, now: datetime.datetime) -> None:
         for holder, account in list(self._accounts_by_holder.items()):
-            if now - account.heard_at >= RECLAIM_AFTER:
+            if now - account.heard_at >= account.lease * RECLAIM_LEASES:
                 del self._accounts_by_holder[holder]
 
     def _grant(self, holder: Holder) -> tuple[identifiers.NodeName, peers.LimitGrant]:
--- a/packages/kernel/chiveridge_kernel/limit_shares.py
+++ b/packages/kernel/chiveridge_kernel/limit_shares.py
@@ -27,7 +27,7 @@
     valid_until: datetime.datetime = clocks.EPOCH
     last_grant: tuple[str, int] = ("", 0)
     report_at: datetime.datetime = clocks.EPOCH
-    sent_at_by_sequence: dict[int, datetime.datetime] = msgspec.field(default_factory=dict)
+    lease_end_by_sequence: dict[int, datetime.datetime] = msgspec.field(default_factory=dict)
 
     def free(self, now: datetime.datetime) -> int:
         """Return how many more tasks may be let through now."""
@@ -43,24 +43,37 @@
         self.allowed = 0
         self.last_grant = ("", 0)
         self.report_at = clocks.EPOCH
-        self.sent_at_by_sequence.clear()
+        self.lease_end_by_sequence.clear()
 
-    def note_report(self, sequence: int, now: datetime.datetime) -> None:
-        """Note when a report was sent, and when the next is due."""
-        self.sent_at_by_sequence[sequence] = now
-        if len(self.sent_at_by_sequence) > MAX_REPORTS_KEPT:
-            del self.sent_at_by_sequence[min(self.sent_at_by_sequence)]
-        self.report_at = now + (ASK_AGAIN_INTERVAL if self.wanted else RENEW_INTERVAL)
+    def note_report(
+        self,
+        sequence: int,
+        now: datetime.datetime,
+        lease: datetime.timedelta = limit_keepers.LEASE,
+    ) -> None:
+        """Note when a report was sent, and when the next is due; intervals grow with the lease."""
+        self.lease_end_by_sequence[sequence] = now + lease
+        if len(self.lease_end_by_sequence) > MAX_REPORTS_KEPT:
+            del self.lease_end_by_sequence[min(self.lease_end_by_sequence)]
+        self.report_at = now + self._interval(lease)
+
+    def note_waiting(self, now: datetime.datetime, lease: datetime.timedelta) -> None:
+        """Note that a report waits to be sent, so that none other is due for a while."""
+        self.report_at = now + self._interval(lease)
+
+    def _interval(self, lease: datetime.timedelta) -> datetime.timedelta:
+        shortest = ASK_AGAIN_INTERVAL if self.wanted else RENEW_INTERVAL
+        return shortest * (lease / limit_keepers.LEASE)
 
     def take(self, grant: peers.LimitGrant) -> None:
         """Take a grant; one that is older than the last changes nothing."""
-        sent_at = self.sent_at_by_sequence.get(grant.sequence)
+        lease_end = self.lease_end_by_sequence.get(grant.sequence)
         key = (grant.incarnation, grant.serial)
-        if sent_at is None or key < self.last_grant:
+        if lease_end is None or key < self.last_grant:
             return
         if grant.allowed < self.allowed:
             # The keeper lends the difference on as soon as it knows that this was seen.
             self.report_at = clocks.EPOCH
         self.last_grant = key
         self.allowed = grant.allowed
-        self.valid_until = max(self.valid_until, sent_at + limit_keepers.LEASE)
+        self.valid_until = max(self.valid_until, lease_end)
--- a/packages/kernel/chiveridge_kernel/limits.py
+++ b/packages/kernel/chiveridge_kernel/limits.py
@@ -11,10 +11,11 @@
 from collections.abc import Callable
 
 from chiveridge_kernel import (
-    actions,
     errors,
     identifiers,
     jobs,
+    limit_batches,
+    limit_exchanges,
     limit_keepers,
     limit_shares,
     members,
@@ -25,7 +26,6 @@
 QUEUED_PER_START = 8
 RETRY_AFTER_MS = 1000
 
-Send = Callable[[actions.Action], None]
 LimitOf = Callable[[identifiers.TeamName], int | None]
 
 
@@ -36,15 +36,19 @@
     """
 
     def __init__(
-        self, member_table: members.MemberTable, incarnation: identifiers.Incarnation, send: Send
+        self,
+        member_table: members.MemberTable,
+        incarnation: identifiers.Incarnation,
+        send: limit_exchanges.Send,
     ):
         self.limit_of: LimitOf = _no_limit
         self._members = member_table
         self._incarnation = incarnation
-        self._send = send
-        self._sequence = 0
         self._due_at: datetime.datetime | None = None
         self._shares_by_team: dict[identifiers.TeamName, limit_shares.Share] = {}
+        self._exchange = limit_exchanges.Exchange(
+            member_table, incarnation, self._shares_by_team, send
+        )
         self._keepers_by_team: dict[identifiers.TeamName, limit_keepers.Keeper] = {}
         self._jobs_by_team: dict[identifiers.TeamName, collections.deque[jobs.Job]] = {}
         self._touched: set[identifiers.TeamName] = set()
@@ -52,6 +56,15 @@
         self._names_version = -1
         self._followed_version = -1
 
+    @property
+    def bytes_per_second(self) -> float:
+        """Bytes, headers included, that messages about limits may take."""
+        return self._exchange.outbox.bytes_per_second
+
+    @bytes_per_second.setter
+    def bytes_per_second(self, value: float) -> None:
+        self._exchange.outbox.bytes_per_second = value
+
     def hold(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Hold back the tasks of a new job that are over its team's limit.
 
@@ -115,6 +128,7 @@
             elif share.report_at <= now:
                 self._report(team, share, now)
             self._due_at = min(self._due_at or share.report_at, share.report_at)
+        self._exchange.flush(now)
         return found
 
     def tick(self, now: datetime.datetime) -> None:
@@ -124,13 +138,15 @@
         if now < self._due_at and self._followed_version == self._members.version:
             return
         self._followed_version = self._members.version
+        self._exchange.pace(
+            {team: keeper.holder_count() - 1 for team, keeper in self._keepers_by_team.items()}
+        )
         for team, share in list(self._shares_by_team.items()):
             self._follow_keeper(team, share)
             if share.report_at > now:
                 continue
             self._report(team, share, now)
-            is_given_back = share.allowed == 0 or now >= share.valid_until
-            if share.is_idle() and is_given_back and share.report_at > now:
+            if self._is_given_back(team, share, now):
                 del self._shares_by_team[team]
                 self._jobs_by_team.pop(team, None)
             else:
@@ -139,8 +155,16 @@
         self._due_at = min(moments, default=None)
 
     def next_wakeup(self) -> datetime.datetime | None:
-        """Return when the next report is due."""
-        return self._due_at
+        """Return when the next report is due, or one that waits may be sent."""
+        moments = (self._due_at, self._exchange.outbox.next_at())
+        return min((moment for moment in moments if moment is not None), default=None)
+
+    def take_batch(self, batch: peers.LimitBatch, now: datetime.datetime) -> None:
+        """Take the reports and the grants of another node."""
+        for report in limit_batches.reports_of(batch):
+            self.take_report(report, now)
+        for grant in limit_batches.grants_of(batch):
+            self.take_grant(grant)
 
     def take_report(self, report: peers.LimitReport, now: datetime.datetime) -> None:
         """Answer a holder's report when this node is the keeper."""
@@ -150,8 +174,9 @@
             return
         keeper = self._keepers_by_team.get(report.team)
         if keeper is None:
+            lease = self._exchange.lease()
             keeper = limit_keepers.Keeper(
-                report.team, self._members.own_name, self._incarnation, now
+                report.team, self._members.own_name, self._incarnation, now, lease
             )
             self._keepers_by_team[report.team] = keeper
         for node, grant in keeper.report(report, limit, now):
@@ -202,33 +227,30 @@
             share.change_keeper(keeper)
             self._keepers_by_team.pop(team, None)
 
+    def _is_given_back(
+        self, team: identifiers.TeamName, share: limit_shares.Share, now: datetime.datetime
+    ) -> bool:
+        """Tell whether an idle share lends nothing and its keeper was told."""
+        lends_nothing = share.allowed == 0 or now >= share.valid_until
+        waits = self._exchange.outbox.has_report(share.keeper, team)
+        return share.is_idle() and lends_nothing and not waits and share.report_at > now
+
     def _report(
         self, team: identifiers.TeamName, share: limit_shares.Share, now: datetime.datetime
     ) -> None:
-        self._sequence += 1
-        share.note_report(self._sequence, now)
-        report = peers.LimitReport(
-            sender=self._members.own_name,
-            incarnation=self._incarnation,
-            team=team,
-            sequence=self._sequence,
-            in_use=share.in_use,
-            wanted=share.wanted,
-            keeper_seen=share.last_grant[0],
-            serial_seen=share.last_grant[1],
-        )
+        """Report to the keeper: at once when it is this node, and else when bytes are left."""
         if share.keeper == self._members.own_name:
-            self.take_report(report, now)
+            sequence = self._exchange.next_sequence()
+            self.take_report(self._exchange.new_report(team, now, sequence), now)
         else:
-            self._deliver(share.keeper, report)
+            share.note_waiting(now, self._exchange.lease())
+            self._exchange.outbox.add_report(share.keeper, team)
 
-    def _deliver(self, node: identifiers.NodeName, message: peers.PeerMessage) -> None:
+    def _deliver(self, node: identifiers.NodeName, grant: peers.LimitGrant) -> None:
         if node == self._members.own_name:
-            self.take_grant(message)
-            return
-        vm = self._members.find(node)
-        if vm is not None:
-            self._send(actions.SendToPeer(peer=vm, message=message))
+            self.take_grant(grant)
+        else:
+            self._exchange.outbox.add_grant(node, grant)
 
     def _keeper_name(self, team: identifiers.TeamName) -> identifiers.NodeName:
         if self._names_version != self._members.version:
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -10,9 +10,10 @@
 
 PROTOCOL_VERSION = 1
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
+MAX_LIMIT_LEASE_MS = 600_000
 
 
-# Short keys, as heartbeats are most of the control traffic.
+# Short keys, as heartbeats and limits are most of the control traffic.
 _HEARTBEAT_KEYS_BY_FIELD = {
     "sender": "s",
     "incarnation": "i",
@@ -22,6 +23,16 @@
     "leaving": "l",
     "reply_wanted": "r",
 }
+_LIMIT_KEYS_BY_FIELD = {
+    "sender": "s",
+    "incarnation": "i",
+    "sequence": "q",
+    "lease_ms": "d",
+    "keeper_seen": "k",
+    "uses": "u",
+    "holder_incarnation": "h",
+    "allowances": "a",
+}
 
 
 class DropReason(enum.Enum):
@@ -180,24 +191,26 @@
     lifetime_ms: Annotated[int, msgspec.Meta(ge=0)]
 
 
-class LimitReport(msgspec.Struct, frozen=True, kw_only=True, tag="limit_report"):
+class LimitReport(msgspec.Struct, frozen=True, kw_only=True):
     """Tells the keeper of a team's limit what a node uses and wants.
 
     ``sequence`` counts the reports of this incarnation; ``keeper_seen`` and ``serial_seen`` name
-    the incarnation and the serial of the last grant that the sender follows.
+    the incarnation and the serial of the last grant that the sender follows. A grant that
+    answers the report holds for ``lease_ms`` from when the report was sent.
     """
 
     sender: identifiers.NodeName
     incarnation: identifiers.Incarnation
     team: identifiers.TeamName
     sequence: int
-    in_use: Annotated[int, msgspec.Meta(ge=0)]
-    wanted: Annotated[int, msgspec.Meta(ge=0)]
+    in_use: int
+    wanted: int
     keeper_seen: str = ""
     serial_seen: int = 0
+    lease_ms: int = 4000
 
 
-class LimitGrant(msgspec.Struct, frozen=True, kw_only=True, tag="limit_grant"):
+class LimitGrant(msgspec.Struct, frozen=True, kw_only=True):
     """Lets a node have ``allowed`` starts of a team in progress, for a lease.
 
     The lease counts from when the node sent the report ``sequence``; ``serial`` counts the
@@ -207,12 +220,53 @@
     sender: identifiers.NodeName
     incarnation: identifiers.Incarnation
     holder_incarnation: identifiers.Incarnation
+    team: identifiers.TeamName
+    sequence: int
+    serial: int
+    allowed: int
+
+
+class LimitUse(msgspec.Struct, frozen=True, array_like=True):
+    """What :class:`LimitReport` tells of one team."""
+
+    team: identifiers.TeamName
+    in_use: Annotated[int, msgspec.Meta(ge=0)]
+    wanted: Annotated[int, msgspec.Meta(ge=0)]
+    serial_seen: int
+
+
+class LimitAllowance(msgspec.Struct, frozen=True, array_like=True):
+    """What :class:`LimitGrant` tells of one team."""
+
     team: identifiers.TeamName
     sequence: int
     serial: int
     allowed: Annotated[int, msgspec.Meta(ge=0)]
 
 
+class LimitBatch(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag="limits",
+    rename=_LIMIT_KEYS_BY_FIELD.get,
+):
+    """Reports and grants of many teams to one node.
+
+    The fields are those of :class:`LimitReport` and :class:`LimitGrant`.
+    """
+
+    sender: identifiers.NodeName
+    incarnation: identifiers.Incarnation
+    sequence: int = 0
+    lease_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT_LEASE_MS)] = 0
+    keeper_seen: str = ""
+    uses: list[LimitUse] = []
+    holder_incarnation: identifiers.Incarnation = identifiers.Incarnation("")
+    allowances: list[LimitAllowance] = []
+
+
 class ConfigurationAsk(msgspec.Struct, frozen=True, kw_only=True, tag="configuration_ask"):
     """Asks for the configuration when the peer's offset is higher, and for a list of VMs."""
 
@@ -263,8 +317,7 @@
     | HandoverKept
     | Heartbeat
     | TargetLeaving
-    | LimitReport
-    | LimitGrant
+    | LimitBatch
     | ConfigurationAsk
     | ConfigurationChunk
     | ListingReply
--- /dev/null
+++ b/packages/kernel/tests/test_limit_budgets.py
@@ -0,0 +1,89 @@
+"""The bytes that limits of teams may take, at the number of nodes and teams of the target."""
+
+import datetime
+import random
+
+import limited_domains
+import pytest
+
+from chiveridge_kernel import clocks, events, kernels, limit_outboxes, vms
+
+CONTROL_BYTES_PER_SECOND = 3000
+HEARTBEAT_BYTES_PER_SECOND = 2600
+NODES = 18
+TEAMS = 160
+WARM_UP_STEPS = 600
+MEASURED_STEPS = 600
+SUBMITTED_EACH_STEP = 6
+
+
+@pytest.fixture
+def names() -> tuple[str, ...]:
+    return tuple(f"ikeja-e{number:02}" for number in range(1, NODES + 1))
+
+
+class BusyDomain:
+    """Every team has work at every node all the time; tasks end and others are submitted."""
+
+    def __init__(self, names: tuple[str, ...]):
+        self.rng = random.Random(5)
+        self.domain = limited_domains.Domain(names)
+        self.nodes = list(self.domain.nodes_by_name.values())
+        self.started = 0
+        for node in self.nodes:
+            for number in range(TEAMS):
+                node.submit(4, team=f"service-{number:03}")
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            for _ in range(SUBMITTED_EACH_STEP):
+                self.replace_one(self.rng.choice(self.nodes))
+            self.domain.advance(1)
+
+    def replace_one(self, node: limited_domains.Node) -> None:
+        if node.running:
+            self.started += 1
+            index = self.rng.randrange(len(node.running))
+            team = node.running[index].job.team
+            node.end(index)
+            node.submit(1, team=team)
+
+
+def test_limits_of_160_busy_teams_stay_within_the_bytes_of_control(names):
+    busy = BusyDomain(names)
+    busy.run(WARM_UP_STEPS)
+    busy.domain.sent_bytes_by_name.clear()
+    busy.started = 0
+    busy.run(MEASURED_STEPS)
+    seconds = MEASURED_STEPS * limited_domains.STEP.total_seconds()
+    most = max(busy.domain.sent_bytes_by_name.values()) / seconds
+    assert most + HEARTBEAT_BYTES_PER_SECOND <= CONTROL_BYTES_PER_SECOND
+    # The limits are used nevertheless.
+    assert busy.domain.running() >= 0.95 * TEAMS * limited_domains.LIMIT
+    assert busy.started > MEASURED_STEPS * SUBMITTED_EACH_STEP / 2
+
+
+def test_a_kernel_leaves_to_limits_what_heartbeats_do_not_take(names):
+    settings = kernels.KernelSettings(
+        node=names[0], domain="ikeja", incarnation="a", secret=b"s" * 32
+    )
+    kernel = kernels.Kernel(settings, random.Random(1))
+    listing = vms.VmList(1, [limited_domains.entry(name) for name in names])
+    kernel.handle(events.VmsListed(listing=listing), clocks.EPOCH)
+    left = kernel.dispatcher.limiter.bytes_per_second
+    assert 0 < left <= CONTROL_BYTES_PER_SECOND - HEARTBEAT_BYTES_PER_SECOND
+
+
+def test_peers_get_their_turns_in_order_when_the_budget_is_short():
+    outbox = limit_outboxes.Outbox()
+    outbox.bytes_per_second = 100
+    for name in ("e1", "e2", "e1"):
+        outbox.add_report(name, limited_domains.TEAM)
+    assert outbox.take(clocks.EPOCH)[0] == "e1"
+    outbox.spend(limit_outboxes.BURST_BYTES + 100)
+    outbox.add_report("e1", limited_domains.TEAM)
+    assert outbox.take(clocks.EPOCH) is None
+    due = outbox.next_at()
+    assert due - clocks.EPOCH >= datetime.timedelta(seconds=1)
+    assert [outbox.take(due)[0], outbox.take(due)[0]] == ["e2", "e1"]
+    assert outbox.next_at() is None
--- a/tests/plugins/limited_domains.py
+++ b/tests/plugins/limited_domains.py
@@ -8,7 +8,9 @@
 from chiveridge_kernel import (
     actions,
     clocks,
+    heartbeats,
     jobs,
+    limit_outboxes,
     limits,
     members,
     messages,
@@ -38,21 +40,24 @@
         self.running: list[jobs.Task] = []
         self.domain = domain
         self.table = members.MemberTable(name, "ikeja")
-        self.see(NAMES)
+        self.see(domain.names)
         self.limiter = limits.Limiter(self.table, incarnation, self._send)
         self.limiter.limit_of = lambda team: domain.limit
+        self.limiter.bytes_per_second = domain.bytes_for_limits()
 
     def see(self, names) -> None:
         self.table.replace(vms.VmList(1, [entry(name) for name in names]), self.domain.now())
 
     def _send(self, action: actions.SendToPeer) -> None:
-        message = peers.decode(peers.encode(action.message))
+        data = peers.encode(action.message)
+        self.domain.sent_bytes_by_name[self.name] += len(data) + heartbeats.WIRE_BYTES_PER_MESSAGE
+        message = peers.decode(data)
         self.domain.network.append((self.name, action.peer.name, message))
 
-    def submit(self, count: int) -> jobs.Job:
+    def submit(self, count: int, team: str = TEAM) -> jobs.Job:
         tasks = [messages.TaskSpec(body=msgspec.Raw(b"null"))] * count
         submission = messages.Submission(submission_id="id", tasks=tasks)
-        job = jobs.Job(TEAM, submission, reaches.Candidates(()), self.domain.now())
+        job = jobs.Job(team, submission, reaches.Candidates(()), self.domain.now())
         self.limiter.hold(job, self.domain.now())
         self.place(job)
         self.pump()
@@ -75,25 +80,37 @@
         self.pump()
 
     def take(self, message: peers.PeerMessage) -> None:
-        if isinstance(message, peers.LimitReport):
-            self.limiter.take_report(message, self.domain.now())
-        else:
-            self.limiter.take_grant(message)
+        self.limiter.take_batch(message, self.domain.now())
         self.pump()
 
 
 class Domain:
-    """Nodes of a domain with one limited team and a network that the test holds."""
+    """Nodes of a domain with limited teams and a network that the test holds."""
 
-    def __init__(self):
+    def __init__(self, names: tuple[str, ...] = NAMES):
+        self.names = names
         self.clock = clocks.ManualClock()
         self.limit: int | None = LIMIT
         self.network: collections.deque = collections.deque()
-        self.nodes_by_name = {name: Node(name, "a", self) for name in NAMES}
+        self.sent_bytes_by_name: collections.Counter = collections.Counter()
+        self.nodes_by_name = {name: Node(name, "a", self) for name in names}
 
     def now(self) -> datetime.datetime:
         return self.clock.now()
 
+    def heartbeat_interval(self) -> datetime.timedelta:
+        """Return the interval at which the kernel paces heartbeats."""
+        settings = heartbeats.HeartbeatSettings()
+        size = heartbeats.HEARTBEAT_BYTES + heartbeats.WIRE_BYTES_PER_MESSAGE
+        outside = heartbeats.WIRE_BYTES_PER_CONTACT / heartbeats.ROUNDS_PER_OUTSIDE_PARTNER
+        round_bytes = (len(self.names) - 1) * size + outside
+        seconds = round_bytes / settings.bytes_per_second
+        return max(settings.interval, datetime.timedelta(seconds=seconds))
+
+    def bytes_for_limits(self) -> float:
+        partners = len(self.names) - 1
+        return limit_outboxes.left_by_heartbeats(partners, self.heartbeat_interval())
+
     def running(self) -> int:
         return sum(len(node.running) for node in self.nodes_by_name.values())
 
