Say not_run of a refused submission whose unused id this node issued

Cause: a bad key or a bad wait_ms on a submission was answered with unknown though nothing had run, as neither is checked against the ledger. Change: where this incarnation issued the id to the team that the key names and nothing was submitted under it, the id is used up and the refusal says not_run; so it does for a body without an id. Used, foreign and expired ids stay unknown. Ruled out: not_run without using up the id (a copy may be accepted by a node whose configuration is newer), and asking the issuer on behalf of a caller without a key.

--- a/packages/kernel/chiveridge_kernel/admissions.py
+++ b/packages/kernel/chiveridge_kernel/admissions.py
@@ -112,6 +112,28 @@
             del self._digests_by_running_id[submission_id]
             raise
 
+    def refuse_unused(
+        self,
+        submission_id: identifiers.SubmissionId,
+        team: identifiers.TeamName,
+        code: results.ResultCode,
+        now: datetime.datetime,
+    ) -> results.TaskOutcome:
+        """Use up an id whose submission is refused before it is looked at.
+
+        Return ``NOT_RUN`` when this proves that nothing ran under the id and nothing will, and
+        ``UNKNOWN`` when the id was admitted, has expired, or was not issued to the team here.
+        """
+        try:
+            serial = self._check_issued(submission_id, team, now)
+        except errors.RefusedError:
+            return results.TaskOutcome.UNKNOWN
+        if self._ledger.is_admitted(serial):
+            return results.TaskOutcome.UNKNOWN
+        if self._ledger.refusal(serial) is None:
+            self._ledger.refuse(serial, code)
+        return results.TaskOutcome.NOT_RUN
+
     def forget_expired(self, now: datetime.datetime) -> None:
         """Forget ids that can no longer be used."""
         self._ledger.forget_expired(clocks.to_epoch_ms(now))
--- a/packages/kernel/chiveridge_kernel/messages.py
+++ b/packages/kernel/chiveridge_kernel/messages.py
@@ -98,6 +98,11 @@
     expires_at_ms: int
 
 
+class _Named(msgspec.Struct):
+    submission_id: identifiers.SubmissionId
+
+
+_named_decoder = msgspec.json.Decoder(_Named)
 _submission_decoder = msgspec.json.Decoder(Submission)
 _ids_decoder = msgspec.json.Decoder(IdsRequest)
 encoder = msgspec.json.Encoder()
@@ -118,6 +123,14 @@
     return submission
 
 
+def submission_id_in(body: bytes) -> identifiers.SubmissionId | None:
+    """Return the id that a body names, valid or not, or None when no node could find one."""
+    try:
+        return _named_decoder.decode(body).submission_id
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+
+
 def decode_ids_request(body: bytes) -> IdsRequest:
     """Decode and check a request for submission ids; an empty body asks for one."""
     return _decode(_ids_decoder, body or b"{}")
--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -57,14 +57,30 @@
         self._http = http
 
     async def on_post(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
-        team = self._http.authenticate(req)
         body = await _read_body(req)
+        team = self._authenticate(req, body)
         submission_id = messages.decode_submission(body).submission_id
+        wait_ms = self._wait_ms(req, team, body)
         reply = await self._http.requests.perform(
-            peers.Operation.SUBMIT, team, submission_id, body, _wait_ms(req)
+            peers.Operation.SUBMIT, team, submission_id, body, wait_ms
         )
         _write(resp, reply)
 
+    def _authenticate(self, req: falcon.asgi.Request, body: bytes) -> identifiers.TeamName:
+        try:
+            return self._http.authenticate(req)
+        except errors.RefusedError as error:
+            if error.code is not results.ResultCode.BAD_CREDENTIALS:
+                raise
+            team = _credential(req).partition(".")[0]
+            raise self._http.requests.refuse_unused(error, team, body) from error
+
+    def _wait_ms(self, req: falcon.asgi.Request, team: identifiers.TeamName, body: bytes) -> int:
+        try:
+            return _wait_ms(req)
+        except errors.RefusedError as error:
+            raise self._http.requests.refuse_unused(error, team, body) from error
+
 
 class _JobResource:
     def __init__(self, http: "HttpCallers"):
@@ -189,9 +205,8 @@
             message = "this node has no configuration yet; ask another node"
             code = results.ResultCode.NOT_READY
             raise errors.RefusedError(code, message, jobchecks.RETRY_AFTER_MS, ran)
-        scheme, _, credential = (req.auth or "").partition(" ")
-        team = self.node.kernel.configuration.authenticate(credential.strip())
-        if scheme.lower() != "bearer" or team is None:
+        team = self.node.kernel.configuration.authenticate(_credential(req))
+        if team is None:
             message = "Authorization: no team has this key"
             raise errors.RefusedError(results.ResultCode.BAD_CREDENTIALS, message, ran=ran)
         return team
@@ -233,6 +248,12 @@
     return body
 
 
+def _credential(req: falcon.asgi.Request) -> str:
+    """Return the credential that a request bears, or an empty text."""
+    scheme, _, credential = (req.auth or "").partition(" ")
+    return credential.strip() if scheme.lower() == "bearer" else ""
+
+
 def _wait_ms(req: falcon.asgi.Request) -> int:
     text = req.get_param("wait_ms", default="0")
     if not _WAIT_PATTERN.fullmatch(text) or int(text) > requests.MAX_WAIT_MS:
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -59,6 +59,22 @@
             return refused(error)
         return Reply(code=answer.code, body=messages.encoder.encode(answer))
 
+    def refuse_unused(
+        self, error: errors.RefusedError, team: str, body: bytes
+    ) -> errors.RefusedError:
+        """Return the refusal of a submission that is not looked at, with what can be proved.
+
+        The id that the body names is used up where this incarnation issued it to the team, so
+        that a copy of the request which is sent correctly gets the same refusal.
+        """
+        submission_id = messages.submission_id_in(body)
+        ran = results.TaskOutcome.NOT_RUN
+        if submission_id is not None:
+            now = self._shell.clock.now()
+            name = identifiers.TeamName(team)
+            ran = self._kernel.admissions.refuse_unused(submission_id, name, error.code, now)
+        return errors.RefusedError(error.code, error.message, error.retry_after_ms, ran)
+
     async def perform(
         self,
         operation: peers.Operation,
--- a/packages/node/tests/test_callers_http.py
+++ b/packages/node/tests/test_callers_http.py
@@ -163,6 +163,65 @@
     assert "Authorization" in check_refused(reply, Code.BAD_CREDENTIALS)
 
 
+REFUSED_AT_THE_EDGE = {
+    Code.BAD_CREDENTIALS: {"credential": "desk.wrong"},
+    Code.INVALID_FIELD: {"path": "/v1/jobs?wait_ms=x"},
+}
+
+
+@pytest.mark.promise("honest_refusal")
+@pytest.mark.parametrize("code", REFUSED_AT_THE_EDGE)
+def test_a_refusal_at_the_edge_uses_up_an_unused_id_and_says_not_run(edge, code):
+    submission_id = edge.new_id()
+    refused = edge.submit(submission_id=submission_id, **REFUSED_AT_THE_EDGE[code])
+    check_refused(refused, code)
+    assert refused.content["ran"] == "not_run"
+    again = edge.submit(submission_id=submission_id)
+    check_refused(again, code)
+    assert again.content["ran"] == "not_run"
+    assert edge.targets.started == 0
+
+
+@pytest.mark.promise("honest_refusal")
+@pytest.mark.parametrize("code", REFUSED_AT_THE_EDGE)
+def test_a_refusal_at_the_edge_says_unknown_of_what_ran_or_cannot_be_known(edge, code):
+    fields = REFUSED_AT_THE_EDGE[code]
+    used = edge.new_id()
+    assert edge.submit(submission_id=used).code is Code.COMPLETE
+    edge.targets.started = 0
+    theirs = edge.new_id("registry.secret-of-registry")
+    issued_elsewhere = edge.new_id().replace("ikeja-e1", "ikeja-e2")
+    earlier_incarnation = "ikeja-e1~0~99999999999999~1~0123"
+    for submission_id in (used, theirs, issued_elsewhere, earlier_incarnation, "x"):
+        refused = edge.submit(submission_id=submission_id, **fields)
+        check_refused(refused, code)
+        assert refused.content["ran"] == "unknown"
+    assert edge.submit("registry.secret-of-registry", submission_id=theirs).code is Code.COMPLETE
+    edge.targets.started = 0
+
+
+@pytest.mark.promise("honest_refusal")
+@pytest.mark.parametrize("body", [b"", b"{", b"{}", b'{"submission_id": 1}', b"[]"])
+def test_a_bad_key_on_a_body_without_an_id_says_not_run(edge, body):
+    refused = edge.request("POST", "/v1/jobs", body, credential="desk.wrong")
+    check_refused(refused, Code.BAD_CREDENTIALS)
+    assert refused.content["ran"] == "not_run"
+
+
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+def test_a_bad_key_or_wait_on_a_question_says_unknown_and_uses_up_nothing(edge, method):
+    submission_id = edge.new_id()
+    path = f"/v1/jobs/{submission_id}"
+    for refused in (
+        edge.request(method, path, credential="desk.wrong"),
+        edge.request(method, f"{path}?wait_ms=x"),
+    ):
+        check_refused(refused, Code.BAD_CREDENTIALS, Code.INVALID_FIELD)
+        assert refused.content["ran"] == "unknown"
+    assert edge.submit(submission_id=submission_id).code is Code.COMPLETE
+    edge.targets.started = 0
+
+
 @fuzz
 @hypothesis.given(data=strategies.data())
 def test_a_forged_id(edge, data):
