Tell not_run of starts that wait for a connection when their job ends

Cause: tasks whose start was decided but not sent were told as unknown when their job failed, was cancelled or expired, and their targets got a needless stop. Change: the targets adapter tells the kernel when a start waits for a connection and when it gets one, just before the first byte; the kernel withdraws those that wait. Ruled out: answers that wait for the adapter, and an event for each start. The fake shell of test_targets_http.py keeps the new events apart from outcomes; no expectation was changed.

--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -99,6 +99,7 @@
         task.target = vm
         task.attempts += 1
         task.started_at = now
+        task.is_unsent = False
         task.start_before = min(job.deadline, now + START_WINDOW)
         if job.first_start_at is None:
             job.first_start_at = now
@@ -140,6 +141,12 @@
         """Tell whether the outcome of a start is still wanted."""
         return lease_id in self._tasks_by_lease
 
+    def note_unsent(self, lease_id: identifiers.LeaseId, *, is_unsent: bool) -> None:
+        """Learn that a start waits for a connection, or that it waits no longer."""
+        task = self._tasks_by_lease.get(lease_id)
+        if task is not None:
+            task.is_unsent = is_unsent
+
     def cancel(self, submission_id: identifiers.SubmissionId, now: datetime.datetime) -> None:
         """Cancel a running job; one that has ended keeps its answer."""
         job = self.jobs_by_id.get(submission_id)
@@ -152,8 +159,11 @@
         """End a job as failed: start nothing more of it and stop what runs."""
         self._start_no_more(job, now)
         for task in job.running_tasks():
-            self.outbox.append(actions.StopTask(lease_id=task.lease_id, target=task.target))
-            self._release(task, None, now)
+            if task.is_unsent:
+                self._take_back(task, now)
+            else:
+                self.outbox.append(actions.StopTask(lease_id=task.lease_id, target=task.target))
+                self._release(task, None, now)
             task.signal(jobs.TaskSignal.GIVE_UP)
         self._end(job, results.JobState.FAILED, code, message, now)
 
@@ -201,6 +211,13 @@
         self.policy.job_ended(job, now)
         self._end_if_revoked(job, now)
 
+    def _take_back(self, task: jobs.Task, now: datetime.datetime) -> None:
+        """Withdraw a start of which nothing was sent."""
+        self.outbox.append(actions.WithdrawStart(lease_id=task.lease_id))
+        self._release(task, None, now)
+        task.signal(jobs.TaskSignal.NOT_STARTED)
+        task.target = None
+
     def _give_up_revoked(self, task: jobs.Task) -> None:
         task.signal(jobs.TaskSignal.GIVE_UP)
         task.job.unfinished -= 1
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -63,6 +63,18 @@
     asked: bool = False
 
 
+class StartDelayed(msgspec.Struct, frozen=True, kw_only=True):
+    """A start waits for a connection; nothing of it is sent before :class:`StartSent` is told."""
+
+    lease_id: identifiers.LeaseId
+
+
+class StartSent(msgspec.Struct, frozen=True, kw_only=True):
+    """A start that was delayed has a connection and is about to be sent."""
+
+    lease_id: identifiers.LeaseId
+
+
 class RecordsRead(msgspec.Struct, frozen=True, kw_only=True):
     """A successful read of the configuration stream, also when there was no record.
 
@@ -123,6 +135,8 @@
     SubmissionReceived
     | CancelReceived
     | LeaseReported
+    | StartDelayed
+    | StartSent
     | RecordsRead
     | RecordsExpired
     | VmsListed
--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -38,6 +38,16 @@
     kernel.dispatcher.report(event, now)
 
 
+@handle.register(events.StartDelayed)
+def _(event: events.StartDelayed, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.dispatcher.note_unsent(event.lease_id, is_unsent=True)
+
+
+@handle.register(events.StartSent)
+def _(event: events.StartSent, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.dispatcher.note_unsent(event.lease_id, is_unsent=False)
+
+
 @handle.register(events.RecordsRead)
 def _(event: events.RecordsRead, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.catch_up.log_read_at = now
--- a/packages/kernel/chiveridge_kernel/jobs.py
+++ b/packages/kernel/chiveridge_kernel/jobs.py
@@ -56,8 +56,8 @@
 class Task:
     """One task of a job and the start it holds.
 
-    ``is_cut`` tells that the connection of the start was lost, ``is_asked`` that a question
-    about it is on its way.
+    ``is_unsent`` tells that the start is known to wait for a connection, ``is_cut`` that its
+    connection was lost, ``is_asked`` that a question about it is on its way.
     """
 
     __slots__ = (
@@ -66,6 +66,7 @@
         "is_counted",
         "is_asked",
         "is_cut",
+        "is_unsent",
         "job",
         "lease_id",
         "lost_asks",
@@ -90,6 +91,7 @@
         self.lost_asks = 0
         self.is_asked = False
         self.is_cut = False
+        self.is_unsent = False
         self.probe_delay = datetime.timedelta()
         self.lease_id: identifiers.LeaseId | None = None
         self.target: vms.Vm | None = None
--- /dev/null
+++ b/packages/kernel/tests/test_unsent_starts.py
@@ -0,0 +1,81 @@
+"""Starts that still wait in the node for a connection when their job ends."""
+
+import pytest
+
+from chiveridge_kernel import actions, events, results
+
+LEASE = events.LeaseOutcome
+OUTCOME = results.TaskOutcome
+
+
+def delay(driven, lease_id: str) -> None:
+    driven.handle(events.StartDelayed(lease_id=lease_id))
+
+
+def outcomes(driven) -> list[OUTCOME]:
+    return [task.outcome for task in driven.answer().tasks]
+
+
+def end_by_cancel(driven, submission_id: str) -> None:
+    driven.cancel(submission_id)
+
+
+def end_by_deadline(driven, submission_id: str) -> None:
+    driven.advance(60_000)
+
+
+def end_by_failure(driven, submission_id: str) -> None:
+    driven.report(driven.starts()[0].lease_id, LEASE.FAILED)
+
+
+def end_by_force(driven, submission_id: str) -> None:
+    driven.handle(events.DrainRequested(forced=True))
+
+
+ENDS = [end_by_cancel, end_by_deadline, end_by_failure, end_by_force]
+
+
+@pytest.mark.promise("honest_refusal")
+@pytest.mark.parametrize("end", ENDS)
+def test_a_start_that_waits_for_a_connection_is_taken_back_as_not_run(driven, end):
+    submission_id = driven.submit(count=3)
+    sent, waiting, was_waiting = [start.lease_id for start in driven.starts()]
+    delay(driven, waiting)
+    delay(driven, was_waiting)
+    driven.handle(events.StartSent(lease_id=was_waiting))
+    end(driven, submission_id)
+    first = OUTCOME.RAN if end is end_by_failure else OUTCOME.UNKNOWN
+    assert outcomes(driven) == [first, OUTCOME.NOT_RUN, OUTCOME.UNKNOWN]
+    assert [found.lease_id for found in driven.of(actions.WithdrawStart)] == [waiting]
+    assert waiting not in [stop.lease_id for stop in driven.of(actions.StopTask)]
+
+
+@pytest.mark.promise("honest_refusal")
+def test_a_job_of_which_nothing_was_sent_may_be_resubmitted(driven):
+    submission_id = driven.submit(count=2)
+    for start in driven.starts():
+        delay(driven, start.lease_id)
+    driven.cancel(submission_id)
+    assert outcomes(driven) == [OUTCOME.NOT_RUN] * 2
+    assert driven.answer().may_resubmit
+
+
+@pytest.mark.promise("honest_refusal")
+def test_another_start_of_the_task_does_not_count_as_waiting(driven):
+    submission_id = driven.submit()
+    first = driven.starts()[0].lease_id
+    delay(driven, first)
+    driven.report(first, LEASE.REFUSED)
+    assert len(driven.starts()) == 2
+    driven.cancel(submission_id)
+    assert outcomes(driven) == [OUTCOME.UNKNOWN]
+
+
+def test_late_word_of_a_start_changes_nothing(driven):
+    submission_id = driven.submit()
+    lease_id = driven.starts()[0].lease_id
+    driven.cancel(submission_id)
+    delay(driven, lease_id)
+    driven.handle(events.StartSent(lease_id=lease_id))
+    assert outcomes(driven) == [OUTCOME.UNKNOWN]
+    assert len(driven.starts()) == 1
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -42,8 +42,11 @@
 class Sending(msgspec.Struct):
     """A start on its way; ``sent_at`` is set when it is given to a connection."""
 
+    lease_id: identifiers.LeaseId
     start_before: datetime.datetime
     sent_at: datetime.datetime | None = None
+    is_delayed: bool = False
+    is_withdrawn: bool = False
 
 
 class StartTooLateError(Exception):
@@ -114,7 +117,7 @@
         """Send a start; its outcome is reported when the target replies."""
         task = asyncio.get_running_loop().create_task(self._start(action))
         self._tasks_by_lease[action.lease_id] = task
-        self._sendings_by_lease[action.lease_id] = Sending(action.start_before)
+        self._sendings_by_lease[action.lease_id] = Sending(action.lease_id, action.start_before)
         task.add_done_callback(lambda _: self._forget(action.lease_id))
 
     def ask(self, action: actions.AskOutcome) -> None:
@@ -141,6 +144,7 @@
         sending = self._sendings_by_lease.get(action.lease_id)
         if sending is None or sending.sent_at is not None:
             return
+        sending.is_withdrawn = True
         self._abandon(action.lease_id)
         reply = LeaseReply(events.LeaseOutcome.REFUSED, reason=actions.WITHDRAWN)
         # The kernel is handling an event now, so that the report has to wait for its end.
@@ -235,17 +239,35 @@
         )
 
     def _trace_config(self) -> aiohttp.TraceConfig:
-        """Check the start limit once a connection is at hand, just before the first byte."""
+        """Tell of starts that wait, and check them just before the first byte."""
 
-        async def check(session, context, params) -> None:
-            self._check_start_limit(context.trace_request_ctx)
-            context.trace_request_ctx.sent_at = self._shell.clock.now()
+        async def delayed(session, context, params) -> None:
+            self._note_delayed(context.trace_request_ctx)
+
+        async def connected(session, context, params) -> None:
+            self._note_connected(context.trace_request_ctx)
 
         trace = aiohttp.TraceConfig()
-        trace.on_connection_create_end.append(check)
-        trace.on_connection_reuseconn.append(check)
+        trace.on_connection_queued_start.append(delayed)
+        trace.on_connection_create_start.append(delayed)
+        trace.on_connection_create_end.append(connected)
+        trace.on_connection_reuseconn.append(connected)
         return trace
 
+    def _note_delayed(self, sending: Sending) -> None:
+        if not sending.is_delayed:
+            sending.is_delayed = True
+            self._shell.handle_safely(events.StartDelayed(lease_id=sending.lease_id))
+
+    def _note_connected(self, sending: Sending) -> None:
+        self._check_start_limit(sending)
+        if sending.is_delayed:
+            # This may make the kernel withdraw the start, so it goes before it counts as sent.
+            self._shell.handle_safely(events.StartSent(lease_id=sending.lease_id))
+        if sending.is_withdrawn:
+            raise asyncio.CancelledError
+        sending.sent_at = self._shell.clock.now()
+
     def _check_start_limit(self, sending: Sending) -> None:
         if self._shell.clock.now() >= sending.start_before:
             raise StartTooLateError
--- a/packages/node/tests/test_targets_http.py
+++ b/packages/node/tests/test_targets_http.py
@@ -19,12 +19,19 @@
     def __init__(self):
         self.clock = clocks.ManualClock(NOW)
         self.reports = asyncio.Queue()
+        self.sending = []
+        self.on_sending = lambda event: None
 
     def perform_with(self, action_type, performer):
         """Need no performers: the tests call them."""
 
     def handle_safely(self, event):
-        self.reports.put_nowait(event)
+        """Keep outcomes and word of sending apart, as most tests look at outcomes."""
+        if isinstance(event, events.LeaseReported):
+            self.reports.put_nowait(event)
+            return
+        self.sending.append(event)
+        self.on_sending(event)
 
 
 class FakeTarget:
@@ -214,3 +221,78 @@
     assert (found.outcome, found.asked) == (events.LeaseOutcome.SUCCEEDED, True)
     assert shell.reports.empty()
     assert target.requests == ["GET /v1/leases/first?wait_ms=0 HTTP/1.1"]
+
+
+def narrow_adapter(shell):
+    """Return an adapter with one connection to a target."""
+    section = settings.TargetsSection(connections_per_target=1)
+    fake_node = types.SimpleNamespace(shell=shell, settings=types.SimpleNamespace(targets=section))
+    return targets_http.HttpTargets(fake_node)
+
+
+async def test_a_start_tells_that_it_waits_and_when_it_is_sent(shell):
+    adapter = narrow_adapter(shell)
+    await adapter.open()
+    target = FakeTarget(answers_left=3)
+    async with serving(target) as vm:
+        for lease_id in ("first", "second", "third"):
+            adapter.start(start_of(vm, lease_id))
+            assert (await report(shell)).outcome is events.LeaseOutcome.SUCCEEDED
+            if lease_id == "first":
+                shell.sending.clear()
+        assert shell.sending == []
+        target.replying.clear()
+        target._answers_left = 2
+        adapter.start(start_of(vm, "fourth"))
+        adapter.start(start_of(vm, "fifth"))
+        while len(target.requests) < 4:
+            await asyncio.sleep(0)
+        assert shell.sending == [events.StartDelayed(lease_id="fifth")]
+        target.replying.set()
+        await report(shell)
+        await report(shell)
+    assert shell.sending[-1] == events.StartSent(lease_id="fifth")
+    await adapter.close()
+
+
+@pytest.mark.promise("honest_refusal")
+async def test_a_start_withdrawn_while_it_waits_for_a_connection_is_never_sent(shell):
+    adapter = narrow_adapter(shell)
+    await adapter.open()
+    target = FakeTarget(answers_left=2)
+    target.replying.clear()
+    async with serving(target) as vm:
+        adapter.start(start_of(vm, "first"))
+        adapter.start(start_of(vm, "second"))
+        await target.received.wait()
+        assert events.StartDelayed(lease_id="second") in shell.sending
+        adapter.withdraw(actions.WithdrawStart(lease_id="second"))
+        target.replying.set()
+        found = {found.lease_id: found.outcome for found in [await report(shell) for _ in "12"]}
+        assert found["second"] is events.LeaseOutcome.REFUSED
+        adapter.start(start_of(vm, "third"))
+        await report(shell)
+    await adapter.close()
+    assert [request.split()[1] for request in target.requests] == [
+        "/v1/leases/first",
+        "/v1/leases/third",
+    ]
+
+
+@pytest.mark.promise("honest_refusal")
+async def test_a_start_withdrawn_in_answer_to_its_word_of_sending_is_never_sent(adapter, shell):
+    """The kernel may find a deadline passed at the very moment that a connection is at hand."""
+
+    def withdraw(event):
+        if isinstance(event, events.StartSent):
+            adapter.withdraw(actions.WithdrawStart(lease_id=event.lease_id))
+
+    shell.on_sending = withdraw
+    target = FakeTarget()
+    async with serving(target) as vm:
+        adapter.start(start_of(vm, "first"))
+        assert (await report(shell)).outcome is events.LeaseOutcome.REFUSED
+        shell.on_sending = lambda event: None
+        adapter.start(start_of(vm, "second"))
+        assert (await report(shell)).outcome is events.LeaseOutcome.SUCCEEDED
+    assert [request.split()[1] for request in target.requests] == ["/v1/leases/second"]
