Take another id in the client after a refusal that is final for its id

Cause: the client sent a job refused for now (OVERLOADED, QUOTA_EXCEEDED, NOT_READY) again under the same id, which gets the same refusal from the ledger each time. Change: submit takes another id after the time that the node asked for, at most five a job and within the deadline, unless retry_refused=False; resubmit, which is bound to its id, raises at once. As the ledger finds an admitted job before it refuses, the refusal is proof after a lost reply too.

--- a/packages/client/chiveridge_client/calls.py
+++ b/packages/client/chiveridge_client/calls.py
@@ -18,7 +18,7 @@
         results.ResultCode.ISSUER_UNREACHABLE,
     }
 )
-"""Codes after which the same request may be accepted."""
+"""Codes after which the job may be accepted later, under another id where :data:`PROOFS` say so."""
 
 ID_UNUSABLE = frozenset(
     {
@@ -43,8 +43,19 @@
 """Codes of final refusals: the request started nothing, though an earlier one may have."""
 
 
-PROOFS = frozenset({results.ResultCode.DRAINING, results.ResultCode.ISSUER_GONE})
-"""Codes that, with ``not_run``, say that no attempt under the id ever started anything or will."""
+PROOFS = frozenset(
+    {
+        results.ResultCode.OVERLOADED,
+        results.ResultCode.QUOTA_EXCEEDED,
+        results.ResultCode.DRAINING,
+        results.ResultCode.NOT_READY,
+        results.ResultCode.ISSUER_GONE,
+    }
+)
+"""Codes that, with ``not_run``, say that no attempt under the id ever started anything or will.
+
+They are final: the id gets the same refusal whenever it is sent again.
+"""
 
 
 class Call(msgspec.Struct, kw_only=True):
@@ -145,8 +156,13 @@
     return error
 
 
+def may_use_another_id(error: errors.RefusedError) -> bool:
+    """Tell whether a job that was refused for good under one id may be accepted under another."""
+    return error.code in ID_UNUSABLE or (error.code in REFUSED_FOR_NOW and _is_proof(error))
+
+
 def _may_retry(call: Call, error: errors.RefusedError) -> bool:
-    if error.code in ID_UNUSABLE and (_is_proof(error) or not call.may_have_started):
+    if _is_proof(error) or (error.code in ID_UNUSABLE and not call.may_have_started):
         return False
     return error.code in REFUSED_FOR_NOW and call.refusals <= MAX_REFUSALS
 
--- a/packages/client/chiveridge_client/clients.py
+++ b/packages/client/chiveridge_client/clients.py
@@ -17,7 +17,7 @@
 MAX_POLL = datetime.timedelta(seconds=2)
 """Longest wait asked of a node in one request; it bounds the time lost to a silent connection."""
 
-MAX_IDS_PER_JOB = 3
+MAX_IDS_PER_JOB = 5
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta(0)
@@ -71,19 +71,22 @@
         deadline: datetime.timedelta = DEFAULT_DEADLINE,
         idempotent: bool = False,
         wait: datetime.timedelta | None = None,
+        retry_refused: bool = True,
     ) -> messages.JobAnswer:
         """Submit a job under a new submission id and return its answer.
 
         When the job still runs after ``wait`` (until the deadline when ``None``) its state is
         returned. A lost reply is fetched again under the same id. Another id is taken only when
-        the first can't be used any more, nothing ran under it and no reply was lost.
+        the first can't be used any more and nothing ran under it. With ``retry_refused`` this
+        includes refusals for now, after the time that the node asked for: a refusal is final for
+        its id.
 
         :raises errors.RefusedError: when the job was refused.
         :raises errors.UnreachableError: when no request reached a node; nothing ran.
         :raises errors.OutcomeUnknownError: when no answer arrived by the deadline.
         """
         until = self._clock.elapsed() + deadline
-        for ids_left in reversed(range(MAX_IDS_PER_JOB)):
+        for attempt in range(MAX_IDS_PER_JOB):
             held = await self._ids.take(deadline, until)
             remaining = max(until - self._clock.elapsed(), _MILLISECOND)
             submission = messages.Submission(
@@ -96,10 +99,26 @@
             try:
                 return await self._settle(self._submission_call(submission, wait, held.url))
             except errors.RefusedError as error:
-                if error.code not in calls.ID_UNUSABLE or not ids_left:
+                is_last = attempt == MAX_IDS_PER_JOB - 1
+                if is_last or not calls.may_use_another_id(error):
                     raise
+                if error.code not in calls.ID_UNUSABLE:
+                    await self._wait_after_refusal(error, attempt, until, retry_refused)
         raise AssertionError("the loop returns or raises")
 
+    async def _wait_after_refusal(
+        self,
+        error: errors.RefusedError,
+        attempt: int,
+        until: datetime.timedelta,
+        retry_refused: bool,
+    ) -> None:
+        """Sleep before the job is sent under another id, or raise the refusal."""
+        delay = backoffs.delay_after(error.retry_after, attempt, self._rng)
+        if not retry_refused or self._clock.elapsed() + delay >= until:
+            raise error
+        await self._clock.sleep(delay)
+
     async def resubmit(
         self, submission: messages.Submission, *, wait: datetime.timedelta | None = None
     ) -> messages.JobAnswer:
