Check the relations between settings at start

Cause: values that are valid alone were accepted where they defeat each other, such as a request_timeout_ms that cuts off every idle read, or a list of VMs read so seldom that a leaving target is noticed after more than 3 s. Change: setting_relations.py holds them; they are listed with all other problems, by section and key, also when other keys of the section are bad. The bound of vms_interval_ms is 2500. Looked at and left: bytes_per_second (limits of teams keep a least share) and seeds.

--- /dev/null
+++ b/packages/node/chiveridge_node/setting_relations.py
@@ -0,0 +1,127 @@
+"""Relations that must hold between the settings of a node."""
+
+import operator
+from collections.abc import Callable, Iterator, Mapping
+
+import msgspec
+
+from chiveridge_kernel import clocks, dispatchers, handovers, members, targets
+
+Holds = Callable[[int, int], bool]
+Values = Mapping[str, object]
+
+MAX_IDLE_MS = int(clocks.to_ms(targets.SILENT_BACKOFF))
+START_WINDOW_MS = int(clocks.to_ms(dispatchers.START_WINDOW))
+MIN_LINGER_MS = int(clocks.to_ms(handovers.OTHERS_LINGER))
+FORGET_AFTER_MS = int(clocks.to_ms(members.FORGET_AFTER))
+
+
+class Relation(msgspec.Struct, frozen=True):
+    """What must hold between two keys of a section, with the reason where it does not."""
+
+    section: str
+    key: str
+    holds: Holds
+    other_key: str
+    reason: str
+
+
+class Bound(msgspec.Struct, frozen=True):
+    """What must hold between a key and a constant of the program, in milliseconds."""
+
+    section: str
+    key: str
+    holds: Holds
+    limit_ms: int
+    reason: str
+
+
+def _may_both_be_bound(port: int, other_port: int) -> bool:
+    return port != other_port or port == 0
+
+
+def _ends_before_forgotten(count: int, interval_ms: int) -> bool:
+    return count * interval_ms < FORGET_AFTER_MS
+
+
+RELATIONS = (
+    Relation(
+        "platform",
+        "request_timeout_ms",
+        operator.gt,
+        "poll_wait_ms",
+        "must be longer, or each idle read would be cut off",
+    ),
+    Relation(
+        "membership",
+        "dead_heartbeats",
+        operator.gt,
+        "suspect_heartbeats",
+        "must be more, as a node is suspected before it is held to be dead",
+    ),
+    Relation(
+        "membership",
+        "dead_heartbeats",
+        _ends_before_forgotten,
+        "heartbeat_ms",
+        f"must give less than {FORGET_AFTER_MS} ms, when a node is forgotten",
+    ),
+    Relation("targets", "probe_max_ms", operator.ge, "probe_min_ms", "must not be shorter"),
+    Relation(
+        "node",
+        "peer_port",
+        _may_both_be_bound,
+        "caller_port",
+        "must be another, as both are bound at one address",
+    ),
+    Relation(
+        "snapshots",
+        "max_age_ms",
+        operator.ge,
+        "min_interval_ms",
+        "must not be shorter than the time between attempts",
+    ),
+)
+
+BOUNDS = (
+    Bound(
+        "targets",
+        "idle_timeout_ms",
+        operator.le,
+        MAX_IDLE_MS,
+        "a silent target is used again after that, when its idle connections must be closed",
+    ),
+    Bound(
+        "targets",
+        "connect_timeout_ms",
+        operator.lt,
+        START_WINDOW_MS,
+        "a start that was not sent by then is not sent at all",
+    ),
+    Bound(
+        "node",
+        "drain_linger_ms",
+        operator.ge,
+        MIN_LINGER_MS,
+        "peers have so long to confirm what a stopping node leaves",
+    ),
+)
+
+
+def problems(values_by_section: Mapping[str, Values]) -> Iterator[str]:
+    """Yield each relation that does not hold between the values that could be read."""
+    for relation in RELATIONS:
+        values = values_by_section[relation.section]
+        value, other = values.get(relation.key), values.get(relation.other_key)
+        if None not in (value, other) and not relation.holds(value, other):
+            yield (
+                f"[{relation.section}] {relation.key}: {value} does not go with"
+                f" {relation.other_key} = {other}; it {relation.reason}"
+            )
+    for bound in BOUNDS:
+        value = values_by_section[bound.section].get(bound.key)
+        if value is not None and not bound.holds(value, bound.limit_ms):
+            yield (
+                f"[{bound.section}] {bound.key}: {value} does not go with"
+                f" {bound.limit_ms} ms; {bound.reason}"
+            )
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from chiveridge_kernel import errors, policies
-from chiveridge_node import plugins
+from chiveridge_node import plugins, setting_relations
 
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 _Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9-]{0,62}$")]
@@ -42,7 +42,7 @@
     vms_url: str
     config_stream: _Name = "configuration"
     poll_wait_ms: _Milliseconds = 5000
-    vms_interval_ms: _Milliseconds = 500
+    vms_interval_ms: Annotated[int, msgspec.Meta(ge=1, le=2500)] = 500
     request_timeout_ms: _Milliseconds = 10_000
 
 
@@ -153,13 +153,16 @@
     :raises SettingsError: with every problem found.
     """
     problems = [f"[{name}]: no such section" for name in text_by_section.keys() - _SECTIONS_BY_NAME]
-    sections = {}
-    for name, section_type in _SECTIONS_BY_NAME.items():
-        section = _parse_section(name, section_type, text_by_section.get(name, {}), problems)
-        sections[name] = section
+    values_by_section = {
+        name: _parse_section(name, section_type, text_by_section.get(name, {}), problems)
+        for name, section_type in _SECTIONS_BY_NAME.items()
+    }
+    problems.extend(setting_relations.problems(values_by_section))
     if problems:
         raise SettingsError(sorted(problems))
-    return Settings(**sections)
+    return Settings(
+        **{name: _SECTIONS_BY_NAME[name](**found) for name, found in values_by_section.items()}
+    )
 
 
 def parse_seeds(value: str) -> list[tuple[str, int]]:
@@ -180,7 +183,8 @@
 
 def _parse_section(
     name: str, section_type: type, text_by_key: dict[str, str], problems: list[str]
-) -> object:
+) -> dict[str, object]:
+    """Return the values of the keys that are valid, defaults included."""
     values = {}
     fields_by_name = {field.name: field for field in msgspec.structs.fields(section_type)}
     for key in text_by_key.keys() - fields_by_name.keys():
@@ -190,9 +194,9 @@
             values[key] = _parse_value(name, field, text_by_key[key], problems)
         elif field.required:
             problems.append(f"[{name}] {key}: missing")
-    if any(problem.startswith(f"[{name}]") for problem in problems):
-        return None
-    return section_type(**values)
+        else:
+            values[key] = field.default
+    return values
 
 
 def _parse_value(
--- a/packages/node/tests/test_settings.py
+++ b/packages/node/tests/test_settings.py
@@ -57,6 +57,7 @@
         ("platform", "log_url", "http://10.0.0.9:80/path"),
         ("platform", "vms_url", "10.0.0.9:80"),
         ("platform", "vms_interval_ms", "0"),
+        ("platform", "vms_interval_ms", "3000"),
         ("platform", "poll_wait_ms", "1.5"),
         ("placement", "policy", "no_such"),
         ("plugins", "targets", "no_such"),
@@ -88,6 +89,51 @@
     ]
 
 
+RELATIONS = [
+    ("platform", {"poll_wait_ms": "5000", "request_timeout_ms": "5000"}, "request_timeout_ms"),
+    ("platform", {"poll_wait_ms": "10000"}, "request_timeout_ms"),
+    ("membership", {"suspect_heartbeats": "10"}, "dead_heartbeats"),
+    ("membership", {"heartbeat_ms": "60000"}, "dead_heartbeats"),
+    ("targets", {"probe_min_ms": "10001"}, "probe_max_ms"),
+    ("targets", {"idle_timeout_ms": "10001"}, "idle_timeout_ms"),
+    ("targets", {"connect_timeout_ms": "2000"}, "connect_timeout_ms"),
+    ("node", {"peer_port": "7001"}, "peer_port"),
+    ("node", {"drain_linger_ms": "299"}, "drain_linger_ms"),
+    ("snapshots", {"max_age_ms": "29999"}, "max_age_ms"),
+]
+
+
+@pytest.mark.parametrize(("section", "values", "key"), RELATIONS)
+def test_values_that_do_not_go_together_are_named_by_section_and_key(section, values, key):
+    (found,) = problems(**{section: values})
+    assert found.startswith(f"[{section}] {key}: ")
+    assert all(name in found for name in values)
+
+
+def test_relations_are_listed_with_all_other_problems():
+    found = problems(
+        node={"address": "localhost", "peer_port": "7001"},
+        platform={"request_timeout_ms": "1", "poll_wait_ms": "x"},
+        membership={"suspect_heartbeats": "10"},
+        targets={"probe_min_ms": "10001", "typo": "1"},
+    )
+    assert [problem.partition(":")[0] for problem in found] == [
+        "[membership] dead_heartbeats",
+        "[node] address",
+        "[node] peer_port",
+        "[platform] poll_wait_ms",
+        "[targets] probe_max_ms",
+        "[targets] typo",
+    ]
+
+
+@pytest.mark.parametrize("port", ["0", "7002"])
+def test_ports_may_differ_or_be_chosen_by_the_system(port):
+    node = {**NODE, "peer_port": port}
+    assert settings.parse({**VALID, "node": node}).node.peer_port == int(port)
+    assert settings.parse({**VALID, "node": {**node, "caller_port": "0", "peer_port": "0"}})
+
+
 def test_keys_without_default_are_required():
     with pytest.raises(settings.SettingsError) as caught:
         settings.parse({})
