--- a/packages/kernel/chiveridge_kernel/snapshots.py
+++ b/packages/kernel/chiveridge_kernel/snapshots.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import zlib
+from collections.abc import Iterator
 
 import msgspec
 
@@ -14,6 +15,9 @@
 CHUNK_BYTES = 192 * 1024
 MAX_STATE_BYTES = 64 * 1024 * 1024
 MAX_PARTIAL_SNAPSHOTS = 4
+STEP_BYTES = 128 * 1024
+"""Bytes of the state that one step encodes and compresses, but for the last object."""
+
 _COMPRESSION_LEVEL = 1
 
 
@@ -32,25 +36,84 @@
 _decoder = msgspec.msgpack.Decoder(Snapshot)
 
 
+class Encoding:
+    """Encodes a snapshot step by step, so that none holds up the loop.
+
+    :raises errors.SnapshotError: in a step, when the state is too large.
+    """
+
+    def __init__(self, snapshot: Snapshot):
+        self._base = snapshot.base
+        self._parts = _parts(snapshot)
+        self._compressor = zlib.compressobj(_COMPRESSION_LEVEL)
+        self._data = bytearray()
+        self._state_bytes = 0
+
+    def step(self) -> bool:
+        """Encode about :data:`STEP_BYTES` of the state; tell whether there is more."""
+        state = bytearray()
+        for part in self._parts:
+            state += part
+            if len(state) >= STEP_BYTES:
+                self._compress(state)
+                return True
+        self._compress(state)
+        self._data += self._compressor.flush()
+        return False
+
+    def chunks(self) -> list[records.SnapshotRecord]:
+        """Return the chunks once the last step is done."""
+        data = bytes(self._data)
+        parts = [data[start : start + CHUNK_BYTES] for start in range(0, len(data), CHUNK_BYTES)]
+        if len(parts) > records.MAX_SNAPSHOT_CHUNKS:
+            raise errors.SnapshotError(
+                f"{len(parts)} chunks are over {records.MAX_SNAPSHOT_CHUNKS}"
+            )
+        digest = hashlib.sha256(data).hexdigest()
+        return [
+            records.SnapshotRecord(
+                base=self._base, digest=digest, index=index, count=len(parts), data=part
+            )
+            for index, part in enumerate(parts)
+        ]
+
+    def _compress(self, state: bytearray) -> None:
+        self._state_bytes += len(state)
+        if self._state_bytes > MAX_STATE_BYTES:
+            raise errors.SnapshotError(f"the state is over {MAX_STATE_BYTES} bytes")
+        self._data += self._compressor.compress(state)
+
+
 def encode(snapshot: Snapshot) -> list[records.SnapshotRecord]:
     """Return the chunks of a snapshot, each of at most :data:`CHUNK_BYTES` before base64.
 
     :raises errors.SnapshotError: when the state is too large.
     """
-    state = _encoder.encode(snapshot)
-    if len(state) > MAX_STATE_BYTES:
-        raise errors.SnapshotError(f"state of {len(state)} bytes is over {MAX_STATE_BYTES}")
-    data = zlib.compress(state, _COMPRESSION_LEVEL)
-    parts = [data[start : start + CHUNK_BYTES] for start in range(0, len(data), CHUNK_BYTES)]
-    if len(parts) > records.MAX_SNAPSHOT_CHUNKS:
-        raise errors.SnapshotError(f"{len(parts)} chunks are over {records.MAX_SNAPSHOT_CHUNKS}")
-    digest = hashlib.sha256(data).hexdigest()
-    return [
-        records.SnapshotRecord(
-            base=snapshot.base, digest=digest, index=index, count=len(parts), data=part
-        )
-        for index, part in enumerate(parts)
-    ]
+    encoding = Encoding(snapshot)
+    while encoding.step():
+        pass
+    return encoding.chunks()
+
+
+def _parts(snapshot: Snapshot) -> Iterator[bytes]:
+    """Yield the msgpack of a snapshot in parts, an object each."""
+    yield _array_head(len(Snapshot.__struct_fields__))
+    yield _encoder.encode(snapshot.base)
+    for values in (
+        snapshot.teams,
+        snapshot.targets,
+        snapshot.rules,
+        snapshot.verdicts,
+        snapshot.audit,
+    ):
+        yield _array_head(len(values))
+        for value in values:
+            yield _encoder.encode(value)
+
+
+def _array_head(count: int) -> bytes:
+    """Return what msgpack puts before the elements of an array; None takes one byte."""
+    return _encoder.encode([None] * count)[: -count or None]
 
 
 def decode(chunks: list[records.SnapshotRecord]) -> Snapshot:
--- a/packages/kernel/tests/test_snapshots.py
+++ b/packages/kernel/tests/test_snapshots.py
@@ -1,9 +1,10 @@
 import hashlib
+import zlib
 
 import msgspec
 import pytest
 
-from chiveridge_kernel import errors, records, snapshots
+from chiveridge_kernel import audits, errors, records, snapshots
 
 
 def snapshot_of(count, labels=3):
@@ -23,6 +24,50 @@
     assert snapshots.decode(snapshots.encode(snapshot)) == snapshot
 
 
+def large_snapshot():
+    """Return a state with some of everything, of several steps."""
+    targets = [
+        records.TargetObject(name=f"t{i}", approved_teams=[f"team-{j}" for j in range(100)])
+        for i in range(500)
+    ]
+    return snapshots.Snapshot(
+        base=70_000,
+        teams=snapshot_of(3).teams,
+        targets=[(i + 1, target) for i, target in enumerate(targets)],
+        rules=[(1, records.RuleObject(name="all"))],
+        verdicts=[(f"change-{i}", records.Verdict.ACCEPTED) for i in range(20_000)],
+        audit=[audits.AuditEntry(offset=i, verdict=records.Verdict.INVALID) for i in range(20)],
+    )
+
+
+def test_no_step_encodes_more_than_its_share(monkeypatch):
+    sizes = []
+    compress = snapshots.Encoding._compress
+    monkeypatch.setattr(
+        snapshots.Encoding,
+        "_compress",
+        lambda self, state: (sizes.append(len(state)), compress(self, state)),
+    )
+    encoding = snapshots.Encoding(large_snapshot())
+    steps = 1
+    while encoding.step():
+        steps += 1
+    whole = len(msgspec.msgpack.encode(large_snapshot()))
+    largest_object = 1000
+    assert sum(sizes) == whole
+    assert steps == len(sizes) > whole // snapshots.STEP_BYTES
+    assert max(sizes) <= snapshots.STEP_BYTES + largest_object
+
+
+@pytest.mark.parametrize("snapshot", [snapshot_of(0), snapshot_of(20), large_snapshot()])
+def test_the_state_is_the_msgpack_of_the_whole(snapshot):
+    chunks = snapshots.encode(snapshot)
+    state = zlib.decompress(b"".join(chunk.data for chunk in chunks))
+    assert state == msgspec.msgpack.encode(snapshot)
+    if snapshot.base:
+        assert snapshots.decode(chunks) == snapshot
+
+
 @pytest.mark.parametrize("torn", [lambda c: c[1:], lambda c: c[:-1], lambda c: [*c[:1], *c[:-1]]])
 def test_torn_snapshots_are_refused(monkeypatch, torn):
     monkeypatch.setattr(snapshots, "CHUNK_BYTES", 100)
--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -9,7 +9,7 @@
 import zmq.asyncio
 
 from chiveridge_kernel import actions, events, peers, records, snapshots, vms
-from chiveridge_node import drops, links_zmq, logevents, metrics, plugins
+from chiveridge_node import drops, links_zmq, logevents, metrics, plugins, snapshot_encodings
 
 MAX_REQUESTS_IN_PROGRESS = 4096
 IDLE_LINK_SECONDS = 30.0
@@ -27,6 +27,7 @@
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
         self._chunks: list[records.SnapshotRecord] = []
+        self._encoding = asyncio.Lock()
         self._links_by_endpoint: dict[tuple[str, int], links_zmq.Link] = {}
         self._request_ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
@@ -109,8 +110,9 @@
 
     async def _send_chunks(self, route: bytes, snapshot: snapshots.Snapshot) -> None:
         """Send the chunks, encoded once for each offset."""
-        if not self._chunks or self._chunks[0].base != snapshot.base:
-            self._chunks = snapshots.encode(snapshot)
+        async with self._encoding:
+            if not self._chunks or self._chunks[0].base != snapshot.base:
+                self._chunks = await snapshot_encodings.encode(snapshot)
         for chunk in list(self._chunks):
             data = self._encode(peers.ConfigurationChunk(chunk=chunk))
             await self._router.send_multipart([route, data])
--- a/packages/node/chiveridge_node/platforms_http.py
+++ b/packages/node/chiveridge_node/platforms_http.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chiveridge_kernel import actions, errors, events, identifiers, snapshots, vms
-from chiveridge_node import logevents, plugins
+from chiveridge_node import logevents, plugins, snapshot_encodings
 
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
@@ -154,7 +154,7 @@
     async def _append_chunks(self, snapshot: snapshots.Snapshot) -> None:
         """Append every chunk once; the kernel asks again when the log does not show them all."""
         try:
-            chunks = snapshots.encode(snapshot)
+            chunks = await snapshot_encodings.encode(snapshot)
             for chunk in chunks:
                 await self._append(msgspec.json.encode(chunk))
         except (errors.SnapshotError, aiohttp.ClientError, OSError, TimeoutError) as error:
