--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -38,6 +38,16 @@
     kernel.dispatcher.report(event, now)
 
 
+@handle.register(events.StartDelayed)
+def _(event: events.StartDelayed, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.dispatcher.note_unsent(event.lease_id, is_unsent=True)
+
+
+@handle.register(events.StartSent)
+def _(event: events.StartSent, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.dispatcher.note_unsent(event.lease_id, is_unsent=False)
+
+
 @handle.register(events.RecordsRead)
 def _(event: events.RecordsRead, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.catch_up.log_read_at = now
@@ -151,18 +161,11 @@
     evidence.take_leaving(message, kernel.target_table, now)
 
 
-@take_message.register(peers.LimitReport)
-def _(
-    message: peers.LimitReport, kernel: "kernels.Kernel", route: bytes, now: datetime.datetime
-) -> None:
-    kernel.dispatcher.limiter.take_report(message, now)
-
-
-@take_message.register(peers.LimitGrant)
+@take_message.register(peers.LimitBatch)
 def _(
-    message: peers.LimitGrant, kernel: "kernels.Kernel", route: bytes, now: datetime.datetime
+    message: peers.LimitBatch, kernel: "kernels.Kernel", route: bytes, now: datetime.datetime
 ) -> None:
-    kernel.dispatcher.limiter.take_grant(message)
+    kernel.dispatcher.limiter.take_batch(message, now)
 
 
 @take_message.register(peers.Handover)
