Let the load generator wait for the reply to a cancellation

Cause: when a job's own answer came before the reply to its cancellation, the generator dropped the request, so that `cancelled_at_ms` stayed unset and the job escaped the check starts_after_cancel. Ruled out: a reply that never came, as none failed or timed out. Now a cancellation that was sent ends with its reply; one whose time has not come is dropped as before. The new test fails on the old code.

--- a/packages/load/chiveridge_load/generators.py
+++ b/packages/load/chiveridge_load/generators.py
@@ -128,7 +128,8 @@
     async def _send(self, job: workloads.JobPlan) -> JobRecord:
         now_s = self._elapsed_s()
         record = JobRecord(index=job.index, team=job.team, due_s=job.at_s, sent_s=now_s)
-        cancelling = self._start_cancelling(job, record)
+        ended = asyncio.Event()
+        cancelling = asyncio.create_task(self._cancel(job, record, ended))
         try:
             await self._settle(job, record)
         except errors.RefusedError as error:
@@ -137,7 +138,9 @@
             record.code, record.detail = results.ResultCode.OUTCOME_UNKNOWN, str(error)
             record.ran = results.TaskOutcome.UNKNOWN
         record.ended_s = self._elapsed_s()
-        await _finish(cancelling)
+        ended.set()
+        # A cancellation that has been sent ends with its reply, which may come after the answer.
+        await asyncio.gather(cancelling, return_exceptions=True)
         return record
 
     def _elapsed_s(self) -> float:
@@ -185,28 +188,25 @@
             async with clients.Client(self._urls, credential, rng=self._rng) as client:
                 return await client.resubmit(submission)
 
-    def _start_cancelling(
-        self, job: workloads.JobPlan, record: JobRecord
-    ) -> asyncio.Task[None] | None:
-        if job.cancel_after_s is None:
-            return None
-        return asyncio.create_task(self._cancel(job, record))
-
-    async def _cancel(self, job: workloads.JobPlan, record: JobRecord) -> None:
+    async def _cancel(
+        self, job: workloads.JobPlan, record: JobRecord, ended: asyncio.Event
+    ) -> None:
         """Cancel a job that has not ended at its time."""
-        due = self._started + job.at_s + job.cancel_after_s
-        await asyncio.sleep(max(due - asyncio.get_running_loop().time(), 0))
+        if job.cancel_after_s is None or await self._has_ended_by(job, ended):
+            return
         url = f"{record.url}/v1/jobs/{record.submission_id}"
-        await self._exchanges_by_team[job.team].ask("DELETE", url, _answer_decoder)
+        sender = self._exchanges_by_team[job.team]
+        await sender.ask("DELETE", url, _answer_decoder)
         record.cancelled_at_ms = time.time() * 1000
 
-
-async def _finish(cancelling: asyncio.Task[None] | None) -> None:
-    """Let a cancellation that has been sent end, and drop one that has not."""
-    if cancelling is None:
-        return
-    cancelling.cancel()
-    await asyncio.gather(cancelling, return_exceptions=True)
+    async def _has_ended_by(self, job: workloads.JobPlan, ended: asyncio.Event) -> bool:
+        """Wait until the time of a job's cancellation; tell whether the job ended before."""
+        due = self._started + job.at_s + job.cancel_after_s
+        try:
+            await asyncio.wait_for(ended.wait(), due - asyncio.get_running_loop().time())
+        except TimeoutError:
+            return False
+        return True
 
 
 def _may_go_elsewhere(error: errors.ClientError) -> bool:
--- a/packages/load/tests/test_generators.py
+++ b/packages/load/tests/test_generators.py
@@ -11,6 +11,7 @@
 
 TEAM = deployments.TeamPlan(name="desk", secret="secret")
 JOB = workloads.JobPlan(index=0, at_s=0.0, team="desk", run_ms=[10.0])
+CONFIRM_DELAY_S = 0.1
 FAR_EXPIRY_MS = 4_000_000_000_000
 
 
@@ -25,6 +26,8 @@
         self.losses = 0
         self.held = asyncio.Event()
         self.held.set()
+        self.confirming = asyncio.Event()
+        self.confirming.set()
         self.url = ""
 
     @contextlib.asynccontextmanager
@@ -80,6 +83,7 @@
         submission_id = request.match_info["id"]
         self.cancelled.append(submission_id)
         self.held.set()
+        await self.confirming.wait()
         answer = messages.JobAnswer(
             submission_id=submission_id,
             state=results.JobState.FAILED,
@@ -142,6 +146,15 @@
     assert record.cancelled_at_ms is not None
 
 
+async def test_cancellation_that_is_confirmed_after_the_answer_is_recorded(node):
+    node.held.clear()
+    node.confirming.clear()
+    sending = asyncio.create_task(_send(node, msgspec.structs.replace(JOB, cancel_after_s=0.01)))
+    await node.held.wait()
+    asyncio.get_running_loop().call_later(CONFIRM_DELAY_S, node.confirming.set)
+    assert (await sending).cancelled_at_ms is not None
+
+
 async def test_job_that_has_ended_is_not_cancelled(node):
     record = await _send(node, msgspec.structs.replace(JOB, cancel_after_s=60.0))
     assert node.cancelled == []
