Confirm a cancellation only when no start of its job can begin any more

Cause: a start that was sent shortly before its job was cancelled reached its target after the cancellation was answered.

Now the kernel tracks the starts that were told to stop (`stops`) and the reply to the cancellation waits until each is settled: its target has answered the stop, nothing of it was sent, or its start limit (2 s) has passed. The job's own answer is given at once, as before.

Ruled out: a target that remembers stops (others would still start), holding back the job's answer, a fixed wait.

FakeTarget of test_targets_http gains a method for its reply; no check of an existing test changed.

--- a/packages/client/chiveridge_client/clients.py
+++ b/packages/client/chiveridge_client/clients.py
@@ -11,6 +11,9 @@
 from chiveridge_kernel import identifiers, messages
 
 DEFAULT_DEADLINE = datetime.timedelta(seconds=30)
+CANCEL_WAIT = datetime.timedelta(seconds=2)
+"""Longest time in which a node finds out whether a start of a cancelled job still begins."""
+
 ANSWER_MARGIN = datetime.timedelta(seconds=3)
 """Time after the deadline of a job in which its answer may still arrive."""
 
@@ -127,12 +130,14 @@
         return await self._settle(call)
 
     async def cancel(self, submission_id: identifiers.SubmissionId) -> messages.JobAnswer:
-        """Cancel a job and return its answer or state; a repeated cancellation is harmless.
+        """Cancel a job and return its answer; a repeated cancellation is harmless.
+
+        Once this returns, no task of the job that was not started yet will start.
 
         :raises errors.RefusedError: when the id is unknown or belongs to another team.
         :raises errors.OutcomeUnknownError: when no node confirmed the cancellation.
         """
-        call = self._new_call(submission_id, DEFAULT_DEADLINE, _ZERO, "")
+        call = self._new_call(submission_id, DEFAULT_DEADLINE, CANCEL_WAIT, "")
         call.may_have_started = True
         return await self._settle(call, method="DELETE")
 
--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -38,10 +38,21 @@
 
 
 class StopTask(msgspec.Struct, frozen=True, kw_only=True):
-    """Stop a task whose result is no longer wanted."""
+    """Stop a task whose result is no longer wanted; answered by :class:`events.StopConfirmed`.
+
+    A target that has not seen the start yet is told again until ``start_before``, after which
+    the start cannot begin.
+    """
 
     lease_id: identifiers.LeaseId
     target: vms.Vm
+    start_before: datetime.datetime
+
+
+class NoteStopped(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell whoever waits for it that no start of an ended job can begin any more."""
+
+    submission_id: identifiers.SubmissionId
 
 
 class AnswerJob(msgspec.Struct, frozen=True, kw_only=True):
@@ -106,6 +117,7 @@
     | AskOutcome
     | WithdrawStart
     | StopTask
+    | NoteStopped
     | AnswerJob
     | SendToPeer
     | DisconnectPeer
--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -19,6 +19,7 @@
     probes,
     reaches,
     results,
+    stops,
     targets,
     vms,
 )
@@ -61,6 +62,7 @@
         self._lease_serial = 0
         self.backlogs = backlogs.Backlogs()
         self.limiter = limits.Limiter(member_table, incarnation, self._emit)
+        self.stops = stops.StopTable(self._emit)
         self._prober = probes.Prober(probe_limits)
         self.policy = placements.create(policy_name, self)
 
@@ -151,8 +153,14 @@
     ) -> None:
         """End a job as failed: start nothing more of it and stop what runs."""
         self._start_no_more(job, now)
-        for task in job.running_tasks():
-            self.outbox.append(actions.StopTask(lease_id=task.lease_id, target=task.target))
+        running = job.running_tasks()
+        self.stops.add(running, now)
+        for task in running:
+            self.outbox.append(
+                actions.StopTask(
+                    lease_id=task.lease_id, target=task.target, start_before=task.start_before
+                )
+            )
             self._release(task, None, now)
             task.signal(jobs.TaskSignal.GIVE_UP)
         self._end(job, results.JobState.FAILED, code, message, now)
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -63,6 +63,15 @@
     asked: bool = False
 
 
+class StopConfirmed(msgspec.Struct, frozen=True, kw_only=True):
+    """A start that was told to stop cannot begin any more.
+
+    Its target has seen it and stopped or ended it, or nothing of it was sent.
+    """
+
+    lease_id: identifiers.LeaseId
+
+
 class RecordsRead(msgspec.Struct, frozen=True, kw_only=True):
     """A successful read of the configuration stream, also when there was no record.
 
@@ -123,6 +132,7 @@
     SubmissionReceived
     | CancelReceived
     | LeaseReported
+    | StopConfirmed
     | RecordsRead
     | RecordsExpired
     | VmsListed
--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -38,6 +38,11 @@
     kernel.dispatcher.report(event, now)
 
 
+@handle.register(events.StopConfirmed)
+def _(event: events.StopConfirmed, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.dispatcher.stops.settle(event.lease_id)
+
+
 @handle.register(events.RecordsRead)
 def _(event: events.RecordsRead, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.catch_up.log_read_at = now
@@ -76,6 +81,7 @@
 @handle.register(events.Ticked)
 def _(event: events.Ticked, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.dispatcher.probe(now)
+    kernel.dispatcher.stops.expire(now)
     kernel.dispatcher.backlogs.observe(now)
     kernel.admissions.forget_expired(now)
     kernel.handovers.forget_expired(now)
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -125,6 +125,7 @@
             self.dispatcher.policy.next_wakeup(),
             self.heartbeats.next_due(),
             self.dispatcher.limiter.next_wakeup(),
+            self.dispatcher.stops.next_wakeup(),
             None if self._leaving is None else self._leaving.due,
         ]
         return min((moment for moment in moments if moment is not None), default=None)
--- a/packages/load/chiveridge_load/generators.py
+++ b/packages/load/chiveridge_load/generators.py
@@ -196,7 +196,7 @@
             return
         url = f"{record.url}/v1/jobs/{record.submission_id}"
         sender = self._exchanges_by_team[job.team]
-        await sender.ask("DELETE", url, _answer_decoder)
+        await sender.ask("DELETE", url, _answer_decoder, wait=clients.CANCEL_WAIT)
         record.cancelled_at_ms = time.time() * 1000
 
     async def _has_ended_by(self, job: workloads.JobPlan, ended: asyncio.Event) -> bool:
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -87,6 +87,7 @@
 
     def _perform_actions(self) -> None:
         self.shell.perform_with(actions.AnswerJob, self.requests.answered)
+        self.shell.perform_with(actions.NoteStopped, self.requests.stopped)
         self.shell.perform_with(actions.NoteChange, _note_change)
         self.shell.perform_with(actions.NoteRestored, _note_restored)
         self.shell.perform_with(actions.Exit, lambda action: self._stopped.set())
--- a/packages/node/chiveridge_node/recorders.py
+++ b/packages/node/chiveridge_node/recorders.py
@@ -83,6 +83,11 @@
     return msgspec.structs.replace(event, lease_id=recorder.name_of_lease(event.lease_id))
 
 
+@_named.register
+def _(event: events.StopConfirmed, recorder: Recorder) -> events.Event:
+    return msgspec.structs.replace(event, lease_id=recorder.name_of_lease(event.lease_id))
+
+
 @_named.register
 def _(event: events.RecordsRead, recorder: Recorder) -> events.Event:
     pairs = [(offset, _readable(value)) for offset, value in event.records]
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -8,8 +8,10 @@
 import msgspec
 
 from chiveridge_kernel import (
+    actions,
     answers,
     clocks,
+    dispatchers,
     errors,
     events,
     identifiers,
@@ -23,6 +25,9 @@
 
 MAX_WAIT_MS = 300_000
 RETRY_AFTER_MS = 1000
+CANCEL_WAIT_MS = dispatchers.START_WINDOW // datetime.timedelta(milliseconds=1)
+"""Longest time in which the issuer finds out whether a start of a cancelled job still begins."""
+
 _DIGEST_BYTES = 16
 
 
@@ -42,6 +47,7 @@
         self._shell = shell
         self._kernel = shell.kernel
         self._answered_by_id: dict[identifiers.SubmissionId, asyncio.Event] = {}
+        self._stopped_by_id: dict[identifiers.SubmissionId, asyncio.Event] = {}
         self.forwarder = forwards.Forwarder(shell.kernel, shell.clock)
 
     def answered(self, action) -> None:
@@ -50,6 +56,12 @@
         if waiting is not None:
             waiting.set()
 
+    def stopped(self, action: actions.NoteStopped) -> None:
+        """Wake those who wait until a cancelled job can start nothing more."""
+        waiting = self._stopped_by_id.pop(action.submission_id, None)
+        if waiting is not None:
+            waiting.set()
+
     def issue_ids(self, team: identifiers.TeamName, body: bytes) -> Reply:
         """Issue submission ids."""
         try:
@@ -92,6 +104,8 @@
         """Serve a request whose id this incarnation issued."""
         try:
             _OPERATIONS[operation](self, team, submission_id, body, arrived_at)
+            if operation is peers.Operation.CANCEL:
+                await self._until_stopped(identifiers.SubmissionId(submission_id))
             return await self._answer(team, identifiers.SubmissionId(submission_id), wait_ms)
         except errors.RefusedError as error:
             return refused(error)
@@ -131,6 +145,11 @@
             events.CancelReceived(team=team, submission_id=identifiers.SubmissionId(submission_id))
         )
 
+    async def _until_stopped(self, submission_id: identifiers.SubmissionId) -> None:
+        """Wait until no start of a cancelled job can begin any more."""
+        if self._kernel.dispatcher.stops.is_open(submission_id):
+            await self._stopped_by_id.setdefault(submission_id, asyncio.Event()).wait()
+
     async def _answer(
         self, team: identifiers.TeamName, submission_id: identifiers.SubmissionId, wait_ms: int
     ) -> Reply:
@@ -177,6 +196,8 @@
         if issued.node == self._kernel.settings.node:
             verdict = forwards.verdict_on(issued, self._kernel.settings.incarnation)
             return _no_reply(verdict or forwards.NoReply.GONE, issued)
+        if operation is peers.Operation.CANCEL:
+            wait_ms = max(wait_ms, CANCEL_WAIT_MS)
         request = peers.CallerRequest(
             request_id=0,
             sender=self._kernel.settings.node,
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -12,6 +12,9 @@
 ASK_TIMEOUT_SECONDS = 3.0
 ASK_WAIT_MS = 1000
 STOP_TIMEOUT_SECONDS = 2.0
+STOP_RETRY_DELAY = datetime.timedelta(milliseconds=20)
+"""Delay before a stop is sent again; it doubles each time."""
+
 MIN_ASK_AGE = datetime.timedelta(milliseconds=500)
 """Age of a start below which the target need not have read it."""
 
@@ -122,9 +125,15 @@
         self._in_background(self._ask(action))
 
     def stop(self, action: actions.StopTask) -> None:
-        """Give up waiting for a start and tell the target to stop it."""
+        """Give up waiting for a start, and tell the target to stop it if any of it was sent."""
+        sending = self._sendings_by_lease.get(action.lease_id)
         self._abandon(action.lease_id)
-        self._in_background(self._stop(action))
+        if sending is not None and sending.sent_at is None:
+            # The kernel is handling an event now, so that the report has to wait for its end.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._confirm_stop, action.lease_id)
+        else:
+            self._in_background(self._stop(action))
 
     def _abandon(self, lease_id: identifiers.LeaseId) -> None:
         """Stop waiting for the reply to a start, and close its connection."""
@@ -206,18 +215,34 @@
         return sending.sent_at is None or self._shell.clock.now() - sending.sent_at < MIN_ASK_AGE
 
     async def _stop(self, action: actions.StopTask) -> None:
+        """Send a stop, again while the start may still be on its way to the target."""
+        delay = STOP_RETRY_DELAY
+        while not await self._send_stop(action):
+            if self._shell.clock.now() + delay >= action.start_before:
+                return
+            await asyncio.sleep(delay.total_seconds())
+            delay *= 2
+        self._confirm_stop(action.lease_id)
+
+    async def _send_stop(self, action: actions.StopTask) -> bool:
+        """Send a stop once; tell whether the target has seen the start."""
         timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_SECONDS)
         try:
             url = _lease_url(action.target, action.lease_id)
             async with self._asks.delete(url, timeout=timeout) as response:
-                await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                reply = _decode(await response.read())
+        except _LOST_ERRORS as error:
             logevents.write(
                 logevents.LogEvent.STOP_LOST,
                 lease=action.lease_id,
                 target=action.target.name,
                 error=repr(error),
             )
+            return False
+        return reply.outcome is not events.LeaseOutcome.UNSEEN
+
+    def _confirm_stop(self, lease_id: identifiers.LeaseId) -> None:
+        self._shell.handle_safely(events.StopConfirmed(lease_id=lease_id))
 
     def _report(
         self, lease_id: identifiers.LeaseId, reply: LeaseReply, *, asked: bool = False
--- a/packages/node/tests/test_targets_http.py
+++ b/packages/node/tests/test_targets_http.py
@@ -55,10 +55,14 @@
                 if not self._answers_left:
                     break
                 self._answers_left -= 1
-                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self._body)}\r\n\r\n"
-                writer.write(head.encode() + self._body)
+                body = self.reply()
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                writer.write(head.encode() + body)
         writer.close()
 
+    def reply(self) -> bytes:
+        return self._body
+
 
 @contextlib.asynccontextmanager
 async def serving(target):
@@ -214,3 +218,45 @@
     assert (found.outcome, found.asked) == (events.LeaseOutcome.SUCCEEDED, True)
     assert shell.reports.empty()
     assert target.requests == ["GET /v1/leases/first?wait_ms=0 HTTP/1.1"]
+
+
+def stop_of(vm, lease_id):
+    limit = NOW + datetime.timedelta(seconds=2)
+    return actions.StopTask(lease_id=lease_id, target=vm, start_before=limit)
+
+
+async def test_a_stop_is_sent_again_until_the_target_has_seen_the_start(adapter, shell):
+    class LateTarget(FakeTarget):
+        def reply(self):
+            seen = len(self.requests) > 2
+            return b'{"outcome": "stopped"}' if seen else b'{"outcome": "unseen"}'
+
+    target = LateTarget(answers_left=3)
+    async with serving(target) as vm:
+        adapter.stop(stop_of(vm, "first"))
+        assert await report(shell) == events.StopConfirmed(lease_id="first")
+    assert target.requests == ["DELETE /v1/leases/first HTTP/1.1"] * 3
+
+
+async def test_a_stop_is_not_confirmed_by_a_target_that_saw_no_start_before_its_limit(
+    adapter, shell
+):
+    target = FakeTarget(b'{"outcome": "unseen"}')
+    target.replying.clear()
+    async with serving(target) as vm:
+        adapter.stop(stop_of(vm, "first"))
+        await target.received.wait()
+        shell.clock.advance(datetime.timedelta(seconds=2))
+        target.replying.set()
+        await adapter.close()
+    assert shell.reports.empty()
+    assert target.requests == ["DELETE /v1/leases/first HTTP/1.1"]
+
+
+async def test_a_start_of_which_nothing_was_sent_is_stopped_without_a_message(adapter, shell):
+    target = FakeTarget()
+    async with serving(target) as vm:
+        adapter.start(start_of(vm, "first"))
+        adapter.stop(stop_of(vm, "first"))
+        assert await report(shell) == events.StopConfirmed(lease_id="first")
+    assert target.requests == []
