Drop the slot requests of nodes that are gone

Cause: `SlotQueue.drop_node` was called nowhere. Now an owner drops them when the ledger expires a silent holder, when the list does not show the node any more, and when membership has it as dead or replaced. A new incarnation in the place of a live one changes no state of the member table, so the owner notes the incarnation of each node that asks (`requesters`) and looks at it on each tick: linear in the nodes that asked, nothing per task. A request counts as a sign of life of its sender, so that a live node that waits long and holds nothing is not expired. A node's own requests are never dropped, as it puts them only once. Ruled out: dropping those of a suspected or leaving node, which may come back or still has jobs.

`SlotLedger.expire` returns the nodes; its test stands as it was.

--- a/packages/kernel/chiveridge_kernel/lenders.py
+++ b/packages/kernel/chiveridge_kernel/lenders.py
@@ -13,6 +13,7 @@
     owners,
     peers,
     placements,
+    requesters,
     slotqueues,
     slots,
     speeds,
@@ -40,6 +41,7 @@
         self.queue = slotqueues.SlotQueue()
         self.breakers = breakers.Breakers()
         self.speeds = speeds.Speeds()
+        self.requesters = requesters.Requesters(starter.members)
         self._starter = starter
         self._owner_table = owner_table
         self._lent_by_team: collections.Counter[str] = collections.Counter()
@@ -58,6 +60,25 @@
         self.speeds.keep_only(owned)
         self._owned_by_query.clear()
 
+    def queue_request(self, waiting: slotqueues.Waiting, now: datetime.datetime) -> None:
+        """Have a request of another node wait."""
+        self.ledger.heard(waiting.node, now)
+        if self.requesters.asked(waiting.node):
+            self.queue.drop_node(waiting.node)
+        self.queue.put(waiting)
+
+    def drop_gone(self) -> None:
+        """Drop the requests of nodes that are dead, replaced or not listed any more."""
+        for node in self.requesters.take_gone():
+            self.queue.drop_node(node)
+
+    def expire(self, now: datetime.datetime) -> None:
+        """Take back the slots of nodes that were silent for too long, and drop their requests."""
+        for node in self.ledger.expire(now):
+            # This node itself goes on waiting, as it puts its requests only once.
+            if node != self._starter.members.own_name:
+                self.queue.drop_node(node)
+
     def free_count(self) -> int:
         """Return the free slots of healthy owned targets."""
         usable = self._starter.target_table.is_usable
--- a/packages/kernel/chiveridge_kernel/owner_policies.py
+++ b/packages/kernel/chiveridge_kernel/owner_policies.py
@@ -73,7 +73,8 @@
         """Handle time limits and report held slots."""
         self._refresh(now)
         self.lender.ledger.settle(now)
-        self.lender.ledger.expire(now)
+        self.lender.expire(now)
+        self.lender.drop_gone()
         self._serve_queue(now, probing=True)
         self.borrower.handle_timeouts(now)
         self.returns.report_if_due(now)
@@ -106,16 +107,15 @@
         waited_ms = clocks.to_epoch_ms(now) - message.arrived_at_ms
         loan = self.lender.lend(message.sender, query, message.wanted, waited_ms, now)
         self._grant(message.sender, message.demand_id, query.team, loan)
-        self.lender.queue.put(
-            slotqueues.Waiting(
-                node=message.sender,
-                demand_id=message.demand_id,
-                query=query,
-                arrived_at_ms=message.arrived_at_ms,
-                due_ms=message.due_ms,
-                wanted=message.wanted - len(loan.names),
-            )
+        waiting = slotqueues.Waiting(
+            node=message.sender,
+            demand_id=message.demand_id,
+            query=query,
+            arrived_at_ms=message.arrived_at_ms,
+            due_ms=message.due_ms,
+            wanted=message.wanted - len(loan.names),
         )
+        self.lender.queue_request(waiting, now)
 
     def handle_grant(self, message: peers.SlotGrant, now: datetime.datetime) -> None:
         """Use slots that another owner lent."""
@@ -137,6 +137,7 @@
     def _refresh(self, now: datetime.datetime) -> None:
         if self.owner_table.refresh():
             self.lender.refresh(now)
+            self.lender.drop_gone()
             self.returns.owners_changed(now)
             self.borrower.owners_changed(now)
 
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/requesters.py
@@ -0,0 +1,37 @@
+"""The nodes whose slot requests an owner keeps, and whether they still want them."""
+
+from chiveridge_kernel import identifiers, members
+
+_GONE_STATES = frozenset({members.MemberState.DEAD, members.MemberState.REPLACED})
+
+
+class Requesters:
+    """Incarnations of the nodes that asked for slots, None while they are not known."""
+
+    def __init__(self, member_table: members.MemberTable):
+        self._members = member_table
+        self._incarnations_by_node: dict[str, identifiers.Incarnation | None] = {}
+
+    def asked(self, node: str) -> bool:
+        """Note a request of a node; tell whether its earlier ones are of a former incarnation."""
+        is_renewed = self._is_renewed(node)
+        member = self._members.members_by_name.get(node)
+        self._incarnations_by_node[node] = None if member is None else member.incarnation
+        return is_renewed
+
+    def take_gone(self) -> list[str]:
+        """Return the nodes that are dead, replaced or not listed any more, each once."""
+        gone = [node for node in self._incarnations_by_node if self._is_gone(node)]
+        for node in gone:
+            del self._incarnations_by_node[node]
+        return gone
+
+    def _is_gone(self, node: str) -> bool:
+        member = self._members.members_by_name.get(node)
+        if member is None or member.vm is None or member.state in _GONE_STATES:
+            return True
+        return self._is_renewed(node)
+
+    def _is_renewed(self, node: str) -> bool:
+        known = self._incarnations_by_node.get(node)
+        return known is not None and not self._members.is_current(node, known)
--- a/packages/kernel/chiveridge_kernel/slots.py
+++ b/packages/kernel/chiveridge_kernel/slots.py
@@ -128,8 +128,12 @@
         self.settle(now)
         self._recount()
 
-    def expire(self, now: datetime.datetime) -> bool:
-        """Take back all slots of nodes that were silent for too long; tell whether any was."""
+    def heard(self, node: str, now: datetime.datetime) -> None:
+        """Note that a node is there, whether it holds slots or not."""
+        self._holder(node, now).heard_at = now
+
+    def expire(self, now: datetime.datetime) -> list[str]:
+        """Take back all slots of nodes that were silent for too long, and return the nodes."""
         silent = [
             node
             for node, holder in self.holders_by_node.items()
@@ -139,7 +143,7 @@
             del self.holders_by_node[node]
         if silent:
             self._recount()
-        return bool(silent)
+        return silent
 
     def _holder(self, node: str, now: datetime.datetime) -> Holder:
         holder = self.holders_by_node.get(node)
--- a/packages/kernel/tests/test_owner_policies.py
+++ b/packages/kernel/tests/test_owner_policies.py
@@ -3,6 +3,7 @@
 import collections
 import datetime
 import random
+from collections.abc import Iterable
 
 import msgspec
 import pytest
@@ -17,6 +18,7 @@
     peers,
     records,
     results,
+    slots,
     vms,
 )
 
@@ -80,15 +82,32 @@
         self.answers: list[messages.JobAnswer] = []
         self.dropped_types: tuple[type, ...] = ()
         self._messages: collections.deque[tuple[str, peers.PeerMessage]] = collections.deque()
-        listing = vms.VmList(1, [entry(n) for n in NODES] + [target(n) for n in TARGETS])
         for name in NODES:
-            self.handle(name, events.RecordsRead(records=[(0, configuration())]))
-            self.handle(name, events.VmsListed(listing=listing))
+            self.feed(name)
         self.advance(1.0)
 
-    def _kernel(self, name: str) -> kernels.Kernel:
+    def feed(self, name: str) -> None:
+        """Give a node its configuration and the list of VMs."""
+        self.handle(name, events.RecordsRead(records=[(0, configuration())]))
+        self.list_nodes(name, NODES)
+
+    def list_nodes(self, name: str, listed: Iterable[str]) -> None:
+        """Give a node a list of VMs with some of the nodes."""
+        listing = vms.VmList(1, [entry(n) for n in listed] + [target(n) for n in TARGETS])
+        self.handle(name, events.VmsListed(listing=listing))
+
+    def kill(self, name: str) -> None:
+        """Let a node vanish; its starts go on."""
+        del self.kernels_by_name[name]
+
+    def replace(self, name: str) -> None:
+        """Start another incarnation in the place of a node."""
+        self.kernels_by_name[name] = self._kernel(name, life="next-life")
+        self.feed(name)
+
+    def _kernel(self, name: str, life: str = "life") -> kernels.Kernel:
         settings = kernels.KernelSettings(
-            node=name, domain="ikeja", incarnation=f"life-of-{name}", secret=b"k", policy="owners"
+            node=name, domain="ikeja", incarnation=f"{life}-of-{name}", secret=b"k", policy="owners"
         )
         return kernels.Kernel(settings, random.Random(name))
 
@@ -99,13 +118,15 @@
     def deliver(self) -> None:
         while self._messages:
             name, message = self._messages.popleft()
+            if name not in self.kernels_by_name:
+                continue
             self.handle(name, events.PeerMessageReceived(message=message))
 
     def advance(self, seconds: float) -> None:
         until = self.clock.now() + datetime.timedelta(seconds=seconds)
         while self.clock.now() < until:
             self.clock.advance(STEP)
-            for name in NODES:
+            for name in self.kernels_by_name:
                 self.handle(name, events.Ticked())
             self.deliver()
 
@@ -238,6 +259,52 @@
     assert len(network.running) == len(TARGETS) * SLOTS
 
 
+@pytest.fixture
+def queueing(network) -> Network:
+    """Return a network in which every slot is in use and requests of e2 wait at the others."""
+    network.submit("e1", len(TARGETS) * SLOTS)
+    network.submit("e2", 2)
+    assert requests_waiting(network)
+    return network
+
+
+def requests_waiting(network) -> int:
+    """Count the requests that wait at e1 and e3."""
+    queues = [network.kernels_by_name[n].dispatcher.policy.lender.queue for n in ("e1", "e3")]
+    return sum(len(queue) for queue in queues)
+
+
+def test_requests_of_a_node_that_fell_silent_are_dropped_with_its_slots(queueing):
+    queueing.kill("e2")
+    queueing.advance(slots.HOLDER_SILENCE_LIMIT.total_seconds() + 0.1)
+    assert requests_waiting(queueing) == 0
+
+
+def test_requests_of_a_node_that_is_listed_no_more_are_dropped_at_once(queueing):
+    queueing.kill("e2")
+    for name in ("e1", "e3"):
+        queueing.list_nodes(name, ("e1", "e3"))
+    assert requests_waiting(queueing) == 0
+
+
+def test_requests_of_a_replaced_node_are_dropped_when_its_next_incarnation_is_heard(queueing):
+    queueing.kill("e2")
+    queueing.replace("e2")
+    queueing.advance(0.1)
+    assert requests_waiting(queueing) == 0
+    queueing.submit("e2", 1)
+    queueing.advance(0.1)
+    assert requests_waiting(queueing)
+
+
+def test_requests_of_a_live_node_wait_however_long(queueing):
+    queueing.advance(2 * slots.HOLDER_SILENCE_LIMIT.total_seconds())
+    before = queueing.started["e2"]
+    for lease_id in list(queueing.running)[:2]:
+        queueing.end(lease_id)
+    assert queueing.started["e2"] == before + 2
+
+
 def test_a_failing_target_is_paid_for_once_per_domain(network):
     fails = events.LeaseOutcome.FAILED
     failures = 0
