Add the placement policy shared_counts

`shared_counts`: nodes tell each other, in a typed message of changed counts every 50 ms or more, how many starts they have in progress on each target, within 30 KB/s a node; a task goes to the least loaded of eight random targets by the node's own count and the others' last told.

Ruled out: comparing all targets (linear per task), telling every node of a large fleet.

--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/count_policies.py
@@ -0,0 +1,83 @@
+"""The ``shared_counts`` policy: the least loaded of a few targets, by the counts of all nodes.
+
+Tasks are sent at once and queue at their targets. A node knows its own starts in progress
+exactly, and those of the nodes that tell it as they were some time ago. See
+``docs/design/placement.md``.
+"""
+
+import datetime
+from collections.abc import Sequence
+
+from chiveridge_kernel import actions, events, jobs, peers, placements, startcounts, vms
+
+SAMPLE_SIZE = 8
+"""Targets compared for a task; the random sample also keeps nodes from choosing the same one."""
+
+MAX_RECEIVERS = 24
+
+
+@placements.register("shared_counts")
+class SharedCountsPolicy(placements.ImmediatePolicy):
+    """Shares counts between nodes at a bounded rate."""
+
+    def __init__(self, starter: placements.Starter):
+        super().__init__(starter)
+        own_name = starter.members.own_name
+        self._others = startcounts.OthersCounts(starter.target_table)
+        self._teller = startcounts.Teller(own_name, starter.in_flight_by_target)
+        self._receivers: list[vms.Vm] = []
+        self._receivers_version: int | None = None
+
+    def choose(self, found: Sequence[vms.Vm]) -> vms.Vm:
+        """Choose the least loaded of a random sample; the first drawn wins a tie."""
+        self._teller.changed()
+        rng = self.starter.rng
+        return min(rng.sample(found, min(SAMPLE_SIZE, len(found))), key=self._load)
+
+    def start_ended(
+        self,
+        task: jobs.Task,
+        vm: vms.Vm,
+        report: events.LeaseReported | None,
+        now: datetime.datetime,
+    ) -> None:
+        """Have the changed count told."""
+        self._teller.changed()
+
+    def received(self, message: peers.PeerMessage, now: datetime.datetime) -> None:
+        """Take the counts of another node; other messages are for other parts of the kernel."""
+        is_known = isinstance(message, peers.StartCounts) and self.starter.members.find(
+            message.sender
+        )
+        if is_known and message.sender != self.starter.members.own_name:
+            self._others.take(message, now)
+
+    def ticked(self, now: datetime.datetime) -> None:
+        """Tell what has changed, and forget nodes that are silent."""
+        self._others.expire(now)
+        receivers = self._find_receivers()
+        message = self._teller.message_due(receivers, now)
+        if message is not None:
+            self.starter.outbox.extend(
+                actions.SendToPeer(peer=vm, message=message) for vm in receivers
+            )
+
+    def next_wakeup(self) -> datetime.datetime | None:
+        """Return when counts are due to be told."""
+        return self._teller.next_due()
+
+    def _load(self, vm: vms.Vm) -> float:
+        own = self.starter.in_flight_by_target.get(vm.name, 0)
+        return (own + self._others.of(vm.name)) / max(vm.slots, 1)
+
+    def _find_receivers(self) -> list[vms.Vm]:
+        """Return the nodes to tell: those of this domain, then others up to a limit."""
+        members = self.starter.members
+        if members.version != self._receivers_version:
+            self._receivers_version = members.version
+            near = members.live_names(members.own_domain)
+            rest = [name for name in members.live_names() if name not in set(near)]
+            names = [name for name in [*near, *rest] if name != members.own_name]
+            found = [members.find(name) for name in names[:MAX_RECEIVERS]]
+            self._receivers = [vm for vm in found if vm is not None]
+        return self._receivers
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -12,7 +12,7 @@
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
 
 
-# Short keys, as heartbeats are most of the control traffic.
+# Short keys, as heartbeats and counts are most of the control traffic.
 _HEARTBEAT_KEYS_BY_FIELD = {
     "sender": "s",
     "incarnation": "i",
@@ -24,6 +24,14 @@
 }
 
 
+_START_COUNTS_KEYS_BY_FIELD = {
+    "sender": "s",
+    "sent_at_ms": "t",
+    "whole": "w",
+    "count_by_target": "c",
+}
+
+
 class DropReason(enum.Enum):
     """Why a message from a peer is dropped."""
 
@@ -171,6 +179,25 @@
     free: int
 
 
+class StartCounts(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag="sc",
+    rename=_START_COUNTS_KEYS_BY_FIELD.get,
+):
+    """Starts of the sender in progress by target: those that changed, or all when ``whole``.
+
+    ``sent_at_ms``, in milliseconds since the Unix epoch, puts the messages of a sender in order.
+    """
+
+    sender: identifiers.NodeName
+    sent_at_ms: int
+    whole: bool = False
+    count_by_target: dict[identifiers.TargetName, Annotated[int, msgspec.Meta(ge=0)]]
+
+
 class TargetLeaving(msgspec.Struct, frozen=True, kw_only=True, tag="target_leaving"):
     """Tells that a target refused a start as leaving; the address tells VMs of a name apart."""
 
@@ -272,6 +299,7 @@
     | SlotGrant
     | SlotReturn
     | SlotReport
+    | StartCounts
 )
 
 
--- a/packages/kernel/chiveridge_kernel/policies.py
+++ b/packages/kernel/chiveridge_kernel/policies.py
@@ -1,12 +1,13 @@
 """The built-in placement policies; importing this module registers them."""
 
-from chiveridge_kernel import owner_policies, placements
+from chiveridge_kernel import count_policies, owner_policies, placements
 
 BUILT_IN = (
     placements.RandomPolicy,
     placements.RoundRobinPolicy,
     placements.PowerOfTwoPolicy,
     owner_policies.OwnersPolicy,
+    count_policies.SharedCountsPolicy,
 )
 """Every policy that the settings may name."""
 
