--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -19,6 +19,7 @@
     probes,
     reaches,
     results,
+    stops,
     targets,
     vms,
 )
@@ -61,6 +62,7 @@
         self._lease_serial = 0
         self.backlogs = backlogs.Backlogs()
         self.limiter = limits.Limiter(member_table, incarnation, self._emit)
+        self.stops = stops.StopTable(self._emit)
         self._prober = probes.Prober(probe_limits)
         self.policy = placements.create(policy_name, self)
 
@@ -162,8 +164,7 @@
             if task.is_unsent:
                 self._take_back(task, now)
             else:
-                self.outbox.append(actions.StopTask(lease_id=task.lease_id, target=task.target))
-                self._release(task, None, now)
+                self._stop(task, now)
             task.signal(jobs.TaskSignal.GIVE_UP)
         self._end(job, results.JobState.FAILED, code, message, now)
 
@@ -211,6 +212,16 @@
         self.policy.job_ended(job, now)
         self._end_if_revoked(job, now)
 
+    def _stop(self, task: jobs.Task, now: datetime.datetime) -> None:
+        """Stop a start that was sent, or is about to be."""
+        self.stops.add([task], now)
+        self.outbox.append(
+            actions.StopTask(
+                lease_id=task.lease_id, target=task.target, start_before=task.start_before
+            )
+        )
+        self._release(task, None, now)
+
     def _take_back(self, task: jobs.Task, now: datetime.datetime) -> None:
         """Withdraw a start of which nothing was sent."""
         self.outbox.append(actions.WithdrawStart(lease_id=task.lease_id))
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -75,6 +75,15 @@
     lease_id: identifiers.LeaseId
 
 
+class StopConfirmed(msgspec.Struct, frozen=True, kw_only=True):
+    """A start that was told to stop cannot begin any more.
+
+    Its target has seen it and stopped or ended it, or nothing of it was sent.
+    """
+
+    lease_id: identifiers.LeaseId
+
+
 class RecordsRead(msgspec.Struct, frozen=True, kw_only=True):
     """A successful read of the configuration stream, also when there was no record.
 
@@ -137,6 +146,7 @@
     | LeaseReported
     | StartDelayed
     | StartSent
+    | StopConfirmed
     | RecordsRead
     | RecordsExpired
     | VmsListed
