Stop the fleet of a bench that gets a signal to stop

Cause: SIGTERM ended the commands of the load tool by its default action, so that no clean-up ran and the nodes, targets and senders went on as orphans. SIGINT did stop them, but a second one, or one while the senders start, left some behind.

Change: the commands run their coroutine through interruptions.run, which cancels it at the first SIGTERM or SIGINT and then exits with 128 + signal. Clean-ups of a fleet and of the senders end although they are cancelled meanwhile; senders are stopped when starting them fails.

Ruled out: a parent-death signal in the children, as it needs ctypes or a wrapper program.

--- a/packages/load/chiveridge_load/benches.py
+++ b/packages/load/chiveridge_load/benches.py
@@ -3,7 +3,6 @@
 Usage: ``python -m chiveridge_load.benches --scenario=steady --policy=power_of_two``
 """
 
-import asyncio
 import pathlib
 import time
 
@@ -11,7 +10,16 @@
 from absl import flags, logging
 
 from chiveridge_kernel import policies
-from chiveridge_load import deployments, plots, reports, runs, scenarios, suites, workloads
+from chiveridge_load import (
+    deployments,
+    interruptions,
+    plots,
+    reports,
+    runs,
+    scenarios,
+    suites,
+    workloads,
+)
 
 DEFAULT_OUT = "build/bench.json"
 
@@ -82,7 +90,7 @@
         peer_delay=deployments.peer_delay(case.deployment, options.delays),
         disturb=scenario.disturb,
     )
-    measured = asyncio.run(runs.measure(run))
+    measured = interruptions.run(runs.measure(run))
     return reports.row(
         measured,
         scenario.limits(measured),
--- a/packages/load/chiveridge_load/control_benches.py
+++ b/packages/load/chiveridge_load/control_benches.py
@@ -19,7 +19,7 @@
 
 from chiveridge_client import clients
 from chiveridge_kernel import heartbeats, messages
-from chiveridge_load import deployments
+from chiveridge_load import deployments, interruptions
 from chiveridge_standins import fleets
 
 _SIZES = flags.DEFINE_list("sizes", ["3", "9", "25"], "Numbers of nodes in the domain.")
@@ -166,7 +166,7 @@
     """Measure and print."""
     del argv
     sizes = [int(text) for text in _SIZES.value]
-    report = asyncio.run(run(sizes, _SECONDS.value, _JOBS_PER_SECOND.value))
+    report = interruptions.run(run(sizes, _SECONDS.value, _JOBS_PER_SECOND.value))
     json.dump(msgspec.to_builtins(report), sys.stdout, indent=2)
     print()
 
--- a/packages/load/chiveridge_load/costs.py
+++ b/packages/load/chiveridge_load/costs.py
@@ -3,7 +3,6 @@
 Usage: ``python -m chiveridge_load.costs --out=build/costs.json``
 """
 
-import asyncio
 import datetime
 import os
 import pathlib
@@ -15,7 +14,7 @@
 from absl import flags, logging
 
 from chiveridge_kernel import policies
-from chiveridge_load import idles, saturations, slopes
+from chiveridge_load import idles, interruptions, saturations, slopes
 
 JOB_SIZES = (1, 8, 64, 740)
 PROFILE_JOB_SIZE = 8
@@ -40,12 +39,12 @@
     options = flags.FLAGS
     out = pathlib.Path(options.out)
     out.parent.mkdir(parents=True, exist_ok=True)
-    report = asyncio.run(_measure(options))
+    report = interruptions.run(_measure(options))
     content = msgspec.json.format(msgspec.json.encode(report), indent=1)
     out.write_bytes(content + b"\n")
     print(_table(report))
     if options.profile:
-        print(asyncio.run(_profile(options, out.with_suffix(".profile.txt"))))
+        print(interruptions.run(_profile(options, out.with_suffix(".profile.txt"))))
 
 
 async def _measure(options: flags.FlagValues) -> Report:
--- a/packages/load/chiveridge_load/demos.py
+++ b/packages/load/chiveridge_load/demos.py
@@ -1,6 +1,5 @@
 """The demo: a small fleet of real processes runs one job of 24 tasks."""
 
-import asyncio
 import datetime
 import sys
 
@@ -8,7 +7,7 @@
 
 from chiveridge_client import clients
 from chiveridge_kernel import messages, results
-from chiveridge_load import deployments
+from chiveridge_load import deployments, interruptions
 from chiveridge_standins import fleets
 
 DOMAINS = ("ikeja", "surulere", "lekki")
@@ -22,7 +21,7 @@
 
 def main() -> int:
     """Run the demo and return its exit code."""
-    return asyncio.run(_run())
+    return interruptions.run(_run())
 
 
 async def _run() -> int:
--- a/packages/load/chiveridge_load/fanouts.py
+++ b/packages/load/chiveridge_load/fanouts.py
@@ -44,12 +44,15 @@
 
     async def __aenter__(self) -> Self:
         starts = [self._start(number, order) for number, order in enumerate(self._orders)]
-        await asyncio.gather(*starts)
+        try:
+            await asyncio.gather(*starts)
+        except BaseException:
+            await processes.uninterrupted(self._stop_all())
+            raise
         return self
 
     async def __aexit__(self, *_exception: object) -> None:
-        await asyncio.gather(*(process.stop(STOP_GRACE_S) for process in self._processes))
-        self._directory.cleanup()
+        await processes.uninterrupted(self._stop_all())
 
     def use_urls(self, urls: list[str]) -> None:
         """Send what follows to these nodes."""
@@ -79,6 +82,10 @@
         arguments = [f"--directory={self._exchange.directory}", f"--number={number}"]
         await process.start("chiveridge_load.senders", arguments, senders.SenderListening)
 
+    async def _stop_all(self) -> None:
+        await asyncio.gather(*(process.stop(STOP_GRACE_S) for process in self._processes))
+        self._directory.cleanup()
+
     def _read(self, number: int) -> list[generators.JobRecord]:
         content = self._exchange.records_path(number).read_bytes()
         return msgspec.json.decode(content, type=list[generators.JobRecord])
--- a/packages/load/chiveridge_load/faults.py
+++ b/packages/load/chiveridge_load/faults.py
@@ -18,6 +18,7 @@
     fault_jobs,
     fault_operators,
     fault_schedules,
+    interruptions,
 )
 from chiveridge_standins import fleets, journals
 
@@ -175,7 +176,7 @@
     """Run the command line."""
     seed = flags.FLAGS.seed if flags.FLAGS.seed is not None else random.randrange(1_000_000)
     print(f"seed {seed}", flush=True)
-    result = asyncio.run(run(RunPlan(jobs=flags.FLAGS.jobs, seed=seed)))
+    result = interruptions.run(run(RunPlan(jobs=flags.FLAGS.jobs, seed=seed)))
     print(report(result))
     return 1 if result.violations else 0
 
--- /dev/null
+++ b/packages/load/chiveridge_load/interruptions.py
@@ -0,0 +1,53 @@
+"""Runs the coroutine of a command so that a signal ends it with the processes that it started."""
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+from typing import TypeVar
+
+SIGNALS = (signal.SIGTERM, signal.SIGINT)
+EXIT_CODE_BASE = 128
+"""Added to the number of a signal it makes the usual exit code of a command that it ended."""
+
+T = TypeVar("T")
+
+
+class _StoppedError(Exception):
+    """A signal to stop has ended the coroutine."""
+
+    def __init__(self, number: signal.Signals):
+        super().__init__(number.name)
+        self.number = number
+
+
+def run(coroutine: Coroutine[None, None, T]) -> T:
+    """Run a coroutine on a new event loop and return its result.
+
+    The first SIGTERM or SIGINT cancels it; more of them change nothing while it cleans up.
+
+    :raises SystemExit: when a signal has ended it.
+    """
+    try:
+        return asyncio.run(_guard(coroutine))
+    except _StoppedError as error:
+        raise SystemExit(EXIT_CODE_BASE + error.number) from error
+
+
+async def _guard(coroutine: Coroutine[None, None, T]) -> T:
+    received: list[signal.Signals] = []
+    task = asyncio.ensure_future(coroutine)
+
+    def stop(number: signal.Signals) -> None:
+        if not received:
+            task.cancel()
+        received.append(number)
+
+    loop = asyncio.get_running_loop()
+    for number in SIGNALS:
+        loop.add_signal_handler(number, stop, number)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        if not received:
+            raise
+        raise _StoppedError(received[0]) from None
--- a/packages/load/chiveridge_load/publication_benches.py
+++ b/packages/load/chiveridge_load/publication_benches.py
@@ -15,7 +15,7 @@
 
 from chiveridge_client import clocks, errors, platforms, publications, statuses
 from chiveridge_kernel import records
-from chiveridge_load import deployments
+from chiveridge_load import deployments, interruptions
 from chiveridge_standins import fleets
 
 DOMAINS = ("ikeja", "lekki", "surulere")
@@ -90,7 +90,7 @@
 def main(argv: list[str]) -> int:
     """Measure and print the figures."""
     del argv
-    figures = asyncio.run(measure(_NODES.value, _CHANGES.value))
+    figures = interruptions.run(measure(_NODES.value, _CHANGES.value))
     sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
     return 0
 
--- a/packages/standins/chiveridge_standins/fleets.py
+++ b/packages/standins/chiveridge_standins/fleets.py
@@ -85,12 +85,12 @@
         try:
             await self._start_all()
         except BaseException:
-            await self._stop_all()
+            await processes.uninterrupted(self._stop_all())
             raise
         return self
 
     async def __aexit__(self, *_exception: object) -> None:
-        await self._stop_all()
+        await processes.uninterrupted(self._stop_all())
 
     def node_urls(self) -> list[str]:
         """Return the base URLs of the nodes for callers."""
--- a/packages/standins/chiveridge_standins/processes.py
+++ b/packages/standins/chiveridge_standins/processes.py
@@ -4,6 +4,7 @@
 import pathlib
 import signal
 import sys
+from collections.abc import Coroutine
 from typing import TypeVar
 
 import msgspec
@@ -96,3 +97,13 @@
     async def _drain_stdout(self) -> None:
         while await self._child.stdout.read(TAIL_BYTES):
             pass
+
+
+async def uninterrupted(cleanup: Coroutine[None, None, None]) -> None:
+    """Await a clean-up to its end; a cancellation meanwhile is passed on after it."""
+    task = asyncio.ensure_future(cleanup)
+    try:
+        await asyncio.shield(task)
+    except asyncio.CancelledError:
+        await task
+        raise
