Write a deterministic results page that sets the chosen policy off from its baselines

Cause: the page counted the limits that baselines miss as if they were the product's, told neither seeds nor lengths of the traces nor goodput, refusals and wrong answers, and drew PNG files whose bytes no test held fixed.

Change: a line on the conditions, the chosen policy first in each case, limits missed under it only, and plots as SVG with a fixed salt and no date in docs/plots, which replace earlier ones.

--- a/packages/load/chiveridge_load/pages.py
+++ b/packages/load/chiveridge_load/pages.py
@@ -9,9 +9,10 @@
 import msgspec
 from absl import flags
 
+from chiveridge_kernel import policies
 from chiveridge_load import costs, idles, plots, reports
 
-IMAGES = "images"
+IMAGES = "plots"
 
 _HEADER = """# Results
 
@@ -25,9 +26,9 @@
     """Return the results page in Markdown; ``images`` are paths relative to it."""
     steady = [row for row in rows if row.scenario == "steady"]
     others = [row for row in rows if row.scenario != "steady"]
-    missed = [(row, limit) for row in rows for limit in row.limits if not limit.passed]
     parts = [
         _HEADER,
+        _conditions(rows),
         _verdict(rows),
         "## Steady load\n",
         _steady_table(steady),
@@ -35,18 +36,39 @@
         "## Other scenarios\n",
         _limits_table(others),
         "## Limits missed\n",
-        _missed_list(missed),
+        _missed_list([row for row in rows if _is_chosen(row)]),
     ]
     if report is not None:
         parts += ["## Cost of a task\n", _costs(report)]
     return "\n".join(parts)
 
 
+def _conditions(rows: list[reports.Row]) -> str:
+    """Return how the rows were measured."""
+    seeds = ", ".join(str(seed) for seed in sorted({row.seed for row in rows}))
+    lengths = [row.seconds for row in rows]
+    delayed = sum(row.delays for row in rows)
+    return (
+        f"Traces of {min(lengths):g} to {max(lengths):g} s with seed {seeds}. Messages between\n"
+        f"nodes were delayed as in the deployment in {delayed} of {len(rows)} runs. The generator\n"
+        f"was at most {max(row.lateness_ms for row in rows):.0f} ms late for 99 of 100 jobs.\n"
+    )
+
+
 def _verdict(rows: list[reports.Row]) -> str:
-    passed = sum(row.passed for row in rows)
+    chosen = [row for row in rows if _is_chosen(row)]
+    passed = sum(row.passed for row in chosen)
     wrong = sum(row.wrong_answers for row in rows)
     jobs = sum(row.jobs for row in rows)
-    return f"{passed} of {len(rows)} runs kept every limit; {jobs} jobs, {wrong} wrong answers.\n"
+    return (
+        f"The chosen policy `{policies.DEFAULT}` kept every limit in {passed} of {len(chosen)} "
+        "runs;\nthe other policies are baselines and run for comparison. "
+        f"{jobs} jobs, {wrong} wrong answers.\n"
+    )
+
+
+def _is_chosen(row: reports.Row) -> bool:
+    return row.policy == policies.DEFAULT
 
 
 def _steady_table(rows: list[reports.Row]) -> str:
@@ -55,11 +77,15 @@
         "load",
         "mean tasks",
         "policy",
+        "jobs",
         "p50",
         "bound",
         "p99",
         "bound",
         "wasted",
+        "goodput",
+        "refused",
+        "wrong",
         "limits",
     ]
     lines = [
@@ -68,18 +94,27 @@
             f"{row.load:.0%}",
             f"{row.job_mean:g}",
             row.policy,
+            str(row.jobs),
             f"{row.p50_ratio:.3f}",
             f"{row.p50_bound:.3f}",
             f"{row.p99_ratio:.3f}",
             f"{row.p99_bound:.3f}",
             f"{row.wasted_share:.3%}",
+            f"{row.goodput_share:.3f}",
+            f"{row.refused_share:.3f}",
+            str(row.wrong_answers),
             _word(row.passed),
         ]
-        for row in sorted(rows, key=lambda row: (row.deployment, row.load, row.job_mean))
+        for row in sorted(rows, key=_steady_order)
     ]
     return _table(header, lines)
 
 
+def _steady_order(row: reports.Row) -> tuple[str, float, float, bool, str]:
+    """Order by case, the chosen policy before its baselines."""
+    return row.deployment, row.load, row.job_mean, not _is_chosen(row), row.policy
+
+
 def _limits_table(rows: list[reports.Row]) -> str:
     header = ["scenario", "policy", "measured", "value", "limit", "kept"]
     lines = [
@@ -97,15 +132,16 @@
     return _table(header, lines)
 
 
-def _missed_list(missed: list[tuple[reports.Row, reports.LimitResult]]) -> str:
+def _missed_list(rows: list[reports.Row]) -> str:
+    missed = [(row, limit) for row in rows for limit in row.limits if not limit.passed]
     if not missed:
-        return "None.\n"
+        return f"None under `{policies.DEFAULT}`.\n"
     lines = [
-        f"- {row.scenario}, {row.deployment}, {row.policy}, load {row.load:.0%}, mean "
-        f"{row.job_mean:g}: {limit.name} {limit.measured:.3f}, limit {limit.limit:.3f}"
+        f"- {row.scenario}, {row.deployment}, load {row.load:.0%}, mean {row.job_mean:g}: "
+        f"{limit.name} {limit.measured:.3f}, limit {limit.limit:.3f}"
         for row, limit in missed
     ]
-    return "\n".join(lines) + "\n"
+    return f"Under `{policies.DEFAULT}`:\n\n" + "\n".join(lines) + "\n"
 
 
 def _costs(report: costs.Report) -> str:
@@ -157,16 +193,21 @@
     return f"{deployment}, {load}% load, jobs of mean {mean}"
 
 
+def write(rows: list[reports.Row], report: costs.Report | None, target: pathlib.Path) -> None:
+    """Write the page, and its plots in place of earlier ones in a directory beside it."""
+    images = target.parent / IMAGES
+    images.mkdir(parents=True, exist_ok=True)
+    for path in images.glob("steady-*.svg"):
+        path.unlink()
+    names = [f"{IMAGES}/{path.name}" for path in plots.draw(rows, images)]
+    target.write_text(page(rows, report, names))
+
+
 def main(_argv: list[str]) -> None:
     """Run the command."""
     options = flags.FLAGS
-    target = pathlib.Path(options.page)
-    images = target.parent / IMAGES
-    images.mkdir(parents=True, exist_ok=True)
     rows = reports.read(pathlib.Path(options.bench))
-    paths = plots.draw(rows, images)
-    names = [f"{IMAGES}/{path.name}" for path in paths]
-    target.write_text(page(rows, _read_costs(pathlib.Path(options.costs)), names))
+    write(rows, _read_costs(pathlib.Path(options.costs)), pathlib.Path(options.page))
 
 
 def _read_costs(path: pathlib.Path) -> costs.Report | None:
--- a/packages/load/chiveridge_load/plots.py
+++ b/packages/load/chiveridge_load/plots.py
@@ -5,14 +5,16 @@
 
 import matplotlib
 
-matplotlib.use("Agg")
+matplotlib.use("svg")
+# Identifiers in the files are random without a salt.
+matplotlib.rcParams["svg.hashsalt"] = "chiveridge"
+matplotlib.rcParams["svg.fonttype"] = "none"
 
 from matplotlib import axes, pyplot, ticker  # noqa: E402
 
 from chiveridge_load import measurements, reports  # noqa: E402
 
 SIZE_INCHES = (7.0, 4.0)
-DOTS_PER_INCH = 100
 RATIO_TICKS = (1, 1.1, 1.2, 1.5, 2, 3, 5, 10, 20, 50, 100)
 
 
@@ -27,7 +29,7 @@
 
 def _draw_group(rows: list[reports.Row], directory: pathlib.Path) -> pathlib.Path:
     first = rows[0]
-    figure, axis = pyplot.subplots(figsize=SIZE_INCHES, dpi=DOTS_PER_INCH)
+    figure, axis = pyplot.subplots(figsize=SIZE_INCHES)
     for row in rows:
         _draw_curve(axis, row.quantiles, row.policy, "-")
     _draw_curve(axis, first.bound_quantiles, "central queue (bound)", "--")
@@ -41,9 +43,9 @@
     axis.grid(True, which="both", alpha=0.3)
     axis.legend()
     figure.tight_layout()
-    name = f"steady-{first.deployment}-{first.load * 100:.0f}-{first.job_mean:g}.png"
+    name = f"steady-{first.deployment}-{first.load * 100:.0f}-{first.job_mean:g}.svg"
     path = directory / name
-    figure.savefig(path, metadata={"Software": None})
+    figure.savefig(path, metadata={"Date": None})
     pyplot.close(figure)
     return path
 
