Let the caller set how many connections a client opens

Cause: the client took the HTTP library's limit of 100 connections. A job whose answer is awaited holds one, so that the 101st submission waited, its wait counted as a silent node, and it was sent again: with 150 jobs awaited at a time the new test saw 220 to 237 requests in place of 150.

Ruled out: no limit by default, as many processes may open only 1,024 files.

--- a/packages/client/chiveridge_client/clients.py
+++ b/packages/client/chiveridge_client/clients.py
@@ -19,6 +19,9 @@
 
 MAX_IDS_PER_JOB = 3
 
+DEFAULT_MAX_CONNECTIONS = 512
+"""A job that waits for its answer holds a connection; processes often may open 1,024 files."""
+
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta(0)
 _answer_decoder = msgspec.json.Decoder(messages.JobAnswer)
@@ -30,6 +33,8 @@
     :param urls: base URLs of the nodes, such as ``http://127.0.0.1:7001``.
     :param credential: ``TEAM.SECRET``.
     :param id_batch_size: submission ids to fetch in one request.
+    :param max_connections: open connections to all nodes together, 0 for any number. Requests
+        beyond it wait for one, which counts towards their time limits.
     """
 
     def __init__(
@@ -40,15 +45,18 @@
         rng: random.Random | None = None,
         clock: clocks.Clock | None = None,
         id_batch_size: int = issuances.BATCH_SIZE,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ):
         self._urls = list(urls)
         self._credential = credential
         self._rng = rng or random.Random()
         self._clock = clock or clocks.SystemClock()
         self._id_batch_size = id_batch_size
+        self._max_connections = max_connections
 
     async def __aenter__(self) -> Self:
-        self._session = aiohttp.ClientSession()
+        connector = aiohttp.TCPConnector(limit=self._max_connections)
+        self._session = aiohttp.ClientSession(connector=connector)
         self._exchanges = exchanges.Exchanges(self._session, self._credential)
         self._ids = issuances.IdSource(
             self._urls,
--- a/packages/client/tests/conftest.py
+++ b/packages/client/tests/conftest.py
@@ -99,6 +99,18 @@
 
         self.replies.extend([reply] * times)
 
+    def gather(self, count):
+        """Hold the next job requests until all of them have arrived."""
+        all_arrived = asyncio.Event()
+
+        async def reply(request, submission_id):
+            if len(self.job_requests) >= count:
+                all_arrived.set()
+            await all_arrived.wait()
+            return web.Response(body=answer_of(submission_id))
+
+        self.replies.extend([reply] * count)
+
     async def cut_off(self, request, submission_id):
         return await cut_off(request, answer_of(submission_id))
 
--- a/packages/client/tests/test_clients.py
+++ b/packages/client/tests/test_clients.py
@@ -166,6 +166,16 @@
     assert len({answer.submission_id for answer in answers}) == 20
 
 
+@pytest.mark.parametrize("limits", [{}, {"max_connections": 150}, {"max_connections": 0}])
+async def test_many_jobs_wait_for_their_answers_at_one_time(node, clock, limits):
+    count = 150
+    node.gather(count)
+    async with clients.Client([node.url], "t.s", clock=clock, **limits) as client:
+        answers = await asyncio.gather(*(client.submit(TASKS) for _ in range(count)))
+    assert len({answer.submission_id for answer in answers}) == count
+    assert len(node.job_requests) == count
+
+
 async def test_unreachable_nodes_start_nothing(clock):
     async with clients.Client(["http://127.0.0.1:1"], "t.s", clock=clock) as client:
         with pytest.raises(errors.UnreachableError):
