Put only new waiting tasks of a job into its demands

Cause: of the memory case that ended in client timeouts, the first. Each start that was not begun had every waiting task of its job put into demands again.

Change: a job's tasks stay in their demands; only those that began to wait since are added, and all of them again when the job's targets change.

Before, for 10 starts not begun of a job of 740 tasks: 8,140 tasks put into demands. The memory case still fails: the node opens thousands of connections in one turn of its loop.

--- a/packages/kernel/chiveridge_kernel/demands.py
+++ b/packages/kernel/chiveridge_kernel/demands.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 
-from chiveridge_kernel import clocks, jobs, slotqueues
+from chiveridge_kernel import clocks, jobs, reaches, slotqueues
 
 LENGTH_WEIGHT = 2.0
 """Weight of a job's expected length against its arrival in the order of demands."""
@@ -45,27 +45,51 @@
         return len(self.tasks)
 
 
+class _JobDemands:
+    """The demands of one job, and the targets by which its tasks were put into them."""
+
+    def __init__(self, candidates: reaches.Candidates):
+        self.candidates = candidates
+        self.by_query: dict[slotqueues.Query, Demand] = {}
+
+    def regroup(self, candidates: reaches.Candidates) -> None:
+        """Take every task out of its demand when the job may use other targets now."""
+        if candidates is self.candidates:
+            return
+        self.candidates = candidates
+        for demand in self.by_query.values():
+            demand.tasks.clear()
+
+    def tasks_to_add(self, job: jobs.Job) -> list[jobs.Task]:
+        """Return the waiting tasks that are in no demand; they are the last that began to wait."""
+        known = sum(demand.wanted for demand in self.by_query.values())
+        latest = itertools.islice(reversed(job.waiting), len(job.waiting) - known)
+        return list(latest)[::-1]
+
+
 class DemandTable:
     """Demands of this node's jobs."""
 
     def __init__(self):
         self.demands_by_id: dict[int, Demand] = {}
-        self._demands_by_job: dict[jobs.Job, dict[slotqueues.Query, Demand]] = {}
+        self._demands_by_job: dict[jobs.Job, _JobDemands] = {}
         self._ids = itertools.count(1)
 
     def add(self, job: jobs.Job, mean_run_ms: float) -> list[Demand]:
         """Put the waiting tasks of a job into demands by their needs; return these demands.
 
-        ``mean_run_ms`` is that of a task, 0 when it is not known.
+        Tasks that are in a demand stay there. ``mean_run_ms`` is that of a task, 0 when it is
+        not known.
         """
-        by_query = self._demands_by_job.setdefault(job, {})
-        for demand in by_query.values():
-            demand.tasks.clear()
-        for task in job.waiting:
+        known = self._demands_by_job.get(job)
+        if known is None:
+            known = self._demands_by_job[job] = _JobDemands(job.candidates)
+        known.regroup(job.candidates)
+        for task in known.tasks_to_add(job):
             query = _query_of(job, task)
-            demand = by_query.get(query) or self._create(job, query, mean_run_ms)
+            demand = known.by_query.get(query) or self._create(job, query, mean_run_ms)
             demand.tasks.append(task)
-        return [demand for demand in by_query.values() if demand.tasks]
+        return [demand for demand in known.by_query.values() if demand.tasks]
 
     def find(self, demand_id: int) -> Demand | None:
         """Return a demand, or None when its job has ended."""
@@ -73,14 +97,15 @@
 
     def remove_job(self, job: jobs.Job) -> list[Demand]:
         """Remove and return the demands of a job."""
-        removed = list(self._demands_by_job.pop(job, {}).values())
+        known = self._demands_by_job.pop(job, None)
+        removed = list(known.by_query.values()) if known else []
         for demand in removed:
             del self.demands_by_id[demand.demand_id]
         return removed
 
     def _create(self, job: jobs.Job, query: slotqueues.Query, mean_run_ms: float) -> Demand:
         demand = Demand(next(self._ids), job, query, mean_run_ms)
-        self._demands_by_job[job][query] = demand
+        self._demands_by_job[job].by_query[query] = demand
         self.demands_by_id[demand.demand_id] = demand
         return demand
 
--- a/packages/kernel/tests/test_demands.py
+++ b/packages/kernel/tests/test_demands.py
@@ -58,3 +58,40 @@
     (large,) = table.add(new_job("desk", (1,) * 8), MEAN_RUN_MS)
     assert small.due_ms == small.arrived_at_ms
     assert large.due_ms - small.due_ms == int(demands.LENGTH_WEIGHT * MEAN_RUN_MS * math.log(8))
+
+
+class CountingCandidates(reaches.Candidates):
+    """Counts the tasks that are put into a demand."""
+
+    def __init__(self, found):
+        super().__init__(found)
+        self.grouped = 0
+
+    def threshold(self, task):
+        self.grouped += 1
+        return super().threshold(task)
+
+
+def test_a_task_that_was_not_started_is_added_without_looking_at_the_others(table):
+    job = new_job("desk", (1,) * 740)
+    job.candidates = CountingCandidates((TARGET,))
+    (demand,) = table.add(job, MEAN_RUN_MS)
+    for _ in range(10):
+        task = demand.tasks.popleft()
+        job.waiting.remove(task)
+        job.waiting.append(task)
+        assert table.add(job, MEAN_RUN_MS) == [demand]
+    assert list(demand.tasks) == list(job.waiting)
+    assert job.candidates.grouped == 740 + 10
+
+
+def test_waiting_tasks_are_put_into_other_demands_when_the_targets_change(table):
+    job = new_job("desk", (1, 20))
+    (before,) = table.add(job, MEAN_RUN_MS)
+    smaller = vms.Vm(
+        name="t2", role=vms.VmRole.TARGET, domain="ikeja", address="127.0.0.1", port=2, memory_mb=16
+    )
+    job.candidates = reaches.Candidates((TARGET, smaller))
+    small, large = sorted(table.add(job, MEAN_RUN_MS), key=lambda demand: demand.query.memory_mb)
+    assert (small.wanted, large.wanted) == (1, 1)
+    assert before is large
