Begin a limited number of requests to targets in one turn of the loop

A node given 14 jobs of 740 tasks at once opened all their connections in the same turns of its event loop. Each turn took seconds, so that connections which were long open counted as timed out, the starts as refused, and nothing was ever sent; 9,000 stops at the jobs' deadline held it up the same way.

Change: starts, asks and stops pass a pacer that lets 32 begin in one turn, in order of arrival.

Ruled out: a limit on connections being opened, as targets that cannot be reached would use it up and hold up starts on healthy ones.

--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chiveridge_kernel import actions, clocks, events, identifiers, vms
-from chiveridge_node import logevents, plugins
+from chiveridge_node import logevents, pacers, plugins
 
 ASK_TIMEOUT_SECONDS = 3.0
 ASK_WAIT_MS = 1000
@@ -15,6 +15,9 @@
 MIN_ASK_AGE = datetime.timedelta(milliseconds=500)
 """Age of a start below which the target need not have read it."""
 
+REQUESTS_PER_TURN = 32
+"""Requests that are begun in one turn of the event loop; more would hold up replies for long."""
+
 _ENDED_OUTCOMES = frozenset(
     {
         events.LeaseOutcome.SUCCEEDED,
@@ -74,6 +77,7 @@
         self._tasks_by_lease: dict[identifiers.LeaseId, asyncio.Task] = {}
         self._sendings_by_lease: dict[identifiers.LeaseId, Sending] = {}
         self._background: set[asyncio.Task] = set()
+        self._pacer = pacers.Pacer(REQUESTS_PER_TURN)
         self._starts: aiohttp.ClientSession | None = None
         self._asks: aiohttp.ClientSession | None = None
 
@@ -170,6 +174,7 @@
 
     async def _send_start(self, action: actions.StartTask) -> LeaseReply:
         sending = self._sendings_by_lease[action.lease_id]
+        await self._pacer.turn()
         self._check_start_limit(sending)
         headers = {
             "Content-Type": "application/json",
@@ -185,6 +190,7 @@
 
     async def _ask(self, action: actions.AskOutcome) -> None:
         await asyncio.sleep(action.delay.total_seconds())
+        await self._pacer.turn()
         if self._is_too_early_to_ask(action.lease_id):
             self._report(action.lease_id, LeaseReply(events.LeaseOutcome.QUEUED), asked=True)
             return
@@ -207,6 +213,7 @@
 
     async def _stop(self, action: actions.StopTask) -> None:
         timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_SECONDS)
+        await self._pacer.turn()
         try:
             url = _lease_url(action.target, action.lease_id)
             async with self._asks.delete(url, timeout=timeout) as response:
