Start the tasks of the memory case job by job

The tool submitted 10,000 tasks at one moment. A node sends about 1,500 starts a second, and those placed but not sent within their start window of 2 s are placed again, so that it never came to 10,000 in progress before the first ended.

Change: the next job is submitted once the targets have started the tasks of those before; the tasks run 30 s; how many run is counted at the targets and no longer taken from the node's own status.

Before: client timeouts.

--- a/packages/load/chiveridge_load/saturations.py
+++ b/packages/load/chiveridge_load/saturations.py
@@ -6,13 +6,12 @@
 import time
 from collections.abc import AsyncIterator
 
-import aiohttp
 import msgspec
 
 from chiveridge_client import clients
 from chiveridge_kernel import messages
 from chiveridge_load import deployments, usages
-from chiveridge_standins import fleets, members
+from chiveridge_standins import counts, fleets
 
 DOMAIN = "ikeja"
 NODE = f"{DOMAIN}-e1"
@@ -30,8 +29,9 @@
 
 MEMORY_TASKS = 10_000
 MEMORY_SLOTS = 500
-MEMORY_RUN_MS = 15_000
-MEMORY_TIMEOUT_S = 60
+MEMORY_RUN_MS = 30_000
+MEMORY_DEADLINE = datetime.timedelta(seconds=90)
+MEMORY_TIMEOUT_S = 30
 POLL_S = 0.1
 
 
@@ -55,10 +55,6 @@
     bytes_per_task: float
 
 
-class _Status(msgspec.Struct):
-    starts_in_progress: int
-
-
 def plan(policy: str, profiles: str = "") -> fleets.FleetPlan:
     """Return a fleet of one node with targets that are never the limit."""
     return fleets.FleetPlan(
@@ -122,30 +118,43 @@
 
 
 async def _fill(fleet: fleets.Fleet, idle_mb: float) -> Memory:
-    sizes = _job_sizes(MEMORY_TASKS)
+    """Start jobs one after the other, as a node cannot start all their tasks at one moment."""
+    started = 0
+    jobs = []
     async with clients.Client(fleet.node_urls(), TEAM.credential) as client:
-        jobs = [asyncio.create_task(client.submit(_tasks(size, MEMORY_RUN_MS))) for size in sizes]
-        started = await _wait_for_starts(fleet, MEMORY_TASKS)
+        for size in _job_sizes(MEMORY_TASKS):
+            tasks = _tasks(size, MEMORY_RUN_MS)
+            jobs.append(asyncio.create_task(client.submit(tasks, deadline=MEMORY_DEADLINE)))
+            started += size
+            await _wait_for_starts(fleet, started)
         memory_mb = usages.memory_mb(fleet.pid(NODE))
+        running = await _running_tasks(fleet)
         await asyncio.gather(*jobs)
     extra_bytes = (memory_mb - idle_mb) * 1024 * 1024
     return Memory(
-        tasks=started,
+        tasks=running,
         idle_mb=idle_mb,
         memory_mb=memory_mb,
-        bytes_per_task=extra_bytes / started,
+        bytes_per_task=extra_bytes / running,
     )
 
 
-async def _wait_for_starts(fleet: fleets.Fleet, count: int) -> int:
-    url = f"{fleet.node_urls()[0]}/v1/status"
-    started = 0
-    async with aiohttp.ClientSession() as session, asyncio.timeout(MEMORY_TIMEOUT_S):
-        while started < count:
+async def _wait_for_starts(fleet: fleets.Fleet, count: int) -> None:
+    """Wait until the targets have started a number of tasks."""
+    async with asyncio.timeout(MEMORY_TIMEOUT_S):
+        while sum(found.total_starts for found in await _counts(fleet)) < count:
             await asyncio.sleep(POLL_S)
-            content = await members.request(session, "GET", url)
-            started = msgspec.json.decode(content, type=_Status).starts_in_progress
-    return started
+
+
+async def _running_tasks(fleet: fleets.Fleet) -> int:
+    return sum(
+        found.total_starts - sum(found.ends.values()) - sum(found.stops.values())
+        for found in await _counts(fleet)
+    )
+
+
+async def _counts(fleet: fleets.Fleet) -> list[counts.Counts]:
+    return await asyncio.gather(*(target.counts() for target in fleet.targets_by_name.values()))
 
 
 def _job_sizes(tasks: int) -> list[int]:
