--- a/packages/load/tests/test_reports.py
+++ b/packages/load/tests/test_reports.py
@@ -1,3 +1,5 @@
+from xml.etree import ElementTree
+
 import msgspec
 import pytest
 
@@ -108,5 +110,5 @@
 def test_plots_are_drawn_for_steady_loads(tmp_path):
     other = msgspec.structs.replace(_row(), scenario="burst")
     paths = plots.draw([_row(), other], tmp_path)
-    assert [path.name for path in paths] == ["steady-lagos-80-1.png"]
-    assert paths[0].read_bytes().startswith(b"\x89PNG")
+    assert [path.name for path in paths] == ["steady-lagos-80-1.svg"]
+    assert ElementTree.parse(paths[0]).getroot().tag == "{http://www.w3.org/2000/svg}svg"
