Keep fewer connections to a target open than a node may use

Cause: 9 nodes that keep 8 connections each hold 72, and a target takes about 64.

Ruled out: 7 connections in all. A start holds its connection until its task ends, so that a node cannot use the eighth slot of a target.

--- a/packages/load/chiveridge_load/saturations.py
+++ b/packages/load/chiveridge_load/saturations.py
@@ -63,12 +63,20 @@
         targets_per_process=TARGETS_PER_PROCESS,
         settings={
             "placement": {"policy": policy},
-            "targets": {"connections_per_target": str(SLOTS)},
+            "targets": _connections(SLOTS),
         },
         profiles=profiles,
     )
 
 
+def _connections(count: int) -> dict[str, str]:
+    """Return the settings of a node that keeps connections for a number of slots."""
+    return {
+        "connections_per_target": str(count),
+        "kept_connections_per_target": str(count),
+    }
+
+
 @contextlib.asynccontextmanager
 async def ready_fleet(fleet_plan: fleets.FleetPlan) -> AsyncIterator[fleets.Fleet]:
     """Run a fleet in which the team may reach every target."""
@@ -109,7 +117,7 @@
     """Measure a node that has :data:`MEMORY_TASKS` tasks running on targets."""
     changes = {"slots": MEMORY_SLOTS, "targets_per_process": 1}
     fleet_plan = msgspec.structs.replace(plan(policy), **changes)
-    fleet_plan.settings["targets"]["connections_per_target"] = str(MEMORY_SLOTS)
+    fleet_plan.settings["targets"] = _connections(MEMORY_SLOTS)
     async with ready_fleet(fleet_plan) as fleet:
         for target in fleet.targets_by_name.values():
             await target.control(max_connections=MEMORY_SLOTS)
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -75,9 +75,13 @@
 
 
 class TargetsSection(msgspec.Struct, frozen=True, kw_only=True):
-    """Connections to targets, and bounds of the wait for a reply before a target is asked."""
+    """Connections to targets, and bounds of the wait for a reply before a target is asked.
+
+    Of the connections to one target only ``kept_connections_per_target`` stay open when unused.
+    """
 
     connections_per_target: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 8
+    kept_connections_per_target: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 6
     connect_timeout_ms: _Milliseconds = 1000
     idle_timeout_ms: _Milliseconds = 10_000
     probe_min_ms: _Milliseconds = 1000
--- /dev/null
+++ b/packages/node/chiveridge_node/start_connections.py
@@ -0,0 +1,60 @@
+"""Connections on which tasks are started: a few are kept for each target, others used once.
+
+A connection is in use until its task ends. A node may need as many as a target has slots, but if
+all nodes kept as many idle ones they would be over what a target takes.
+"""
+
+import collections
+import contextlib
+from collections.abc import Iterator
+
+import aiohttp
+
+from chiveridge_node import settings
+
+
+class StartConnections:
+    """Sessions for the starts of one node, limited for each target."""
+
+    def __init__(self, section: settings.TargetsSection, trace: aiohttp.TraceConfig):
+        limit = section.connections_per_target
+        self._kept_limit = min(section.kept_connections_per_target, limit)
+        self._single_limit = limit - self._kept_limit
+        self._kept_in_use: collections.Counter[str] = collections.Counter()
+        self._single_in_use: collections.Counter[str] = collections.Counter()
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=section.connect_timeout_ms / 1000)
+        self._kept = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=self._kept_limit,
+                keepalive_timeout=section.idle_timeout_ms / 1000,
+            ),
+            timeout=timeout,
+            trace_configs=[trace],
+        )
+        self._single = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, limit_per_host=self._single_limit, force_close=True
+            ),
+            timeout=timeout,
+            trace_configs=[trace],
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._kept.close()
+        await self._single.close()
+
+    @contextlib.contextmanager
+    def session(self, target: str) -> Iterator[aiohttp.ClientSession]:
+        """Lend the session for one start on a target; it waits when all connections are in use."""
+        kept_is_full = self._kept_in_use[target] >= self._kept_limit
+        is_single = kept_is_full and self._single_in_use[target] < self._single_limit
+        in_use = self._single_in_use if is_single else self._kept_in_use
+        in_use[target] += 1
+        try:
+            yield self._single if is_single else self._kept
+        finally:
+            in_use[target] -= 1
+            if not in_use[target]:
+                del in_use[target]
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chiveridge_kernel import actions, clocks, events, identifiers, vms
-from chiveridge_node import logevents, pacers, plugins
+from chiveridge_node import logevents, pacers, plugins, start_connections
 
 ASK_TIMEOUT_SECONDS = 3.0
 ASK_WAIT_MS = 1000
@@ -78,21 +78,13 @@
         self._sendings_by_lease: dict[identifiers.LeaseId, Sending] = {}
         self._background: set[asyncio.Task] = set()
         self._pacer = pacers.Pacer(REQUESTS_PER_TURN)
-        self._starts: aiohttp.ClientSession | None = None
+        self._starts: start_connections.StartConnections | None = None
         self._asks: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
         """Open the connection pools."""
         connect = self._settings.connect_timeout_ms / 1000
-        self._starts = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                limit_per_host=self._settings.connections_per_target,
-                keepalive_timeout=self._settings.idle_timeout_ms / 1000,
-            ),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect),
-            trace_configs=[self._trace_config()],
-        )
+        self._starts = start_connections.StartConnections(self._settings, self._trace_config())
         # Asks never reuse a connection: the one that the start used may be dead.
         self._asks = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
@@ -183,10 +175,11 @@
         }
         url = _lease_url(action.target, action.lease_id)
         # POST only: aiohttp sends idempotent methods again when a kept connection closes.
-        async with self._starts.post(
-            url, data=action.body, headers=headers, trace_request_ctx=sending
-        ) as response:
-            return _decode(await response.read())
+        with self._starts.session(action.target.name) as session:
+            async with session.post(
+                url, data=action.body, headers=headers, trace_request_ctx=sending
+            ) as response:
+                return _decode(await response.read())
 
     async def _ask(self, action: actions.AskOutcome) -> None:
         await asyncio.sleep(action.delay.total_seconds())
--- a/packages/node/tests/test_targets_http.py
+++ b/packages/node/tests/test_targets_http.py
@@ -214,3 +214,22 @@
     assert (found.outcome, found.asked) == (events.LeaseOutcome.SUCCEEDED, True)
     assert shell.reports.empty()
     assert target.requests == ["GET /v1/leases/first?wait_ms=0 HTTP/1.1"]
+
+
+async def test_connections_beyond_those_to_keep_are_closed_after_their_start(adapter, shell):
+    limits = settings.TargetsSection()
+    count = limits.connections_per_target
+    target = FakeTarget(answers_left=2 * count)
+    opened = []
+    async with serving(target) as vm:
+        for batch in range(2):
+            target.replying.clear()
+            for number in range(count):
+                adapter.start(start_of(vm, f"{batch}-{number}"))
+            while len(target.requests) < (batch + 1) * count:
+                await asyncio.sleep(0)
+            target.replying.set()
+            for _ in range(count):
+                assert (await report(shell)).outcome is events.LeaseOutcome.SUCCEEDED
+            opened.append(target.connections)
+    assert opened == [count, count + count - limits.kept_connections_per_target]
