--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chiveridge_kernel import actions, clocks, events, identifiers, vms
-from chiveridge_node import logevents, plugins
+from chiveridge_node import logevents, pacers, plugins, start_connections
 
 ASK_TIMEOUT_SECONDS = 3.0
 ASK_WAIT_MS = 1000
@@ -18,6 +18,9 @@
 MIN_ASK_AGE = datetime.timedelta(milliseconds=500)
 """Age of a start below which the target need not have read it."""
 
+REQUESTS_PER_TURN = 32
+"""Requests that are begun in one turn of the event loop; more would hold up replies for long."""
+
 _ENDED_OUTCOMES = frozenset(
     {
         events.LeaseOutcome.SUCCEEDED,
@@ -80,21 +83,14 @@
         self._tasks_by_lease: dict[identifiers.LeaseId, asyncio.Task] = {}
         self._sendings_by_lease: dict[identifiers.LeaseId, Sending] = {}
         self._background: set[asyncio.Task] = set()
-        self._starts: aiohttp.ClientSession | None = None
+        self._pacer = pacers.Pacer(REQUESTS_PER_TURN)
+        self._starts: start_connections.StartConnections | None = None
         self._asks: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
         """Open the connection pools."""
         connect = self._settings.connect_timeout_ms / 1000
-        self._starts = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                limit_per_host=self._settings.connections_per_target,
-                keepalive_timeout=self._settings.idle_timeout_ms / 1000,
-            ),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect),
-            trace_configs=[self._trace_config()],
-        )
+        self._starts = start_connections.StartConnections(self._settings, self._trace_config())
         # Asks never reuse a connection: the one that the start used may be dead.
         self._asks = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
@@ -183,6 +179,7 @@
 
     async def _send_start(self, action: actions.StartTask) -> LeaseReply:
         sending = self._sendings_by_lease[action.lease_id]
+        await self._pacer.turn()
         self._check_start_limit(sending)
         headers = {
             "Content-Type": "application/json",
@@ -191,13 +188,15 @@
         }
         url = _lease_url(action.target, action.lease_id)
         # POST only: aiohttp sends idempotent methods again when a kept connection closes.
-        async with self._starts.post(
-            url, data=action.body, headers=headers, trace_request_ctx=sending
-        ) as response:
-            return _decode(await response.read())
+        with self._starts.session(action.target.name) as session:
+            async with session.post(
+                url, data=action.body, headers=headers, trace_request_ctx=sending
+            ) as response:
+                return _decode(await response.read())
 
     async def _ask(self, action: actions.AskOutcome) -> None:
         await asyncio.sleep(action.delay.total_seconds())
+        await self._pacer.turn()
         if self._is_too_early_to_ask(action.lease_id):
             self._report(action.lease_id, LeaseReply(events.LeaseOutcome.QUEUED), asked=True)
             return
@@ -231,6 +230,7 @@
     async def _send_stop(self, action: actions.StopTask) -> bool:
         """Send a stop once; tell whether the target has seen the start."""
         timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_SECONDS)
+        await self._pacer.turn()
         try:
             url = _lease_url(action.target, action.lease_id)
             async with self._asks.delete(url, timeout=timeout) as response:
--- a/packages/node/tests/test_targets_http.py
+++ b/packages/node/tests/test_targets_http.py
@@ -342,3 +342,22 @@
         adapter.stop(stop_of(vm, "first"))
         assert await report(shell) == events.StopConfirmed(lease_id="first")
     assert target.requests == []
+
+
+async def test_connections_beyond_those_to_keep_are_closed_after_their_start(adapter, shell):
+    limits = settings.TargetsSection()
+    count = limits.connections_per_target
+    target = FakeTarget(answers_left=2 * count)
+    opened = []
+    async with serving(target) as vm:
+        for batch in range(2):
+            target.replying.clear()
+            for number in range(count):
+                adapter.start(start_of(vm, f"{batch}-{number}"))
+            while len(target.requests) < (batch + 1) * count:
+                await asyncio.sleep(0)
+            target.replying.set()
+            for _ in range(count):
+                assert (await report(shell)).outcome is events.LeaseOutcome.SUCCEEDED
+            opened.append(target.connections)
+    assert opened == [count, count + count - limits.kept_connections_per_target]
