Leave answers with peers that are suspected, silent or replaced

Cause: a node that drains chose its peers once, and only those that it held to be live. When the connection to its only peer was cut while its last job ended, it chose nobody and exited at once with the answers, though it may stay 3 s for them. A connection that was silent kept each part until heartbeats suspected the peer, which may take longer than the stay, and a peer replaced during the stay was still sent to at its old address.

Each of the three kernel tests fails when its rule is taken out in a scratch copy.

Now: suspected peers are chosen, two nodes of other domains as well when no near one is known to serve; a peer that confirms nothing for 0.5 s gets a new connection; the choice is renewed while the node stays. A node whose only peers are suspected now stays up to drain_linger_ms.

Changed test: chosen_from() takes any state in place of "dead"; its assertions are the same.

--- a/packages/kernel/chiveridge_kernel/handovers.py
+++ b/packages/kernel/chiveridge_kernel/handovers.py
@@ -25,17 +25,37 @@
 MAX_PART_BYTES = 512 * 1024
 MAX_KEPT_HANDOVERS = 100
 RESEND_INTERVAL = datetime.timedelta(milliseconds=100)
+RECONNECT_INTERVAL = datetime.timedelta(milliseconds=500)
+"""Time without a confirmation after which a connection counts as silent."""
+
 OTHERS_LINGER = datetime.timedelta(milliseconds=300)
 DEFAULT_LINGER = datetime.timedelta(seconds=3)
 FOREIGN_PEERS = 2
 """Nodes of other domains that get a handover when there is no other in the own domain."""
 
+_GONE_STATES = frozenset({members.MemberState.DEAD, members.MemberState.LEAVING})
+
 
 def choose_peers(table: members.MemberTable) -> list[vms.Vm]:
-    """Return the nodes that a node hands over to: those of its domain, or a few others."""
-    near = table.serving_near(table.own_name)
+    """Return the nodes that a node hands over to.
+
+    Those of its domain, suspected ones included, as their connection may only have been cut;
+    a few others as well when none of them is known to serve.
+    """
+    near = [member for member in table.others_in_domain() if _may_take(member)]
+    chosen = [member.vm for member in near]
+    if not any(member.serves() for member in near):
+        chosen += _foreign_peers(table)
+    return chosen
+
+
+def _may_take(member: members.Member) -> bool:
+    return member.vm.state is vms.VmState.LIVE and member.state not in _GONE_STATES
+
+
+def _foreign_peers(table: members.MemberTable) -> list[vms.Vm]:
     others = [member.vm for member in table.others_outside() if member.serves()]
-    return near or sorted(others, key=lambda vm: vm.name)[:FOREIGN_PEERS]
+    return sorted(others, key=lambda vm: vm.name)[:FOREIGN_PEERS]
 
 
 def parts_of(
@@ -84,9 +104,33 @@
         self.due = now
         self._until = now + linger
         self._parts = parts
-        self._missing_by_peer = {vm.name: {part.part for part in parts} for vm in to_peers}
+        self._missing_by_peer: dict[str, set[int]] = {}
+        self._peers_by_name: dict[str, vms.Vm] = {}
+        self._reconnect_at = now + RECONNECT_INTERVAL
+        self._heard_names: set[str] = set()
+        self.aim_at(to_peers)
+
+    def aim_at(self, to_peers: list[vms.Vm]) -> None:
+        """Replace the peers; one with another address than before has nothing yet."""
+        known = self._peers_by_name
+        self._missing_by_peer = {
+            vm.name: self._missing_by_peer[vm.name] if known.get(vm.name) == vm else self._numbers()
+            for vm in to_peers
+        }
         self._peers_by_name = {vm.name: vm for vm in to_peers}
 
+    def take_silent(self, now: datetime.datetime) -> list[vms.Vm]:
+        """Return the peers to which another connection is to be tried."""
+        if now < self._reconnect_at:
+            return []
+        self._reconnect_at = now + RECONNECT_INTERVAL
+        heard, self._heard_names = self._heard_names, set()
+        return [
+            self._peers_by_name[name]
+            for name, missing in self._missing_by_peer.items()
+            if missing and name not in heard
+        ]
+
     def messages_due(self, now: datetime.datetime) -> list[tuple[vms.Vm, peers.Handover]]:
         """Return what to send now."""
         if now < self.due:
@@ -103,6 +147,7 @@
         missing = self._missing_by_peer.get(message.sender)
         if not missing:
             return
+        self._heard_names.add(message.sender)
         missing.discard(message.part)
         if not missing:
             self._until = min(self._until, now + OTHERS_LINGER)
@@ -111,6 +156,9 @@
         """Tell whether the node need not stay for the handover any more."""
         return now >= self._until or not any(self._missing_by_peer.values())
 
+    def _numbers(self) -> set[int]:
+        return {part.part for part in self._parts}
+
 
 class _Received(msgspec.Struct):
     """Parts of a handover that have arrived."""
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -148,6 +148,9 @@
         done = self.take_actions()
         if self._leaving is None:
             self._leaving = self._new_handover(now)
+        self._leaving.aim_at(handovers.choose_peers(self.members))
+        silent = self._leaving.take_silent(now)
+        done += [actions.DisconnectPeer(peer=vm) for vm in silent]
         due = self._leaving.messages_due(now)
         done += [actions.SendToPeer(peer=vm, message=part) for vm, part in due]
         if self._leaving.is_over(now):
@@ -156,13 +159,14 @@
 
     def _new_handover(self, now: datetime.datetime) -> handovers.Sender:
         admitted = self.admissions.admitted()
-        kept = self.answers.newest(handovers.MAX_ANSWER_BYTES) if admitted else {}
+        if not admitted:
+            # Without an unexpired id there is nothing that anybody could ask for.
+            return handovers.Sender([], [], now, self.settings.linger)
+        kept = self.answers.newest(handovers.MAX_ANSWER_BYTES)
         parts = handovers.parts_of(
             self.settings.node, self.settings.incarnation, admitted, kept, now
         )
-        # Without an unexpired id there is nothing that anybody could ask for.
-        to_peers = handovers.choose_peers(self.members) if admitted else []
-        return handovers.Sender(parts, to_peers, now, self.settings.linger)
+        return handovers.Sender(parts, [], now, self.settings.linger)
 
     def configuration_moved(
         self, changes: list[configurations.ChangeResult], now: datetime.datetime
--- a/packages/kernel/tests/test_handovers.py
+++ b/packages/kernel/tests/test_handovers.py
@@ -1,5 +1,6 @@
 import datetime
 
+import msgspec
 import pytest
 
 from chiveridge_kernel import (
@@ -149,11 +150,11 @@
     sender.confirmed(peers.HandoverKept(sender=name, incarnation="life", part=0), NOW)
 
 
-def chosen_from(listed: list[vms.Vm], dead: str = "") -> list[str]:
+def chosen_from(listed: list[vms.Vm], **state_by_name: members.MemberState) -> list[str]:
     table = members.MemberTable("ikeja-e1", "ikeja")
     table.replace(vms.VmList(1, listed), NOW)
-    if dead:
-        table.members_by_name[dead].state = members.MemberState.DEAD
+    for name, state in state_by_name.items():
+        table.members_by_name[f"ikeja-{name}"].state = state
     return sorted(vm.name for vm in handovers.choose_peers(table))
 
 
@@ -162,10 +163,46 @@
     far = [node_vm(f"lekki-e{number}", "lekki") for number in (3, 1, 2)]
     own = node_vm("ikeja-e1")
     assert chosen_from([own, leaving, *far, *PEERS]) == ["ikeja-e2", "ikeja-e3"]
-    assert chosen_from([own, leaving, *far, *PEERS], dead="ikeja-e2") == ["ikeja-e3"]
+    assert chosen_from([own, leaving, *far, *PEERS], e2=members.MemberState.DEAD) == ["ikeja-e3"]
     assert chosen_from([own, leaving, *far]) == ["lekki-e1", "lekki-e2"]
 
 
+@pytest.mark.promise("graceful_shutdown", failures=["cut"])
+def test_a_suspected_peer_is_chosen_and_makes_up_for_none():
+    far = node_vm("lekki-e1", "lekki")
+    suspect = members.MemberState.SUSPECT
+    assert chosen_from([far, *PEERS], e2=suspect) == ["ikeja-e2", "ikeja-e3"]
+    assert chosen_from([far, *PEERS], e2=suspect, e3=suspect) == [
+        "ikeja-e2",
+        "ikeja-e3",
+        "lekki-e1",
+    ]
+
+
+@pytest.mark.promise("graceful_shutdown", failures=["silent_connection"])
+def test_another_connection_is_tried_to_a_peer_that_confirms_nothing():
+    sender = handovers.Sender(parts_for(), PEERS, NOW, 3 * SECOND)
+    assert sender.take_silent(NOW) == []
+    confirm(sender, "ikeja-e2")
+    later = NOW + handovers.RECONNECT_INTERVAL
+    assert sender.take_silent(later) == [PEERS[1]]
+    assert sender.take_silent(later) == []
+    assert sender.take_silent(later + handovers.RECONNECT_INTERVAL) == [PEERS[1]]
+
+
+@pytest.mark.promise("graceful_shutdown", failures=["replaced_vm"])
+def test_a_peer_that_was_replaced_gets_everything_anew():
+    sender = handovers.Sender(parts_for(), PEERS, NOW, 3 * SECOND)
+    sender.messages_due(NOW)
+    confirm(sender, "ikeja-e2")
+    replacement = msgspec.structs.replace(PEERS[0], port=2)
+    sender.aim_at([replacement, PEERS[1]])
+    later = NOW + handovers.RESEND_INTERVAL
+    assert [vm for vm, _ in sender.messages_due(later)] == [replacement, PEERS[1]]
+    confirm(sender, "ikeja-e3")
+    assert not sender.is_over(later)
+
+
 @pytest.mark.promise("graceful_shutdown")
 def test_a_node_stays_until_a_peer_has_its_answers(driven):
     driven.list_targets([*driven.targets_by_name.values(), *PEERS])
