Prove that a stop finishes replies and calls in progress

Cause: of the four drain tests with real processes, none failed when the node cut the replies in progress at its exit, and the one with many client calls passed when nodes exited with jobs in progress: its jobs of 30 ms were shorter than the stay for the peers' sake and than the 5 s that the callers' port gives to replies.

Changed test: half of the client test's callers run jobs of 800 ms.

--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -37,6 +37,10 @@
         async with self._session.request(method, url, data=body, headers=self._headers) as response:
             return response.status, await response.read()
 
+    async def open(self, url: str) -> aiohttp.ClientResponse:
+        """Return a reply whose body is still to be read, at whatever pace."""
+        return await self._session.get(url, headers=self._headers)
+
     async def issue(self, node_url: str) -> str:
         _, payload = await self.request("POST", f"{node_url}/v1/submission-ids")
         return msgspec.json.decode(payload)["submission_ids"][0]
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -3,14 +3,21 @@
 import asyncio
 import signal
 
+import aiohttp
+import msgspec
 import pytest
 
 from chiveridge_client import clients
-from chiveridge_kernel import results
+from chiveridge_kernel import messages, results
 
 CODES = results.ResultCode
 NODE = "ikeja-e1"
 OTHER_NODE = "ikeja-e2"
+SHORT_RUN_MS = 30
+LONG_RUN_MS = 800  # Longer than a node that is stopped stays for its peers' sake.
+LONG_CALLERS = 4
+LARGE_RESULT_BYTES = 1024 * 1024
+LARGE_RESULTS = 16
 
 
 async def stop_twice(deployed) -> int:
@@ -105,6 +112,37 @@
         assert await deployed.starts() == {"once": 1}
 
 
+@pytest.mark.promise("graceful_shutdown")
+@pytest.mark.promise("own_whole_answer")
+async def test_a_reply_that_its_caller_reads_slowly_is_finished(deploy, make_task, until):
+    async with deploy() as deployed:
+        body = {"run_ms": 300, "result_bytes": LARGE_RESULT_BYTES}
+        tasks = [make_task(f"large-{number}", **body) for number in range(LARGE_RESULTS)]
+        submission = await deployed.submission(NODE, *tasks)
+        await deployed.caller.submit(deployed.url(NODE), submission)
+
+        async def refuses_connections() -> bool:
+            try:
+                await deployed.caller.request("GET", f"{deployed.url(NODE)}/healthz")
+            except aiohttp.ClientConnectorError:
+                return True
+            return False
+
+        path = f"/v1/jobs/{submission.submission_id}?wait_ms=10000"
+        opening = asyncio.create_task(deployed.caller.open(f"{deployed.url(NODE)}{path}"))
+        await deployed.wait_started("large-0")
+        stopping = asyncio.create_task(deployed.fleet.terminate(NODE))
+        response = await opening
+        # The node has nothing left to do but to finish this reply.
+        await until(refuses_connections)
+        content = await response.read()
+        answer = msgspec.json.decode(content, type=messages.JobAnswer)
+        assert answer.code is CODES.COMPLETE
+        assert len(answer.tasks) == LARGE_RESULTS
+        assert all(len(task.result) > LARGE_RESULT_BYTES for task in answer.tasks)
+        assert await stopping == 0
+
+
 @pytest.mark.promise("graceful_shutdown")
 @pytest.mark.promise("at_most_once")
 async def test_no_call_of_the_client_is_lost_while_nodes_stop_one_after_another(
@@ -118,7 +156,8 @@
             while running:
                 key = f"job-{caller}-{len(answers)}"
                 answers[key] = None
-                answers[key] = await client.submit([make_task(key, run_ms=30)])
+                run_ms = LONG_RUN_MS if caller < LONG_CALLERS else SHORT_RUN_MS
+                answers[key] = await client.submit([make_task(key, run_ms=run_ms)])
 
         async def has_completed(count: int) -> bool:
             return sum(answer is not None for answer in answers.values()) >= count
