Prove configuration under silence, a paused node and a dead target

Cause: configuration_in_force had no test under a silent connection to the platform, a node paused past its lease and the death of a target.

One fleet: all connections to the platform go silent; a node that holds a lease is paused until its peer holds it dead and the job's deadline has passed, while keys change and an approval is revoked; the only target dies while its job runs. Each change is in force on both nodes, earlier keys are refused everywhere, and no applied offset ever goes back (polled all along).

--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -25,15 +25,18 @@
     "targets": {"connections_per_target": str(CONNECTIONS)},
     "snapshots": {"records": "10", "min_interval_ms": "300", "delay_ms_per_node": "50"},
 }
+QUICK_SUSPICION = {
+    "membership": {"heartbeat_ms": "300", "suspect_heartbeats": "2", "dead_heartbeats": "4"}
+}
 Verdict = records.Verdict
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(team, nodes, *, slots=8):
+async def running_fleet(team, nodes, *, slots=8, settings=SETTINGS):
     plan = fleets.FleetPlan(
         domains={DOMAIN: fleets.DomainPlan(nodes=nodes, targets=1)},
         slots=slots,
-        settings=SETTINGS,
+        settings=settings,
         proxied=frozenset({fleets.PLATFORM}),
     )
     async with fleets.Fleet(plan) as fleet, aiohttp.ClientSession() as session:
@@ -308,6 +311,97 @@
         assert again.verdict is Verdict.ACCEPTED
 
 
+@contextlib.asynccontextmanager
+async def watched_offsets(fleet, session):
+    """Fail at the end when the applied offset of a node ever went back."""
+    offsets_by_node = {name: [] for name in fleet.nodes_by_name}
+
+    async def watch(name):
+        while True:
+            status = await status_of(session, fleet.nodes_by_name[name])
+            offsets_by_node[name].append(status["config_offset"])
+            await asyncio.sleep(POLL_S)
+
+    watching = [asyncio.create_task(watch(name)) for name in offsets_by_node]
+    yield
+    assert not any(task.done() for task in watching)
+    for task in watching:
+        task.cancel()
+    for offsets in offsets_by_node.values():
+        assert len(set(offsets)) > 1
+        assert offsets == sorted(offsets)
+
+
+async def codes_everywhere(fleet, session, credential):
+    """Return the result codes with which the nodes meet a key."""
+    nodes = fleet.nodes_by_name.values()
+    return {await issue_code(session, node, credential) for node in nodes}
+
+
+@pytest.mark.promise(
+    "configuration_in_force", failures=["silent_connection", "target_death", "paused_lease_holder"]
+)
+async def test_silent_connections_a_dead_target_and_a_node_paused_past_its_lease(team):
+    settings = SETTINGS | QUICK_SUSPICION
+    accepted, refused = {results.ResultCode.ACCEPTED}, {results.ResultCode.BAD_CREDENTIALS}
+    async with (
+        running_fleet(team, nodes=2, settings=settings) as (fleet, session),
+        watched_offsets(fleet, session),
+    ):
+        awake, paused = fleet.nodes_by_name.values()
+        operator = publisher(fleet, session)
+        await until_listed(fleet, session)
+        assert fleet.proxies_by_name[fleets.PLATFORM].counts.open >= len(fleet.nodes_by_name)
+        fleet.proxies_by_name[fleets.PLATFORM].go_silent()
+        published = await operator.publish(team_file("silent", "first"), "ada")
+        await until_in_force(fleet, session, published.offset)
+        assert await codes_everywhere(fleet, session, "silent.first") == accepted
+
+        [target] = fleet.targets_by_name
+        held = asyncio.create_task(run_job(paused, team.credential, run_ms=60_000, deadline_s=2))
+        await until(lambda: has_starts(fleet))
+        fleet.freeze(paused.name)
+        await until_status(session, awake, lambda status: is_dead(status, paused.name))
+        for secret in ("second", "third"):
+            await operator.publish(team_file("silent", secret), "bola")
+        revocation = publications.parse(f"[target {target}]\nlabels = kind=dryer\n")
+        published = await operator.publish(revocation, "owner")
+        await until_in_force(fleet, session, published.offset, [awake.name])
+        fleet.thaw(paused.name)
+        await until_in_force(fleet, session, published.offset)
+        assert (await held).state is not results.JobState.COMPLETE
+        assert await codes_everywhere(fleet, session, "silent.third") == accepted
+        for node in (awake, paused):
+            with pytest.raises(errors.RefusedError) as caught:
+                await run_job(node, team.credential)
+            assert caught.value.code is results.ResultCode.NOT_APPROVED
+
+        approval = f"[target {target}]\nlabels = kind=dryer\napproved_teams = {team.name}\n"
+        published = await operator.publish(publications.parse(approval), "owner")
+        await until_in_force(fleet, session, published.offset)
+        before = await has_starts(fleet)
+        job = asyncio.create_task(run_job(paused, team.credential, run_ms=60_000))
+        await until(lambda: has_starts(fleet, before))
+        await fleet.kill(target)
+        published = await operator.publish(team_file("silent", "fourth"), "ada")
+        await until_in_force(fleet, session, published.offset)
+        assert await codes_everywhere(fleet, session, "silent.fourth") == accepted
+        for secret in ("first", "second", "third"):
+            assert await codes_everywhere(fleet, session, f"silent.{secret}") == refused
+        assert (await job).state is results.JobState.FAILED
+
+
+async def has_starts(fleet, before=0):
+    """Return the number of starts when it is over ``before``, else 0."""
+    [target] = fleet.targets_by_name.values()
+    count = sum((await target.counts()).starts.values())
+    return count if count > before else 0
+
+
+def is_dead(status, name):
+    return any(found["name"] == name and found["state"] == "dead" for found in status["members"])
+
+
 @pytest.mark.promise("configuration_in_force", failures=[])
 async def test_work_not_started_is_refused_when_the_approval_is_revoked(team):
     async with running_fleet(team, nodes=1, slots=2) as (fleet, session):
