Ask for the last words of a fault run concurrently

Cause: after its jobs a fault run asked for the last word on each, one job after the other. A request that is forwarded over a connection between two nodes that went silent is answered after 2 s (first slice and margin), when the connection is opened anew, and there are 30 such connections. That is why the case of silent connections took so long.

Seen in a trial with times: of 29.9 s, 18 s were nine such asks of 2.0 s each, one after the other. Ruled out: jobs that do not end (each ask was answered on its first try), the end of the fleet (1.7 s).

--- a/packages/load/chiveridge_load/faults.py
+++ b/packages/load/chiveridge_load/faults.py
@@ -95,12 +95,23 @@
         injector.stop()
         await asyncio.gather(injecting, *operating)
         await fleet.wait_ready()
-        for record in records:
-            if record.submission_id:
-                await caller.ask_until_settled(record)
+        await _settle(plan, caller, records)
         return records, await operators.outcome()
 
 
+async def _settle(
+    plan: RunPlan, caller: fault_callers.Caller, records: list[fault_jobs.JobRecord]
+) -> None:
+    """Ask for the last word on every job, as many at a time as there are callers."""
+    issued = iter([record for record in records if record.submission_id])
+
+    async def ask_next() -> None:
+        for record in issued:
+            await caller.ask_until_settled(record)
+
+    await asyncio.gather(*(ask_next() for _ in range(plan.callers)))
+
+
 async def _run_callers(plan: RunPlan, caller: fault_callers.Caller) -> list[fault_jobs.JobRecord]:
     jobs = iter(fault_jobs.plans(random.Random(plan.seed + 2), plan.jobs))
     records: list[fault_jobs.JobRecord] = []
