Prove that leaving targets get no late start in a platform outage

Cause: a fault run leaves out what the list says of leaving while the platform is out, so that leaving_target under an outage had no proof.

One target is listed as leaving and another refuses as leaving after the platform was cut; no start comes to the first during the outage, and none to the second later than 3 s after it first refused, though it would take work again.

--- a/tests/integration/test_leaving_targets.py
+++ b/tests/integration/test_leaving_targets.py
@@ -81,3 +81,39 @@
         assert await starts_after(deployed, REFUSING, limit_ms) == 0
         assert await starts_after(deployed, STAYING, limit_ms) > 0
         assert {answer.code for answer in load.answers} == {results.ResultCode.COMPLETE}
+
+
+async def is_listed_leaving(deployed) -> bool:
+    """Tell whether every node has read that the listed target leaves."""
+    for url in deployed.fleet.node_urls():
+        _, payload = await deployed.caller.request("GET", f"{url}/v1/status")
+        if msgspec.json.decode(payload)["target_states"][LISTED] != "leaving":
+            return False
+    return True
+
+
+@pytest.mark.promise("leaving_target", failures=["platform_outage"])
+async def test_leaving_targets_get_no_late_start_in_an_outage(deploy, make_task):
+    async with deploy(nodes=2, targets=3, proxied=frozenset({"platform"})) as deployed:
+        targets = deployed.fleet.targets_by_name
+        callers = [
+            clients.Client([url], deployed.team.credential) for url in deployed.fleet.node_urls()
+        ]
+        async with callers[0], callers[1]:
+            load = Load(callers, make_task)
+            leaving = msgspec.structs.replace(targets[LISTED].vm, state=vms.VmState.LEAVING)
+            await deployed.fleet.put_vm(leaving)
+            await deployed.until(lambda: is_listed_leaving(deployed))
+            deployed.fleet.proxies_by_name["platform"].cut()
+
+            evidence_ms = now_ms()
+            await targets[REFUSING].control(leaving=True)
+            # Long enough for a refusal; then the target would take work again.
+            await load.run(evidence_ms + 1000)
+            await targets[REFUSING].control(leaving=False)
+            await load.run(evidence_ms + LOAD_MS)
+
+        assert await starts_after(deployed, LISTED, evidence_ms) == 0
+        assert await starts_after(deployed, REFUSING, evidence_ms + LIMIT_MS) == 0
+        assert await starts_after(deployed, STAYING, evidence_ms + LIMIT_MS) > 0
+        assert {answer.code for answer in load.answers} == {results.ResultCode.COMPLETE}
