Wait until the nodes know each other before their domains are cut

Cause: a fault of the test. It submitted to a node of one domain under an id of the other domain's node at once after both were ready; a node is ready with a list of VMs that it read before the other node was listed, and then truthfully answers ISSUER_UNREACHABLE. The list is read every 100 ms, so that only a busy machine shows it.

The assertions are unchanged: the test is of domains that know each other.

--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -63,6 +63,11 @@
             while (await self.member(viewer, name)).get("incarnation") != incarnation:
                 await asyncio.sleep(0.02)
 
+    async def until_listed(self, viewer: str, name: str) -> None:
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            while name not in (await self.call(viewer, "GET", "/v1/status"))["nodes"]:
+                await asyncio.sleep(0.02)
+
     async def starts(self) -> dict[str, int]:
         found: dict[str, int] = {}
         for target in self.fleet.targets_by_name.values():
@@ -170,6 +175,7 @@
     names = ("ikeja-e1", "lekki-e1")
     async with running(team, 1, ("ikeja", "lekki"), proxied=names) as domain:
         proxies = [domain.fleet.proxies_by_name[name] for name in names]
+        await domain.until_listed("ikeja-e1", "lekki-e1")
         crossing = await domain.issue("lekki-e1")
         answer = await domain.submit("ikeja-e1", crossing, "crossing")
         assert name_of(answer) == "COMPLETE"
