--- a/packages/load/chiveridge_load/faults.py
+++ b/packages/load/chiveridge_load/faults.py
@@ -34,7 +34,8 @@
 class RunPlan(msgspec.Struct, frozen=True, kw_only=True):
     """Size and seed of a run, and its faults; ``mean_gap_ms`` is the mean time between two.
 
-    After ``limit_s`` seconds no more jobs are submitted.
+    After ``limit_s`` seconds no more jobs are submitted. ``deadline_ms`` is that of each job, and
+    ``contest`` what the operators race for.
     """
 
     jobs: int
@@ -42,6 +43,8 @@
     callers: int = 24
     limit_s: float = math.inf
     mean_gap_ms: float = 250
+    deadline_ms: int = fault_jobs.DEADLINE_MS
+    contest: fault_operators.Contest = fault_operators.Contest.UNUSED_TEAM
     faults: frozenset[fault_schedules.Fault] = frozenset(fault_schedules.Fault)
 
 
@@ -85,7 +88,9 @@
         random.Random(plan.seed), _names_by_subject(fleet), plan.mean_gap_ms, plan.faults
     )
     async with aiohttp.ClientSession() as session, asyncio.TaskGroup() as background:
-        operators = fault_operators.Operators(fleet, session, random.Random(plan.seed + 3))
+        operators = fault_operators.Operators(
+            fleet, session, random.Random(plan.seed + 3), plan.contest, TEAM.name
+        )
         operating = [background.create_task(operators.run(name)) for name in OPERATORS]
         injecting = background.create_task(injector.run(steps))
         caller = fault_callers.Caller(
@@ -96,14 +101,25 @@
         injector.stop()
         await asyncio.gather(injecting, *operating)
         await fleet.wait_ready()
-        for record in records:
-            if record.submission_id:
-                await caller.ask_until_settled(record)
+        await _settle(plan, caller, records)
         return records, await operators.outcome()
 
 
+async def _settle(
+    plan: RunPlan, caller: fault_callers.Caller, records: list[fault_jobs.JobRecord]
+) -> None:
+    """Ask for the last word on every job, as many at a time as there are callers."""
+    issued = iter([record for record in records if record.submission_id])
+
+    async def ask_next() -> None:
+        for record in issued:
+            await caller.ask_until_settled(record)
+
+    await asyncio.gather(*(ask_next() for _ in range(plan.callers)))
+
+
 async def _run_callers(plan: RunPlan, caller: fault_callers.Caller) -> list[fault_jobs.JobRecord]:
-    jobs = iter(fault_jobs.plans(random.Random(plan.seed + 2), plan.jobs))
+    jobs = iter(fault_jobs.plans(random.Random(plan.seed + 2), plan.jobs, plan.deadline_ms))
     records: list[fault_jobs.JobRecord] = []
     until = asyncio.get_running_loop().time() + plan.limit_s
     await asyncio.gather(*(_call(caller, jobs, records, until) for _ in range(plan.callers)))
