--- /dev/null
+++ b/packages/node/chiveridge_node/sendings.py
@@ -0,0 +1,90 @@
+"""Follows starts from the node to their connections, and checks each before its first byte."""
+
+import asyncio
+import datetime
+
+import aiohttp
+import msgspec
+
+from chiveridge_kernel import events, identifiers
+from chiveridge_node import shells
+
+
+class Sending(msgspec.Struct):
+    """A start on its way; ``sent_at`` is set when it is given to a connection."""
+
+    lease_id: identifiers.LeaseId
+    start_before: datetime.datetime
+    sent_at: datetime.datetime | None = None
+    is_delayed: bool = False
+    is_withdrawn: bool = False
+
+
+class StartTooLateError(Exception):
+    """The start limit passed before anything was sent."""
+
+
+class Sendings:
+    """The starts on their way; the kernel is told of those that wait for a connection."""
+
+    def __init__(self, shell: shells.Shell):
+        self._shell = shell
+        self._sendings_by_lease: dict[identifiers.LeaseId, Sending] = {}
+
+    def add(self, lease_id: identifiers.LeaseId, start_before: datetime.datetime) -> None:
+        """Follow a start that must not be sent at or after ``start_before``."""
+        self._sendings_by_lease[lease_id] = Sending(lease_id, start_before)
+
+    def find(self, lease_id: identifiers.LeaseId) -> Sending | None:
+        """Return a start while it is on its way or its reply is awaited."""
+        return self._sendings_by_lease.get(lease_id)
+
+    def forget(self, lease_id: identifiers.LeaseId) -> None:
+        """Follow a start no longer."""
+        self._sendings_by_lease.pop(lease_id, None)
+
+    def withdraw(self, lease_id: identifiers.LeaseId) -> bool:
+        """Let a start never be sent; tell whether nothing of it was sent yet."""
+        sending = self._sendings_by_lease.get(lease_id)
+        if sending is None or sending.sent_at is not None:
+            return False
+        sending.is_withdrawn = True
+        return True
+
+    def check_start_limit(self, sending: Sending) -> None:
+        """Check that a start may still be sent.
+
+        :raises StartTooLateError: when its limit has passed.
+        """
+        if self._shell.clock.now() >= sending.start_before:
+            raise StartTooLateError
+
+    def trace_config(self) -> aiohttp.TraceConfig:
+        """Return the hooks of a session whose requests carry a :class:`Sending` each."""
+
+        async def delayed(session, context, params) -> None:
+            self._note_delayed(context.trace_request_ctx)
+
+        async def connected(session, context, params) -> None:
+            self._note_connected(context.trace_request_ctx)
+
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_queued_start.append(delayed)
+        trace.on_connection_create_start.append(delayed)
+        trace.on_connection_create_end.append(connected)
+        trace.on_connection_reuseconn.append(connected)
+        return trace
+
+    def _note_delayed(self, sending: Sending) -> None:
+        if not sending.is_delayed:
+            sending.is_delayed = True
+            self._shell.handle_safely(events.StartDelayed(lease_id=sending.lease_id))
+
+    def _note_connected(self, sending: Sending) -> None:
+        self.check_start_limit(sending)
+        if sending.is_delayed:
+            # This may make the kernel withdraw the start, so it goes before it counts as sent.
+            self._shell.handle_safely(events.StartSent(lease_id=sending.lease_id))
+        if sending.is_withdrawn:
+            raise asyncio.CancelledError
+        sending.sent_at = self._shell.clock.now()
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chiveridge_kernel import actions, clocks, events, identifiers, vms
-from chiveridge_node import logevents, plugins
+from chiveridge_node import logevents, plugins, sendings
 
 ASK_TIMEOUT_SECONDS = 3.0
 ASK_WAIT_MS = 1000
@@ -39,20 +39,6 @@
     busy: int | None = None
 
 
-class Sending(msgspec.Struct):
-    """A start on its way; ``sent_at`` is set when it is given to a connection."""
-
-    lease_id: identifiers.LeaseId
-    start_before: datetime.datetime
-    sent_at: datetime.datetime | None = None
-    is_delayed: bool = False
-    is_withdrawn: bool = False
-
-
-class StartTooLateError(Exception):
-    """The start limit passed before anything was sent."""
-
-
 class ForeignOutcomeError(Exception):
     """A target replied with an outcome that only a node can find."""
 
@@ -75,7 +61,7 @@
         self._shell = node.shell
         self._settings = node.settings.targets
         self._tasks_by_lease: dict[identifiers.LeaseId, asyncio.Task] = {}
-        self._sendings_by_lease: dict[identifiers.LeaseId, Sending] = {}
+        self._sendings = sendings.Sendings(node.shell)
         self._background: set[asyncio.Task] = set()
         self._starts: aiohttp.ClientSession | None = None
         self._asks: aiohttp.ClientSession | None = None
@@ -90,7 +76,7 @@
                 keepalive_timeout=self._settings.idle_timeout_ms / 1000,
             ),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect),
-            trace_configs=[self._trace_config()],
+            trace_configs=[self._sendings.trace_config()],
         )
         # Asks never reuse a connection: the one that the start used may be dead.
         self._asks = aiohttp.ClientSession(
@@ -117,7 +103,7 @@
         """Send a start; its outcome is reported when the target replies."""
         task = asyncio.get_running_loop().create_task(self._start(action))
         self._tasks_by_lease[action.lease_id] = task
-        self._sendings_by_lease[action.lease_id] = Sending(action.lease_id, action.start_before)
+        self._sendings.add(action.lease_id, action.start_before)
         task.add_done_callback(lambda _: self._forget(action.lease_id))
 
     def ask(self, action: actions.AskOutcome) -> None:
@@ -137,14 +123,12 @@
 
     def _forget(self, lease_id: identifiers.LeaseId) -> None:
         self._tasks_by_lease.pop(lease_id, None)
-        self._sendings_by_lease.pop(lease_id, None)
+        self._sendings.forget(lease_id)
 
     def withdraw(self, action: actions.WithdrawStart) -> None:
         """Cancel a start that still waits for a connection."""
-        sending = self._sendings_by_lease.get(action.lease_id)
-        if sending is None or sending.sent_at is not None:
+        if not self._sendings.withdraw(action.lease_id):
             return
-        sending.is_withdrawn = True
         self._abandon(action.lease_id)
         reply = LeaseReply(events.LeaseOutcome.REFUSED, reason=actions.WITHDRAWN)
         # The kernel is handling an event now, so that the report has to wait for its end.
@@ -158,7 +142,7 @@
     async def _start(self, action: actions.StartTask) -> None:
         try:
             reply = await self._send_start(action)
-        except StartTooLateError:
+        except sendings.StartTooLateError:
             reply = LeaseReply(events.LeaseOutcome.NOT_STARTED, reason="too_late")
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             reply = LeaseReply(events.LeaseOutcome.REFUSED, reason="unreachable")
@@ -173,8 +157,8 @@
         self._report(action.lease_id, reply)
 
     async def _send_start(self, action: actions.StartTask) -> LeaseReply:
-        sending = self._sendings_by_lease[action.lease_id]
-        self._check_start_limit(sending)
+        sending = self._sendings.find(action.lease_id)
+        self._sendings.check_start_limit(sending)
         headers = {
             "Content-Type": "application/json",
             "Chiveridge-Team": action.team,
@@ -204,7 +188,7 @@
         self._report(action.lease_id, reply, asked=True)
 
     def _is_too_early_to_ask(self, lease_id: identifiers.LeaseId) -> bool:
-        sending = self._sendings_by_lease.get(lease_id)
+        sending = self._sendings.find(lease_id)
         if sending is None:
             return False
         return sending.sent_at is None or self._shell.clock.now() - sending.sent_at < MIN_ASK_AGE
@@ -238,40 +222,6 @@
             )
         )
 
-    def _trace_config(self) -> aiohttp.TraceConfig:
-        """Tell of starts that wait, and check them just before the first byte."""
-
-        async def delayed(session, context, params) -> None:
-            self._note_delayed(context.trace_request_ctx)
-
-        async def connected(session, context, params) -> None:
-            self._note_connected(context.trace_request_ctx)
-
-        trace = aiohttp.TraceConfig()
-        trace.on_connection_queued_start.append(delayed)
-        trace.on_connection_create_start.append(delayed)
-        trace.on_connection_create_end.append(connected)
-        trace.on_connection_reuseconn.append(connected)
-        return trace
-
-    def _note_delayed(self, sending: Sending) -> None:
-        if not sending.is_delayed:
-            sending.is_delayed = True
-            self._shell.handle_safely(events.StartDelayed(lease_id=sending.lease_id))
-
-    def _note_connected(self, sending: Sending) -> None:
-        self._check_start_limit(sending)
-        if sending.is_delayed:
-            # This may make the kernel withdraw the start, so it goes before it counts as sent.
-            self._shell.handle_safely(events.StartSent(lease_id=sending.lease_id))
-        if sending.is_withdrawn:
-            raise asyncio.CancelledError
-        sending.sent_at = self._shell.clock.now()
-
-    def _check_start_limit(self, sending: Sending) -> None:
-        if self._shell.clock.now() >= sending.start_before:
-            raise StartTooLateError
-
 
 def _decode(body: bytes) -> LeaseReply:
     reply = _reply_decoder.decode(body)
