--- a/packages/kernel/chiveridge_kernel/limit_keepers.py
+++ b/packages/kernel/chiveridge_kernel/limit_keepers.py
@@ -1,10 +1,12 @@
 """The keeper of a team's limit: divides the starts that the team may have in a domain."""
 
 import datetime
+import functools
+import hashlib
 
 import msgspec
 
-from chiveridge_kernel import identifiers, peers
+from chiveridge_kernel import identifiers, members, peers
 
 LEASE = datetime.timedelta(seconds=4)
 RECLAIM_LEASES = 2
@@ -82,7 +84,7 @@
         # a report that was long on its way may be from before it had anything.
         follows_this = report.keeper_seen == self._incarnation
         account.reserved = 0 if follows_this else limit
-        if report.keeper_seen == self._incarnation:
+        if follows_this:
             account.forget_older_grants(report.serial_seen)
 
     def holder_count(self) -> int:
@@ -131,6 +133,31 @@
         return holder[0], grant
 
 
+class KeeperNames:
+    """Chooses the keeper of each team's limit by hashing over the live nodes of the domain."""
+
+    def __init__(self, member_table: members.MemberTable):
+        self._members = member_table
+        self._names_by_team: dict[identifiers.TeamName, identifiers.NodeName] = {}
+        self._version = -1
+
+    def of(self, team: identifiers.TeamName) -> identifiers.NodeName:
+        """Return the node that keeps the limit of a team."""
+        if self._version != self._members.version:
+            self._names_by_team.clear()
+            self._version = self._members.version
+        name = self._names_by_team.get(team)
+        if name is None:
+            names = self._members.live_names(self._members.own_domain)
+            name = max(names, key=functools.partial(_weight, team))
+            self._names_by_team[team] = name
+        return name
+
+
+def _weight(team: str, node: str) -> bytes:
+    return hashlib.blake2b(f"{team}/{node}".encode(), digest_size=8).digest()
+
+
 def divide(limit: int, needs: dict[Holder, int]) -> dict[Holder, int]:
     """Divide a limit evenly among needs, none of which gets more than it is."""
     shares = {}
--- a/packages/kernel/chiveridge_kernel/limits.py
+++ b/packages/kernel/chiveridge_kernel/limits.py
@@ -6,8 +6,6 @@
 
 import collections
 import datetime
-import functools
-import hashlib
 from collections.abc import Callable
 
 from chiveridge_kernel import (
@@ -52,8 +50,7 @@
         self._keepers_by_team: dict[identifiers.TeamName, limit_keepers.Keeper] = {}
         self._jobs_by_team: dict[identifiers.TeamName, collections.deque[jobs.Job]] = {}
         self._touched: set[identifiers.TeamName] = set()
-        self._names_by_team: dict[identifiers.TeamName, identifiers.NodeName] = {}
-        self._names_version = -1
+        self._keeper_names = limit_keepers.KeeperNames(member_table)
         self._followed_version = -1
 
     @property
@@ -169,7 +166,7 @@
     def take_report(self, report: peers.LimitReport, now: datetime.datetime) -> None:
         """Answer a holder's report when this node is the keeper."""
         limit = self.limit_of(report.team)
-        if limit is None or self._keeper_name(report.team) != self._members.own_name:
+        if limit is None or self._keeper_names.of(report.team) != self._members.own_name:
             self._keepers_by_team.pop(report.team, None)
             return
         keeper = self._keepers_by_team.get(report.team)
@@ -217,12 +214,12 @@
     def _share(self, team: identifiers.TeamName) -> limit_shares.Share:
         share = self._shares_by_team.get(team)
         if share is None:
-            share = limit_shares.Share(keeper=self._keeper_name(team))
+            share = limit_shares.Share(keeper=self._keeper_names.of(team))
             self._shares_by_team[team] = share
         return share
 
     def _follow_keeper(self, team: identifiers.TeamName, share: limit_shares.Share) -> None:
-        keeper = self._keeper_name(team)
+        keeper = self._keeper_names.of(team)
         if keeper != share.keeper:
             share.change_keeper(keeper)
             self._keepers_by_team.pop(team, None)
@@ -252,21 +249,6 @@
         else:
             self._exchange.outbox.add_grant(node, grant)
 
-    def _keeper_name(self, team: identifiers.TeamName) -> identifiers.NodeName:
-        if self._names_version != self._members.version:
-            self._names_by_team.clear()
-            self._names_version = self._members.version
-        name = self._names_by_team.get(team)
-        if name is None:
-            names = self._members.live_names(self._members.own_domain)
-            name = max(names, key=functools.partial(_weight, team))
-            self._names_by_team[team] = name
-        return name
-
-
-def _weight(team: str, node: str) -> bytes:
-    return hashlib.blake2b(f"{team}/{node}".encode(), digest_size=8).digest()
-
 
 def _no_limit(team: identifiers.TeamName) -> int | None:
     return None
--- a/packages/kernel/tests/test_limit_faults.py
+++ b/packages/kernel/tests/test_limit_faults.py
@@ -17,7 +17,7 @@
 def test_the_share_of_a_dead_node_is_reclaimed(domain):
     first, second, third = domain.nodes_by_name.values()
     keeper = next(node for node in (first, second, third) if node.limiter._keepers_by_team == {})
-    keeper_name = keeper.limiter._keeper_name(limited_domains.TEAM)
+    keeper_name = keeper.limiter._keeper_names.of(limited_domains.TEAM)
     dead, alive = [n for n in domain.nodes_by_name.values() if n.name != keeper_name]
     dead.submit(limited_domains.LIMIT)
     domain.advance(60)
