Read the list of VMs anew after a pause, before anything is started

A node that was frozen wakes with the list of before, and places what waits before it reads the next.

Change: the shell tells the kernel of a pause before any other event; no target is used until a read of the list that began after the pause has ended, or for one second without the platform. A read that waits is broken off and made again without a wait, as a reply in the socket may be as old as the pause.

--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -104,14 +104,21 @@
 
 
 class VmsListed(msgspec.Struct, frozen=True, kw_only=True):
-    """The platform's list of VMs was read."""
+    """The platform's list of VMs was read; ``asked_at`` is when the read began."""
 
     listing: vms.VmList
+    asked_at: datetime.datetime | None = None
 
 
-class VmsConfirmed(msgspec.Struct, frozen=True):
+class VmsConfirmed(msgspec.Struct, frozen=True, kw_only=True):
     """The platform's list of VMs was read and has not changed."""
 
+    asked_at: datetime.datetime | None = None
+
+
+class ProcessPaused(msgspec.Struct, frozen=True):
+    """The process did not run for a while, and what it knows may be out of date."""
+
 
 class PeerMessageReceived(msgspec.Struct, frozen=True, kw_only=True):
     """A message from another node; it may be late, repeated or out of order.
@@ -151,6 +158,7 @@
     | RecordsExpired
     | VmsListed
     | VmsConfirmed
+    | ProcessPaused
     | PeerMessageReceived
     | PeerUnreachable
     | Ticked
--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -75,12 +75,20 @@
 @handle.register(events.VmsListed)
 def _(event: events.VmsListed, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.catch_up.vms_read_at = now
+    kernel.target_table.confirm(event.asked_at)
     kernel.take_listing(event.listing, now)
 
 
 @handle.register(events.VmsConfirmed)
 def _(event: events.VmsConfirmed, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.catch_up.vms_read_at = now
+    if kernel.target_table.confirm(event.asked_at):
+        kernel.dispatcher.place_waiting(now)
+
+
+@handle.register(events.ProcessPaused)
+def _(event: events.ProcessPaused, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.target_table.doubt(now)
 
 
 @handle.register(events.PeerMessageReceived)
--- a/packages/kernel/chiveridge_kernel/targets.py
+++ b/packages/kernel/chiveridge_kernel/targets.py
@@ -9,6 +9,8 @@
 UNREACHABLE_BACKOFF = datetime.timedelta(seconds=1)
 SILENT_BACKOFF = datetime.timedelta(seconds=10)
 LEAVING_EVIDENCE_LIFETIME = datetime.timedelta(seconds=60)
+DOUBT_LIMIT = datetime.timedelta(seconds=1)
+"""Time after a pause in which targets wait for the list to be read anew."""
 
 
 class TargetState(enum.Enum):
@@ -33,6 +35,7 @@
         self._leaving_names: frozenset[str] = frozenset()
         self._avoided_until_by_name: dict[str, datetime.datetime] = {}
         self._told_leaving: set[str] = set()
+        self._doubted_at: datetime.datetime | None = None
 
     def replace(self, listing: vms.VmList) -> None:
         """Take the platform's list; evidence from targets outlives a list that lags behind."""
@@ -63,6 +66,24 @@
         self._told_leaving.add(name)
         self.avoid(name, until)
 
+    def doubt(self, now: datetime.datetime) -> None:
+        """Use no target until the list has been read anew, as the process was paused."""
+        self._doubted_at = now
+        self.version += 1
+
+    def is_doubted(self) -> bool:
+        """Tell whether the list has to be read anew before a target is used."""
+        return self._doubted_at is not None
+
+    def confirm(self, asked_at: datetime.datetime | None) -> bool:
+        """Learn that a read of the list, begun at a moment, has ended; tell whether it was due."""
+        doubted_at = self._doubted_at
+        if doubted_at is None or (asked_at is not None and asked_at < doubted_at):
+            return False
+        self._doubted_at = None
+        self.version += 1
+        return True
+
     def is_known_leaving(self, name: str) -> bool:
         """Tell whether the list, the target or a peer said that the target is leaving."""
         return name in self._leaving_names or name in self._told_leaving
@@ -75,16 +96,22 @@
             self._told_leaving.discard(name)
         if due:
             self.version += 1
-        return bool(due)
+        # Without the platform, the node goes on with what it knows.
+        is_trusted = self._doubted_at is not None and self._doubted_at + DOUBT_LIMIT <= now
+        return (is_trusted and self.confirm(now)) or bool(due)
 
     def next_expiry(self) -> datetime.datetime | None:
         """Return the moment of the next expiry."""
-        return min(self._avoided_until_by_name.values(), default=None)
+        moments = list(self._avoided_until_by_name.values())
+        if self._doubted_at is not None:
+            moments.append(self._doubted_at + DOUBT_LIMIT)
+        return min(moments, default=None)
 
     def is_usable(self, name: str) -> bool:
         """Tell whether the target may be given new work."""
         return (
-            name in self.vms_by_name
+            self._doubted_at is None
+            and name in self.vms_by_name
             and name not in self._leaving_names
             and name not in self._avoided_until_by_name
         )
--- a/packages/node/chiveridge_node/platforms_http.py
+++ b/packages/node/chiveridge_node/platforms_http.py
@@ -194,17 +194,43 @@
     def __init__(self, node):
         super().__init__(node, node.metrics.platform.vms_bytes)
         self._listing: vms.VmList | None = None
+        self._reading: asyncio.Task | None = None
+        self.shell.observe_with(events.ProcessPaused, self._read_again)
 
     async def poll(self) -> None:
         """Read what changed and report it."""
         known = self._listing
-        _, reply = await self.get(self._url(known), self._decoder)
+        asked_at = self.shell.clock.now()
+        reply = await self._read(known)
+        if reply is None:
+            return
         self._listing = self._merged(known, reply)
         if known is None or self._listing.version != known.version:
-            self.shell.handle_safely(events.VmsListed(listing=self._listing))
+            self.shell.handle_safely(events.VmsListed(listing=self._listing, asked_at=asked_at))
         else:
-            self.shell.handle_safely(events.VmsConfirmed())
-        await asyncio.sleep(self.settings.vms_interval_ms / 1000)
+            self.shell.handle_safely(events.VmsConfirmed(asked_at=asked_at))
+        if not self._is_doubted():
+            await asyncio.sleep(self.settings.vms_interval_ms / 1000)
+
+    async def _read(self, known: vms.VmList | None) -> vms.VmListReply | None:
+        """Return the reply to a read, or None when a pause of the process broke it off."""
+        self._reading = asyncio.get_running_loop().create_task(
+            self.get(self._url(known), self._decoder)
+        )
+        try:
+            _, reply = await self._reading
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            return None
+        return reply
+
+    def _read_again(self, _event: events.ProcessPaused) -> None:
+        if self._reading is not None:
+            self._reading.cancel()
+
+    def _is_doubted(self) -> bool:
+        return self.shell.kernel.target_table.is_doubted()
 
     def _merged(self, known: vms.VmList | None, reply: vms.VmListReply) -> vms.VmList:
         try:
@@ -217,7 +243,8 @@
         url = f"{self.settings.vms_url}/v1/vms"
         if known is None:
             return url
-        return f"{url}?since={known.version}&wait_ms={self.settings.poll_wait_ms}"
+        wait_ms = 0 if self._is_doubted() else self.settings.poll_wait_ms
+        return f"{url}?since={known.version}&wait_ms={wait_ms}"
 
 
 def _header_bytes(response: aiohttp.ClientResponse) -> int:
--- a/packages/node/chiveridge_node/shells.py
+++ b/packages/node/chiveridge_node/shells.py
@@ -53,6 +53,7 @@
 
         :raises errors.RefusedError: when the event is a request that is refused.
         """
+        self._note_pause()
         self._observe(event)
         try:
             done = self.kernel.handle(event, self.clock.now())
@@ -111,18 +112,21 @@
     def _tick(self) -> None:
         self._timer = None
         self._note_pause()
+        self._ticked_at = self.clock.now()
         self.handle_safely(events.Ticked())
         self._arm()
 
     def _note_pause(self) -> None:
         now = self.clock.now()
-        if self._is_stalled(now):
-            logevents.write(
-                logevents.LogEvent.PROCESS_PAUSED, paused_ms=clocks.to_ms(now - self._ticked_at)
-            )
-            self._paused_at = self._ticked_at
-            self._pause_over_at = now + PAUSE_AFTERMATH
+        if not self._is_stalled(now):
+            return
+        logevents.write(
+            logevents.LogEvent.PROCESS_PAUSED, paused_ms=clocks.to_ms(now - self._ticked_at)
+        )
+        self._paused_at = self._ticked_at
+        self._pause_over_at = now + PAUSE_AFTERMATH
         self._ticked_at = now
+        self.handle_safely(events.ProcessPaused())
 
     def _is_stalled(self, now: datetime.datetime) -> bool:
         return now - self._ticked_at > PAUSE_THRESHOLD
--- a/packages/node/tests/test_platforms_http.py
+++ b/packages/node/tests/test_platforms_http.py
@@ -9,7 +9,17 @@
 import pytest
 from aiohttp import web
 
-from chiveridge_kernel import actions, configurations, events, followers, records, snapshots, vms
+from chiveridge_kernel import (
+    actions,
+    clocks,
+    configurations,
+    events,
+    followers,
+    records,
+    snapshots,
+    targets,
+    vms,
+)
 from chiveridge_node import metrics, platforms_http, settings
 
 DEEP = b'{"a":' * 5000 + b"1" + b"}" * 5000
@@ -156,6 +166,8 @@
     def __init__(self):
         self.replies = []
         self.queries = []
+        self.answering = asyncio.Event()
+        self.answering.set()
 
     def app(self):
         app = web.Application()
@@ -164,6 +176,7 @@
 
     async def _read(self, request):
         self.queries.append(dict(request.query))
+        await self.answering.wait()
         reply = self.replies.pop(0) if self.replies else vms.VmListReply(version=0)
         return web.Response(body=msgspec.json.encode(reply))
 
@@ -172,12 +185,30 @@
     """Stands for the kernel: it keeps the events."""
 
     def __init__(self):
+        self.clock = clocks.ManualClock()
+        self.kernel = types.SimpleNamespace(target_table=targets.TargetTable())
         self.events = []
+        self.observers = {}
+
+    def observe_with(self, event_type, observer):
+        self.observers[event_type] = observer
 
     def handle_safely(self, event):
         self.events.append(event)
 
 
+@contextlib.asynccontextmanager
+async def following(platform, shell):
+    async with serving(platform.app()) as url:
+        section = {"log_url": url, "vms_url": url, "vms_interval_ms": "1"}
+        checked = settings.parse({"node": {"name": "e1", "domain": "d"}, "platform": section})
+        node = node_of(shell, checked)
+        adapter = platforms_http.HttpVms(node)
+        await adapter.open()
+        yield node
+        await adapter.close()
+
+
 async def test_changes_of_the_list_are_followed_and_a_gap_is_read_whole():
     vm_a, vm_b = (
         vms.Vm(name=name, role=vms.VmRole.TARGET, domain="d", address="127.0.0.1", port=1)
@@ -191,20 +222,32 @@
         vms.VmListReply(version=9, since=8, gone=["a"]),
         vms.VmListReply(version=9, vms=[vm_b]),
     ]
-    async with serving(platform.app()) as url:
-        section = {"log_url": url, "vms_url": url, "vms_interval_ms": "1"}
-        checked = settings.parse({"node": {"name": "e1", "domain": "d"}, "platform": section})
-        node = node_of(shell, checked)
-        adapter = platforms_http.HttpVms(node)
-        await adapter.open()
+    async with following(platform, shell) as node:
         await until(lambda: len(platform.queries) > 5)
-        await adapter.close()
+    now = shell.clock.now()
     assert shell.events[:4] == [
-        events.VmsListed(listing=vms.VmList(3, [vm_a])),
-        events.VmsConfirmed(),
-        events.VmsListed(listing=vms.VmList(5, [vm_a, vm_b])),
-        events.VmsListed(listing=vms.VmList(9, [vm_b])),
+        events.VmsListed(listing=vms.VmList(3, [vm_a]), asked_at=now),
+        events.VmsConfirmed(asked_at=now),
+        events.VmsListed(listing=vms.VmList(5, [vm_a, vm_b]), asked_at=now),
+        events.VmsListed(listing=vms.VmList(9, [vm_b]), asked_at=now),
     ]
     assert node.metrics.platform.vms_bytes._value.get() > 0
     asked = [query.get("since") for query in platform.queries[:6]]
     assert asked == [None, "3", "3", "5", None, "9"]
+
+
+async def test_a_read_that_a_pause_broke_off_is_made_again_without_a_wait():
+    platform, shell = FakeVms(), EventList()
+    platform.replies = [vms.VmListReply(version=3), vms.VmListReply(version=4, since=3)]
+    async with following(platform, shell):
+        await until(lambda: shell.events)
+        platform.answering.clear()
+        count = len(platform.queries)
+        await until(lambda: len(platform.queries) > count)
+        shell.observers[events.ProcessPaused](events.ProcessPaused())
+        shell.kernel.target_table.doubt(shell.clock.now())
+        await until(lambda: len(platform.queries) > count + 1)
+        platform.answering.set()
+        await until(lambda: len(shell.events) > 1)
+    assert platform.queries[count]["wait_ms"] != "0"
+    assert platform.queries[count + 1]["wait_ms"] == "0"
--- a/tests/integration/test_leaving_targets.py
+++ b/tests/integration/test_leaving_targets.py
@@ -13,6 +13,9 @@
 
 LIMIT_MS = 3000
 LOAD_MS = LIMIT_MS + 1500
+FREEZE_S = 3.5
+RUN_MS = 200
+BACKLOG = 200
 CALLERS_PER_NODE = 3
 LISTED, REFUSING, STAYING = "ikeja-t1", "ikeja-t2", "ikeja-t3"
 
@@ -117,3 +120,26 @@
         assert await starts_after(deployed, REFUSING, evidence_ms + LIMIT_MS) == 0
         assert await starts_after(deployed, STAYING, evidence_ms + LIMIT_MS) > 0
         assert {answer.code for answer in load.answers} == {results.ResultCode.COMPLETE}
+
+
+@pytest.mark.promise("leaving_target", failures=["freeze", "paused_lease_holder"])
+async def test_a_paused_node_starts_nothing_on_targets_that_left_meanwhile(deploy, make_task):
+    async with deploy(nodes=1, targets=3) as deployed:
+        targets = deployed.fleet.targets_by_name
+        tasks = [make_task(f"task-{number}", run_ms=RUN_MS) for number in range(BACKLOG)]
+        submission = await deployed.submission("ikeja-e1", *tasks)
+        await deployed.caller.submit(deployed.url("ikeja-e1"), submission)
+        await deployed.until(lambda: has_starts(deployed, LISTED))
+        deployed.fleet.freeze("ikeja-e1")
+        # Another change is read first, from the reply that was on its way.
+        await deployed.fleet.put_vm(msgspec.structs.replace(targets[STAYING].vm, rack="other"))
+        leaving = msgspec.structs.replace(targets[LISTED].vm, state=vms.VmState.LEAVING)
+        await deployed.fleet.put_vm(leaving)
+        await asyncio.sleep(FREEZE_S)
+        woken_ms = now_ms()
+        deployed.fleet.thaw("ikeja-e1")
+        url = f"{deployed.url('ikeja-e1')}/v1/jobs/{submission.submission_id}?wait_ms=20000"
+        _, payload = await deployed.caller.request("GET", url)
+        assert msgspec.json.decode(payload)["name"] == "COMPLETE"
+        assert await starts_after(deployed, LISTED, woken_ms) == 0
+        assert await starts_after(deployed, STAYING, woken_ms) > 0
