Run the groups of tests side by side

Ruled out: leaving proofs out, and a plug-in that spreads single tests, as the reports of known failures and of proofs are made in one process. Three groups of files run at once: units, the fault runs, and the other integration tests, which mostly wait. Every test is in just one group.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := kernel client node standins load
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 
-.PHONY: bench demo test faults proof lint format check setup
+.PHONY: bench demo test test-units test-faults test-system faults proof lint format check setup
 
 setup: $(STAMP)
 
@@ -21,8 +21,20 @@
 bench: $(STAMP)
 	$(BIN)/python -m chiveridge_load.benches --suite
 
+# The groups run side by side: those of real processes mostly wait.
+TEST_GROUPS := test-units test-faults test-system
+
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(MAKE) --jobs=$(words $(TEST_GROUPS)) --output-sync=target --keep-going $(TEST_GROUPS)
+
+test-units: $(STAMP)
+	$(BIN)/python -m pytest packages tests --ignore=tests/integration
+
+test-faults: $(STAMP)
+	$(BIN)/python -m pytest tests/integration/test_faults.py
+
+test-system: $(STAMP)
+	$(BIN)/python -m pytest tests/integration --ignore=tests/integration/test_faults.py
 
 JOBS ?= 2000
 
