Finish replies at a stop as long as their callers read

A stopping node waited five seconds for its callers, however fast they read; on a busy machine that was too short.

Ruled out: replies cut by the close of an idle connection, as the server flushes what is written first.

Change: a stopping node waits up to 60 s, and no longer than 5 s in which no caller reads anything. Tests of stops with silent callers take as long as before.

--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -18,7 +18,11 @@
 LISTEN_BACKLOG = 2048
 _MAX_QUOTED = 100
 _WAIT_PATTERN = re.compile("[0-9]{1,9}")
-GRACEFUL_EXIT_SECONDS = 5
+GRACEFUL_EXIT_SECONDS = 60
+STALL_SECONDS = 5.0
+"""Time in which no caller reads anything after which a stopping node waits for none."""
+
+STALL_CHECK_SECONDS = 0.1
 
 _HTTP_STATUS_BY_CODE = {
     results.ResultCode.ACCEPTED: 202,
@@ -188,7 +192,24 @@
     async def close(self) -> None:
         """Finish the replies in progress and close the port."""
         self._server.should_exit = True
+        watching = asyncio.get_running_loop().create_task(self._watch_stalls())
         await self._task
+        watching.cancel()
+
+    async def _watch_stalls(self) -> None:
+        """Wait for callers no longer once none of them reads."""
+        loop = asyncio.get_running_loop()
+        unread, moved_at = self._unread_bytes(), loop.time()
+        while loop.time() - moved_at < STALL_SECONDS:
+            await asyncio.sleep(STALL_CHECK_SECONDS)
+            before, unread = unread, self._unread_bytes()
+            if unread != before:
+                moved_at = loop.time()
+        self._server.force_exit = True
+
+    def _unread_bytes(self) -> int:
+        connections = self._server.server_state.connections
+        return sum(connection.transport.get_write_buffer_size() for connection in connections)
 
     def authenticate(
         self, req: falcon.asgi.Request, ran: results.TaskOutcome = results.TaskOutcome.UNKNOWN
