--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -3,18 +3,18 @@
 import datetime
 import heapq
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from chiveridge_kernel import (
     actions,
     backlogs,
     events,
-    evidence,
     identifiers,
     jobchecks,
     jobs,
     limits,
     members,
+    outcomes,
     placements,
     probes,
     reaches,
@@ -25,10 +25,6 @@
 )
 
 START_WINDOW = datetime.timedelta(seconds=2)
-MAX_OUTCOME_ASKS = 5
-OUTCOME_ASK_DELAY = datetime.timedelta(milliseconds=200)
-
-_OUTCOME_UNKNOWN_MESSAGE = "the outcome of a start is unknown; nothing more of this job will start"
 
 
 class Dispatcher:
@@ -63,7 +59,7 @@
         self.backlogs = backlogs.Backlogs()
         self.limiter = limits.Limiter(member_table, incarnation, self._emit)
         self.stops = stops.StopTable(self._emit)
-        self._prober = probes.Prober(probe_limits)
+        self.prober = probes.Prober(probe_limits)
         self.policy = placements.create(policy_name, self)
 
     def admit(self, event: events.SubmissionReceived, now: datetime.datetime) -> None:
@@ -106,7 +102,7 @@
         if job.first_start_at is None:
             job.first_start_at = now
         self._tasks_by_lease[task.lease_id] = task
-        self._prober.started(task, now)
+        self.prober.started(task, now)
         self.in_flight_by_target[vm.name] = self.in_flight_by_target.get(vm.name, 0) + 1
         self.outbox.append(
             actions.StartTask(
@@ -137,7 +133,7 @@
         task = self._tasks_by_lease.get(event.lease_id)
         if task is not None:
             task.is_asked = task.is_asked and not event.asked
-            _HANDLERS_BY_OUTCOME[event.outcome](self, task, event, now)
+            outcomes.handle(self, task, event, now)
 
     def awaits(self, lease_id: identifiers.LeaseId) -> bool:
         """Tell whether the outcome of a start is still wanted."""
@@ -159,14 +155,14 @@
         self, job: jobs.Job, code: results.ResultCode, message: str, now: datetime.datetime
     ) -> None:
         """End a job as failed: start nothing more of it and stop what runs."""
-        self._start_no_more(job, now)
+        self.start_no_more(job, now)
         for task in job.running_tasks():
             if task.is_unsent:
                 self._take_back(task, now)
             else:
                 self._stop(task, now)
             task.signal(jobs.TaskSignal.GIVE_UP)
-        self._end(job, results.JobState.FAILED, code, message, now)
+        self.end(job, results.JobState.FAILED, code, message, now)
 
     def fail_all(self, code: results.ResultCode, message: str, now: datetime.datetime) -> None:
         """End every job as failed."""
@@ -184,10 +180,10 @@
 
     def probe(self, now: datetime.datetime) -> None:
         """Ask about the starts whose reply is late."""
-        for lease_id in self._prober.take_due(now):
+        for lease_id in self.prober.take_due(now):
             task = self._tasks_by_lease.get(lease_id)
             if task is not None and not task.is_asked:
-                self._ask(task)
+                self.ask(task)
 
     def next_deadline(self) -> datetime.datetime | None:
         """Return the earliest deadline that may still matter."""
@@ -207,10 +203,10 @@
         self.backlogs.dropped(job.team, len(job.waiting) + len(job.held))
         for task in [*job.waiting, *self.limiter.give_up(job)]:
             self.limiter.ended(task)
-            self._give_up_revoked(task)
+            self.give_up_revoked(task)
         job.waiting.clear()
         self.policy.job_ended(job, now)
-        self._end_if_revoked(job, now)
+        self.end_if_revoked(job, now)
 
     def _stop(self, task: jobs.Task, now: datetime.datetime) -> None:
         """Stop a start that was sent, or is about to be."""
@@ -220,112 +216,33 @@
                 lease_id=task.lease_id, target=task.target, start_before=task.start_before
             )
         )
-        self._release(task, None, now)
+        self.release(task, None, now)
 
     def _take_back(self, task: jobs.Task, now: datetime.datetime) -> None:
         """Withdraw a start of which nothing was sent."""
         self.outbox.append(actions.WithdrawStart(lease_id=task.lease_id))
-        self._release(task, None, now)
+        self.release(task, None, now)
         task.signal(jobs.TaskSignal.NOT_STARTED)
         task.target = None
 
-    def _give_up_revoked(self, task: jobs.Task) -> None:
+    def give_up_revoked(self, task: jobs.Task) -> None:
+        """Give up a task of a job that may start nothing more."""
         task.signal(jobs.TaskSignal.GIVE_UP)
         task.job.unfinished -= 1
         task.job.was_cut_short = True
 
-    def _end_if_revoked(self, job: jobs.Job, now: datetime.datetime) -> None:
+    def end_if_revoked(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Fail a job that was cut short, once nothing of it runs any more."""
         if job.was_cut_short and job.unfinished == 0:
             message = f"{job.revocation}; nothing more of this job was started"
             code = results.ResultCode.APPROVAL_REVOKED
-            self._end(job, results.JobState.FAILED, code, message, now)
+            self.end(job, results.JobState.FAILED, code, message, now)
 
     def _emit(self, action: actions.Action) -> None:
         self.outbox.append(action)
 
-    def _succeed(
-        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
-    ) -> None:
-        self._finish(task, event, jobs.TaskSignal.SUCCEED, now)
-        job = task.job
-        self._end_if_revoked(job, now)
-        if job.unfinished == 0 and not job.was_cut_short:
-            self._end(job, results.JobState.COMPLETE, results.ResultCode.COMPLETE, "", now)
-
-    def _task_failed(
-        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
-    ) -> None:
-        self._start_no_more(task.job, now)
-        self._finish(task, event, jobs.TaskSignal.FAIL, now)
-        message = f"tasks[{task.index}] {event.outcome.value} on {task.target.name}: {event.reason}"
-        self.fail(task.job, results.ResultCode.TASK_FAILED, message, now)
-
-    def _not_started(
-        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
-    ) -> None:
-        vm = task.target
-        self._release(task, event, now)
-        task.signal(jobs.TaskSignal.NOT_STARTED)
-        task.target = None
-        job = task.job
-        until = now + _BACKOFFS_BY_REASON.get(event.reason, targets.UNREACHABLE_BACKOFF)
-        if event.reason == "leaving":
-            self.outbox.extend(evidence.tell_leaving(self.members, self.target_table, vm))
-            self.target_table.leaving(vm.name, until)
-        self.target_table.avoid(vm.name, until)
-        if job.revocation:
-            self._give_up_revoked(task)
-            self._end_if_revoked(job, now)
-            return
-        is_held = self.limiter.hold_again(task)
-        if not is_held:
-            job.waiting.append(task)
-        self.backlogs.added(job.team, 1)
-        if job.deadline <= now:
-            self.expire(now)
-        elif not is_held:
-            self.policy.job_waiting(job, now)
-
-    def _lost(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
-        until = now + targets.UNREACHABLE_BACKOFF
-        self.target_table.avoid(task.target.name, until)
-        task.is_cut = task.is_cut or not event.asked
-        if task.is_asked:
-            return
-        task.lost_asks += 1
-        if task.lost_asks > MAX_OUTCOME_ASKS:
-            self._give_up(task, event, now)
-            return
-        self._ask(task, OUTCOME_ASK_DELAY * (task.lost_asks - 1))
-
-    def _still_running(
-        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
-    ) -> None:
-        task.lost_asks = 0
-        if task.is_cut:
-            self._ask(task)
-        else:
-            self._prober.found_running(task, now)
-
-    def _queued(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
-        self._prober.found_queued(task, now)
-
-    def _unseen(self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime) -> None:
-        # Other idle connections to the target may be silent too; by then they are closed.
-        self.target_table.avoid(task.target.name, now + targets.SILENT_BACKOFF)
-        self._give_up(task, event, now)
-
-    def _give_up(
-        self, task: jobs.Task, event: events.LeaseReported, now: datetime.datetime
-    ) -> None:
-        self._start_no_more(task.job, now)
-        self._release(task, event, now)
-        task.signal(jobs.TaskSignal.LOSE)
-        message = f"tasks[{task.index}] on {task.target.name}: {_OUTCOME_UNKNOWN_MESSAGE}"
-        self.fail(task.job, results.ResultCode.OUTCOME_UNKNOWN, message, now)
-
-    def _ask(self, task: jobs.Task, delay: datetime.timedelta = datetime.timedelta()) -> None:
+    def ask(self, task: jobs.Task, delay: datetime.timedelta = datetime.timedelta()) -> None:
+        """Ask the target for the outcome of a start, after a delay."""
         task.is_asked = True
         self.outbox.append(
             actions.AskOutcome(
@@ -333,24 +250,26 @@
             )
         )
 
-    def _finish(
+    def finish(
         self,
         task: jobs.Task,
         event: events.LeaseReported,
         signal: jobs.TaskSignal,
         now: datetime.datetime,
     ) -> None:
+        """Take the result of a task that has ended."""
         task.signal(signal)
-        self._prober.ended(task, now)
+        self.prober.ended(task, now)
         task.run_ms = event.run_ms
         task.result = event.result
         task.reason = event.reason
         task.job.unfinished -= 1
-        self._release(task, event, now)
+        self.release(task, event, now)
 
-    def _release(
+    def release(
         self, task: jobs.Task, report: events.LeaseReported | None, now: datetime.datetime
     ) -> None:
+        """Let go of a start; ``report`` is None when its outcome is not awaited."""
         del self._tasks_by_lease[task.lease_id]
         self.limiter.ended(task)
         name = task.target.name
@@ -359,7 +278,7 @@
             del self.in_flight_by_target[name]
         self.policy.start_ended(task, task.target, report, now)
 
-    def _end(
+    def end(
         self,
         job: jobs.Job,
         state: results.JobState,
@@ -367,14 +286,15 @@
         message: str,
         now: datetime.datetime,
     ) -> None:
-        self._start_no_more(job, now)
+        """End a job and answer it."""
+        self.start_no_more(job, now)
         del self.jobs_by_id[job.submission_id]
         for task in job.tasks:
             self.limiter.ended(task)
         answer = job.answer(state, code, message, now)
         self.outbox.append(actions.AnswerJob(team=job.team, answer=answer))
 
-    def _start_no_more(self, job: jobs.Job, now: datetime.datetime) -> None:
+    def start_no_more(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Give up what waits, before the policy hears of targets that are released."""
         if not job.ended:
             job.ended = True
@@ -383,25 +303,3 @@
             for task in self.limiter.give_up(job):
                 task.signal(jobs.TaskSignal.GIVE_UP)
             self.policy.job_ended(job, now)
-
-
-_Handler = Callable[[Dispatcher, jobs.Task, events.LeaseReported, datetime.datetime], None]
-
-_HANDLERS_BY_OUTCOME: dict[events.LeaseOutcome, _Handler] = {
-    events.LeaseOutcome.SUCCEEDED: Dispatcher._succeed,
-    events.LeaseOutcome.FAILED: Dispatcher._task_failed,
-    events.LeaseOutcome.STOPPED: Dispatcher._task_failed,
-    events.LeaseOutcome.RUNNING: Dispatcher._still_running,
-    events.LeaseOutcome.NOT_STARTED: Dispatcher._not_started,
-    events.LeaseOutcome.REFUSED: Dispatcher._not_started,
-    events.LeaseOutcome.UNSEEN: Dispatcher._unseen,
-    events.LeaseOutcome.QUEUED: Dispatcher._queued,
-    events.LeaseOutcome.LOST: Dispatcher._lost,
-}
-
-_BACKOFFS_BY_REASON = {
-    "busy": targets.BUSY_BACKOFF,
-    "too_late": targets.BUSY_BACKOFF,
-    "leaving": targets.LEAVING_EVIDENCE_LIFETIME,
-    actions.WITHDRAWN: datetime.timedelta(),
-}
--- a/packages/kernel/tests/test_dispatchers.py
+++ b/packages/kernel/tests/test_dispatchers.py
@@ -4,7 +4,16 @@
 import msgspec
 import pytest
 
-from chiveridge_kernel import actions, dispatchers, events, placements, results, targets, vms
+from chiveridge_kernel import (
+    actions,
+    dispatchers,
+    events,
+    outcomes,
+    placements,
+    results,
+    targets,
+    vms,
+)
 
 CODES = results.ResultCode
 LEASE = events.LeaseOutcome
@@ -27,7 +36,7 @@
             self.starter.start(waiting, self.starter.usable(task.job, waiting)[0], now)
 
 
-def outcomes(driven) -> list[OUTCOME]:
+def task_outcomes(driven) -> list[OUTCOME]:
     return [task.outcome for task in driven.answer().tasks]
 
 
@@ -57,7 +66,7 @@
     driven.submit(count=3)
     driven.report(lease(driven, 0), LEASE.SUCCEEDED)
     driven.report(lease(driven, 1), outcome, reason="it broke")
-    assert outcomes(driven) == [OUTCOME.SUCCEEDED, OUTCOME.RAN, OUTCOME.UNKNOWN]
+    assert task_outcomes(driven) == [OUTCOME.SUCCEEDED, OUTCOME.RAN, OUTCOME.UNKNOWN]
     assert [stop.lease_id for stop in driven.of(actions.StopTask)] == [lease(driven, 2)]
     assert driven.answer().code is CODES.TASK_FAILED
     assert not driven.answer().may_resubmit
@@ -84,7 +93,7 @@
     driven.report(first.lease_id, LEASE.SUCCEEDED)
     assert not driven.of(actions.AnswerJob)
     driven.report(second.lease_id, LEASE.SUCCEEDED)
-    assert outcomes(driven) == [OUTCOME.SUCCEEDED]
+    assert task_outcomes(driven) == [OUTCOME.SUCCEEDED]
 
 
 def test_a_start_that_came_too_late_is_made_again_soon(drive):
@@ -99,11 +108,11 @@
 def test_a_lost_start_is_asked_about_and_never_made_again(driven):
     driven.submit()
     driven.report(lease(driven), LEASE.LOST)
-    for _ in range(dispatchers.MAX_OUTCOME_ASKS):
+    for _ in range(outcomes.MAX_OUTCOME_ASKS):
         assert not driven.of(actions.AnswerJob)
         driven.report(lease(driven), LEASE.LOST, asked=True)
-    assert len(driven.of(actions.AskOutcome)) == dispatchers.MAX_OUTCOME_ASKS
-    assert outcomes(driven) == [OUTCOME.UNKNOWN]
+    assert len(driven.of(actions.AskOutcome)) == outcomes.MAX_OUTCOME_ASKS
+    assert task_outcomes(driven) == [OUTCOME.UNKNOWN]
     assert driven.answer().code is CODES.OUTCOME_UNKNOWN
     assert len(driven.starts()) == 1
 
@@ -122,7 +131,7 @@
     driven.report(lease(driven), LEASE.LOST)
     driven.report(lease(driven), LEASE.RUNNING, asked=True)
     driven.report(lease(driven), found, asked=True)
-    assert outcomes(driven) == [outcome]
+    assert task_outcomes(driven) == [outcome]
 
 
 @pytest.mark.promise("complete_or_failed")
@@ -136,7 +145,7 @@
     assert not driven.advance(1950)
     (ask,) = driven.advance(100)
     driven.report(ask.lease_id, LEASE.SUCCEEDED, asked=True)
-    assert outcomes(driven) == [OUTCOME.SUCCEEDED]
+    assert task_outcomes(driven) == [OUTCOME.SUCCEEDED]
     assert not driven.advance(60_000)
 
 
@@ -152,7 +161,7 @@
     driven.report(ask.lease_id, LEASE.QUEUED, asked=True)
     assert driven.advance(1050) == [ask]
     driven.report(ask.lease_id, LEASE.SUCCEEDED)
-    assert outcomes(driven) == [OUTCOME.SUCCEEDED]
+    assert task_outcomes(driven) == [OUTCOME.SUCCEEDED]
 
 
 def test_one_question_at_a_time_when_the_connection_fails_while_one_is_on_its_way(driven):
@@ -181,7 +190,7 @@
     driven = drive(policy="one_of_a_job_at_a_time")
     driven.submit(count=3)
     driven.report(lease(driven), LEASE.FAILED)
-    assert outcomes(driven) == [OUTCOME.RAN, OUTCOME.NOT_RUN, OUTCOME.NOT_RUN]
+    assert task_outcomes(driven) == [OUTCOME.RAN, OUTCOME.NOT_RUN, OUTCOME.NOT_RUN]
     assert len(driven.starts()) == 1
 
 
@@ -190,7 +199,7 @@
     driven = drive(policy="one_of_a_job_at_a_time")
     driven.submit(count=3)
     driven.report(lease(driven), LEASE.UNSEEN)
-    assert outcomes(driven) == [OUTCOME.UNKNOWN, OUTCOME.NOT_RUN, OUTCOME.NOT_RUN]
+    assert task_outcomes(driven) == [OUTCOME.UNKNOWN, OUTCOME.NOT_RUN, OUTCOME.NOT_RUN]
     assert len(driven.starts()) == 1
 
 
@@ -200,7 +209,7 @@
     submission_id = driven.submit(count=2)
     driven.cancel(submission_id)
     driven.cancel(submission_id)
-    assert outcomes(driven) == [OUTCOME.UNKNOWN, OUTCOME.NOT_RUN]
+    assert task_outcomes(driven) == [OUTCOME.UNKNOWN, OUTCOME.NOT_RUN]
     assert [stop.lease_id for stop in driven.of(actions.StopTask)] == [lease(driven)]
     driven.report(lease(driven), LEASE.STOPPED)
     assert len(driven.starts()) == 1
@@ -222,7 +231,7 @@
     driven.clock.advance(datetime.timedelta(hours=1))
     driven.list_targets(driven.targets_by_name.values())
     assert len(driven.starts()) == 1
-    assert outcomes(driven) == [OUTCOME.NOT_RUN]
+    assert task_outcomes(driven) == [OUTCOME.NOT_RUN]
     assert driven.answer().may_resubmit
 
 
@@ -270,7 +279,7 @@
     driven.report(lease(driven), LEASE.FAILED)
     started = driven.starts()[8:]
     assert len(started) == 3
-    assert collections.Counter(outcomes(driven)) == {
+    assert collections.Counter(task_outcomes(driven)) == {
         OUTCOME.RAN: 1,
         OUTCOME.UNKNOWN: 7,
         OUTCOME.NOT_RUN: 12,
