Start nothing from a view of the targets that is older than a pause

Cause: a node that wakes from a pause starts what waits at once, by the list of VMs from before the pause, so that a target which began to leave more than 3 s ago gets new work.

Now the shell tells whether the list was asked for since the process woke up; a start is held just before its first byte until it was, or for at most 1 s, as an outage may withhold the list. A target that is listed as leaving then is answered as not started and leaving, which is proof, and the task goes elsewhere. The same check takes back starts that waited for a connection when the target was listed as leaving.

Changed test: the fake shell of test_targets_http.py has the new method and a target table.

--- a/packages/node/chiveridge_node/platforms_http.py
+++ b/packages/node/chiveridge_node/platforms_http.py
@@ -183,12 +183,18 @@
 
     async def poll(self) -> None:
         """Read the list and report it when it changed."""
-        _, listing = await self.get(f"{self.settings.vms_url}/v1/vms", self._decoder)
+        asked_at = self.shell.clock.now()
+        try:
+            _, listing = await self.get(f"{self.settings.vms_url}/v1/vms", self._decoder)
+        except _POLL_ERRORS:
+            self.shell.list_was_polled(asked_at)
+            raise
         if listing.version != self._version:
             self._version = listing.version
             self.shell.handle_safely(events.VmsListed(listing=listing))
         else:
             self.shell.handle_safely(events.VmsConfirmed())
+        self.shell.list_was_polled(asked_at)
         await asyncio.sleep(self.settings.vms_interval_ms / 1000)
 
 
--- a/packages/node/chiveridge_node/shells.py
+++ b/packages/node/chiveridge_node/shells.py
@@ -15,6 +15,9 @@
 PAUSE_AFTERMATH = datetime.timedelta(seconds=1)
 """Time after a pause in which requests that arrived during it may still be read."""
 
+MAX_LIST_WAIT = datetime.timedelta(seconds=1)
+"""Longest wait after a pause for a new list of VMs, which an outage may withhold."""
+
 
 class Shell:
     """Connects the kernel to the adapters that perform its actions."""
@@ -29,6 +32,8 @@
         self._ticked_at = clock.now()
         self._paused_at = self._ticked_at
         self._pause_over_at = self._ticked_at
+        self._woken_at = self._ticked_at
+        self._list_asked_at = self._ticked_at
 
     def perform_with(self, action_type: type, performer: Callable[[actions.Action], None]) -> None:
         """Name the callable that performs actions of a type."""
@@ -71,6 +76,17 @@
             return self._ticked_at
         return self._paused_at if now < self._pause_over_at else now
 
+    def list_was_polled(self, asked_at: datetime.datetime) -> None:
+        """Learn that the list of VMs was asked for at a moment, with or without success."""
+        self._list_asked_at = asked_at
+
+    def must_await_list(self) -> bool:
+        """Tell whether the list of VMs may still be that from before a pause of the process."""
+        now = self.clock.now()
+        if self._is_stalled(now):
+            return True
+        return self._list_asked_at < self._woken_at and now < self._woken_at + MAX_LIST_WAIT
+
     def handle_safely(self, event: events.Event) -> None:
         """Handle an event that nobody waits for; a fault is logged and the node goes on."""
         try:
@@ -121,6 +137,7 @@
                 logevents.LogEvent.PROCESS_PAUSED, paused_ms=clocks.to_ms(now - self._ticked_at)
             )
             self._paused_at = self._ticked_at
+            self._woken_at = now
             self._pause_over_at = now + PAUSE_AFTERMATH
         self._ticked_at = now
 
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -6,12 +6,14 @@
 import aiohttp
 import msgspec
 
-from chiveridge_kernel import actions, clocks, events, identifiers, vms
+from chiveridge_kernel import actions, clocks, events, identifiers, targets, vms
 from chiveridge_node import logevents, plugins
 
 ASK_TIMEOUT_SECONDS = 3.0
 ASK_WAIT_MS = 1000
 STOP_TIMEOUT_SECONDS = 2.0
+LIST_POLL_SECONDS = 0.01
+
 MIN_ASK_AGE = datetime.timedelta(milliseconds=500)
 """Age of a start below which the target need not have read it."""
 
@@ -43,6 +45,7 @@
     """A start on its way; ``sent_at`` is set when it is given to a connection."""
 
     start_before: datetime.datetime
+    target: vms.Vm
     sent_at: datetime.datetime | None = None
 
 
@@ -50,6 +53,10 @@
     """The start limit passed before anything was sent."""
 
 
+class TargetLeavingError(Exception):
+    """The target was listed as leaving before anything was sent."""
+
+
 class ForeignOutcomeError(Exception):
     """A target replied with an outcome that only a node can find."""
 
@@ -114,7 +121,7 @@
         """Send a start; its outcome is reported when the target replies."""
         task = asyncio.get_running_loop().create_task(self._start(action))
         self._tasks_by_lease[action.lease_id] = task
-        self._sendings_by_lease[action.lease_id] = Sending(action.start_before)
+        self._sendings_by_lease[action.lease_id] = Sending(action.start_before, action.target)
         task.add_done_callback(lambda _: self._forget(action.lease_id))
 
     def ask(self, action: actions.AskOutcome) -> None:
@@ -156,6 +163,8 @@
             reply = await self._send_start(action)
         except StartTooLateError:
             reply = LeaseReply(events.LeaseOutcome.NOT_STARTED, reason="too_late")
+        except TargetLeavingError:
+            reply = LeaseReply(events.LeaseOutcome.NOT_STARTED, reason="leaving")
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             reply = LeaseReply(events.LeaseOutcome.REFUSED, reason="unreachable")
         except _LOST_ERRORS as error:
@@ -238,6 +247,7 @@
         """Check the start limit once a connection is at hand, just before the first byte."""
 
         async def check(session, context, params) -> None:
+            await self._check_leaving(context.trace_request_ctx)
             self._check_start_limit(context.trace_request_ctx)
             context.trace_request_ctx.sent_at = self._shell.clock.now()
 
@@ -246,6 +256,14 @@
         trace.on_connection_reuseconn.append(check)
         return trace
 
+    async def _check_leaving(self, sending: Sending) -> None:
+        """Hold a start until the list of VMs is newer than the last pause of the process."""
+        while self._shell.must_await_list():
+            await asyncio.sleep(LIST_POLL_SECONDS)
+        table = self._shell.kernel.target_table
+        if table.state_of(sending.target.name) is targets.TargetState.LEAVING:
+            raise TargetLeavingError
+
     def _check_start_limit(self, sending: Sending) -> None:
         if self._shell.clock.now() >= sending.start_before:
             raise StartTooLateError
--- a/packages/node/tests/test_targets_http.py
+++ b/packages/node/tests/test_targets_http.py
@@ -4,9 +4,10 @@
 import types
 
 import aiohttp
+import msgspec
 import pytest
 
-from chiveridge_kernel import actions, clocks, events, vms
+from chiveridge_kernel import actions, clocks, events, targets, vms
 from chiveridge_node import settings, targets_http
 
 NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
@@ -19,6 +20,11 @@
     def __init__(self):
         self.clock = clocks.ManualClock(NOW)
         self.reports = asyncio.Queue()
+        self.kernel = types.SimpleNamespace(target_table=targets.TargetTable())
+        self.awaits_list = False
+
+    def must_await_list(self):
+        return self.awaits_list
 
     def perform_with(self, action_type, performer):
         """Need no performers: the tests call them."""
@@ -135,6 +141,25 @@
     assert not found.asked
 
 
+@pytest.mark.promise("leaving_target", failures=["paused_lease_holder"])
+@pytest.mark.parametrize("state", list(vms.VmState))
+async def test_a_start_after_a_pause_waits_for_the_list(adapter, shell, state):
+    target = FakeTarget()
+    async with serving(target) as vm:
+        shell.awaits_list = True
+        adapter.start(start_of(vm, "first"))
+        while not target.connections:
+            await asyncio.sleep(0.01)
+        assert target.requests == []
+        listed = msgspec.structs.replace(vm, state=state)
+        shell.kernel.target_table.replace(vms.VmList(1, [listed]))
+        shell.awaits_list = False
+        found = await report(shell)
+    leaving = state is vms.VmState.LEAVING
+    assert found.reason == ("leaving" if leaving else "")
+    assert len(target.requests) == (0 if leaving else 1)
+
+
 @pytest.mark.promise("at_most_once")
 async def test_nothing_is_sent_at_or_after_the_limit(adapter, shell):
     target = FakeTarget()
--- a/tests/integration/test_leaving_targets.py
+++ b/tests/integration/test_leaving_targets.py
@@ -117,3 +117,29 @@
         assert await starts_after(deployed, REFUSING, evidence_ms + LIMIT_MS) == 0
         assert await starts_after(deployed, STAYING, evidence_ms + LIMIT_MS) > 0
         assert {answer.code for answer in load.answers} == {results.ResultCode.COMPLETE}
+
+
+@pytest.mark.promise("leaving_target", failures=["freeze", "paused_lease_holder"])
+async def test_a_node_that_wakes_up_starts_nothing_where_leaving_began_in_its_pause(
+    deploy, make_task
+):
+    async with deploy(targets=3) as deployed:
+        [name] = deployed.fleet.nodes_by_name
+        url, caller = deployed.url(name), deployed.caller
+        jobs = [
+            await deployed.submission(name, *(make_task(f"{job}-{task}") for task in range(12)))
+            for job in range(8)
+        ]
+        deployed.fleet.freeze(name)
+        replies = [asyncio.create_task(caller.submit(url, job, wait_ms=10_000)) for job in jobs]
+        leaving = msgspec.structs.replace(
+            deployed.fleet.targets_by_name[LISTED].vm, state=vms.VmState.LEAVING
+        )
+        await deployed.fleet.put_vm(leaving)
+        # The node could learn of it, but does not run.
+        await asyncio.sleep(LIMIT_MS / 1000)
+        deployed.fleet.thaw(name)
+        answers = await asyncio.gather(*replies)
+        assert {answer.code for answer in answers} == {results.ResultCode.COMPLETE}
+        assert await starts_after(deployed, LISTED, 0) == 0
+        assert await starts_after(deployed, STAYING, 0) > 0
