--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -70,7 +70,9 @@
         candidates = self.reach.candidates(event.team, event.submission.selector)
         job = jobs.Job(event.team, event.submission, candidates, event.arrived_at or now)
         jobchecks.check_deadline(job, now)
-        jobchecks.check_runnable(job, self.usable)
+        jobchecks.check_runnable(job)
+        if not self.target_table.is_doubted():
+            jobchecks.check_usable(job, self.usable)
         jobchecks.check_backlog(job, self.backlogs, now)
         task_count = len(job.waiting)
         self.limiter.hold(job, now)
--- a/packages/kernel/chiveridge_kernel/jobchecks.py
+++ b/packages/kernel/chiveridge_kernel/jobchecks.py
@@ -21,18 +21,23 @@
         raise errors.RefusedError(results.ResultCode.DEADLINE_UNREACHABLE, message, 0)
 
 
-def check_runnable(job: jobs.Job, usable: Usable) -> None:
-    """Check that every task fits a target and that some target is usable now.
+def check_runnable(job: jobs.Job) -> None:
+    """Check that every task fits a target.
 
-    :raises errors.RefusedError: when a task can never run, or nothing can run now.
+    :raises errors.RefusedError: when a task can never run.
     """
-    any_usable = False
     for task in job.tasks:
         if not job.candidates.fitting(task.spec):
             message = f"tasks[{task.index}]: its declared needs fit no target it may run on"
             raise errors.RefusedError(results.ResultCode.NEVER_RUNNABLE, message)
-        any_usable = any_usable or bool(usable(job, task))
-    if not any_usable:
+
+
+def check_usable(job: jobs.Job, usable: Usable) -> None:
+    """Check that some target is usable now.
+
+    :raises errors.RefusedError: when nothing of the job can run now.
+    """
+    if not any(usable(job, task) for task in job.tasks):
         message = "every target that the team may use is leaving or unreachable"
         raise errors.RefusedError(results.ResultCode.OVERLOADED, message, RETRY_AFTER_MS)
 
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/outcomes.py
@@ -0,0 +1,170 @@
+"""What a dispatcher does at each outcome that is reported of a start."""
+
+import datetime
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from chiveridge_kernel import actions, events, evidence, jobs, results, targets
+
+if TYPE_CHECKING:
+    from chiveridge_kernel import dispatchers
+
+MAX_OUTCOME_ASKS = 5
+OUTCOME_ASK_DELAY = datetime.timedelta(milliseconds=200)
+
+_OUTCOME_UNKNOWN_MESSAGE = "the outcome of a start is unknown; nothing more of this job will start"
+
+
+def handle(
+    dispatcher: "dispatchers.Dispatcher",
+    task: jobs.Task,
+    event: events.LeaseReported,
+    now: datetime.datetime,
+) -> None:
+    """Handle the outcome of a start that is in progress."""
+    _HANDLERS_BY_OUTCOME[event.outcome](dispatcher, task, event, now)
+
+
+def _succeed(
+    dispatcher: "dispatchers.Dispatcher",
+    task: jobs.Task,
+    event: events.LeaseReported,
+    now: datetime.datetime,
+) -> None:
+    dispatcher.finish(task, event, jobs.TaskSignal.SUCCEED, now)
+    job = task.job
+    dispatcher.end_if_revoked(job, now)
+    if job.unfinished == 0 and not job.was_cut_short:
+        dispatcher.end(job, results.JobState.COMPLETE, results.ResultCode.COMPLETE, "", now)
+
+
+def _task_failed(
+    dispatcher: "dispatchers.Dispatcher",
+    task: jobs.Task,
+    event: events.LeaseReported,
+    now: datetime.datetime,
+) -> None:
+    dispatcher.start_no_more(task.job, now)
+    dispatcher.finish(task, event, jobs.TaskSignal.FAIL, now)
+    message = f"tasks[{task.index}] {event.outcome.value} on {task.target.name}: {event.reason}"
+    dispatcher.fail(task.job, results.ResultCode.TASK_FAILED, message, now)
+
+
+def _not_started(
+    dispatcher: "dispatchers.Dispatcher",
+    task: jobs.Task,
+    event: events.LeaseReported,
+    now: datetime.datetime,
+) -> None:
+    vm = task.target
+    dispatcher.release(task, event, now)
+    task.signal(jobs.TaskSignal.NOT_STARTED)
+    task.target = None
+    job = task.job
+    until = now + _BACKOFFS_BY_REASON.get(event.reason, targets.UNREACHABLE_BACKOFF)
+    if event.reason == "leaving":
+        dispatcher.outbox.extend(
+            evidence.tell_leaving(dispatcher.members, dispatcher.target_table, vm)
+        )
+        dispatcher.target_table.leaving(vm.name, until)
+    dispatcher.target_table.avoid(vm.name, until)
+    if job.revocation:
+        dispatcher.give_up_revoked(task)
+        dispatcher.end_if_revoked(job, now)
+        return
+    is_held = dispatcher.limiter.hold_again(task)
+    if not is_held:
+        job.waiting.append(task)
+    dispatcher.backlogs.added(job.team, 1)
+    if job.deadline <= now:
+        dispatcher.expire(now)
+    elif not is_held:
+        dispatcher.policy.job_waiting(job, now)
+
+
+def _lost(
+    dispatcher: "dispatchers.Dispatcher",
+    task: jobs.Task,
+    event: events.LeaseReported,
+    now: datetime.datetime,
+) -> None:
+    until = now + targets.UNREACHABLE_BACKOFF
+    dispatcher.target_table.avoid(task.target.name, until)
+    task.is_cut = task.is_cut or not event.asked
+    if task.is_asked:
+        return
+    task.lost_asks += 1
+    if task.lost_asks > MAX_OUTCOME_ASKS:
+        _give_up(dispatcher, task, event, now)
+        return
+    dispatcher.ask(task, OUTCOME_ASK_DELAY * (task.lost_asks - 1))
+
+
+def _still_running(
+    dispatcher: "dispatchers.Dispatcher",
+    task: jobs.Task,
+    event: events.LeaseReported,
+    now: datetime.datetime,
+) -> None:
+    task.lost_asks = 0
+    if task.is_cut:
+        dispatcher.ask(task)
+    else:
+        dispatcher.prober.found_running(task, now)
+
+
+def _queued(
+    dispatcher: "dispatchers.Dispatcher",
+    task: jobs.Task,
+    event: events.LeaseReported,
+    now: datetime.datetime,
+) -> None:
+    dispatcher.prober.found_queued(task, now)
+
+
+def _unseen(
+    dispatcher: "dispatchers.Dispatcher",
+    task: jobs.Task,
+    event: events.LeaseReported,
+    now: datetime.datetime,
+) -> None:
+    # Other idle connections to the target may be silent too; by then they are closed.
+    dispatcher.target_table.avoid(task.target.name, now + targets.SILENT_BACKOFF)
+    _give_up(dispatcher, task, event, now)
+
+
+def _give_up(
+    dispatcher: "dispatchers.Dispatcher",
+    task: jobs.Task,
+    event: events.LeaseReported,
+    now: datetime.datetime,
+) -> None:
+    dispatcher.start_no_more(task.job, now)
+    dispatcher.release(task, event, now)
+    task.signal(jobs.TaskSignal.LOSE)
+    message = f"tasks[{task.index}] on {task.target.name}: {_OUTCOME_UNKNOWN_MESSAGE}"
+    dispatcher.fail(task.job, results.ResultCode.OUTCOME_UNKNOWN, message, now)
+
+
+_Handler = Callable[
+    ["dispatchers.Dispatcher", jobs.Task, events.LeaseReported, datetime.datetime], None
+]
+
+_HANDLERS_BY_OUTCOME: dict[events.LeaseOutcome, _Handler] = {
+    events.LeaseOutcome.SUCCEEDED: _succeed,
+    events.LeaseOutcome.FAILED: _task_failed,
+    events.LeaseOutcome.STOPPED: _task_failed,
+    events.LeaseOutcome.RUNNING: _still_running,
+    events.LeaseOutcome.NOT_STARTED: _not_started,
+    events.LeaseOutcome.REFUSED: _not_started,
+    events.LeaseOutcome.UNSEEN: _unseen,
+    events.LeaseOutcome.QUEUED: _queued,
+    events.LeaseOutcome.LOST: _lost,
+}
+
+_BACKOFFS_BY_REASON = {
+    "busy": targets.BUSY_BACKOFF,
+    "too_late": targets.BUSY_BACKOFF,
+    "leaving": targets.LEAVING_EVIDENCE_LIFETIME,
+    actions.WITHDRAWN: datetime.timedelta(),
+}
