Forgive silences only after a pause of two heartbeat intervals

Cause: a tick that came later than one interval counted as a pause of this node, and every silence was forgiven.

Ruled out: the default of one second, where ticks come each 250 ms. The new test fails before (live after 20 ticks at 1.2 intervals) and passes after.

--- a/packages/kernel/chiveridge_kernel/heartbeats.py
+++ b/packages/kernel/chiveridge_kernel/heartbeats.py
@@ -19,6 +19,9 @@
 
 ROUNDS_PER_OUTSIDE_PARTNER = 5
 JITTER_SHARE = 0.1
+PAUSE_INTERVALS = 2
+"""Intervals without a tick after which this node itself counts as having been paused."""
+
 MAX_ANNOUNCEMENTS = 5
 """Heartbeats to one incarnation that tell where this node listens, as they are longer."""
 
@@ -84,7 +87,8 @@
         """Send what is due and judge the silent."""
         if self._due_at is None:
             return []
-        if self._last_tick_at is not None and now - self._last_tick_at > self.interval:
+        pause = self.interval * PAUSE_INTERVALS
+        if self._last_tick_at is not None and now - self._last_tick_at > pause:
             self._table.forgive(now)
         self._last_tick_at = now
         silent = self._table.expire(self.times(), now)
--- a/packages/kernel/tests/test_members.py
+++ b/packages/kernel/tests/test_members.py
@@ -129,6 +129,17 @@
     assert found.live_names() == ["a", "own"]
 
 
+def test_ticks_that_come_a_little_late_forgive_no_silence():
+    found = table(entry("a"))
+    settings = heartbeats.HeartbeatSettings(interval=SECOND / 10, bytes_per_second=100_000)
+    beats = heartbeats.Heartbeats(settings, found, identifiers.Incarnation("o"), random.Random(1))
+    beats.listed(START)
+    beats.receive(heartbeat("a"), START)
+    for number in range(20):
+        beats.tick(START + number * SECOND / 10 * 1.2)
+    assert state_of(found, "a") is members.MemberState.DEAD
+
+
 def test_heartbeats_keep_their_byte_budget_at_the_full_size():
     listed = [entry(f"ikeja-e{number}") for number in range(25)]
     listed += [entry(f"other-e{number}", "lekki") for number in range(375)]
