Find the answers of an earlier life from the node that replaced it

Cause: a node that was stopped and started again answers ISSUER_GONE, "unknown", for the ids of its earlier life, although its peers hold the answers that it left; a caller behind the balancer gets the answer from every node but this one. It looked only into its own table of handovers, which is empty.

Change: like a node of another domain it asks a node near the issuer. Ruled out: to hand everything back to a node that returns, which costs a transfer at each replacement for a few late callers.

--- a/packages/node/chiveridge_node/forwards.py
+++ b/packages/node/chiveridge_node/forwards.py
@@ -79,8 +79,11 @@
 
         Only the issuer starts jobs, so that any request may be sent to another node.
         """
-        near = self._kernel.members.serving_near(issued.node)
-        if not near or near[0].domain == self._kernel.members.own_domain:
+        table = self._kernel.members
+        near = table.serving_near(issued.node)
+        # A node of the issuer's domain has what was left there, unless it is the one replaced.
+        has_it = issued.node != table.own_name and near and near[0].domain == table.own_domain
+        if not near or has_it:
             return None
         chosen = near[issued.serial % len(near)]
         short = msgspec.structs.replace(request, wait_ms=0)
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -209,9 +209,6 @@
         if handed is not None:
             return handed
         _check_unexpired(issued, self._shell.clock.now())
-        if issued.node == self._kernel.settings.node:
-            verdict = forwards.verdict_on(issued, self._kernel.settings.incarnation)
-            return _no_reply(verdict or forwards.NoReply.GONE, issued)
         if operation is peers.Operation.CANCEL:
             wait_ms = max(wait_ms, CANCEL_WAIT_MS)
         request = peers.CallerRequest(
@@ -224,13 +221,21 @@
             wait_ms=min(wait_ms, MAX_WAIT_MS),
             arrived_at_ms=clocks.to_epoch_ms(self._shell.arrival()),
         )
-        reply = await self.forwarder.perform(issued, request)
+        reply = await self._reply_of_issuer(issued, request)
         if isinstance(reply, forwards.NoReply):
             handed = self._handed_over(team, submission_id)
             left = None if handed else await self.forwarder.ask_near(issued, request)
             return handed or (_reply_of(left) if left else _no_reply(reply, issued))
         return _reply_of(reply)
 
+    async def _reply_of_issuer(
+        self, issued: submissions.IssuedId, request: peers.CallerRequest
+    ) -> peers.CallerReply | forwards.NoReply:
+        if issued.node != self._kernel.settings.node:
+            return await self.forwarder.perform(issued, request)
+        verdict = forwards.verdict_on(issued, self._kernel.settings.incarnation)
+        return verdict or forwards.NoReply.GONE
+
     def _handed_over(self, team: identifiers.TeamName, submission_id: str) -> Reply | None:
         """Return what a stopped issuer left about an id, or None."""
         found = self._kernel.handovers.find(
--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -162,6 +162,21 @@
         assert await domain.starts() == {f"unlisted-{number}": 1 for number in range(3)}
 
 
+@pytest.mark.promise("own_whole_answer", failures=["replaced_vm"])
+async def test_a_replaced_node_finds_the_answers_that_its_earlier_life_left(team):
+    async with running(team, 2, ("ikeja",)) as domain:
+        await domain.until_known("ikeja-e1", "ikeja-e2")
+        submission_id = await domain.issue("ikeja-e1")
+        answer = await domain.submit("ikeja-e1", submission_id, "left")
+        assert name_of(answer) == "COMPLETE"
+        assert await domain.fleet.terminate("ikeja-e1") == 0
+        await domain.fleet.start_node("ikeja-e1")
+        await domain.fleet.wait_ready()
+        await domain.until_known("ikeja-e1", "ikeja-e2")
+        assert await domain.submit("ikeja-e1", submission_id, "left") == answer
+        assert await domain.starts() == {f"left-{number}": 1 for number in range(3)}
+
+
 @pytest.mark.promise("at_most_once", failures=["freeze"])
 @pytest.mark.promise("honest_refusal", failures=["freeze"])
 async def test_a_node_frozen_past_its_suspicion_time_goes_on_when_woken(team):
