Notice a silent connection to the platform before the limit of a request

Cause: a read of the log or of the list of VMs on a connection that went silent was lost only after request_timeout_ms, 10 s: over the 5 s from accepted to in force and the 3 s for leaving targets.

Ruled out: a shorter request_timeout_ms, as a platform that is slow for long would then never be read; a second read beside the first, which doubles the polls.

Change: a read is lost one second after its own wait, and that limit doubles with each read that is lost, up to request_timeout_ms. The list is waited for at most 1 s, the log 3 s in place of 5. By arithmetic a silent connection is noticed after 4 s (log) and 2 s (list); polls of a node without changes cost about 140 bytes each 1.5 and 3 s.

--- a/packages/node/chiveridge_node/platforms_http.py
+++ b/packages/node/chiveridge_node/platforms_http.py
@@ -13,6 +13,10 @@
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 READ_LIMIT = 500
+MAX_VMS_WAIT_MS = 1000
+REPLY_MARGIN_MS = 1000
+"""Time beyond its wait after which a read counts as lost; it doubles with each that is."""
+
 _HEADER_SEPARATORS = len(": \r\n")
 
 
@@ -54,6 +58,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._task: asyncio.Task | None = None
         self._failures = 0
+        self._max_limit_ms = self.settings.request_timeout_ms
         self._bytes_read = bytes_read
 
     async def open(self) -> None:
@@ -72,9 +77,17 @@
         """Poll once, and wait as long as a successful poll should be followed by a pause."""
         raise NotImplementedError
 
-    async def get(self, url: str, decoder: msgspec.json.Decoder) -> tuple[int, object]:
-        """Return status and decoded body of a GET."""
-        async with self._session.get(url) as response:
+    async def get(
+        self, url: str, decoder: msgspec.json.Decoder, wait_ms: int
+    ) -> tuple[int, object]:
+        """Return status and decoded body of a GET that the platform may hold for a while.
+
+        A connection that went silent is noticed soon, and a slow platform has more time after
+        each read that was lost.
+        """
+        limit_ms = min((wait_ms + REPLY_MARGIN_MS) * 2**self._failures, self._max_limit_ms)
+        timeout = aiohttp.ClientTimeout(total=limit_ms / 1000)
+        async with self._session.get(url, timeout=timeout) as response:
             body = await response.read()
             self._bytes_read.inc(len(body) + _header_bytes(response))
             if response.status not in (200, 410):
@@ -143,7 +156,7 @@
     async def _read(self, offset: int, limit: int) -> tuple[int, LogPage]:
         wait_ms = self.settings.poll_wait_ms
         query = f"from={offset}&limit={limit}&wait_ms={wait_ms}"
-        return await self.get(f"{self._stream_url}?{query}", self._decoder)
+        return await self.get(f"{self._stream_url}?{query}", self._decoder, wait_ms)
 
     async def _read_one(self, offset: int) -> tuple[int, LogPage]:
         try:
@@ -214,9 +227,7 @@
 
     async def _read(self, known: vms.VmList | None) -> vms.VmListReply | None:
         """Return the reply to a read, or None when a pause of the process broke it off."""
-        self._reading = asyncio.get_running_loop().create_task(
-            self.get(self._url(known), self._decoder)
-        )
+        self._reading = asyncio.get_running_loop().create_task(self._get_changes(known))
         try:
             _, reply = await self._reading
         except asyncio.CancelledError:
@@ -239,12 +250,13 @@
             self._listing = None
             raise
 
-    def _url(self, known: vms.VmList | None) -> str:
+    async def _get_changes(self, known: vms.VmList | None) -> tuple[int, vms.VmListReply]:
         url = f"{self.settings.vms_url}/v1/vms"
         if known is None:
-            return url
-        wait_ms = 0 if self._is_doubted() else self.settings.poll_wait_ms
-        return f"{url}?since={known.version}&wait_ms={wait_ms}"
+            return await self.get(url, self._decoder, 0)
+        wait_ms = 0 if self._is_doubted() else min(self.settings.poll_wait_ms, MAX_VMS_WAIT_MS)
+        query = f"since={known.version}&wait_ms={wait_ms}"
+        return await self.get(f"{url}?{query}", self._decoder, wait_ms)
 
 
 def _header_bytes(response: aiohttp.ClientResponse) -> int:
--- a/packages/node/chiveridge_node/settings.py
+++ b/packages/node/chiveridge_node/settings.py
@@ -41,7 +41,7 @@
     log_url: str
     vms_url: str
     config_stream: _Name = "configuration"
-    poll_wait_ms: _Milliseconds = 5000
+    poll_wait_ms: _Milliseconds = 3000
     vms_interval_ms: Annotated[int, msgspec.Meta(ge=1, le=2500)] = 500
     request_timeout_ms: _Milliseconds = 10_000
 
--- a/packages/node/tests/test_platforms_http.py
+++ b/packages/node/tests/test_platforms_http.py
@@ -33,6 +33,8 @@
         self.values = []
         self.first = 0
         self.lose = 0
+        self.reads = 0
+        self.silent_reads = 0
 
     def app(self):
         app = web.Application()
@@ -41,6 +43,9 @@
         return app
 
     async def _read(self, request):
+        self.reads += 1
+        if self.reads <= self.silent_reads:
+            await asyncio.Event().wait()
         start, limit = int(request.query["from"]), int(request.query["limit"])
         found = list(enumerate(self.values))[start : start + limit] if start >= self.first else []
         texts = [b'{"offset":%d,"value":%s}' % pair for pair in found]
@@ -138,6 +143,15 @@
     ]
 
 
+@pytest.mark.promise("configuration_in_force", failures=["silent_connection"])
+async def test_a_read_on_a_silent_connection_is_given_up_before_the_longest_limit(system):
+    system.log.values.append(change("a"))
+    system.log.silent_reads = 1
+    await system.adapter.open()
+    await until(lambda: system.shell.configuration.offset == 1)
+    assert system.log.reads > 1
+
+
 async def test_a_snapshot_whose_reply_is_lost_is_written_again_and_read_by_a_late_reader(system):
     full = configurations.Configuration()
     for offset, name in enumerate(("a", "b")):
@@ -251,3 +265,16 @@
         await until(lambda: len(shell.events) > 1)
     assert platform.queries[count]["wait_ms"] != "0"
     assert platform.queries[count + 1]["wait_ms"] == "0"
+
+
+@pytest.mark.promise("leaving_target", failures=["silent_connection"])
+async def test_a_read_of_the_list_on_a_silent_connection_is_given_up_early():
+    platform, shell = FakeVms(), EventList()
+    platform.replies = [vms.VmListReply(version=3)]
+    async with following(platform, shell):
+        await until(lambda: shell.events)
+        platform.answering.clear()
+        count = len(platform.queries)
+        await until(lambda: len(platform.queries) > count)
+        await until(lambda: len(platform.queries) > count + 1)
+        platform.answering.set()
