Go on reading the platform after an outage of any length

Cause: found when the change was read once more. The pause between reads is computed as 0.1 s * 2**failures before it is cut to 2 s; from 1,027 failures in a row on, about 18 minutes, that overflows, the task that reads ends, and the node never reads the log or the list of VMs again. The limit of a read, added today, had the same unbounded power of two.

Ruled out: the client, whose back-off bounds the number of doublings.

Change: both values come from one method that bounds the doublings as the client does; the field that repeated a setting is gone. The new test (1,100 refusals without pauses) ends in OverflowError on the code before and passes now.

--- a/packages/node/chiveridge_node/platforms_http.py
+++ b/packages/node/chiveridge_node/platforms_http.py
@@ -12,6 +12,7 @@
 
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
+MAX_DOUBLINGS = 32
 READ_LIMIT = 500
 MAX_VMS_WAIT_MS = 1000
 REPLY_MARGIN_MS = 1000
@@ -58,7 +59,6 @@
         self._session: aiohttp.ClientSession | None = None
         self._task: asyncio.Task | None = None
         self._failures = 0
-        self._max_limit_ms = self.settings.request_timeout_ms
         self._bytes_read = bytes_read
 
     async def open(self) -> None:
@@ -85,7 +85,7 @@
         A connection that went silent is noticed soon, and a slow platform has more time after
         each read that was lost.
         """
-        limit_ms = min((wait_ms + REPLY_MARGIN_MS) * 2**self._failures, self._max_limit_ms)
+        limit_ms = self._doubled(wait_ms + REPLY_MARGIN_MS, self.settings.request_timeout_ms)
         timeout = aiohttp.ClientTimeout(total=limit_ms / 1000)
         async with self._session.get(url, timeout=timeout) as response:
             body = await response.read()
@@ -107,9 +107,13 @@
         if self._failures == 0:
             logevents.write(self.lost_event, error=repr(error))
         self._failures += 1
-        ceiling = min(MIN_BACKOFF_SECONDS * 2**self._failures, MAX_BACKOFF_SECONDS)
+        ceiling = self._doubled(MIN_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
         await asyncio.sleep(self._rng.uniform(MIN_BACKOFF_SECONDS, ceiling))
 
+    def _doubled(self, first: float, limit: float) -> float:
+        """Return a value that doubles with each failure in a row, up to a limit."""
+        return min(first * 2 ** min(self._failures, MAX_DOUBLINGS), limit)
+
     def _recovered(self) -> None:
         if self._failures:
             logevents.write(self.found_event, failures=self._failures)
--- a/packages/node/tests/test_platforms_http.py
+++ b/packages/node/tests/test_platforms_http.py
@@ -24,6 +24,7 @@
 
 DEEP = b'{"a":' * 5000 + b"1" + b"}" * 5000
 WAIT_S = 10
+REFUSALS_OF_A_LONG_OUTAGE = 1100  # About twenty minutes at the longest pause.
 
 
 class FakeLog:
@@ -83,6 +84,14 @@
         self.verdicts += [change.verdict for change in found]
 
 
+class HastyRandom(random.Random):
+    """Chooses no wait at all."""
+
+    def uniform(self, low, high):
+        super().uniform(low, high)
+        return 0.0
+
+
 def node_of(shell, checked):
     platform = metrics.PlatformMetrics(prometheus_client.CollectorRegistry())
     return types.SimpleNamespace(
@@ -180,6 +189,7 @@
     def __init__(self):
         self.replies = []
         self.queries = []
+        self.refusals_left = 0
         self.answering = asyncio.Event()
         self.answering.set()
 
@@ -190,6 +200,9 @@
 
     async def _read(self, request):
         self.queries.append(dict(request.query))
+        if self.refusals_left:
+            self.refusals_left -= 1
+            return web.Response(status=503)
         await self.answering.wait()
         reply = self.replies.pop(0) if self.replies else vms.VmListReply(version=0)
         return web.Response(body=msgspec.json.encode(reply))
@@ -212,11 +225,12 @@
 
 
 @contextlib.asynccontextmanager
-async def following(platform, shell):
+async def following(platform, shell, rng=None):
     async with serving(platform.app()) as url:
         section = {"log_url": url, "vms_url": url, "vms_interval_ms": "1"}
         checked = settings.parse({"node": {"name": "e1", "domain": "d"}, "platform": section})
         node = node_of(shell, checked)
+        node.rng = rng or node.rng
         adapter = platforms_http.HttpVms(node)
         await adapter.open()
         yield node
@@ -278,3 +292,12 @@
         await until(lambda: len(platform.queries) > count)
         await until(lambda: len(platform.queries) > count + 1)
         platform.answering.set()
+
+
+@pytest.mark.promise("configuration_in_force", failures=["platform_outage"])
+async def test_the_list_is_read_again_after_an_outage_of_any_length():
+    platform, shell = FakeVms(), EventList()
+    platform.refusals_left = REFUSALS_OF_A_LONG_OUTAGE
+    async with following(platform, shell, HastyRandom(1)):
+        await until(lambda: shell.events)
+    assert len(platform.queries) > REFUSALS_OF_A_LONG_OUTAGE
