Remove what is declared and never used

Cause: a list of names that occur once in the product, made when the change was read once more. Three log events (101, 401, 402) stood in the catalogue though nothing writes them; the stand-in had a route and a method to reset its counts that nobody called, the scenarios a team's name, and the keeper of limits a constant that only a test read, which now computes it from the two it was made of.

No behaviour of the product changed, and no assertion. To write the three events instead would have been a change of behaviour.

--- a/packages/kernel/chiveridge_kernel/limit_keepers.py
+++ b/packages/kernel/chiveridge_kernel/limit_keepers.py
@@ -10,7 +10,6 @@
 
 LEASE = datetime.timedelta(seconds=4)
 RECLAIM_LEASES = 2
-RECLAIM_AFTER = LEASE * RECLAIM_LEASES
 MAX_UNSEEN_GRANTS = 16
 
 Holder = tuple[identifiers.NodeName, identifiers.Incarnation]
--- a/packages/kernel/tests/test_limit_faults.py
+++ b/packages/kernel/tests/test_limit_faults.py
@@ -86,7 +86,7 @@
     def excuse_unknown_to(self, keeper: limit_keepers.Keeper) -> None:
         for node in self.domain.nodes_by_name.values():
             account = keeper._accounts_by_holder.get((node.name, node.limiter._incarnation))
-            silent = limit_keepers.RECLAIM_AFTER
+            silent = limit_keepers.LEASE * limit_keepers.RECLAIM_LEASES
             if account is None or self.domain.now() - account.heard_at >= silent:
                 self.excused.update(map(id, node.running))
 
--- a/packages/load/chiveridge_load/scenarios.py
+++ b/packages/load/chiveridge_load/scenarios.py
@@ -6,7 +6,6 @@
 
 from chiveridge_load import disturbances, judgements, measurements, reports, traces
 
-FIRST_TEAM = "dispatch-desk"
 FAULT_S = 4.0
 RESTART_S = 3.0
 FAILING_TARGET = 5
--- a/packages/node/chiveridge_node/logevents.py
+++ b/packages/node/chiveridge_node/logevents.py
@@ -10,7 +10,6 @@
     """Events that operators may search for; a number is never used again."""
 
     NODE_LISTENING = 100
-    NODE_READY = 101
     DRAIN_STARTED = 102
     NODE_STOPPED = 103
     STOP_FORCED = 104
@@ -34,8 +33,6 @@
 
     START_LOST = 400
     STOP_LOST = 403
-    TARGET_AVOIDED = 401
-    JOB_FAILED = 402
 
     INTERNAL_FAULT = 900
 
--- a/packages/standins/chiveridge_standins/counts.py
+++ b/packages/standins/chiveridge_standins/counts.py
@@ -32,10 +32,6 @@
     """Counts the events of tasks in constant time."""
 
     def __init__(self) -> None:
-        self.reset()
-
-    def reset(self) -> None:
-        """Forget everything counted."""
         self.counts = Counts(
             starts=collections.defaultdict(int),
             ends=collections.defaultdict(int),
--- a/packages/standins/chiveridge_standins/members.py
+++ b/packages/standins/chiveridge_standins/members.py
@@ -44,10 +44,6 @@
         content = await request(self._session, "GET", f"{self._control_url}/v1/counts")
         return msgspec.json.decode(content, type=counts.Counts)
 
-    async def reset_counts(self) -> None:
-        """Forget what the target counted."""
-        await request(self._session, "POST", f"{self._control_url}/v1/counts/reset")
-
     async def control(self, **changes: object) -> None:
         """Change fields of :class:`chiveridge_standins.leases.TargetFaults`."""
         await request(self._session, "POST", f"{self._control_url}/control", changes)
--- a/packages/standins/chiveridge_standins/targets.py
+++ b/packages/standins/chiveridge_standins/targets.py
@@ -109,11 +109,6 @@
         """Answer the counts."""
         resp.data = msgspec.json.encode(self._target.counter.counts)
 
-    async def on_post_reset(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
-        """Forget the counts."""
-        self._target.counter.reset()
-        resp.status = falcon.HTTP_204
-
 
 def create_app(target: leases.Target) -> falcon.asgi.App:
     """Return an application that serves one target."""
@@ -158,9 +153,7 @@
 
 
 def _add_control_routes(app: falcon.asgi.App, target: leases.Target) -> None:
-    counts_resource = CountsResource(target)
-    app.add_route("/v1/counts", counts_resource)
-    app.add_route("/v1/counts/reset", counts_resource, suffix="reset")
+    app.add_route("/v1/counts", CountsResource(target))
     control = controls.ControlResource(lambda: target.faults, target.set_faults)
     app.add_route("/control", control)
 
