--- a/packages/kernel/chiveridge_kernel/limit_batches.py
+++ b/packages/kernel/chiveridge_kernel/limit_batches.py
@@ -3,20 +3,20 @@
 import itertools
 from collections.abc import Iterable, Iterator
 
-from chiveridge_kernel import identifiers, peers
+from chiveridge_kernel import identifiers, limit_terms, peers
 
 
 def pack(
-    reports: Iterable[peers.LimitReport], grants: Iterable[peers.LimitGrant]
+    reports: Iterable[limit_terms.LimitReport], grants: Iterable[limit_terms.LimitGrant]
 ) -> Iterator[peers.LimitBatch]:
     """Yield as few batches as hold the reports of one batch number and the grants to a node.
 
     A batch names one keeper that its reports follow, and one incarnation of the holder.
     """
-    reports_by_keeper: dict[str, list[peers.LimitReport]] = {}
+    reports_by_keeper: dict[str, list[limit_terms.LimitReport]] = {}
     for report in reports:
         reports_by_keeper.setdefault(report.keeper_seen, []).append(report)
-    grants_by_holder: dict[str, list[peers.LimitGrant]] = {}
+    grants_by_holder: dict[str, list[limit_terms.LimitGrant]] = {}
     for grant in grants:
         grants_by_holder.setdefault(grant.holder_incarnation, []).append(grant)
     groups = itertools.zip_longest(
@@ -26,7 +26,9 @@
         yield _batch(some_reports, some_grants)
 
 
-def _batch(reports: list[peers.LimitReport], grants: list[peers.LimitGrant]) -> peers.LimitBatch:
+def _batch(
+    reports: list[limit_terms.LimitReport], grants: list[limit_terms.LimitGrant]
+) -> peers.LimitBatch:
     any_part = [*reports, *grants][0]
     return peers.LimitBatch(
         sender=any_part.sender,
@@ -46,10 +48,10 @@
     )
 
 
-def reports_of(batch: peers.LimitBatch) -> Iterator[peers.LimitReport]:
+def reports_of(batch: peers.LimitBatch) -> Iterator[limit_terms.LimitReport]:
     """Yield the reports of a batch."""
     for use in batch.uses:
-        yield peers.LimitReport(
+        yield limit_terms.LimitReport(
             sender=batch.sender,
             incarnation=batch.incarnation,
             team=use.team,
@@ -62,10 +64,10 @@
         )
 
 
-def grants_of(batch: peers.LimitBatch) -> Iterator[peers.LimitGrant]:
+def grants_of(batch: peers.LimitBatch) -> Iterator[limit_terms.LimitGrant]:
     """Yield the grants of a batch."""
     for allowance in batch.allowances:
-        yield peers.LimitGrant(
+        yield limit_terms.LimitGrant(
             sender=batch.sender,
             incarnation=batch.incarnation,
             holder_incarnation=batch.holder_incarnation,
--- a/packages/kernel/chiveridge_kernel/limit_exchanges.py
+++ b/packages/kernel/chiveridge_kernel/limit_exchanges.py
@@ -13,6 +13,7 @@
     limit_keepers,
     limit_outboxes,
     limit_shares,
+    limit_terms,
     members,
     peers,
 )
@@ -62,12 +63,12 @@
 
     def new_report(
         self, team: identifiers.TeamName, now: datetime.datetime, sequence: int
-    ) -> peers.LimitReport:
+    ) -> limit_terms.LimitReport:
         """Return the report of a team that is made now, and note when it was."""
         share = self._shares_by_team[team]
         lease = self.lease()
         share.note_report(sequence, now, lease)
-        return peers.LimitReport(
+        return limit_terms.LimitReport(
             sender=self._members.own_name,
             incarnation=self._incarnation,
             team=team,
--- a/packages/kernel/chiveridge_kernel/limit_keepers.py
+++ b/packages/kernel/chiveridge_kernel/limit_keepers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chiveridge_kernel import identifiers, members, peers
+from chiveridge_kernel import identifiers, limit_terms, members
 
 LEASE = datetime.timedelta(seconds=4)
 RECLAIM_LEASES = 2
@@ -59,8 +59,8 @@
         self._accounts_by_holder: dict[Holder, Account] = {}
 
     def report(
-        self, report: peers.LimitReport, limit: int, now: datetime.datetime
-    ) -> list[tuple[identifiers.NodeName, peers.LimitGrant]]:
+        self, report: limit_terms.LimitReport, limit: int, now: datetime.datetime
+    ) -> list[tuple[identifiers.NodeName, limit_terms.LimitGrant]]:
         """Take a holder's report; return grants by the node that each is for."""
         holder = (report.sender, report.incarnation)
         account = self._accounts_by_holder.setdefault(holder, Account(now))
@@ -72,7 +72,7 @@
         return [self._grant(each) for each in changed | {holder}]
 
     def _update(
-        self, account: Account, report: peers.LimitReport, limit: int, now: datetime.datetime
+        self, account: Account, report: limit_terms.LimitReport, limit: int, now: datetime.datetime
     ) -> None:
         account.heard_at = now
         account.lease = datetime.timedelta(milliseconds=report.lease_ms)
@@ -118,9 +118,9 @@
             if now - account.heard_at >= account.lease * RECLAIM_LEASES:
                 del self._accounts_by_holder[holder]
 
-    def _grant(self, holder: Holder) -> tuple[identifiers.NodeName, peers.LimitGrant]:
+    def _grant(self, holder: Holder) -> tuple[identifiers.NodeName, limit_terms.LimitGrant]:
         account = self._accounts_by_holder[holder]
-        grant = peers.LimitGrant(
+        grant = limit_terms.LimitGrant(
             sender=self._node,
             incarnation=self._incarnation,
             holder_incarnation=holder[1],
--- a/packages/kernel/chiveridge_kernel/limit_outboxes.py
+++ b/packages/kernel/chiveridge_kernel/limit_outboxes.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from chiveridge_kernel import clocks, heartbeats, identifiers, limit_keepers, peers
+from chiveridge_kernel import clocks, heartbeats, identifiers, limit_keepers, limit_terms
 
 CONTROL_BYTES_PER_SECOND = 2950
 """Bytes, headers included, that heartbeats and limits may take together."""
@@ -29,7 +29,7 @@
     """What waits for a peer: teams to report of, and the last grant of each holder and team."""
 
     teams: set[identifiers.TeamName] = msgspec.field(default_factory=set)
-    grants: dict[tuple[identifiers.Incarnation, identifiers.TeamName], peers.LimitGrant] = (
+    grants: dict[tuple[identifiers.Incarnation, identifiers.TeamName], limit_terms.LimitGrant] = (
         msgspec.field(default_factory=dict)
     )
 
@@ -47,7 +47,7 @@
         """Let a keeper be told of a team."""
         self._pending(node).teams.add(team)
 
-    def add_grant(self, node: identifiers.NodeName, grant: peers.LimitGrant) -> None:
+    def add_grant(self, node: identifiers.NodeName, grant: limit_terms.LimitGrant) -> None:
         """Let a holder have a grant; it replaces one that still waits."""
         self._pending(node).grants[grant.holder_incarnation, grant.team] = grant
 
--- a/packages/kernel/chiveridge_kernel/limit_shares.py
+++ b/packages/kernel/chiveridge_kernel/limit_shares.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chiveridge_kernel import clocks, identifiers, limit_keepers, peers
+from chiveridge_kernel import clocks, identifiers, limit_keepers, limit_terms
 
 RENEW_INTERVAL = datetime.timedelta(milliseconds=1500)
 ASK_AGAIN_INTERVAL = datetime.timedelta(milliseconds=500)
@@ -65,7 +65,7 @@
         shortest = ASK_AGAIN_INTERVAL if self.wanted else RENEW_INTERVAL
         return shortest * (lease / limit_keepers.LEASE)
 
-    def take(self, grant: peers.LimitGrant) -> None:
+    def take(self, grant: limit_terms.LimitGrant) -> None:
         """Take a grant; one that is older than the last changes nothing."""
         lease_end = self.lease_end_by_sequence.get(grant.sequence)
         key = (grant.incarnation, grant.serial)
--- a/packages/kernel/chiveridge_kernel/limits.py
+++ b/packages/kernel/chiveridge_kernel/limits.py
@@ -16,6 +16,7 @@
     limit_exchanges,
     limit_keepers,
     limit_shares,
+    limit_terms,
     members,
     peers,
     results,
@@ -163,7 +164,7 @@
         for grant in limit_batches.grants_of(batch):
             self.take_grant(grant)
 
-    def take_report(self, report: peers.LimitReport, now: datetime.datetime) -> None:
+    def take_report(self, report: limit_terms.LimitReport, now: datetime.datetime) -> None:
         """Answer a holder's report when this node is the keeper."""
         limit = self.limit_of(report.team)
         if limit is None or self._keeper_names.of(report.team) != self._members.own_name:
@@ -179,7 +180,7 @@
         for node, grant in keeper.report(report, limit, now):
             self._deliver(node, grant)
 
-    def take_grant(self, grant: peers.LimitGrant) -> None:
+    def take_grant(self, grant: limit_terms.LimitGrant) -> None:
         """Take a grant of the keeper."""
         share = self._shares_by_team.get(grant.team)
         is_ours = grant.holder_incarnation == self._incarnation
@@ -243,7 +244,7 @@
             share.note_waiting(now, self._exchange.lease())
             self._exchange.outbox.add_report(share.keeper, team)
 
-    def _deliver(self, node: identifiers.NodeName, grant: peers.LimitGrant) -> None:
+    def _deliver(self, node: identifiers.NodeName, grant: limit_terms.LimitGrant) -> None:
         if node == self._members.own_name:
             self.take_grant(grant)
         else:
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -222,43 +222,8 @@
     lifetime_ms: Annotated[int, msgspec.Meta(ge=0)]
 
 
-class LimitReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Tells the keeper of a team's limit what a node uses and wants.
-
-    ``sequence`` counts the reports of this incarnation; ``keeper_seen`` and ``serial_seen`` name
-    the incarnation and the serial of the last grant that the sender follows. A grant that
-    answers the report holds for ``lease_ms`` from when the report was sent.
-    """
-
-    sender: identifiers.NodeName
-    incarnation: identifiers.Incarnation
-    team: identifiers.TeamName
-    sequence: int
-    in_use: int
-    wanted: int
-    keeper_seen: str = ""
-    serial_seen: int = 0
-    lease_ms: int = 4000
-
-
-class LimitGrant(msgspec.Struct, frozen=True, kw_only=True):
-    """Lets a node have ``allowed`` starts of a team in progress, for a lease.
-
-    The lease counts from when the node sent the report ``sequence``; ``serial`` counts the
-    changes of the grant.
-    """
-
-    sender: identifiers.NodeName
-    incarnation: identifiers.Incarnation
-    holder_incarnation: identifiers.Incarnation
-    team: identifiers.TeamName
-    sequence: int
-    serial: int
-    allowed: int
-
-
 class LimitUse(msgspec.Struct, frozen=True, array_like=True):
-    """What :class:`LimitReport` tells of one team."""
+    """What :class:`limit_terms.LimitReport` tells of one team."""
 
     team: identifiers.TeamName
     in_use: Annotated[int, msgspec.Meta(ge=0)]
@@ -267,7 +232,7 @@
 
 
 class LimitAllowance(msgspec.Struct, frozen=True, array_like=True):
-    """What :class:`LimitGrant` tells of one team."""
+    """What :class:`limit_terms.LimitGrant` tells of one team."""
 
     team: identifiers.TeamName
     sequence: int
@@ -285,7 +250,7 @@
 ):
     """Reports and grants of many teams to one node.
 
-    The fields are those of :class:`LimitReport` and :class:`LimitGrant`.
+    The fields are those of the types in :mod:`limit_terms`.
     """
 
     sender: identifiers.NodeName
--- a/packages/kernel/tests/test_limit_keepers.py
+++ b/packages/kernel/tests/test_limit_keepers.py
@@ -3,14 +3,14 @@
 import limited_domains
 import msgspec
 
-from chiveridge_kernel import clocks, limit_keepers, peers
+from chiveridge_kernel import clocks, limit_keepers, limit_terms
 
 
 def test_a_new_keeper_grants_nothing_while_earlier_grants_may_hold():
     keeper = limit_keepers.Keeper(limited_domains.TEAM, "e1", "a", clocks.EPOCH)
 
     def report(sequence: int, now: datetime.datetime) -> int:
-        message = peers.LimitReport(
+        message = limit_terms.LimitReport(
             sender="e2",
             incarnation="a",
             team=limited_domains.TEAM,
@@ -31,7 +31,7 @@
     now = clocks.EPOCH + limit_keepers.LEASE
 
     def allowed_for_e3(sequence: int) -> int:
-        report = peers.LimitReport(
+        report = limit_terms.LimitReport(
             sender="e3",
             incarnation="a",
             team=limited_domains.TEAM,
@@ -41,7 +41,7 @@
         )
         return dict(keeper.report(report, limited_domains.LIMIT, now))["e3"].allowed
 
-    follower = peers.LimitReport(
+    follower = limit_terms.LimitReport(
         sender="e2",
         incarnation="a",
         team=limited_domains.TEAM,
@@ -63,7 +63,7 @@
     now = clocks.EPOCH + limit_keepers.LEASE
 
     def report(sender: str, sequence: int, wanted: int, **fields) -> dict[str, int]:
-        message = peers.LimitReport(
+        message = limit_terms.LimitReport(
             sender=sender,
             incarnation="a",
             team=limited_domains.TEAM,
--- a/packages/kernel/tests/test_limit_shares.py
+++ b/packages/kernel/tests/test_limit_shares.py
@@ -1,13 +1,13 @@
 import limited_domains
 import msgspec
 
-from chiveridge_kernel import clocks, limit_shares, peers
+from chiveridge_kernel import clocks, limit_shares, limit_terms
 
 
 def test_a_late_grant_changes_nothing():
     share = limit_shares.Share(keeper="e1")
     share.note_report(1, clocks.EPOCH)
-    later = peers.LimitGrant(
+    later = limit_terms.LimitGrant(
         sender="e1",
         incarnation="a",
         holder_incarnation="a",
