Move one node's state table out of the table of all nodes

No behaviour and no assertion changed; tests name the types by their new module. The tests of kernel and node passed.

--- a/packages/kernel/chiveridge_kernel/handovers.py
+++ b/packages/kernel/chiveridge_kernel/handovers.py
@@ -14,6 +14,7 @@
     errors,
     identifiers,
     ledgers,
+    member_states,
     members,
     peers,
     results,
@@ -33,7 +34,7 @@
 FOREIGN_PEERS = 2
 """Nodes of other domains that get a handover when there is no other in the own domain."""
 
-_GONE_STATES = frozenset({members.MemberState.DEAD, members.MemberState.LEAVING})
+_GONE_STATES = frozenset({member_states.MemberState.DEAD, member_states.MemberState.LEAVING})
 
 
 def choose_peers(table: members.MemberTable) -> list[vms.Vm]:
@@ -49,7 +50,7 @@
     return chosen
 
 
-def _may_take(member: members.Member) -> bool:
+def _may_take(member: member_states.Member) -> bool:
     return member.vm.state is vms.VmState.LIVE and member.state not in _GONE_STATES
 
 
--- a/packages/kernel/chiveridge_kernel/heartbeats.py
+++ b/packages/kernel/chiveridge_kernel/heartbeats.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from chiveridge_kernel import actions, identifiers, members, peers
+from chiveridge_kernel import actions, identifiers, member_states, members, peers
 
 HEARTBEAT_BYTES = 72
 WIRE_BYTES_PER_MESSAGE = 104
@@ -125,13 +125,15 @@
             found.append(self._heartbeat(partner, reply_wanted=True))
         return found
 
-    def _announced_to(self, member: members.Member) -> peers.Endpoint | None:
+    def _announced_to(self, member: member_states.Member) -> peers.Endpoint | None:
         if member.echoed or member.announcements >= MAX_ANNOUNCEMENTS:
             return None
         member.announcements += 1
         return self.endpoint
 
-    def _heartbeat(self, member: members.Member, reply_wanted: bool = False) -> actions.Action:
+    def _heartbeat(
+        self, member: member_states.Member, reply_wanted: bool = False
+    ) -> actions.Action:
         member.sent += 1
         heartbeat = peers.Heartbeat(
             sender=self._table.own_name,
--- a/packages/kernel/chiveridge_kernel/members.py
+++ b/packages/kernel/chiveridge_kernel/members.py
@@ -1,64 +1,13 @@
 """The nodes of the system as this node sees them: the platform's list joined with heartbeats."""
 
-import collections
 import datetime
-import enum
 
 import msgspec
 
-from chiveridge_kernel import identifiers, peers, vms
+from chiveridge_kernel import identifiers, member_states, peers, vms
 
 FORGET_AFTER = datetime.timedelta(minutes=10)
 MAX_UNLISTED_MEMBERS = 1000
-MAX_FORMER_INCARNATIONS = 100
-
-
-class MemberState(enum.Enum):
-    """What this node believes of another; a wrong belief costs speed, never a promise.
-
-    ``REPLACED`` means that the list shows a new address under the name and the node there has
-    not been heard yet.
-    """
-
-    UNKNOWN = "unknown"
-    LIVE = "live"
-    SUSPECT = "suspect"
-    DEAD = "dead"
-    LEAVING = "leaving"
-    REPLACED = "replaced"
-
-
-class MemberSignal(enum.Enum):
-    """Evidence about a node."""
-
-    HEARD = "heard"
-    RENEWED = "renewed"
-    MOVED = "moved"
-    GOODBYE = "goodbye"
-    UNREACHABLE = "unreachable"
-    SILENT = "silent"
-    LOST = "lost"
-
-
-_TRANSITIONS = {
-    (MemberState.UNKNOWN, MemberSignal.HEARD): MemberState.LIVE,
-    (MemberState.UNKNOWN, MemberSignal.UNREACHABLE): MemberState.SUSPECT,
-    (MemberState.UNKNOWN, MemberSignal.SILENT): MemberState.SUSPECT,
-    (MemberState.LIVE, MemberSignal.UNREACHABLE): MemberState.SUSPECT,
-    (MemberState.LIVE, MemberSignal.SILENT): MemberState.SUSPECT,
-    (MemberState.SUSPECT, MemberSignal.HEARD): MemberState.LIVE,
-    (MemberState.SUSPECT, MemberSignal.LOST): MemberState.DEAD,
-    (MemberState.DEAD, MemberSignal.HEARD): MemberState.LIVE,
-    (MemberState.LEAVING, MemberSignal.LOST): MemberState.DEAD,
-    (MemberState.REPLACED, MemberSignal.HEARD): MemberState.LIVE,
-    (MemberState.REPLACED, MemberSignal.UNREACHABLE): MemberState.SUSPECT,
-    (MemberState.REPLACED, MemberSignal.SILENT): MemberState.SUSPECT,
-}
-_TRANSITIONS |= {(state, MemberSignal.RENEWED): MemberState.LIVE for state in MemberState}
-_TRANSITIONS |= {(state, MemberSignal.MOVED): MemberState.REPLACED for state in MemberState}
-_TRANSITIONS |= {(state, MemberSignal.GOODBYE): MemberState.LEAVING for state in MemberState}
-
-_SERVING_STATES = frozenset({MemberState.UNKNOWN, MemberState.LIVE, MemberState.REPLACED})
 
 
 class MemberTimes(msgspec.Struct, frozen=True, kw_only=True):
@@ -68,49 +17,6 @@
     dead_after: datetime.timedelta
 
 
-class Member(msgspec.Struct, kw_only=True):
-    """One node; ``vm`` is where it is reached, None while that is not known.
-
-    ``listed`` is its VM in the platform's list, and ``announced`` the one that a new incarnation
-    told of itself, until the node confirms what was sent to either. ``domain`` is the last known.
-
-    ``sent`` counts the heartbeats sent to it, ``echoed`` is the last of them that it has
-    confirmed, and ``received`` the last that it sent here. ``announcements`` counts how often
-    this incarnation of it was told where this node listens.
-    """
-
-    name: str
-    vm: vms.Vm | None = None
-    listed: vms.Vm | None = None
-    announced: vms.Vm | None = None
-    domain: str = ""
-    state: MemberState = MemberState.UNKNOWN
-    incarnation: identifiers.Incarnation | None = None
-    former_incarnations: collections.deque[identifiers.Incarnation] = msgspec.field(
-        default_factory=lambda: collections.deque(maxlen=MAX_FORMER_INCARNATIONS)
-    )
-    offset: int = 0
-    sent: int = 0
-    echoed: int = 0
-    received: int = 0
-    announcements: int = 0
-    unreachable_at: int = 0
-    heard_at: datetime.datetime | None = None
-    proved_at: datetime.datetime | None = None
-    reconnected_at: datetime.datetime | None = None
-
-    def signal(self, signal: MemberSignal) -> bool:
-        """Follow the state table; tell whether the state changed."""
-        before = self.state
-        self.state = _TRANSITIONS.get((before, signal), before)
-        return self.state is not before
-
-    def serves(self) -> bool:
-        """Tell whether the node is to be counted on."""
-        listed = self.vm is not None and self.vm.state is vms.VmState.LIVE
-        return listed and self.state in _SERVING_STATES
-
-
 class MemberTable:
     """Nodes by name; ``version`` grows when the nodes that take part, or their VMs, change."""
 
@@ -118,7 +24,7 @@
         self.own_name = own_name
         self.own_domain = own_domain
         self.vms_by_name: dict[str, vms.Vm] = {}
-        self.members_by_name: dict[str, Member] = {}
+        self.members_by_name: dict[str, member_states.Member] = {}
         self.version = 0
         self._live_names_by_domain: dict[str | None, list[str]] = {}
 
@@ -151,7 +57,7 @@
             self._live_names_by_domain[domain] = found
         return found
 
-    def others_in_domain(self) -> list[Member]:
+    def others_in_domain(self) -> list[member_states.Member]:
         """Return the members of this node's domain that have a VM, in whatever state."""
         known = self.members_by_name.values()
         return [found for found in known if found.vm and found.vm.domain == self.own_domain]
@@ -167,7 +73,7 @@
             if other.serves() and other.vm.domain == domain and other.name != name
         ]
 
-    def others_outside(self) -> list[Member]:
+    def others_outside(self) -> list[member_states.Member]:
         """Return the members of other domains that have a VM, in whatever state."""
         known = self.members_by_name.values()
         return [found for found in known if found.vm and found.vm.domain != self.own_domain]
@@ -194,12 +100,14 @@
         if member is None:
             if len(self.members_by_name) >= len(self.vms_by_name) + MAX_UNLISTED_MEMBERS:
                 return False
-            member = self.members_by_name[heartbeat.sender] = Member(name=heartbeat.sender)
+            member = self.members_by_name[heartbeat.sender] = member_states.Member(
+                name=heartbeat.sender
+            )
         if heartbeat.incarnation != member.incarnation:
             if not _may_follow(member, heartbeat.incarnation, times, now):
                 return False
             _renew(member, heartbeat, now)
-            member.signal(MemberSignal.RENEWED)
+            member.signal(member_states.MemberSignal.RENEWED)
             self._changed()
         elif heartbeat.sequence <= member.received:
             return False
@@ -207,7 +115,7 @@
         member.offset = max(member.offset, heartbeat.offset)
         member.heard_at = now
         if heartbeat.leaving:
-            self._signal(member, MemberSignal.GOODBYE)
+            self._signal(member, member_states.MemberSignal.GOODBYE)
         elif member.echoed < heartbeat.echo <= member.sent:
             self._confirmed(member, heartbeat.echo, now)
         return True
@@ -222,7 +130,7 @@
             member.vm = member.announced
             self._changed()
             return
-        self._signal(member, MemberSignal.UNREACHABLE)
+        self._signal(member, member_states.MemberSignal.UNREACHABLE)
 
     def forgive(self, now: datetime.datetime) -> None:
         """Count every silence from now on, as this node itself did not run for a while."""
@@ -245,7 +153,7 @@
             if member.vm is None or member.vm.domain != self.own_domain:
                 continue
             if silence > times.suspect_after:
-                self._signal(member, MemberSignal.SILENT)
+                self._signal(member, member_states.MemberSignal.SILENT)
                 if (
                     member.reconnected_at is None
                     or now - member.reconnected_at > times.suspect_after
@@ -253,12 +161,12 @@
                     member.reconnected_at = now
                     silent.append(member.vm)
             if silence > times.dead_after:
-                self._signal(member, MemberSignal.LOST)
+                self._signal(member, member_states.MemberSignal.LOST)
                 self._give_up_announced(member)
         return silent
 
     def _list(self, name: str, vm: vms.Vm, now: datetime.datetime) -> None:
-        member = self.members_by_name.setdefault(name, Member(name=name))
+        member = self.members_by_name.setdefault(name, member_states.Member(name=name))
         member.domain = vm.domain
         used, before = member.vm, member.listed
         member.listed = vm
@@ -270,23 +178,23 @@
         elif not _is_at(used, vm):
             member.heard_at = member.proved_at = now
             member.unreachable_at = member.sent
-            self._signal(member, MemberSignal.MOVED)
+            self._signal(member, member_states.MemberSignal.MOVED)
 
-    def _confirmed(self, member: Member, echo: int, now: datetime.datetime) -> None:
+    def _confirmed(self, member: member_states.Member, echo: int, now: datetime.datetime) -> None:
         member.echoed = echo
         member.proved_at = now
         if member.vm is not member.announced:
             member.announced = None
         if echo > member.unreachable_at:
-            self._signal(member, MemberSignal.HEARD)
+            self._signal(member, member_states.MemberSignal.HEARD)
 
-    def _give_up_announced(self, member: Member) -> None:
+    def _give_up_announced(self, member: member_states.Member) -> None:
         if member.vm is not None and member.vm is member.announced:
             member.vm = member.listed
             member.announced = None
             self._changed()
 
-    def _signal(self, member: Member, signal: MemberSignal) -> None:
+    def _signal(self, member: member_states.Member, signal: member_states.MemberSignal) -> None:
         if member.signal(signal):
             self._changed()
 
@@ -304,7 +212,7 @@
 
 
 def _may_follow(
-    member: Member,
+    member: member_states.Member,
     incarnation: identifiers.Incarnation,
     times: MemberTimes,
     now: datetime.datetime,
@@ -317,7 +225,9 @@
     return now - member.heard_at > times.dead_after
 
 
-def _renew(member: Member, heartbeat: peers.Heartbeat, now: datetime.datetime) -> None:
+def _renew(
+    member: member_states.Member, heartbeat: peers.Heartbeat, now: datetime.datetime
+) -> None:
     if member.incarnation is not None:
         member.former_incarnations.append(member.incarnation)
     member.incarnation = heartbeat.incarnation
@@ -346,7 +256,7 @@
     )
 
 
-def _unlist(member: Member) -> None:
+def _unlist(member: member_states.Member) -> None:
     """Reach a member that the list shows no more only where it announced itself, if it did."""
     if member.vm is member.listed:
         member.vm = None
--- a/packages/kernel/chiveridge_kernel/requesters.py
+++ b/packages/kernel/chiveridge_kernel/requesters.py
@@ -1,8 +1,8 @@
 """The nodes whose slot requests an owner keeps, and whether they still want them."""
 
-from chiveridge_kernel import identifiers, members
+from chiveridge_kernel import identifiers, member_states, members
 
-_GONE_STATES = frozenset({members.MemberState.DEAD, members.MemberState.REPLACED})
+_GONE_STATES = frozenset({member_states.MemberState.DEAD, member_states.MemberState.REPLACED})
 
 
 class Requesters:
--- a/packages/kernel/tests/test_clusters.py
+++ b/packages/kernel/tests/test_clusters.py
@@ -16,7 +16,7 @@
     errors,
     events,
     kernels,
-    members,
+    member_states,
     messages,
     peers,
     records,
@@ -245,7 +245,7 @@
             assert table.live_names() == NAMES
             for other in table.others_in_domain():
                 current = self.nodes_by_name[other.name]
-                assert other.state is members.MemberState.LIVE
+                assert other.state is member_states.MemberState.LIVE
                 assert other.incarnation == current.kernel.settings.incarnation
                 assert other.offset == len(self.records)
         self.check_limit()
--- a/packages/kernel/tests/test_handovers.py
+++ b/packages/kernel/tests/test_handovers.py
@@ -10,6 +10,7 @@
     events,
     handovers,
     ledgers,
+    member_states,
     members,
     peers,
     results,
@@ -150,7 +151,7 @@
     sender.confirmed(peers.HandoverKept(sender=name, incarnation="life", part=0), NOW)
 
 
-def chosen_from(listed: list[vms.Vm], **state_by_name: members.MemberState) -> list[str]:
+def chosen_from(listed: list[vms.Vm], **state_by_name: member_states.MemberState) -> list[str]:
     table = members.MemberTable("ikeja-e1", "ikeja")
     table.replace(vms.VmList(1, listed), NOW)
     for name, state in state_by_name.items():
@@ -163,14 +164,16 @@
     far = [node_vm(f"lekki-e{number}", "lekki") for number in (3, 1, 2)]
     own = node_vm("ikeja-e1")
     assert chosen_from([own, leaving, *far, *PEERS]) == ["ikeja-e2", "ikeja-e3"]
-    assert chosen_from([own, leaving, *far, *PEERS], e2=members.MemberState.DEAD) == ["ikeja-e3"]
+    assert chosen_from([own, leaving, *far, *PEERS], e2=member_states.MemberState.DEAD) == [
+        "ikeja-e3"
+    ]
     assert chosen_from([own, leaving, *far]) == ["lekki-e1", "lekki-e2"]
 
 
 @pytest.mark.promise("graceful_shutdown", failures=["cut"])
 def test_a_suspected_peer_is_chosen_and_makes_up_for_none():
     far = node_vm("lekki-e1", "lekki")
-    suspect = members.MemberState.SUSPECT
+    suspect = member_states.MemberState.SUSPECT
     assert chosen_from([far, *PEERS], e2=suspect) == ["ikeja-e2", "ikeja-e3"]
     assert chosen_from([far, *PEERS], e2=suspect, e3=suspect) == [
         "ikeja-e2",
--- a/packages/kernel/tests/test_members.py
+++ b/packages/kernel/tests/test_members.py
@@ -3,7 +3,16 @@
 
 import pytest
 
-from chiveridge_kernel import actions, clocks, heartbeats, identifiers, members, peers, vms
+from chiveridge_kernel import (
+    actions,
+    clocks,
+    heartbeats,
+    identifiers,
+    member_states,
+    members,
+    peers,
+    vms,
+)
 
 START = clocks.EPOCH
 SECOND = datetime.timedelta(seconds=1)
@@ -31,19 +40,19 @@
     return peers.Heartbeat(sender=sender, incarnation=incarnation, sequence=sequence, **fields)
 
 
-def state_of(found: members.MemberTable, name: str) -> members.MemberState:
+def state_of(found: members.MemberTable, name: str) -> member_states.MemberState:
     return found.members_by_name[name].state
 
 
 def test_a_silent_member_is_suspected_then_dead_then_live_again():
     found = table(entry("a"))
     found.heard(heartbeat("a"), TIMES, START)
-    assert state_of(found, "a") is members.MemberState.LIVE
+    assert state_of(found, "a") is member_states.MemberState.LIVE
     found.expire(TIMES, START + 4 * SECOND)
-    assert state_of(found, "a") is members.MemberState.SUSPECT
+    assert state_of(found, "a") is member_states.MemberState.SUSPECT
     assert found.live_names() == ["own"]
     found.expire(TIMES, START + 11 * SECOND)
-    assert state_of(found, "a") is members.MemberState.DEAD
+    assert state_of(found, "a") is member_states.MemberState.DEAD
     found.members_by_name["a"].sent = 5
     found.heard(heartbeat("a", sequence=2, echo=5), TIMES, START + 12 * SECOND)
     assert found.live_names() == ["a", "own"]
@@ -54,7 +63,7 @@
     for second in range(5):
         found.heard(heartbeat("a", sequence=second + 1), TIMES, START + second * SECOND)
         found.expire(TIMES, START + second * SECOND)
-    assert state_of(found, "a") is members.MemberState.SUSPECT
+    assert state_of(found, "a") is member_states.MemberState.SUSPECT
 
 
 def test_an_unreachable_member_counts_again_once_it_confirms_a_later_heartbeat():
@@ -75,7 +84,7 @@
     found.heard(heartbeat("a", "b", sequence=9), TIMES, START)
     assert found.heard(heartbeat("a", "c", sequence=1), TIMES, START)
     assert not found.heard(heartbeat("a", "b", sequence=10, leaving=True), TIMES, START)
-    assert state_of(found, "a") is members.MemberState.LIVE
+    assert state_of(found, "a") is member_states.MemberState.LIVE
     assert found.was_replaced("a", "b")
     assert not found.was_replaced("a", "c")
     assert not found.was_replaced("a", "d")
@@ -94,16 +103,16 @@
     found = table(entry("a"))
     found.heard(heartbeat("a", sequence=2, leaving=True), TIMES, START)
     assert not found.heard(heartbeat("a", sequence=1), TIMES, START)
-    assert state_of(found, "a") is members.MemberState.LEAVING
+    assert state_of(found, "a") is member_states.MemberState.LEAVING
     found.heard(heartbeat("a", "c"), TIMES, START)
-    assert state_of(found, "a") is members.MemberState.LIVE
+    assert state_of(found, "a") is member_states.MemberState.LIVE
 
 
 def test_a_new_address_waits_for_the_node_there():
     found = table(entry("a"))
     found.heard(heartbeat("a"), TIMES, START)
     found.replace(vms.VmList(2, [entry("a", port=7102)]), START + SECOND)
-    assert state_of(found, "a") is members.MemberState.REPLACED
+    assert state_of(found, "a") is member_states.MemberState.REPLACED
     assert found.live_names() == ["a", "own"]
 
 
@@ -137,7 +146,7 @@
     beats.receive(heartbeat("a"), START)
     for number in range(20):
         beats.tick(START + number * SECOND / 10 * 1.2)
-    assert state_of(found, "a") is members.MemberState.DEAD
+    assert state_of(found, "a") is member_states.MemberState.DEAD
 
 
 def test_heartbeats_keep_their_byte_budget_at_the_full_size():
@@ -203,7 +212,7 @@
     found = table()
     found.heard(announcing("a", port=7102), TIMES, START)
     found.expire(TIMES, START + 11 * SECOND)
-    assert state_of(found, "a") is members.MemberState.DEAD
+    assert state_of(found, "a") is member_states.MemberState.DEAD
     assert found.find("a") is None
 
 
--- a/packages/node/chiveridge_node/forwards.py
+++ b/packages/node/chiveridge_node/forwards.py
@@ -9,7 +9,7 @@
     clocks,
     identifiers,
     kernels,
-    members,
+    member_states,
     peers,
     results,
     submissions,
@@ -96,7 +96,7 @@
         if table.was_replaced(issued.node, issued.incarnation):
             return NoReply.GONE
         member = table.members_by_name.get(issued.node)
-        if member is None or member.vm is None or member.state is members.MemberState.DEAD:
+        if member is None or member.vm is None or member.state is member_states.MemberState.DEAD:
             return NoReply.UNREACHABLE
         return member.vm
 
--- a/packages/node/chiveridge_node/statuses.py
+++ b/packages/node/chiveridge_node/statuses.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chiveridge_kernel import catch_ups, clocks, kernels, members, targets
+from chiveridge_kernel import catch_ups, clocks, kernels, member_states, targets
 
 
 class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -12,7 +12,7 @@
 
     name: str
     domain: str
-    state: members.MemberState
+    state: member_states.MemberState
     incarnation: str
     config_offset: int
     silent_ms: float
@@ -68,7 +68,7 @@
     )
 
 
-def _member_status(member: members.Member, now: datetime.datetime) -> MemberStatus:
+def _member_status(member: member_states.Member, now: datetime.datetime) -> MemberStatus:
     return MemberStatus(
         name=member.name,
         domain=member.vm.domain if member.vm else "",
--- a/packages/node/tests/test_forwards.py
+++ b/packages/node/tests/test_forwards.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from chiveridge_kernel import clocks, members, peers, results, submissions, vms
+from chiveridge_kernel import clocks, member_states, members, peers, results, submissions, vms
 from chiveridge_node import forwards
 
 TIMES = members.MemberTimes(
@@ -65,7 +65,7 @@
 
 @pytest.mark.promise("honest_refusal")
 async def test_an_issuer_that_is_dead_or_not_listed_is_unreachable_at_once(table):
-    table.members_by_name["a"].state = members.MemberState.DEAD
+    table.members_by_name["a"].state = member_states.MemberState.DEAD
     assert await perform(table, "c", []) == (forwards.NoReply.UNREACHABLE, [])
     table.replace(vms.VmList(2, []), clocks.EPOCH)
     assert await perform(table, "c", []) == (forwards.NoReply.UNREACHABLE, [])
