Give callers that read slowly more time at a stop

A stopping node took a caller for stalled when nothing left its write buffer for five seconds; the buffers of both systems hold several megabytes, so that half a megabyte a 0.6 s may show no progress for as long.

Ruled out: to ask the system for unsent bytes, as the receiver's window moves in steps as coarse.

Change: 20 s without progress, within the 60 s in all.

--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -19,8 +19,11 @@
 _MAX_QUOTED = 100
 _WAIT_PATTERN = re.compile("[0-9]{1,9}")
 GRACEFUL_EXIT_SECONDS = 60
-STALL_SECONDS = 5.0
-"""Time in which no caller reads anything after which a stopping node waits for none."""
+STALL_SECONDS = 20.0
+"""Time without progress after which a stopping node waits for no caller.
+
+A caller's reads show only once the systems' buffers, of several megabytes, have room again.
+"""
 
 STALL_CHECK_SECONDS = 0.1
 
