Close each connection after its reply while a node stops

A connection that is accepted while the port closes is missed by the server's round over its connections; it stays open for the next request. A caller that keeps asking on it (here the test's own wait for a refusal) holds the stop until nothing has moved for 20 s, and then replies that others read slowly are cut.

Change: a node that drains puts "Connection: close" on each reply. The test's wait goes on when its own connection is cut while the port closes, until one is refused, as before.

The new test fails without the change (no Connection header) and passes with it.

Conclusion: the stop depended on which connections were accepted in one turn of the loop, not on pace.

--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -144,6 +144,20 @@
         resp.data = msgspec.json.encode(self._http.node.status())
 
 
+class _ConnectionCloser:
+    """Closes the connection after each reply of a node that stops.
+
+    A connection accepted while the port closes would otherwise stay open for its next request.
+    """
+
+    def __init__(self, http: "HttpCallers"):
+        self._http = http
+
+    async def process_response(self, req, resp, resource, req_succeeded: bool) -> None:
+        if self._http.node.kernel.draining:
+            resp.set_header("Connection", "close")
+
+
 class _RefusalCounter:
     """Counts the refusals that are told to callers."""
 
@@ -236,7 +250,7 @@
         return team
 
     def _app(self) -> falcon.asgi.App:
-        app = falcon.asgi.App(middleware=[_RefusalCounter(self)])
+        app = falcon.asgi.App(middleware=[_ConnectionCloser(self), _RefusalCounter(self)])
         app.add_route("/v1/submission-ids", _IdsResource(self))
         app.add_route("/v1/jobs", _JobsResource(self))
         app.add_route("/v1/jobs/{submission_id}", _JobResource(self))
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -113,6 +113,21 @@
         assert await deployed.starts() == {"once": 1}
 
 
+@pytest.mark.promise("graceful_shutdown")
+async def test_no_connection_outlives_its_request_while_a_node_stops(deploy, make_task):
+    async with deploy() as deployed:
+        url, caller = deployed.url(NODE), deployed.caller
+        submission = await deployed.submission(NODE, make_task("long", run_ms=LONG_RUN_MS))
+        await caller.submit(url, submission)
+        await deployed.wait_started("long")
+        stopping = asyncio.create_task(deployed.fleet.terminate(NODE))
+        await deployed.wait_draining(NODE)
+        for path in ("healthz", "readyz", f"v1/jobs/{submission.submission_id}"):
+            async with await caller.open(f"{url}/{path}") as response:
+                assert response.headers["Connection"] == "close"
+        assert await stopping == 0
+
+
 @pytest.mark.promise("graceful_shutdown")
 @pytest.mark.promise("own_whole_answer")
 async def test_a_reply_that_its_caller_reads_slowly_is_finished(deploy, make_task, until):
@@ -127,6 +142,8 @@
                 await deployed.caller.request("GET", f"{deployed.url(NODE)}/healthz")
             except aiohttp.ClientConnectorError:
                 return True
+            except aiohttp.ClientConnectionError:
+                return False  # This one was cut while the port closed; the next is refused.
             return False
 
         path = f"/v1/jobs/{submission.submission_id}?wait_ms=10000"
