Keep reading the platform after a fault in the program

The poller of the log and that of the list of VMs ended on any exception that was not in their list of expected ones: the node read neither again until it was restarted, and said nothing but asyncio's line at its end.

Now such an exception is logged as event 211 with its type and traceback (once for each type in a row), counted in chiveridge_platform_read_faults, and followed by the same back-off as an outage. The list of VMs is then read whole, as the fault may have come between the read and the kernel. The pollers hand events to shell.handle in place of handle_safely: a fault of the kernel in a page of records was swallowed there, so that the same page was read again without any pause.

Ruled out: to restart the task from outside (a second place that knows when to give up), and to end the process (a fault that every node meets would end them all).

Seen to fail: without the new branch both tests end with KeyError('unexpected') as "Task exception was never retrieved". The fakes of the tests were renamed from handle_safely to handle with the product; no check was changed.

--- a/packages/node/chiveridge_node/metrics.py
+++ b/packages/node/chiveridge_node/metrics.py
@@ -53,8 +53,16 @@
             ["source"],
             registry=registry,
         )
+        faults = prometheus_client.Counter(
+            "chiveridge_platform_read_faults",
+            "Reads of the platform that ended in a fault of the program, by what was read.",
+            ["source"],
+            registry=registry,
+        )
         self.log_bytes = size.labels("log")
         self.vms_bytes = size.labels("vms")
+        self.log_faults = faults.labels("log")
+        self.vms_faults = faults.labels("vms")
 
 
 class Metrics:
--- a/packages/node/tests/test_platforms_http.py
+++ b/packages/node/tests/test_platforms_http.py
@@ -76,7 +76,7 @@
     def perform_with(self, action_type, performer):
         self.performers[action_type] = performer
 
-    def handle_safely(self, event):
+    def handle(self, event):
         if isinstance(event, events.RecordsExpired):
             self.follower.expired(event.first, event.next_offset)
             return
@@ -183,6 +183,30 @@
     assert set(late.configuration.teams_by_name) == {"a", "b"}
 
 
+class FaultyOnce:
+    """Raises what no reader expects in the place of one call of a shell, then calls it."""
+
+    def __init__(self, shell):
+        self._handle = shell.handle
+        self.faults = 0
+
+    def __call__(self, event):
+        if not self.faults:
+            self.faults += 1
+            raise KeyError("unexpected")
+        self._handle(event)
+
+
+@pytest.mark.promise("configuration_in_force", failures=["platform_outage"])
+async def test_the_log_is_read_on_after_a_fault_in_the_program(system):
+    system.shell.handle = faulty = FaultyOnce(system.shell)
+    system.log.values.append(change("a"))
+    await system.adapter.open()
+    await until(lambda: system.shell.configuration.offset == 1 or system.adapter._task.done())
+    assert system.shell.configuration.offset == 1
+    assert faulty.faults == system.adapter._faults._value.get() == 1
+
+
 class FakeVms:
     """A list of VMs that answers what it is told, and the queries that it was asked."""
 
@@ -220,7 +244,7 @@
     def observe_with(self, event_type, observer):
         self.observers[event_type] = observer
 
-    def handle_safely(self, event):
+    def handle(self, event):
         self.events.append(event)
 
 
@@ -301,3 +325,19 @@
     async with following(platform, shell, HastyRandom(1)):
         await until(lambda: shell.events)
     assert len(platform.queries) > REFUSALS_OF_A_LONG_OUTAGE
+
+
+async def test_a_list_that_a_fault_kept_from_the_kernel_is_read_again_and_reported(caplog):
+    platform, shell = FakeVms(), EventList()
+    platform.replies = [vms.VmListReply(version=3), vms.VmListReply(version=3)]
+    shell.handle = FaultyOnce(shell)
+    async with following(platform, shell) as node:
+        faults = node.metrics.platform.vms_faults
+        await until(lambda: shell.events or len(platform.queries) > 2)
+        assert faults._value.get() == 1
+    expected = events.VmsListed(listing=vms.VmList(3, []), asked_at=shell.clock.now())
+    assert shell.events[0] == expected
+    assert "since" not in platform.queries[1]
+    written = [line for line in caplog.text.splitlines() if "PLATFORM_READ_FAULT" in line]
+    assert len(written) == 1
+    assert '"kind": "KeyError"' in written[0]
