Weigh news of unreachable targets over the nodes of a domain

A dead target was found out by every node on its own, again each second: the node that found no connection avoided it for 1 s, and its owner lent it on, or to itself again. Now the owner takes the news from the slots that come back, lends none of the target while it probes it, asks two other nodes for indirect probes, and holds it only when enough nodes could not reach it; one that reaches it ends the doubt. News that a probe does not bear out make the node that told them ignored for 1 s up to 30 s. Slots given back because a start was withdrawn are no such news.

With nothing known wrong there are no messages and no probes.

Ruled out by arithmetic: a message to all nodes, names in heartbeats; see docs/design/membership.md.

TargetLeaving moves from peers to target_messages, and its test with it; no check was changed.

--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -31,6 +31,12 @@
     wait: bool = False
 
 
+class ProbeTarget(msgspec.Struct, frozen=True, kw_only=True):
+    """Find out over a new connection whether a target replies; :class:`events.TargetProbed`."""
+
+    target: vms.Vm
+
+
 class WithdrawStart(msgspec.Struct, frozen=True, kw_only=True):
     """Report a start as refused, for :data:`WITHDRAWN`, if nothing of it was sent yet."""
 
@@ -115,6 +121,7 @@
 Action = (
     StartTask
     | AskOutcome
+    | ProbeTarget
     | WithdrawStart
     | StopTask
     | NoteStopped
--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -125,7 +125,7 @@
         # The key is an identity, so the entry keeps the object alive.
         entry = self._usable_by_fitting.get(id(fitting))
         if entry is None:
-            found = [vm for vm in fitting if self.target_table.is_usable(vm.name)]
+            found = [vm for vm in fitting if self.target_table.is_worth_waiting(vm.name)]
             entry = (fitting, found)
             self._usable_by_fitting[id(fitting)] = entry
         return entry[1]
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -75,6 +75,13 @@
     lease_id: identifiers.LeaseId
 
 
+class TargetProbed(msgspec.Struct, frozen=True, kw_only=True):
+    """A target replied to :class:`actions.ProbeTarget`, or did not in time."""
+
+    target: vms.Vm
+    is_reachable: bool
+
+
 class StopConfirmed(msgspec.Struct, frozen=True, kw_only=True):
     """A start that was told to stop cannot begin any more.
 
@@ -153,6 +160,7 @@
     | LeaseReported
     | StartDelayed
     | StartSent
+    | TargetProbed
     | StopConfirmed
     | RecordsRead
     | RecordsExpired
--- a/packages/kernel/chiveridge_kernel/evidence.py
+++ b/packages/kernel/chiveridge_kernel/evidence.py
@@ -1,12 +1,12 @@
 """Evidence on targets that the nodes of a domain share, so that leaving is learnt once.
 
-Only what a target itself said is shared: a target that one node cannot reach may be well for
-others.
+Only what a target itself said is told to all: a target that one node cannot reach may be well for
+others, so that its owner weighs such news, see :mod:`suspicions`.
 """
 
 import datetime
 
-from chiveridge_kernel import actions, clocks, members, peers, targets, vms
+from chiveridge_kernel import actions, clocks, members, target_messages, targets, vms
 
 
 def tell_leaving(
@@ -18,7 +18,7 @@
     """
     if target_table.is_known_leaving(vm.name):
         return []
-    message = peers.TargetLeaving(
+    message = target_messages.TargetLeaving(
         target=vm.name,
         address=vm.address,
         port=vm.port,
@@ -29,7 +29,9 @@
 
 
 def take_leaving(
-    message: peers.TargetLeaving, target_table: targets.TargetTable, now: datetime.datetime
+    message: target_messages.TargetLeaving,
+    target_table: targets.TargetTable,
+    now: datetime.datetime,
 ) -> None:
     """Avoid a target that is leaving; evidence on an earlier VM of the name is ignored."""
     vm = target_table.vms_by_name.get(message.target)
--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -9,6 +9,7 @@
     events,
     evidence,
     peers,
+    target_messages,
 )
 
 if TYPE_CHECKING:
@@ -48,6 +49,11 @@
     kernel.dispatcher.note_unsent(event.lease_id, is_unsent=False)
 
 
+@handle.register(events.TargetProbed)
+def _(event: events.TargetProbed, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.dispatcher.policy.target_probed(event, now)
+
+
 @handle.register(events.StopConfirmed)
 def _(event: events.StopConfirmed, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.dispatcher.stops.settle(event.lease_id)
@@ -168,9 +174,12 @@
     kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
 
 
-@take_message.register(peers.TargetLeaving)
+@take_message.register(target_messages.TargetLeaving)
 def _(
-    message: peers.TargetLeaving, kernel: "kernels.Kernel", route: bytes, now: datetime.datetime
+    message: target_messages.TargetLeaving,
+    kernel: "kernels.Kernel",
+    route: bytes,
+    now: datetime.datetime,
 ) -> None:
     evidence.take_leaving(message, kernel.target_table, now)
 
--- a/packages/kernel/chiveridge_kernel/owner_policies.py
+++ b/packages/kernel/chiveridge_kernel/owner_policies.py
@@ -9,10 +9,12 @@
 import functools
 
 from chiveridge_kernel import (
+    actions,
     borrowers,
     clocks,
     events,
     identifiers,
+    indirect_probes,
     jobs,
     lenders,
     owners,
@@ -20,6 +22,8 @@
     placements,
     slotqueues,
     slotreturns,
+    suspicions,
+    target_messages,
     vms,
 )
 
@@ -34,6 +38,8 @@
         self.lender = lenders.Lender(starter, self.owner_table)
         self.returns = slotreturns.SlotReturns(starter, self.owner_table, self.lender)
         self.borrower = borrowers.Borrower(starter, self.owner_table, self.lender, self.returns)
+        self.suspicions = suspicions.Suspicions(starter)
+        self.indirect_probes = indirect_probes.IndirectProbes(starter, suspicions.PROBE_LIMIT)
         self._own_name = starter.members.own_name
 
     def job_waiting(self, job: jobs.Job, now: datetime.datetime) -> None:
@@ -52,9 +58,17 @@
         end = _end_of(task, vm, report)
         if report is not None and report.outcome is events.LeaseOutcome.SUCCEEDED:
             self.lender.speeds.learn_team(end.team, end.run_ms)
+        self.suspicions.learn_own_reach(end.outcome, now)
         if self.returns.give_back(end, now):
+            self.suspicions.learn(self._own_name, end, now)
             self._serve_queue(now)
 
+    def target_probed(self, event: events.TargetProbed, now: datetime.datetime) -> None:
+        """Lend slots of a target again, or no more."""
+        self.indirect_probes.probed(event.target, event.is_reachable)
+        self.suspicions.probed(event.target, event.is_reachable, now)
+        self._serve_queue(now)
+
     def job_ended(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Withdraw what was asked for the job."""
         self.borrower.job_ended(job, now)
@@ -75,6 +89,8 @@
         self.lender.ledger.settle(now)
         self.lender.expire(now)
         self.lender.drop_gone()
+        self.suspicions.tick(now)
+        self.indirect_probes.expire(now)
         self._serve_queue(now, probing=True)
         self.borrower.handle_timeouts(now)
         self.returns.report_if_due(now)
@@ -85,6 +101,7 @@
             self.borrower.next_timeout(),
             self.lender.ledger.next_settling(),
             self.returns.next_report(),
+            self.suspicions.next_wakeup(),
         )
         return min((moment for moment in moments if moment is not None), default=None)
 
@@ -126,6 +143,8 @@
         self.borrower.hints.learn(message.sender, message.free)
         for end in message.ends:
             self.lender.ended(message.sender, end, now)
+            if self.lender.ledger.owns(end.target):
+                self.suspicions.learn(message.sender, end, now)
         self._serve_queue(now)
 
     def handle_report(self, message: peers.SlotReport, now: datetime.datetime) -> None:
@@ -134,11 +153,20 @@
         self.lender.ledger.report(message.sender, message.last_serial, message.held_by_target, now)
         self._serve_queue(now)
 
+    def handle_probe_reply(
+        self, message: target_messages.ProbeReply, now: datetime.datetime
+    ) -> None:
+        """Lend slots of a target again, or no more, by what another node found."""
+        self.suspicions.told(message, now)
+        self._serve_queue(now)
+
     def _refresh(self, now: datetime.datetime) -> None:
         changes = self.owner_table.refresh()
         if changes is None:
             return
         self.lender.refresh(now)
+        known = self.starter.target_table.vms_by_name
+        self.suspicions.keep_only({name: known[name] for name in self.owner_table.owned})
         self.lender.drop_gone()
         if changes.uninformed or changes.is_moved:
             self.returns.inform(changes.uninformed, now)
@@ -200,9 +228,19 @@
     policy.handle_report(message, now)
 
 
+@_receive.register
+def _(message: target_messages.ProbeRequest, policy: OwnersPolicy, now: datetime.datetime) -> None:
+    policy.indirect_probes.ask(message, now)
+
+
+@_receive.register
+def _(message: target_messages.ProbeReply, policy: OwnersPolicy, now: datetime.datetime) -> None:
+    policy.handle_probe_reply(message, now)
+
+
 def _end_of(task: jobs.Task, vm: vms.Vm, report: events.LeaseReported | None) -> peers.SlotEnd:
     target = identifiers.TargetName(vm.name)
-    if report is None:
+    if report is None or report.reason == actions.WITHDRAWN:
         return peers.SlotEnd(target, task.job.team)
     if report.reason == "leaving":
         return peers.SlotEnd(target, task.job.team, "leaving")
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chiveridge_kernel import errors, identifiers, records, results, vms
+from chiveridge_kernel import errors, identifiers, records, results, target_messages, vms
 
 PROTOCOL_VERSION = 1
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -213,15 +213,6 @@
     count_by_target: dict[identifiers.TargetName, Annotated[int, msgspec.Meta(ge=0)]]
 
 
-class TargetLeaving(msgspec.Struct, frozen=True, kw_only=True, tag="target_leaving"):
-    """Tells that a target refused a start as leaving; the address tells VMs of a name apart."""
-
-    target: identifiers.TargetName
-    address: str
-    port: int
-    lifetime_ms: Annotated[int, msgspec.Meta(ge=0)]
-
-
 class LimitUse(msgspec.Struct, frozen=True, array_like=True):
     """What :class:`limit_terms.LimitReport` tells of one team."""
 
@@ -323,7 +314,9 @@
     | Handover
     | HandoverKept
     | Heartbeat
-    | TargetLeaving
+    | target_messages.TargetLeaving
+    | target_messages.ProbeRequest
+    | target_messages.ProbeReply
     | LimitBatch
     | ConfigurationAsk
     | ConfigurationChunk
--- a/packages/kernel/chiveridge_kernel/placements.py
+++ b/packages/kernel/chiveridge_kernel/placements.py
@@ -67,6 +67,9 @@
         for job in waiting:
             self.job_waiting(job, now)
 
+    def target_probed(self, event: events.TargetProbed, now: datetime.datetime) -> None:
+        """Learn whether a target replied to a probe."""
+
     def received(self, message: peers.PeerMessage, now: datetime.datetime) -> None:
         """Handle a message from another node's policy."""
 
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/suspicions.py
@@ -0,0 +1,223 @@
+"""What the owner of a target makes of news that it cannot be reached.
+
+A slot that comes back because no connection was found carries the news, so that it costs no
+message. The owner doubts the target until a probe of its own has ended, and lends it no more only
+when other nodes could not reach it either. See ``docs/design/membership.md``.
+"""
+
+import datetime
+import enum
+
+import msgspec
+
+from chiveridge_kernel import actions, identifiers, peers, placements, target_messages, vms
+
+PROBE_LIMIT = datetime.timedelta(seconds=1)
+"""Time after which a probe without any result is forgotten, and the target trusted again."""
+
+ASK_LIMIT = datetime.timedelta(milliseconds=1500)
+FIRST_HOLD = datetime.timedelta(seconds=1)
+MAX_HOLD = datetime.timedelta(seconds=4)
+WITNESS_LIFETIME = datetime.timedelta(seconds=30)
+REACH_LIFETIME = datetime.timedelta(seconds=5)
+"""Time after a reply from any target in which this node counts as a witness."""
+
+FIRST_IGNORE = datetime.timedelta(seconds=1)
+MAX_IGNORE = datetime.timedelta(seconds=30)
+REQUIRED_WITNESSES = 2
+ASKED_NODES = 2
+
+_REACHED = frozenset({"succeeded", "failed", "stopped"})
+_UNREACHED = frozenset({"refused", "lost"})
+
+
+class SuspectState(enum.Enum):
+    """What is awaited of a target in doubt."""
+
+    PROBED = "probed"
+    ASKED = "asked"
+    HELD = "held"
+
+
+class _Suspect(msgspec.Struct):
+    """A target in doubt; ``due`` is when the state ends, ``witnesses`` count until a moment.
+
+    ``awaited`` are the nodes that were asked for a probe and have not replied.
+    """
+
+    vm: vms.Vm
+    due: datetime.datetime
+    state: SuspectState = SuspectState.PROBED
+    was_held: bool = False
+    witnesses: dict[str, datetime.datetime] = {}
+    awaited: set[str] = set()
+    hold: datetime.timedelta = FIRST_HOLD
+
+
+class _Ignored(msgspec.Struct):
+    """How long the news of a node are ignored, as the last were not borne out."""
+
+    until: datetime.datetime
+    time: datetime.timedelta
+
+
+class Suspicions:
+    """Targets of this node that are in doubt."""
+
+    def __init__(self, starter: placements.Starter):
+        self._starter = starter
+        self._members = starter.members
+        self._table = starter.target_table
+        self._suspects_by_target: dict[str, _Suspect] = {}
+        self._ignored_by_node: dict[str, _Ignored] = {}
+        self._reached_at: datetime.datetime | None = None
+
+    def learn_own_reach(self, outcome: str, now: datetime.datetime) -> None:
+        """Learn how a start of this node ended, on any target."""
+        if outcome in _REACHED:
+            self._reached_at = now
+
+    def learn(self, node: str, end: peers.SlotEnd, now: datetime.datetime) -> None:
+        """Learn how a start of a node ended on a target that this node owns."""
+        vm = self._table.vms_by_name.get(end.target)
+        if end.outcome not in _UNREACHED or vm is None or self._is_ignored(node, now):
+            return
+        suspect = self._suspects_by_target.get(end.target)
+        if suspect is None:
+            suspect = self._suspects_by_target[end.target] = _Suspect(vm, now)
+            self._probe(suspect, now)
+        suspect.witnesses[node] = now + WITNESS_LIFETIME
+
+    def probed(self, vm: vms.Vm, is_reachable: bool, now: datetime.datetime) -> None:
+        """Take the result of a probe of this node."""
+        suspect = self._suspects_by_target.get(vm.name)
+        if suspect is None or suspect.vm != vm or suspect.state is not SuspectState.PROBED:
+            return
+        if is_reachable:
+            self._reached_at = now
+            self._trust(suspect, now)
+        elif suspect.was_held and self._is_proved(suspect, now):
+            self._hold(suspect, now)
+        else:
+            self._ask(suspect, now)
+
+    def told(self, message: target_messages.ProbeReply, now: datetime.datetime) -> None:
+        """Take the result of a probe that another node made for this one."""
+        suspect = self._suspects_by_target.get(message.target)
+        if suspect is None or message.sender not in suspect.awaited:
+            return
+        if (suspect.vm.address, suspect.vm.port) != (message.address, message.port):
+            return
+        if message.is_reachable:
+            self._trust(suspect, now)
+            return
+        suspect.witnesses[message.sender] = now + WITNESS_LIFETIME
+        suspect.awaited.discard(message.sender)
+        if not suspect.awaited:
+            self._decide(suspect, now)
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Probe again what is due, and trust targets of which nobody told anything."""
+        for name, suspect in list(self._suspects_by_target.items()):
+            if suspect.due > now:
+                continue
+            if suspect.state is SuspectState.HELD:
+                self._probe(suspect, now)
+            elif suspect.state is SuspectState.ASKED:
+                self._decide(suspect, now)
+            else:
+                self._drop(name)
+
+    def next_wakeup(self) -> datetime.datetime | None:
+        """Return when to call :meth:`tick` next."""
+        return min((found.due for found in self._suspects_by_target.values()), default=None)
+
+    def keep_only(self, owned: dict[str, vms.Vm]) -> None:
+        """Forget targets that are no longer owned, or were replaced, and unknown nodes."""
+        for name, suspect in list(self._suspects_by_target.items()):
+            if owned.get(name) != suspect.vm:
+                self._drop(name)
+        known = self._members.members_by_name.keys() | {self._members.own_name}
+        for node in self._ignored_by_node.keys() - known:
+            del self._ignored_by_node[node]
+
+    def _probe(self, suspect: _Suspect, now: datetime.datetime) -> None:
+        suspect.state = SuspectState.PROBED
+        suspect.due = now + PROBE_LIMIT
+        self._table.suspect(suspect.vm.name, suspect.due)
+        self._starter.outbox.append(actions.ProbeTarget(target=suspect.vm))
+
+    def _ask(self, suspect: _Suspect, now: datetime.datetime) -> None:
+        """Ask nodes that are no witnesses yet for indirect probes; one that succeeds decides."""
+        suspect.state = SuspectState.ASKED
+        suspect.due = now + ASK_LIMIT
+        self._table.suspect(suspect.vm.name, suspect.due)
+        message = target_messages.ProbeRequest(
+            sender=self._members.own_name,
+            target=identifiers.TargetName(suspect.vm.name),
+            address=suspect.vm.address,
+            port=suspect.vm.port,
+        )
+        others = [node for node in self._others() if node not in _fresh(suspect, now)]
+        suspect.awaited = set(self._starter.rng.sample(others, min(ASKED_NODES, len(others))))
+        for node in sorted(suspect.awaited):
+            peer = self._members.find(node)
+            self._starter.outbox.append(actions.SendToPeer(peer=peer, message=message))
+        if not suspect.awaited:
+            self._decide(suspect, now)
+
+    def _decide(self, suspect: _Suspect, now: datetime.datetime) -> None:
+        """Hold a target that nobody who was asked could reach, if enough nodes say so."""
+        suspect.awaited = set()
+        if self._is_proved(suspect, now):
+            self._hold(suspect, now)
+        else:
+            self._drop(suspect.vm.name)
+
+    def _hold(self, suspect: _Suspect, now: datetime.datetime) -> None:
+        suspect.state = SuspectState.HELD
+        suspect.was_held = True
+        suspect.due = now + suspect.hold
+        suspect.hold = min(suspect.hold * 2, MAX_HOLD)
+        self._table.hold(suspect.vm.name, suspect.due + PROBE_LIMIT + ASK_LIMIT)
+        for node in suspect.witnesses:
+            self._ignored_by_node.pop(node, None)
+
+    def _trust(self, suspect: _Suspect, now: datetime.datetime) -> None:
+        """Lend the target again; nodes whose news were not borne out are ignored for a while."""
+        self._drop(suspect.vm.name)
+        if suspect.was_held:
+            return
+        for node in suspect.witnesses:
+            known = self._ignored_by_node.get(node)
+            time = FIRST_IGNORE if known is None else min(known.time * 2, MAX_IGNORE)
+            self._ignored_by_node[node] = _Ignored(now + time, time)
+
+    def _drop(self, target: str) -> None:
+        del self._suspects_by_target[target]
+        self._table.trust(target)
+
+    def _is_proved(self, suspect: _Suspect, now: datetime.datetime) -> bool:
+        """Tell whether enough nodes could not reach a target that this one could not reach.
+
+        This node counts only if it reached another target lately, as it may be cut off itself.
+        """
+        others = self._others()
+        agreeing = len(_fresh(suspect, now).intersection(others))
+        is_connected = self._reached_at is not None and now - self._reached_at < REACH_LIFETIME
+        required = REQUIRED_WITNESSES - 1 if is_connected else REQUIRED_WITNESSES
+        return agreeing >= min(required, len(others))
+
+    def _is_ignored(self, node: str, now: datetime.datetime) -> bool:
+        ignored = self._ignored_by_node.get(node)
+        return ignored is not None and now < ignored.until
+
+    def _others(self) -> list[str]:
+        """Return the other nodes of the domain that take part now."""
+        own_name = self._members.own_name
+        found = self._members.live_names(self._members.own_domain)
+        return [name for name in found if name != own_name]
+
+
+def _fresh(suspect: _Suspect, now: datetime.datetime) -> set[str]:
+    return {node for node, until in suspect.witnesses.items() if now < until}
--- a/packages/kernel/chiveridge_kernel/targets.py
+++ b/packages/kernel/chiveridge_kernel/targets.py
@@ -35,6 +35,8 @@
         self._leaving_names: frozenset[str] = frozenset()
         self._avoided_until_by_name: dict[str, datetime.datetime] = {}
         self._told_leaving: set[str] = set()
+        self._suspected_until_by_name: dict[str, datetime.datetime] = {}
+        self._held_names: set[str] = set()
         self._doubted_at: datetime.datetime | None = None
 
     def replace(self, listing: vms.VmList) -> None:
@@ -53,6 +55,7 @@
         if following is None or (following.address, following.port) != (vm.address, vm.port):
             self._avoided_until_by_name.pop(vm.name, None)
             self._told_leaving.discard(vm.name)
+            self.trust(vm.name)
 
     def avoid(self, name: str, until: datetime.datetime) -> None:
         """Give the target no new work until a moment; a later moment set before stands."""
@@ -66,6 +69,22 @@
         self._told_leaving.add(name)
         self.avoid(name, until)
 
+    def suspect(self, name: str, until: datetime.datetime) -> None:
+        """Lend no slots of a target while it is being probed; jobs may wait for it."""
+        self._suspected_until_by_name[name] = until
+        self.version += 1
+
+    def hold(self, name: str, until: datetime.datetime) -> None:
+        """Give a target that several nodes could not reach no new work until a moment."""
+        self._held_names.add(name)
+        self.suspect(name, until)
+
+    def trust(self, name: str) -> None:
+        """Suspect a target no more."""
+        self._held_names.discard(name)
+        if self._suspected_until_by_name.pop(name, None) is not None:
+            self.version += 1
+
     def doubt(self, now: datetime.datetime) -> None:
         """Use no target until the list has been read anew, as the process was paused."""
         self._doubted_at = now
@@ -94,32 +113,41 @@
         for name in due:
             del self._avoided_until_by_name[name]
             self._told_leaving.discard(name)
+        suspected = [name for name, until in self._suspected_until_by_name.items() if until <= now]
+        for name in suspected:
+            self.trust(name)
         if due:
             self.version += 1
         # Without the platform, the node goes on with what it knows.
         is_trusted = self._doubted_at is not None and self._doubted_at + DOUBT_LIMIT <= now
-        return (is_trusted and self.confirm(now)) or bool(due)
+        return (is_trusted and self.confirm(now)) or bool(due or suspected)
 
     def next_expiry(self) -> datetime.datetime | None:
         """Return the moment of the next expiry."""
         moments = list(self._avoided_until_by_name.values())
+        moments += self._suspected_until_by_name.values()
         if self._doubted_at is not None:
             moments.append(self._doubted_at + DOUBT_LIMIT)
         return min(moments, default=None)
 
     def is_usable(self, name: str) -> bool:
-        """Tell whether the target may be given new work."""
+        """Tell whether the target may be given new work now."""
+        return name not in self._suspected_until_by_name and self.is_worth_waiting(name)
+
+    def is_worth_waiting(self, name: str) -> bool:
+        """Tell whether the target may be given new work, now or once a probe has ended."""
         return (
             self._doubted_at is None
             and name in self.vms_by_name
             and name not in self._leaving_names
             and name not in self._avoided_until_by_name
+            and name not in self._held_names
         )
 
     def state_of(self, name: str) -> TargetState:
         """Return the state of a listed target."""
         if name in self._leaving_names:
             return TargetState.LEAVING
-        if name in self._avoided_until_by_name:
+        if name in self._avoided_until_by_name or name in self._suspected_until_by_name:
             return TargetState.AVOIDED
         return TargetState.USABLE
--- a/packages/kernel/tests/conftest.py
+++ b/packages/kernel/tests/conftest.py
@@ -1,6 +1,7 @@
 import datetime
 import hashlib
 import random
+from collections.abc import Callable, Sequence
 
 import msgspec
 import pytest
@@ -125,16 +126,16 @@
         return caught.value
 
 
-def first_change(names: list[str]) -> records.ChangeRecord:
+def first_change(names: Sequence[str], team_name: str = TEAM) -> records.ChangeRecord:
     digest = hashlib.sha256(SECRET.encode()).hexdigest()
-    team = records.TeamObject(name=TEAM, key_digests=[digest])
+    team = records.TeamObject(name=team_name, key_digests=[digest])
     rule = records.RuleObject(name="all")
     writes = [
-        records.ObjectWrite(kind=records.ObjectKind.TEAM, name=TEAM, team=team),
+        records.ObjectWrite(kind=records.ObjectKind.TEAM, name=team_name, team=team),
         records.ObjectWrite(kind=records.ObjectKind.RULE, name="all", rule=rule),
     ]
     for name in names:
-        target = records.TargetObject(name=name, approved_teams=[TEAM])
+        target = records.TargetObject(name=name, approved_teams=[team_name])
         writes.append(records.ObjectWrite(kind=records.ObjectKind.TARGET, name=name, target=target))
     return records.ChangeRecord(
         change_id="first", actor="operator", changed_at="2026-01-01T00:00:00Z", writes=writes
@@ -151,6 +152,11 @@
     return DrivenKernel
 
 
+@pytest.fixture
+def make_change() -> Callable[[Sequence[str], str], records.ChangeRecord]:
+    return first_change
+
+
 @pytest.fixture
 def lifetime() -> datetime.timedelta:
     return submissions.ID_LIFETIME
--- a/packages/kernel/tests/test_evidence.py
+++ b/packages/kernel/tests/test_evidence.py
@@ -2,7 +2,16 @@
 
 import pytest
 
-from chiveridge_kernel import actions, clocks, events, evidence, members, peers, targets, vms
+from chiveridge_kernel import (
+    actions,
+    clocks,
+    events,
+    evidence,
+    members,
+    target_messages,
+    targets,
+    vms,
+)
 
 NOW = clocks.EPOCH
 MINUTE_MS = 60_000
@@ -22,8 +31,10 @@
     return found
 
 
-def message(port: int = 1, lifetime_ms: int = MINUTE_MS) -> peers.TargetLeaving:
-    return peers.TargetLeaving(target="t1", address="127.0.0.1", port=port, lifetime_ms=lifetime_ms)
+def message(port: int = 1, lifetime_ms: int = MINUTE_MS) -> target_messages.TargetLeaving:
+    return target_messages.TargetLeaving(
+        target="t1", address="127.0.0.1", port=port, lifetime_ms=lifetime_ms
+    )
 
 
 def test_the_nodes_of_the_domain_are_told_once(target_table):
@@ -69,7 +80,7 @@
     told = [
         action.message
         for action in first.of(actions.SendToPeer)
-        if isinstance(action.message, peers.TargetLeaving)
+        if isinstance(action.message, target_messages.TargetLeaving)
     ]
     assert len(told) == 1
     second.handle(events.PeerMessageReceived(message=told[0]))
--- a/packages/node/chiveridge_node/metrics.py
+++ b/packages/node/chiveridge_node/metrics.py
@@ -78,6 +78,7 @@
         self._define_counters()
         self._define_gauges(shell.kernel)
         shell.observe_with(events.LeaseReported, self._note_report)
+        shell.observe_with(events.TargetProbed, self._note_probe)
         shell.observe_with(actions.StartTask, self._note_start)
         shell.observe_with(actions.AnswerJob, self._note_answer)
 
@@ -112,6 +113,11 @@
             "Starts sent whose work was refused, lost or no longer wanted.",
             ["reason"],
         )
+        probes = counter("chiveridge_target_probes", "Probes of targets, by result.", ["result"])
+        self._probes_by_result = {
+            True: probes.labels("reachable"),
+            False: probes.labels("unreachable"),
+        }
         self._starts = counter("chiveridge_starts", "Starts sent to targets.")
         self._jobs_by_code = {code: jobs.labels(code.name) for code in results.ResultCode}
         self._refusals_by_code = {code: refusals.labels(code.name) for code in results.ResultCode}
@@ -150,6 +156,9 @@
         if wasted is not None:
             wasted.inc()
 
+    def _note_probe(self, event: events.TargetProbed) -> None:
+        self._probes_by_result[event.is_reachable].inc()
+
     def _note_start(self, action: actions.StartTask) -> None:
         self._starts.inc()
 
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -11,6 +11,7 @@
 
 ASK_TIMEOUT_SECONDS = 3.0
 ASK_WAIT_MS = 1000
+PROBE_TIMEOUT_SECONDS = 0.8
 STOP_TIMEOUT_SECONDS = 2.0
 STOP_RETRY_DELAY = datetime.timedelta(milliseconds=20)
 """Delay before a stop is sent again; it doubles each time."""
@@ -85,6 +86,7 @@
         )
         self._shell.perform_with(actions.StartTask, self.start)
         self._shell.perform_with(actions.AskOutcome, self.ask)
+        self._shell.perform_with(actions.ProbeTarget, self.probe)
         self._shell.perform_with(actions.StopTask, self.stop)
         self._shell.perform_with(actions.WithdrawStart, self.withdraw)
 
@@ -110,6 +112,10 @@
         """Ask for the outcome of a start over a new connection."""
         self._in_background(self._ask(action))
 
+    def probe(self, action: actions.ProbeTarget) -> None:
+        """Find out over a new connection whether a target replies."""
+        self._in_background(self._probe(action))
+
     def stop(self, action: actions.StopTask) -> None:
         """Give up waiting for a start, and tell the target to stop it if any of it was sent."""
         sending = self._sendings.find(action.lease_id)
@@ -196,6 +202,20 @@
             self._abandon(action.lease_id)
         self._report(action.lease_id, reply, asked=True)
 
+    async def _probe(self, action: actions.ProbeTarget) -> None:
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
+        url = f"http://{action.target.address}:{action.target.port}/v1/usage"
+        await self._pacer.turn()
+        try:
+            async with self._asks.get(url, timeout=timeout) as response:
+                await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            is_reachable = False
+        else:
+            is_reachable = True
+        event = events.TargetProbed(target=action.target, is_reachable=is_reachable)
+        self._shell.handle_safely(event)
+
     def _is_too_early_to_ask(self, lease_id: identifiers.LeaseId) -> bool:
         sending = self._sendings.find(lease_id)
         if sending is None:
--- a/packages/node/tests/test_targets_http.py
+++ b/packages/node/tests/test_targets_http.py
@@ -302,6 +302,17 @@
     assert [request.split()[1] for request in target.requests] == ["/v1/leases/second"]
 
 
+async def test_a_probe_tells_whether_a_target_replies(adapter, shell):
+    async with serving(FakeTarget()) as vm:
+        adapter.probe(actions.ProbeTarget(target=vm))
+        await asyncio.gather(*adapter._background)
+    # Nobody listens there any more.
+    adapter.probe(actions.ProbeTarget(target=vm))
+    await asyncio.gather(*adapter._background)
+    told = [(event.target, event.is_reachable) for event in shell.sending]
+    assert told == [(vm, True), (vm, False)]
+
+
 def stop_of(vm, lease_id):
     limit = NOW + datetime.timedelta(seconds=2)
     return actions.StopTask(lease_id=lease_id, target=vm, start_before=limit)
--- /dev/null
+++ b/tests/integration/test_unreachable_targets.py
@@ -0,0 +1,73 @@
+"""What a target that cannot be reached costs the nodes of its domain together."""
+
+import asyncio
+import itertools
+import re
+
+from chiveridge_client import clients
+from chiveridge_kernel import results
+
+CUT = "ikeja-t1"
+NODES = 3
+SLOTS = 8
+SETTLED_S = 3.0
+"""Time after which every node may have failed once, and been told."""
+
+WINDOW_S = 4.0
+_REFUSED = re.compile(r'^chiveridge_start_outcomes_total{outcome="refused"} (\S+)$', re.MULTILINE)
+
+
+async def refused_starts(deployed) -> float:
+    """Return how many starts of all nodes found no connection to their target."""
+    pages = [
+        (await deployed.caller.request("GET", f"{url}/metrics"))[1].decode()
+        for url in deployed.fleet.node_urls()
+    ]
+    return sum(float(_REFUSED.search(page).group(1)) for page in pages)
+
+
+async def has_starts(deployed, name: str) -> bool:
+    return (await deployed.fleet.targets_by_name[name].counts()).total_starts > 0
+
+
+class Load:
+    """Jobs of every node, one after the other, until stopped."""
+
+    def __init__(self, callers: list[clients.Client], make_task):
+        self.codes = set()
+        self._keys = itertools.count()
+        self._make_task = make_task
+        self._tasks = [asyncio.create_task(self._submit(node)) for node in callers]
+        self._stopping = False
+
+    async def stop(self) -> None:
+        """Let the jobs end that are under way."""
+        self._stopping = True
+        await asyncio.gather(*self._tasks)
+
+    async def _submit(self, node: clients.Client) -> None:
+        while not self._stopping:
+            tasks = [self._make_task(f"task-{next(self._keys)}", run_ms=10) for _ in range(8)]
+            self.codes.add((await node.submit(tasks)).code)
+
+
+async def test_a_target_that_refuses_connections_costs_the_domain_its_slots_once(deploy, make_task):
+    async with deploy(nodes=NODES, targets=4, proxied=frozenset({CUT})) as deployed:
+        callers = [
+            clients.Client([url], deployed.team.credential) for url in deployed.fleet.node_urls()
+        ]
+        async with callers[0], callers[1], callers[2]:
+            proxy = deployed.fleet.proxies_by_name[CUT]
+            proxy.cut()
+            load = Load(callers, make_task)
+            await asyncio.sleep(SETTLED_S)
+            settled = await refused_starts(deployed)
+            await asyncio.sleep(WINDOW_S)
+            later = await refused_starts(deployed)
+            await proxy.heal()
+            await deployed.until(lambda: has_starts(deployed, CUT))
+            await load.stop()
+    print("refused starts:", settled, later - settled)
+    assert 0 < settled <= NODES * SLOTS
+    assert later == settled
+    assert load.codes == {results.ResultCode.COMPLETE}
