--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -114,6 +114,10 @@
     is_from_peer: bool
 
 
+class ContinueLoading(msgspec.Struct, frozen=True):
+    """Tell :class:`events.LoadingContinued` soon, when other work had its turn."""
+
+
 class Exit(msgspec.Struct, frozen=True):
     """The drain is done; the process may exit."""
 
@@ -133,5 +137,6 @@
     | AppendSnapshot
     | NoteChange
     | NoteRestored
+    | ContinueLoading
     | Exit
 )
--- a/packages/kernel/chiveridge_kernel/catch_ups.py
+++ b/packages/kernel/chiveridge_kernel/catch_ups.py
@@ -2,7 +2,7 @@
 
 import datetime
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -11,6 +11,7 @@
     configurations,
     members,
     peers,
+    snapshot_decodings,
     snapshots,
     vms,
 )
@@ -43,6 +44,7 @@
         configuration: configurations.Configuration,
         member_table: members.MemberTable,
         rng: random.Random,
+        restore: Callable[[snapshots.Snapshot], bool] | None = None,
     ):
         self.log_read_at: datetime.datetime | None = None
         self.vms_read_at: datetime.datetime | None = None
@@ -51,7 +53,8 @@
         self._configuration = configuration
         self._members = member_table
         self._rng = rng
-        self._assembler = snapshots.Assembler()
+        self._restore = restore or configuration.restore
+        self._assembler = snapshot_decodings.Assembler()
         self._next_ask: datetime.datetime | None = None
 
     def ask_if_due(self, now: datetime.datetime, is_scanning: bool) -> list[actions.Action]:
@@ -87,8 +90,18 @@
         """Take a chunk of a peer's configuration; tell whether the state moved forward."""
         if message.chunk.base <= self._configuration.offset:
             return False
-        snapshot = self._assembler.add(message.chunk)
-        return snapshot is not None and self._configuration.restore(snapshot)
+        return self._take_whole(self._assembler.add(message.chunk))
+
+    def is_decoding(self) -> bool:
+        """Tell whether a peer's configuration is being decoded."""
+        return self._assembler.is_decoding()
+
+    def step(self) -> bool:
+        """Decode on; tell whether the state moved forward."""
+        return self._take_whole(self._assembler.step())
+
+    def _take_whole(self, snapshot: snapshots.Snapshot | None) -> bool:
+        return snapshot is not None and self._restore(snapshot)
 
     def _is_silent(self, now: datetime.datetime) -> bool:
         return self.log_read_at is None or now - self.log_read_at >= self._settings.silence
--- a/packages/kernel/chiveridge_kernel/configurations.py
+++ b/packages/kernel/chiveridge_kernel/configurations.py
@@ -2,13 +2,15 @@
 
 import hashlib
 import hmac
-import sys
+from collections.abc import Iterator
 
 import msgspec
 
 from chiveridge_kernel import audits, errors, identifiers, records, selectors, snapshots
 
 MAX_REMEMBERED_CHANGES = 20_000
+STEP_OBJECTS = 64
+"""Objects of a snapshot that one step takes."""
 
 ObjectKey = tuple[records.ObjectKind, str]
 
@@ -88,15 +90,39 @@
         """Take the state of a snapshot that is ahead of this one; tell whether it was."""
         if snapshot.base <= self.offset:
             return False
+        for _ in self.restoring(snapshot):
+            pass
+        return True
+
+    def restoring(self, snapshot: snapshots.Snapshot) -> Iterator[None]:
+        """Take the state of a snapshot step by step; it is of no use before the last."""
         self.offset = snapshot.base
         self.trail = audits.Trail(snapshot.audit)
         self._verdicts_by_change_id = dict(snapshot.verdicts)
         self._touched.update(self._revisions_by_key)
         self._revisions_by_key.clear()
-        self._fill(records.ObjectKind.TEAM, snapshot.teams)
-        self._fill(records.ObjectKind.TARGET, snapshot.targets)
-        self._fill(records.ObjectKind.RULE, snapshot.rules)
+        yield from self._filling(records.ObjectKind.TEAM, snapshot.teams)
+        yield from self._filling(records.ObjectKind.TARGET, snapshot.targets)
+        yield from self._filling(records.ObjectKind.RULE, snapshot.rules)
         self._touched.update(self._revisions_by_key)
+
+    def adopt(self, other: "Configuration") -> bool:
+        """Become another configuration at once, if it is ahead; tell whether it was.
+
+        The other is of no use afterwards.
+        """
+        if other.offset <= self.offset:
+            return False
+        self._touched.update(self._revisions_by_key)
+        self._touched.update(other._revisions_by_key)
+        self.offset = other.offset
+        self.trail = other.trail
+        self.teams_by_name = other.teams_by_name
+        self.targets_by_name = other.targets_by_name
+        self.rules_by_name = other.rules_by_name
+        self._revisions_by_key = other._revisions_by_key
+        self._verdicts_by_change_id = other._verdicts_by_change_id
+        self._tables_by_kind = other._tables_by_kind
         return True
 
     def authenticate(self, credential: str) -> identifiers.TeamName | None:
@@ -114,12 +140,14 @@
         table = self._tables_by_kind[kind]
         return [(self._revisions_by_key[kind, name], value) for name, value in table.items()]
 
-    def _fill(self, kind: records.ObjectKind, pairs: list) -> None:
+    def _filling(self, kind: records.ObjectKind, pairs: list) -> Iterator[None]:
         table = self._tables_by_kind[kind]
         table.clear()
-        for revision, value in pairs:
-            table[value.name] = _compact(value)
+        for count, (revision, value) in enumerate(pairs, 1):
+            table[value.name] = value
             self._revisions_by_key[kind, value.name] = revision
+            if count % STEP_OBJECTS == 0:
+                yield
 
     def _reject(self, offset: identifiers.Offset, message: str) -> ChangeResult:
         verdict = records.Verdict.INVALID
@@ -171,7 +199,7 @@
             table.pop(write.name, None)
             self._revisions_by_key.pop(key, None)
             return
-        table[write.name] = _compact(getattr(write, write.kind.value))
+        table[write.name] = records.compact(getattr(write, write.kind.value))
         self._revisions_by_key[key] = offset + 1
 
     def _remember(self, change_id: str, verdict: records.Verdict) -> None:
@@ -180,14 +208,6 @@
             self._verdicts_by_change_id.pop(next(iter(self._verdicts_by_change_id)))
 
 
-def _compact(value: msgspec.Struct) -> msgspec.Struct:
-    """Keep each name of an approved team once, however many targets approve it."""
-    if isinstance(value, records.TargetObject):
-        approved = [sys.intern(name) for name in value.approved_teams]
-        return msgspec.structs.replace(value, approved_teams=approved)
-    return value
-
-
 def decode_record(value: object) -> records.ChangeRecord | records.SnapshotRecord:
     """Decode a record of the configuration stream.
 
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -144,6 +144,10 @@
     peer: vms.Vm
 
 
+class LoadingContinued(msgspec.Struct, frozen=True):
+    """The next step of loading a configuration has its turn."""
+
+
 class Ticked(msgspec.Struct, frozen=True):
     """Time has passed; due deadlines are handled."""
 
@@ -169,6 +173,7 @@
     | ProcessPaused
     | PeerMessageReceived
     | PeerUnreachable
+    | LoadingContinued
     | Ticked
     | DrainRequested
 )
--- a/packages/kernel/chiveridge_kernel/followers.py
+++ b/packages/kernel/chiveridge_kernel/followers.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Callable, Sequence
 
-from chiveridge_kernel import configurations, errors, identifiers, records, snapshots
+from chiveridge_kernel import (
+    configurations,
+    errors,
+    identifiers,
+    records,
+    snapshot_decodings,
+    snapshots,
+)
 
 Record = tuple[identifiers.Offset, object]
 
@@ -12,20 +19,23 @@
 
     After records to read have expired it looks through the log from ``first`` on, loads the
     newest whole snapshot from which every later record is kept, and goes on from there.
-    ``on_chunk`` is told of each chunk of a snapshot that is read.
+    ``on_chunk`` is told of each chunk of a snapshot that is read, ``restore`` is given the snapshot
+    and tells whether it is in force at once.
     """
 
     def __init__(
         self,
         configuration: configurations.Configuration,
         on_chunk: Callable[[records.SnapshotRecord], None] = lambda chunk: None,
+        restore: Callable[[snapshots.Snapshot], bool] | None = None,
     ):
         self.first = identifiers.Offset(0)
         self.next = identifiers.Offset(0)
         self._configuration = configuration
         self._on_chunk = on_chunk
+        self._restore = restore or configuration.restore
         self._scan_offset: identifiers.Offset | None = None
-        self._assembler = snapshots.Assembler()
+        self._assembler = snapshot_decodings.Assembler()
         self._newest: snapshots.Snapshot | None = None
 
     @property
@@ -42,7 +52,7 @@
         """Learn that the log keeps no records before ``first``."""
         self._learn_bounds(first, next_offset)
         if first > self.read_offset:
-            self._assembler = snapshots.Assembler()
+            self._assembler = snapshot_decodings.Assembler()
             self._newest = None
             self._scan_offset = first
 
@@ -80,16 +90,32 @@
                 continue
             self._scan_offset = identifiers.Offset(offset + 1)
             chunk = _chunk_of(offset, value)
-            whole = self._assembler.add(chunk) if chunk is not None else None
-            if whole is not None and (self._newest is None or whole.base > self._newest.base):
-                self._newest = whole
-        if self._scan_offset >= self.next and self._newest is not None:
+            self._take_whole(self._assembler.add(chunk) if chunk is not None else None)
+        self._load_newest()
+
+    def is_decoding(self) -> bool:
+        """Tell whether a snapshot is being decoded."""
+        return self._assembler.is_decoding()
+
+    def step(self) -> None:
+        """Decode on."""
+        self._take_whole(self._assembler.step())
+        self._load_newest()
+
+    def _take_whole(self, whole: snapshots.Snapshot | None) -> None:
+        if whole is not None and (self._newest is None or whole.base > self._newest.base):
+            self._newest = whole
+
+    def _load_newest(self) -> None:
+        """Load the newest snapshot once the log has been looked through."""
+        if not self.is_scanning or self.is_decoding() or self._newest is None:
+            return
+        if self._scan_offset >= self.next:
             self._load(self._newest)
 
     def _load(self, snapshot: snapshots.Snapshot) -> None:
         self._newest = None
-        if snapshot.base >= self.first:
-            self._configuration.restore(snapshot)
+        if snapshot.base >= self.first and self._restore(snapshot):
             self._scan_offset = None
 
 
--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -62,13 +62,11 @@
 @handle.register(events.RecordsRead)
 def _(event: events.RecordsRead, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.catch_up.log_read_at = now
-    was_scanning = kernel.follower.is_scanning
     changes = kernel.follower.read(event.records, event.first, event.next_offset)
-    if was_scanning and not kernel.follower.is_scanning:
-        kernel.note_restored(is_from_peer=False)
     for change in changes:
         kernel.snapshot_schedule.saw_change(change.offset)
     kernel.configuration_moved(changes, now)
+    kernel.finish_loading(now)
     kernel.plan_snapshot(now)
 
 
@@ -102,8 +100,14 @@
     take_message(event.message, kernel, event.route, now)
 
 
+@handle.register(events.LoadingContinued)
+def _(event: events.LoadingContinued, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.load_on(now)
+
+
 @handle.register(events.Ticked)
 def _(event: events.Ticked, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.ask_to_load_on()
     kernel.dispatcher.probe(now)
     kernel.dispatcher.stops.expire(now)
     kernel.dispatcher.backlogs.observe(now)
@@ -153,10 +157,8 @@
     route: bytes,
     now: datetime.datetime,
 ) -> None:
-    if kernel.catch_up.take(message):
-        kernel.snapshot_schedule.assume_base(kernel.configuration.offset)
-        kernel.note_restored(is_from_peer=True)
-        kernel.configuration_moved([], now)
+    kernel.catch_up.take(message)
+    kernel.finish_loading(now)
 
 
 @take_message.register(peers.ListingReply)
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -1,6 +1,7 @@
 """The kernel: typed events in, typed actions out, no I/O and no clock of its own."""
 
 import datetime
+import functools
 import random
 
 import msgspec
@@ -21,10 +22,12 @@
     identifiers,
     jobchecks,
     limit_outboxes,
+    loadings,
     members,
     peers,
     policies,
     probes,
+    reach_indexes,
     reaches,
     records,
     results,
@@ -73,11 +76,23 @@
         self.dispatcher.limiter.limit_of = self._limit_of
         self.revoker = revocations.Revoker(self.dispatcher, self.reach)
         self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
-        self.follower = followers.Follower(self.configuration, self.snapshot_schedule.saw_chunk)
-        self.catch_up = catch_ups.CatchUp(settings.catch_up, self.configuration, self.members, rng)
+        self.loader = loadings.Loader()
+        self.follower = followers.Follower(
+            self.configuration,
+            self.snapshot_schedule.saw_chunk,
+            functools.partial(self.loader.offer, is_from_peer=False),
+        )
+        self.catch_up = catch_ups.CatchUp(
+            settings.catch_up,
+            self.configuration,
+            self.members,
+            rng,
+            functools.partial(self.loader.offer, is_from_peer=True),
+        )
         self.heartbeats = heartbeats.Heartbeats(
             settings.heartbeat, self.members, settings.incarnation, rng
         )
+        self._is_asked_to_load = False
         self.draining = False
         self.has_listing = False
         self.answers = answers.AnswerStore(settings.answer_budget_bytes)
@@ -176,9 +191,51 @@
         """Bring everything that depends on the configuration up to date."""
         self.dispatcher.outbox.extend(actions.NoteChange(result=change) for change in changes)
         touched = self.configuration.take_touched()
-        if not touched:
+        if touched:
+            self._reach_changed(self.reach.update(touched), touched, now)
+
+    def load_on(self, now: datetime.datetime) -> None:
+        """Do one step of loading a snapshot."""
+        self._is_asked_to_load = False
+        if self.loader.is_busy():
+            self.loader.step()
+        elif self.follower.is_decoding():
+            self.follower.step()
+        else:
+            self.catch_up.step()
+        self.finish_loading(now)
+
+    def finish_loading(self, now: datetime.datetime) -> None:
+        """Use a snapshot that is loaded whole, unless it is behind by now."""
+        loading = self.loader.take_finished()
+        if loading is not None:
+            self._adopt(loading, now)
+        self.ask_to_load_on()
+
+    def ask_to_load_on(self) -> None:
+        """Ask for the next step of loading, if there is one."""
+        parts = (self.loader.is_busy, self.follower.is_decoding, self.catch_up.is_decoding)
+        if not self._is_asked_to_load and any(is_at_work() for is_at_work in parts):
+            self._is_asked_to_load = True
+            self.dispatcher.outbox.append(actions.ContinueLoading())
+
+    def _adopt(self, loading: loadings.Loading, now: datetime.datetime) -> None:
+        is_expired = not loading.is_from_peer and loading.base < self.follower.first
+        if is_expired or not self.configuration.adopt(loading.configuration):
             return
-        changes = self.reach.update(touched)
+        loading.index.bind(self.configuration)
+        if loading.is_from_peer:
+            self.snapshot_schedule.assume_base(self.configuration.offset)
+        self.note_restored(is_from_peer=loading.is_from_peer)
+        touched = self.configuration.take_touched()
+        self._reach_changed(self.reach.adopt(loading.index), touched, now)
+
+    def _reach_changed(
+        self,
+        changes: reach_indexes.ReachChanges,
+        touched: set[configurations.ObjectKey],
+        now: datetime.datetime,
+    ) -> None:
         self.revoker.reconsider(changes.affected_teams(), now)
         self.revoker.refuse(self._teams_without_key(touched), now)
         self.dispatcher.place_waiting(now)
--- a/packages/kernel/chiveridge_kernel/reach_indexes.py
+++ b/packages/kernel/chiveridge_kernel/reach_indexes.py
@@ -5,13 +5,19 @@
 the targets it matches.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 import msgspec
 
 from chiveridge_kernel import configurations, records, selectors, target_indexes
 
 MAX_SINGLE_CHANGES = 64
+STEP_LINKS = 4096
+"""Links between objects that one step of a first load makes."""
+
+RULE_LINKS = 1024
+"""Links that take as long as to parse a rule and to look up its teams."""
+
 RELINK_SHARE = 8
 """Rules are linked anew when more than one of so many targets has changed."""
 
@@ -60,13 +66,43 @@
         changes = ReachChanges()
         if len(touched) > MAX_SINGLE_CHANGES:
             # Working out who reached each target would cost more than forgetting everything.
-            changes.teams |= self._targets_by_approved.keys() | self._configuration.teams_by_name
+            changes.teams |= self.teams()
             changes.is_bulk = True
             touched = self._in_bulk(touched)
         for kind, name in touched:
             _UPDATERS_BY_KIND[kind](self, name, changes)
         return changes
 
+    def linking(self) -> Iterator[None]:
+        """Link a whole configuration step by step; the index is of no use before the last."""
+        links = 0
+        for links_made in self._links_made():
+            links += links_made
+            if links >= STEP_LINKS:
+                links = 0
+                yield
+
+    def _links_made(self) -> Iterator[int]:
+        """Take over every object, rules last; yield how many links each has."""
+        changes = ReachChanges(is_bulk=True)
+        for name, target in self._configuration.targets_by_name.items():
+            self._replace_target(name)
+            yield 1 + len(target.approved_teams)
+        for name in self._configuration.teams_by_name:
+            self._update_team(name, changes)
+            yield 1
+        for name in self._configuration.rules_by_name:
+            self._update_rule(name, changes)
+            yield RULE_LINKS + len(self._targets_by_rule.get(name, ()))
+
+    def bind(self, configuration: configurations.Configuration) -> None:
+        """Follow another configuration of the same objects."""
+        self._configuration = configuration
+
+    def teams(self) -> set[str]:
+        """Return every team that exists, or that a target has approved."""
+        return self._targets_by_approved.keys() | self._configuration.teams_by_name.keys()
+
     def _in_bulk(
         self, touched: Collection[configurations.ObjectKey]
     ) -> list[configurations.ObjectKey]:
--- a/packages/kernel/chiveridge_kernel/reaches.py
+++ b/packages/kernel/chiveridge_kernel/reaches.py
@@ -61,6 +61,14 @@
         self._mark_stale(lambda team, answer: _touched(team, answer, changes))
         return changes
 
+    def adopt(self, index: reach_indexes.ReachIndex) -> reach_indexes.ReachChanges:
+        """Take over every object at once, as linked in another index."""
+        self.version += 1
+        teams = self._index.teams() | self._answers_by_team.keys() | index.teams()
+        self._answers_by_team.clear()
+        self._index = index
+        return reach_indexes.ReachChanges(is_bulk=True, teams=teams)
+
     def replace_vms(self, vms_by_name: Mapping[str, vms.Vm]) -> None:
         """Take a new list of target VMs."""
         known, self._vms_by_name = self._vms_by_name, vms_by_name
--- a/packages/kernel/chiveridge_kernel/records.py
+++ b/packages/kernel/chiveridge_kernel/records.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import sys
 from typing import Annotated
 
 import msgspec
@@ -94,3 +95,11 @@
     CONFLICT = "conflict"
     INVALID = "invalid"
     DUPLICATE = "duplicate"
+
+
+def compact(value: msgspec.Struct) -> msgspec.Struct:
+    """Keep each name of an approved team once, however many targets approve it."""
+    if isinstance(value, TargetObject):
+        approved = [sys.intern(name) for name in value.approved_teams]
+        return msgspec.structs.replace(value, approved_teams=approved)
+    return value
--- a/packages/kernel/chiveridge_kernel/snapshots.py
+++ b/packages/kernel/chiveridge_kernel/snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots of the folded configuration: their bytes, their chunks and how chunks are joined.
+"""Snapshots of the folded configuration: their bytes and their chunks.
 
 The bytes are zlib-compressed msgpack. Equal states have equal bytes, so that chunks written
 by different nodes complete each other.
@@ -33,7 +33,6 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Snapshot)
 
 
 class Encoding:
@@ -114,49 +113,3 @@
 def _array_head(count: int) -> bytes:
     """Return what msgpack puts before the elements of an array; None takes one byte."""
     return _encoder.encode([None] * count)[: -count or None]
-
-
-def decode(chunks: list[records.SnapshotRecord]) -> Snapshot:
-    """Join the chunks of one snapshot, in order.
-
-    :raises errors.SnapshotError: when they are not a whole, valid snapshot.
-    """
-    data = b"".join(chunk.data for chunk in chunks)
-    if hashlib.sha256(data).hexdigest() != chunks[0].digest:
-        raise errors.SnapshotError("the digest does not match")
-    unzip = zlib.decompressobj()
-    try:
-        state = unzip.decompress(data, MAX_STATE_BYTES)
-        snapshot = _decoder.decode(state)
-    except (zlib.error, msgspec.MsgspecError, RecursionError) as error:
-        raise errors.SnapshotError(str(error)) from error
-    if snapshot.base != chunks[0].base:
-        raise errors.SnapshotError(f"base {snapshot.base} is not {chunks[0].base}")
-    return snapshot
-
-
-class Assembler:
-    """Joins chunks that arrive in any order, repeated, or of several snapshots at once."""
-
-    def __init__(self):
-        self._chunks_by_key: dict[tuple[int, str, int], dict[int, records.SnapshotRecord]] = {}
-
-    def add(self, chunk: records.SnapshotRecord) -> Snapshot | None:
-        """Take a chunk; return the snapshot that it completes, when it is valid."""
-        key = (chunk.base, chunk.digest, chunk.count)
-        chunks_by_index = self._chunks_by_key.setdefault(key, {})
-        if chunk.index < chunk.count:
-            chunks_by_index[chunk.index] = chunk
-        if len(chunks_by_index) == chunk.count:
-            del self._chunks_by_key[key]
-            return _decode_or_none([chunks_by_index[index] for index in range(chunk.count)])
-        if len(self._chunks_by_key) > MAX_PARTIAL_SNAPSHOTS:
-            del self._chunks_by_key[min(self._chunks_by_key)]
-        return None
-
-
-def _decode_or_none(chunks: list[records.SnapshotRecord]) -> Snapshot | None:
-    try:
-        return decode(chunks)
-    except errors.SnapshotError:
-        return None
--- a/packages/kernel/tests/test_configurations.py
+++ b/packages/kernel/tests/test_configurations.py
@@ -2,7 +2,13 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from chiveridge_kernel import configurations, followers, records, snapshots
+from chiveridge_kernel import (
+    configurations,
+    followers,
+    records,
+    snapshot_decodings,
+    snapshots,
+)
 
 FIXED = settings(derandomize=True, deadline=None, max_examples=80)
 Verdict = records.Verdict
@@ -111,7 +117,7 @@
     if not head.offset:
         return
     restored = configurations.Configuration()
-    assert restored.restore(snapshots.decode(state_of(head)))
+    assert restored.restore(snapshot_decodings.decode(state_of(head)))
     _, tail = folded_from(values[cut:], head.offset, restored)
     assert tail == verdicts[cut:]
     assert state_of(restored) == state_of(whole)
--- /dev/null
+++ b/packages/kernel/tests/test_loadings.py
@@ -0,0 +1,258 @@
+"""A configuration is taken from a snapshot in steps, and used only when it is whole."""
+
+import datetime
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import msgspec
+import pytest
+
+from chiveridge_kernel import (
+    actions,
+    clocks,
+    configurations,
+    errors,
+    events,
+    kernels,
+    loadings,
+    peers,
+    reach_indexes,
+    reaches,
+    records,
+    snapshot_decodings,
+    snapshots,
+    vms,
+)
+
+TEAMS = 12
+TARGETS = 60
+RULES = 9
+LABELS = tuple("abc")
+
+
+@pytest.fixture(autouse=True)
+def small_steps(monkeypatch):
+    monkeypatch.setattr(snapshots, "STEP_BYTES", 500)
+    monkeypatch.setattr(snapshots, "CHUNK_BYTES", 200)
+    monkeypatch.setattr(configurations, "STEP_OBJECTS", 4)
+    monkeypatch.setattr(reach_indexes, "STEP_LINKS", 16)
+
+
+def objects(seed: int) -> list[records.ObjectWrite]:
+    rng = random.Random(seed)
+    teams = [f"team-{number}" for number in range(TEAMS)]
+    found = [records.TeamObject(name=name, labels={"a": rng.choice(LABELS)}) for name in teams]
+    for number in range(TARGETS):
+        approved = rng.sample(teams, rng.randrange(TEAMS))
+        labels = {key: rng.choice(LABELS) for key in rng.sample(LABELS, 2)}
+        name = f"t{number}"
+        found.append(records.TargetObject(name=name, labels=labels, approved_teams=approved))
+    for number in range(RULES):
+        texts = [f"{rng.choice(LABELS)}={rng.choice(LABELS)}" for _ in range(2)]
+        found.append(records.RuleObject(name=f"r{number}", teams=texts[0], targets=texts[1]))
+    return [_write(value) for value in found]
+
+
+def _write(value: msgspec.Struct) -> records.ObjectWrite:
+    kind = records.ObjectKind(type(value).__name__.removesuffix("Object").lower())
+    return records.ObjectWrite(kind=kind, name=value.name, **{kind.value: value})
+
+
+def change(number: int, writes: list[records.ObjectWrite]) -> bytes:
+    return configurations.encode_change(
+        records.ChangeRecord(change_id=f"c{number}", actor="ada", changed_at="", writes=writes)
+    )
+
+
+def extra(number: int) -> bytes:
+    return change(number, [_write(records.TeamObject(name=f"extra-{number}"))])
+
+
+def folded(*values: bytes) -> configurations.Configuration:
+    configuration = configurations.Configuration()
+    for offset, value in enumerate(values):
+        configuration.apply(offset, value)
+    return configuration
+
+
+def _vm(name: str) -> vms.Vm:
+    return vms.Vm(name=name, role=vms.VmRole.TARGET, domain="d", address="127.0.0.1", port=1)
+
+
+def answers(reach: reaches.Reach) -> dict:
+    listed = [_vm(f"t{n}") for n in range(TARGETS)]
+    reach.replace_vms({vm.name: vm for vm in listed})
+    found = {}
+    for team in [f"team-{number}" for number in range(TEAMS)]:
+        for selector in ("", "a=b", "!c", "b in (a, c)"):
+            try:
+                found[team, selector] = reach.candidates(team, selector).vms
+            except errors.RefusedError as refusal:
+                found[team, selector] = refusal.code
+    return found
+
+
+class Node:
+    """A kernel whose steps of loading are done one by one; it checks that its offset grows."""
+
+    def __init__(self):
+        settings = kernels.KernelSettings(node="e1", domain="d", incarnation="a", secret=b"k")
+        self.kernel = kernels.Kernel(settings, random.Random(1))
+        self.clock = clocks.ManualClock()
+        self.offset = 0
+        self.steps_due = 0
+        self.restored = []
+
+    def handle(self, event: events.Event) -> None:
+        self.clock.advance(datetime.timedelta(milliseconds=1))
+        for action in self.kernel.handle(event, self.clock.now()):
+            self.steps_due += isinstance(action, actions.ContinueLoading)
+            if isinstance(action, actions.NoteRestored):
+                self.restored.append(action)
+        assert self.kernel.configuration.offset >= self.offset
+        self.offset = self.kernel.configuration.offset
+
+    def step(self) -> None:
+        self.steps_due -= 1
+        self.handle(events.LoadingContinued())
+
+    def finish(self) -> int:
+        count = 0
+        while self.steps_due:
+            self.step()
+            count += 1
+        return count
+
+    def receive(self, configuration: configurations.Configuration) -> None:
+        for chunk in snapshots.encode(configuration.snapshot()):
+            message = peers.ConfigurationChunk(chunk=chunk)
+            self.handle(events.PeerMessageReceived(message=message))
+
+    def read_log(self, values: list[bytes], first: int) -> None:
+        """Read a log of which the records before ``first`` have expired."""
+        self.handle(events.RecordsExpired(first=first, next_offset=len(values)))
+        page = list(enumerate(values))[first:]
+        self.handle(events.RecordsRead(records=page, first=first, next_offset=len(values)))
+
+
+@pytest.fixture
+def node() -> Node:
+    return Node()
+
+
+@pytest.fixture
+def whole() -> configurations.Configuration:
+    return folded(change(0, objects(1)), extra(1))
+
+
+def test_nothing_is_used_before_the_last_step_and_all_of_it_after(node, whole):
+    node.receive(whole)
+    count = 0
+    while node.steps_due:
+        assert node.kernel.configuration.snapshot() == configurations.Configuration().snapshot()
+        assert node.kernel.reach.version == 0
+        assert node.steps_due == 1
+        node.handle(events.Ticked())
+        node.step()
+        count += 1
+    assert count > 50
+    assert node.kernel.configuration.snapshot() == whole.snapshot()
+    assert [restored.offset for restored in node.restored] == [2]
+    # What comes later is folded and linked as usual.
+    node.handle(events.RecordsRead(records=[(2, extra(2))]))
+    assert "extra-2" in node.kernel.configuration.teams_by_name
+
+
+@hypothesis.given(st.integers(0, 1000), st.integers(0, 1000))
+@hypothesis.settings(
+    max_examples=20,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+def test_reach_that_was_linked_in_steps_answers_like_one_that_followed(seed, before):
+    value = change(0, objects(seed))
+    plain = reaches.Reach(followed := folded(value, extra(1)))
+    plain.update(followed.take_touched())
+    node = Node()
+    node.handle(events.RecordsRead(records=[(0, change(0, objects(before)))]))
+    answers(node.kernel.reach)
+    node.receive(followed)
+    node.finish()
+    assert answers(node.kernel.reach) == answers(plain)
+    target = msgspec.structs.replace(followed.targets_by_name["t0"], approved_teams=["team-0"])
+    moved = msgspec.structs.replace(_write(target), based_on=1)
+    for configuration, reach in (
+        (followed, plain),
+        (node.kernel.configuration, node.kernel.reach),
+    ):
+        configuration.apply(2, change(2, [moved]))
+        reach.update(configuration.take_touched())
+    assert answers(node.kernel.reach) == answers(plain)
+
+
+@pytest.mark.promise("configuration_in_force", failures=["platform_outage"])
+def test_a_state_that_was_overtaken_while_it_was_loaded_is_left(node, whole):
+    node.receive(whole)
+    node.step()
+    values = [extra(number) for number in range(3)]
+    node.handle(events.RecordsRead(records=list(enumerate(values)), next_offset=3))
+    node.finish()
+    assert node.kernel.configuration.snapshot() == folded(*values).snapshot()
+    assert node.restored == []
+
+
+def test_a_later_state_takes_the_place_of_one_that_is_being_loaded(node, whole):
+    loader = loadings.Loader()
+    loader.offer(whole.snapshot(), is_from_peer=True)
+    whole.apply(2, extra(2))
+    loader.offer(whole.snapshot(), is_from_peer=False)
+    loader.offer(folded(extra(1)).snapshot(), is_from_peer=True)
+    while loader.is_busy():
+        loader.step()
+    finished = loader.take_finished()
+    assert (finished.base, finished.is_from_peer) == (3, False)
+    assert loader.take_finished() is None
+
+
+def _log(whole: configurations.Configuration) -> list[bytes]:
+    """Return a log of two changes, a snapshot of them and one more change."""
+    chunks = [msgspec.json.encode(chunk) for chunk in snapshots.encode(whole.snapshot())]
+    return [change(0, objects(1)), extra(1), *chunks, extra(9)]
+
+
+@pytest.mark.promise("configuration_in_force", failures=["platform_outage"])
+def test_a_log_whose_records_expired_is_read_on_while_its_snapshot_is_loaded(node, whole):
+    values = _log(whole)
+    node.read_log(values, first=2)
+    assert node.steps_due
+    offset = node.kernel.follower.read_offset
+    values.append(extra(10))
+    page = list(enumerate(values))[offset:]
+    node.handle(events.RecordsRead(records=page, first=2, next_offset=len(values)))
+    node.finish()
+    assert node.kernel.follower.read_offset == node.kernel.configuration.offset == 2
+    page = list(enumerate(values))[2:]
+    node.handle(events.RecordsRead(records=page, first=2, next_offset=len(values)))
+    assert node.kernel.configuration.snapshot() == folded(*values).snapshot()
+
+
+def test_a_snapshot_whose_next_record_expires_while_it_is_loaded_is_left(node, whole):
+    values = _log(whole)
+    node.read_log(values, first=2)
+    while not node.kernel.loader.is_busy():
+        node.step()
+    node.handle(events.RecordsExpired(first=3, next_offset=len(values)))
+    node.finish()
+    assert node.kernel.configuration.offset == 0
+    assert node.kernel.follower.is_scanning
+
+
+def test_no_step_decodes_more_than_its_share(whole):
+    decoding = snapshot_decodings.Decoding(snapshots.encode(whole.snapshot()))
+    steps = 1
+    while decoding.step():
+        steps += 1
+    size = len(msgspec.msgpack.encode(whole.snapshot()))
+    assert steps >= 2 * (size // snapshots.STEP_BYTES)
+    assert decoding.snapshot == whole.snapshot()
--- a/packages/kernel/tests/test_snapshots.py
+++ b/packages/kernel/tests/test_snapshots.py
@@ -4,7 +4,7 @@
 import msgspec
 import pytest
 
-from chiveridge_kernel import audits, errors, records, snapshots
+from chiveridge_kernel import audits, errors, records, snapshot_decodings, snapshots
 
 
 def snapshot_of(count, labels=3):
@@ -21,7 +21,7 @@
 def test_encoding_is_the_same_each_time_and_decodes():
     snapshot = snapshot_of(50)
     assert snapshots.encode(snapshot) == snapshots.encode(snapshot_of(50))
-    assert snapshots.decode(snapshots.encode(snapshot)) == snapshot
+    assert snapshot_decodings.decode(snapshots.encode(snapshot)) == snapshot
 
 
 def large_snapshot():
@@ -65,42 +65,42 @@
     state = zlib.decompress(b"".join(chunk.data for chunk in chunks))
     assert state == msgspec.msgpack.encode(snapshot)
     if snapshot.base:
-        assert snapshots.decode(chunks) == snapshot
+        assert snapshot_decodings.decode(chunks) == snapshot
 
 
 @pytest.mark.parametrize("torn", [lambda c: c[1:], lambda c: c[:-1], lambda c: [*c[:1], *c[:-1]]])
 def test_torn_snapshots_are_refused(monkeypatch, torn):
     monkeypatch.setattr(snapshots, "CHUNK_BYTES", 100)
     with pytest.raises(errors.SnapshotError):
-        snapshots.decode(torn(snapshots.encode(snapshot_of(50))))
+        snapshot_decodings.decode(torn(snapshots.encode(snapshot_of(50))))
 
 
 @pytest.mark.parametrize("data", [b"", b"not zlib", b"\x78\x9c"])
 def test_corrupt_snapshots_with_a_right_digest_are_refused(data):
     digest = hashlib.sha256(data).hexdigest()
     chunk = records.SnapshotRecord(base=1, digest=digest, index=0, count=1, data=data)
-    assembler = snapshots.Assembler()
+    assembler = snapshot_decodings.Assembler()
     assert assembler.add(chunk) is None
 
 
 def test_a_snapshot_whose_digest_does_not_match_is_refused():
     chunks = snapshots.encode(snapshot_of(5))
     wrong = msgspec.structs.replace(chunks[0], digest="0" * 64)
-    assert snapshots.Assembler().add(wrong) is None
-    assert snapshots.Assembler().add(chunks[0]) == snapshot_of(5)
+    assert snapshot_decodings.Assembler().add(wrong) is None
+    assert snapshot_decodings.Assembler().add(chunks[0]) == snapshot_of(5)
 
 
 def test_a_state_that_grows_beyond_the_limit_is_refused(monkeypatch):
     chunks = snapshots.encode(snapshot_of(1000))
     monkeypatch.setattr(snapshots, "MAX_STATE_BYTES", 1000)
     with pytest.raises(errors.SnapshotError):
-        snapshots.decode(chunks)
+        snapshot_decodings.decode(chunks)
     with pytest.raises(errors.SnapshotError):
         snapshots.encode(snapshot_of(1000))
 
 
 def test_the_memory_for_unfinished_snapshots_is_bounded():
-    assembler = snapshots.Assembler()
+    assembler = snapshot_decodings.Assembler()
     for base in range(1, 50):
         digest = hashlib.sha256(str(base).encode()).hexdigest()
         chunk = records.SnapshotRecord(base=base, digest=digest, index=0, count=2, data=b"x")
@@ -123,4 +123,4 @@
     chunks = snapshots.encode(snapshot)
     assert len(chunks) <= records.MAX_SNAPSHOT_CHUNKS
     assert max(len(msgspec.json.encode(chunk)) for chunk in chunks) <= 256 * 1024 + 512
-    assert snapshots.decode(chunks) == snapshot
+    assert snapshot_decodings.decode(chunks) == snapshot
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -91,8 +91,14 @@
         self.shell.perform_with(actions.NoteStopped, self.requests.stopped)
         self.shell.perform_with(actions.NoteChange, _note_change)
         self.shell.perform_with(actions.NoteRestored, _note_restored)
+        self.shell.perform_with(actions.ContinueLoading, self._continue_loading)
         self.shell.perform_with(actions.Exit, lambda action: self._stopped.set())
 
+    def _continue_loading(self, _action: actions.ContinueLoading) -> None:
+        """Let the loop do what else is due, and then the next step."""
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.shell.handle_safely, events.LoadingContinued())
+
     async def _open(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
