Count a success only when its task began after the failures

Tasks that began before the target turned bad still ended well and cleared its evidence, so that the breaker opened late, or was closed again.

Ruled out: starts in progress together (the times of the failed starts are 10 to 110 ms apart and each failed within 2 ms); several owners (all failed in one domain, at one node, but for one start).

Change: a breaker keeps when its failures began, and a success whose task began earlier is not evidence. The first failure and not the last is compared, so that a team whose tasks always fail cannot keep healthy tasks from clearing.

The kernel's test fails without the change.

Conclusion: the breaker was right and its evidence was not.

--- a/packages/kernel/chiveridge_kernel/breakers.py
+++ b/packages/kernel/chiveridge_kernel/breakers.py
@@ -1,7 +1,9 @@
 """Circuit breakers of targets, kept by their owner: a failing target gets only probes.
 
 A failed task is evidence against its target only as far as its team's tasks succeed elsewhere,
-so that a team whose own tasks always fail takes no healthy target out.
+so that a team whose own tasks always fail takes no healthy target out. A success speaks for its
+target only when its task began after the failures: long tasks may end well on a target that has
+failed every start meanwhile.
 """
 
 import collections
@@ -18,8 +20,9 @@
 
 
 class Breaker(msgspec.Struct):
-    """State of one target; it is open while ``probe_at`` is set."""
+    """State of one target, failing since its first failure; open while ``probe_at`` is set."""
 
+    failing_since: datetime.datetime
     evidence: float = 0.0
     probe_delay: datetime.timedelta = FIRST_PROBE_DELAY
     probe_at: datetime.datetime | None = None
@@ -32,15 +35,16 @@
         self._breakers_by_target: dict[str, Breaker] = {}
         self._failure_share_by_team: dict[str, float] = collections.defaultdict(float)
 
-    def succeeded(self, target: str, team: str) -> None:
-        """Learn that a task succeeded."""
+    def succeeded(self, target: str, team: str, started_at: datetime.datetime) -> None:
+        """Learn that a task which began at a time succeeded."""
         self._learn_team(team, 0.0)
-        if target in self._breakers_by_target:
+        breaker = self._breakers_by_target.get(target)
+        if breaker is not None and started_at >= breaker.failing_since:
             del self._breakers_by_target[target]
 
     def failed(self, target: str, team: str, owned_count: int, now: datetime.datetime) -> None:
         """Learn that a task ran and failed on one of ``owned_count`` targets."""
-        breaker = self._breakers_by_target.setdefault(target, Breaker())
+        breaker = self._breakers_by_target.setdefault(target, Breaker(now))
         breaker.evidence += max(1.0 - self._failure_share_by_team[team], MIN_TEAM_WEIGHT)
         self._learn_team(team, 1.0)
         if breaker.probe_at is not None:
--- a/packages/kernel/chiveridge_kernel/lenders.py
+++ b/packages/kernel/chiveridge_kernel/lenders.py
@@ -246,7 +246,8 @@
         return True
 
     def _learn_success(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
-        self.breakers.succeeded(end.target, end.team)
+        started_at = now - datetime.timedelta(milliseconds=end.run_ms)
+        self.breakers.succeeded(end.target, end.team, started_at)
         self.speeds.learn_target(end.target, end.team, end.run_ms)
 
     def _learn_failure(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
--- a/packages/kernel/tests/test_breakers.py
+++ b/packages/kernel/tests/test_breakers.py
@@ -26,7 +26,29 @@
     table.failed("t1", "desk", OWNED, due)
     assert not table.take_probe("t1", due + breakers.FIRST_PROBE_DELAY)
     assert table.take_probe("t1", due + 2 * breakers.FIRST_PROBE_DELAY)
-    table.succeeded("t1", "desk")
+    table.succeeded("t1", "desk", started_at=due)
+    assert not table.is_open("t1")
+
+
+def test_a_success_that_began_before_the_failures_speaks_for_nothing():
+    table = breakers.Breakers()
+    earlier = NOW - datetime.timedelta(milliseconds=300)
+    table.failed("t1", "desk", OWNED, NOW)
+    table.succeeded("t1", "desk", started_at=earlier)
+    table.failed("t1", "registry", OWNED, NOW)
+    assert table.is_open("t1")
+    table.succeeded("t1", "registry", started_at=earlier)
+    assert table.is_open("t1")
+
+
+def test_a_success_that_began_after_the_first_failure_clears_the_evidence():
+    table = breakers.Breakers()
+    later = NOW + datetime.timedelta(milliseconds=300)
+    table.failed("t1", "desk", OWNED, NOW)
+    table.failed("t1", "broken", OWNED, later)
+    table.succeeded("t1", "desk", started_at=NOW + datetime.timedelta(milliseconds=100))
+    assert not table.is_open("t1")
+    table.failed("t1", "registry", OWNED, later)
     assert not table.is_open("t1")
 
 
@@ -36,7 +58,7 @@
         target = f"t{attempt % OWNED}"
         now = NOW + attempt * datetime.timedelta(milliseconds=50)
         table.failed(target, "broken", OWNED, now)
-        table.succeeded(target, "desk")
+        table.succeeded(target, "desk", started_at=now)
     assert table.open_names() == []
 
 
--- a/packages/load/chiveridge_load/judgements.py
+++ b/packages/load/chiveridge_load/judgements.py
@@ -15,8 +15,8 @@
 MAX_REFUSAL_MS = 50.0
 MAX_BURST_P99_GROWTH = 1.5
 MAX_FAILED_TASKS_PER_DOMAIN = 3
-PROBES_PER_SECOND = 1.0
-"""Starts on a failing target that count as probes, for each failure domain."""
+PROBE_INTERVAL_S = 5.0
+"""Least time between two starts on a failing target that count as probes, in a failure domain."""
 
 MIN_HEALTHY_TARGET_SHARE = 0.5
 """Least share of the average starts that a target in use gets at 80% load."""
@@ -63,7 +63,7 @@
 
     def judge(measured: measurements.Measurement) -> list[reports.Limit]:
         failed_by_domain = _failed_by_domain(measured, target_index)
-        probes = PROBES_PER_SECOND * max(measured.seconds - at_s, 0)
+        probes = max(measured.seconds - at_s, 0) // PROBE_INTERVAL_S
         return [
             reports.Limit(
                 "failed_tasks_per_domain",
--- a/packages/load/tests/test_judgements.py
+++ b/packages/load/tests/test_judgements.py
@@ -100,6 +100,17 @@
     assert _missed(judge(_measured(jobs, records))) == ["failed_tasks_per_domain"]
 
 
+def test_failing_target_gets_one_probe_each_five_seconds():
+    judge = judgements.failing_target(0, at_s=4.0)
+    jobs = [_job(index) for index in range(6)]
+    records = [_record(job, results.ResultCode.TASK_FAILED) for job in jobs]
+    assert _missed(judge(_measured(jobs[:5], records[:5], seconds=14.0))) == []
+    assert _missed(judge(_measured(jobs, records, seconds=14.0))) == ["failed_tasks_per_domain"]
+    assert _missed(judge(_measured(jobs[:4], records[:4], seconds=8.0))) == [
+        "failed_tasks_per_domain"
+    ]
+
+
 def test_failing_team_takes_out_no_target():
     jobs = [_job(index) for index in range(4)]
     jobs.append(_job(4, fail=True))
