Measure control in make bench and hold it to its limits

Change: `control_suites` measures the three and holds them to what the target asks (5 s in force, flat selectors, 3,000 B/s with headers, 2.3% of a core, 256 MB); the results page shows them. `make bench` runs it after the cases.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m chiveridge_load.benches --suite
+	$(BIN)/python -m chiveridge_load.control_suites
 
 # The groups run side by side: those of real processes mostly wait.
 TEST_GROUPS := test-units test-faults test-system
--- /dev/null
+++ b/packages/load/chiveridge_load/control_suites.py
@@ -0,0 +1,136 @@
+"""Measures what all nodes do besides tasks, and holds it to the limits of the target size.
+
+``python -m chiveridge_load.control_suites`` writes one JSON object: the time until an accepted
+change is in force, the cost of selectors at several sizes, and the control of idle nodes in
+domains of several sizes.
+"""
+
+import asyncio
+import pathlib
+
+import aiohttp
+import msgspec
+from absl import app, flags
+
+from chiveridge_load import (
+    control_benches,
+    deployments,
+    interruptions,
+    publication_benches,
+    reach_benches,
+    reports,
+)
+from chiveridge_standins import fleets
+
+DEFAULT_OUT = "build/control.json"
+NODES_PER_DOMAIN = 3
+CHANGES = 30
+TARGET_COUNTS = (24, 256, 4100)
+TEAMS = 160
+RULES = 300
+REACH_ROUNDS = 3
+SEED = 1
+DOMAIN_SIZES = (3, 9, 25)
+IDLE_SECONDS = 5.0
+
+MAX_IN_FORCE_MS = 5_000.0
+MAX_SELECTOR_GROWTH = 1.25
+"""Cost of a choice by selectors at the most targets over that at the fewest."""
+
+MAX_CONTROL_BYTES_PER_SECOND = 3_000.0
+MAX_CONTROL_CPU_SHARE = 0.023
+MAX_MEMORY_MB = 256.0
+
+
+class ControlReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything measured, with its limits."""
+
+    publication: publication_benches.PublicationFigures
+    reaches: list[reach_benches.ReachFigures]
+    idle: list[control_benches.Measurement]
+    limits: list[reports.LimitResult]
+
+
+def limits(
+    publication: publication_benches.PublicationFigures,
+    reaches: list[reach_benches.ReachFigures],
+    idle: list[control_benches.Measurement],
+) -> list[reports.Limit]:
+    """Return the figures with what they may be; sizes ascend."""
+    growth = reaches[-1].task_us / reaches[0].task_us
+    found = [
+        reports.Limit("in_force_ms", publication.in_force_ms_max, MAX_IN_FORCE_MS),
+        reports.Limit("selector_growth", growth, MAX_SELECTOR_GROWTH),
+    ]
+    for each in idle:
+        suffix = f"at_{each.nodes}_nodes"
+        found += [
+            reports.Limit(
+                f"bytes_per_second_{suffix}",
+                each.wire_bytes_per_second,
+                MAX_CONTROL_BYTES_PER_SECOND,
+            ),
+            reports.Limit(f"cpu_share_{suffix}", each.cpu_share, MAX_CONTROL_CPU_SHARE),
+            reports.Limit(f"memory_mb_{suffix}", each.resident_mb, MAX_MEMORY_MB),
+        ]
+    return found
+
+
+async def measure() -> ControlReport:
+    """Measure everything; selectors in a thread, as nodes are processes of their own."""
+    reaches, idle = await asyncio.gather(asyncio.to_thread(_measure_reaches), _measure_idle())
+    publication = await publication_benches.measure(NODES_PER_DOMAIN, CHANGES)
+    return ControlReport(
+        publication=publication,
+        reaches=reaches,
+        idle=idle,
+        limits=[reports.result(limit) for limit in limits(publication, reaches, idle)],
+    )
+
+
+def _measure_reaches() -> list[reach_benches.ReachFigures]:
+    return [
+        reach_benches.measure(targets, TEAMS, RULES, REACH_ROUNDS, SEED)
+        for targets in TARGET_COUNTS
+    ]
+
+
+async def _measure_idle() -> list[control_benches.Measurement]:
+    return [await _measure_domain(nodes) for nodes in DOMAIN_SIZES]
+
+
+async def _measure_domain(nodes: int) -> control_benches.Measurement:
+    domain = fleets.DomainPlan(nodes=nodes, targets=control_benches.TARGETS)
+    team = deployments.TeamPlan(name="bench", secret="secret-of-the-bench")
+    async with (
+        fleets.Fleet(fleets.FleetPlan(domains={"domain-1": domain})) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
+        change = deployments.first_change([team], list(fleet.targets_by_name))
+        await fleet.append_change(msgspec.to_builtins(change))
+        await fleet.wait_ready()
+        await asyncio.sleep(control_benches.SETTLE_SECONDS)
+        return await control_benches.measure(fleet, session, IDLE_SECONDS, 0.0)
+
+
+def table(report: ControlReport) -> str:
+    """Return the limits as text, a line each."""
+    return "\n".join(
+        f"{result.name:<34} {result.measured:>10.3f} {result.limit:>10.3f} "
+        f"{'kept' if result.passed else 'MISSED'}"
+        for result in report.limits
+    )
+
+
+def main(_argv: list[str]) -> None:
+    """Measure, write the report and print its limits."""
+    out = pathlib.Path(flags.FLAGS.out)
+    report = interruptions.run(measure())
+    out.parent.mkdir(parents=True, exist_ok=True)
+    out.write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1) + b"\n")
+    print(table(report))
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("out", DEFAULT_OUT, "Report to write, as JSON.")
+    app.run(main)
--- a/packages/load/chiveridge_load/pages.py
+++ b/packages/load/chiveridge_load/pages.py
@@ -4,15 +4,17 @@
 """
 
 import pathlib
+import typing
 
 import absl.app
 import msgspec
 from absl import flags
 
 from chiveridge_kernel import policies
-from chiveridge_load import costs, idles, plots, reports
+from chiveridge_load import control_suites, costs, idles, plots, reports
 
 IMAGES = "plots"
+_Report = typing.TypeVar("_Report", bound=msgspec.Struct)
 
 _HEADER = """# Results
 
@@ -22,7 +24,13 @@
 """
 
 
-def page(rows: list[reports.Row], report: costs.Report | None, images: list[str]) -> str:
+def page(
+    rows: list[reports.Row],
+    images: list[str],
+    *,
+    control: control_suites.ControlReport | None = None,
+    report: costs.Report | None = None,
+) -> str:
     """Return the results page in Markdown; ``images`` are paths relative to it."""
     steady = [row for row in rows if row.scenario == "steady"]
     others = [row for row in rows if row.scenario != "steady"]
@@ -38,6 +46,8 @@
         "## Limits missed\n",
         _missed_list([row for row in rows if _is_chosen(row)]),
     ]
+    if control is not None:
+        parts += ["## Control\n", control_section(control)]
     if report is not None:
         parts += ["## Cost of a task\n", _costs(report)]
     return "\n".join(parts)
@@ -144,6 +154,22 @@
     return f"Under `{policies.DEFAULT}`:\n\n" + "\n".join(lines) + "\n"
 
 
+def control_section(report: control_suites.ControlReport) -> str:
+    """Return the figures of control in Markdown."""
+    intro = (
+        "Idle domains of several sizes, bytes with headers; the slowest of "
+        f"{report.publication.changes} changes to be in force on {report.publication.nodes} "
+        "nodes;\nthe cost of a choice by selectors at the most targets over that at the fewest: "
+        + ", ".join(f"{each.task_us:.2f} us at {each.targets}" for each in report.reaches)
+        + ".\n"
+    )
+    lines = [
+        [result.name, f"{result.measured:.3f}", f"{result.limit:g}", _word(result.passed)]
+        for result in report.limits
+    ]
+    return f"{intro}\n{_table(['measured', 'value', 'limit', 'kept'], lines)}"
+
+
 def _costs(report: costs.Report) -> str:
     lines = [
         [
@@ -193,31 +219,41 @@
     return f"{deployment}, {load}% load, jobs of mean {mean}"
 
 
-def write(rows: list[reports.Row], report: costs.Report | None, target: pathlib.Path) -> None:
+def write(
+    target: pathlib.Path,
+    rows: list[reports.Row],
+    control: control_suites.ControlReport | None,
+    report: costs.Report | None,
+) -> None:
     """Write the page, and its plots in place of earlier ones in a directory beside it."""
     images = target.parent / IMAGES
     images.mkdir(parents=True, exist_ok=True)
     for path in images.glob("steady-*.svg"):
         path.unlink()
     names = [f"{IMAGES}/{path.name}" for path in plots.draw(rows, images)]
-    target.write_text(page(rows, report, names))
+    target.write_text(page(rows, names, control=control, report=report))
 
 
 def main(_argv: list[str]) -> None:
     """Run the command."""
     options = flags.FLAGS
     rows = reports.read(pathlib.Path(options.bench))
-    write(rows, _read_costs(pathlib.Path(options.costs)), pathlib.Path(options.page))
+    control = _read(pathlib.Path(options.control), control_suites.ControlReport)
+    report = _read(pathlib.Path(options.costs), costs.Report)
+    write(pathlib.Path(options.page), rows, control, report)
 
 
-def _read_costs(path: pathlib.Path) -> costs.Report | None:
+def _read(path: pathlib.Path, report_type: type[_Report]) -> _Report | None:
     if not path.exists():
         return None
-    return msgspec.json.decode(path.read_bytes(), type=costs.Report)
+    return msgspec.json.decode(path.read_bytes(), type=report_type)
 
 
 if __name__ == "__main__":
     flags.DEFINE_string("bench", "build/bench.json", "Report of the benchmark.")
+    flags.DEFINE_string(
+        "control", control_suites.DEFAULT_OUT, "Report of the control, left out when missing."
+    )
     flags.DEFINE_string("costs", "build/costs.json", "Report of the costs, left out when missing.")
     flags.DEFINE_string("page", "docs/results.md", "Page to write; plots go beside it.")
     absl.app.run(main)
--- a/packages/load/chiveridge_load/reports.py
+++ b/packages/load/chiveridge_load/reports.py
@@ -86,7 +86,7 @@
     """Return the row of a measurement."""
     ours = measured.ratios()
     bound = measured.bound()
-    checked = [_result(limit) for limit in limits]
+    checked = [result(limit) for limit in limits]
     return Row(
         scenario=scenario,
         deployment=deployment,
@@ -164,7 +164,8 @@
     return f"MISSED {title}: {result.name} {result.measured:.4f} {word} {result.limit:.4f}"
 
 
-def _result(limit: Limit) -> LimitResult:
+def result(limit: Limit) -> LimitResult:
+    """Return a limit as it is written to a report."""
     return LimitResult(
         name=limit.name,
         measured=limit.measured,
--- a/packages/load/tests/test_pages.py
+++ b/packages/load/tests/test_pages.py
@@ -45,7 +45,7 @@
 
 def test_page_shows_tables_plots_and_what_was_missed():
     burst = _row(scenario="burst", limits=[], passed=True)
-    text = pages.page([_row(), burst], None, ["plots/steady-lagos-80-8.svg"])
+    text = pages.page([_row(), burst], ["plots/steady-lagos-80-8.svg"])
     assert "`owners` kept every limit in 1 of 2 runs" in text
     assert "2200 jobs, 0 wrong answers." in text
     assert "| lagos | 80% | 8 | owners | 1100 | 1.010 | 1.000 | 1.900 | 1.500 |" in text
@@ -56,7 +56,7 @@
 
 def test_baselines_stand_below_the_chosen_policy_and_miss_no_limit_of_it():
     rows = [_row(policy="random"), _row(limits=[], passed=True)]
-    text = pages.page(rows, None, [])
+    text = pages.page(rows, [])
     assert text.index("| 8 | owners |") < text.index("| 8 | random |")
     assert "`owners` kept every limit in 1 of 1 runs" in text
     assert "None under `owners`." in text
@@ -65,7 +65,8 @@
 def test_the_same_report_gives_the_same_page_and_plots(tmp_path):
     written = []
     for name in ("first", "second"):
-        pages.write([_row(), _row(policy="random")], None, tmp_path / name / "results.md")
+        rows = [_row(), _row(policy="random")]
+        pages.write(tmp_path / name / "results.md", rows, control=None, report=None)
         files = sorted(path for path in (tmp_path / name).rglob("*") if path.is_file())
         written.append([(path.name, path.read_bytes()) for path in files])
     assert written[0] == written[1]
@@ -103,7 +104,7 @@
             )
         ],
     )
-    text = pages.page([_row(limits=[], passed=True)], report, [])
+    text = pages.page([_row(limits=[], passed=True)], [], report=report)
     assert "| 8 | 2000 | 2500 | 400 | 60 |" in text
     assert "10000 tasks in progress holds 150 MB" in text
     assert "1.00% of a core on average and 2.00% at most" in text
