Move the callers' resources out of their server

No behaviour changes; the tests of both are as before, but for the module that test_reference_pages takes the HTTP statuses from.

--- /dev/null
+++ b/packages/node/chiveridge_node/caller_resources.py
@@ -0,0 +1,251 @@
+"""Resources of the callers' port: what each path answers, in falcon's terms."""
+
+import math
+import re
+
+import falcon
+import falcon.asgi
+import msgspec
+import prometheus_client
+
+from chiveridge_kernel import errors, identifiers, jobchecks, messages, peers, results
+from chiveridge_node import logevents, requests
+
+_MAX_QUOTED = 100
+_WAIT_PATTERN = re.compile("[0-9]{1,9}")
+
+_HTTP_STATUS_BY_CODE = {
+    results.ResultCode.ACCEPTED: 202,
+    results.ResultCode.TOO_LARGE: 413,
+    results.ResultCode.BAD_CREDENTIALS: 401,
+    results.ResultCode.UNKNOWN_SUBMISSION: 404,
+    results.ResultCode.NO_SUCH_PAGE: 404,
+    results.ResultCode.SUBMISSION_ID_REUSED: 409,
+    results.ResultCode.QUOTA_EXCEEDED: 429,
+    results.ResultCode.INTERNAL_ERROR: 500,
+}
+_HTTP_STATUS_BY_CLASS = {0: 200, 1: 400, 2: 403, 3: 503, 4: 410}
+
+
+def http_status(code: results.ResultCode, refused: bool = True) -> int:
+    """Return the HTTP status for a result code; the answer to a failed job is a successful reply.
+
+    A refusal never gets a status of success, so that it is not taken for an answer.
+    """
+    if not refused and code // 1000 == 4:
+        return 200
+    return _HTTP_STATUS_BY_CODE.get(code, _HTTP_STATUS_BY_CLASS[code // 1000])
+
+
+def new_app(node) -> falcon.asgi.App:
+    """Return the application that serves the callers of a node."""
+    app = falcon.asgi.App(middleware=[_ConnectionCloser(node), _RefusalCounter(node)])
+    app.add_route("/v1/submission-ids", _IdsResource(node))
+    app.add_route("/v1/jobs", _JobsResource(node))
+    app.add_route("/v1/jobs/{submission_id}", _JobResource(node))
+    app.add_route("/v1/status", _StatusResource(node))
+    app.add_route("/healthz", _HealthResource())
+    app.add_route("/readyz", _ReadyResource(node))
+    app.add_route("/metrics", _MetricsResource(node))
+    app.add_error_handler(errors.RefusedError, _refuse)
+    app.add_error_handler(falcon.HTTPError, _refuse_http)
+    app.add_error_handler(Exception, _fail)
+    return app
+
+
+class _IdsResource:
+    def __init__(self, node):
+        self._node = node
+
+    async def on_post(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        team = _authenticate(self._node, req, results.TaskOutcome.NOT_RUN)
+        _write(resp, self._node.requests.issue_ids(team, await _read_body(req)))
+
+
+class _JobsResource:
+    def __init__(self, node):
+        self._node = node
+
+    async def on_post(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        body = await _read_body(req)
+        team = self._team_of(req, body)
+        submission_id = messages.decode_submission(body).submission_id
+        wait_ms = self._wait_ms(req, team, body)
+        reply = await self._node.requests.perform(
+            peers.Operation.SUBMIT, team, submission_id, body, wait_ms
+        )
+        _write(resp, reply)
+
+    def _team_of(self, req: falcon.asgi.Request, body: bytes) -> identifiers.TeamName:
+        try:
+            return _authenticate(self._node, req)
+        except errors.RefusedError as error:
+            if error.code is not results.ResultCode.BAD_CREDENTIALS:
+                raise
+            team = _credential(req).partition(".")[0]
+            raise self._node.requests.refuse_unused(error, team, body) from error
+
+    def _wait_ms(self, req: falcon.asgi.Request, team: identifiers.TeamName, body: bytes) -> int:
+        try:
+            return _wait_ms(req)
+        except errors.RefusedError as error:
+            raise self._node.requests.refuse_unused(error, team, body) from error
+
+
+class _JobResource:
+    def __init__(self, node):
+        self._node = node
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, submission_id: str
+    ) -> None:
+        await self._perform(peers.Operation.ASK, req, resp, submission_id)
+
+    async def on_delete(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, submission_id: str
+    ) -> None:
+        await self._perform(peers.Operation.CANCEL, req, resp, submission_id)
+
+    async def _perform(self, operation, req, resp, submission_id: str) -> None:
+        team = _authenticate(self._node, req)
+        reply = await self._node.requests.perform(
+            operation, team, submission_id, wait_ms=_wait_ms(req)
+        )
+        _write(resp, reply)
+
+
+class _HealthResource:
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        resp.text = "ok\n"
+
+
+class _ReadyResource:
+    def __init__(self, node):
+        self._node = node
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        ready = self._node.kernel.is_ready()
+        resp.status = 200 if ready else 503
+        resp.text = "ready\n" if ready else "not ready\n"
+
+
+class _MetricsResource:
+    def __init__(self, node):
+        self._node = node
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        resp.content_type = prometheus_client.CONTENT_TYPE_LATEST
+        resp.data = self._node.metrics.text()
+
+
+class _StatusResource:
+    def __init__(self, node):
+        self._node = node
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        resp.content_type = falcon.MEDIA_JSON
+        resp.data = msgspec.json.encode(self._node.status())
+
+
+class _ConnectionCloser:
+    """Closes the connection after each reply of a node that stops.
+
+    A connection accepted while the port closes would otherwise stay open for its next request.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    async def process_response(self, req, resp, resource, req_succeeded: bool) -> None:
+        if self._node.kernel.draining:
+            resp.set_header("Connection", "close")
+
+
+class _RefusalCounter:
+    """Counts the refusals that are told to callers."""
+
+    def __init__(self, node):
+        self._node = node
+
+    async def process_response(self, req, resp, resource, req_succeeded: bool) -> None:
+        code = getattr(resp.context, "code", None)
+        if code is not None and resp.status_code >= 400:
+            self._node.metrics.note_refusal(code)
+
+
+def _authenticate(
+    node, req: falcon.asgi.Request, ran: results.TaskOutcome = results.TaskOutcome.UNKNOWN
+) -> identifiers.TeamName:
+    """Return the calling team; ``ran`` is what a refusal says of the request's tasks.
+
+    The configuration in force here may lag behind that of the node which issued a submission
+    id, so a bad key is no proof that nothing ran under the id.
+
+    :raises errors.RefusedError: when the credential is missing or wrong, or can't be
+        checked because there is no configuration yet.
+    """
+    if not node.kernel.configuration.offset:
+        message = "this node has no configuration yet; ask another node"
+        code = results.ResultCode.NOT_READY
+        raise errors.RefusedError(code, message, jobchecks.RETRY_AFTER_MS, ran)
+    team = node.kernel.configuration.authenticate(_credential(req))
+    if team is None:
+        message = "Authorization: no team has this key"
+        raise errors.RefusedError(results.ResultCode.BAD_CREDENTIALS, message, ran=ran)
+    return team
+
+
+async def _read_body(req: falcon.asgi.Request) -> bytes:
+    limit = messages.MAX_SUBMISSION_BYTES
+    body = b""
+    if (req.content_length or 0) <= limit:
+        body = await req.stream.read(limit + 1)
+    if max(req.content_length or 0, len(body)) > limit:
+        message = f"the body is over the limit of {limit} bytes"
+        raise errors.RefusedError(results.ResultCode.TOO_LARGE, message)
+    return body
+
+
+def _credential(req: falcon.asgi.Request) -> str:
+    """Return the credential that a request bears, or an empty text."""
+    scheme, _, credential = (req.auth or "").partition(" ")
+    return credential.strip() if scheme.lower() == "bearer" else ""
+
+
+def _wait_ms(req: falcon.asgi.Request) -> int:
+    text = req.get_param("wait_ms", default="0")
+    if not _WAIT_PATTERN.fullmatch(text) or int(text) > requests.MAX_WAIT_MS:
+        message = (
+            f"wait_ms: {text[:_MAX_QUOTED]!r} is not a number from 0 to {requests.MAX_WAIT_MS}"
+        )
+        raise errors.RefusedError(
+            results.ResultCode.INVALID_FIELD, message, ran=results.TaskOutcome.UNKNOWN
+        )
+    return int(text)
+
+
+def _write(resp: falcon.asgi.Response, reply: requests.Reply) -> None:
+    resp.status = http_status(reply.code, reply.refused)
+    resp.context.code = reply.code
+    resp.content_type = falcon.MEDIA_JSON
+    resp.data = reply.body
+    if reply.retry_after_ms is not None:
+        resp.set_header("Retry-After", str(math.ceil(reply.retry_after_ms / 1000)))
+
+
+async def _refuse(req, resp, error: errors.RefusedError, params) -> None:
+    _write(resp, requests.refused(error))
+
+
+async def _refuse_http(req, resp, error: falcon.HTTPError, params) -> None:
+    code = results.ResultCode.NO_SUCH_PAGE if error.status_code == 404 else None
+    code = code or results.ResultCode.MALFORMED
+    message = error.description or error.title
+    _write(resp, requests.refused(errors.RefusedError(code, f"{req.path}: {message}")))
+    resp.status = error.status
+
+
+async def _fail(req, resp, error: Exception, params) -> None:
+    logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, path=req.path)
+    message = "internal error; ask for the outcome with the same submission id"
+    _write(resp, requests.unknown(results.ResultCode.INTERNAL_ERROR, message))
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -8,7 +8,7 @@
 import pytest
 
 from chiveridge_kernel import messages, results
-from chiveridge_node import callers_http, logevents, mains, nodes, settings
+from chiveridge_node import caller_resources, logevents, mains, nodes, settings
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 SECTION_DOC = "### [{}]"
@@ -32,7 +32,7 @@
 def test_a_result_code_has_its_http_status(row):
     code = results.ResultCode(int(row[0]))
     is_answer = row[3] == "per task"
-    assert int(row[4]) == callers_http.http_status(code, refused=not is_answer)
+    assert int(row[4]) == caller_resources.http_status(code, refused=not is_answer)
 
 
 def test_every_log_event_has_its_row():
