--- a/packages/node/chiveridge_node/caller_resources.py
+++ b/packages/node/chiveridge_node/caller_resources.py
@@ -9,7 +9,7 @@
 import prometheus_client
 
 from chiveridge_kernel import errors, identifiers, jobchecks, messages, peers, results
-from chiveridge_node import logevents, requests
+from chiveridge_node import logevents, replies, requests
 
 _MAX_QUOTED = 100
 _WAIT_PATTERN = re.compile("[0-9]{1,9}")
@@ -224,7 +224,7 @@
     return int(text)
 
 
-def _write(resp: falcon.asgi.Response, reply: requests.Reply) -> None:
+def _write(resp: falcon.asgi.Response, reply: replies.Reply) -> None:
     resp.status = http_status(reply.code, reply.refused)
     resp.context.code = reply.code
     resp.content_type = falcon.MEDIA_JSON
@@ -234,18 +234,18 @@
 
 
 async def _refuse(req, resp, error: errors.RefusedError, params) -> None:
-    _write(resp, requests.refused(error))
+    _write(resp, replies.refused(error))
 
 
 async def _refuse_http(req, resp, error: falcon.HTTPError, params) -> None:
     code = results.ResultCode.NO_SUCH_PAGE if error.status_code == 404 else None
     code = code or results.ResultCode.MALFORMED
     message = error.description or error.title
-    _write(resp, requests.refused(errors.RefusedError(code, f"{req.path}: {message}")))
+    _write(resp, replies.refused(errors.RefusedError(code, f"{req.path}: {message}")))
     resp.status = error.status
 
 
 async def _fail(req, resp, error: Exception, params) -> None:
     logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, path=req.path)
     message = "internal error; ask for the outcome with the same submission id"
-    _write(resp, requests.unknown(results.ResultCode.INTERNAL_ERROR, message))
+    _write(resp, replies.unknown(results.ResultCode.INTERNAL_ERROR, message))
--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -5,8 +5,6 @@
 import datetime
 import hashlib
 
-import msgspec
-
 from chiveridge_kernel import (
     actions,
     answers,
@@ -21,25 +19,15 @@
     results,
     submissions,
 )
-from chiveridge_node import forwards, shells
+from chiveridge_node import forwards, replies, shells
 
 MAX_WAIT_MS = 300_000
-RETRY_AFTER_MS = 1000
 CANCEL_WAIT_MS = dispatchers.START_WINDOW // datetime.timedelta(milliseconds=1)
 """Longest time in which the issuer finds out whether a start of a cancelled job still begins."""
 
 _DIGEST_BYTES = 16
 
 
-class Reply(msgspec.Struct, frozen=True, kw_only=True):
-    """What a caller is told: a result code and a JSON body, an answer or a refusal."""
-
-    code: results.ResultCode
-    body: bytes
-    retry_after_ms: int | None = None
-    refused: bool = False
-
-
 class Requests:
     """Serves submit, ask and cancel; ``forwarder`` has others serve a request."""
 
@@ -62,14 +50,14 @@
         if waiting is not None:
             waiting.set()
 
-    def issue_ids(self, team: identifiers.TeamName, body: bytes) -> Reply:
+    def issue_ids(self, team: identifiers.TeamName, body: bytes) -> replies.Reply:
         """Issue submission ids."""
         try:
             count = messages.decode_ids_request(body).count
             answer = self._kernel.admissions.issue(team, count, self._shell.clock.now())
         except errors.RefusedError as error:
-            return refused(error)
-        return Reply(code=answer.code, body=messages.encoder.encode(answer))
+            return replies.refused(error)
+        return replies.Reply(code=answer.code, body=messages.encoder.encode(answer))
 
     def refuse_unused(
         self, error: errors.RefusedError, team: str, body: bytes
@@ -94,7 +82,7 @@
         submission_id: str,
         body: bytes = b"",
         wait_ms: int = 0,
-    ) -> Reply:
+    ) -> replies.Reply:
         """Serve a request, or have the issuer of the id serve it."""
         try:
             issued = submissions.parse(submission_id)
@@ -106,7 +94,7 @@
                 issued, operation, team, submission_id, body, wait_ms
             )
         except errors.RefusedError as error:
-            return refused(error)
+            return replies.refused(error)
 
     async def perform_here(
         self,
@@ -116,7 +104,7 @@
         body: bytes,
         wait_ms: int,
         arrived_at: datetime.datetime,
-    ) -> Reply:
+    ) -> replies.Reply:
         """Serve a request whose id this incarnation issued."""
         try:
             _OPERATIONS[operation](self, team, submission_id, body, arrived_at)
@@ -124,7 +112,7 @@
                 await self._until_stopped(identifiers.SubmissionId(submission_id))
             return await self._answer(team, identifiers.SubmissionId(submission_id), wait_ms)
         except errors.RefusedError as error:
-            return refused(error)
+            return replies.refused(error)
 
     def _submit(
         self,
@@ -168,7 +156,7 @@
 
     async def _answer(
         self, team: identifiers.TeamName, submission_id: identifiers.SubmissionId, wait_ms: int
-    ) -> Reply:
+    ) -> replies.Reply:
         found = self._find(team, submission_id)
         if isinstance(found, jobs.Job) and wait_ms > 0:
             ended = self._answered_by_id.setdefault(submission_id, asyncio.Event())
@@ -178,14 +166,14 @@
         if isinstance(found, jobs.Job):
             return self._running(found)
         self._kernel.answers.note_fetched(submission_id)
-        return Reply(code=found.code, body=found.body)
+        return replies.Reply(code=found.code, body=found.body)
 
     def _find(
         self, team: identifiers.TeamName, submission_id: identifiers.SubmissionId
     ) -> answers.KeptAnswer | jobs.Job:
         return self._kernel.admissions.find(submission_id, team, self._shell.clock.now())
 
-    def _running(self, job: jobs.Job) -> Reply:
+    def _running(self, job: jobs.Job) -> replies.Reply:
         code = results.ResultCode.ACCEPTED
         answer = messages.JobAnswer(
             submission_id=job.submission_id,
@@ -194,7 +182,7 @@
             name=code.name,
             elapsed_ms=clocks.to_ms(self._shell.clock.now() - job.arrived_at),
         )
-        return Reply(code=code, body=messages.encoder.encode(answer))
+        return replies.Reply(code=code, body=messages.encoder.encode(answer))
 
     async def _perform_at_issuer(
         self,
@@ -204,7 +192,7 @@
         submission_id: str,
         body: bytes,
         wait_ms: int,
-    ) -> Reply:
+    ) -> replies.Reply:
         handed = self._handed_over(team, submission_id)
         if handed is not None:
             return handed
@@ -225,8 +213,8 @@
         if isinstance(reply, forwards.NoReply):
             handed = self._handed_over(team, submission_id)
             left = None if handed else await self.forwarder.ask_near(issued, request)
-            return handed or (_reply_of(left) if left else _no_reply(reply, issued))
-        return _reply_of(reply)
+            return handed or (replies.of_peer(left) if left else replies.of_no_reply(reply, issued))
+        return replies.of_peer(reply)
 
     async def _reply_of_issuer(
         self, issued: submissions.IssuedId, request: peers.CallerRequest
@@ -236,7 +224,7 @@
         verdict = forwards.verdict_on(issued, self._kernel.settings.incarnation)
         return verdict or forwards.NoReply.GONE
 
-    def _handed_over(self, team: identifiers.TeamName, submission_id: str) -> Reply | None:
+    def _handed_over(self, team: identifiers.TeamName, submission_id: str) -> replies.Reply | None:
         """Return what a stopped issuer left about an id, or None."""
         found = self._kernel.handovers.find(
             identifiers.SubmissionId(submission_id), team, self._shell.clock.now()
@@ -244,7 +232,7 @@
         if found is None:
             return None
         self._kernel.answers.note_fetched(identifiers.SubmissionId(submission_id))
-        return Reply(code=found.code, body=found.body)
+        return replies.Reply(code=found.code, body=found.body)
 
     async def serve_peer(self, request: peers.CallerRequest) -> peers.CallerReply:
         """Serve a request that another node forwarded here."""
@@ -257,13 +245,13 @@
             refused=reply.refused,
         )
 
-    async def _reply_to_peer(self, request: peers.CallerRequest) -> Reply:
+    async def _reply_to_peer(self, request: peers.CallerRequest) -> replies.Reply:
         try:
             issued = submissions.parse(request.submission_id)
             if issued.incarnation != self._kernel.settings.incarnation:
                 return self._reply_for_other(issued, request)
         except errors.RefusedError as error:
-            return refused(error)
+            return replies.refused(error)
         # The clocks of the nodes may differ a little; an arrival in the future counts as now.
         arrived_at = min(self._shell.arrival(), clocks.from_epoch_ms(request.arrived_at_ms))
         return await self.perform_here(
@@ -275,15 +263,17 @@
             arrived_at,
         )
 
-    def _reply_for_other(self, issued: submissions.IssuedId, request: peers.CallerRequest) -> Reply:
+    def _reply_for_other(
+        self, issued: submissions.IssuedId, request: peers.CallerRequest
+    ) -> replies.Reply:
         """Reply for an id that another incarnation, or another node, has issued."""
         handed = self._handed_over(request.team, request.submission_id)
         if handed is not None:
             return handed
         if issued.node != self._kernel.settings.node:
-            return _no_reply(forwards.NoReply.UNREACHABLE, issued)
+            return replies.of_no_reply(forwards.NoReply.UNREACHABLE, issued)
         verdict = forwards.verdict_on(issued, self._kernel.settings.incarnation)
-        return _no_reply(verdict or forwards.NoReply.GONE, issued)
+        return replies.of_no_reply(verdict or forwards.NoReply.GONE, issued)
 
 
 _OPERATIONS = {
@@ -293,55 +283,6 @@
 }
 
 
-_CODES_BY_REASON = {
-    forwards.NoReply.EXPIRED: results.ResultCode.SUBMISSION_ID_EXPIRED,
-    forwards.NoReply.GONE: results.ResultCode.ISSUER_GONE,
-    forwards.NoReply.UNREACHABLE: results.ResultCode.ISSUER_UNREACHABLE,
-}
-
-_MESSAGES_BY_REASON = {
-    forwards.NoReply.EXPIRED: "submission_id: it has expired",
-    forwards.NoReply.GONE: (
-        "node {node!r}, which issued the id, was replaced; nothing more of it will start"
-    ),
-    forwards.NoReply.UNREACHABLE: (
-        "node {node!r}, which issued the id, cannot be reached; ask again with the same id"
-    ),
-}
-
-
-def refused(error: errors.RefusedError) -> Reply:
-    """Return the reply that tells of a refusal."""
-    return Reply(
-        code=error.code,
-        body=messages.encoder.encode(messages.refusal_of(error)),
-        retry_after_ms=error.retry_after_ms,
-        refused=True,
-    )
-
-
-def unknown(code: results.ResultCode, message: str, retry_after_ms: int | None = None) -> Reply:
-    """Return the reply to a request of which it is not known whether it ran."""
-    unknown_outcome = results.TaskOutcome.UNKNOWN
-    return refused(errors.RefusedError(code, message, retry_after_ms, unknown_outcome))
-
-
 def _check_unexpired(issued: submissions.IssuedId, now: datetime.datetime) -> None:
     if issued.expires_at_ms <= clocks.to_epoch_ms(now):
         raise submissions.expired()
-
-
-def _reply_of(reply: peers.CallerReply) -> Reply:
-    return Reply(
-        code=reply.code,
-        body=reply.body,
-        retry_after_ms=reply.retry_after_ms,
-        refused=reply.refused,
-    )
-
-
-def _no_reply(reason: forwards.NoReply, issued: submissions.IssuedId) -> Reply:
-    code = _CODES_BY_REASON[reason]
-    message = _MESSAGES_BY_REASON[reason].format(node=issued.node)
-    retry_after_ms = RETRY_AFTER_MS if reason is forwards.NoReply.UNREACHABLE else None
-    return unknown(code, message, retry_after_ms)
