--- a/tests/integration/test_unreachable_targets.py
+++ b/tests/integration/test_unreachable_targets.py
@@ -67,7 +67,6 @@
             await proxy.heal()
             await deployed.until(lambda: has_starts(deployed, CUT))
             await load.stop()
-    print("refused starts:", settled, later - settled)
     assert 0 < settled <= NODES * SLOTS
     assert later == settled
     assert load.codes == {results.ResultCode.COMPLETE}
