Let a new keeper of a limit grant once all holders follow it

Cause: a keeper waited one lease before its first grant, as grants of an earlier keeper may hold. At 18 nodes and 160 limited teams a lease is 91 s, so that the teams of a node that stopped or came back started nothing for long.

Now a new keeper asks every node of the domain that may hold starts (a grant with sequence 0), and grants as soon as each of them follows it; the lease bounds the wait for those that are silent. Serials never come twice from a process, so that a report which follows an earlier term of the same node is told from one that follows this one. A node that drains keeps no limit and tells at its end that it has ended (a field of the heartbeat), so that nobody waits for it. Questions, their answers and the first grants go ahead of the rest, up to 8 KiB over the budget, and what is spent so is saved afterwards. A process that was paused gives up its grants and its keepers.

Not mended here: a node that joins as a holder makes the others of a team lose what they have for a while.

--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -89,6 +89,7 @@
 @handle.register(events.ProcessPaused)
 def _(event: events.ProcessPaused, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.target_table.doubt(now)
+    kernel.dispatcher.limiter.give_up_grants()
 
 
 @handle.register(events.PeerMessageReceived)
--- a/packages/kernel/chiveridge_kernel/heartbeats.py
+++ b/packages/kernel/chiveridge_kernel/heartbeats.py
@@ -59,6 +59,7 @@
         self.interval = settings.interval
         self.endpoint: peers.Endpoint | None = None
         self.leaving = False
+        self._exited = False
         self.offset = 0
         self.stale_count = 0
 
@@ -114,10 +115,18 @@
     def farewell(self) -> list[actions.Action]:
         """Tell the domain that this node leaves."""
         self.leaving = True
+        return self._to_domain()
+
+    def exit(self) -> list[actions.Action]:
+        """Tell the domain that this node has ended all tasks and starts no more."""
+        self._exited = True
+        return self._to_domain()
+
+    def _to_domain(self) -> list[actions.Action]:
         return [self._heartbeat(member) for member in self._table.others_in_domain()]
 
     def _round(self) -> list[actions.Action]:
-        found = [self._heartbeat(member) for member in self._table.others_in_domain()]
+        found = self._to_domain()
         outside = self._table.others_outside()
         self._turn += 1
         if outside and self._turn % ROUNDS_PER_OUTSIDE_PARTNER == 0:
@@ -142,6 +151,7 @@
             echo=member.received,
             offset=self.offset,
             leaving=self.leaving,
+            exited=self._exited,
             # The first exchange is answered at once, so that a new node is known at once.
             reply_wanted=reply_wanted or member.incarnation is None,
             endpoint=self._announced_to(member),
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -134,6 +134,7 @@
     def drain(self, forced: bool, now: datetime.datetime) -> None:
         """Take no new jobs; with ``forced``, end those in progress as failed."""
         self.draining = True
+        self.members.leave()
         self.dispatcher.outbox.extend(self.heartbeats.farewell())
         if forced:
             message = "the node was told to stop at once"
@@ -150,6 +151,7 @@
         done = self.take_actions()
         if self._leaving is None:
             self._leaving = self._new_handover(now)
+            done += self.heartbeats.exit()
         self._leaving.aim_at(handovers.choose_peers(self.members))
         silent = self._leaving.take_silent(now)
         done += [actions.DisconnectPeer(peer=vm) for vm in silent]
--- a/packages/kernel/chiveridge_kernel/limit_exchanges.py
+++ b/packages/kernel/chiveridge_kernel/limit_exchanges.py
@@ -2,7 +2,7 @@
 
 import datetime
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from chiveridge_kernel import (
     actions,
@@ -99,7 +99,7 @@
         sequence = self.next_sequence()
         reports = [
             self.new_report(team, now, sequence)
-            for team in self._teams_to_report(node, pending.teams, now)
+            for team in self._teams_to_report(node, pending, now)
         ]
         for batch in limit_batches.pack(reports, pending.grants.values()):
             byte_count = len(peers.encode(batch)) + heartbeats.WIRE_BYTES_PER_MESSAGE
@@ -109,13 +109,14 @@
     def _teams_to_report(
         self,
         node: identifiers.NodeName,
-        wanted: Collection[identifiers.TeamName],
+        pending: limit_outboxes.Pending,
         now: datetime.datetime,
     ) -> list[identifiers.TeamName]:
         """Return the teams that wait and, as a message goes anyway, those that are due soon."""
-        soon = now + limit_shares.RENEW_INTERVAL * self.scale * PIGGYBACK_SHARE
+        early = limit_shares.RENEW_INTERVAL * self.scale * PIGGYBACK_SHARE
+        soon = clocks.EPOCH if pending.is_urgent else now + early
         return [
             team
             for team, share in self._shares_by_team.items()
-            if share.keeper == node and (team in wanted or share.report_at <= soon)
+            if share.keeper == node and (team in pending.teams or share.report_at <= soon)
         ]
--- a/packages/kernel/chiveridge_kernel/limit_keepers.py
+++ b/packages/kernel/chiveridge_kernel/limit_keepers.py
@@ -3,6 +3,8 @@
 import datetime
 import functools
 import hashlib
+import itertools
+from collections.abc import Collection, Iterator
 
 import msgspec
 
@@ -41,7 +43,10 @@
 class Keeper:
     """Grants for one team; what all holders may have together stays within the limit.
 
-    Nothing is granted for the first ``lease``, as grants of an earlier keeper may hold.
+    Grants of an earlier keeper may hold, so nothing is granted until every node of ``awaited``
+    follows this one, or for the first ``lease``. Serials never come twice from a process: a
+    holder follows this keeper, and not an earlier one of the same process, when it has seen one
+    that is not below the first.
     """
 
     def __init__(
@@ -51,7 +56,12 @@
         incarnation: identifiers.Incarnation,
         now: datetime.datetime,
         lease: datetime.timedelta = LEASE,
+        awaited: Collection[identifiers.NodeName] | None = None,
+        serials: Iterator[int] | None = None,
     ):
+        self._serials = itertools.count() if serials is None else serials
+        self._first_serial = next(self._serials)
+        self._awaited = None if awaited is None else set(awaited)
         self._team = team
         self._node = node
         self._incarnation = incarnation
@@ -63,13 +73,62 @@
     ) -> list[tuple[identifiers.NodeName, limit_terms.LimitGrant]]:
         """Take a holder's report; return grants by the node that each is for."""
         holder = (report.sender, report.incarnation)
-        account = self._accounts_by_holder.setdefault(holder, Account(now))
+        account = self._accounts_by_holder.setdefault(
+            holder, Account(now, serial=self._first_serial)
+        )
         if report.sequence <= account.sequence:
             return []
         self._update(account, report, limit, now)
         self._forget_silent(now)
-        changed = self._divide(limit) if now >= self._quiet_until else set()
-        return [self._grant(each) for each in changed | {holder}]
+        if not self.is_quiet(now):
+            return [self._grant(each) for each in self._divide(limit) | {holder}]
+        # Those awaited are asked by the node, all at once.
+        is_asked = self._follows(report) or report.sender in self.awaited()
+        return [] if is_asked else [(report.sender, self.ask())]
+
+    def is_quiet(self, now: datetime.datetime) -> bool:
+        """Tell whether grants of an earlier keeper may still hold."""
+        return now < self._quiet_until
+
+    def awaited(self) -> frozenset[identifiers.NodeName]:
+        """Return the nodes that are not known to follow this keeper."""
+        return frozenset(self._awaited or ())
+
+    def follow_members(
+        self,
+        present: Collection[identifiers.NodeName],
+        exited: Collection[identifiers.NodeName],
+        limit: int,
+        now: datetime.datetime,
+    ) -> list[tuple[identifiers.NodeName, limit_terms.LimitGrant]]:
+        """Await nobody that is not present, forget who has exited; return grants to give."""
+        for holder in [each for each in self._accounts_by_holder if each[0] in exited]:
+            del self._accounts_by_holder[holder]
+        self._cease_awaiting(self.awaited() - set(present), now)
+        return [] if self.is_quiet(now) else [self._grant(each) for each in self._divide(limit)]
+
+    def ask(self) -> limit_terms.LimitGrant:
+        """Return what asks a node to give up grants of an earlier keeper and to report."""
+        return limit_terms.LimitGrant(
+            sender=self._node,
+            incarnation=self._incarnation,
+            holder_incarnation=identifiers.Incarnation(""),
+            team=self._team,
+            sequence=limit_terms.ASK_SEQUENCE,
+            serial=self._first_serial,
+            allowed=0,
+        )
+
+    def _follows(self, report: limit_terms.LimitReport) -> bool:
+        return report.keeper_seen == self._incarnation and report.serial_seen >= self._first_serial
+
+    def _cease_awaiting(
+        self, names: Collection[identifiers.NodeName], now: datetime.datetime
+    ) -> None:
+        if self._awaited is not None:
+            self._awaited.difference_update(names)
+            if not self._awaited:
+                self._quiet_until = min(self._quiet_until, now)
 
     def _update(
         self, account: Account, report: limit_terms.LimitReport, limit: int, now: datetime.datetime
@@ -81,10 +140,11 @@
         account.wanted = report.wanted
         # A holder may use all that an earlier keeper lends until it is seen to follow this one;
         # a report that was long on its way may be from before it had anything.
-        follows_this = report.keeper_seen == self._incarnation
+        follows_this = self._follows(report)
         account.reserved = 0 if follows_this else limit
         if follows_this:
             account.forget_older_grants(report.serial_seen)
+            self._cease_awaiting([report.sender], now)
 
     def holder_count(self) -> int:
         """Return how many holders are known."""
@@ -108,7 +168,7 @@
         allowed = max(0, min(share, room))
         if allowed == account.allowed or len(account.unseen_by_serial) >= MAX_UNSEEN_GRANTS:
             return False
-        account.serial += 1
+        account.serial = next(self._serials)
         account.allowed = allowed
         account.unseen_by_serial[account.serial] = allowed
         return True
@@ -148,6 +208,8 @@
         name = self._names_by_team.get(team)
         if name is None:
             names = self._members.live_names(self._members.own_domain)
+            if self._members.is_leaving and len(names) > 1:
+                names = [each for each in names if each != self._members.own_name]
             name = max(names, key=functools.partial(_weight, team))
             self._names_by_team[team] = name
         return name
--- a/packages/kernel/chiveridge_kernel/limit_outboxes.py
+++ b/packages/kernel/chiveridge_kernel/limit_outboxes.py
@@ -25,9 +25,15 @@
 """A lease outlasts a report, its answer and the next report, each of which may take a round."""
 
 
+MAX_DEBT_BYTES = 8192
+"""Bytes by which messages at a change of keepers may be early; those after them wait longer."""
+
+
 class Pending(msgspec.Struct):
     """What waits for a peer: teams to report of, and the last grant of each holder and team."""
 
+    is_urgent: bool = False
+
     teams: set[identifiers.TeamName] = msgspec.field(default_factory=set)
     grants: dict[tuple[identifiers.Incarnation, identifiers.TeamName], limit_terms.LimitGrant] = (
         msgspec.field(default_factory=dict)
@@ -40,29 +46,36 @@
     def __init__(self):
         self.bytes_per_second: float = CONTROL_BYTES_PER_SECOND
         self._pending_by_node: dict[identifiers.NodeName, Pending] = {}
+        self._urgent_by_node: dict[identifiers.NodeName, Pending] = {}
         self._allowance = float(BURST_BYTES)
         self._counted_at: datetime.datetime | None = None
 
-    def add_report(self, node: identifiers.NodeName, team: identifiers.TeamName) -> None:
+    def add_report(
+        self, node: identifiers.NodeName, team: identifiers.TeamName, *, is_urgent: bool = False
+    ) -> None:
         """Let a keeper be told of a team."""
-        self._pending(node).teams.add(team)
+        self._pending(node, is_urgent).teams.add(team)
 
-    def add_grant(self, node: identifiers.NodeName, grant: limit_terms.LimitGrant) -> None:
+    def add_grant(
+        self, node: identifiers.NodeName, grant: limit_terms.LimitGrant, *, is_urgent: bool = False
+    ) -> None:
         """Let a holder have a grant; it replaces one that still waits."""
-        self._pending(node).grants[grant.holder_incarnation, grant.team] = grant
+        grants = self._pending(node, is_urgent).grants
+        grants[grant.holder_incarnation, grant.team] = grant
 
     def has_report(self, node: identifiers.NodeName, team: identifiers.TeamName) -> bool:
         """Tell whether a report still waits."""
-        pending = self._pending_by_node.get(node)
-        return pending is not None and team in pending.teams
+        waiting = (each.get(node) for each in (self._pending_by_node, self._urgent_by_node))
+        return any(pending is not None and team in pending.teams for pending in waiting)
 
     def take(self, now: datetime.datetime) -> tuple[identifiers.NodeName, Pending] | None:
         """Return the peer whose turn it is, with what waits for it, if the budget allows."""
         self._count(now)
-        if not self._pending_by_node or self._allowance <= 0:
+        queue = self._next_queue()
+        if queue is None:
             return None
-        node = next(iter(self._pending_by_node))
-        return node, self._pending_by_node.pop(node)
+        node = next(iter(queue))
+        return node, queue.pop(node)
 
     def spend(self, byte_count: int) -> None:
         """Note the bytes of a message that was sent."""
@@ -70,16 +83,23 @@
 
     def next_at(self) -> datetime.datetime | None:
         """Return when something that waits may be sent."""
-        if not self._pending_by_node:
+        if not self._pending_by_node and not self._urgent_by_node:
             return None
-        if self._counted_at is None or self._allowance > 0:
+        if self._counted_at is None or self._next_queue() is not None:
             return clocks.EPOCH
-        # A microsecond more, as the allowance must be over 0.
-        needed = -self._allowance / self.bytes_per_second
+        # A microsecond more, as the allowance must be over the least.
+        least = -MAX_DEBT_BYTES if self._urgent_by_node else 0
+        needed = (least - self._allowance) / self.bytes_per_second
         return self._counted_at + datetime.timedelta(seconds=needed, microseconds=1)
 
-    def _pending(self, node: identifiers.NodeName) -> Pending:
-        return self._pending_by_node.setdefault(node, Pending())
+    def _next_queue(self) -> dict[identifiers.NodeName, Pending] | None:
+        if self._urgent_by_node and self._allowance > -MAX_DEBT_BYTES:
+            return self._urgent_by_node
+        return self._pending_by_node if self._pending_by_node and self._allowance > 0 else None
+
+    def _pending(self, node: identifiers.NodeName, is_urgent: bool) -> Pending:
+        queue = self._urgent_by_node if is_urgent else self._pending_by_node
+        return queue.setdefault(node, Pending(is_urgent))
 
     def _count(self, now: datetime.datetime) -> None:
         elapsed = now - (self._counted_at or now)
--- a/packages/kernel/chiveridge_kernel/limit_shares.py
+++ b/packages/kernel/chiveridge_kernel/limit_shares.py
@@ -10,6 +10,7 @@
 ASK_AGAIN_INTERVAL = datetime.timedelta(milliseconds=500)
 IDLE_REPORT_DELAY = datetime.timedelta(milliseconds=200)
 MAX_REPORTS_KEPT = 16
+NO_GRANT = ("", 0)
 
 
 class Share(msgspec.Struct, kw_only=True):
@@ -25,7 +26,7 @@
     wanted: int = 0
     allowed: int = 0
     valid_until: datetime.datetime = clocks.EPOCH
-    last_grant: tuple[str, int] = ("", 0)
+    last_grant: tuple[str, int] = NO_GRANT
     report_at: datetime.datetime = clocks.EPOCH
     lease_end_by_sequence: dict[int, datetime.datetime] = msgspec.field(default_factory=dict)
 
@@ -37,14 +38,26 @@
         """Tell whether nothing runs or waits."""
         return self.in_use == 0 and self.wanted == 0
 
-    def change_keeper(self, keeper: identifiers.NodeName) -> None:
-        """Forget what an earlier keeper granted."""
+    def change_keeper(self, keeper: identifiers.NodeName, now: datetime.datetime) -> None:
+        """Forget what an earlier keeper granted; the new one mostly asks before it is told."""
         self.keeper = keeper
+        self.last_grant = NO_GRANT
+        self.give_up()
+        self.report_at = now + ASK_AGAIN_INTERVAL
+
+    def give_up(self) -> None:
+        """Start nothing more until a report that is yet to be sent is answered."""
         self.allowed = 0
-        self.last_grant = ("", 0)
         self.report_at = clocks.EPOCH
         self.lease_end_by_sequence.clear()
 
+    def follow(self, ask: limit_terms.LimitGrant) -> None:
+        """Give up what was granted before a keeper asked for a report."""
+        key = (ask.incarnation, ask.serial)
+        if key > self.last_grant:
+            self.last_grant = key
+            self.give_up()
+
     def note_report(
         self,
         sequence: int,
--- a/packages/kernel/chiveridge_kernel/limit_terms.py
+++ b/packages/kernel/chiveridge_kernel/limit_terms.py
@@ -7,6 +7,9 @@
 
 from chiveridge_kernel import identifiers
 
+ASK_SEQUENCE = 0
+"""Sequence of a grant that answers no report: it allows nothing and asks for a report."""
+
 
 class LimitReport(msgspec.Struct, frozen=True, kw_only=True):
     """Tells the keeper of a team's limit what a node uses and wants.
--- a/packages/kernel/chiveridge_kernel/limits.py
+++ b/packages/kernel/chiveridge_kernel/limits.py
@@ -16,6 +16,7 @@
     limit_exchanges,
     limit_keepers,
     limit_shares,
+    limit_takeovers,
     limit_terms,
     members,
     peers,
@@ -52,6 +53,9 @@
         self._jobs_by_team: dict[identifiers.TeamName, collections.deque[jobs.Job]] = {}
         self._touched: set[identifiers.TeamName] = set()
         self._keeper_names = limit_keepers.KeeperNames(member_table)
+        self._takeovers = limit_takeovers.Takeovers(
+            member_table, incarnation, self._keeper_names, self._keepers_by_team
+        )
         self._followed_version = -1
 
     @property
@@ -131,6 +135,8 @@
 
     def tick(self, now: datetime.datetime) -> None:
         """Renew the shares in use, ask again, and give back the idle ones."""
+        for node, grant in self._takeovers.follow(self.limit_of, now):
+            self._deliver(node, grant, now, is_urgent=True)
         if self._due_at is None:
             return
         if now < self._due_at and self._followed_version == self._members.version:
@@ -140,10 +146,10 @@
             {team: keeper.holder_count() - 1 for team, keeper in self._keepers_by_team.items()}
         )
         for team, share in list(self._shares_by_team.items()):
-            self._follow_keeper(team, share)
+            self._follow_keeper(team, share, now)
             if share.report_at > now:
                 continue
-            self._report(team, share, now)
+            self._report(team, share, now, is_urgent=share.last_grant == limit_shares.NO_GRANT)
             if self._is_given_back(team, share, now):
                 del self._shares_by_team[team]
                 self._jobs_by_team.pop(team, None)
@@ -154,7 +160,7 @@
 
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next report is due, or one that waits may be sent."""
-        moments = (self._due_at, self._exchange.outbox.next_at())
+        moments = (self._due_at, self._exchange.outbox.next_at(), self._takeovers.next_at())
         return min((moment for moment in moments if moment is not None), default=None)
 
     def take_batch(self, batch: peers.LimitBatch, now: datetime.datetime) -> None:
@@ -162,7 +168,7 @@
         for report in limit_batches.reports_of(batch):
             self.take_report(report, now)
         for grant in limit_batches.grants_of(batch):
-            self.take_grant(grant)
+            self.take_grant(grant, now)
 
     def take_report(self, report: limit_terms.LimitReport, now: datetime.datetime) -> None:
         """Answer a holder's report when this node is the keeper."""
@@ -172,22 +178,42 @@
             return
         keeper = self._keepers_by_team.get(report.team)
         if keeper is None:
-            lease = self._exchange.lease()
-            keeper = limit_keepers.Keeper(
-                report.team, self._members.own_name, self._incarnation, now, lease
-            )
-            self._keepers_by_team[report.team] = keeper
+            keeper = self._takeovers.begin(report.team, self._exchange.lease(), now)
+        was_quiet = keeper.is_quiet(now)
         for node, grant in keeper.report(report, limit, now):
-            self._deliver(node, grant)
+            self._deliver(node, grant, now, is_urgent=was_quiet)
+
+    def give_up_grants(self) -> None:
+        """Start nothing on earlier grants, and grant nothing on what was reported earlier.
+
+        Called when this process did not run for a while: others may have reclaimed its shares,
+        and have chosen other keepers.
+        """
+        for team, share in self._shares_by_team.items():
+            share.give_up()
+            self._touched.add(team)
+        self._takeovers.clear()
 
-    def take_grant(self, grant: limit_terms.LimitGrant) -> None:
-        """Take a grant of the keeper."""
+    def take_grant(self, grant: limit_terms.LimitGrant, now: datetime.datetime) -> None:
+        """Take a grant of the keeper, or report to a node that became it."""
+        if grant.sequence == limit_terms.ASK_SEQUENCE:
+            self._answer(grant, now)
+            return
         share = self._shares_by_team.get(grant.team)
         is_ours = grant.holder_incarnation == self._incarnation
         if share is not None and is_ours and grant.sender == share.keeper:
             share.take(grant)
             self._touched.add(grant.team)
 
+    def _answer(self, ask: limit_terms.LimitGrant, now: datetime.datetime) -> None:
+        """Report to a new keeper, unless another is followed here: it asks again."""
+        if ask.sender != self._keeper_names.of(ask.team):
+            return
+        share = self._share(ask.team)
+        self._follow_keeper(ask.team, share, now)
+        share.follow(ask)
+        self._report(ask.team, share, now, is_urgent=True)
+
     def _let_through(self, team: identifiers.TeamName, now: datetime.datetime) -> list[jobs.Job]:
         share = self._shares_by_team[team]
         queue = self._jobs_by_team.get(team, collections.deque())
@@ -219,11 +245,14 @@
             self._shares_by_team[team] = share
         return share
 
-    def _follow_keeper(self, team: identifiers.TeamName, share: limit_shares.Share) -> None:
+    def _follow_keeper(
+        self, team: identifiers.TeamName, share: limit_shares.Share, now: datetime.datetime
+    ) -> None:
         keeper = self._keeper_names.of(team)
         if keeper != share.keeper:
-            share.change_keeper(keeper)
-            self._keepers_by_team.pop(team, None)
+            share.change_keeper(keeper, now)
+        if keeper == self._members.own_name and team not in self._keepers_by_team:
+            share.report_at = now
 
     def _is_given_back(
         self, team: identifiers.TeamName, share: limit_shares.Share, now: datetime.datetime
@@ -234,7 +263,12 @@
         return share.is_idle() and lends_nothing and not waits and share.report_at > now
 
     def _report(
-        self, team: identifiers.TeamName, share: limit_shares.Share, now: datetime.datetime
+        self,
+        team: identifiers.TeamName,
+        share: limit_shares.Share,
+        now: datetime.datetime,
+        *,
+        is_urgent: bool = False,
     ) -> None:
         """Report to the keeper: at once when it is this node, and else when bytes are left."""
         if share.keeper == self._members.own_name:
@@ -242,13 +276,20 @@
             self.take_report(self._exchange.new_report(team, now, sequence), now)
         else:
             share.note_waiting(now, self._exchange.lease())
-            self._exchange.outbox.add_report(share.keeper, team)
+            self._exchange.outbox.add_report(share.keeper, team, is_urgent=is_urgent)
 
-    def _deliver(self, node: identifiers.NodeName, grant: limit_terms.LimitGrant) -> None:
+    def _deliver(
+        self,
+        node: identifiers.NodeName,
+        grant: limit_terms.LimitGrant,
+        now: datetime.datetime,
+        *,
+        is_urgent: bool,
+    ) -> None:
         if node == self._members.own_name:
-            self.take_grant(grant)
+            self.take_grant(grant, now)
         else:
-            self._exchange.outbox.add_grant(node, grant)
+            self._exchange.outbox.add_grant(node, grant, is_urgent=is_urgent)
 
 
 def _no_limit(team: identifiers.TeamName) -> int | None:
--- a/packages/kernel/chiveridge_kernel/member_states.py
+++ b/packages/kernel/chiveridge_kernel/member_states.py
@@ -65,6 +65,8 @@
     ``listed`` is its VM in the platform's list, and ``announced`` the one that a new incarnation
     told of itself, until the node confirms what was sent to either. ``domain`` is the last known.
 
+    ``exited`` is what its last heartbeat tells: this incarnation runs no more.
+
     ``sent`` counts the heartbeats sent to it, ``echoed`` is the last of them that it has
     confirmed, and ``received`` the last that it sent here. ``announcements`` counts how often
     this incarnation of it was told where this node listens.
@@ -89,6 +91,7 @@
     heard_at: datetime.datetime | None = None
     proved_at: datetime.datetime | None = None
     reconnected_at: datetime.datetime | None = None
+    exited: bool = False
 
     def signal(self, signal: MemberSignal) -> bool:
         """Follow the state table; tell whether the state changed."""
--- a/packages/kernel/chiveridge_kernel/members.py
+++ b/packages/kernel/chiveridge_kernel/members.py
@@ -26,6 +26,7 @@
         self.vms_by_name: dict[str, vms.Vm] = {}
         self.members_by_name: dict[str, member_states.Member] = {}
         self.version = 0
+        self.is_leaving = False
         self._live_names_by_domain: dict[str | None, list[str]] = {}
 
     def replace(self, listing: vms.VmList, now: datetime.datetime) -> list[vms.Vm]:
@@ -57,6 +58,11 @@
             self._live_names_by_domain[domain] = found
         return found
 
+    def leave(self) -> None:
+        """Note that this node leaves."""
+        self.is_leaving = True
+        self._changed()
+
     def others_in_domain(self) -> list[member_states.Member]:
         """Return the members of this node's domain that have a VM, in whatever state."""
         known = self.members_by_name.values()
@@ -115,7 +121,7 @@
         member.offset = max(member.offset, heartbeat.offset)
         member.heard_at = now
         if heartbeat.leaving:
-            self._signal(member, member_states.MemberSignal.GOODBYE)
+            self._said_goodbye(member, heartbeat)
         elif member.echoed < heartbeat.echo <= member.sent:
             self._confirmed(member, heartbeat.echo, now)
         return True
@@ -188,6 +194,12 @@
         if echo > member.unreachable_at:
             self._signal(member, member_states.MemberSignal.HEARD)
 
+    def _said_goodbye(self, member: member_states.Member, heartbeat: peers.Heartbeat) -> None:
+        if heartbeat.exited and not member.exited:
+            member.exited = True
+            self._changed()
+        self._signal(member, member_states.MemberSignal.GOODBYE)
+
     def _give_up_announced(self, member: member_states.Member) -> None:
         if member.vm is not None and member.vm is member.announced:
             member.vm = member.listed
@@ -235,6 +247,7 @@
     member.echoed = 0
     member.announcements = 0
     member.offset = 0
+    member.exited = False
     member.proved_at = now
     member.announced = _announced_vm(heartbeat)
     if member.listed is None and member.announced is not None:
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -21,6 +21,7 @@
     "echo": "e",
     "offset": "o",
     "leaving": "l",
+    "exited": "x",
     "reply_wanted": "r",
     "endpoint": "a",
 }
@@ -303,8 +304,9 @@
 
     ``sequence`` counts the heartbeats of this incarnation to the receiver; ``echo`` is the
     last sequence that the sender has from the receiver. ``offset`` is the applied offset of
-    the configuration. ``leaving`` tells that the node drains. ``endpoint`` is told until the
-    receiver has confirmed a heartbeat, as its list of VMs may not show this incarnation yet.
+    the configuration. ``leaving`` tells that the node drains, and ``exited`` that it has ended
+    all of its tasks and starts no more. ``endpoint`` is told until the receiver has confirmed a
+    heartbeat, as its list of VMs may not show this incarnation yet.
     """
 
     sender: identifiers.NodeName
@@ -313,6 +315,7 @@
     echo: Annotated[int, msgspec.Meta(ge=0)] = 0
     offset: Annotated[int, msgspec.Meta(ge=0)] = 0
     leaving: bool = False
+    exited: bool = False
     reply_wanted: bool = False
     endpoint: Endpoint | None = None
 
--- a/packages/kernel/tests/test_limit_budgets.py
+++ b/packages/kernel/tests/test_limit_budgets.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 
+import busy_domains
 import limited_domains
 import pytest
 
@@ -11,7 +12,6 @@
 CONTROL_BYTES_PER_SECOND = 3000
 HEARTBEAT_BYTES_PER_SECOND = 2600
 NODES = 18
-TEAMS = 160
 WARM_UP_STEPS = 600
 MEASURED_STEPS = 600
 SUBMITTED_EACH_STEP = 6
@@ -22,44 +22,17 @@
     return tuple(f"ikeja-e{number:02}" for number in range(1, NODES + 1))
 
 
-class BusyDomain:
-    """Every team has work at every node all the time; tasks end and others are submitted."""
-
-    def __init__(self, names: tuple[str, ...]):
-        self.rng = random.Random(5)
-        self.domain = limited_domains.Domain(names)
-        self.nodes = list(self.domain.nodes_by_name.values())
-        self.started = 0
-        for node in self.nodes:
-            for number in range(TEAMS):
-                node.submit(4, team=f"service-{number:03}")
-
-    def run(self, steps: int) -> None:
-        for _ in range(steps):
-            for _ in range(SUBMITTED_EACH_STEP):
-                self.replace_one(self.rng.choice(self.nodes))
-            self.domain.advance(1)
-
-    def replace_one(self, node: limited_domains.Node) -> None:
-        if node.running:
-            self.started += 1
-            index = self.rng.randrange(len(node.running))
-            team = node.running[index].job.team
-            node.end(index)
-            node.submit(1, team=team)
-
-
 def test_limits_of_160_busy_teams_stay_within_the_bytes_of_control(names):
-    busy = BusyDomain(names)
-    busy.run(WARM_UP_STEPS)
+    busy = busy_domains.BusyDomain(limited_domains.Domain(names))
+    busy.run(WARM_UP_STEPS, SUBMITTED_EACH_STEP)
     busy.domain.sent_bytes_by_name.clear()
     busy.started = 0
-    busy.run(MEASURED_STEPS)
+    busy.run(MEASURED_STEPS, SUBMITTED_EACH_STEP)
     seconds = MEASURED_STEPS * limited_domains.STEP.total_seconds()
     most = max(busy.domain.sent_bytes_by_name.values()) / seconds
     assert most + HEARTBEAT_BYTES_PER_SECOND <= CONTROL_BYTES_PER_SECOND
     # The limits are used nevertheless.
-    assert busy.domain.running() >= 0.95 * TEAMS * limited_domains.LIMIT
+    assert busy.domain.running() >= 0.95 * busy_domains.TEAMS * limited_domains.LIMIT
     assert busy.started > MEASURED_STEPS * SUBMITTED_EACH_STEP / 2
 
 
--- /dev/null
+++ b/tests/plugins/busy_domains.py
@@ -0,0 +1,41 @@
+"""A failure domain in which every team has work at every node all the time."""
+
+import random
+
+import limited_domains
+
+TEAMS = 160
+TASKS_WAITING = 4
+
+
+class BusyDomain:
+    """Tasks end and others are submitted."""
+
+    def __init__(self, domain: limited_domains.Domain):
+        self.rng = random.Random(5)
+        self.domain = domain
+        self.started = 0
+        for node in domain.nodes_by_name.values():
+            self.fill(node)
+
+    def fill(self, node: limited_domains.Node) -> None:
+        for team in teams():
+            node.submit(TASKS_WAITING, team=team)
+
+    def run(self, steps: int, submitted_each_step: int) -> None:
+        for _ in range(steps):
+            for _ in range(submitted_each_step):
+                self.replace_one(self.rng.choice(list(self.domain.nodes_by_name.values())))
+            self.domain.advance(1)
+
+    def replace_one(self, node: limited_domains.Node) -> None:
+        if node.running:
+            self.started += 1
+            index = self.rng.randrange(len(node.running))
+            team = node.running[index].job.team
+            node.end(index)
+            node.submit(1, team=team)
+
+
+def teams() -> list[str]:
+    return [f"service-{number:03}" for number in range(TEAMS)]
--- a/tests/plugins/limited_domains.py
+++ b/tests/plugins/limited_domains.py
@@ -87,13 +87,15 @@
 class Domain:
     """Nodes of a domain with limited teams and a network that the test holds."""
 
+    node_type = Node
+
     def __init__(self, names: tuple[str, ...] = NAMES):
         self.names = names
         self.clock = clocks.ManualClock()
         self.limit: int | None = LIMIT
         self.network: collections.deque = collections.deque()
         self.sent_bytes_by_name: collections.Counter = collections.Counter()
-        self.nodes_by_name = {name: Node(name, "a", self) for name in names}
+        self.nodes_by_name = {name: self.node_type(name, "a", self) for name in names}
 
     def now(self) -> datetime.datetime:
         return self.clock.now()
@@ -136,4 +138,4 @@
 
     def restart(self, name: str, incarnation: str) -> None:
         """Replace a node; what it had started runs on, and is counted by itself."""
-        self.nodes_by_name[name] = Node(name, incarnation, self)
+        self.nodes_by_name[name] = self.node_type(name, incarnation, self)
--- /dev/null
+++ b/tests/plugins/member_domains.py
@@ -0,0 +1,118 @@
+"""A failure domain of limiters that know each other by heartbeats alone, with one clock."""
+
+import collections
+import random
+
+import limited_domains
+
+from chiveridge_kernel import actions, heartbeats, peers
+
+NOTICED_PAUSE_STEPS = 10
+"""Steps after which a process notices that it did not run."""
+
+
+class Node(limited_domains.Node):
+    """A limiter with heartbeats; it may be paused, be drained or die."""
+
+    def __init__(self, name: str, incarnation: str, domain: "Domain"):
+        self.domain = domain
+        self.incarnation = incarnation
+        self.steps_to_sleep = 0
+        self.is_long_asleep = False
+        self.is_draining = False
+        self.inbox: collections.deque = collections.deque()
+        super().__init__(name, incarnation, domain)
+        settings = heartbeats.HeartbeatSettings()
+        rng = random.Random(name + incarnation)
+        self.heartbeats = heartbeats.Heartbeats(settings, self.table, incarnation, rng)
+        self.heartbeats.listed(domain.now())
+
+    def send_all(self, found: list[actions.Action]) -> None:
+        for action in found:
+            if isinstance(action, actions.SendToPeer):
+                self.domain.network.append((self.name, action.peer.name, action.message))
+
+    def sleep(self, steps: int) -> None:
+        self.frozen = True
+        self.steps_to_sleep = steps
+        self.is_long_asleep = steps >= NOTICED_PAUSE_STEPS
+
+    def step(self) -> None:
+        if self.steps_to_sleep:
+            self.steps_to_sleep -= 1
+            return
+        if self.frozen:
+            self.wake()
+        self.send_all(self.heartbeats.tick(self.domain.now()))
+        self.tick()
+        if self.is_draining and not self.running and not self.limiter._jobs_by_team.get("desk"):
+            self.send_all(self.heartbeats.exit())
+            self.domain.gone(self)
+
+    def wake(self) -> None:
+        self.frozen = False
+        if self.is_long_asleep:
+            self.limiter.give_up_grants()
+        while self.inbox:
+            self.take(self.inbox.popleft())
+
+    def drain(self) -> None:
+        self.is_draining = True
+        self.table.leave()
+        self.send_all(self.heartbeats.farewell())
+
+    def take(self, message: peers.PeerMessage) -> None:
+        if isinstance(message, peers.Heartbeat):
+            self.send_all(self.heartbeats.receive(message, self.domain.now()))
+            self.tick()
+        else:
+            super().take(message)
+
+
+class Domain(limited_domains.Domain):
+    """Nodes that are listed all the time; the network drops what goes over a cut link."""
+
+    node_type = Node
+
+    def __init__(self, names: tuple[str, ...] = limited_domains.NAMES):
+        super().__init__(names)
+        self.cut_links: set[frozenset[str]] = set()
+        self.incarnations = 0
+
+    def keeper_name(self, team: str = limited_domains.TEAM) -> str:
+        node = next(each for each in self.nodes_by_name.values() if not each.is_draining)
+        return node.limiter._keeper_names.of(team)
+
+    def advance(self, steps: int) -> None:
+        for _ in range(steps):
+            self.clock.advance(limited_domains.STEP)
+            for node in list(self.nodes_by_name.values()):
+                node.step()
+            while self.network:
+                self.deliver(0)
+
+    def deliver(self, index: int) -> None:
+        self.network.rotate(-index)
+        sender, receiver, message = self.network.popleft()
+        node = self.nodes_by_name.get(receiver)
+        if node is None or frozenset((sender, receiver)) in self.cut_links:
+            return
+        if node.frozen:
+            node.inbox.append(message)
+        else:
+            node.take(message)
+
+    def kill(self, name: str) -> None:
+        """End a process; its connections close, which the others notice."""
+        self.gone(self.nodes_by_name[name])
+
+    def gone(self, node: Node) -> None:
+        del self.nodes_by_name[node.name]
+        for other in self.nodes_by_name.values():
+            if frozenset((other.name, node.name)) not in self.cut_links:
+                other.table.unreachable(limited_domains.entry(node.name))
+
+    def boot(self, name: str) -> Node:
+        self.incarnations += 1
+        node = self.nodes_by_name[name] = Node(name, f"b{self.incarnations:04}", self)
+        return node
