Leave holders their shares when another joins

Cause: a holder counts as using the whole limit until it is seen to follow its keeper, and the room left for the others is then 0, so that each node that joined took everything from all others for an interval.

What a holder has is now taken from it only as far as it is over its even share; nothing more is granted meanwhile, as before. The new test of test_limit_keepers.py failed before with (0, 0) in place of (2, 0).

--- a/packages/kernel/chiveridge_kernel/limit_keepers.py
+++ b/packages/kernel/chiveridge_kernel/limit_keepers.py
@@ -165,7 +165,8 @@
     def _change(self, holder: Holder, share: int, limit: int) -> bool:
         account = self._accounts_by_holder[holder]
         room = limit - (self.counted() - account.counted())
-        allowed = max(0, min(share, room))
+        # What a holder has is not taken for one that may turn out to use nothing.
+        allowed = max(0, min(share, room), min(share, account.allowed))
         if allowed == account.allowed or len(account.unseen_by_serial) >= MAX_UNSEEN_GRANTS:
             return False
         account.serial = next(self._serials)
--- a/packages/kernel/tests/test_limit_keepers.py
+++ b/packages/kernel/tests/test_limit_keepers.py
@@ -80,3 +80,19 @@
     assert report("e3", 1, wanted=9)["e3"] == 0
     report("e2", 2, wanted=0, keeper_seen="b")
     assert report("e3", 2, wanted=9)["e3"] == limited_domains.LIMIT
+
+
+def test_a_holder_that_joins_takes_from_others_no_more_than_its_share():
+    keeper = limit_keepers.Keeper(limited_domains.TEAM, "e1", "b", clocks.EPOCH)
+    now = clocks.EPOCH + limit_keepers.LEASE
+
+    def report(sender: str, **fields) -> dict[str, int]:
+        message = limit_terms.LimitReport(
+            sender=sender, incarnation="a", team=limited_domains.TEAM, **fields
+        )
+        grants = keeper.report(message, limited_domains.LIMIT, now)
+        return {node: grant.allowed for node, grant in grants}
+
+    assert report("e2", sequence=1, in_use=0, wanted=9, keeper_seen="b")["e2"] == 5
+    joined = report("e3", sequence=1, in_use=0, wanted=9)
+    assert (joined["e2"], joined["e3"]) == (2, 0)
