Hold limits over random ends, pauses, cuts and returns of nodes

Cause: the tests of limits knew changes of the keeper only as another list of VMs. A harness of limiters with real heartbeats, where processes die, drain, are paused (also with the loss of what came meanwhile) and links are cut, now drives them, on a fake clock: a stateful hypothesis test without cuts (the limit holds, but for tasks of nodes that the keeper could not hear for two leases) and one with cuts (the limit once for each keeper that somebody believed in), derandomized, 60 examples of 60 steps, and tests of single cases.

--- a/packages/kernel/tests/test_limit_budgets.py
+++ b/packages/kernel/tests/test_limit_budgets.py
@@ -5,6 +5,7 @@
 
 import busy_domains
 import limited_domains
+import member_domains
 import pytest
 
 from chiveridge_kernel import clocks, events, kernels, limit_outboxes, vms
@@ -60,3 +61,24 @@
     assert due - clocks.EPOCH >= datetime.timedelta(seconds=1)
     assert [outbox.take(due)[0], outbox.take(due)[0]] == ["e2", "e1"]
     assert outbox.next_at() is None
+
+
+def allowed_to(domain: limited_domains.Domain, team: str) -> int:
+    shares = [node.limiter._shares_by_team.get(team) for node in domain.nodes_by_name.values()]
+    now = domain.now()
+    return sum(share.allowed for share in shares if share is not None and now < share.valid_until)
+
+
+def test_a_keeper_that_drains_at_the_target_size_stops_no_team_for_two_heartbeats(names):
+    domain = member_domains.Domain(names)
+    busy = busy_domains.BusyDomain(domain)
+    busy.run(WARM_UP_STEPS, SUBMITTED_EACH_STEP)
+    keeper = domain.nodes_by_name[names[1]]
+    keeper_names = domain.nodes_by_name[names[0]].limiter._keeper_names
+    moved = [team for team in busy_domains.teams() if keeper_names.of(team) == keeper.name]
+    assert moved
+    keeper.drain()
+    domain.advance(int(2 * domain.heartbeat_interval() / limited_domains.STEP))
+    allowances = [allowed_to(domain, team) for team in moved]
+    assert min(allowances) > 0
+    assert sum(allowances) >= 0.95 * len(moved) * limited_domains.LIMIT
--- /dev/null
+++ b/packages/kernel/tests/test_limit_changes.py
@@ -0,0 +1,135 @@
+"""Random changes of the keepers of a limit: ends, pauses, cuts and returns of nodes."""
+
+import contextlib
+
+import hypothesis
+import hypothesis.stateful
+import hypothesis.strategies as st
+import limited_domains
+import member_domains
+
+from chiveridge_kernel import errors, limit_keepers
+
+NAMES = st.sampled_from(limited_domains.NAMES)
+LIMIT = limited_domains.LIMIT
+SILENCE = limit_keepers.LEASE * limit_keepers.RECLAIM_LEASES
+
+
+class Changes(hypothesis.stateful.RuleBasedStateMachine):
+    """Holds the limit, but for tasks of nodes that no keeper could hear of for a lease."""
+
+    def __init__(self):
+        super().__init__()
+        self.domain = member_domains.Domain()
+        self.excused: dict[int, object] = {}
+        self.advance(10)
+        for name in limited_domains.NAMES:
+            self.submit(name, LIMIT * 4)
+        self.advance(30)
+
+    def awake(self, name: str) -> member_domains.Node | None:
+        node = self.domain.nodes_by_name.get(name)
+        return None if node is None or node.frozen else node
+
+    @hypothesis.stateful.rule(name=NAMES, count=st.integers(1, 8))
+    def submit(self, name, count):
+        node = self.awake(name)
+        if node is not None and not node.is_draining:
+            with contextlib.suppress(errors.RefusedError):
+                node.submit(count)
+
+    @hypothesis.stateful.rule(name=NAMES, count=st.integers(1, 5))
+    def end(self, name, count):
+        node = self.awake(name)
+        for _ in range(min(count, len(node.running)) if node else 0):
+            node.end(0)
+
+    @hypothesis.stateful.rule(steps=st.sampled_from([1, 3, 10, 40, 100]))
+    def advance(self, steps):
+        for step in range(steps):
+            name = limited_domains.NAMES[step % len(limited_domains.NAMES)]
+            self.end(name, 1)
+            self.submit(name, 1)
+            self.domain.advance(1)
+            self.excuse_unheard()
+            self.check()
+
+    @hypothesis.stateful.rule(
+        name=NAMES, steps=st.sampled_from([3, 15, 45, 120]), loses_messages=st.booleans()
+    )
+    def pause(self, name, steps, loses_messages):
+        if self.awake(name) is not None:
+            self.domain.nodes_by_name[name].sleep(steps, loses_messages=loses_messages)
+
+    @hypothesis.stateful.rule(name=NAMES)
+    def kill(self, name):
+        if name in self.domain.nodes_by_name and len(self.domain.nodes_by_name) > 1:
+            self.domain.kill(name)
+
+    @hypothesis.stateful.rule(name=NAMES)
+    def boot(self, name):
+        if name not in self.domain.nodes_by_name:
+            self.domain.boot(name)
+
+    @hypothesis.stateful.rule(name=NAMES)
+    def drain(self, name):
+        node = self.awake(name)
+        if node is not None and not node.is_draining and len(self.domain.nodes_by_name) > 1:
+            node.drain()
+
+    def excuse_unheard(self) -> None:
+        for node in self.domain.nodes_by_name.values():
+            keeper = node.limiter._keepers_by_team.get(limited_domains.TEAM)
+            if keeper is not None and not node.frozen and not keeper.is_quiet(self.domain.now()):
+                self.excuse_unheard_by(keeper)
+
+    def excuse_unheard_by(self, keeper: limit_keepers.Keeper) -> None:
+        for node in self.domain.nodes_by_name.values():
+            account = keeper._accounts_by_holder.get((node.name, node.incarnation))
+            if account is None or self.domain.now() - account.heard_at >= SILENCE:
+                self.excused.update((id(task), task) for task in node.running)
+
+    def counted(self) -> int:
+        running = [task for node in self.domain.nodes_by_name.values() for task in node.running]
+        return sum(id(task) not in self.excused for task in running)
+
+    def check(self) -> None:
+        assert self.counted() <= LIMIT
+
+
+class ChangesWithCuts(Changes):
+    """Holds the limit once for each keeper that somebody believed in since it held."""
+
+    def __init__(self):
+        self.keepers: set[str] = set()
+        super().__init__()
+
+    @hypothesis.stateful.rule(one=NAMES, other=NAMES)
+    def cut(self, one, other):
+        if one != other:
+            self.domain.cut_links.add(frozenset((one, other)))
+
+    @hypothesis.stateful.rule()
+    def heal(self):
+        self.domain.cut_links.clear()
+
+    def check(self) -> None:
+        if self.counted() <= LIMIT:
+            self.keepers.clear()
+        for node in self.domain.nodes_by_name.values():
+            if limited_domains.TEAM in node.limiter._keepers_by_team:
+                self.keepers.add(node.name)
+        assert self.counted() <= LIMIT * max(1, len(self.keepers))
+
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, max_examples=60, stateful_step_count=60, deadline=None, database=None
+)
+
+
+class TestChanges(Changes.TestCase):
+    settings = SETTINGS
+
+
+class TestChangesWithCuts(ChangesWithCuts.TestCase):
+    settings = SETTINGS
--- a/packages/kernel/tests/test_limit_takeovers.py
+++ b/packages/kernel/tests/test_limit_takeovers.py
@@ -97,3 +97,71 @@
         keeper.end(0)
     assert domain.running() <= LIMIT
     assert run(domain, 100) <= 40
+
+
+@pytest.mark.parametrize("loses_messages", [False, True])
+def test_a_woken_keeper_grants_nothing_on_what_it_knew_before(domain, loses_messages):
+    keeper = domain.nodes_by_name[domain.keeper_name()]
+    while keeper.running:
+        keeper.end(0)
+    keeper.sleep(200, loses_messages=loses_messages)
+    domain.advance(190)
+    excess = domain.running() - LIMIT
+    for _ in range(60):
+        domain.advance(1)
+        assert domain.running() <= LIMIT + excess
+
+
+def test_a_woken_holder_starts_nothing_on_a_lease_that_outlasts_its_keeper(domain):
+    holder = next(n for n in domain.nodes_by_name.values() if n.name != domain.keeper_name())
+    holder.limiter._exchange.pace = lambda grants_by_team: None
+    holder.limiter._exchange.scale = 20.0
+    domain.advance(30)
+    jobs = holder.limiter._jobs_by_team[limited_domains.TEAM]
+    for job in list(jobs):
+        holder.limiter.give_up(job)
+    jobs.clear()
+    holder.sleep(150, loses_messages=True)
+    while holder.running:
+        holder.end(0)
+    domain.kill(domain.keeper_name())
+    domain.advance(149)
+    assert domain.running() == LIMIT
+    domain.advance(1)
+    holder.wake()
+    holder.submit(LIMIT)
+    assert domain.running() == LIMIT
+
+
+def test_a_holder_gives_up_what_an_earlier_term_of_its_keeper_granted(domain):
+    keeper = domain.nodes_by_name[domain.keeper_name()]
+    holder = next(n for n in domain.nodes_by_name.values() if n is not keeper)
+    jobs = holder.limiter._jobs_by_team[limited_domains.TEAM]
+    for job in list(jobs):
+        holder.limiter.give_up(job)
+    jobs.clear()
+    while holder.running:
+        holder.end(0)
+    keeper.limiter.give_up_grants()
+    domain.advance(2)
+    holder.submit(LIMIT)
+    for _ in range(20):
+        domain.advance(1)
+        assert domain.running() <= LIMIT
+
+
+def test_a_keeper_without_work_of_its_own_ends_with_its_turn(domain):
+    name = domain.keeper_name()
+    domain.kill(name)
+    domain.advance(60)
+    second = domain.nodes_by_name[domain.keeper_name()]
+    for job in list(second.limiter._jobs_by_team[limited_domains.TEAM]):
+        second.limiter.give_up(job)
+    while second.running:
+        second.end(0)
+    domain.advance(100)
+    assert limited_domains.TEAM in second.limiter._keepers_by_team
+    domain.boot(name)
+    domain.advance(5)
+    assert domain.keeper_name() == name
+    assert limited_domains.TEAM not in second.limiter._keepers_by_team
--- a/tests/plugins/member_domains.py
+++ b/tests/plugins/member_domains.py
@@ -19,6 +19,7 @@
         self.incarnation = incarnation
         self.steps_to_sleep = 0
         self.is_long_asleep = False
+        self.loses_messages = False
         self.is_draining = False
         self.inbox: collections.deque = collections.deque()
         super().__init__(name, incarnation, domain)
@@ -32,8 +33,9 @@
             if isinstance(action, actions.SendToPeer):
                 self.domain.network.append((self.name, action.peer.name, action.message))
 
-    def sleep(self, steps: int) -> None:
+    def sleep(self, steps: int, *, loses_messages: bool = False) -> None:
         self.frozen = True
+        self.loses_messages = loses_messages
         self.steps_to_sleep = steps
         self.is_long_asleep = steps >= NOTICED_PAUSE_STEPS
 
@@ -53,6 +55,8 @@
         self.frozen = False
         if self.is_long_asleep:
             self.limiter.give_up_grants()
+        if self.loses_messages:
+            self.inbox.clear()
         while self.inbox:
             self.take(self.inbox.popleft())
 
