Wait for silent nodes until they are dead, not for a lease

Cause: a keeper that was killed and doesn't come back answers no question, so that a new keeper waited its whole lease, 91 s at the target size. Nothing needs so long any more: whoever follows the silent keeper drops its grants when it finds that it does not serve, a paused process gives its grants up when it wakes, and a side that still believes in the earlier keeper is the stated excess, with whatever wait.

A new keeper now waits for silent nodes at most as long as it takes to hold one to be dead (10 intervals of heartbeats), and gives its grants at that moment rather than at the next report.

--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -204,6 +204,7 @@
         self.dispatcher.limiter.bytes_per_second = limit_outboxes.left_by_heartbeats(
             partners, self.heartbeats.interval
         )
+        self.dispatcher.limiter.takeovers.longest_wait = self.heartbeats.times().dead_after
         self.target_table.replace(listing)
         self.reach.replace_vms(self.target_table.vms_by_name)
         self.has_listing = True
--- a/packages/kernel/chiveridge_kernel/limit_keepers.py
+++ b/packages/kernel/chiveridge_kernel/limit_keepers.py
@@ -44,7 +44,7 @@
     """Grants for one team; what all holders may have together stays within the limit.
 
     Grants of an earlier keeper may hold, so nothing is granted until every node of ``awaited``
-    follows this one, or for the first ``lease``. Serials never come twice from a process: a
+    follows this one, or for ``lease`` at most. Serials never come twice from a process: a
     holder follows this keeper, and not an earlier one of the same process, when it has seen one
     that is not below the first.
     """
@@ -65,7 +65,7 @@
         self._team = team
         self._node = node
         self._incarnation = incarnation
-        self._quiet_until = now + lease
+        self.quiet_until = now + lease
         self._accounts_by_holder: dict[Holder, Account] = {}
 
     def report(
@@ -88,7 +88,7 @@
 
     def is_quiet(self, now: datetime.datetime) -> bool:
         """Tell whether grants of an earlier keeper may still hold."""
-        return now < self._quiet_until
+        return now < self.quiet_until
 
     def awaited(self) -> frozenset[identifiers.NodeName]:
         """Return the nodes that are not known to follow this keeper."""
@@ -128,7 +128,7 @@
         if self._awaited is not None:
             self._awaited.difference_update(names)
             if not self._awaited:
-                self._quiet_until = min(self._quiet_until, now)
+                self.quiet_until = min(self.quiet_until, now)
 
     def _update(
         self, account: Account, report: limit_terms.LimitReport, limit: int, now: datetime.datetime
--- a/packages/kernel/chiveridge_kernel/limit_takeovers.py
+++ b/packages/kernel/chiveridge_kernel/limit_takeovers.py
@@ -32,7 +32,11 @@
 
 
 class Takeovers:
-    """Begins and ends the keepers of this node, and asks those whom they await."""
+    """Begins and ends the keepers of this node, and asks those whom they await.
+
+    A keeper waits at most ``longest_wait`` for silent nodes: by then all others must have found
+    that the keeper before it does not serve, and have given up what it granted.
+    """
 
     def __init__(
         self,
@@ -45,6 +49,7 @@
         self._incarnation = incarnation
         self._keeper_names = keeper_names
         self._keepers_by_team = keepers_by_team
+        self.longest_wait = limit_keepers.LEASE
         self._serials = itertools.count(1)
         self._version = -1
         self._takeovers_by_team: dict[identifiers.TeamName, Takeover] = {}
@@ -58,7 +63,7 @@
             self._members.own_name,
             self._incarnation,
             now,
-            lease,
+            min(lease, self.longest_wait),
             awaited=self._present(),
             serials=self._serials,
         )
@@ -84,7 +89,7 @@
             for team in list(self._keepers_by_team):
                 found.extend(self._follow_members(team, limit_of(team), now))
         for team in list(self._takeovers_by_team):
-            found.extend(self._ask_if_due(team, now))
+            found.extend(self._ask_if_due(team, limit_of(team), now))
         return found
 
     def _follow_members(
@@ -97,16 +102,18 @@
         return keeper.follow_members(self._present(), self._exited(), limit, now)
 
     def _ask_if_due(
-        self, team: identifiers.TeamName, now: datetime.datetime
+        self, team: identifiers.TeamName, limit: int | None, now: datetime.datetime
     ) -> Iterator[AddressedGrant]:
         takeover = self._takeovers_by_team[team]
         keeper = self._keepers_by_team.get(team)
         if keeper is None or not keeper.is_quiet(now):
             del self._takeovers_by_team[team]
+            if keeper is not None:
+                yield from self._follow_members(team, limit, now)
             return
         if takeover.ask_at > now:
             return
-        takeover.ask_at = now + takeover.interval
+        takeover.ask_at = min(now + takeover.interval, keeper.quiet_until)
         takeover.interval = min(takeover.interval * 2, LAST_ASK_INTERVAL)
         for name in sorted(keeper.awaited()):
             if self._is_reached(name):
--- a/packages/kernel/chiveridge_kernel/limits.py
+++ b/packages/kernel/chiveridge_kernel/limits.py
@@ -53,7 +53,7 @@
         self._jobs_by_team: dict[identifiers.TeamName, collections.deque[jobs.Job]] = {}
         self._touched: set[identifiers.TeamName] = set()
         self._keeper_names = limit_keepers.KeeperNames(member_table)
-        self._takeovers = limit_takeovers.Takeovers(
+        self.takeovers = limit_takeovers.Takeovers(
             member_table, incarnation, self._keeper_names, self._keepers_by_team
         )
         self._followed_version = -1
@@ -135,7 +135,7 @@
 
     def tick(self, now: datetime.datetime) -> None:
         """Renew the shares in use, ask again, and give back the idle ones."""
-        for node, grant in self._takeovers.follow(self.limit_of, now):
+        for node, grant in self.takeovers.follow(self.limit_of, now):
             self._deliver(node, grant, now, is_urgent=True)
         if self._due_at is None:
             return
@@ -160,7 +160,7 @@
 
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next report is due, or one that waits may be sent."""
-        moments = (self._due_at, self._exchange.outbox.next_at(), self._takeovers.next_at())
+        moments = (self._due_at, self._exchange.outbox.next_at(), self.takeovers.next_at())
         return min((moment for moment in moments if moment is not None), default=None)
 
     def take_batch(self, batch: peers.LimitBatch, now: datetime.datetime) -> None:
@@ -178,7 +178,7 @@
             return
         keeper = self._keepers_by_team.get(report.team)
         if keeper is None:
-            keeper = self._takeovers.begin(report.team, self._exchange.lease(), now)
+            keeper = self.takeovers.begin(report.team, self._exchange.lease(), now)
         was_quiet = keeper.is_quiet(now)
         for node, grant in keeper.report(report, limit, now):
             self._deliver(node, grant, now, is_urgent=was_quiet)
@@ -192,7 +192,7 @@
         for team, share in self._shares_by_team.items():
             share.give_up()
             self._touched.add(team)
-        self._takeovers.clear()
+        self.takeovers.clear()
 
     def take_grant(self, grant: limit_terms.LimitGrant, now: datetime.datetime) -> None:
         """Take a grant of the keeper, or report to a node that became it."""
--- a/packages/kernel/tests/test_limit_takeovers.py
+++ b/packages/kernel/tests/test_limit_takeovers.py
@@ -165,3 +165,18 @@
     domain.advance(5)
     assert domain.keeper_name() == name
     assert limited_domains.TEAM not in second.limiter._keepers_by_team
+
+
+def test_a_silent_node_is_waited_for_until_it_is_held_to_be_dead_and_no_longer():
+    domain = member_domains.Domain(lease_scale=20.0)
+    domain.advance(5)
+    for node in domain.nodes_by_name.values():
+        node.submit(LIMIT * 4)
+    domain.advance(300)
+    name = domain.keeper_name()
+    dead_after = domain.nodes_by_name[name].heartbeats.times().dead_after
+    domain.kill(name)
+    steps = int(dead_after / limited_domains.STEP)
+    assert run(domain, steps - 5) >= steps - 15
+    run(domain, 5 + STEPS_PER_HEARTBEAT * HEARTBEATS)
+    assert domain.running() == LIMIT
