--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -149,6 +149,7 @@
     def drain(self, forced: bool, now: datetime.datetime) -> None:
         """Take no new jobs; with ``forced``, end those in progress as failed."""
         self.draining = True
+        self.members.leave()
         self.dispatcher.outbox.extend(self.heartbeats.farewell())
         if forced:
             message = "the node was told to stop at once"
@@ -165,6 +166,7 @@
         done = self.take_actions()
         if self._leaving is None:
             self._leaving = self._new_handover(now)
+            done += self.heartbeats.exit()
         self._leaving.aim_at(handovers.choose_peers(self.members))
         silent = self._leaving.take_silent(now)
         done += [actions.DisconnectPeer(peer=vm) for vm in silent]
@@ -259,6 +261,7 @@
         self.dispatcher.limiter.bytes_per_second = limit_outboxes.left_by_heartbeats(
             partners, self.heartbeats.interval
         )
+        self.dispatcher.limiter.takeovers.longest_wait = self.heartbeats.times().dead_after
         self.target_table.replace(listing)
         self.reach.replace_vms(self.target_table.vms_by_name)
         self.has_listing = True
