Serve teams by what they left of their shares lately

Teams over an equal share of the slots held at that moment came last. The other teams use 48 of their 64 slots in the mean, but hold more while one of their large jobs runs, and then waited for each freed slot in turn with the loud team.

Change: a team earns what it leaves of its share in slot-seconds, up to a second of the share, and pays with what it holds more; teams with credit count as within their share, and the one with most credit goes first. A new team, and one without a slot for a second, has none, so that a burst does not begin with credit.

test_a_team_over_its_share_is_served_last calls the order by its new signature, with the same slots and the same expectations.

--- a/packages/kernel/chiveridge_kernel/lenders.py
+++ b/packages/kernel/chiveridge_kernel/lenders.py
@@ -14,6 +14,7 @@
     peers,
     placements,
     requesters,
+    shares,
     slotqueues,
     slots,
     speeds,
@@ -41,6 +42,7 @@
         self.queue = slotqueues.SlotQueue()
         self.breakers = breakers.Breakers()
         self.speeds = speeds.Speeds()
+        self.shares = shares.Shares()
         self.requesters = requesters.Requesters(starter.members)
         self._starter = starter
         self._owner_table = owner_table
@@ -59,6 +61,7 @@
         self.breakers.keep_only(owned)
         self.speeds.keep_only(owned)
         self._owned_by_query.clear()
+        self.shares.divide(self.slot_count(), (), self._lent_by_team)
 
     def queue_request(self, waiting: slotqueues.Waiting, now: datetime.datetime) -> None:
         """Have a request of another node wait."""
@@ -111,11 +114,13 @@
         for tier in (self._healthy, self._slow, self._failing):
             if len(chosen) < count:
                 chosen += tier(usable, count - len(chosen), waited_ms, now)
+        self.shares.advance(query.team, self.lent_count(query.team), now)
         self._lent_by_team[query.team] += len(chosen)
         return Loan(chosen, self.ledger.lend(node, chosen, now))
 
     def ended(self, node: str, end: peers.SlotEnd, now: datetime.datetime) -> None:
         """Take a slot back and learn from the outcome of its start."""
+        self.shares.advance(end.team, self.lent_count(end.team), now)
         self.ledger.give_back(node, end.target, now)
         if self._lent_by_team[end.team] > 0:
             self._lent_by_team[end.team] -= 1
@@ -135,8 +140,7 @@
         progress = len(self.queue) > 0
         while progress and (probing or self.free_count() > 0):
             progress = False
-            heads = slotqueues.fair_order(self.queue.heads(), self._lent_by_team, self.slot_count())
-            for head in heads:
+            for head in self._heads(now):
                 loan = self._lend_to(head, now)
                 if loan.names:
                     granted.append((head, loan))
@@ -156,6 +160,15 @@
             self._owned_by_query[query] = found
         return found
 
+    def _heads(self, now: datetime.datetime) -> list[slotqueues.Waiting]:
+        heads = self.queue.heads()
+        if len(heads) > 1:
+            waiting_teams = {head.query.team for head in heads}
+            self.shares.divide(self.slot_count(), waiting_teams, self._lent_by_team)
+        return slotqueues.fair_order(
+            heads, lambda team: self.shares.rank(team, self.lent_count(team), now)
+        )
+
     def _forget_refusals(self, now: datetime.datetime) -> None:
         if len(self._refused_until) > MAX_REFUSALS:
             self._refused_until = {
--- a/packages/kernel/chiveridge_kernel/slotqueues.py
+++ b/packages/kernel/chiveridge_kernel/slotqueues.py
@@ -1,8 +1,8 @@
 """The queue of slot requests at an owner: earliest due first, and fair between teams."""
 
-import collections
 import heapq
 import itertools
+from collections.abc import Callable
 
 import msgspec
 
@@ -87,18 +87,8 @@
         return heap[0][2]
 
 
-def fair_order(
-    heads: list[Waiting], lent_by_team: collections.Counter[str], slot_count: int
-) -> list[Waiting]:
-    """Order requests by when they are due, those of teams over their share of the slots last.
-
-    Among teams over their share, the one that holds the fewest slots goes first.
-    """
+def fair_order(heads: list[Waiting], rank: Callable[[str], tuple]) -> list[Waiting]:
+    """Order requests by the rank of their teams, those of equal rank by when they are due."""
     if len(heads) < 2:
         return heads
-    active = {head.query.team for head in heads} | {team for team, n in lent_by_team.items() if n}
-    share = slot_count / max(len(active), 1)
-    return sorted(
-        heads,
-        key=lambda head: (max(lent_by_team[head.query.team] - share, 0), head.due_ms),
-    )
+    return sorted(heads, key=lambda head: (rank(head.query.team), head.due_ms))
--- a/packages/kernel/tests/test_slotqueues.py
+++ b/packages/kernel/tests/test_slotqueues.py
@@ -1,6 +1,4 @@
-import collections
-
-from chiveridge_kernel import slotqueues
+from chiveridge_kernel import clocks, shares, slotqueues
 
 
 def waiting(demand_id: int, due_ms: int, team: str = "desk", wanted: int = 1):
@@ -38,8 +36,15 @@
 
 def test_a_team_over_its_share_is_served_last():
     heads = [waiting(1, 10, "greedy"), waiting(2, 20, "modest")]
-    lent_by_team = collections.Counter(greedy=6, modest=1)
-    ordered = slotqueues.fair_order(heads, lent_by_team, 8)
-    assert [head.query.team for head in ordered] == ["modest", "greedy"]
-    ordered = slotqueues.fair_order(heads, collections.Counter(greedy=3, modest=1), 8)
-    assert [head.query.team for head in ordered] == ["greedy", "modest"]
+    assert teams_in_order(heads, {"greedy": 6, "modest": 1}) == ["modest", "greedy"]
+    assert teams_in_order(heads, {"greedy": 3, "modest": 1}) == ["greedy", "modest"]
+
+
+def teams_in_order(heads: list[slotqueues.Waiting], held_by_team: dict[str, int]) -> list[str]:
+    """Return the teams in the order of an owner of eight slots that has given no credit."""
+    team_shares = shares.Shares()
+    team_shares.divide(8, (), held_by_team)
+    ordered = slotqueues.fair_order(
+        heads, lambda team: team_shares.rank(team, held_by_team[team], clocks.EPOCH)
+    )
+    return [head.query.team for head in ordered]
