--- /dev/null
+++ b/packages/kernel/tests/test_shares.py
@@ -0,0 +1,202 @@
+import datetime
+import random
+
+import msgspec
+import pytest
+
+from chiveridge_kernel import (
+    clocks,
+    events,
+    kernels,
+    lenders,
+    peers,
+    records,
+    shares,
+    slotqueues,
+    vms,
+)
+
+LOUD = "loud"
+QUIET = "quiet"
+TEAMS = (LOUD, QUIET, "other")
+TARGET = "t1"
+SLOTS = 12
+NODE = "e1"
+
+
+def at(seconds: float) -> datetime.datetime:
+    return clocks.EPOCH + datetime.timedelta(seconds=seconds)
+
+
+def shares_of_eight() -> shares.Shares:
+    """Return the shares of two teams, to which nothing was lent yet."""
+    team_shares = shares.Shares()
+    team_shares.divide(16, (LOUD, QUIET), {})
+    for team in (LOUD, QUIET):
+        team_shares.advance(team, 0, at(0))
+    return team_shares
+
+
+def excess(team_shares: shares.Shares, team: str, held: int, seconds: float) -> float:
+    return team_shares.rank(team, held, at(seconds))[0]
+
+
+def test_slots_are_divided_among_teams_that_wait_or_hold():
+    team_shares = shares.Shares()
+    team_shares.divide(12, (LOUD,), {QUIET: 3, "absent": 0})
+    assert excess(team_shares, LOUD, 8, 0) == 2
+    assert excess(team_shares, QUIET, 6, 0) == 0
+
+
+def test_a_team_that_left_some_of_its_share_may_go_over_it_for_a_while():
+    team_shares = shares_of_eight()
+    team_shares.advance(QUIET, 4, at(0.25))
+    # Four slots left for 250 ms allow two more for 500 ms.
+    assert excess(team_shares, QUIET, 10, 0.74) == 0
+    assert excess(team_shares, QUIET, 10, 0.76) == 2
+    assert excess(team_shares, LOUD, 12, 0.76) == 4
+
+
+def test_of_teams_within_their_share_the_one_with_most_credit_goes_first():
+    team_shares = shares_of_eight()
+    team_shares.advance(QUIET, 4, at(0.25))
+    team_shares.advance(LOUD, 7, at(0.25))
+    now = at(0.25)
+    assert team_shares.rank(QUIET, 10, now) < team_shares.rank(LOUD, 7, now)
+    assert team_shares.rank("new", 0, now) < team_shares.rank("other", 9, now)
+
+
+def test_teams_that_leave_much_of_their_share_are_equal():
+    team_shares = shares_of_eight()
+    for team, held in ((QUIET, 1), (LOUD, 4)):
+        team_shares.advance(team, held, at(10))
+    assert team_shares.rank(QUIET, 1, at(10)) == team_shares.rank(LOUD, 4, at(10))
+
+
+def test_credit_is_limited_to_a_second_of_the_share():
+    team_shares = shares_of_eight()
+    team_shares.advance(QUIET, 4, at(100))
+    assert excess(team_shares, QUIET, 16, 100.99) == 0
+    assert excess(team_shares, QUIET, 16, 101.01) == 8
+
+
+def test_a_new_team_has_no_credit():
+    team_shares = shares_of_eight()
+    team_shares.advance("new", 0, at(5))
+    assert excess(team_shares, "new", 9, 5) == 1
+
+
+def test_a_team_that_was_away_has_no_credit():
+    team_shares = shares_of_eight()
+    team_shares.advance(QUIET, 1, at(5))
+    team_shares.advance(QUIET, 0, at(7))
+    assert excess(team_shares, QUIET, 9, 7) == 1
+
+
+def test_a_team_between_two_jobs_keeps_its_credit():
+    team_shares = shares_of_eight()
+    team_shares.advance(QUIET, 1, at(5))
+    team_shares.advance(QUIET, 0, at(5.9))
+    assert excess(team_shares, QUIET, 9, 5.9) == 0
+
+
+def configuration() -> dict:
+    writes = [
+        records.ObjectWrite(
+            kind=records.ObjectKind.TEAM, name=team, team=records.TeamObject(name=team)
+        )
+        for team in TEAMS
+    ]
+    rule = records.RuleObject(name="all")
+    writes.append(records.ObjectWrite(kind=records.ObjectKind.RULE, name="all", rule=rule))
+    value = records.TargetObject(name=TARGET, approved_teams=list(TEAMS))
+    writes.append(records.ObjectWrite(kind=records.ObjectKind.TARGET, name=TARGET, target=value))
+    change = records.ChangeRecord(change_id="1", actor="op", changed_at="now", writes=writes)
+    return msgspec.to_builtins(change)
+
+
+def listing() -> vms.VmList:
+    address = {"domain": "ikeja", "address": "127.0.0.1"}
+    node = vms.Vm(name=NODE, role=vms.VmRole.ENTRY, port=1, peer_port=2, **address)
+    target = vms.Vm(
+        name=TARGET,
+        role=vms.VmRole.TARGET,
+        port=3,
+        slots=SLOTS,
+        memory_mb=1024,
+        cores=8,
+        **address,
+    )
+    return vms.VmList(1, [node, target])
+
+
+class Owner:
+    """The lender of a node that owns every target, called as its policy calls it."""
+
+    def __init__(self):
+        settings = kernels.KernelSettings(
+            node=NODE, domain="ikeja", incarnation="a", secret=b"k", policy="owners"
+        )
+        self.clock = clocks.ManualClock()
+        kernel = kernels.Kernel(settings, random.Random(1))
+        kernel.handle(events.RecordsRead(records=[(0, configuration())]), self.clock.now())
+        kernel.handle(events.VmsListed(listing=listing()), self.clock.now())
+        self.advance(1.0)
+        kernel.handle(events.Ticked(), self.clock.now())
+        self.lender: lenders.Lender = kernel.dispatcher.policy.lender
+
+    def advance(self, seconds: float) -> None:
+        self.clock.advance(datetime.timedelta(seconds=seconds))
+
+    def lend(self, team: str, count: int) -> None:
+        query = slotqueues.Query(team, "")
+        loan = self.lender.lend(NODE, query, count, 0.0, self.clock.now())
+        assert len(loan.names) == count
+
+    def end(self, team: str) -> None:
+        self.lender.ended(NODE, peers.SlotEnd(TARGET, team, "succeeded"), self.clock.now())
+
+    def wait(self, team: str, due_ms: int) -> None:
+        waiting = slotqueues.Waiting(
+            node=NODE,
+            demand_id=due_ms,
+            query=slotqueues.Query(team, ""),
+            arrived_at_ms=due_ms,
+            due_ms=due_ms,
+            wanted=1,
+        )
+        self.lender.queue_request(waiting, self.clock.now())
+
+    def serve(self) -> list[str]:
+        """Return the teams that were granted a slot."""
+        return [waiting.query.team for waiting, _ in self.lender.serve_queue(self.clock.now())]
+
+
+@pytest.fixture
+def owner() -> Owner:
+    return Owner()
+
+
+def test_a_surge_of_a_team_within_its_share_goes_before_a_team_that_is_always_over(owner):
+    owner.lend("loud", 5)
+    owner.lend("quiet", 1)
+    owner.advance(1.0)
+    owner.lend("quiet", 4)
+    owner.lend("other", 2)
+    owner.wait("loud", due_ms=1)
+    owner.wait("quiet", due_ms=2)
+    owner.advance(0.1)
+    owner.end("other")
+    assert owner.serve() == ["quiet"]
+
+
+def test_a_surge_that_lasts_is_served_like_any_team_over_its_share(owner):
+    owner.lend("loud", 5)
+    owner.lend("quiet", 5)
+    owner.lend("other", 2)
+    owner.wait("loud", due_ms=1)
+    owner.wait("quiet", due_ms=2)
+    owner.serve()
+    owner.advance(5.0)
+    owner.end("other")
+    assert owner.serve() == ["loud"]
