--- a/packages/standins/chiveridge_standins/proxies.py
+++ b/packages/standins/chiveridge_standins/proxies.py
@@ -20,6 +20,7 @@
     accepted: int = 0
     open: int = 0
     cut: int = 0
+    dropped_requests: int = 0
     dropped_replies: int = 0
     passed_bytes: int = 0
 
@@ -36,6 +37,7 @@
         self._target_host = target_host
         self._target_port = target_port
         self._replies_to_drop = 0
+        self._requests_to_drop = 0
         self._links: set[_Link] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener: asyncio.Server | None = None
@@ -88,10 +90,22 @@
         for link in self._links:
             link.silent = True
 
+    def drop_requests(self, count: int) -> None:
+        """Cut each of the next ``count`` connections when the first byte of its request comes."""
+        self._requests_to_drop = count
+
     def drop_replies(self, count: int) -> None:
         """Cut a connection when the first byte of its next reply comes, ``count`` times."""
         self._replies_to_drop = count
 
+    def take_dropped_request(self, link: "_Link") -> bool:
+        """Cut ``link`` in place of passing its request on; return whether that was done."""
+        if not link.drops_request:
+            return False
+        self.counts.dropped_requests += 1
+        self._cut_link(link)
+        return True
+
     def take_dropped_reply(self, link: "_Link") -> bool:
         """Cut ``link`` in place of passing its reply on; return whether that was done."""
         if self._replies_to_drop <= 0:
@@ -106,7 +120,8 @@
         self._tasks.add(task)
         self.counts.accepted += 1
         self.counts.open += 1
-        link = _Link(self, reader, writer)
+        link = _Link(self, reader, writer, drops_request=self._requests_to_drop > 0)
+        self._requests_to_drop = max(self._requests_to_drop - 1, 0)
         self._links.add(link)
         try:
             await link.run(self._target_host, self._target_port)
@@ -129,9 +144,15 @@
     """One connection of a client and the connection to the target that goes with it."""
 
     def __init__(
-        self, proxy: FaultProxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        proxy: FaultProxy,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        drops_request: bool,
     ):
         self.silent = False
+        self.drops_request = drops_request
         self.aborted = False
         self._proxy = proxy
         self._client_reader = reader
@@ -198,6 +219,8 @@
                 return
             if self.silent or self.aborted:
                 continue
+            if not is_reply and self._proxy.take_dropped_request(self):
+                continue
             if is_reply and self._proxy.take_dropped_reply(self):
                 continue
             await self._write_chunk(writer, chunk)
--- a/packages/standins/tests/test_proxies.py
+++ b/packages/standins/tests/test_proxies.py
@@ -112,3 +112,13 @@
             await (await connected(proxy)).echoed(b"lost")
         assert await (await connected(proxy)).echoed(b"kept") == b"kept"
         assert proxy.counts.dropped_replies == 1
+
+
+async def test_drops_the_request_and_nothing_else(connected):
+    async with proxying() as proxy:
+        proxy.drop_requests(1)
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await (await connected(proxy)).echoed(b"lost")
+        assert proxy.counts.passed_bytes == 0
+        assert await (await connected(proxy)).echoed(b"kept") == b"kept"
+        assert proxy.counts.dropped_requests == 1
