Hold the job of a stopping node until its peer was replaced

Cause: test_a_stop_while_the_only_peer_is_replaced needs the job to outlast the kill and the new start of the peer; it gave the job 1.8 s. On a busy machine a process takes longer than that to start, and the check that the caller still waits fails. A fault of the test, which rested on timing.

Ruled out: a fault of the node. In all five failures the caller had its answer, complete, before the new peer listened.

Change: the proxy in front of the target holds the reply until the new peer is ready. The check that the caller still waits now comes after that, so it covers more of the stop than before.

--- a/tests/integration/test_graceful_shutdown_under_failure.py
+++ b/tests/integration/test_graceful_shutdown_under_failure.py
@@ -216,16 +216,19 @@
 async def test_a_stop_while_the_only_peer_is_replaced(deploy, make_task):
     async with deploy(nodes=2, proxied=PROXIED, settings=SETTINGS) as deployed:
         stop = Stop(deployed)
-        await stop.begin(make_task("replaced", run_ms=2 * RUN_MS), make_task("unused"))
+        await stop.begin(make_task("replaced", run_ms=RUN_MS), make_task("unused"))
+        # The job lasts until the reply of its target is let through.
+        deployed.fleet.proxies_by_name[TARGET].freeze()
         await stop.terminate()
         await deployed.fleet.kill(PEER)
         await deployed.fleet.start_node(PEER)
-        assert not stop.waiting.done()
 
         async def is_ready() -> bool:
             return (await deployed.caller.request("GET", f"{deployed.url(PEER)}/readyz"))[0] == 200
 
         await deployed.until(is_ready)
+        assert not stop.waiting.done()
+        deployed.fleet.proxies_by_name[TARGET].thaw()
         await stop.check(PEER)
         assert await deployed.starts() == {"replaced": 1}
 
