Close idle connections accepted while the callers' port closes

Cause: a connection that is accepted in the turn in which the server ends its connections is missed by that round.

Change: each check for stalls, every 0.1 s, ends the idle connections again, as the server's own round does.

Ruled out: closing them only after a second look, 0.1 s later. It would spare a caller whose request is on its way at that moment, but the server's own round has the same window, and callers ask again with the same submission id.

Before: the new test, which has a connection accepted in the midst of the round, fails as the server has to be ended by force.

--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -219,11 +219,17 @@
         unread, moved_at = self._unread_bytes(), loop.time()
         while loop.time() - moved_at < STALL_SECONDS:
             await asyncio.sleep(STALL_CHECK_SECONDS)
+            self._close_idle()
             before, unread = unread, self._unread_bytes()
             if unread != before:
                 moved_at = loop.time()
         self._server.force_exit = True
 
+    def _close_idle(self) -> None:
+        """Close idle connections; one accepted while the port closes is missed by the server."""
+        for connection in list(self._server.server_state.connections):
+            connection.shutdown()
+
     def _unread_bytes(self) -> int:
         connections = self._server.server_state.connections
         return sum(connection.transport.get_write_buffer_size() for connection in connections)
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -3,6 +3,7 @@
 import asyncio
 import http.client
 import json
+import socket
 import threading
 
 import msgspec
@@ -74,6 +75,32 @@
         return results.ResultCode(self.content["code"])
 
 
+class AcceptedLate:
+    """Stands among the server's connections; one more is accepted in the round that ends them."""
+
+    def __init__(self, server, accepted: socket.socket):
+        self.transport = self
+        self._server = server
+        self._accepted = accepted
+        self._accepting: asyncio.Task | None = None
+        server.server_state.connections.add(self)
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def shutdown(self) -> None:
+        if self._accepting is None:
+            self._accepting = asyncio.get_running_loop().create_task(self._accept())
+
+    async def _accept(self) -> None:
+        config, state = self._server.config, self._server.server_state
+        await asyncio.get_running_loop().connect_accepted_socket(
+            lambda: config.http_protocol_class(config=config, server_state=state, app_state={}),
+            self._accepted,
+        )
+        state.connections.discard(self)
+
+
 class Edge:
     """The callers' port of a node that runs on a loop in another thread."""
 
@@ -91,6 +118,12 @@
         self._thread.join()
         self._loop.close()
 
+    def close_accepting(self, accepted: socket.socket) -> bool:
+        """Close while a connection is accepted; tell whether the server ended by itself."""
+        AcceptedLate(self._callers._server, accepted)
+        self.close()
+        return not self._callers._server.force_exit
+
     def request(self, method, path, body=None, credential=DESK.credential, headers=None):
         """Send one request and return its reply."""
         connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=TIMEOUT_S)
@@ -177,12 +210,23 @@
     }
 
 
-@pytest.fixture(scope="module")
-def edge():
+@pytest.fixture(scope="session")
+def fakes():
+    """Register the fakes, which stay registered."""
     callers_http.register()
     for kind in (plugins.Kind.LOG, plugins.Kind.VMS, plugins.Kind.PEERS):
         plugins.add(kind, "fake", FakeAdapter)
     plugins.add(plugins.Kind.TARGETS, "fake", FakeTargets)
+
+
+@pytest.fixture(scope="module")
+def edge(fakes):
     found = Edge()
     yield found
     found.close()
+
+
+@pytest.fixture
+def closing_edge(fakes):
+    """Return an edge that the test closes."""
+    return Edge()
--- a/packages/node/tests/test_callers_http.py
+++ b/packages/node/tests/test_callers_http.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from chiveridge_kernel import messages, results
+from chiveridge_node import callers_http
 
 Code = results.ResultCode
 fuzz = hypothesis.settings(
@@ -320,3 +321,16 @@
         connection.shutdown(socket.SHUT_WR)
         while connection.recv(4096):
             pass
+
+
+@pytest.mark.promise("graceful_shutdown")
+def test_an_idle_connection_accepted_while_the_port_closes_is_closed(closing_edge, monkeypatch):
+    # Shorter than the edge waits for its end, so that a server that has to be ended is told.
+    monkeypatch.setattr(callers_http, "STALL_SECONDS", 5)
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        socket.create_connection(listener.getsockname()) as caller,
+    ):
+        accepted, _ = listener.accept()
+        assert closing_edge.close_accepting(accepted)
+        assert caller.recv(1) == b""
