Stay half a second after the last replies to peers

Cause: 16 copies of test_graceful_shutdown_protections.py at once, 5 and 3 failed in two rounds, all in test_a_forwarded_cancellation_is_confirmed_by_a_node_that_ends, ISSUER_UNREACHABLE in place of CANCELLED (10 copies at once had passed). The issuer sends its last reply and closes. In a trial the reply is there to be read at the other node (POLLIN set) and no longer once the connection is lost: a socket with ZMQ_IMMEDIATE, which keeps messages from being queued for a lost peer, drops what it has not read when its connection goes. A busy node reads too late.

Ruled out: the order in which the other node handles the lost connection and the reply. Reading the socket once more before the loss is told, and telling it one turn of the loop later, changed nothing: the message is gone by then. That change was taken back before it was committed. Doing without ZMQ_IMMEDIATE would let messages arrive long after they were sent.

Change: a node that had forwarded requests in progress when it closes its peers' port keeps the port open for 0.5 s more after the last reply.

After: 16 copies at once, three rounds, none of 48 failed. With the wait for replies (and this one) taken away the test fails as before. This bounds the loss and does not exclude it: a node that is paused for longer than 0.5 s, or a reply sent in the last turn before the port closes, still ends as ISSUER_UNREACHABLE, which is honest.

--- a/packages/node/chiveridge_node/peers_zmq.py
+++ b/packages/node/chiveridge_node/peers_zmq.py
@@ -16,6 +16,8 @@
 SWEEP_SECONDS = 5.0
 CLOSE_TIMEOUT_SECONDS = 1.0
 CLOSE_LINGER_MS = 500
+REPLY_READ_SECONDS = 0.5
+"""How long the last replies to peers may take to be read."""
 
 
 class ZmqPeers:
@@ -58,6 +60,8 @@
         """Finish the replies in progress and close every socket."""
         if self._servings:
             await asyncio.wait(self._servings, timeout=CLOSE_TIMEOUT_SECONDS)
+            # A peer loses a reply that it has not read when the connection closes.
+            await asyncio.sleep(REPLY_READ_SECONDS)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
