Cancel a start in the test only once it is on its way

Cause: 16 copies of test_cancellations.py at once, 2 failed: the start that is cancelled is never seen at the target. The test took it that the start has left the node when its submission is answered. On a busy machine it may not have, and then the node withdraws it, nothing starts, and the test waits for it in vain. A fault of the test.

Change: the test waits until the frozen proxy in front of the target has received bytes of the start, which the proxy counts now. What it asks after that is as before.

Not ruled out: that the two starts were refused as too late, as the test has to thaw the proxy within the 2 s in which a start may begin.

--- a/packages/standins/chiveridge_standins/proxies.py
+++ b/packages/standins/chiveridge_standins/proxies.py
@@ -15,13 +15,14 @@
 
 
 class ConnectionCounts(msgspec.Struct):
-    """Connections of a proxy since its start, how many are open now, and bytes passed on."""
+    """Connections of a proxy since its start, how many are open now, and bytes."""
 
     accepted: int = 0
     open: int = 0
     cut: int = 0
     dropped_requests: int = 0
     dropped_replies: int = 0
+    received_bytes: int = 0
     passed_bytes: int = 0
 
 
@@ -195,6 +196,7 @@
         chunk = b"first"
         while chunk:
             chunk = await self._read_chunk(reader)
+            self._proxy.counts.received_bytes += len(chunk)
             await chunks.put((loop.time() + self._proxy.delay.total_seconds(), chunk))
 
     async def _read_chunk(self, reader: asyncio.StreamReader) -> bytes:
--- a/tests/integration/test_cancellations.py
+++ b/tests/integration/test_cancellations.py
@@ -15,13 +15,19 @@
 @pytest.mark.promise("complete_or_failed")
 async def test_nothing_starts_once_a_cancellation_is_confirmed(deploy, make_task):
     async with deploy(proxied=frozenset({TARGET})) as deployed:
-        # With a connection at hand, the next start is sent before its submission is answered.
+        # With a connection at hand, the next start is sent at once.
         first = await deployed.submission(NODE, make_task("first"))
         await deployed.caller.submit(deployed.url(NODE), first, wait_ms=20_000)
         proxy = deployed.fleet.proxies_by_name[TARGET]
         proxy.freeze()
+        received_bytes = proxy.counts.received_bytes
+
+        async def is_on_its_way() -> bool:
+            return proxy.counts.received_bytes > received_bytes
+
         submission = await deployed.submission(NODE, make_task(KEY, run_ms=5000))
         await deployed.caller.submit(deployed.url(NODE), submission)
+        await deployed.until(is_on_its_way)
         cancelling = asyncio.create_task(_cancel(deployed, submission.submission_id))
         answer = await deployed.caller.ask(deployed.url(NODE), submission.submission_id, 20_000)
         assert answer.code == results.ResultCode.CANCELLED
