Derive each team's count of lent slots from the ledger

Cause: `Lender` counted the slots lent to a team beside the ledger, and only a return by message lowered the count. Slots of a holder that died or was replaced, and those whose return was lost, counted for their team for ever; when a target changed its owner, the old one kept the count and the new one had none. The order between teams drifted.

Change: the ledger keeps slots by target and team for each holder and takes the count of a team from there, so that every way in which a slot comes back lowers it. Reports carry the teams of the held slots (`teams_by_target`, added to the message; reports of nodes that do not send it count under no team until the slots come back). A node counts its starts in progress by team as well (`starts_in_progress`), which the report is read from. A report now corrects the counts of its sender only, in place of counting all holders anew.

Ruled out: guessing the team of a missing slot from the oldest grant (no new field, but wrong between teams until the return, and nothing for a new owner); scanning the tasks in progress for each report (linear in them).

Seen to fail on the old code: the four new tests of test_owner_policies (holder dead, return lost, node replaced, owner change).

Changed tests: test_slots passes the team to `lend` and `give_back`, and slots by target and team to `report`, as the ledger asks for them; what is asserted is the same.

--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -19,6 +19,7 @@
     probes,
     reaches,
     results,
+    starts_in_progress,
     stops,
     targets,
     vms,
@@ -44,7 +45,8 @@
         probe_limits: probes.ProbeLimits,
     ):
         self.rng = rng
-        self.in_flight_by_target: dict[str, int] = {}
+        self.in_progress = starts_in_progress.StartsInProgress()
+        self.in_flight_by_target = self.in_progress.count_by_target
         self.jobs_by_id: dict[identifiers.SubmissionId, jobs.Job] = {}
         self.outbox: list[actions.Action] = []
         self.reach = reach
@@ -105,7 +107,7 @@
             job.first_start_at = now
         self._tasks_by_lease[task.lease_id] = task
         self.prober.started(task, now)
-        self.in_flight_by_target[vm.name] = self.in_flight_by_target.get(vm.name, 0) + 1
+        self.in_progress.began(vm.name, job.team)
         self.outbox.append(
             actions.StartTask(
                 lease_id=task.lease_id,
@@ -274,10 +276,7 @@
         """Let go of a start; ``report`` is None when its outcome is not awaited."""
         del self._tasks_by_lease[task.lease_id]
         self.limiter.ended(task)
-        name = task.target.name
-        self.in_flight_by_target[name] -= 1
-        if not self.in_flight_by_target[name]:
-            del self.in_flight_by_target[name]
+        self.in_progress.ended(task.target.name, task.job.team)
         self.policy.start_ended(task, task.target, report, now)
 
     def end(
--- a/packages/kernel/chiveridge_kernel/lenders.py
+++ b/packages/kernel/chiveridge_kernel/lenders.py
@@ -1,6 +1,5 @@
 """The owner's side of slot sharing: lends the slots of its targets, oldest job first."""
 
-import collections
 import datetime
 
 import msgspec
@@ -44,7 +43,6 @@
         self.requesters = requesters.Requesters(starter.members)
         self._starter = starter
         self._owner_table = owner_table
-        self._lent_by_team: collections.Counter[str] = collections.Counter()
         self._slow_probe_at_by_target: dict[str, datetime.datetime] = {}
         self._owned_by_query: dict[slotqueues.Query, tuple[vms.Vm, ...]] = {}
         self._query_version: tuple[int, int] | None = None
@@ -94,8 +92,8 @@
         return sum(known[name].slots for name in self._owner_table.owned if name in known)
 
     def lent_count(self, team: str) -> int:
-        """Return the slots lent to a team, as far as they were given back."""
-        return self._lent_by_team[team]
+        """Return the slots lent to a team."""
+        return self.ledger.lent_by_team[team]
 
     def lend(
         self,
@@ -111,14 +109,11 @@
         for tier in (self._healthy, self._slow, self._failing):
             if len(chosen) < count:
                 chosen += tier(usable, count - len(chosen), waited_ms, now)
-        self._lent_by_team[query.team] += len(chosen)
-        return Loan(chosen, self.ledger.lend(node, chosen, now))
+        return Loan(chosen, self.ledger.lend(node, query.team, chosen, now))
 
     def ended(self, node: str, end: peers.SlotEnd, now: datetime.datetime) -> None:
         """Take a slot back and learn from the outcome of its start."""
-        self.ledger.give_back(node, end.target, now)
-        if self._lent_by_team[end.team] > 0:
-            self._lent_by_team[end.team] -= 1
+        self.ledger.give_back(node, end.target, end.team, now)
         learn = _LEARNERS_BY_OUTCOME.get(end.outcome)
         if learn is not None and self.ledger.owns(end.target):
             learn(self, end, node, now)
@@ -135,7 +130,9 @@
         progress = len(self.queue) > 0
         while progress and (probing or self.free_count() > 0):
             progress = False
-            heads = slotqueues.fair_order(self.queue.heads(), self._lent_by_team, self.slot_count())
+            heads = slotqueues.fair_order(
+                self.queue.heads(), self.ledger.lent_by_team, self.slot_count()
+            )
             for head in heads:
                 loan = self._lend_to(head, now)
                 if loan.names:
--- a/packages/kernel/chiveridge_kernel/owner_policies.py
+++ b/packages/kernel/chiveridge_kernel/owner_policies.py
@@ -20,6 +20,7 @@
     placements,
     slotqueues,
     slotreturns,
+    slots,
     vms,
 )
 
@@ -131,7 +132,8 @@
     def handle_report(self, message: peers.SlotReport, now: datetime.datetime) -> None:
         """Correct the ledger by a holder's own account."""
         self.borrower.hints.learn(message.sender, message.free)
-        self.lender.ledger.report(message.sender, message.last_serial, message.held_by_target, now)
+        held = slots.lots_of(message.held_by_target, message.teams_by_target)
+        self.lender.ledger.report(message.sender, message.last_serial, held, now)
         self._serve_queue(now)
 
     def _refresh(self, now: datetime.datetime) -> None:
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -185,13 +185,15 @@
 class SlotReport(msgspec.Struct, frozen=True, kw_only=True, tag="slot_report"):
     """All slots of the owner that the sender holds, as a correction of lost messages.
 
-    ``last_serial`` is the last grant received from the owner, 0 for none.
+    ``last_serial`` is the last grant received from the owner, 0 for none. ``teams_by_target``
+    says how many of the slots each team has; without it their teams are not known.
     """
 
     sender: identifiers.NodeName
     last_serial: int
     held_by_target: dict[identifiers.TargetName, int]
     free: int
+    teams_by_target: dict[identifiers.TargetName, dict[identifiers.TeamName, int]] = {}
 
 
 class StartCounts(
--- a/packages/kernel/chiveridge_kernel/placements.py
+++ b/packages/kernel/chiveridge_kernel/placements.py
@@ -16,6 +16,7 @@
     members,
     peers,
     reaches,
+    starts_in_progress,
     targets,
     vms,
 )
@@ -25,6 +26,7 @@
     """What a policy may use: starting tasks, sending messages, and the node's tables."""
 
     rng: random.Random
+    in_progress: starts_in_progress.StartsInProgress
     in_flight_by_target: dict[str, int]
     outbox: list[actions.Action]
     target_table: targets.TargetTable
--- a/packages/kernel/chiveridge_kernel/slotreturns.py
+++ b/packages/kernel/chiveridge_kernel/slotreturns.py
@@ -1,10 +1,9 @@
 """Gives slots back to their owners, and tells owners which of their slots are held."""
 
-import collections
 import datetime
 from collections.abc import Iterable
 
-from chiveridge_kernel import actions, identifiers, lenders, owners, peers, placements
+from chiveridge_kernel import actions, identifiers, lenders, owners, peers, placements, slots
 
 REPORT_INTERVAL = datetime.timedelta(seconds=1)
 SECOND_REPORT_DELAY = datetime.timedelta(milliseconds=100)
@@ -77,19 +76,13 @@
     def report(self, now: datetime.datetime) -> None:
         """Tell every owner concerned which of its slots this node holds."""
         held_by_owner = self._held_by_owner()
-        own = held_by_owner.pop(self._own_name, {})
+        own = self._lots(held_by_owner.pop(self._own_name, []))
         ledger = self._lender.ledger
         holder = ledger.holders_by_node.get(self._own_name)
         ledger.report(self._own_name, holder.serial if holder else 0, own, now)
         free = self._lender.free_count()
         for owner in self._reports_due_by_owner.keys() | held_by_owner.keys():
-            message = peers.SlotReport(
-                sender=self._own_name,
-                last_serial=self._last_serial_by_owner.get(owner, 0),
-                held_by_target=held_by_owner.get(owner, {}),
-                free=free,
-            )
-            self.send(owner, message)
+            self.send(owner, self._report_of(owner, held_by_owner.get(owner, []), free))
         self._reports_due_by_owner = {
             owner: count - 1 for owner, count in self._reports_due_by_owner.items() if count > 1
         }
@@ -100,10 +93,27 @@
         if vm is not None:
             self._starter.outbox.append(actions.SendToPeer(peer=vm, message=message))
 
-    def _held_by_owner(self) -> dict[str, dict[identifiers.TargetName, int]]:
-        held_by_owner: dict[str, dict[identifiers.TargetName, int]] = collections.defaultdict(dict)
-        for target, count in self._starter.in_flight_by_target.items():
+    def _report_of(
+        self, owner: str, held: list[identifiers.TargetName], free: int
+    ) -> peers.SlotReport:
+        in_progress = self._starter.in_progress
+        return peers.SlotReport(
+            sender=self._own_name,
+            last_serial=self._last_serial_by_owner.get(owner, 0),
+            held_by_target={name: in_progress.count_by_target[name] for name in held},
+            free=free,
+            teams_by_target={name: dict(in_progress.teams_by_target[name]) for name in held},
+        )
+
+    def _lots(self, held: list[identifiers.TargetName]) -> slots.Lots:
+        in_progress = self._starter.in_progress
+        counts = {name: in_progress.count_by_target[name] for name in held}
+        return slots.lots_of(counts, in_progress.teams_by_target)
+
+    def _held_by_owner(self) -> dict[str, list[identifiers.TargetName]]:
+        held_by_owner: dict[str, list[identifiers.TargetName]] = {}
+        for target in self._starter.in_progress.count_by_target:
             owner = self._owner_table.owner_by_target.get(target)
             if owner is not None:
-                held_by_owner[owner][identifiers.TargetName(target)] = count
+                held_by_owner.setdefault(owner, []).append(identifiers.TargetName(target))
         return held_by_owner
--- a/packages/kernel/chiveridge_kernel/slots.py
+++ b/packages/kernel/chiveridge_kernel/slots.py
@@ -1,8 +1,8 @@
-"""The ledger of slots that the owner of targets keeps: how many are lent, and to whom."""
+"""The ledger of slots that the owner of targets keeps: how many are lent, to whom and for whom."""
 
 import collections
 import datetime
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 import msgspec
 
@@ -14,42 +14,69 @@
 MAX_UNCONFIRMED_GRANTS = 1000
 
 
+UNKNOWN_TEAM = ""
+"""Team of slots that an earlier version of a node reported without their teams."""
+
+Lots = collections.Counter[tuple[str, str]]
+"""Numbers of slots by target and the team that they are used for."""
+
+
+def lots_of(held_by_target: Mapping[str, int], teams_by_target: Mapping[str, Mapping]) -> Lots:
+    """Return slots held by target and team; those of no known team are of the unknown one."""
+    lots: Lots = collections.Counter()
+    for name, count in held_by_target.items():
+        teams = teams_by_target.get(name, {})
+        lots.update({(name, team): known for team, known in teams.items()})
+        missing = count - sum(teams.values())
+        if missing > 0:
+            lots[name, UNKNOWN_TEAM] += missing
+    return lots
+
+
 class _Grant(msgspec.Struct):
     serial: int
     granted_at: datetime.datetime
-    count_by_target: collections.Counter
+    lots: collections.Counter
 
 
 class Holder:
     """What one node holds, as the owner knows it."""
 
     def __init__(self, now: datetime.datetime):
-        self.count_by_target: collections.Counter[str] = collections.Counter()
+        self.lots: Lots = collections.Counter()
         self.serial = 0
         self.heard_at = now
         self._unconfirmed: collections.deque[_Grant] = collections.deque()
 
-    def granted(self, names: list[str], now: datetime.datetime) -> int:
+    def granted(self, lots: Lots, now: datetime.datetime) -> int:
         """Note a grant and return its serial number."""
         self.serial += 1
-        self.count_by_target.update(names)
-        self._unconfirmed.append(_Grant(self.serial, now, collections.Counter(names)))
+        self.lots.update(lots)
+        self._unconfirmed.append(_Grant(self.serial, now, lots))
         if len(self._unconfirmed) > MAX_UNCONFIRMED_GRANTS:
             self._unconfirmed.popleft()
         return self.serial
 
-    def report(
-        self, last_serial: int, held_by_target: dict[str, int], now: datetime.datetime
-    ) -> None:
+    def give_back(self, name: str, team: str) -> tuple[str, str] | None:
+        """Note that a slot is no longer held; return which, or None when it was not."""
+        for lot in ((name, team), (name, UNKNOWN_TEAM)):
+            if self.lots[lot] > 1:
+                self.lots[lot] -= 1
+                return lot
+            if self.lots.pop(lot, 0):
+                return lot
+        return None
+
+    def report(self, last_serial: int, held: Lots, now: datetime.datetime) -> None:
         """Take the holder's own account, and add the grants that it had not received yet."""
         oldest = now - GRANT_DELIVERY_LIMIT
         while self._unconfirmed and (
             self._unconfirmed[0].serial <= last_serial or self._unconfirmed[0].granted_at < oldest
         ):
             self._unconfirmed.popleft()
-        self.count_by_target = collections.Counter(held_by_target)
+        self.lots = held.copy()
         for grant in self._unconfirmed:
-            self.count_by_target.update(grant.count_by_target)
+            self.lots.update(grant.lots)
 
 
 class _Settling(msgspec.Struct):
@@ -64,6 +91,7 @@
 
     def __init__(self):
         self.holders_by_node: dict[str, Holder] = {}
+        self.lent_by_team: collections.Counter[str] = collections.Counter()
         self._vms_by_name: dict[str, vms.Vm] = {}
         self._lent_by_target: collections.Counter[str] = collections.Counter()
         self._settling_by_target: dict[str, _Settling] = {}
@@ -103,30 +131,30 @@
             return 0
         return max(vm.slots - self._lent_by_target[name], 0)
 
-    def lend(self, node: str, names: list[str], now: datetime.datetime) -> int:
-        """Lend one slot for each name and return the serial number of the grant."""
-        self._lent_by_target.update(names)
-        return self._holder(node, now).granted(names, now)
+    def lend(self, node: str, team: str, names: list[str], now: datetime.datetime) -> int:
+        """Lend a team one slot for each name and return the serial number of the grant."""
+        lots: Lots = collections.Counter((name, team) for name in names)
+        self._count(lots)
+        return self._holder(node, now).granted(lots, now)
 
-    def give_back(self, node: str, name: str, now: datetime.datetime) -> None:
+    def give_back(self, node: str, name: str, team: str, now: datetime.datetime) -> None:
         """Take one slot back; one that was not lent changes nothing."""
         holder = self._holder(node, now)
         holder.heard_at = now
-        if holder.count_by_target[name] > 0:
-            holder.count_by_target[name] -= 1
-            self._lent_by_target[name] -= 1
+        lot = holder.give_back(name, team)
+        if lot is not None:
+            self._count({lot: 1}, sign=-1)
 
-    def report(
-        self, node: str, last_serial: int, held_by_target: dict[str, int], now: datetime.datetime
-    ) -> None:
+    def report(self, node: str, last_serial: int, held: Lots, now: datetime.datetime) -> None:
         """Correct what a node holds by its own account."""
         holder = self._holder(node, now)
         holder.heard_at = now
-        holder.report(last_serial, held_by_target, now)
+        self._count(holder.lots, sign=-1)
+        holder.report(last_serial, held, now)
+        self._count(holder.lots)
         for settling in self._settling_by_target.values():
             settling.awaited_nodes.discard(node)
         self.settle(now)
-        self._recount()
 
     def heard(self, node: str, now: datetime.datetime) -> None:
         """Note that a node is there, whether it holds slots or not."""
@@ -140,9 +168,7 @@
             if now - holder.heard_at > HOLDER_SILENCE_LIMIT
         ]
         for node in silent:
-            del self.holders_by_node[node]
-        if silent:
-            self._recount()
+            self._count(self.holders_by_node.pop(node).lots, sign=-1)
         return silent
 
     def _holder(self, node: str, now: datetime.datetime) -> Holder:
@@ -153,13 +179,14 @@
         return holder
 
     def _recount(self) -> None:
-        lent: collections.Counter[str] = collections.Counter()
+        self._lent_by_target.clear()
+        self.lent_by_team.clear()
         for holder in self.holders_by_node.values():
-            lent.update(
-                {
-                    name: count
-                    for name, count in holder.count_by_target.items()
-                    if name in self._vms_by_name
-                }
-            )
-        self._lent_by_target = lent
+            self._count(holder.lots)
+
+    def _count(self, lots: Mapping[tuple[str, str], int], sign: int = 1) -> None:
+        """Count slots as lent, or no more; those of targets that are not owned do not count."""
+        for (name, team), count in lots.items():
+            if name in self._vms_by_name:
+                self._lent_by_target[name] += sign * count
+                self.lent_by_team[team] += sign * count
--- a/packages/kernel/tests/test_owner_policies.py
+++ b/packages/kernel/tests/test_owner_policies.py
@@ -257,6 +257,58 @@
         assert kernel.dispatcher.policy.lender.lent_count(TEAM) == 0
 
 
+def lent_counts(network) -> dict[str, tuple[int, int]]:
+    """Return the slots of the team's count and of the ledger that each node has lent."""
+    lenders = {name: k.dispatcher.policy.lender for name, k in network.kernels_by_name.items()}
+    return {
+        name: (lender.lent_count(TEAM), lender.slot_count() - lender.free_count())
+        for name, lender in lenders.items()
+    }
+
+
+def test_slots_of_a_dead_holder_count_no_more_for_their_team(network):
+    network.submit("e1", len(TARGETS) * SLOTS)
+    network.kill("e1")
+    network.advance(slots.HOLDER_SILENCE_LIMIT.total_seconds() + 0.1)
+    assert lent_counts(network) == {"e2": (0, 0), "e3": (0, 0)}
+
+
+def test_slots_whose_return_was_lost_count_no_more_for_their_team(network):
+    network.submit("e1", len(TARGETS) * SLOTS)
+    network.dropped_types = (peers.SlotReturn,)
+    for lease_id in list(network.running):
+        network.end(lease_id)
+    network.advance(3.0)
+    assert lent_counts(network) == dict.fromkeys(NODES, (0, 0))
+
+
+def test_slots_of_a_replaced_holder_count_no_more_for_their_team(network):
+    network.submit("e1", len(TARGETS) * SLOTS)
+    network.kill("e1")
+    network.replace("e1")
+    network.advance(3.0)
+    assert lent_counts(network) == dict.fromkeys(NODES, (0, 0))
+
+
+def test_slots_count_for_their_team_at_whichever_node_owns_them(network):
+    network.submit("e1", len(TARGETS) * SLOTS)
+    network.kill("e2")
+    for name in ("e1", "e3"):
+        network.list_nodes(name, ("e1", "e3"))
+    network.advance(1.0)
+    counts = lent_counts(network)
+    assert all(by_team == by_target for by_team, by_target in counts.values())
+    assert sum(by_team for by_team, _ in counts.values()) == len(TARGETS) * SLOTS
+    network.replace("e2")
+    for name in ("e1", "e3"):
+        network.list_nodes(name, NODES)
+    network.advance(1.0)
+    for lease_id in list(network.running):
+        network.end(lease_id)
+        assert all(by_team == by_target for by_team, by_target in lent_counts(network).values())
+    assert lent_counts(network) == dict.fromkeys(NODES, (0, 0))
+
+
 def test_tasks_start_without_owners_that_never_answer(network):
     network.dropped_types = (peers.SlotGrant,)
     network.submit("e1", len(TARGETS) * SLOTS)
--- a/packages/kernel/tests/test_slots.py
+++ b/packages/kernel/tests/test_slots.py
@@ -1,10 +1,14 @@
+import collections
 import datetime
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from chiveridge_kernel import clocks, slots, vms
 
 NOW = clocks.EPOCH
+TEAM = "desk"
 LATER = NOW + slots.SETTLING_LIMIT
 
 
@@ -19,6 +23,10 @@
     )
 
 
+def held(**count_by_target: int) -> slots.Lots:
+    return collections.Counter({(name, TEAM): n for name, n in count_by_target.items()})
+
+
 @pytest.fixture
 def ledger() -> slots.SlotLedger:
     settled = slots.SlotLedger()
@@ -28,26 +36,26 @@
 
 
 def test_lends_no_more_than_there_is(ledger):
-    ledger.lend("e1", ["t1", "t1"], NOW)
+    ledger.lend("e1", TEAM, ["t1", "t1"], NOW)
     assert (ledger.free("t1"), ledger.free("t2")) == (0, 2)
-    ledger.give_back("e1", "t1", NOW)
+    ledger.give_back("e1", "t1", TEAM, NOW)
     assert ledger.free("t1") == 1
 
 
 def test_a_slot_given_back_twice_counts_once(ledger):
-    ledger.lend("e1", ["t1"], NOW)
-    ledger.lend("e2", ["t1"], NOW)
-    ledger.give_back("e1", "t1", NOW)
-    ledger.give_back("e1", "t1", NOW)
+    ledger.lend("e1", TEAM, ["t1"], NOW)
+    ledger.lend("e2", TEAM, ["t1"], NOW)
+    ledger.give_back("e1", "t1", TEAM, NOW)
+    ledger.give_back("e1", "t1", TEAM, NOW)
     assert ledger.free("t1") == 1
 
 
 def test_a_new_owner_lends_only_once_the_holders_have_reported():
     ledger = slots.SlotLedger()
     ledger.own({"t1": target("t1")}, ["e1", "e2"], NOW)
-    ledger.report("e1", 0, {"t1": 1}, NOW)
+    ledger.report("e1", 0, held(t1=1), NOW)
     assert ledger.free("t1") == 0
-    ledger.report("e2", 0, {}, NOW)
+    ledger.report("e2", 0, held(), NOW)
     assert ledger.free("t1") == 1
 
 
@@ -60,14 +68,98 @@
 
 
 def test_a_report_corrects_lost_returns_but_keeps_grants_on_their_way(ledger):
-    received = ledger.lend("e1", ["t1", "t2"], NOW)
-    ledger.lend("e1", ["t2"], NOW)
-    ledger.report("e1", received, {"t1": 1}, NOW)
+    received = ledger.lend("e1", TEAM, ["t1", "t2"], NOW)
+    ledger.lend("e1", TEAM, ["t2"], NOW)
+    ledger.report("e1", received, held(t1=1), NOW)
     assert (ledger.free("t1"), ledger.free("t2")) == (1, 1)
 
 
 def test_slots_of_a_silent_holder_are_taken_back(ledger):
-    ledger.lend("e1", ["t1", "t1"], NOW)
+    ledger.lend("e1", TEAM, ["t1", "t1"], NOW)
     assert not ledger.expire(NOW + slots.HOLDER_SILENCE_LIMIT)
     assert ledger.expire(NOW + slots.HOLDER_SILENCE_LIMIT + datetime.timedelta(milliseconds=1))
     assert ledger.free("t1") == 2
+
+
+def test_slots_reported_without_teams_come_back_under_any_team(ledger):
+    ledger.report("e1", 0, slots.lots_of({"t1": 2, "t2": 1}, {"t1": {TEAM: 1}}), NOW)
+    assert ledger.lent_by_team == {TEAM: 1, slots.UNKNOWN_TEAM: 2}
+    for name in ("t1", "t1", "t2"):
+        ledger.give_back("e1", name, TEAM, NOW)
+    assert +ledger.lent_by_team == {}
+    assert (ledger.free("t1"), ledger.free("t2")) == (2, 2)
+
+
+MODEL_NODES = ("e1", "e2", "e3")
+MODEL_TARGETS = ("t1", "t2", "t3")
+MODEL_TEAMS = ("desk", "field")
+EVENTS = ("lend", "return", "lost return", "second return", "report", "die", "own", "wait")
+
+
+class Model:
+    """Slots that nodes hold in truth, beside the ledger of an owner that comes and goes."""
+
+    def __init__(self):
+        self.now = NOW
+        self.ledger = slots.SlotLedger()
+        self.lots_by_node = {node: collections.Counter() for node in MODEL_NODES}
+        self.serials: collections.Counter[str] = collections.Counter()
+        self.own(MODEL_TARGETS)
+
+    def own(self, names: tuple[str, ...]) -> None:
+        self.ledger.own({name: target(name, 4) for name in names}, [], self.now)
+        self.ledger.settle(self.now + slots.SETTLING_LIMIT)
+
+    def happen(self, event: str, node: str, name: str, team: str) -> None:
+        lots = self.lots_by_node[node]
+        lot = (name, team)
+        if event == "lend" and self.ledger.free(name):
+            self.serials[node] = self.ledger.lend(node, team, [name], self.now)
+            lots[lot] += 1
+        elif event in ("return", "lost return") and lots[lot]:
+            lots[lot] -= 1
+        if event in ("return", "second return"):
+            self.ledger.give_back(node, name, team, self.now)
+        elif event == "report":
+            self.ledger.report(node, self.serials[node], +lots, self.now)
+        elif event == "die":
+            lots.clear()
+        elif event == "own":
+            self.own(tuple(other for other in MODEL_TARGETS if other != name))
+        elif event == "wait":
+            self.now += slots.HOLDER_SILENCE_LIMIT
+            self.ledger.expire(self.now)
+
+    def lent_by_team(self) -> dict[str, int]:
+        """Return the sums over what the ledger says that the nodes hold."""
+        sums: collections.Counter[str] = collections.Counter()
+        for holder in self.ledger.holders_by_node.values():
+            for (name, team), count in holder.lots.items():
+                sums[team] += count * self.ledger.owns(name)
+        return +sums
+
+
+happenings = strategies.tuples(
+    strategies.sampled_from(EVENTS),
+    strategies.sampled_from(MODEL_NODES),
+    strategies.sampled_from(MODEL_TARGETS),
+    strategies.sampled_from(MODEL_TEAMS),
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None, database=None)
+@hypothesis.given(strategies.lists(happenings, max_size=60))
+def test_the_count_of_each_team_is_the_sum_of_what_is_lent(events):
+    model = Model()
+    for event in events:
+        model.happen(*event)
+        assert all(count >= 0 for count in model.ledger.lent_by_team.values())
+        assert +model.ledger.lent_by_team == model.lent_by_team()
+    model.own(MODEL_TARGETS)
+    for node in MODEL_NODES:
+        model.happen("report", node, "t1", "desk")
+    held = sum(model.lots_by_node.values(), collections.Counter())
+    assert +model.ledger.lent_by_team == collections.Counter(team for _, team in held.elements())
+    for name in MODEL_TARGETS:
+        lent = sum(count for (other, _), count in held.items() if other == name)
+        assert model.ledger.free(name) == max(4 - lent, 0)
