Find free slots by an index instead of looking at each target

Cause: for each start the lender looked at every owned target: at the ones that a query may use, again at those for each slot of a job, and at all of them for `free_count`, which goes with each grant, return and round of the queue.

Change: `free_slots` keeps a bit mask of the owned targets for each number of free slots, in order of name, corrected by the ledger for each target that changes. `tiers` keeps masks of slow and failing targets, corrected after each start that ends, and of usable ones, made again when the table of targets changes. `refusals` keeps what a node could not use by node. A choice is the lowest bit of the highest level that the masks leave; the rule stays: most free slots first, the first by name among equals, then slow targets, then probes of failing ones.

Ruled out: heaps or buckets for each query (a change of one target is written to each query, which grows with teams) and buckets over all targets that skip what a query may not use (grows with targets where teams reach few).

--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/free_slots.py
@@ -0,0 +1,85 @@
+"""An index of targets by their free slots, so that a choice does not look at each target.
+
+Sets of targets are bit masks, a bit for each target in order of name. What an operation costs
+grows by a machine word for each 30 targets, which is not felt at some thousands of them.
+"""
+
+from collections.abc import Iterable, Iterator
+
+_BYTE_BITS = 8
+
+Mask = int
+"""A set of targets, each at the bit of its position by name."""
+
+
+class FreeSlots:
+    """Targets by how many of their slots are free."""
+
+    def __init__(self, names: Iterable[str] = ()):
+        self._names = sorted(names)
+        self._position_by_name = {name: position for position, name in enumerate(self._names)}
+        self._free_by_name: dict[str, int] = {}
+        self._masks_by_free: dict[int, Mask] = {}
+
+    def put(self, name: str, free: int) -> None:
+        """Set the free slots of a target; one that is not indexed changes nothing."""
+        before = self._free_by_name.get(name, 0)
+        if before == free or name not in self._position_by_name:
+            return
+        self._free_by_name[name] = free
+        bit = 1 << self._position_by_name[name]
+        if before:
+            self._take_out(bit, before)
+        if free:
+            self._masks_by_free[free] = self._masks_by_free.get(free, 0) | bit
+
+    def free(self, name: str) -> int:
+        """Return the free slots of a target."""
+        return self._free_by_name.get(name, 0)
+
+    def count(self, allowed: Mask) -> int:
+        """Return the free slots of some targets."""
+        return sum(
+            free * (mask & allowed).bit_count() for free, mask in self._masks_by_free.items()
+        )
+
+    def spread(self, allowed: Mask, count: int) -> list[str]:
+        """Choose up to ``count`` slots, each on the target that has most left then.
+
+        Among targets with as many the first by name is chosen.
+        """
+        levels = {free: mask & allowed for free, mask in self._masks_by_free.items()}
+        free = max((free for free, mask in levels.items() if mask), default=0)
+        chosen: list[str] = []
+        most_free = levels.get(free, 0)
+        while free > 0 and len(chosen) < count:
+            for name in self.names_in(most_free):
+                chosen.append(name)
+                if len(chosen) == count:
+                    break
+            free -= 1
+            most_free |= levels.get(free, 0)
+        return chosen
+
+    def mask_of(self, names: Iterable[str]) -> Mask:
+        """Return the set of some targets, without those that are not indexed."""
+        marks = bytearray(len(self._names) // _BYTE_BITS + 1)
+        for name in names:
+            position = self._position_by_name.get(name)
+            if position is not None:
+                marks[position // _BYTE_BITS] |= 1 << position % _BYTE_BITS
+        return int.from_bytes(marks, "little")
+
+    def names_in(self, mask: Mask) -> Iterator[str]:
+        """Yield the targets of a set in order of name."""
+        while mask:
+            lowest = mask & -mask
+            mask ^= lowest
+            yield self._names[lowest.bit_length() - 1]
+
+    def _take_out(self, bit: Mask, free: int) -> None:
+        left = self._masks_by_free[free] ^ bit
+        if left:
+            self._masks_by_free[free] = left
+        else:
+            del self._masks_by_free[free]
--- a/packages/kernel/chiveridge_kernel/lenders.py
+++ b/packages/kernel/chiveridge_kernel/lenders.py
@@ -5,23 +5,23 @@
 import msgspec
 
 from chiveridge_kernel import (
-    breakers,
     clocks,
     errors,
+    free_slots,
     messages,
     owners,
     peers,
     placements,
+    refusals,
     requesters,
     slotqueues,
     slots,
-    speeds,
     targets,
+    tiers,
     vms,
 )
 
 SLOW_PROBE_INTERVAL = datetime.timedelta(seconds=5)
-MAX_REFUSALS = 1000
 UNREACHABLE_TIME = datetime.timedelta(seconds=1)
 
 
@@ -38,15 +38,16 @@
     def __init__(self, starter: placements.Starter, owner_table: owners.OwnerTable):
         self.ledger = slots.SlotLedger()
         self.queue = slotqueues.SlotQueue()
-        self.breakers = breakers.Breakers()
-        self.speeds = speeds.Speeds()
+        self.tiers = tiers.Tiers(starter.target_table)
+        self.breakers = self.tiers.breakers
+        self.speeds = self.tiers.speeds
         self.requesters = requesters.Requesters(starter.members)
         self._starter = starter
         self._owner_table = owner_table
         self._slow_probe_at_by_target: dict[str, datetime.datetime] = {}
-        self._owned_by_query: dict[slotqueues.Query, tuple[vms.Vm, ...]] = {}
+        self._owned_by_query: dict[slotqueues.Query, free_slots.Mask] = {}
         self._query_version: tuple[int, int] | None = None
-        self._refused_until: dict[tuple[str, str], datetime.datetime] = {}
+        self._refusals = refusals.Refusals()
 
     def refresh(self, now: datetime.datetime) -> None:
         """Take the targets that this node owns now."""
@@ -54,8 +55,7 @@
         known = self._starter.target_table.vms_by_name
         others = set(self._starter.members.live_names()) - {self._starter.members.own_name}
         self.ledger.own({name: known[name] for name in owned}, others, now)
-        self.breakers.keep_only(owned)
-        self.speeds.keep_only(owned)
+        self.tiers.own(owned, self.ledger.index)
         self._owned_by_query.clear()
 
     def queue_request(self, waiting: slotqueues.Waiting, now: datetime.datetime) -> None:
@@ -79,17 +79,11 @@
 
     def free_count(self) -> int:
         """Return the free slots of healthy owned targets."""
-        usable = self._starter.target_table.is_usable
-        return sum(
-            self.ledger.free(name)
-            for name in self._owner_table.owned
-            if usable(name) and not self.breakers.is_open(name) and not self.speeds.is_slow(name)
-        )
+        return self.ledger.index.count(self.tiers.healthy())
 
     def slot_count(self) -> int:
         """Return all slots of the owned targets."""
-        known = self._starter.target_table.vms_by_name
-        return sum(known[name].slots for name in self._owner_table.owned if name in known)
+        return self.ledger.slot_count
 
     def lent_count(self, team: str) -> int:
         """Return the slots lent to a team."""
@@ -105,10 +99,10 @@
     ) -> Loan:
         """Lend a node up to ``count`` slots, as many as are free."""
         chosen: list[str] = []
-        usable = self._usable(node, query, now)
+        allowed = self._allowed(node, query, now)
         for tier in (self._healthy, self._slow, self._failing):
             if len(chosen) < count:
-                chosen += tier(usable, count - len(chosen), waited_ms, now)
+                chosen += tier(allowed, count - len(chosen), waited_ms, now)
         return Loan(chosen, self.ledger.lend(node, query.team, chosen, now))
 
     def ended(self, node: str, end: peers.SlotEnd, now: datetime.datetime) -> None:
@@ -117,6 +111,7 @@
         learn = _LEARNERS_BY_OUTCOME.get(end.outcome)
         if learn is not None and self.ledger.owns(end.target):
             learn(self, end, node, now)
+            self.tiers.learnt(end.target)
 
     def serve_queue(
         self, now: datetime.datetime, *, probing: bool = False
@@ -125,7 +120,8 @@
 
         Without ``probing`` only slots of healthy targets are looked for.
         """
-        self._forget_refusals(now)
+        if probing:
+            self._refusals.forget(now)
         granted = []
         progress = len(self.queue) > 0
         while progress and (probing or self.free_count() > 0):
@@ -141,7 +137,7 @@
                     break
         return granted
 
-    def eligible(self, query: slotqueues.Query) -> tuple[vms.Vm, ...]:
+    def _eligible(self, query: slotqueues.Query) -> free_slots.Mask:
         """Return the owned targets that a query may use, without regard to their state."""
         version = (self._starter.reach.version, self._starter.target_table.list_version)
         if version != self._query_version:
@@ -149,16 +145,10 @@
             self._owned_by_query.clear()
         found = self._owned_by_query.get(query)
         if found is None:
-            found = self._select(query)
+            found = self.ledger.index.mask_of(vm.name for vm in self.targets_of(query))
             self._owned_by_query[query] = found
         return found
 
-    def _forget_refusals(self, now: datetime.datetime) -> None:
-        if len(self._refused_until) > MAX_REFUSALS:
-            self._refused_until = {
-                pair: until for pair, until in self._refused_until.items() if until > now
-            }
-
     def _lend_to(self, head: slotqueues.Waiting, now: datetime.datetime) -> Loan:
         waited_ms = clocks.to_epoch_ms(now) - head.arrived_at_ms
         loan = self.lend(head.node, head.query, head.wanted, waited_ms, now)
@@ -176,64 +166,43 @@
         except errors.RefusedError:
             return ()
 
-    def _select(self, query: slotqueues.Query) -> tuple[vms.Vm, ...]:
-        owned = self._owner_table.owned
-        return tuple(vm for vm in self.targets_of(query) if vm.name in owned)
-
     def _healthy(
-        self, usable: list[vms.Vm], count: int, waited_ms: float, now: datetime.datetime
+        self, allowed: free_slots.Mask, count: int, waited_ms: float, now: datetime.datetime
     ) -> list[str]:
         """Spread over the targets with most free slots."""
-        free_by_name = {
-            vm.name: self.ledger.free(vm.name)
-            for vm in usable
-            if not self.breakers.is_open(vm.name) and not self.speeds.is_slow(vm.name)
-        }
-        chosen: list[str] = []
-        while len(chosen) < count:
-            name = max(free_by_name, key=free_by_name.__getitem__, default=None)
-            if name is None or free_by_name[name] <= 0:
-                break
-            free_by_name[name] -= 1
-            chosen.append(name)
-        return chosen
+        return self.ledger.index.spread(allowed & self.tiers.healthy(), count)
 
     def _slow(
-        self, usable: list[vms.Vm], count: int, waited_ms: float, now: datetime.datetime
+        self, allowed: free_slots.Mask, count: int, waited_ms: float, now: datetime.datetime
     ) -> list[str]:
         """Use a slow target when waiting has cost more than it would, and for rare probes."""
         chosen: list[str] = []
-        for vm in usable:
-            if self.breakers.is_open(vm.name) or not self.speeds.is_slow(vm.name):
-                continue
-            penalty_ms = (self.speeds.ratio(vm.name) - 1.0) * self.speeds.mean_run_ms()
-            free = self.ledger.free(vm.name)
+        for name in self.ledger.index.names_in(allowed & self.tiers.slow()):
+            penalty_ms = (self.speeds.ratio(name) - 1.0) * self.speeds.mean_run_ms()
+            free = self.ledger.free(name)
             if waited_ms >= penalty_ms:
-                chosen += [vm.name] * min(free, count - len(chosen))
-            elif free and len(chosen) < count and self._slow_probe_due(vm.name, now):
-                chosen.append(vm.name)
+                chosen += [name] * min(free, count - len(chosen))
+            elif free and len(chosen) < count and self._slow_probe_due(name, now):
+                chosen.append(name)
         return chosen
 
     def _failing(
-        self, usable: list[vms.Vm], count: int, waited_ms: float, now: datetime.datetime
+        self, allowed: free_slots.Mask, count: int, waited_ms: float, now: datetime.datetime
     ) -> list[str]:
         """Send one probe to each failing target whose time has come."""
         chosen: list[str] = []
-        for vm in usable:
-            if len(chosen) >= count or not self.breakers.is_open(vm.name):
-                continue
-            if self.ledger.free(vm.name) and self.breakers.take_probe(vm.name, now):
-                chosen.append(vm.name)
+        for name in self.ledger.index.names_in(allowed & self.tiers.failing()):
+            if len(chosen) >= count:
+                break
+            if self.ledger.free(name) and self.breakers.take_probe(name, now):
+                chosen.append(name)
         return chosen
 
-    def _usable(self, node: str, query: slotqueues.Query, now: datetime.datetime) -> list[vms.Vm]:
-        usable = self._starter.target_table.is_usable
-        refused = self._refused_until
-        return [
-            vm
-            for vm in self.eligible(query)
-            if usable(vm.name) and refused.get((node, vm.name), now) <= now
-        ]
+    def _allowed(
+        self, node: str, query: slotqueues.Query, now: datetime.datetime
+    ) -> free_slots.Mask:
+        refused = self.ledger.index.mask_of(self._refusals.targets(node, now))
+        return self._eligible(query) & ~refused
 
     def _slow_probe_due(self, name: str, now: datetime.datetime) -> bool:
         due = self._slow_probe_at_by_target.get(name, now)
@@ -251,7 +220,7 @@
 
     def _learn_unusable(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
         # Only for this node: a target that it cannot reach may be well for others.
-        self._refused_until[node, end.target] = now + UNREACHABLE_TIME
+        self._refusals.add(node, end.target, now + UNREACHABLE_TIME)
 
     def _learn_leaving(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
         self._starter.target_table.avoid(end.target, now + targets.LEAVING_EVIDENCE_LIFETIME)
--- a/packages/kernel/chiveridge_kernel/slots.py
+++ b/packages/kernel/chiveridge_kernel/slots.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chiveridge_kernel import vms
+from chiveridge_kernel import free_slots, vms
 
 SETTLING_LIMIT = datetime.timedelta(milliseconds=500)
 GRANT_DELIVERY_LIMIT = datetime.timedelta(seconds=1)
@@ -92,6 +92,8 @@
     def __init__(self):
         self.holders_by_node: dict[str, Holder] = {}
         self.lent_by_team: collections.Counter[str] = collections.Counter()
+        self.index = free_slots.FreeSlots()
+        self.slot_count = 0
         self._vms_by_name: dict[str, vms.Vm] = {}
         self._lent_by_target: collections.Counter[str] = collections.Counter()
         self._settling_by_target: dict[str, _Settling] = {}
@@ -103,6 +105,7 @@
         for name in self._vms_by_name.keys() - owned.keys():
             self._settling_by_target.pop(name, None)
         self._vms_by_name = owned
+        self.slot_count = sum(vm.slots for vm in owned.values())
         self._recount()
 
     def settle(self, now: datetime.datetime) -> bool:
@@ -114,22 +117,24 @@
         ]
         for name in due:
             del self._settling_by_target[name]
+            self._update(name)
         return bool(due)
 
     def next_settling(self) -> datetime.datetime | None:
         """Return when the next target settles."""
         return min((settling.until for settling in self._settling_by_target.values()), default=None)
 
+    def settling_names(self) -> Collection[str]:
+        """Return the targets that lend nothing yet."""
+        return self._settling_by_target.keys()
+
     def owns(self, name: str) -> bool:
         """Tell whether the ledger keeps the slots of a target."""
         return name in self._vms_by_name
 
     def free(self, name: str) -> int:
         """Return the free slots of a target; 0 when it is not owned or not settled."""
-        vm = self._vms_by_name.get(name)
-        if vm is None or name in self._settling_by_target:
-            return 0
-        return max(vm.slots - self._lent_by_target[name], 0)
+        return self.index.free(name)
 
     def lend(self, node: str, team: str, names: list[str], now: datetime.datetime) -> int:
         """Lend a team one slot for each name and return the serial number of the grant."""
@@ -183,6 +188,9 @@
         self.lent_by_team.clear()
         for holder in self.holders_by_node.values():
             self._count(holder.lots)
+        self.index = free_slots.FreeSlots(self._vms_by_name)
+        for name in self._vms_by_name:
+            self._update(name)
 
     def _count(self, lots: Mapping[tuple[str, str], int], sign: int = 1) -> None:
         """Count slots as lent, or no more; those of targets that are not owned do not count."""
@@ -190,3 +198,8 @@
             if name in self._vms_by_name:
                 self._lent_by_target[name] += sign * count
                 self.lent_by_team[team] += sign * count
+                self._update(name)
+
+    def _update(self, name: str) -> None:
+        free = self._vms_by_name[name].slots - self._lent_by_target[name]
+        self.index.put(name, 0 if name in self._settling_by_target else max(free, 0))
--- a/packages/kernel/chiveridge_kernel/speeds.py
+++ b/packages/kernel/chiveridge_kernel/speeds.py
@@ -77,7 +77,7 @@
         log_ratio = math.log(max(run_ms, _MIN_RUN_MS)) - typical.value
         speed.log_ratio.add(log_ratio, TARGET_SMOOTHING)
         speed.expected_variance.add(typical.variance, TARGET_SMOOTHING)
-        # Every placement asks of every owned target, so that the answer is kept.
+        # It is asked after each end of a task, so that the answer is kept.
         if speed.is_slow():
             self._slow_targets.add(target)
         else:
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/tiers.py
@@ -0,0 +1,53 @@
+"""The owned targets by how they are lent: healthy ones, slow ones, and failing ones."""
+
+from chiveridge_kernel import breakers, free_slots, speeds, targets
+
+
+class Tiers:
+    """Sets of owned targets by state, kept up to date target by target."""
+
+    def __init__(self, target_table: targets.TargetTable):
+        self.breakers = breakers.Breakers()
+        self.speeds = speeds.Speeds()
+        self._targets = target_table
+        self._index = free_slots.FreeSlots()
+        self._owned: frozenset[str] = frozenset()
+        self._slow: free_slots.Mask = 0
+        self._failing: free_slots.Mask = 0
+        self._usable: free_slots.Mask = 0
+        self._usable_version: int | None = None
+
+    def own(self, owned: frozenset[str], index: free_slots.FreeSlots) -> None:
+        """Take the targets now owned, and the index that gives them their places."""
+        self.breakers.keep_only(owned)
+        self.speeds.keep_only(owned)
+        self._owned = owned
+        self._index = index
+        self._slow = index.mask_of(filter(self.speeds.is_slow, owned))
+        self._failing = index.mask_of(self.breakers.open_names())
+        self._usable_version = None
+
+    def learnt(self, name: str) -> None:
+        """Take over what the breaker and the speed of a target say now."""
+        bit = self._index.mask_of((name,))
+        self._slow = self._slow | bit if self.speeds.is_slow(name) else self._slow & ~bit
+        self._failing = self._failing | bit if self.breakers.is_open(name) else self._failing & ~bit
+
+    def healthy(self) -> free_slots.Mask:
+        """Return the usable targets that are neither slow nor failing."""
+        return self.usable() & ~self._slow & ~self._failing
+
+    def slow(self) -> free_slots.Mask:
+        """Return the usable targets that are slow and do not fail."""
+        return self.usable() & self._slow & ~self._failing
+
+    def failing(self) -> free_slots.Mask:
+        """Return the usable targets that get only probes."""
+        return self.usable() & self._failing
+
+    def usable(self) -> free_slots.Mask:
+        """Return the targets that may be given new work."""
+        if self._usable_version != self._targets.version:
+            self._usable_version = self._targets.version
+            self._usable = self._index.mask_of(filter(self._targets.is_usable, self._owned))
+        return self._usable
--- /dev/null
+++ b/packages/kernel/tests/test_lenders.py
@@ -0,0 +1,224 @@
+"""The lender's choice is held against the plain rule, which looks at each owned target."""
+
+import collections
+import copy
+import datetime
+import random
+
+import hypothesis
+import msgspec
+from hypothesis import strategies
+
+from chiveridge_kernel import (
+    clocks,
+    events,
+    kernels,
+    lenders,
+    peers,
+    records,
+    slotqueues,
+    slots,
+    speeds,
+    vms,
+)
+
+TARGETS = tuple(f"t{number}" for number in range(6))
+SLOTS = 3
+NODES = ("e1", "e2")
+TYPICAL_MS = 100.0
+ENDS = {
+    "end": (1, "succeeded", TYPICAL_MS),
+    "fail": (4, "failed", 0.0),
+    "slow": (speeds.MIN_TARGET_SAMPLES, "succeeded", TYPICAL_MS * 4),
+    "recover": (40, "succeeded", TYPICAL_MS),
+    "lose": (1, "lost", 0.0),
+    "leave": (1, "leaving", 0.0),
+}
+"""Repeats, outcome and run time of the steps by which starts end."""
+
+STEPS = ("lend", *ENDS, "avoid", "wait", "list", "own")
+TARGETS_BY_TEAM = {"desk": TARGETS, "field": TARGETS[::2]}
+
+
+def target(name: str) -> vms.Vm:
+    return vms.Vm(
+        name=name, role=vms.VmRole.TARGET, domain="ikeja", address="127.0.0.1", port=3, slots=SLOTS
+    )
+
+
+def configuration() -> dict:
+    kinds = records.ObjectKind
+    writes = [records.ObjectWrite(kind=kinds.RULE, name="all", rule=records.RuleObject(name="all"))]
+    writes += [
+        records.ObjectWrite(kind=kinds.TEAM, name=name, team=records.TeamObject(name=name))
+        for name in TARGETS_BY_TEAM
+    ]
+    for name in TARGETS:
+        teams = [team for team, reached in TARGETS_BY_TEAM.items() if name in reached]
+        described = records.TargetObject(name=name, approved_teams=teams)
+        writes.append(records.ObjectWrite(kind=kinds.TARGET, name=name, target=described))
+    change = records.ChangeRecord(change_id="1", actor="op", changed_at="now", writes=writes)
+    return msgspec.to_builtins(change)
+
+
+class Bench:
+    """A lender that owns every target, and what the plain rule needs to know beside."""
+
+    def __init__(self):
+        settings = kernels.KernelSettings(
+            node="e1", domain="ikeja", incarnation="a", secret=b"k", policy="owners"
+        )
+        self.clock = clocks.ManualClock()
+        self.kernel = kernels.Kernel(settings, random.Random(1))
+        self.handle(events.RecordsRead(records=[(0, configuration())]))
+        self.list_targets(TARGETS)
+        self.lender: lenders.Lender = self.kernel.dispatcher.policy.lender
+        self.lender.ledger.settle(self.now + slots.SETTLING_LIMIT)
+        for _ in range(speeds.MIN_TEAM_SAMPLES):
+            for team in TARGETS_BY_TEAM:
+                self.lender.speeds.learn_team(team, TYPICAL_MS)
+        self._refused_until: dict[tuple[str, str], datetime.datetime] = {}
+        self._slow_probe_at: dict[str, datetime.datetime] = {}
+
+    @property
+    def now(self) -> datetime.datetime:
+        return self.clock.now()
+
+    def handle(self, event: events.Event) -> None:
+        self.kernel.handle(event, self.now)
+
+    def list_targets(self, names: tuple[str, ...]) -> None:
+        self.handle(events.VmsListed(listing=vms.VmList(1, [target(name) for name in names])))
+
+    def happen(self, step: str, node: str, name: str, team: str, count: int) -> None:
+        if step in ENDS:
+            repeats, outcome, run_ms = ENDS[step]
+            for _ in range(repeats):
+                self.lender.ended(node, peers.SlotEnd(name, team, outcome, run_ms), self.now)
+            if outcome == "lost" and self.lender.ledger.owns(name):
+                self._refused_until[node, name] = self.now + lenders.UNREACHABLE_TIME
+        elif step == "lend":
+            self.lend(node, team, count)
+        elif step == "avoid":
+            table = self.kernel.dispatcher.target_table
+            table.avoid(name, self.now + datetime.timedelta(seconds=count))
+        elif step == "wait":
+            self.wait(datetime.timedelta(milliseconds=count * 500), is_ticked=bool(count % 2))
+        else:
+            change = {"list": self.list_targets, "own": self.own}[step]
+            change(TARGETS if count % 2 else _without(name))
+
+    def wait(self, time: datetime.timedelta, *, is_ticked: bool) -> None:
+        self.clock.advance(time)
+        if is_ticked:
+            self.handle(events.Ticked())
+
+    def own(self, names: tuple[str, ...]) -> None:
+        """Let owners move though neither the list nor the state of a target changes."""
+        table = self.kernel.dispatcher.policy.owner_table
+        table.owned = frozenset(names) & table.owner_by_target.keys()
+        self.lender.refresh(self.now)
+        self.lender.ledger.settle(self.now + slots.SETTLING_LIMIT)
+
+    def lend(self, node: str, team: str, count: int) -> None:
+        waited_ms = 100.0 * count
+        assert self.lender.free_count() == sum(
+            self._free(name) for name in TARGETS if self._is_healthy(name)
+        )
+        expected = self._choose(node, team, count, waited_ms)
+        query = slotqueues.Query(team, "")
+        assert self.lender.lend(node, query, count, waited_ms, self.now).names == expected
+
+    def _choose(self, node: str, team: str, count: int, waited_ms: float) -> list[str]:
+        usable = [
+            name
+            for name in TARGETS_BY_TEAM[team]
+            if self.kernel.dispatcher.target_table.is_usable(name)
+            and self._refused_until.get((node, name), self.now) <= self.now
+        ]
+        chosen: list[str] = []
+        for tier in (self._healthy, self._slow, self._failing):
+            chosen += tier(usable, count - len(chosen), waited_ms)
+        return chosen
+
+    def _healthy(self, usable: list[str], count: int, _waited_ms: float) -> list[str]:
+        left = {name: self._free(name) for name in usable if self._is_healthy(name)}
+        chosen: list[str] = []
+        while len(chosen) < count and max(left.values(), default=0) > 0:
+            name = max(left, key=left.__getitem__)
+            left[name] -= 1
+            chosen.append(name)
+        return chosen
+
+    def _slow(self, usable: list[str], count: int, waited_ms: float) -> list[str]:
+        known = self.lender.speeds
+        chosen: list[str] = []
+        for name in usable:
+            if self.lender.breakers.is_open(name) or not known.is_slow(name):
+                continue
+            free = self._free(name)
+            if waited_ms >= (known.ratio(name) - 1.0) * known.mean_run_ms():
+                chosen += [name] * min(free, count - len(chosen))
+            elif free and len(chosen) < count and self._is_slow_probe_due(name):
+                self._slow_probe_at[name] = self.now + lenders.SLOW_PROBE_INTERVAL
+                chosen.append(name)
+        return chosen
+
+    def _failing(self, usable: list[str], count: int, _waited_ms: float) -> list[str]:
+        breakers = copy.deepcopy(self.lender.breakers)
+        chosen: list[str] = []
+        for name in usable:
+            if len(chosen) >= count or not breakers.is_open(name):
+                continue
+            if self._free(name) and breakers.take_probe(name, self.now):
+                chosen.append(name)
+        return chosen
+
+    def _is_slow_probe_due(self, name: str) -> bool:
+        return self._slow_probe_at.get(name, self.now) <= self.now
+
+    def _is_healthy(self, name: str) -> bool:
+        is_usable = self.kernel.dispatcher.target_table.is_usable(name)
+        is_open, is_slow = self.lender.breakers.is_open(name), self.lender.speeds.is_slow(name)
+        return is_usable and not is_open and not is_slow
+
+    def _free(self, name: str) -> int:
+        """Work out the free slots from what each holder has."""
+        ledger = self.lender.ledger
+        if not ledger.owns(name) or name in ledger.settling_names():
+            return 0
+        held: collections.Counter[str] = collections.Counter()
+        for holder in ledger.holders_by_node.values():
+            for (other, _), count in holder.lots.items():
+                held[other] += count
+        return max(SLOTS - held[name], 0)
+
+
+def _without(name: str) -> tuple[str, ...]:
+    return tuple(other for other in TARGETS if other != name)
+
+
+def _on_first(step: str, count: int) -> tuple[str, str, str, str, int]:
+    return step, NODES[0], TARGETS[0], "desk", count
+
+
+steps = strategies.tuples(
+    strategies.sampled_from(STEPS),
+    strategies.sampled_from(NODES),
+    strategies.sampled_from(TARGETS),
+    strategies.sampled_from(sorted(TARGETS_BY_TEAM)),
+    strategies.integers(1, 12),
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None, database=None)
+@hypothesis.example([_on_first(step, 12) for step in ("slow", "recover", "lend")])
+@hypothesis.example([_on_first("lose", 1), _on_first("wait", 2), _on_first("lend", 12)])
+@hypothesis.given(strategies.lists(steps, max_size=50))
+def test_a_lender_chooses_as_one_that_looks_at_each_target(taken):
+    bench = Bench()
+    for step in taken:
+        bench.happen(*step)
+    for team in TARGETS_BY_TEAM:
+        for node in NODES:
+            bench.lend(node, team, 2)
