Let a failing target recover in the test of the lender

Since breakers take only successes of tasks that began after the failures, random steps hardly ever closed one; an example does it. It was seen to fail when the mask of failing targets is not cleared.

--- a/packages/kernel/tests/test_lenders.py
+++ b/packages/kernel/tests/test_lenders.py
@@ -213,6 +213,9 @@
 
 @hypothesis.settings(derandomize=True, max_examples=300, deadline=None, database=None)
 @hypothesis.example([_on_first(step, 12) for step in ("slow", "recover", "lend")])
+@hypothesis.example(
+    [_on_first("fail", 1), _on_first("wait", 1), _on_first("end", 1), _on_first("lend", 12)]
+)
 @hypothesis.example([_on_first("lose", 1), _on_first("wait", 2), _on_first("lend", 12)])
 @hypothesis.given(strategies.lists(steps, max_size=50))
 def test_a_lender_chooses_as_one_that_looks_at_each_target(taken):
