--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -182,7 +182,7 @@
     free: int
 
 
-class SlotReport(msgspec.Struct, frozen=True, kw_only=True, tag="slot_report"):
+class SlotReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="slot_report"):
     """All slots of the owner that the sender holds, as a correction of lost messages.
 
     ``last_serial`` is the last grant received from the owner, 0 for none. ``teams_by_target``
