--- a/packages/kernel/chiveridge_kernel/actions.py
+++ b/packages/kernel/chiveridge_kernel/actions.py
@@ -31,6 +31,12 @@
     wait: bool = False
 
 
+class ProbeTarget(msgspec.Struct, frozen=True, kw_only=True):
+    """Find out over a new connection whether a target replies; :class:`events.TargetProbed`."""
+
+    target: vms.Vm
+
+
 class WithdrawStart(msgspec.Struct, frozen=True, kw_only=True):
     """Report a start as refused, for :data:`WITHDRAWN`, if nothing of it was sent yet."""
 
@@ -108,6 +114,10 @@
     is_from_peer: bool
 
 
+class ContinueLoading(msgspec.Struct, frozen=True):
+    """Tell :class:`events.LoadingContinued` soon, when other work had its turn."""
+
+
 class Exit(msgspec.Struct, frozen=True):
     """The drain is done; the process may exit."""
 
@@ -115,6 +125,7 @@
 Action = (
     StartTask
     | AskOutcome
+    | ProbeTarget
     | WithdrawStart
     | StopTask
     | NoteStopped
@@ -126,5 +137,6 @@
     | AppendSnapshot
     | NoteChange
     | NoteRestored
+    | ContinueLoading
     | Exit
 )
--- a/packages/kernel/chiveridge_kernel/events.py
+++ b/packages/kernel/chiveridge_kernel/events.py
@@ -75,6 +75,13 @@
     lease_id: identifiers.LeaseId
 
 
+class TargetProbed(msgspec.Struct, frozen=True, kw_only=True):
+    """A target replied to :class:`actions.ProbeTarget`, or did not in time."""
+
+    target: vms.Vm
+    is_reachable: bool
+
+
 class StopConfirmed(msgspec.Struct, frozen=True, kw_only=True):
     """A start that was told to stop cannot begin any more.
 
@@ -137,6 +144,10 @@
     peer: vms.Vm
 
 
+class LoadingContinued(msgspec.Struct, frozen=True):
+    """The next step of loading a configuration has its turn."""
+
+
 class Ticked(msgspec.Struct, frozen=True):
     """Time has passed; due deadlines are handled."""
 
@@ -153,6 +164,7 @@
     | LeaseReported
     | StartDelayed
     | StartSent
+    | TargetProbed
     | StopConfirmed
     | RecordsRead
     | RecordsExpired
@@ -161,6 +173,7 @@
     | ProcessPaused
     | PeerMessageReceived
     | PeerUnreachable
+    | LoadingContinued
     | Ticked
     | DrainRequested
 )
--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -9,6 +9,7 @@
     events,
     evidence,
     peers,
+    target_messages,
 )
 
 if TYPE_CHECKING:
@@ -48,6 +49,11 @@
     kernel.dispatcher.note_unsent(event.lease_id, is_unsent=False)
 
 
+@handle.register(events.TargetProbed)
+def _(event: events.TargetProbed, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.dispatcher.policy.target_probed(event, now)
+
+
 @handle.register(events.StopConfirmed)
 def _(event: events.StopConfirmed, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.dispatcher.stops.settle(event.lease_id)
@@ -56,13 +62,11 @@
 @handle.register(events.RecordsRead)
 def _(event: events.RecordsRead, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.catch_up.log_read_at = now
-    was_scanning = kernel.follower.is_scanning
     changes = kernel.follower.read(event.records, event.first, event.next_offset)
-    if was_scanning and not kernel.follower.is_scanning:
-        kernel.note_restored(is_from_peer=False)
     for change in changes:
         kernel.snapshot_schedule.saw_change(change.offset)
     kernel.configuration_moved(changes, now)
+    kernel.finish_loading(now)
     kernel.plan_snapshot(now)
 
 
@@ -89,6 +93,7 @@
 @handle.register(events.ProcessPaused)
 def _(event: events.ProcessPaused, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.target_table.doubt(now)
+    kernel.dispatcher.limiter.give_up_grants()
 
 
 @handle.register(events.PeerMessageReceived)
@@ -96,8 +101,14 @@
     take_message(event.message, kernel, event.route, now)
 
 
+@handle.register(events.LoadingContinued)
+def _(event: events.LoadingContinued, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.load_on(now)
+
+
 @handle.register(events.Ticked)
 def _(event: events.Ticked, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.ask_to_load_on()
     kernel.dispatcher.probe(now)
     kernel.dispatcher.stops.expire(now)
     kernel.dispatcher.backlogs.observe(now)
@@ -147,10 +158,8 @@
     route: bytes,
     now: datetime.datetime,
 ) -> None:
-    if kernel.catch_up.take(message):
-        kernel.snapshot_schedule.assume_base(kernel.configuration.offset)
-        kernel.note_restored(is_from_peer=True)
-        kernel.configuration_moved([], now)
+    kernel.catch_up.take(message)
+    kernel.finish_loading(now)
 
 
 @take_message.register(peers.ListingReply)
@@ -168,9 +177,12 @@
     kernel.dispatcher.outbox.extend(kernel.heartbeats.receive(message, now))
 
 
-@take_message.register(peers.TargetLeaving)
+@take_message.register(target_messages.TargetLeaving)
 def _(
-    message: peers.TargetLeaving, kernel: "kernels.Kernel", route: bytes, now: datetime.datetime
+    message: target_messages.TargetLeaving,
+    kernel: "kernels.Kernel",
+    route: bytes,
+    now: datetime.datetime,
 ) -> None:
     evidence.take_leaving(message, kernel.target_table, now)
 
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chiveridge_kernel import errors, identifiers, records, results, vms
+from chiveridge_kernel import errors, identifiers, records, results, target_messages, vms
 
 PROTOCOL_VERSION = 1
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -21,6 +21,7 @@
     "echo": "e",
     "offset": "o",
     "leaving": "l",
+    "exited": "x",
     "reply_wanted": "r",
     "endpoint": "a",
 }
@@ -215,15 +216,6 @@
     count_by_target: dict[identifiers.TargetName, Annotated[int, msgspec.Meta(ge=0)]]
 
 
-class TargetLeaving(msgspec.Struct, frozen=True, kw_only=True, tag="target_leaving"):
-    """Tells that a target refused a start as leaving; the address tells VMs of a name apart."""
-
-    target: identifiers.TargetName
-    address: str
-    port: int
-    lifetime_ms: Annotated[int, msgspec.Meta(ge=0)]
-
-
 class LimitUse(msgspec.Struct, frozen=True, array_like=True):
     """What :class:`limit_terms.LimitReport` tells of one team."""
 
@@ -305,8 +297,9 @@
 
     ``sequence`` counts the heartbeats of this incarnation to the receiver; ``echo`` is the
     last sequence that the sender has from the receiver. ``offset`` is the applied offset of
-    the configuration. ``leaving`` tells that the node drains. ``endpoint`` is told until the
-    receiver has confirmed a heartbeat, as its list of VMs may not show this incarnation yet.
+    the configuration. ``leaving`` tells that the node drains, and ``exited`` that it has ended
+    all of its tasks and starts no more. ``endpoint`` is told until the receiver has confirmed a
+    heartbeat, as its list of VMs may not show this incarnation yet.
     """
 
     sender: identifiers.NodeName
@@ -315,6 +308,7 @@
     echo: Annotated[int, msgspec.Meta(ge=0)] = 0
     offset: Annotated[int, msgspec.Meta(ge=0)] = 0
     leaving: bool = False
+    exited: bool = False
     reply_wanted: bool = False
     endpoint: Endpoint | None = None
 
@@ -325,7 +319,9 @@
     | Handover
     | HandoverKept
     | Heartbeat
-    | TargetLeaving
+    | target_messages.TargetLeaving
+    | target_messages.ProbeRequest
+    | target_messages.ProbeReply
     | LimitBatch
     | ConfigurationAsk
     | ConfigurationChunk
--- a/packages/kernel/tests/test_limit_budgets.py
+++ b/packages/kernel/tests/test_limit_budgets.py
@@ -3,7 +3,9 @@
 import datetime
 import random
 
+import busy_domains
 import limited_domains
+import member_domains
 import pytest
 
 from chiveridge_kernel import clocks, events, kernels, limit_outboxes, vms
@@ -11,7 +13,6 @@
 CONTROL_BYTES_PER_SECOND = 3000
 HEARTBEAT_BYTES_PER_SECOND = 2600
 NODES = 18
-TEAMS = 160
 WARM_UP_STEPS = 600
 MEASURED_STEPS = 600
 SUBMITTED_EACH_STEP = 6
@@ -22,44 +23,17 @@
     return tuple(f"ikeja-e{number:02}" for number in range(1, NODES + 1))
 
 
-class BusyDomain:
-    """Every team has work at every node all the time; tasks end and others are submitted."""
-
-    def __init__(self, names: tuple[str, ...]):
-        self.rng = random.Random(5)
-        self.domain = limited_domains.Domain(names)
-        self.nodes = list(self.domain.nodes_by_name.values())
-        self.started = 0
-        for node in self.nodes:
-            for number in range(TEAMS):
-                node.submit(4, team=f"service-{number:03}")
-
-    def run(self, steps: int) -> None:
-        for _ in range(steps):
-            for _ in range(SUBMITTED_EACH_STEP):
-                self.replace_one(self.rng.choice(self.nodes))
-            self.domain.advance(1)
-
-    def replace_one(self, node: limited_domains.Node) -> None:
-        if node.running:
-            self.started += 1
-            index = self.rng.randrange(len(node.running))
-            team = node.running[index].job.team
-            node.end(index)
-            node.submit(1, team=team)
-
-
 def test_limits_of_160_busy_teams_stay_within_the_bytes_of_control(names):
-    busy = BusyDomain(names)
-    busy.run(WARM_UP_STEPS)
+    busy = busy_domains.BusyDomain(limited_domains.Domain(names))
+    busy.run(WARM_UP_STEPS, SUBMITTED_EACH_STEP)
     busy.domain.sent_bytes_by_name.clear()
     busy.started = 0
-    busy.run(MEASURED_STEPS)
+    busy.run(MEASURED_STEPS, SUBMITTED_EACH_STEP)
     seconds = MEASURED_STEPS * limited_domains.STEP.total_seconds()
     most = max(busy.domain.sent_bytes_by_name.values()) / seconds
     assert most + HEARTBEAT_BYTES_PER_SECOND <= CONTROL_BYTES_PER_SECOND
     # The limits are used nevertheless.
-    assert busy.domain.running() >= 0.95 * TEAMS * limited_domains.LIMIT
+    assert busy.domain.running() >= 0.95 * busy_domains.TEAMS * limited_domains.LIMIT
     assert busy.started > MEASURED_STEPS * SUBMITTED_EACH_STEP / 2
 
 
@@ -87,3 +61,24 @@
     assert due - clocks.EPOCH >= datetime.timedelta(seconds=1)
     assert [outbox.take(due)[0], outbox.take(due)[0]] == ["e2", "e1"]
     assert outbox.next_at() is None
+
+
+def allowed_to(domain: limited_domains.Domain, team: str) -> int:
+    shares = [node.limiter._shares_by_team.get(team) for node in domain.nodes_by_name.values()]
+    now = domain.now()
+    return sum(share.allowed for share in shares if share is not None and now < share.valid_until)
+
+
+def test_a_keeper_that_drains_at_the_target_size_stops_no_team_for_two_heartbeats(names):
+    domain = member_domains.Domain(names)
+    busy = busy_domains.BusyDomain(domain)
+    busy.run(WARM_UP_STEPS, SUBMITTED_EACH_STEP)
+    keeper = domain.nodes_by_name[names[1]]
+    keeper_names = domain.nodes_by_name[names[0]].limiter._keeper_names
+    moved = [team for team in busy_domains.teams() if keeper_names.of(team) == keeper.name]
+    assert moved
+    keeper.drain()
+    domain.advance(int(2 * domain.heartbeat_interval() / limited_domains.STEP))
+    allowances = [allowed_to(domain, team) for team in moved]
+    assert min(allowances) > 0
+    assert sum(allowances) >= 0.95 * len(moved) * limited_domains.LIMIT
--- /dev/null
+++ b/packages/kernel/tests/test_limit_takeovers.py
@@ -0,0 +1,182 @@
+"""Changes of the node that keeps a team's limit."""
+
+import contextlib
+
+import limited_domains
+import member_domains
+import pytest
+
+from chiveridge_kernel import errors
+
+HEARTBEATS = 2
+STEPS_PER_HEARTBEAT = 12
+LIMIT = limited_domains.LIMIT
+
+
+@pytest.fixture
+def domain() -> member_domains.Domain:
+    domain = member_domains.Domain()
+    domain.advance(5)
+    for node in domain.nodes_by_name.values():
+        node.submit(LIMIT * 4)
+    domain.advance(60)
+    assert domain.running() == LIMIT
+    return domain
+
+
+def run(domain: member_domains.Domain, steps: int) -> int:
+    """Replace tasks by others all the time; return how many steps ran below the limit."""
+    short = 0
+    for step in range(steps):
+        nodes = list(domain.nodes_by_name.values())
+        replace_one(nodes[step % len(nodes)])
+        domain.advance(1)
+        assert domain.running() <= LIMIT
+        short += domain.running() < LIMIT
+    return short
+
+
+def replace_one(node: member_domains.Node) -> None:
+    if node.running and not node.frozen:
+        node.end(0)
+    if not node.is_draining and not node.frozen:
+        with contextlib.suppress(errors.RefusedError):
+            node.submit(1)
+
+
+def test_a_keeper_that_drains_costs_its_team_nothing_but_a_heartbeat(domain):
+    keeper = domain.nodes_by_name[domain.keeper_name()]
+    keeper.drain()
+    assert run(domain, STEPS_PER_HEARTBEAT * 8) <= STEPS_PER_HEARTBEAT * HEARTBEATS
+
+
+def test_a_keeper_that_has_exited_is_not_waited_for(domain):
+    keeper = domain.nodes_by_name[domain.keeper_name()]
+    for job in list(keeper.limiter._jobs_by_team["desk"]):
+        keeper.limiter.give_up(job)
+    keeper.limiter._jobs_by_team.clear()
+    while keeper.running:
+        keeper.end(0)
+    keeper.drain()
+    assert run(domain, STEPS_PER_HEARTBEAT * 8) <= STEPS_PER_HEARTBEAT * HEARTBEATS
+    assert keeper.name not in domain.nodes_by_name
+
+
+def test_a_keeper_that_is_replaced_is_not_waited_for(domain):
+    name = domain.keeper_name()
+    domain.kill(name)
+    domain.boot(name)
+    assert run(domain, STEPS_PER_HEARTBEAT * 8) <= STEPS_PER_HEARTBEAT * HEARTBEATS
+
+
+def test_a_node_that_joins_takes_a_team_over_within_a_heartbeat(domain):
+    name = domain.keeper_name()
+    domain.kill(name)
+    run(domain, 100)
+    domain.boot(name)
+    assert run(domain, STEPS_PER_HEARTBEAT * 8) <= STEPS_PER_HEARTBEAT * HEARTBEATS
+    assert domain.keeper_name() == name
+
+
+def test_a_silent_node_is_waited_for_as_long_as_it_may_start(domain):
+    domain.kill(domain.keeper_name())
+    assert run(domain, 38) >= 30
+    assert run(domain, 20) <= 10
+
+
+def test_a_paused_keeper_starts_nothing_on_what_it_had_before(domain):
+    keeper = domain.nodes_by_name[domain.keeper_name()]
+    in_use = len(keeper.running)
+    keeper.sleep(200)
+    domain.advance(195)
+    assert domain.running() == LIMIT + in_use
+    domain.advance(10)
+    assert not keeper.frozen
+    assert len(keeper.running) <= in_use
+    for _ in range(in_use):
+        keeper.end(0)
+    assert domain.running() <= LIMIT
+    assert run(domain, 100) <= 40
+
+
+@pytest.mark.parametrize("loses_messages", [False, True])
+def test_a_woken_keeper_grants_nothing_on_what_it_knew_before(domain, loses_messages):
+    keeper = domain.nodes_by_name[domain.keeper_name()]
+    while keeper.running:
+        keeper.end(0)
+    keeper.sleep(200, loses_messages=loses_messages)
+    domain.advance(190)
+    excess = domain.running() - LIMIT
+    for _ in range(60):
+        domain.advance(1)
+        assert domain.running() <= LIMIT + excess
+
+
+def test_a_woken_holder_starts_nothing_on_a_lease_that_outlasts_its_keeper(domain):
+    holder = next(n for n in domain.nodes_by_name.values() if n.name != domain.keeper_name())
+    holder.limiter._exchange.pace = lambda grants_by_team: None
+    holder.limiter._exchange.scale = 20.0
+    domain.advance(30)
+    jobs = holder.limiter._jobs_by_team[limited_domains.TEAM]
+    for job in list(jobs):
+        holder.limiter.give_up(job)
+    jobs.clear()
+    holder.sleep(150, loses_messages=True)
+    while holder.running:
+        holder.end(0)
+    domain.kill(domain.keeper_name())
+    domain.advance(149)
+    assert domain.running() == LIMIT
+    domain.advance(1)
+    holder.wake()
+    holder.submit(LIMIT)
+    assert domain.running() == LIMIT
+
+
+def test_a_holder_gives_up_what_an_earlier_term_of_its_keeper_granted(domain):
+    keeper = domain.nodes_by_name[domain.keeper_name()]
+    holder = next(n for n in domain.nodes_by_name.values() if n is not keeper)
+    jobs = holder.limiter._jobs_by_team[limited_domains.TEAM]
+    for job in list(jobs):
+        holder.limiter.give_up(job)
+    jobs.clear()
+    while holder.running:
+        holder.end(0)
+    keeper.limiter.give_up_grants()
+    domain.advance(2)
+    holder.submit(LIMIT)
+    for _ in range(20):
+        domain.advance(1)
+        assert domain.running() <= LIMIT
+
+
+def test_a_keeper_without_work_of_its_own_ends_with_its_turn(domain):
+    name = domain.keeper_name()
+    domain.kill(name)
+    domain.advance(60)
+    second = domain.nodes_by_name[domain.keeper_name()]
+    for job in list(second.limiter._jobs_by_team[limited_domains.TEAM]):
+        second.limiter.give_up(job)
+    while second.running:
+        second.end(0)
+    domain.advance(100)
+    assert limited_domains.TEAM in second.limiter._keepers_by_team
+    domain.boot(name)
+    domain.advance(5)
+    assert domain.keeper_name() == name
+    assert limited_domains.TEAM not in second.limiter._keepers_by_team
+
+
+def test_a_silent_node_is_waited_for_until_it_is_held_to_be_dead_and_no_longer():
+    domain = member_domains.Domain(lease_scale=20.0)
+    domain.advance(5)
+    for node in domain.nodes_by_name.values():
+        node.submit(LIMIT * 4)
+    domain.advance(300)
+    name = domain.keeper_name()
+    dead_after = domain.nodes_by_name[name].heartbeats.times().dead_after
+    domain.kill(name)
+    steps = int(dead_after / limited_domains.STEP)
+    assert run(domain, steps - 5) >= steps - 15
+    run(domain, 5 + STEPS_PER_HEARTBEAT * HEARTBEATS)
+    assert domain.running() == LIMIT
