Build no mask for a start that needs none

Cause: the index of free slots was said to cost 35 us a task at 24 targets. By reading, masks were built for each start without refusals and after each end that changed no state, and the healthy targets were put together at each question.

Change: no mask without refusals, the bit of a target in place of a mask of one, the healthy targets kept as one mask.

--- a/packages/kernel/chiveridge_kernel/free_slots.py
+++ b/packages/kernel/chiveridge_kernel/free_slots.py
@@ -39,9 +39,10 @@
 
     def count(self, allowed: Mask) -> int:
         """Return the free slots of some targets."""
-        return sum(
-            free * (mask & allowed).bit_count() for free, mask in self._masks_by_free.items()
-        )
+        found = 0
+        for free, mask in self._masks_by_free.items():
+            found += free * (mask & allowed).bit_count()
+        return found
 
     def spread(self, allowed: Mask, count: int) -> list[str]:
         """Choose up to ``count`` slots, each on the target that has most left then.
@@ -61,6 +62,11 @@
             most_free |= levels.get(free, 0)
         return chosen
 
+    def bit(self, name: str) -> Mask:
+        """Return the set of one target, empty when it is not indexed."""
+        position = self._position_by_name.get(name)
+        return 0 if position is None else 1 << position
+
     def mask_of(self, names: Iterable[str]) -> Mask:
         """Return the set of some targets, without those that are not indexed."""
         marks = bytearray(len(self._names) // _BYTE_BITS + 1)
--- a/packages/kernel/chiveridge_kernel/lenders.py
+++ b/packages/kernel/chiveridge_kernel/lenders.py
@@ -212,8 +212,9 @@
     def _allowed(
         self, node: str, query: slotqueues.Query, now: datetime.datetime
     ) -> free_slots.Mask:
-        refused = self.ledger.index.mask_of(self._refusals.targets(node, now))
-        return self._eligible(query) & ~refused
+        eligible = self._eligible(query)
+        refused = self._refusals.targets(node, now)
+        return eligible & ~self.ledger.index.mask_of(refused) if refused else eligible
 
     def _slow_probe_due(self, name: str, now: datetime.datetime) -> bool:
         due = self._slow_probe_at_by_target.get(name, now)
--- a/packages/kernel/chiveridge_kernel/tiers.py
+++ b/packages/kernel/chiveridge_kernel/tiers.py
@@ -15,6 +15,7 @@
         self._slow: free_slots.Mask = 0
         self._failing: free_slots.Mask = 0
         self._usable: free_slots.Mask = 0
+        self._healthy: free_slots.Mask = 0
         self._usable_version: int | None = None
 
     def own(self, owned: frozenset[str], index: free_slots.FreeSlots) -> None:
@@ -29,13 +30,17 @@
 
     def learnt(self, name: str) -> None:
         """Take over what the breaker and the speed of a target say now."""
-        bit = self._index.mask_of((name,))
-        self._slow = self._slow | bit if self.speeds.is_slow(name) else self._slow & ~bit
-        self._failing = self._failing | bit if self.breakers.is_open(name) else self._failing & ~bit
+        bit = self._index.bit(name)
+        slow = self._slow | bit if self.speeds.is_slow(name) else self._slow & ~bit
+        failing = self._failing | bit if self.breakers.is_open(name) else self._failing & ~bit
+        if (slow, failing) != (self._slow, self._failing):
+            self._slow, self._failing = slow, failing
+            self._healthy = self._usable & ~slow & ~failing
 
     def healthy(self) -> free_slots.Mask:
         """Return the usable targets that are neither slow nor failing."""
-        return self.usable() & ~self._slow & ~self._failing
+        self._refresh()
+        return self._healthy
 
     def slow(self) -> free_slots.Mask:
         """Return the usable targets that are slow and do not fail."""
@@ -47,7 +52,13 @@
 
     def usable(self) -> free_slots.Mask:
         """Return the targets that may be given new work."""
-        if self._usable_version != self._targets.version:
-            self._usable_version = self._targets.version
-            self._usable = self._index.mask_of(filter(self._targets.is_usable, self._owned))
+        self._refresh()
         return self._usable
+
+    def _refresh(self) -> None:
+        """Work the usable targets out again when the table of targets has changed."""
+        if self._usable_version == self._targets.version:
+            return
+        self._usable_version = self._targets.version
+        self._usable = self._index.mask_of(filter(self._targets.is_usable, self._owned))
+        self._healthy = self._usable & ~self._slow & ~self._failing
