--- a/packages/kernel/chiveridge_kernel/loadings.py
+++ b/packages/kernel/chiveridge_kernel/loadings.py
@@ -37,7 +37,7 @@
         self._finished: Loading | None = None
 
     def offer(self, snapshot: snapshots.Snapshot, *, is_from_peer: bool) -> bool:
-        """Begin to load a snapshot; tell that it is in force, which it is not yet."""
+        """Begin to load a snapshot; return False, as it is not in force before the last step."""
         if self._loading is None or self._loading.base < snapshot.base:
             self._loading = Loading(snapshot, is_from_peer)
             self.step()
