Cut a connection that the proxy accepted as it was cut

Cause: test_domains_cut_from_each_other_go_on_and_meet_again failed once in this review (COMPLETE in place of ISSUER_UNREACHABLE), with two groups of tests side by side. A connection accepted in the turn of the loop in which the stand-in proxy is cut was served after it, and went on through the cut: the same race as that of the callers' port.

Change: a proxy that is cut resets such a connection. The new test hands a connection to a cut proxy; it is served without the change and reset with it.

--- a/packages/standins/chiveridge_standins/proxies.py
+++ b/packages/standins/chiveridge_standins/proxies.py
@@ -117,6 +117,10 @@
         return True
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._listener is None:
+            # It was accepted in the turn of the loop in which the proxy was cut.
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         self._tasks.add(task)
         self.counts.accepted += 1
--- a/packages/standins/tests/test_proxies.py
+++ b/packages/standins/tests/test_proxies.py
@@ -82,6 +82,19 @@
         assert proxy.counts.cut == 1
 
 
+async def test_cut_resets_a_connection_that_was_just_accepted():
+    async with proxying() as proxy:
+        proxy.cut()
+        # Accepts in place of the proxy's listener, whose last connection is served after the cut.
+        server = await asyncio.start_server(proxy._serve, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        connection = Connection(*await asyncio.open_connection(*address))
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await connection.echoed(b"after")
+        connection.writer.close()
+        server.close()
+
+
 async def test_freeze_holds_bytes_until_thawed(connected):
     async with proxying() as proxy:
         connection = await connected(proxy)
