Pass a caller's request on as one message

Requests carried its six values one by one through five methods, and built peers.CallerRequest of them for the issuer only. They are put together once now, for both ways.

--- a/packages/node/chiveridge_node/requests.py
+++ b/packages/node/chiveridge_node/requests.py
@@ -5,6 +5,8 @@
 import datetime
 import hashlib
 
+import msgspec
+
 from chiveridge_kernel import (
     actions,
     answers,
@@ -84,70 +86,53 @@
         wait_ms: int = 0,
     ) -> replies.Reply:
         """Serve a request, or have the issuer of the id serve it."""
+        arrived_at = self._shell.arrival()
+        request = peers.CallerRequest(
+            request_id=0,
+            sender=self._kernel.settings.node,
+            operation=operation,
+            team=team,
+            submission_id=submission_id,
+            body=body,
+            wait_ms=min(wait_ms, MAX_WAIT_MS),
+            arrived_at_ms=clocks.to_epoch_ms(arrived_at),
+        )
         try:
             issued = submissions.parse(submission_id)
             if issued.incarnation == self._kernel.settings.incarnation:
-                return await self.perform_here(
-                    operation, team, submission_id, body, wait_ms, self._shell.arrival()
-                )
-            return await self._perform_at_issuer(
-                issued, operation, team, submission_id, body, wait_ms
-            )
+                return await self._perform_here(request, arrived_at)
+            return await self._perform_at_issuer(issued, request)
         except errors.RefusedError as error:
             return replies.refused(error)
 
-    async def perform_here(
-        self,
-        operation: peers.Operation,
-        team: identifiers.TeamName,
-        submission_id: str,
-        body: bytes,
-        wait_ms: int,
-        arrived_at: datetime.datetime,
+    async def _perform_here(
+        self, request: peers.CallerRequest, arrived_at: datetime.datetime
     ) -> replies.Reply:
         """Serve a request whose id this incarnation issued."""
+        submission_id = identifiers.SubmissionId(request.submission_id)
         try:
-            _OPERATIONS[operation](self, team, submission_id, body, arrived_at)
-            if operation is peers.Operation.CANCEL:
-                await self._until_stopped(identifiers.SubmissionId(submission_id))
-            return await self._answer(team, identifiers.SubmissionId(submission_id), wait_ms)
+            _OPERATIONS[request.operation](self, request, arrived_at)
+            if request.operation is peers.Operation.CANCEL:
+                await self._until_stopped(submission_id)
+            return await self._answer(request.team, submission_id, request.wait_ms)
         except errors.RefusedError as error:
             return replies.refused(error)
 
-    def _submit(
-        self,
-        team: identifiers.TeamName,
-        submission_id: str,
-        body: bytes,
-        arrived_at: datetime.datetime,
-    ) -> None:
-        submission = messages.decode_submission(body)
-        digest = hashlib.blake2b(body, digest_size=_DIGEST_BYTES).digest()
+    def _submit(self, request: peers.CallerRequest, arrived_at: datetime.datetime) -> None:
+        submission = messages.decode_submission(request.body)
+        digest = hashlib.blake2b(request.body, digest_size=_DIGEST_BYTES).digest()
         self._shell.handle(
             events.SubmissionReceived(
-                team=team, submission=submission, digest=digest, arrived_at=arrived_at
+                team=request.team, submission=submission, digest=digest, arrived_at=arrived_at
             )
         )
 
-    def _ask(
-        self,
-        team: identifiers.TeamName,
-        submission_id: str,
-        body: bytes,
-        arrived_at: datetime.datetime,
-    ) -> None:
+    def _ask(self, request: peers.CallerRequest, arrived_at: datetime.datetime) -> None:
         """Need nothing before the answer is looked up."""
 
-    def _cancel(
-        self,
-        team: identifiers.TeamName,
-        submission_id: str,
-        body: bytes,
-        arrived_at: datetime.datetime,
-    ) -> None:
-        self._shell.handle(
-            events.CancelReceived(team=team, submission_id=identifiers.SubmissionId(submission_id))
-        )
+    def _cancel(self, request: peers.CallerRequest, arrived_at: datetime.datetime) -> None:
+        submission_id = identifiers.SubmissionId(request.submission_id)
+        self._shell.handle(events.CancelReceived(team=request.team, submission_id=submission_id))
 
     async def _until_stopped(self, submission_id: identifiers.SubmissionId) -> None:
         """Wait until no start of a cancelled job can begin any more."""
@@ -185,33 +170,18 @@
         return replies.Reply(code=code, body=messages.encoder.encode(answer))
 
     async def _perform_at_issuer(
-        self,
-        issued: submissions.IssuedId,
-        operation: peers.Operation,
-        team: identifiers.TeamName,
-        submission_id: str,
-        body: bytes,
-        wait_ms: int,
+        self, issued: submissions.IssuedId, request: peers.CallerRequest
     ) -> replies.Reply:
-        handed = self._handed_over(team, submission_id)
+        handed = self._handed_over(request.team, request.submission_id)
         if handed is not None:
             return handed
         _check_unexpired(issued, self._shell.clock.now())
-        if operation is peers.Operation.CANCEL:
-            wait_ms = max(wait_ms, CANCEL_WAIT_MS)
-        request = peers.CallerRequest(
-            request_id=0,
-            sender=self._kernel.settings.node,
-            operation=operation,
-            team=team,
-            submission_id=submission_id,
-            body=body,
-            wait_ms=min(wait_ms, MAX_WAIT_MS),
-            arrived_at_ms=clocks.to_epoch_ms(self._shell.arrival()),
-        )
+        if request.operation is peers.Operation.CANCEL:
+            wait_ms = max(request.wait_ms, CANCEL_WAIT_MS)
+            request = msgspec.structs.replace(request, wait_ms=wait_ms)
         reply = await self._reply_of_issuer(issued, request)
         if isinstance(reply, forwards.NoReply):
-            handed = self._handed_over(team, submission_id)
+            handed = self._handed_over(request.team, request.submission_id)
             left = None if handed else await self.forwarder.ask_near(issued, request)
             return handed or (replies.of_peer(left) if left else replies.of_no_reply(reply, issued))
         return replies.of_peer(reply)
@@ -254,14 +224,7 @@
             return replies.refused(error)
         # The clocks of the nodes may differ a little; an arrival in the future counts as now.
         arrived_at = min(self._shell.arrival(), clocks.from_epoch_ms(request.arrived_at_ms))
-        return await self.perform_here(
-            request.operation,
-            request.team,
-            request.submission_id,
-            request.body,
-            request.wait_ms,
-            arrived_at,
-        )
+        return await self._perform_here(request, arrived_at)
 
     def _reply_for_other(
         self, issued: submissions.IssuedId, request: peers.CallerRequest
