--- a/packages/kernel/chiveridge_kernel/catch_ups.py
+++ b/packages/kernel/chiveridge_kernel/catch_ups.py
@@ -44,7 +44,7 @@
         configuration: configurations.Configuration,
         member_table: members.MemberTable,
         rng: random.Random,
-        restore: Callable[[snapshots.Snapshot], bool] | None = None,
+        restore: Callable[[snapshots.Snapshot], None],
     ):
         self.log_read_at: datetime.datetime | None = None
         self.vms_read_at: datetime.datetime | None = None
@@ -53,7 +53,7 @@
         self._configuration = configuration
         self._members = member_table
         self._rng = rng
-        self._restore = restore or configuration.restore
+        self._restore = restore
         self._assembler = snapshot_decodings.Assembler()
         self._next_ask: datetime.datetime | None = None
 
@@ -86,22 +86,22 @@
             replies.append(actions.SendSnapshot(route=route, snapshot=snapshot))
         return replies
 
-    def take(self, message: peers.ConfigurationChunk) -> bool:
-        """Take a chunk of a peer's configuration; tell whether the state moved forward."""
-        if message.chunk.base <= self._configuration.offset:
-            return False
-        return self._take_whole(self._assembler.add(message.chunk))
+    def take(self, message: peers.ConfigurationChunk) -> None:
+        """Take a chunk of a peer's configuration, unless this node is as far."""
+        if message.chunk.base > self._configuration.offset:
+            self._take_whole(self._assembler.add(message.chunk))
 
     def is_decoding(self) -> bool:
         """Tell whether a peer's configuration is being decoded."""
         return self._assembler.is_decoding()
 
-    def step(self) -> bool:
-        """Decode on; tell whether the state moved forward."""
-        return self._take_whole(self._assembler.step())
+    def step(self) -> None:
+        """Decode on."""
+        self._take_whole(self._assembler.step())
 
-    def _take_whole(self, snapshot: snapshots.Snapshot | None) -> bool:
-        return snapshot is not None and self._restore(snapshot)
+    def _take_whole(self, snapshot: snapshots.Snapshot | None) -> None:
+        if snapshot is not None:
+            self._restore(snapshot)
 
     def _is_silent(self, now: datetime.datetime) -> bool:
         return self.log_read_at is None or now - self.log_read_at >= self._settings.silence
--- a/packages/kernel/chiveridge_kernel/clocks.py
+++ b/packages/kernel/chiveridge_kernel/clocks.py
@@ -1,6 +1,7 @@
 """The clock as an interface, so that tests and replays choose the time."""
 
 import datetime
+from collections.abc import Iterable
 from typing import Protocol
 
 EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
@@ -43,3 +44,8 @@
 def to_ms(duration: datetime.timedelta) -> float:
     """Return a duration in milliseconds."""
     return duration / _MILLISECOND
+
+
+def earliest(moments: Iterable[datetime.datetime | None]) -> datetime.datetime | None:
+    """Return the first of some moments, leaving out those that are None."""
+    return min((moment for moment in moments if moment is not None), default=None)
--- a/packages/kernel/chiveridge_kernel/followers.py
+++ b/packages/kernel/chiveridge_kernel/followers.py
@@ -19,15 +19,15 @@
 
     After records to read have expired it looks through the log from ``first`` on, loads the
     newest whole snapshot from which every later record is kept, and goes on from there.
-    ``on_chunk`` is told of each chunk of a snapshot that is read, ``restore`` is given the snapshot
-    and tells whether it is in force at once.
+    ``on_chunk`` is told of each chunk of a snapshot that is read, ``restore`` is given the
+    snapshot, which may be in force later only.
     """
 
     def __init__(
         self,
         configuration: configurations.Configuration,
         on_chunk: Callable[[records.SnapshotRecord], None] = lambda chunk: None,
-        restore: Callable[[snapshots.Snapshot], bool] | None = None,
+        restore: Callable[[snapshots.Snapshot], object] | None = None,
     ):
         self.first = identifiers.Offset(0)
         self.next = identifiers.Offset(0)
@@ -115,8 +115,8 @@
 
     def _load(self, snapshot: snapshots.Snapshot) -> None:
         self._newest = None
-        if snapshot.base >= self.first and self._restore(snapshot):
-            self._scan_offset = None
+        if snapshot.base >= self.first:
+            self._restore(snapshot)
 
 
 def _chunk_of(offset: identifiers.Offset, value: object) -> records.SnapshotRecord | None:
--- a/packages/kernel/chiveridge_kernel/handlers.py
+++ b/packages/kernel/chiveridge_kernel/handlers.py
@@ -123,7 +123,7 @@
         outbox.append(actions.AppendSnapshot(snapshot=kernel.configuration.snapshot()))
     outbox.extend(kernel.catch_up.ask_if_due(now, kernel.follower.is_scanning))
     kernel.heartbeats.offset = kernel.configuration.offset
-    kernel.dispatcher.outbox.extend(kernel.heartbeats.tick(now))
+    outbox.extend(kernel.heartbeats.tick(now))
 
 
 @handle.register(events.PeerUnreachable)
--- a/packages/kernel/chiveridge_kernel/kernels.py
+++ b/packages/kernel/chiveridge_kernel/kernels.py
@@ -11,6 +11,7 @@
     admissions,
     answers,
     catch_ups,
+    clocks,
     configurations,
     dispatchers,
     errors,
@@ -144,7 +145,7 @@
             self.dispatcher.stops.next_wakeup(),
             None if self._leaving is None else self._leaving.due,
         ]
-        return min((moment for moment in moments if moment is not None), default=None)
+        return clocks.earliest(moments)
 
     def drain(self, forced: bool, now: datetime.datetime) -> None:
         """Take no new jobs; with ``forced``, end those in progress as failed."""
--- a/packages/kernel/chiveridge_kernel/limits.py
+++ b/packages/kernel/chiveridge_kernel/limits.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from chiveridge_kernel import (
+    clocks,
     errors,
     identifiers,
     jobs,
@@ -161,7 +162,7 @@
     def next_wakeup(self) -> datetime.datetime | None:
         """Return when the next report is due, or one that waits may be sent."""
         moments = (self._due_at, self._exchange.outbox.next_at(), self.takeovers.next_at())
-        return min((moment for moment in moments if moment is not None), default=None)
+        return clocks.earliest(moments)
 
     def take_batch(self, batch: peers.LimitBatch, now: datetime.datetime) -> None:
         """Take the reports and the grants of another node."""
--- a/packages/kernel/chiveridge_kernel/loadings.py
+++ b/packages/kernel/chiveridge_kernel/loadings.py
@@ -36,12 +36,11 @@
         self._loading: Loading | None = None
         self._finished: Loading | None = None
 
-    def offer(self, snapshot: snapshots.Snapshot, *, is_from_peer: bool) -> bool:
-        """Begin to load a snapshot; return False, as it is not in force before the last step."""
+    def offer(self, snapshot: snapshots.Snapshot, *, is_from_peer: bool) -> None:
+        """Begin to load a snapshot, unless one as late is being loaded."""
         if self._loading is None or self._loading.base < snapshot.base:
             self._loading = Loading(snapshot, is_from_peer)
             self.step()
-        return False
 
     def is_busy(self) -> bool:
         """Tell whether a snapshot is being loaded."""
--- a/packages/kernel/chiveridge_kernel/owner_policies.py
+++ b/packages/kernel/chiveridge_kernel/owner_policies.py
@@ -104,7 +104,7 @@
             self.returns.next_report(),
             self.suspicions.next_wakeup(),
         )
-        return min((moment for moment in moments if moment is not None), default=None)
+        return clocks.earliest(moments)
 
     def flush(self) -> None:
         """Send the slots given back during one event together."""
