Start a fleet that every team may use in one place

Two stay: the demo prints between the steps, and test_team_limits names its one target. The patience of each stays: 60 s for runs and idle fleets, 30 s for the others. Tests keep their assertions.

--- a/packages/load/chiveridge_load/control_benches.py
+++ b/packages/load/chiveridge_load/control_benches.py
@@ -26,6 +26,7 @@
 
 SETTLE_SECONDS = 6
 TARGETS = 2
+TEAM = deployments.TeamPlan(name="bench", secret="secret-of-the-bench")
 
 
 class Measurement(msgspec.Struct, frozen=True):
@@ -97,17 +98,13 @@
     plan = fleets.FleetPlan(
         domains={f"domain-{number + 1}": domain for number in range(_DOMAINS.value)}
     )
-    team = deployments.TeamPlan(name="bench", secret="secret-of-the-bench")
     async with (
-        fleets.Fleet(plan) as fleet,
+        deployments.ready_fleet(plan, [TEAM]) as fleet,
         aiohttp.ClientSession() as session,
     ):
-        change = deployments.first_change([team], list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(change))
-        await fleet.wait_ready()
         await asyncio.sleep(SETTLE_SECONDS)
         idle = await measure(fleet, session, seconds, 0.0)
-        load = asyncio.create_task(submit_steadily(fleet, team.credential, jobs_per_second))
+        load = asyncio.create_task(submit_steadily(fleet, TEAM.credential, jobs_per_second))
         loaded = await measure(fleet, session, seconds, jobs_per_second)
         load.cancel()
         await asyncio.gather(load, return_exceptions=True)
--- a/packages/load/chiveridge_load/control_suites.py
+++ b/packages/load/chiveridge_load/control_suites.py
@@ -90,14 +90,11 @@
 
 async def _measure_domain(nodes: int) -> control_benches.Measurement:
     domain = fleets.DomainPlan(nodes=nodes, targets=control_benches.TARGETS)
-    team = deployments.TeamPlan(name="bench", secret="secret-of-the-bench")
+    plan = fleets.FleetPlan(domains={"domain-1": domain})
     async with (
-        fleets.Fleet(fleets.FleetPlan(domains={"domain-1": domain})) as fleet,
+        deployments.ready_fleet(plan, [control_benches.TEAM]) as fleet,
         aiohttp.ClientSession() as session,
     ):
-        change = deployments.first_change([team], list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(change))
-        await fleet.wait_ready()
         await asyncio.sleep(control_benches.SETTLE_SECONDS)
         return await control_benches.measure(fleet, session, IDLE_SECONDS, 0.0)
 
--- a/packages/load/chiveridge_load/costs.py
+++ b/packages/load/chiveridge_load/costs.py
@@ -14,7 +14,7 @@
 from absl import flags, logging
 
 from chiveridge_kernel import policies
-from chiveridge_load import idles, interruptions, saturations, slopes
+from chiveridge_load import deployments, idles, interruptions, saturations, slopes
 
 JOB_SIZES = (1, 8, 64, 740)
 PROFILE_JOB_SIZE = 8
@@ -63,7 +63,7 @@
 
 async def _saturations(policy: str, options: flags.FlagValues) -> list[saturations.Cost]:
     plan = saturations.plan(policy)
-    async with saturations.ready_fleet(plan) as fleet:
+    async with deployments.ready_fleet(plan, [saturations.TEAM]) as fleet:
         found = []
         for size in JOB_SIZES:
             logging.info("saturating one node with jobs of %d tasks", size)
@@ -83,7 +83,7 @@
     policy = options.policy or policies.DEFAULT
     with tempfile.TemporaryDirectory(prefix="chiveridge-profile-") as directory:
         plan = saturations.plan(policy, profiles=directory)
-        async with saturations.ready_fleet(plan) as fleet:
+        async with deployments.ready_fleet(plan, [saturations.TEAM]) as fleet:
             await saturations.saturate(fleet, PROFILE_JOB_SIZE, _duration(options))
         path = pathlib.Path(directory, f"{saturations.NODE}.prof")
         with out.open("w") as stream:
--- a/packages/load/chiveridge_load/deployments.py
+++ b/packages/load/chiveridge_load/deployments.py
@@ -1,7 +1,9 @@
 """The two deployments, and configurations in which every team reaches every target."""
 
+import contextlib
 import datetime
 import hashlib
+from collections.abc import AsyncIterator
 
 import msgspec
 
@@ -9,6 +11,7 @@
 from chiveridge_standins import fleets
 
 ALL_TEAMS_RULE = "every-team-every-target"
+READY_TIMEOUT_S = 30.0
 
 
 class Deployment(msgspec.Struct, frozen=True):
@@ -64,6 +67,18 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def ready_fleet(
+    plan: fleets.FleetPlan, teams: list[TeamPlan], timeout_s: float = READY_TIMEOUT_S
+) -> AsyncIterator[fleets.Fleet]:
+    """Run a fleet in which every team may reach every target, once all nodes are ready."""
+    async with fleets.Fleet(plan) as fleet:
+        change = first_change(teams, list(fleet.targets_by_name))
+        await fleet.append_change(msgspec.to_builtins(change))
+        await fleet.wait_ready(timeout_s)
+        yield fleet
+
+
 def _team_write(team: TeamPlan) -> records.ObjectWrite:
     value = records.TeamObject(
         name=team.name, key_digests=[team.key_digest], max_starts=team.max_starts
--- a/packages/load/chiveridge_load/faults.py
+++ b/packages/load/chiveridge_load/faults.py
@@ -62,10 +62,7 @@
 
 async def run(plan: RunPlan) -> RunResult:
     """Run the jobs under faults and check the outcome."""
-    async with fleets.Fleet(_fleet_plan()) as fleet:
-        change = deployments.first_change([TEAM], list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(change))
-        await fleet.wait_ready()
+    async with deployments.ready_fleet(_fleet_plan(), [TEAM]) as fleet:
         injector = fault_injectors.Injector(fleet)
         records, configuration = await _run_jobs(plan, fleet, injector)
         starts = fleet.starts()
--- a/packages/load/chiveridge_load/idles.py
+++ b/packages/load/chiveridge_load/idles.py
@@ -27,10 +27,7 @@
 async def measure(policy: str, duration: datetime.timedelta) -> Idle:
     """Measure a fleet of a deployment that gets no jobs."""
     plan = deployments.fleet_plan(DEPLOYMENT, policy, proxied=True)
-    async with fleets.Fleet(plan) as fleet:
-        change = deployments.first_change([TEAM], list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(change))
-        await fleet.wait_ready(runs.READY_TIMEOUT_S)
+    async with deployments.ready_fleet(plan, [TEAM], runs.READY_TIMEOUT_S) as fleet:
         await asyncio.sleep(runs.SETTLE_S)
         return await _watch(fleet, duration.total_seconds())
 
--- a/packages/load/chiveridge_load/publication_benches.py
+++ b/packages/load/chiveridge_load/publication_benches.py
@@ -45,10 +45,10 @@
     """Publish changes one after the other and wait for each on every node."""
     domain = fleets.DomainPlan(nodes=nodes_per_domain, targets=1)
     plan = fleets.FleetPlan(domains=dict.fromkeys(DOMAINS, domain))
-    async with fleets.Fleet(plan) as fleet, aiohttp.ClientSession() as session:
-        first = deployments.first_change([TEAM], list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(first))
-        await fleet.wait_ready()
+    async with (
+        deployments.ready_fleet(plan, [TEAM]) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
         publisher = publications.Publisher(
             platforms.Log(fleet.platform_url, session),
             rng=random.Random(1),
--- a/packages/load/chiveridge_load/runs.py
+++ b/packages/load/chiveridge_load/runs.py
@@ -43,10 +43,7 @@
 
 async def measure(run: Run) -> measurements.Measurement:
     """Start a fleet, run the trace against it and return what was measured."""
-    async with fleets.Fleet(run.plan) as fleet:
-        change = deployments.first_change(run.teams(), list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(change))
-        await fleet.wait_ready(READY_TIMEOUT_S)
+    async with deployments.ready_fleet(run.plan, run.teams(), READY_TIMEOUT_S) as fleet:
         deployments.delay_peers(fleet, run.peer_delay)
         return await _measure(run, fleet)
 
--- a/packages/load/chiveridge_load/saturations.py
+++ b/packages/load/chiveridge_load/saturations.py
@@ -1,10 +1,8 @@
 """Loads one node through real sockets as far as it goes, and measures what a task costs it."""
 
 import asyncio
-import contextlib
 import datetime
 import time
-from collections.abc import AsyncIterator
 
 import msgspec
 
@@ -77,16 +75,6 @@
     }
 
 
-@contextlib.asynccontextmanager
-async def ready_fleet(fleet_plan: fleets.FleetPlan) -> AsyncIterator[fleets.Fleet]:
-    """Run a fleet in which the team may reach every target."""
-    async with fleets.Fleet(fleet_plan) as fleet:
-        change = deployments.first_change([TEAM], list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(change))
-        await fleet.wait_ready()
-        yield fleet
-
-
 async def saturate(fleet: fleets.Fleet, job_size: int, duration: datetime.timedelta) -> Cost:
     """Submit jobs of empty tasks without a pause and measure the node after a warm-up."""
     callers = max(TASKS_IN_PROGRESS // job_size, MIN_CALLERS)
@@ -118,7 +106,7 @@
     changes = {"slots": MEMORY_SLOTS, "targets_per_process": 1}
     fleet_plan = msgspec.structs.replace(plan(policy), **changes)
     fleet_plan.settings["targets"] = _connections(MEMORY_SLOTS)
-    async with ready_fleet(fleet_plan) as fleet:
+    async with deployments.ready_fleet(fleet_plan, [TEAM]) as fleet:
         for target in fleet.targets_by_name.values():
             await target.control(max_connections=MEMORY_SLOTS)
         idle_mb = usages.memory_mb(fleet.pid(NODE))
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -146,10 +146,10 @@
     async def deployed(nodes: int = 1, targets: int = 1, domains=("ikeja",), **plan):
         domain = fleets.DomainPlan(nodes=nodes, targets=targets)
         fleet_plan = fleets.FleetPlan(domains=dict.fromkeys(domains, domain), **plan)
-        async with fleets.Fleet(fleet_plan) as fleet, aiohttp.ClientSession() as session:
-            change = deployments.first_change([team], list(fleet.targets_by_name))
-            await fleet.append_change(msgspec.to_builtins(change))
-            await fleet.wait_ready()
+        async with (
+            deployments.ready_fleet(fleet_plan, [team]) as fleet,
+            aiohttp.ClientSession() as session,
+        ):
             deployment = Deployment(fleet, Caller(session, team.credential), team)
             await eventually(deployment.is_known_to_all)
             yield deployment
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -39,10 +39,10 @@
         settings=settings,
         proxied=frozenset({fleets.PLATFORM}),
     )
-    async with fleets.Fleet(plan) as fleet, aiohttp.ClientSession() as session:
-        change = deployments.first_change([team], list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(change))
-        await fleet.wait_ready()
+    async with (
+        deployments.ready_fleet(plan, [team]) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
         yield fleet, session
 
 
--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -88,10 +88,10 @@
         proxied=frozenset(proxied),
     )
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-    async with fleets.Fleet(plan) as fleet, aiohttp.ClientSession(timeout=timeout) as session:
-        change = deployments.first_change([team], list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(change))
-        await fleet.wait_ready()
+    async with (
+        deployments.ready_fleet(plan, [team]) as fleet,
+        aiohttp.ClientSession(timeout=timeout) as session,
+    ):
         yield Domain(fleet, session, team)
 
 
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -19,10 +19,8 @@
 @pytest.mark.promise("complete_or_failed")
 async def test_a_job_runs_once_and_its_answer_is_whole(team):
     domain = fleets.DomainPlan(nodes=1, targets=2)
-    async with fleets.Fleet(fleets.FleetPlan(domains=dict.fromkeys(DOMAINS, domain))) as fleet:
-        change = deployments.first_change([team], list(fleet.targets_by_name))
-        await fleet.append_change(msgspec.to_builtins(change))
-        await fleet.wait_ready()
+    plan = fleets.FleetPlan(domains=dict.fromkeys(DOMAINS, domain))
+    async with deployments.ready_fleet(plan, [team]) as fleet:
         keys = [f"task-{index}" for index in range(TASK_COUNT)]
         async with clients.Client(fleet.node_urls(), team.credential) as client:
             answer = await client.submit(
