--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,15 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := kernel client node standins load
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
+PACKAGES := $(foreach p,kernel pool client node standins load,packages/$(p)) platform
+EDITABLE := $(foreach p,$(PACKAGES),-e $(p))
+SOURCES := conftest.py packages platform tests
 
 .PHONY: bench demo test test-units test-faults test-system faults proof lint format check setup
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+$(STAMP): requirements.txt $(foreach p,$(PACKAGES),$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
@@ -29,7 +30,7 @@
 	$(MAKE) --jobs=$(words $(TEST_GROUPS)) --output-sync=target --keep-going $(TEST_GROUPS)
 
 test-units: $(STAMP)
-	$(BIN)/python -m pytest packages tests --ignore=tests/integration
+	$(BIN)/python -m pytest packages platform tests --ignore=tests/integration
 
 test-faults: $(STAMP)
 	$(BIN)/python -m pytest tests/integration/test_faults.py
@@ -46,12 +47,12 @@
 	$(BIN)/python -m pytest --collect-only --quiet --quiet --proof-page=docs/PROOF.md
 
 lint: $(STAMP)
-	$(BIN)/black --quiet --check conftest.py packages tests
-	$(BIN)/ruff check --quiet conftest.py packages tests
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
 	$(BIN)/lint-imports --no-cache
 
 format: $(STAMP)
-	$(BIN)/black --quiet packages tests
-	$(BIN)/ruff check --quiet --fix packages tests
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
 
 check: lint test
--- /dev/null
+++ b/packages/node/chiveridge_node/pool_links.py
@@ -0,0 +1,108 @@
+"""Messages between the nodes of a pool over ZeroMQ: one ROUTER to receive, a DEALER a peer."""
+
+import asyncio
+import time
+
+import zmq
+
+from chiveridge_node import logevents, pool_shells
+from chiveridge_pool import actions, events, identifiers, messages
+
+HIGH_WATER_MARK = 10_000
+PING_INTERVAL_MS = 250
+PING_TIMEOUT_MS = 750
+"""Silence after which a connection is opened anew; about the time after which a node is dead."""
+
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+IDLE_SECONDS = 30.0
+DRAIN_SECONDS = 0.02
+"""Interval at which the socket is read even if no wake-up was seen."""
+
+CLOSE_LINGER_MS = 200
+
+
+class PoolLinks:
+    """Sends to peers without waiting, and hands what they send to the kernel."""
+
+    def __init__(self, shell: pool_shells.PoolShell, address: str, port: int):
+        self._shell = shell
+        self._address = address
+        self._port = port
+        self._context = zmq.Context()
+        self._router: zmq.Socket | None = None
+        self._dealers_by_endpoint: dict[identifiers.Endpoint, zmq.Socket] = {}
+        self._used_at: dict[identifiers.Endpoint, float] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self.dropped = 0
+
+    def open(self) -> None:
+        """Bind the port and begin to receive."""
+        self._router = _configured(self._context, zmq.ROUTER)
+        self._router.bind(f"tcp://{self._address}:{self._port}")
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._router.fileno(), self._read)
+        self._shell.perform_with(actions.SendMessage, self.send)
+        self._read_again()
+
+    def close(self) -> None:
+        """Close every socket, after a moment for what was sent last."""
+        if self._timer is not None:
+            self._timer.cancel()
+        asyncio.get_running_loop().remove_reader(self._router.fileno())
+        self._context.destroy(linger=CLOSE_LINGER_MS)
+
+    def send(self, action: actions.SendMessage) -> None:
+        """Send a message; it is dropped when there is no connection now."""
+        dealer = self._dealers_by_endpoint.get(action.endpoint)
+        if dealer is None:
+            dealer = _configured(self._context, zmq.DEALER)
+            dealer.connect(f"tcp://{action.endpoint}")
+            self._dealers_by_endpoint[action.endpoint] = dealer
+        self._used_at[action.endpoint] = time.monotonic()
+        try:
+            dealer.send(messages.encode(action.message), zmq.NOBLOCK)
+        except zmq.Again:
+            self.dropped += 1
+
+    def _read_again(self) -> None:
+        """Read what an edge-triggered wake-up may have missed."""
+        self._read()
+        self._timer = asyncio.get_running_loop().call_later(DRAIN_SECONDS, self._read_again)
+        oldest = time.monotonic() - IDLE_SECONDS
+        for endpoint in [key for key, used_at in self._used_at.items() if used_at < oldest]:
+            del self._used_at[endpoint]
+            self._dealers_by_endpoint.pop(endpoint).close(linger=0)
+
+    def _read(self) -> None:
+        while True:
+            try:
+                frames = self._router.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._take(frames[-1])
+
+    def _take(self, data: bytes) -> None:
+        try:
+            message = messages.decode(data)
+        except messages.MessageError as error:
+            logevents.write(logevents.LogEvent.PEER_MESSAGE_DROPPED, error=str(error))
+            return
+        self._shell.handle(events.MessageReceived(message=message))
+
+
+def _configured(context: zmq.Context, kind: int) -> zmq.Socket:
+    """Return a socket of a kind with the limits of this protocol."""
+    socket = context.socket(kind)
+    socket.linger = 0
+    socket.sndhwm = HIGH_WATER_MARK
+    socket.rcvhwm = HIGH_WATER_MARK
+    socket.maxmsgsize = messages.MAX_MESSAGE_BYTES
+    socket.heartbeat_ivl = PING_INTERVAL_MS
+    socket.heartbeat_timeout = PING_TIMEOUT_MS
+    socket.connect_timeout = PING_TIMEOUT_MS
+    socket.reconnect_ivl = RECONNECT_MIN_MS
+    socket.reconnect_ivl_max = RECONNECT_MAX_MS
+    # Nothing is queued for a peer that is not connected, so nothing arrives long after.
+    socket.immediate = True
+    return socket
--- /dev/null
+++ b/packages/node/chiveridge_node/pool_shells.py
@@ -0,0 +1,71 @@
+"""Drives the pool's kernel on the asyncio loop: feeds it events and performs its actions."""
+
+import asyncio
+import datetime
+import time
+from collections.abc import Callable
+
+from chiveridge_kernel import clocks
+from chiveridge_node import logevents
+from chiveridge_pool import actions, events, kernels
+
+TICK_SECONDS = 0.02
+"""Time between ticks: a fifth of the interval of heartbeats, which are the most frequent."""
+
+PAUSE_THRESHOLD = datetime.timedelta(milliseconds=400)
+"""Time without a tick after which the process counts as having been paused."""
+
+
+class PoolShell:
+    """Connects the kernel to the adapters that perform its actions."""
+
+    def __init__(self, kernel: kernels.Kernel, clock: clocks.Clock):
+        self.kernel = kernel
+        self.clock = clock
+        self._performers_by_type: dict[type, Callable[[actions.Action], None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._ticked_at = clock.now()
+
+    def perform_with(self, action_type: type, performer: Callable[[actions.Action], None]) -> None:
+        """Name the callable that performs actions of a type."""
+        self._performers_by_type[action_type] = performer
+
+    def start(self) -> None:
+        """Begin to deliver ticks."""
+        self._ticked_at = self.clock.now()
+        self._timer = asyncio.get_running_loop().call_later(TICK_SECONDS, self._tick)
+
+    def stop(self) -> None:
+        """Deliver no more ticks."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def handle(self, event: events.Event) -> None:
+        """Let the kernel handle an event and perform what it decides; a fault is logged."""
+        try:
+            done = self.kernel.handle(event, self.clock.now())
+        except Exception:
+            logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, kind=type(event).__name__)
+            done = self.kernel.mailbox.take()
+        for action in done:
+            self._perform(action)
+
+    def _perform(self, action: actions.Action) -> None:
+        try:
+            self._performers_by_type[type(action)](action)
+        except Exception:
+            logevents.write_error(logevents.LogEvent.INTERNAL_FAULT, kind=type(action).__name__)
+
+    def _tick(self) -> None:
+        now = self.clock.now()
+        paused = now - self._ticked_at
+        if paused > PAUSE_THRESHOLD:
+            logevents.write(logevents.LogEvent.PROCESS_PAUSED, paused_ms=clocks.to_ms(paused))
+        self._ticked_at = now
+        self.handle(events.Ticked())
+        self._timer = asyncio.get_running_loop().call_later(TICK_SECONDS, self._tick)
+
+
+def loop_seconds() -> float:
+    """Return a clock that counts on while the VM is suspended, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -0,0 +1,56 @@
+"""Room promised to a job's node for one task, from reservation to end."""
+
+import datetime
+
+from chiveridge_pool import identifiers, resources, runs
+
+
+class Grant:
+    """One grant at its owner."""
+
+    __slots__ = (
+        "changed_at",
+        "expires_at",
+        "first_sent_at",
+        "id",
+        "is_confirmed_stopped",
+        "job",
+        "node",
+        "run",
+        "size",
+        "spec",
+        "state",
+        "stopped_at",
+        "task",
+    )
+
+    def __init__(
+        self,
+        grant: identifiers.GrantId,
+        node: identifiers.NodeId,
+        job: identifiers.JobId,
+        size: resources.Resources,
+        expires_at: datetime.datetime,
+    ):
+        self.id = grant
+        self.node = node
+        self.job = job
+        self.size = size
+        self.expires_at = expires_at
+        self.state = runs.GrantState.RESERVED
+        self.task = identifiers.TaskName("")
+        self.run = identifiers.RunNumber(0)
+        self.spec = ""
+        self.first_sent_at = expires_at
+        self.changed_at = expires_at
+        self.stopped_at: datetime.datetime | None = None
+        self.is_confirmed_stopped = False
+
+    @property
+    def key(self) -> tuple[identifiers.TaskName, identifiers.RunNumber]:
+        """What the target calls the run."""
+        return self.task, self.run
+
+    def is_sent(self) -> bool:
+        """Tell whether the target may know of it."""
+        return self.state is not runs.GrantState.RESERVED
--- /dev/null
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -0,0 +1,419 @@
+"""The owner's part: claims targets, renews their leases, lends their room, follows their ends."""
+
+import datetime
+import itertools
+import random
+
+from chiveridge_pool import (
+    events,
+    grants,
+    holdings,
+    identifiers,
+    mailboxes,
+    members,
+    messages,
+    orders,
+    ownerships,
+    requests,
+    runs,
+    targets,
+    timings,
+    tokens,
+)
+
+_GONE_AFTER = datetime.timedelta(seconds=3)
+"""Absence from the platform's list after which an idle target is dropped."""
+
+
+class Holder:
+    """All targets that this node holds."""
+
+    def __init__(
+        self,
+        table: members.Members,
+        mailbox: mailboxes.Mailbox,
+        rng: random.Random,
+        started_at: datetime.datetime,
+    ):
+        self._members = table
+        self._mailbox = mailbox
+        self._own_id = table.own_id
+        self._settled_at = started_at + timings.SETTLING
+        self._tokens = tokens.TokenSource(rng)
+        self._grant_numbers = itertools.count(1)
+        self._orders = orders.Orders(mailbox, self)
+        self.targets_by_id: dict[identifiers.TargetId, targets.Target] = {}
+        self.missing_since: dict[identifiers.TargetId, datetime.datetime] = {}
+        self.holdings_by_target: dict[identifiers.TargetId, holdings.Holding] = {}
+        self.orphans: dict[identifiers.GrantId, tuple[identifiers.NodeId, datetime.datetime]] = {}
+        self.requests = requests.Requests()
+        self.moving: set[identifiers.TargetId] = set()
+        self.is_leaving = False
+
+    # Targets and ownership
+
+    def list_targets(self, listed: tuple[targets.Target, ...], now: datetime.datetime) -> None:
+        """Take the platform's list."""
+        known = {target.id: target for target in listed}
+        for target_id in self.targets_by_id.keys() - known.keys():
+            self.missing_since.setdefault(target_id, now)
+        for target_id, target in known.items():
+            self.missing_since.pop(target_id, None)
+            self.targets_by_id[target_id] = target
+            holding = self.holdings_by_target.get(target_id)
+            if holding is not None:
+                self._update(holding, target, now)
+
+    def _update(
+        self, holding: holdings.Holding, target: targets.Target, now: datetime.datetime
+    ) -> None:
+        is_reborn = bool(target.born and holding.born and target.born > holding.born)
+        if is_reborn or target.address != holding.target.address:
+            self._drop_life(holding, "the target started anew", now)
+            return
+        holding.target = target
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Do what is due: claims, handovers, renewals, stops and lapses."""
+        candidates = ownerships.Candidates(self._members, now, is_leaving=self.is_leaving)
+        self._drop_missing(now)
+        for target in list(self.targets_by_id.values()):
+            chosen = candidates.choose(target)
+            holding = self.holdings_by_target.get(target.id)
+            if holding is None:
+                self._claim_if_due(target, candidates.is_own(chosen), now)
+            else:
+                self._hand_over_if_due(holding, chosen, candidates, now)
+        for holding in list(self.holdings_by_target.values()):
+            self._orders.tick(holding, now)
+        self._end_orphans(now)
+        self._watch_nodes(now)
+        self.serve(now)
+
+    def _drop_missing(self, now: datetime.datetime) -> None:
+        for target_id, since in list(self.missing_since.items()):
+            holding = self.holdings_by_target.get(target_id)
+            is_busy = holding is not None and holding.grants_by_id
+            if now - since < _GONE_AFTER or (is_busy and now < holding.lapses_at):
+                continue
+            del self.missing_since[target_id]
+            self.targets_by_id.pop(target_id, None)
+            if holding is not None:
+                self._drop(holding, "the target is no longer listed", now)
+
+    def _claim_if_due(
+        self, target: targets.Target, is_chosen: bool, now: datetime.datetime
+    ) -> None:
+        if not is_chosen or now < self._settled_at or target.id in self.missing_since:
+            return
+        if self._members.holder_of(target.id, now) is not None:
+            return
+        if not self._tokens.may_claim(target.id, now) or not self._is_trusted(target, now):
+            return
+        holding = holdings.Holding(target, self._tokens.next(target.id, now), now)
+        self._hold(holding, "claimed", now)
+
+    def _is_trusted(self, target: targets.Target, now: datetime.datetime) -> bool:
+        """Tell whether this node's view is good enough to take a target from a silent owner."""
+        if self._members.has_majority(now):
+            return True
+        return target.zone == self._members.own_zone and self._members.has_zone_majority(now)
+
+    def _hold(self, holding: holdings.Holding, how: str, now: datetime.datetime) -> None:
+        self.holdings_by_target[holding.target.id] = holding
+        self._mailbox.note("owner_changed", target=holding.target.id, token=holding.token, how=how)
+        self._orders.hold(holding, now)
+
+    def _hand_over_if_due(
+        self,
+        holding: holdings.Holding,
+        chosen: identifiers.Endpoint | None,
+        candidates: ownerships.Candidates,
+        now: datetime.datetime,
+    ) -> None:
+        target_id = holding.target.id
+        heir = self._members.by_endpoint.get(chosen) if chosen is not None else None
+        if candidates.is_own(chosen) or heir is None or not heir.is_live(now):
+            self.moving.discard(target_id)
+            return
+        self.moving.add(target_id)
+        if holding.has_unsettled():
+            return
+        self._hand_over(holding, heir, now)
+
+    def _hand_over(
+        self, holding: holdings.Holding, heir: members.Member, now: datetime.datetime
+    ) -> None:
+        sent = holding.sent_grants()
+        rows = tuple(
+            messages.HandedRun(grant.id, grant.node, grant.job, grant.task, grant.run, grant.size)
+            for grant in sent
+        )
+        handover = messages.Handover(
+            sender=self._own_id,
+            target=holding.target,
+            token=holding.token,
+            acknowledged=holding.acknowledged,
+            born=holding.born,
+            runs=rows,
+        )
+        self._mailbox.send(heir.id, handover)
+        by_node: dict[identifiers.NodeId, list[identifiers.GrantId]] = {}
+        for grant in sent:
+            by_node.setdefault(grant.node, []).append(grant.id)
+        for node, moved in by_node.items():
+            message = messages.Moved(sender=self._own_id, grants=tuple(moved), owner=heir.id)
+            self._mailbox.send(node, message)
+        self._mailbox.note(
+            "owner_changed", target=holding.target.id, how="handed over", to=heir.endpoint
+        )
+        self._forget(holding)
+
+    def take_handover(self, message: messages.Handover, now: datetime.datetime) -> None:
+        """Continue with a target, and with what runs there, in place of another owner."""
+        if message.target.id in self.holdings_by_target:
+            return
+        self.targets_by_id.setdefault(message.target.id, message.target)
+        target = self.targets_by_id[message.target.id]
+        token = self._tokens.next(target.id, now, above=message.token)
+        holding = holdings.Holding(target, token, now)
+        holding.acknowledged = message.acknowledged
+        holding.born = message.born
+        for row in message.runs:
+            holding.add(_adopted(row, now))
+        holding.note_renewal(now)
+        self._hold(holding, "taken over", now)
+
+    # Replies of targets
+
+    def hold_replied(self, event: events.HoldReplied, now: datetime.datetime) -> None:
+        """Take the reply to a hold, or its absence."""
+        holding = self._current(event.target, event.token)
+        if holding is not None:
+            self._orders.hold_replied(holding, event, now)
+            self.serve(now)
+
+    def start_replied(self, event: events.StartReplied, now: datetime.datetime) -> None:
+        """Take the reply to a start, or its absence."""
+        holding = self._current(event.target, event.token)
+        if holding is None:
+            return
+        grant = holding.grants_by_id.get(event.grant)
+        if grant is not None and grant.state is runs.GrantState.STARTING:
+            self._orders.start_replied(holding, grant, event, now)
+
+    def stop_replied(self, event: events.StopReplied, now: datetime.datetime) -> None:
+        """Take the reply to a stop, or its absence."""
+        holding = self._current(event.target, event.token)
+        if holding is None:
+            return
+        if event.failure is events.Failure.FENCED:
+            self.fenced(holding, now)
+            return
+        grant = holding.grants_by_id.get(event.grant)
+        if grant is not None and event.failure is None:
+            grant.is_confirmed_stopped = True
+            grant.changed_at = now
+
+    def _current(
+        self, target: identifiers.TargetId, token: identifiers.FencingToken
+    ) -> holdings.Holding | None:
+        holding = self.holdings_by_target.get(target)
+        return holding if holding is not None and holding.token == token else None
+
+    def fenced(self, holding: holdings.Holding, now: datetime.datetime) -> None:
+        """Give a target up that obeys a higher token."""
+        self._tokens.refused(holding.target.id, holding.token, now)
+        self._drop(holding, "a higher token is in use", now)
+
+    def finish(
+        self, holding: holdings.Holding, grant: grants.Grant, how: runs.RunEnd, reason: str = ""
+    ) -> None:
+        """End a grant and tell the job's node."""
+        holding.remove(grant)
+        self._mailbox.send_end(grant.node, grant.id, how.value)
+        if how is not runs.RunEnd.DONE:
+            self._mailbox.note(
+                "run_ended",
+                job=grant.job,
+                task=grant.task,
+                run=grant.run,
+                target=holding.target.id,
+                how=how.value,
+                reason=reason,
+            )
+
+    def new_life(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
+        """End all grants of a target that runs nothing any more."""
+        for grant in list(holding.grants_by_id.values()):
+            how = runs.RunEnd.LOST if grant.is_sent() else runs.RunEnd.REFUSED
+            self.finish(holding, grant, how, reason)
+        holding.strangers.clear()
+
+    def _drop_life(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
+        self.new_life(holding, reason, now)
+        self._forget(holding)
+
+    def target_gone(self, holding: holdings.Holding, now: datetime.datetime) -> None:
+        """Drop a target whose address answers as another life."""
+        self._drop_life(holding, "another life answers at its address", now)
+        self._tokens.refused(holding.target.id, holding.token, now)
+
+    def _drop(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
+        """Give a target up on which runs may go on until their leases lapse."""
+        for grant in holding.sent_grants():
+            self.orphans[grant.id] = (grant.node, holding.lapses_at)
+        self._mailbox.note("owner_changed", target=holding.target.id, how="given up", reason=reason)
+        self._forget(holding)
+
+    def _forget(self, holding: holdings.Holding) -> None:
+        self.holdings_by_target.pop(holding.target.id, None)
+        self.moving.discard(holding.target.id)
+
+    def _end_orphans(self, now: datetime.datetime) -> None:
+        for grant, (node, lapses_at) in list(self.orphans.items()):
+            if now >= lapses_at:
+                del self.orphans[grant]
+                self._mailbox.send_end(node, grant, runs.RunEnd.LOST.value)
+
+    def _watch_nodes(self, now: datetime.datetime) -> None:
+        """Stop what nodes left that are dead, or that do not hear this one."""
+        nodes = {
+            grant.node
+            for holding in self.holdings_by_target.values()
+            for grant in holding.grants_by_id.values()
+        }
+        for node in (nodes | self.requests.nodes()) - {self._own_id}:
+            if not self._is_served(node, now):
+                self._abandon(node, now)
+
+    def _is_served(self, node: identifiers.NodeId, now: datetime.datetime) -> bool:
+        member = self._members.find_live(node, now)
+        if member is None:
+            return False
+        is_new = now - member.joined_at < timings.DEAD_AFTER
+        return is_new or self._own_id in member.hears
+
+    def _abandon(self, node: identifiers.NodeId, now: datetime.datetime) -> None:
+        self.requests.forget_node(node)
+        for holding in list(self.holdings_by_target.values()):
+            for grant in list(holding.grants_by_id.values()):
+                if grant.node == node:
+                    self._orders.stop(holding, grant, "its node is silent", now)
+
+    # Room
+
+    def ask(self, message: messages.Ask, now: datetime.datetime) -> None:
+        """Take a job's ask for room."""
+        self.requests.put(message)
+        self.serve(now)
+
+    def serve(self, now: datetime.datetime) -> None:
+        """Grant free room to those who wait, in order."""
+        waiting = self.requests.in_order()
+        if not waiting:
+            return
+        usable = self.usable(now)
+        for request in waiting:
+            if not usable:
+                return
+            self._serve_one(request, usable, now)
+
+    def usable(self, now: datetime.datetime) -> list[holdings.Holding]:
+        """Return the holdings with which new runs may be started."""
+        return [
+            holding
+            for holding in self.holdings_by_target.values()
+            if holding.may_grant(now)
+            and holding.target.id not in self.moving
+            and holding.target.id not in self.missing_since
+        ]
+
+    def _serve_one(
+        self, request: requests.Request, usable: list[holdings.Holding], now: datetime.datetime
+    ) -> None:
+        ask = request.ask
+        granted = []
+        while request.left > 0:
+            holding = requests.choose_target(ask, usable, now)
+            if holding is None:
+                break
+            grant = grants.Grant(
+                identifiers.GrantId(f"{self._own_id}-{next(self._grant_numbers)}"),
+                ask.sender,
+                ask.job,
+                ask.size,
+                now + timings.GRANT_LIFE,
+            )
+            holding.add(grant)
+            granted.append((grant.id, holding.target.id, holding.token))
+            request.left -= 1
+        if granted:
+            self.requests.settle(request)
+            message = messages.Granted(sender=self._own_id, job=ask.job, grants=tuple(granted))
+            self._mailbox.send(ask.sender, message)
+
+    def release(self, message: messages.Release, now: datetime.datetime) -> None:
+        """Take grants back that were not used."""
+        for grant_id in message.grants:
+            found = self._find(grant_id)
+            if found is not None and not found[1].is_sent():
+                found[0].remove(found[1])
+        self.serve(now)
+
+    def start(self, message: messages.Start, now: datetime.datetime) -> None:
+        """Start runs on granted room; what is not granted any more is refused."""
+        for grant_id, task, run in message.runs:
+            found = self._find(grant_id)
+            if found is None or found[1].is_sent():
+                refused = runs.RunEnd.REFUSED.value
+                if found is None:
+                    self._mailbox.send_end(message.sender, grant_id, refused)
+                continue
+            holding, grant = found
+            grant.task, grant.run, grant.spec = task, run, message.spec
+            self._orders.start(holding, grant, now)
+
+    def stop(self, message: messages.Stop, now: datetime.datetime) -> None:
+        """Stop runs that are no longer wanted."""
+        for grant_id in message.grants:
+            found = self._find(grant_id)
+            if found is not None:
+                self._orders.stop(found[0], found[1], "its job does not want it", now)
+            elif grant_id not in self.orphans:
+                lost = runs.RunEnd.LOST.value
+                self._mailbox.send_end(message.sender, grant_id, lost)
+
+    def _find(self, grant_id: identifiers.GrantId) -> tuple[holdings.Holding, grants.Grant] | None:
+        for holding in self.holdings_by_target.values():
+            grant = holding.grants_by_id.get(grant_id)
+            if grant is not None:
+                return holding, grant
+        return None
+
+    # What other nodes are told
+
+    def held(self) -> dict[identifiers.TargetId, identifiers.FencingToken]:
+        """Return the targets that run nothing but what this owner knows, with their tokens."""
+        return {
+            target: holding.token
+            for target, holding in self.holdings_by_target.items()
+            if holding.state is holdings.HoldingState.HELD
+        }
+
+    def grants_of(self, node: identifiers.NodeId) -> list[identifiers.GrantId]:
+        """Return the grants in use on behalf of a node."""
+        used = [
+            grant.id
+            for holding in self.holdings_by_target.values()
+            for grant in holding.sent_grants()
+            if grant.node == node
+        ]
+        return used + [grant for grant, (owner, _) in self.orphans.items() if owner == node]
+
+
+def _adopted(row: messages.HandedRun, now: datetime.datetime) -> grants.Grant:
+    grant = grants.Grant(row.grant, row.node, row.job, row.size, now)
+    grant.task, grant.run = row.task, row.run
+    grant.state = runs.GrantState.RUNNING
+    return grant
--- /dev/null
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -0,0 +1,266 @@
+"""The pool's kernel: typed events in, typed actions out, no I/O and no clock of its own."""
+
+import datetime
+import functools
+import random
+
+import msgspec
+
+from chiveridge_pool import (
+    actions,
+    coordinators,
+    events,
+    holders,
+    identifiers,
+    mailboxes,
+    members,
+    messages,
+    timings,
+)
+
+_ENDPOINTS_EVERY = 10
+"""Heartbeats from one that names all known nodes to the next."""
+
+_ACCEPT_AFTER_DRAIN = datetime.timedelta(milliseconds=2500)
+"""Time in which the balancer notices that a node is not ready: two probes a second apart."""
+
+
+class KernelSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What the kernel must know before its first event."""
+
+    node: identifiers.NodeId
+    zone: identifiers.ZoneName
+    endpoint: identifiers.Endpoint
+
+
+class Kernel:
+    """Decides for one node; :meth:`handle` is the only way to change it."""
+
+    def __init__(self, settings: KernelSettings, rng: random.Random, now: datetime.datetime):
+        self.settings = settings
+        self.members = members.Members(settings.node, settings.zone, settings.endpoint)
+        self.mailbox = mailboxes.Mailbox(self.members)
+        self.holder = holders.Holder(self.members, self.mailbox, rng, now)
+        self.coordinator = coordinators.Coordinator(self.members, self.mailbox, self.holder)
+        self.version = 0
+        self.draining_since: datetime.datetime | None = None
+        self.started_by_node: dict[identifiers.NodeId, int] = {}
+        self._beat_due = now
+        self._beats = 0
+        self._has_exited = False
+
+    def handle(self, event: events.Event, now: datetime.datetime) -> list[actions.Action]:
+        """Handle an event; return what is to be done."""
+        handle(event, self, now)
+        self._deliver(now)
+        return self.mailbox.take()
+
+    def _deliver(self, now: datetime.datetime) -> None:
+        """Handle the messages that this node sends to itself."""
+        self.mailbox.flush_ends()
+        while self.mailbox.own:
+            take_message(self.mailbox.own.popleft(), self, now)
+            self.mailbox.flush_ends()
+
+    def is_ready(self, now: datetime.datetime) -> bool:
+        """Tell whether this node can serve callers: it or a peer holds targets."""
+        if self.draining_since is not None or not self.version:
+            return False
+        if self.holder.held():
+            return True
+        return any(member.held for member in self.members.live(now))
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Do what is due."""
+        if self.draining_since is not None:
+            self._drain(now)
+        self.holder.tick(now)
+        self.coordinator.tick(now)
+        self.members.forget(now)
+        if now >= self._beat_due:
+            self._beat(now)
+
+    def _beat(self, now: datetime.datetime) -> None:
+        self._beat_due = now + timings.HEARTBEAT_INTERVAL
+        self._beats += 1
+        live = self.members.live(now)
+        common = messages.Heartbeat(
+            sender=self.settings.node,
+            zone=self.settings.zone,
+            endpoint=self.settings.endpoint,
+            hears=tuple(member.id for member in live),
+            held=self.holder.held(),
+            free=tuple(holding.free() for holding in self.holder.usable(now)),
+            is_leaving=self.draining_since is not None,
+            version=self.version,
+            endpoints=self._endpoints(),
+        )
+        for member in self.members.by_endpoint.values():
+            self.mailbox.add(
+                actions.SendMessage(
+                    endpoint=member.endpoint, message=self._beat_for(member, common)
+                )
+            )
+
+    def _beat_for(self, member: members.Member, common: messages.Heartbeat) -> messages.Heartbeat:
+        if member.id is None:
+            return common
+        return msgspec.structs.replace(
+            common,
+            runs=tuple(self.holder.grants_of(member.id)),
+            started=self.started_by_node.get(member.id, 0),
+        )
+
+    def _endpoints(self) -> tuple[identifiers.Endpoint, ...]:
+        if self._beats % _ENDPOINTS_EVERY:
+            return ()
+        heard = [
+            member.endpoint
+            for member in self.members.by_endpoint.values()
+            if member.heard_at is not None
+        ]
+        return tuple(heard)
+
+    def _drain(self, now: datetime.datetime) -> None:
+        if now - self.draining_since >= _ACCEPT_AFTER_DRAIN:
+            self.coordinator.accepts_jobs = False
+        is_idle = not self.coordinator.accepts_jobs and not self.coordinator.jobs_by_id
+        others = any(not member.is_leaving for member in self.members.live(now))
+        is_handed = not self.holder.holdings_by_target or not others
+        if is_idle and is_handed and not self._has_exited:
+            self._has_exited = True
+            self._say_goodbye()
+            self.mailbox.add(actions.Exit())
+
+    def _say_goodbye(self) -> None:
+        goodbye = messages.Heartbeat(
+            sender=self.settings.node,
+            zone=self.settings.zone,
+            endpoint=self.settings.endpoint,
+            is_goodbye=True,
+        )
+        for member in self.members.by_endpoint.values():
+            self.mailbox.add(actions.SendMessage(endpoint=member.endpoint, message=goodbye))
+
+
+@functools.singledispatch
+def handle(event: events.Event, kernel: Kernel, now: datetime.datetime) -> None:
+    """Have the parts of a kernel handle an event."""
+    raise TypeError(f"no handler for event {type(event).__name__}")
+
+
+@handle.register
+def _(event: events.JobSubmitted, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.coordinator.submit(event, now)
+
+
+@handle.register
+def _(event: events.CallerLeft, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.coordinator.caller_left(event.caller, now)
+
+
+@handle.register
+def _(event: events.JobCancelled, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.coordinator.cancel(event.job, now)
+
+
+@handle.register
+def _(event: events.TargetsListed, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.list_targets(event.targets, now)
+
+
+@handle.register
+def _(event: events.EndpointsListed, kernel: Kernel, now: datetime.datetime) -> None:
+    for endpoint in event.endpoints:
+        kernel.members.add(endpoint, now)
+
+
+@handle.register
+def _(event: events.MessageReceived, kernel: Kernel, now: datetime.datetime) -> None:
+    take_message(event.message, kernel, now)
+
+
+@handle.register
+def _(event: events.HoldReplied, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.hold_replied(event, now)
+
+
+@handle.register
+def _(event: events.StartReplied, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.start_replied(event, now)
+
+
+@handle.register
+def _(event: events.StopReplied, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.stop_replied(event, now)
+
+
+@handle.register
+def _(event: events.Ticked, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.tick(now)
+
+
+@handle.register
+def _(event: events.DrainRequested, kernel: Kernel, now: datetime.datetime) -> None:
+    if kernel.draining_since is None:
+        kernel.draining_since = now
+        kernel.holder.is_leaving = True
+        kernel.tick(now)
+
+
+@functools.singledispatch
+def take_message(message: messages.AnyMessage, kernel: Kernel, now: datetime.datetime) -> None:
+    """Have the parts of a kernel take a message."""
+    raise TypeError(f"no handler for message {type(message).__name__}")
+
+
+@take_message.register
+def _(message: messages.Heartbeat, kernel: Kernel, now: datetime.datetime) -> None:
+    if kernel.members.hear(message, now) is not None:
+        kernel.coordinator.reconcile(message, now)
+
+
+@take_message.register
+def _(message: messages.Ask, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.ask(message, now)
+
+
+@take_message.register
+def _(message: messages.Withdraw, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.requests.withdraw(message.sender, message.job)
+
+
+@take_message.register
+def _(message: messages.Granted, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.coordinator.granted(message, now)
+
+
+@take_message.register
+def _(message: messages.Release, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.release(message, now)
+
+
+@take_message.register
+def _(message: messages.Start, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.started_by_node[message.sender] = message.sequence
+    kernel.holder.start(message, now)
+
+
+@take_message.register
+def _(message: messages.Stop, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.stop(message, now)
+
+
+@take_message.register
+def _(message: messages.Ended, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.coordinator.ended(message, now)
+
+
+@take_message.register
+def _(message: messages.Handover, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.take_handover(message, now)
+
+
+@take_message.register
+def _(message: messages.Moved, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.coordinator.moved(message, now)
--- /dev/null
+++ b/packages/pool/chiveridge_pool/mailboxes.py
@@ -0,0 +1,47 @@
+"""Messages on their way out, those to this node itself included."""
+
+import collections
+
+from chiveridge_pool import actions, identifiers, members, messages
+
+
+class Mailbox:
+    """Collects actions and routes messages; batches what goes to one node."""
+
+    def __init__(self, table: members.Members):
+        self._members = table
+        self._actions: list[actions.Action] = []
+        self._ends_by_node: dict[identifiers.NodeId, list[tuple[identifiers.GrantId, str]]] = {}
+        self.own: collections.deque[messages.AnyMessage] = collections.deque()
+
+    def add(self, action: actions.Action) -> None:
+        """Add an action."""
+        self._actions.append(action)
+
+    def note(self, event: str, **fields: object) -> None:
+        """Add a line for the log."""
+        self._actions.append(actions.Note(event=event, fields=fields))
+
+    def send(self, node: identifiers.NodeId, message: messages.AnyMessage) -> None:
+        """Send a message; one to a node that nobody knows is dropped."""
+        if node == self._members.own_id:
+            self.own.append(message)
+            return
+        member = self._members.by_id.get(node)
+        if member is not None:
+            self.add(actions.SendMessage(endpoint=member.endpoint, message=message))
+
+    def send_end(self, node: identifiers.NodeId, grant: identifiers.GrantId, how: str) -> None:
+        """Tell a job's node how a grant ended, together with others of this step."""
+        self._ends_by_node.setdefault(node, []).append((grant, how))
+
+    def flush_ends(self) -> None:
+        """Send what was batched."""
+        batches, self._ends_by_node = self._ends_by_node, {}
+        for node, ends in batches.items():
+            self.send(node, messages.Ended(sender=self._members.own_id, ends=tuple(ends)))
+
+    def take(self) -> list[actions.Action]:
+        """Return the actions collected, and forget them."""
+        taken, self._actions = self._actions, []
+        return taken
--- /dev/null
+++ b/packages/pool/chiveridge_pool/members.py
@@ -0,0 +1,133 @@
+"""The other nodes of the pool, as this one hears them."""
+
+import datetime
+
+from chiveridge_pool import identifiers, messages, resources, timings
+
+
+class Member:
+    """What is known of the node at one endpoint."""
+
+    def __init__(self, endpoint: identifiers.Endpoint, now: datetime.datetime):
+        self.endpoint = endpoint
+        self.id: identifiers.NodeId | None = None
+        self.zone = identifiers.ZoneName("")
+        self.known_at = now
+        self.heard_at: datetime.datetime | None = None
+        self.joined_at: datetime.datetime | None = None
+        self.is_leaving = False
+        self.hears: frozenset[identifiers.NodeId] = frozenset()
+        self.held: dict[identifiers.TargetId, identifiers.FencingToken] = {}
+        self.free: list[resources.Resources] = []
+        self.started = 0
+        self.version = 0
+
+    def is_live(self, now: datetime.datetime) -> bool:
+        """Tell whether it was heard lately."""
+        return self.heard_at is not None and now - self.heard_at < timings.DEAD_AFTER
+
+
+class Members:
+    """All nodes that were ever heard or listed, by endpoint."""
+
+    def __init__(
+        self,
+        own_id: identifiers.NodeId,
+        own_zone: identifiers.ZoneName,
+        own_endpoint: identifiers.Endpoint,
+    ):
+        self.own_id = own_id
+        self.own_zone = own_zone
+        self.own_endpoint = own_endpoint
+        self.by_endpoint: dict[identifiers.Endpoint, Member] = {}
+        self.by_id: dict[identifiers.NodeId, Member] = {}
+        self.heard_by_id: dict[identifiers.NodeId, datetime.datetime] = {}
+
+    def add(self, endpoint: identifiers.Endpoint, now: datetime.datetime) -> None:
+        """Note that a node may listen at an endpoint."""
+        if endpoint != self.own_endpoint and endpoint not in self.by_endpoint:
+            self.by_endpoint[endpoint] = Member(endpoint, now)
+
+    def hear(self, beat: messages.Heartbeat, now: datetime.datetime) -> Member | None:
+        """Take a heartbeat; return the member that sent it, or None when it says goodbye."""
+        if beat.sender == self.own_id:
+            return None
+        if beat.is_goodbye:
+            self._remove(beat.endpoint)
+            return None
+        self.add(beat.endpoint, now)
+        member = self.by_endpoint[beat.endpoint]
+        if member.id != beat.sender:
+            self._rename(member, beat.sender, now)
+        member.zone = beat.zone
+        member.heard_at = now
+        self.heard_by_id[beat.sender] = now
+        member.is_leaving = beat.is_leaving
+        member.hears = frozenset(beat.hears)
+        member.held = beat.held
+        member.free = list(beat.free)
+        member.started = beat.started
+        member.version = beat.version
+        for endpoint in beat.endpoints:
+            self.add(endpoint, now)
+        return member
+
+    def live(self, now: datetime.datetime) -> list[Member]:
+        """Return the members that were heard lately."""
+        return [member for member in self.by_id.values() if member.is_live(now)]
+
+    def find_live(self, node: identifiers.NodeId, now: datetime.datetime) -> Member | None:
+        """Return a member that was heard lately, or None."""
+        member = self.by_id.get(node)
+        return member if member is not None and member.is_live(now) else None
+
+    def holder_of(
+        self, target: identifiers.TargetId, now: datetime.datetime
+    ) -> tuple[Member, identifiers.FencingToken] | None:
+        """Return the live member that holds a target by the highest token, with the token."""
+        claims = [
+            (member.held[target], member) for member in self.live(now) if target in member.held
+        ]
+        if not claims:
+            return None
+        token, member = max(claims, key=lambda claim: claim[0])
+        return member, token
+
+    def has_majority(self, now: datetime.datetime) -> bool:
+        """Tell whether this node hears more than half of all nodes, itself included."""
+        return _is_majority(list(self.by_endpoint.values()), now)
+
+    def has_zone_majority(self, now: datetime.datetime) -> bool:
+        """Tell whether this node hears more than half of the nodes of its failure domain."""
+        zone = [member for member in self.by_endpoint.values() if member.zone == self.own_zone]
+        return _is_majority(zone, now)
+
+    def forget(self, now: datetime.datetime) -> list[identifiers.Endpoint]:
+        """Drop members that have been silent for long; return their endpoints."""
+        silent = [
+            member.endpoint
+            for member in self.by_endpoint.values()
+            if now - (member.heard_at or member.known_at) > timings.MEMBER_FORGOTTEN_AFTER
+        ]
+        for endpoint in silent:
+            self._remove(endpoint)
+        return silent
+
+    def _rename(self, member: Member, node: identifiers.NodeId, now: datetime.datetime) -> None:
+        if member.id is not None:
+            self.by_id.pop(member.id, None)
+        member.id = node
+        member.joined_at = now
+        self.by_id[node] = member
+
+    def _remove(self, endpoint: identifiers.Endpoint) -> None:
+        member = self.by_endpoint.pop(endpoint, None)
+        if member is not None and member.id is not None:
+            self.by_id.pop(member.id, None)
+
+
+def _is_majority(others: list[Member], now: datetime.datetime) -> bool:
+    """Tell whether the live ones of ``others`` and this node are more than half."""
+    heard = [member for member in others if member.heard_at is not None]
+    live = sum(member.is_live(now) for member in heard)
+    return 2 * (live + 1) > len(heard) + 1
--- /dev/null
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -0,0 +1,167 @@
+"""Messages between nodes of a pool, and their codec."""
+
+import msgspec
+
+from chiveridge_pool import identifiers, resources, targets
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+class MessageError(Exception):
+    """Bytes from a peer that are not a message."""
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True, tag_field="t", omit_defaults=True):
+    """A message; ``sender`` is the incarnation that sent it."""
+
+    sender: identifiers.NodeId
+
+
+class Heartbeat(Message, tag="hb", frozen=True, kw_only=True):
+    """The state of a node as one peer needs it.
+
+    ``hears`` names the nodes heard lately, ``held`` the targets under the sender's token with
+    none but its own runs, ``free`` the room left on each of them. ``runs`` are the grants in use
+    on behalf of the recipient, complete for all starts up to ``started``.
+    """
+
+    zone: identifiers.ZoneName
+    endpoint: identifiers.Endpoint
+    hears: tuple[identifiers.NodeId, ...] = ()
+    held: dict[identifiers.TargetId, identifiers.FencingToken] = {}
+    free: tuple[resources.Resources, ...] = ()
+    runs: tuple[identifiers.GrantId, ...] = ()
+    started: int = 0
+    is_leaving: bool = False
+    is_goodbye: bool = False
+    version: int = 0
+    endpoints: tuple[identifiers.Endpoint, ...] = ()
+
+
+class Ask(Message, tag="ask", frozen=True, kw_only=True):
+    """Ask an owner for room for ``count`` tasks of one job; replaces an earlier ask."""
+
+    job: identifiers.JobId
+    rank: tuple[float, float]
+    service: identifiers.ServiceName
+    size: resources.Resources
+    count: int
+    label: str = ""
+    rack: str = ""
+    per_target: int = 0
+
+
+class Withdraw(Message, tag="wd", frozen=True, kw_only=True):
+    """The job needs no more room."""
+
+    job: identifiers.JobId
+
+
+class Granted(Message, tag="gr", frozen=True, kw_only=True):
+    """Room for tasks of a job, reserved for a short time."""
+
+    job: identifiers.JobId
+    grants: tuple[tuple[identifiers.GrantId, identifiers.TargetId, identifiers.FencingToken], ...]
+
+
+class Release(Message, tag="rl", frozen=True, kw_only=True):
+    """Give grants back that were not used."""
+
+    grants: tuple[identifiers.GrantId, ...]
+
+
+class Start(Message, tag="st", frozen=True, kw_only=True):
+    """Run tasks on granted room; ``sequence`` numbers the starts sent to one owner."""
+
+    job: identifiers.JobId
+    sequence: int
+    spec: str
+    runs: tuple[tuple[identifiers.GrantId, identifiers.TaskName, identifiers.RunNumber], ...]
+
+
+class Stop(Message, tag="sp", frozen=True, kw_only=True):
+    """Stop runs; confirmed by :class:`Ended`."""
+
+    grants: tuple[identifiers.GrantId, ...]
+
+
+class Ended(Message, tag="en", frozen=True, kw_only=True):
+    """Grants that are over, each with how; see :class:`chiveridge_pool.runs.RunEnd`."""
+
+    ends: tuple[tuple[identifiers.GrantId, str], ...]
+
+
+class HandedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that changes its owner with its target."""
+
+    grant: identifiers.GrantId
+    node: identifiers.NodeId
+    job: identifiers.JobId
+    task: identifiers.TaskName
+    run: identifiers.RunNumber
+    size: resources.Resources
+
+
+class Handover(Message, tag="ho", frozen=True, kw_only=True):
+    """Hand a target with all that runs there to another owner."""
+
+    target: targets.Target
+    token: identifiers.FencingToken
+    acknowledged: int
+    born: int
+    runs: tuple[HandedRun, ...]
+
+
+class Moved(Message, tag="mv", frozen=True, kw_only=True):
+    """Tell a job's node that grants belong to another owner from now on."""
+
+    grants: tuple[identifiers.GrantId, ...]
+    owner: identifiers.NodeId
+
+
+class Configuration(Message, tag="cf", frozen=True, kw_only=True):
+    """The newest configuration that the sender knows, for a peer whose version is older."""
+
+    version: int
+    text: bytes
+
+
+class Targets(Message, tag="tg", frozen=True, kw_only=True):
+    """Targets that the sender knows, for a peer that cannot reach the platform's list."""
+
+    text: bytes
+
+
+AnyMessage = (
+    Heartbeat
+    | Ask
+    | Withdraw
+    | Granted
+    | Release
+    | Start
+    | Stop
+    | Ended
+    | Handover
+    | Moved
+    | Configuration
+    | Targets
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode(message: AnyMessage) -> bytes:
+    """Return the bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> AnyMessage:
+    """Return the message in ``data``.
+
+    :raises MessageError: when there is none.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(str(error)) from error
--- /dev/null
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -0,0 +1,360 @@
+"""Holds, starts and stops at targets, and what follows from their replies."""
+
+import datetime
+from typing import TYPE_CHECKING
+
+from chiveridge_pool import (
+    actions,
+    events,
+    grants,
+    holdings,
+    identifiers,
+    mailboxes,
+    runs,
+    timings,
+)
+
+if TYPE_CHECKING:
+    from chiveridge_pool import holders
+
+_RETRY_AFTER = {
+    events.Failure.UNREACHABLE: datetime.timedelta(milliseconds=100),
+    events.Failure.UNHEALTHY: datetime.timedelta(milliseconds=100),
+    events.Failure.INVALID: datetime.timedelta(milliseconds=500),
+}
+"""Pause before the next hold, by the failure of the last; none after a timeout."""
+
+_STRANGER_POLL = datetime.timedelta(milliseconds=30)
+_SETTLED_AFTER_STOP = datetime.timedelta(milliseconds=60)
+"""Time after a confirmed stop in which its end is listed; the platform's stop time and 10 ms."""
+
+_SUSPEND_NO_ROOM = datetime.timedelta(milliseconds=50)
+_SUSPEND_UNHEALTHY = datetime.timedelta(milliseconds=400)
+_SUSPEND_FAILING = datetime.timedelta(milliseconds=500)
+_MAX_SUSPENSION = datetime.timedelta(seconds=4)
+_FAILURES_TOLERATED = 1
+
+
+class Orders:
+    """Gives orders to held targets."""
+
+    def __init__(self, mailbox: mailboxes.Mailbox, holder: "holders.Holder"):
+        self._mailbox = mailbox
+        self._holder = holder
+        self._due_by_target: dict[identifiers.TargetId, datetime.datetime] = {}
+        self._pending: dict[identifiers.TargetId, identifiers.FencingToken] = {}
+        self._failed_jobs_by_target: dict[identifiers.TargetId, set[identifiers.JobId]] = {}
+
+    def tick(self, holding: holdings.Holding, now: datetime.datetime) -> None:
+        """Do what is due at one target."""
+        target = holding.target.id
+        due = self._due_by_target.get(target)
+        if self._pending.get(target) != holding.token and (due is None or now >= due):
+            self.hold(holding, now)
+        for grant in list(holding.grants_by_id.values()):
+            self._tick_grant(holding, grant, now)
+        if holding.failures and now >= holding.lapses_at:
+            self._lapse(holding)
+
+    def _tick_grant(
+        self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        if grant.state is runs.GrantState.RESERVED:
+            if now >= grant.expires_at:
+                holding.remove(grant)
+        elif grant.state is runs.GrantState.STOPPING:
+            is_due = now - (grant.stopped_at or now) >= timings.STOP_INTERVAL
+            if is_due and not grant.is_confirmed_stopped:
+                self._send_stop(holding, grant, now)
+
+    def _lapse(self, holding: holdings.Holding) -> None:
+        for grant in holding.sent_grants():
+            self._holder.finish(holding, grant, runs.RunEnd.LAPSED, "the target is silent")
+
+    def hold(self, holding: holdings.Holding, now: datetime.datetime) -> None:
+        """Renew, acknowledge and ask for news."""
+        is_held = holding.state is holdings.HoldingState.HELD
+        may_renew = holding.knows_clock() and not holding.strangers
+        until_ms = holding.lease_until(now) if may_renew else None
+        if until_ms is not None:
+            holding.note_renewal(now)
+        is_calm = is_held and not holding.failures and not holding.strangers
+        wait = timings.HOLD_WAIT if is_calm else datetime.timedelta()
+        self._pending[holding.target.id] = holding.token
+        self._mailbox.add(
+            actions.Hold(
+                target=holding.target,
+                token=holding.token,
+                until_ms=until_ms,
+                acknowledged=holding.acknowledged,
+                wait=wait,
+                timeout=wait + timings.HOLD_TIMEOUT,
+            )
+        )
+
+    def hold_replied(
+        self, holding: holdings.Holding, event: events.HoldReplied, now: datetime.datetime
+    ) -> None:
+        """Take the reply to a hold, or its absence."""
+        target = holding.target.id
+        self._pending.pop(target, None)
+        if event.failure is events.Failure.FENCED:
+            self._holder.fenced(holding, now)
+            return
+        if event.failure is events.Failure.WRONG_INSTANCE:
+            self._holder.target_gone(holding, now)
+            return
+        if event.failure is not None:
+            self._hold_failed(holding, event.failure, now)
+            return
+        self._due_by_target.pop(target, None)
+        self._take_news(holding, event, now)
+        if holding.strangers:
+            self._due_by_target[target] = now + _STRANGER_POLL
+            return
+        self.hold(holding, now)
+
+    def _hold_failed(
+        self, holding: holdings.Holding, failure: events.Failure, now: datetime.datetime
+    ) -> None:
+        if not holding.failures:
+            self._mailbox.note("target_silent", target=holding.target.id, failure=failure.value)
+        holding.failures += 1
+        if failure is events.Failure.UNREACHABLE and holding.grants_by_id:
+            self._holder.new_life(holding, "the target refuses connections", now)
+        pause = _RETRY_AFTER.get(failure, datetime.timedelta())
+        if now >= holding.lapses_at:
+            pause = timings.CLAIM_RETRY
+        if pause:
+            self._due_by_target[holding.target.id] = now + pause
+        else:
+            self.hold(holding, now)
+
+    def _take_news(
+        self, holding: holdings.Holding, event: events.HoldReplied, now: datetime.datetime
+    ) -> None:
+        if event.born and holding.born and event.born != holding.born:
+            self._holder.new_life(holding, "the target started anew", now)
+            holding.acknowledged = 0
+        if holding.failures:
+            self._mailbox.note("target_back", target=holding.target.id)
+        holding.born = event.born or holding.born
+        holding.failures = 0
+        holding.replied_at = now
+        holding.see_clock(event.clock_ms, now)
+        self._take_ends(holding, event, now)
+        self._take_running(holding, event, now)
+
+    def _take_ends(
+        self, holding: holdings.Holding, event: events.HoldReplied, now: datetime.datetime
+    ) -> None:
+        by_key = {grant.key: grant for grant in holding.sent_grants()}
+        for row in event.ended:
+            if row.number <= holding.acknowledged:
+                continue
+            holding.acknowledged = row.number
+            grant = by_key.get((row.task, row.run))
+            if grant is None:
+                continue
+            how = runs.END_BY_WORD.get(row.how, runs.RunEnd.LOST)
+            self._judge(holding, grant, how, now)
+            self._holder.finish(holding, grant, how)
+
+    def _judge(
+        self,
+        holding: holdings.Holding,
+        grant: grants.Grant,
+        how: runs.RunEnd,
+        now: datetime.datetime,
+    ) -> None:
+        """Suspend a target on which the tasks of several jobs fail in a row."""
+        jobs = self._failed_jobs_by_target.setdefault(holding.target.id, set())
+        if how is runs.RunEnd.DONE:
+            jobs.clear()
+        elif how is runs.RunEnd.FAILED:
+            jobs.add(grant.job)
+            if len(jobs) > _FAILURES_TOLERATED:
+                pause = _SUSPEND_FAILING * 2 ** (len(jobs) - _FAILURES_TOLERATED - 1)
+                holding.suspended_until = now + min(pause, _MAX_SUSPENSION)
+                self._mailbox.note(
+                    "target_suspended", target=holding.target.id, failed_jobs=len(jobs)
+                )
+        holding.failed_in_row = len(jobs)
+
+    def _take_running(
+        self, holding: holdings.Holding, event: events.HoldReplied, now: datetime.datetime
+    ) -> None:
+        rows = {(row.task, row.run) for row in event.running}
+        by_key = {grant.key: grant for grant in holding.sent_grants()}
+        holding.strangers = {key for key in rows if key not in by_key}
+        for task, run in holding.strangers:
+            self._stop_stranger(holding, task, run, now)
+        for key, grant in by_key.items():
+            if key in rows:
+                if grant.state is runs.GrantState.STARTING:
+                    grant.state = runs.GrantState.RUNNING
+            else:
+                self._missing(holding, grant, event.sent_at)
+        if holding.state is holdings.HoldingState.CLAIM and not holding.strangers:
+            holding.state = holdings.HoldingState.HELD
+
+    def _missing(
+        self, holding: holdings.Holding, grant: grants.Grant, asked_at: datetime.datetime
+    ) -> None:
+        """End a grant that was stopped for certain and is listed nowhere."""
+        is_stopped = grant.state is runs.GrantState.STOPPING and grant.is_confirmed_stopped
+        if is_stopped and asked_at - grant.changed_at >= _SETTLED_AFTER_STOP:
+            self._holder.finish(holding, grant, runs.RunEnd.STOPPED, "it never ran")
+
+    def _stop_stranger(
+        self,
+        holding: holdings.Holding,
+        task: identifiers.TaskName,
+        run: identifiers.RunNumber,
+        now: datetime.datetime,
+    ) -> None:
+        self._mailbox.note("stranger_stopped", target=holding.target.id, task=task, run=run)
+        self._mailbox.add(
+            actions.StopRun(
+                target=holding.target,
+                token=holding.token,
+                grant=identifiers.GrantId(""),
+                task=task,
+                run=run,
+                timeout=timings.ORDER_TIMEOUT,
+            )
+        )
+
+    def start(self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime) -> None:
+        """Start a run."""
+        if grant.state is runs.GrantState.RESERVED:
+            grant.state = runs.GrantState.STARTING
+            grant.first_sent_at = now
+            grant.changed_at = now
+        holding.note_renewal(now)
+        self._mailbox.add(
+            actions.StartRun(
+                target=holding.target,
+                token=holding.token,
+                grant=grant.id,
+                task=grant.task,
+                run=grant.run,
+                spec=grant.spec,
+                until_ms=holding.lease_until(now),
+                timeout=timings.ORDER_TIMEOUT,
+            )
+        )
+
+    def start_replied(
+        self,
+        holding: holdings.Holding,
+        grant: grants.Grant,
+        event: events.StartReplied,
+        now: datetime.datetime,
+    ) -> None:
+        """Take the reply to a start, or its absence."""
+        if event.clock_ms:
+            holding.see_clock(event.clock_ms, now)
+        if event.failure is None:
+            grant.state = runs.GrantState.RUNNING
+            return
+        handler = _START_FAILED[event.failure]
+        handler(self, holding, grant, now)
+
+    def _start_again(
+        self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        if now - grant.first_sent_at < timings.START_PATIENCE:
+            self.start(holding, grant, now)
+        else:
+            self.stop(holding, grant, "its start got no reply", now)
+
+    def _start_fenced(
+        self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        self._holder.fenced(holding, now)
+
+    def _start_old(
+        self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        if grant.first_sent_at == grant.changed_at and not self._was_repeated(grant, now):
+            self._holder.finish(holding, grant, runs.RunEnd.OLD, "the target saw a higher run")
+            return
+        # The first start may have been carried out and be over; its end is listed then.
+        grant.state = runs.GrantState.STOPPING
+        grant.is_confirmed_stopped = True
+        grant.stopped_at = now
+        grant.changed_at = now
+
+    def _was_repeated(self, grant: grants.Grant, now: datetime.datetime) -> bool:
+        return now - grant.first_sent_at >= timings.ORDER_TIMEOUT
+
+    def _start_refused(
+        self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        holding.suspended_until = max(holding.suspended_until, now + _SUSPEND_NO_ROOM)
+        self._holder.finish(holding, grant, runs.RunEnd.REFUSED, "the target has no room")
+
+    def _start_unhealthy(
+        self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        holding.suspended_until = max(holding.suspended_until, now + _SUSPEND_UNHEALTHY)
+        self._holder.finish(holding, grant, runs.RunEnd.REFUSED, "the target is unhealthy")
+
+    def _start_invalid(
+        self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        self._holder.finish(holding, grant, runs.RunEnd.REFUSED, "the target took it as invalid")
+
+    def _start_elsewhere(
+        self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        self._holder.target_gone(holding, now)
+
+    def stop(
+        self,
+        holding: holdings.Holding,
+        grant: grants.Grant,
+        reason: str,
+        now: datetime.datetime,
+    ) -> None:
+        """Stop a run; its room is free when its end is known."""
+        if not grant.is_sent():
+            self._holder.finish(holding, grant, runs.RunEnd.REFUSED, reason)
+            return
+        if grant.state is runs.GrantState.STOPPING:
+            return
+        grant.state = runs.GrantState.STOPPING
+        grant.changed_at = now
+        self._mailbox.note(
+            "run_stopped", job=grant.job, task=grant.task, run=grant.run, reason=reason
+        )
+        self._send_stop(holding, grant, now)
+
+    def _send_stop(
+        self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        grant.stopped_at = now
+        self._mailbox.add(
+            actions.StopRun(
+                target=holding.target,
+                token=holding.token,
+                grant=grant.id,
+                task=grant.task,
+                run=grant.run,
+                timeout=timings.ORDER_TIMEOUT,
+            )
+        )
+
+
+_START_FAILED = {
+    events.Failure.TIMEOUT: Orders._start_again,
+    events.Failure.UNREACHABLE: Orders._start_unhealthy,
+    events.Failure.TOO_LATE: Orders._start_again,
+    events.Failure.FENCED: Orders._start_fenced,
+    events.Failure.OLD_RUN: Orders._start_old,
+    events.Failure.NO_ROOM: Orders._start_refused,
+    events.Failure.UNHEALTHY: Orders._start_unhealthy,
+    events.Failure.INVALID: Orders._start_invalid,
+    events.Failure.WRONG_INSTANCE: Orders._start_elsewhere,
+}
--- /dev/null
+++ b/packages/pool/chiveridge_pool/ownerships.py
@@ -0,0 +1,43 @@
+"""Which node should hold which target: rendezvous hashing over the live nodes.
+
+Nodes whose views differ may disagree for a while. The target's fencing token decides then, so that
+a wrong view costs time and never lets two nodes give orders.
+"""
+
+import datetime
+import functools
+import hashlib
+
+from chiveridge_pool import identifiers, members, targets
+
+_SCORE_BYTES = 8
+
+
+@functools.lru_cache(maxsize=65_536)
+def score(endpoint: str, target: str) -> int:
+    """Return the weight of a node for a target; the highest should hold it."""
+    digest = hashlib.blake2b(f"{endpoint}/{target}".encode(), digest_size=_SCORE_BYTES)
+    return int.from_bytes(digest.digest(), "big")
+
+
+class Candidates:
+    """The nodes that may hold targets at one moment, by failure domain."""
+
+    def __init__(self, table: members.Members, now: datetime.datetime, *, is_leaving: bool):
+        self._own = table.own_endpoint
+        self._by_zone: dict[identifiers.ZoneName, list[identifiers.Endpoint]] = {}
+        staying = [member for member in table.live(now) if not member.is_leaving]
+        for member in staying:
+            self._by_zone.setdefault(member.zone, []).append(member.endpoint)
+        if not is_leaving:
+            self._by_zone.setdefault(table.own_zone, []).append(table.own_endpoint)
+        self._all = [endpoint for zone in self._by_zone.values() for endpoint in zone]
+
+    def choose(self, target: targets.Target) -> identifiers.Endpoint | None:
+        """Return who should hold a target: a node of its failure domain, if one lives."""
+        endpoints = self._by_zone.get(target.zone) or self._all
+        return max(endpoints, key=lambda endpoint: score(endpoint, target.id), default=None)
+
+    def is_own(self, endpoint: identifiers.Endpoint | None) -> bool:
+        """Tell whether an endpoint is this node's."""
+        return endpoint == self._own
--- /dev/null
+++ b/packages/pool/chiveridge_pool/rooms.py
@@ -0,0 +1,40 @@
+"""What a job's node believes of the free room of each owner."""
+
+import datetime
+
+from chiveridge_pool import holders, identifiers, members, resources
+
+
+def take(free: list[resources.Resources], size: resources.Resources, count: int) -> int:
+    """Take up to ``count`` times ``size`` out of ``free``; return how often it fitted."""
+    taken = 0
+    for index, room in enumerate(free):
+        fits = min(size.times_in(room), count - taken)
+        for _ in range(fits):
+            room = room.minus(size)
+        free[index] = room
+        taken += fits
+        if taken == count:
+            break
+    return taken
+
+
+def split(
+    count: int,
+    size: resources.Resources,
+    table: members.Members,
+    holder: holders.Holder,
+    now: datetime.datetime,
+) -> list[tuple[identifiers.NodeId, int]]:
+    """Share tasks out over owners that probably have room, own node and own domain first."""
+    own_free = [holding.free() for holding in holder.usable(now)]
+    shares = [(table.own_id, take(own_free, size, count))]
+    left = count - shares[0][1]
+    live = sorted(table.live(now), key=lambda member: member.zone != table.own_zone)
+    for member in live:
+        if left == 0:
+            break
+        taken = take(member.free, size, left)
+        shares.append((member.id, taken))
+        left -= taken
+    return [(node, share) for node, share in shares if share]
--- /dev/null
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -0,0 +1,62 @@
+"""Intervals and timeouts of the pool, with where each comes from."""
+
+import datetime
+
+
+def _ms(milliseconds: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=milliseconds)
+
+
+HEARTBEAT_INTERVAL = _ms(100)
+"""A sixth of the silence after which a node is dead: five lost heartbeats are borne."""
+
+DEAD_AFTER = _ms(650)
+"""Silence of a dead node. Its runs must end before its callers send again, 1.3 s later."""
+
+OWNER_LOST_AFTER = _ms(1300)
+"""Silence of an owner after which its leases, of 1 s and 2% drift, have lapsed for certain."""
+
+LEASE = _ms(1000)
+"""Longest lease that a target grants."""
+
+LEASE_DRIFT = 1.02
+"""A target's steady clock may be 2% slow."""
+
+LEASE_MARGIN = _ms(50)
+"""Time for a target to end what has lapsed."""
+
+HOLD_WAIT = _ms(300)
+"""How long a target may wait for an end; three renewals fit in one lease."""
+
+HOLD_TIMEOUT = _ms(150)
+"""Time for the reply to a hold beyond its wait."""
+
+ORDER_TIMEOUT = _ms(150)
+"""Time for the reply to a start or a stop; a round trip takes a few milliseconds."""
+
+CLAIM_RETRY = _ms(500)
+"""Pause between attempts to claim a target that cannot be reached."""
+
+CLAIM_DEFERENCE = _ms(3000)
+"""How long a node leaves a target alone whose fence refused it; the platform's lease time."""
+
+SETTLING = _ms(1200)
+"""Time after the start in which a node claims nothing, until it has heard its peers."""
+
+GRANT_LIFE = _ms(300)
+"""How long a grant stays reserved without a start; a hundred round trips between domains."""
+
+START_PATIENCE = _ms(600)
+"""How long a start is sent again before it is given up and stopped."""
+
+MOVE_PATIENCE = _ms(600)
+"""How long a new owner may take to list the runs that it was handed."""
+
+WIDEN_AFTER = _ms(8)
+"""Wait for the first grants before all owners are asked; four round trips between domains."""
+
+STOP_INTERVAL = _ms(150)
+"""Pause between stops of a run until its end is known."""
+
+MEMBER_FORGOTTEN_AFTER = _ms(20_000)
+"""Silence after which a node no longer counts in a majority; longer than any cut in the brief."""
