--- /dev/null
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -0,0 +1,313 @@
+"""A model of a pool on a fake clock: targets, ways between zones, callers and several kernels.
+
+Everything is seeded and runs in one process without I/O, so that a policy or a failure can be
+played again exactly. The model counts the truth at the targets: which run of which task ran when.
+"""
+
+import datetime
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from chiveridge_load import pool_targets
+from chiveridge_pool import actions, events, identifiers, jobs, kernels, messages, targets
+
+EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+TICK = datetime.timedelta(milliseconds=20)
+IN_ZONE = datetime.timedelta(milliseconds=0.2)
+CROSS_ZONE = datetime.timedelta(milliseconds=0.9)
+PORT = 7000
+
+
+class Simulation:
+    """Runs callables in the order of their time."""
+
+    def __init__(self):
+        self.now = EPOCH
+        self._queue: list[tuple[datetime.datetime, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def call_at(self, when: datetime.datetime, what: Callable[[], None]) -> None:
+        """Call something at a time, not before now."""
+        heapq.heappush(self._queue, (max(when, self.now), next(self._numbers), what))
+
+    def call_later(self, delay: datetime.timedelta, what: Callable[[], None]) -> None:
+        """Call something after a delay."""
+        self.call_at(self.now + delay, what)
+
+    def run_for(self, duration: datetime.timedelta) -> None:
+        """Run everything that is due within a duration."""
+        end = self.now + duration
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, what = heapq.heappop(self._queue)
+            what()
+        self.now = end
+
+
+class NodeModel:
+    """One node: a kernel whose actions the pool performs."""
+
+    def __init__(self, pool: "PoolModel", name: str, zone: str, address: str):
+        self.pool = pool
+        self.name = name
+        self.zone = zone
+        self.endpoint = identifiers.Endpoint(f"{address}:{PORT}")
+        self.kernel: kernels.Kernel | None = None
+        self.is_frozen = False
+        self._inbox: list[events.Event] = []
+        self._boots = itertools.count(1)
+
+    @property
+    def is_up(self) -> bool:
+        """Tell whether a process runs."""
+        return self.kernel is not None
+
+    def boot(self) -> None:
+        """Start a process, which knows nothing of an earlier one."""
+        now = self.pool.simulation.now
+        identity = identifiers.NodeId(f"{self.name}-{next(self._boots)}")
+        settings = kernels.KernelSettings(
+            node=identity, zone=identifiers.ZoneName(self.zone), endpoint=self.endpoint
+        )
+        self.kernel = kernels.Kernel(settings, random.Random(f"{identity}"), now)
+        self.kernel.version = 1
+        self.is_frozen = False
+        self._inbox.clear()
+        endpoints = tuple(node.endpoint for node in self.pool.nodes_by_name.values())
+        self.handle(events.EndpointsListed(endpoints=endpoints, is_complete=True))
+        self.handle(events.TargetsListed(targets=self.pool.listed()))
+        self._tick(self.kernel)
+
+    def kill(self) -> None:
+        """End the process at once; its callers see their connections break."""
+        self.kernel = None
+        self.pool.callers_lost(self)
+
+    def freeze(self) -> None:
+        """Stop the process; what arrives waits."""
+        self.is_frozen = True
+
+    def wake(self) -> None:
+        """Let a frozen process go on."""
+        self.is_frozen = False
+        waiting, self._inbox = self._inbox, []
+        for event in waiting:
+            self.handle(event)
+
+    def drain(self) -> None:
+        """Ask the process to stop."""
+        self.handle(events.DrainRequested())
+
+    def handle(self, event: events.Event) -> None:
+        """Give an event to the kernel."""
+        if self.kernel is None:
+            return
+        if self.is_frozen:
+            self._inbox.append(event)
+            return
+        done = self.kernel.handle(event, self.pool.simulation.now)
+        for action in done:
+            self.pool.perform(self, action)
+
+    def _tick(self, kernel: kernels.Kernel) -> None:
+        if self.kernel is not kernel:
+            return
+        if not self.is_frozen:
+            self.handle(events.Ticked())
+        self.pool.simulation.call_later(TICK, lambda: self._tick(kernel))
+
+
+class PoolModel:
+    """Nodes and targets, and what passes between them."""
+
+    def __init__(self, seed: int = 1):
+        self.simulation = Simulation()
+        self.rng = random.Random(seed)
+        self.nodes_by_name: dict[str, NodeModel] = {}
+        self.targets_by_id: dict[identifiers.TargetId, pool_targets.TargetModel] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.late_orders = 0.0
+        self.answers_by_caller: dict[identifiers.CallerId, actions.AnswerCaller] = {}
+        self.answered_at: dict[identifiers.CallerId, datetime.datetime] = {}
+        self.broken_callers: set[identifiers.CallerId] = set()
+        self.exited: list[NodeModel] = []
+        self.notes: list[actions.Note] = []
+        self.drops: Callable[[NodeModel, NodeModel, messages.AnyMessage], bool] = _nothing
+        self._node_by_caller: dict[identifiers.CallerId, NodeModel] = {}
+        self._caller_numbers = itertools.count(1)
+
+    def add_node(self, zone: str) -> NodeModel:
+        """Add a node, which is not running yet."""
+        number = len(self.nodes_by_name) + 1
+        node = NodeModel(self, f"{zone}-e{number}", zone, f"10.0.0.{number}")
+        self.nodes_by_name[node.name] = node
+        return node
+
+    def add_target(self, zone: str, **traits) -> pool_targets.TargetModel:
+        """Add a target; traits are those of :class:`pool_targets.TargetModel`."""
+        number = len(self.targets_by_id) + 1
+        target = pool_targets.TargetModel(self.simulation, f"t{number:03d}", zone, **traits)
+        self.targets_by_id[target.target.id] = target
+        return target
+
+    def boot_all(self) -> None:
+        """Start all nodes, and let them claim the targets."""
+        for node in self.nodes_by_name.values():
+            node.boot()
+        self.run(seconds=2)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.simulation.run_for(datetime.timedelta(seconds=seconds))
+
+    def listed(self) -> tuple[targets.Target, ...]:
+        """Return the list of targets as the platform shows it."""
+        return tuple(model.target for model in self.targets_by_id.values() if not model.is_gone)
+
+    def submit(self, node: NodeModel, request: jobs.JobRequest) -> identifiers.CallerId:
+        """Hand a job in at a node; return the caller that waits for the answer."""
+        caller = identifiers.CallerId(next(self._caller_numbers))
+        self._node_by_caller[caller] = node
+        if node.is_up:
+            node.handle(events.JobSubmitted(caller=caller, job=request))
+        else:
+            self.broken_callers.add(caller)
+        return caller
+
+    def leave(self, caller: identifiers.CallerId) -> None:
+        """Break the connection of a caller."""
+        self._node_by_caller[caller].handle(events.CallerLeft(caller=caller))
+
+    def callers_lost(self, node: NodeModel) -> None:
+        """Note that the callers of a node see their connections break."""
+        self.broken_callers |= {
+            caller
+            for caller, at in self._node_by_caller.items()
+            if at is node and caller not in self.answers_by_caller
+        }
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut two nodes, targets or zones off from each other."""
+        self.cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cuts.clear()
+
+    def perform(self, node: NodeModel, action: actions.Action) -> None:
+        """Do what a node's kernel asks for."""
+        if isinstance(action, actions.SendMessage):
+            self._send(node, action)
+        elif isinstance(action, actions.AnswerCaller):
+            self.answers_by_caller[action.caller] = action
+            self.answered_at[action.caller] = self.simulation.now
+        elif isinstance(action, actions.Hold | actions.StartRun | actions.StopRun):
+            self._order(node, action)
+        elif isinstance(action, actions.Exit):
+            self.exited.append(node)
+            node.kill()
+        elif isinstance(action, actions.Note):
+            self.notes.append(action)
+
+    def _send(self, sender: NodeModel, action: actions.SendMessage) -> None:
+        for node in self.nodes_by_name.values():
+            if node.endpoint != action.endpoint or not node.is_up:
+                continue
+            is_cut = self._is_cut(sender, node.name, node.zone)
+            if is_cut or self.drops(sender, node, action.message):
+                continue
+            # Encoded and decoded, so that nothing is shared between nodes.
+            message = messages.decode(messages.encode(action.message))
+            self._later(sender, node, events.MessageReceived(message=message))
+
+    def _later(self, sender: NodeModel, node: NodeModel, event: events.Event) -> None:
+        kernel = node.kernel
+        delay = self._delay(sender.zone, node.zone)
+
+        def deliver() -> None:
+            if node.kernel is kernel:
+                node.handle(event)
+
+        self.simulation.call_later(delay, deliver)
+
+    def _order(
+        self, node: NodeModel, action: actions.Hold | actions.StartRun | actions.StopRun
+    ) -> None:
+        """Give an order to a target; its reply, or a timeout, comes back as an event."""
+        model = self.targets_by_id[action.target.id]
+        delay = self._delay(node.zone, model.target.zone)
+        exchange = _Exchange(self, node, action, delay)
+        is_lost = self._is_cut(node, model.target.id, model.target.zone) or model.is_dark
+        if is_lost:
+            return
+        if self.late_orders and self.rng.random() < self.late_orders:
+            late = datetime.timedelta(seconds=self.rng.uniform(2, 12))
+            self.simulation.call_later(late, lambda: model.carry_out(action, _ignore))
+            return
+        self.simulation.call_later(delay, lambda: model.carry_out(action, exchange.reply))
+
+    def _is_cut(self, node: NodeModel, name: str, zone: str) -> bool:
+        pairs = itertools.product((node.name, node.zone), (name, zone))
+        return any(frozenset(pair) in self.cuts for pair in pairs if pair[0] != pair[1])
+
+    def _delay(self, zone: str, other: str) -> datetime.timedelta:
+        return IN_ZONE if zone == other else CROSS_ZONE
+
+    def overlaps(self) -> list[str]:
+        """Return the tasks of which two runs ran at the same time."""
+        spans_by_task: dict[str, list[tuple[datetime.datetime, datetime.datetime]]] = {}
+        for model in self.targets_by_id.values():
+            for task, start, end in model.spans(self.simulation.now):
+                spans_by_task.setdefault(task, []).append((start, end))
+        return [task for task, spans in spans_by_task.items() if _overlap(sorted(spans))]
+
+
+class _Exchange:
+    """One order and its reply."""
+
+    def __init__(
+        self,
+        pool: PoolModel,
+        node: NodeModel,
+        action: actions.Hold | actions.StartRun | actions.StopRun,
+        delay: datetime.timedelta,
+    ):
+        self._pool = pool
+        self._node = node
+        self._kernel = node.kernel
+        self._action = action
+        self._delay = delay
+        self._sent_at = pool.simulation.now
+        self._is_over = False
+        pool.simulation.call_later(action.timeout, self._time_out)
+
+    def reply(self, reply: pool_targets.Reply) -> None:
+        """Bring the target's reply back."""
+        model = self._pool.targets_by_id[self._action.target.id]
+        is_cut = self._pool._is_cut(self._node, model.target.id, model.target.zone)
+        if not is_cut and not model.is_dark:
+            self._pool.simulation.call_later(self._delay, lambda: self._finish(reply))
+
+    def _time_out(self) -> None:
+        self._finish(pool_targets.Reply(failure=events.Failure.TIMEOUT))
+
+    def _finish(self, reply: pool_targets.Reply) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        if self._node.kernel is self._kernel:
+            self._node.handle(pool_targets.event_of(self._action, reply, self._sent_at))
+
+
+def _nothing(sender: NodeModel, receiver: NodeModel, message: messages.AnyMessage) -> bool:
+    """Drop no message."""
+    return False
+
+
+def _ignore(reply: pool_targets.Reply) -> None:
+    """Take a reply that nobody waits for any more."""
+
+
+def _overlap(spans: list[tuple[datetime.datetime, datetime.datetime]]) -> bool:
+    return any(earlier[1] > later[0] for earlier, later in itertools.pairwise(spans))
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -361,7 +361,8 @@
     def _tick_run(self, run: jobs.Run, now: datetime.datetime) -> None:
         if run.owner != self._own_id and self._members.find_live(run.owner, now) is None:
             heard = self._members.heard_by_id.get(run.owner, run.started_at)
-            if now - max(heard, run.started_at) > timings.OWNER_LOST_AFTER:
+            owned_at = run.moved_at or run.started_at
+            if now - max(heard, owned_at) > timings.OWNER_LOST_AFTER:
                 self._run_ended(run, runs.RunEnd.LOST, now)
                 return
         if run.stopped_at is not None and now - run.stopped_at > timings.STOP_INTERVAL:
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -52,9 +52,10 @@
 
 
 class EndpointsListed(Event, frozen=True, kw_only=True):
-    """Endpoints of nodes that may be running."""
+    """Endpoints of nodes that may be running; ``is_complete`` when no other node is registered."""
 
     endpoints: tuple[identifiers.Endpoint, ...]
+    is_complete: bool = False
 
 
 class MessageReceived(Event, frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -22,6 +22,7 @@
         "state",
         "stopped_at",
         "task",
+        "until_ms",
     )
 
     def __init__(
@@ -41,6 +42,7 @@
         self.task = identifiers.TaskName("")
         self.run = identifiers.RunNumber(0)
         self.spec = ""
+        self.until_ms = 0
         self.first_sent_at = expires_at
         self.changed_at = expires_at
         self.stopped_at: datetime.datetime | None = None
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -38,7 +38,8 @@
         self._members = table
         self._mailbox = mailbox
         self._own_id = table.own_id
-        self._settled_at = started_at + timings.SETTLING
+        self._settled_at = started_at + timings.SETTLING_UNLISTED
+        self._is_settled = False
         self._tokens = tokens.TokenSource(rng)
         self._grant_numbers = itertools.count(1)
         self._orders = orders.Orders(mailbox, self)
@@ -104,7 +105,7 @@
     def _claim_if_due(
         self, target: targets.Target, is_chosen: bool, now: datetime.datetime
     ) -> None:
-        if not is_chosen or now < self._settled_at or target.id in self.missing_since:
+        if not is_chosen or not self._may_claim(now) or target.id in self.missing_since:
             return
         if self._members.holder_of(target.id, now) is not None:
             return
@@ -113,6 +114,17 @@
         holding = holdings.Holding(target, self._tokens.next(target.id, now), now)
         self._hold(holding, "claimed", now)
 
+    def nodes_listed(self, now: datetime.datetime) -> None:
+        """Note that the list of nodes is known, so that those that are silent are few."""
+        self._settled_at = min(self._settled_at, now + timings.SETTLING)
+
+    def _may_claim(self, now: datetime.datetime) -> bool:
+        """Tell whether this node has heard its peers, or waited long enough for them."""
+        is_listed = self._settled_at - now <= timings.SETTLING
+        if now >= self._settled_at or (is_listed and self._members.are_all_heard()):
+            self._is_settled = True
+        return self._is_settled
+
     def _is_trusted(self, target: targets.Target, now: datetime.datetime) -> bool:
         """Tell whether this node's view is good enough to take a target from a silent owner."""
         if self._members.has_majority(now):
@@ -133,7 +145,7 @@
     ) -> None:
         target_id = holding.target.id
         heir = self._members.by_endpoint.get(chosen) if chosen is not None else None
-        if candidates.is_own(chosen) or heir is None or not heir.is_live(now):
+        if candidates.is_own(chosen) or heir is None or not self._is_reached(heir, now):
             self.moving.discard(target_id)
             return
         self.moving.add(target_id)
@@ -141,6 +153,10 @@
             return
         self._hand_over(holding, heir, now)
 
+    def _is_reached(self, member: members.Member, now: datetime.datetime) -> bool:
+        """Tell whether messages pass both ways."""
+        return member.is_live(now) and self._own_id in member.hears
+
     def _hand_over(
         self, holding: holdings.Holding, heir: members.Member, now: datetime.datetime
     ) -> None:
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -78,9 +78,10 @@
         self.coordinator.tick(now)
         self.members.forget(now)
         if now >= self._beat_due:
-            self._beat(now)
+            self.beat(now)
 
-    def _beat(self, now: datetime.datetime) -> None:
+    def beat(self, now: datetime.datetime) -> None:
+        """Send a heartbeat to every node that may be running."""
         self._beat_due = now + timings.HEARTBEAT_INTERVAL
         self._beats += 1
         live = self.members.live(now)
@@ -173,6 +174,8 @@
 def _(event: events.EndpointsListed, kernel: Kernel, now: datetime.datetime) -> None:
     for endpoint in event.endpoints:
         kernel.members.add(endpoint, now)
+    if event.is_complete:
+        kernel.holder.nodes_listed(now)
 
 
 @handle.register
@@ -205,6 +208,8 @@
     if kernel.draining_since is None:
         kernel.draining_since = now
         kernel.holder.is_leaving = True
+        # Peers must know before they are handed targets, or they would hand them back.
+        kernel.beat(now)
         kernel.tick(now)
 
 
--- a/packages/pool/chiveridge_pool/members.py
+++ b/packages/pool/chiveridge_pool/members.py
@@ -14,6 +14,7 @@
         self.zone = identifiers.ZoneName("")
         self.known_at = now
         self.heard_at: datetime.datetime | None = None
+        # The first heartbeat, or the first after a silence.
         self.joined_at: datetime.datetime | None = None
         self.is_leaving = False
         self.hears: frozenset[identifiers.NodeId] = frozenset()
@@ -57,6 +58,8 @@
             return None
         self.add(beat.endpoint, now)
         member = self.by_endpoint[beat.endpoint]
+        if not member.is_live(now):
+            member.joined_at = now
         if member.id != beat.sender:
             self._rename(member, beat.sender, now)
         member.zone = beat.zone
@@ -93,6 +96,10 @@
         token, member = max(claims, key=lambda claim: claim[0])
         return member, token
 
+    def are_all_heard(self) -> bool:
+        """Tell whether every node that is known was heard at least once."""
+        return all(member.heard_at is not None for member in self.by_endpoint.values())
+
     def has_majority(self, now: datetime.datetime) -> bool:
         """Tell whether this node hears more than half of all nodes, itself included."""
         return _is_majority(list(self.by_endpoint.values()), now)
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -74,7 +74,8 @@
     def hold(self, holding: holdings.Holding, now: datetime.datetime) -> None:
         """Renew, acknowledge and ask for news."""
         is_held = holding.state is holdings.HoldingState.HELD
-        may_renew = holding.knows_clock() and not holding.strangers
+        # A target that does not reply is not renewed, so that its runs lapse at a known time.
+        may_renew = holding.knows_clock() and not holding.strangers and not holding.failures
         until_ms = holding.lease_until(now) if may_renew else None
         if until_ms is not None:
             holding.note_renewal(now)
@@ -231,7 +232,8 @@
             grant.state = runs.GrantState.STARTING
             grant.first_sent_at = now
             grant.changed_at = now
-        holding.note_renewal(now)
+            grant.until_ms = holding.lease_until(now)
+            holding.note_renewal(now)
         self._mailbox.add(
             actions.StartRun(
                 target=holding.target,
@@ -240,7 +242,7 @@
                 task=grant.task,
                 run=grant.run,
                 spec=grant.spec,
-                until_ms=holding.lease_until(now),
+                until_ms=grant.until_ms,
                 timeout=timings.ORDER_TIMEOUT,
             )
         )
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -40,8 +40,11 @@
 CLAIM_DEFERENCE = _ms(3000)
 """How long a node leaves a target alone whose fence refused it; the platform's lease time."""
 
-SETTLING = _ms(1200)
-"""Time after the start in which a node claims nothing, until it has heard its peers."""
+SETTLING = _ms(600)
+"""How long a node that starts waits for silent peers before it claims; about one ``DEAD_AFTER``."""
+
+SETTLING_UNLISTED = _ms(1500)
+"""How long a node that starts waits for the list of nodes before it claims."""
 
 GRANT_LIFE = _ms(300)
 """How long a grant stays reserved without a start; a hundred round trips between domains."""
--- /dev/null
+++ b/tests/pool/pools.py
@@ -0,0 +1,46 @@
+"""Jobs and pools for the tests of the pool."""
+
+import datetime
+
+from chiveridge_load import pool_models
+from chiveridge_pool import identifiers, jobs, resources
+
+TASK_CPU = 27_000
+
+
+def job(name: str, count: int = 1, work_ms: float = 100.0, **fields) -> jobs.JobRequest:
+    """Return a job whose tasks take ``work_ms``."""
+    size = resources.Resources(fields.pop("cpu", TASK_CPU), 64, 0)
+    defaults = {
+        "estimate": datetime.timedelta(milliseconds=work_ms),
+        "patience": datetime.timedelta(seconds=3),
+        "max_attempts": 3,
+        "stretch": 1.6,
+        "objective_base": datetime.timedelta(milliseconds=60),
+    }
+    return jobs.JobRequest(
+        id=identifiers.JobId(name),
+        queue=identifiers.QueueName("queue"),
+        service=identifiers.ServiceName("service"),
+        spec=f"{work_ms} {size.cpu} {size.memory_mb} {size.accelerators}",
+        count=count,
+        size=size,
+        **{**defaults, **fields},
+    )
+
+
+def pool(nodes_per_zone: int = 2, targets_per_zone: int = 4, zones: str = "abc"):
+    """Return a running pool."""
+    model = pool_models.PoolModel()
+    for zone in zones:
+        for _ in range(nodes_per_zone):
+            model.add_node(zone)
+        for _ in range(targets_per_zone):
+            model.add_target(zone)
+    model.boot_all()
+    return model
+
+
+def node(model: pool_models.PoolModel, number: int) -> pool_models.NodeModel:
+    """Return a node by its number, from 1."""
+    return list(model.nodes_by_name.values())[number - 1]
--- /dev/null
+++ b/tests/pool/test_pool_failures.py
@@ -0,0 +1,237 @@
+"""What becomes of jobs when nodes, targets, ways between them and callers fail."""
+
+import datetime
+
+import pools
+import pytest
+
+from chiveridge_pool import actions, events, messages
+
+SECONDS_TO_RESEND = 1.3
+
+
+def _busy(model, count=24, work_ms=400.0):
+    """Hand a job in at each node; return the callers."""
+    nodes = list(model.nodes_by_name.values())
+    return [
+        model.submit(node, pools.job(f"{number:016x}", count // len(nodes), work_ms))
+        for number, node in enumerate(nodes)
+    ]
+
+
+def _verdicts(model, callers):
+    return {
+        model.answers_by_caller[caller].verdict
+        for caller in callers
+        if caller not in model.broken_callers
+    }
+
+
+def _running(model):
+    return sum(
+        len(target._running) for target in model.targets_by_id.values() if not target.is_dark
+    )
+
+
+@pytest.mark.parametrize("number", range(1, 7))
+def test_runs_of_a_killed_node_end_before_its_callers_send_again(number):
+    model = pools.pool()
+    callers = _busy(model, count=18, work_ms=2500.0)
+    model.run(seconds=0.2)
+    victim = pools.node(model, number)
+    victim.kill()
+    model.run(seconds=SECONDS_TO_RESEND)
+    job_id = f"{number - 1:016x}"
+    tasks = {task for target in model.targets_by_id.values() for task, _ in target._running}
+    assert not any(task.startswith(job_id) for task in tasks)
+    again = model.submit(pools.node(model, number % 6 + 1), pools.job(job_id, 3, 100.0))
+    model.run(seconds=4)
+    assert model.answers_by_caller[again].verdict is actions.Verdict.COMPLETE
+    assert model.overlaps() == []
+    assert len(callers) == 6
+
+
+def test_jobs_survive_the_loss_of_an_owner():
+    model = pools.pool()
+    callers = _busy(model, work_ms=400.0)
+    model.run(seconds=0.2)
+    pools.node(model, 1).kill()
+    model.run(seconds=4)
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+    assert model.overlaps() == []
+
+
+@pytest.mark.parametrize("frozen_seconds", [0.3, 0.7, 0.9, 1.2, 2.0, 4.0])
+def test_a_frozen_node_starts_nothing_that_runs_elsewhere(frozen_seconds):
+    model = pools.pool()
+    _busy(model, work_ms=700.0)
+    model.run(seconds=0.2)
+    victim = pools.node(model, 1)
+    victim.freeze()
+    model.run(seconds=frozen_seconds)
+    victim.wake()
+    model.run(seconds=6)
+    assert model.overlaps() == []
+    assert _running(model) == 0
+
+
+def test_a_zone_that_is_cut_off_serves_with_its_own_targets():
+    model = pools.pool()
+    model.cut("a", "b")
+    model.cut("a", "c")
+    model.run(seconds=2)
+    callers = [model.submit(pools.node(model, 1), pools.job("a" * 16, 4))]
+    callers.append(model.submit(pools.node(model, 3), pools.job("b" * 16, 4)))
+    model.run(seconds=2)
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+
+
+def test_jobs_over_a_cut_are_finished_and_never_run_twice_at_once():
+    model = pools.pool()
+    callers = _busy(model, work_ms=600.0)
+    model.run(seconds=0.2)
+    model.cut("a", "b")
+    model.cut("a", "c")
+    model.run(seconds=5)
+    model.heal()
+    model.run(seconds=3)
+    assert model.overlaps() == []
+    assert _running(model) == 0
+    verdicts = _verdicts(model, callers)
+    assert verdicts <= {actions.Verdict.COMPLETE, actions.Verdict.GIVEN_UP}
+
+
+def test_a_node_cut_off_from_its_peers_takes_no_targets_from_them():
+    model = pools.pool()
+    before = [pools.node(model, number).kernel.holder.held().keys() for number in range(1, 7)]
+    for number in range(2, 7):
+        model.cut(pools.node(model, 1).name, pools.node(model, number).name)
+    model.run(seconds=5)
+    assert sum(len(held) for held in before) == 12
+    for number in range(2, 7):
+        held = pools.node(model, number).kernel.holder.held().keys()
+        assert before[number - 1] <= held
+    assert pools.node(model, 1).kernel.holder.held() == {}
+
+
+def test_a_run_handed_to_a_new_node_is_not_run_elsewhere_at_the_same_time():
+    """A node that has just started may be unknown to the nodes whose runs it is handed."""
+    model = pools.pool(targets_per_zone=5)
+    pools.node(model, 1).kill()
+    model.run(seconds=3)
+    patience = datetime.timedelta(seconds=10)
+    asking = pools.node(model, 3)
+    long_jobs = [pools.job(f"{n:016x}", 8, 2500.0, patience=patience) for n in range(3)]
+    # Takes the nearest room, which is free again when the first node is back.
+    model.submit(asking, pools.job("f" * 16, 6, 300.0))
+    callers = [model.submit(asking, request) for request in long_jobs]
+    model.run(seconds=1.6)
+    reborn = pools.node(model, 1)
+
+    def drops(sender, receiver, message):
+        is_unheard = sender is reborn and receiver is asking
+        return is_unheard or (receiver is reborn and isinstance(message, messages.Handover))
+
+    model.drops = drops
+    reborn.boot()
+    model.run(seconds=8)
+    assert model.overlaps() == []
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+
+
+def test_a_node_that_drains_hands_its_targets_over_and_loses_no_run():
+    model = pools.pool()
+    callers = _busy(model, work_ms=1500.0)
+    model.run(seconds=0.2)
+    pools.node(model, 1).drain()
+    model.run(seconds=5)
+    assert pools.node(model, 1) in model.exited
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+    assert sum(target.starts for target in model.targets_by_id.values()) == 24
+
+
+def test_a_draining_node_is_not_handed_its_targets_back():
+    model = pools.pool()
+    held = len(pools.node(model, 1).kernel.holder.held())
+    pools.node(model, 1).drain()
+    model.run(seconds=1)
+    handed = [
+        note
+        for note in model.notes
+        if note.event == "owner_changed" and note.fields.get("how") == "handed over"
+    ]
+    assert len(handed) == held
+
+
+def test_a_caller_that_leaves_has_its_job_stopped():
+    model = pools.pool()
+    caller = model.submit(pools.node(model, 1), pools.job("a" * 16, 8, 2000.0))
+    model.run(seconds=0.2)
+    model.leave(caller)
+    model.run(seconds=0.3)
+    assert _running(model) == 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_orders_that_are_carried_out_late_run_nothing_twice(seed):
+    model = pools.pool()
+    model.rng.seed(seed)
+    model.late_orders = 0.1
+    for number in range(60):
+        node = pools.node(model, number % 6 + 1)
+        model.submit(node, pools.job(f"{number:016x}", 3, 150.0))
+        model.run(seconds=0.1)
+    model.run(seconds=14)
+    assert model.overlaps() == []
+    assert _running(model) == 0
+    assert len(model.answers_by_caller) == 60
+
+
+def test_a_crashed_target_loses_its_runs_and_jobs_go_on():
+    model = pools.pool()
+    callers = _busy(model, work_ms=400.0)
+    model.run(seconds=0.2)
+    next(iter(model.targets_by_id.values())).crash()
+    model.run(seconds=3)
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+
+
+def test_a_dark_target_is_avoided_and_its_runs_go_elsewhere_after_their_lease():
+    model = pools.pool()
+    callers = _busy(model, work_ms=400.0)
+    model.run(seconds=0.2)
+    next(iter(model.targets_by_id.values())).is_dark = True
+    model.run(seconds=4)
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+    assert model.overlaps() == []
+
+
+def test_a_draining_target_gets_no_new_runs():
+    model = pools.pool()
+    leaving = next(iter(model.targets_by_id.values()))
+    leaving.drain()
+    for node in model.nodes_by_name.values():
+        node.handle(events.TargetsListed(targets=model.listed()))
+    callers = _busy(model, work_ms=200.0)
+    model.run(seconds=3)
+    assert leaving.starts == 0
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+
+
+def test_all_nodes_serve_again_soon_after_all_were_killed():
+    model = pools.pool()
+    _busy(model, work_ms=400.0)
+    model.run(seconds=0.2)
+    for node in model.nodes_by_name.values():
+        node.kill()
+    model.run(seconds=1.5)
+    for node in model.nodes_by_name.values():
+        node.boot()
+    model.run(seconds=0.4)
+    callers = [
+        model.submit(node, pools.job(f"f{number:015x}", 2))
+        for number, node in enumerate(model.nodes_by_name.values())
+    ]
+    model.run(seconds=0.5)
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+    assert model.overlaps() == []
