Greet nodes that start, and claim after 250 ms

Cause: after all nodes lost power, targets were claimed 0.45 to 0.63 s after the first processes listened: peers reconnect with a back-off of up to 0.5 s and a node waited 0.6 s for silent ones. Ruled out: the store (the configuration was read 20 ms after the port opened). Change: a heartbeat of a new incarnation opens the connection anew and is answered at once, so that 250 ms of waiting is enough to hear every live peer.

--- a/packages/node/chiveridge_node/pool_links.py
+++ b/packages/node/chiveridge_node/pool_links.py
@@ -43,6 +43,7 @@
         loop = asyncio.get_running_loop()
         loop.add_reader(self._router.fileno(), self._read)
         self._shell.perform_with(actions.SendMessage, self.send)
+        self._shell.perform_with(actions.Reconnect, self.reconnect)
         self._read_again()
 
     def close(self) -> None:
@@ -56,15 +57,27 @@
         """Send a message; it is dropped when there is no connection now."""
         dealer = self._dealers_by_endpoint.get(action.endpoint)
         if dealer is None:
-            dealer = _configured(self._context, zmq.DEALER)
-            dealer.connect(f"tcp://{action.endpoint}")
-            self._dealers_by_endpoint[action.endpoint] = dealer
+            dealer = self._connect(action.endpoint)
         self._used_at[action.endpoint] = time.monotonic()
         try:
             dealer.send(messages.encode(action.message), zmq.NOBLOCK)
         except zmq.Again:
             self.dropped += 1
 
+    def reconnect(self, action: actions.Reconnect) -> None:
+        """Open a connection anew, without the pause of one that was refused."""
+        dealer = self._dealers_by_endpoint.pop(action.endpoint, None)
+        if dealer is not None:
+            dealer.close(linger=0)
+        self._connect(action.endpoint)
+
+    def _connect(self, endpoint: identifiers.Endpoint) -> zmq.Socket:
+        dealer = _configured(self._context, zmq.DEALER)
+        dealer.connect(f"tcp://{endpoint}")
+        self._dealers_by_endpoint[endpoint] = dealer
+        self._used_at[endpoint] = time.monotonic()
+        return dealer
+
     def _read_again(self) -> None:
         """Read what an edge-triggered wake-up may have missed."""
         self._read()
--- a/packages/pool/chiveridge_pool/actions.py
+++ b/packages/pool/chiveridge_pool/actions.py
@@ -39,6 +39,12 @@
     message: messages.AnyMessage
 
 
+class Reconnect(Action, frozen=True, kw_only=True):
+    """Open the connection to an endpoint anew: another process listens there now."""
+
+    endpoint: identifiers.Endpoint
+
+
 class Hold(Action, frozen=True, kw_only=True):
     """Renew a target's lease, acknowledge its ends and ask for news.
 
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -103,6 +103,11 @@
                 )
             )
 
+    def greet(self, member: members.Member, now: datetime.datetime) -> None:
+        """Answer a node that has just started, over a connection that is not backing off."""
+        self.mailbox.add(actions.Reconnect(endpoint=member.endpoint))
+        self._beat_due = now
+
     def _beat_for(self, member: members.Member, common: messages.Heartbeat) -> messages.Heartbeat:
         if member.id is None:
             return common
@@ -221,8 +226,14 @@
 
 @take_message.register
 def _(message: messages.Heartbeat, kernel: Kernel, now: datetime.datetime) -> None:
-    if kernel.members.hear(message, now) is not None:
-        kernel.coordinator.reconcile(message, now)
+    known = kernel.members.by_endpoint.get(message.endpoint)
+    known_id = None if known is None else known.id
+    member = kernel.members.hear(message, now)
+    if member is None:
+        return
+    if known_id != member.id:
+        kernel.greet(member, now)
+    kernel.coordinator.reconcile(message, now)
 
 
 @take_message.register
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -40,8 +40,8 @@
 CLAIM_DEFERENCE = _ms(3000)
 """How long a node leaves a target alone whose fence refused it; the platform's lease time."""
 
-SETTLING = _ms(600)
-"""How long a node that starts waits for silent peers before it claims; about one ``DEAD_AFTER``."""
+SETTLING = _ms(250)
+"""How long a node that starts waits for silent peers before it claims; live ones greet at once."""
 
 SETTLING_UNLISTED = _ms(1500)
 """How long a node that starts waits for the list of nodes before it claims."""
