Serve queues by equal shares, small jobs first; play orders on the model

Change: started jobs first, then those that can be in time, then late ones; within a group by declared work for value, each queue worth the same. Orders tried stay selectable.

--- /dev/null
+++ b/packages/load/chiveridge_load/pool_experiments.py
@@ -0,0 +1,43 @@
+"""Plays orders of service against loads on the pool's model, and prints what callers get."""
+
+import itertools
+
+from absl import app, flags
+
+from chiveridge_load import pool_loads
+from chiveridge_pool import ranks
+
+_LOADS = flags.DEFINE_list("loads", ["1.0", "1.3", "1.8"], "Multiples of the usual load.")
+_ORDERS = flags.DEFINE_list(
+    "orders", [order.value for order in ranks.Order], "Orders of service to compare."
+)
+_SECONDS = flags.DEFINE_float("seconds", 20.0, "Length of the load, in seconds.", lower_bound=0.1)
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of the load.")
+
+_HEADER = (
+    f"{'order':14}{'load':>6}{'jobs':>7}{'earned':>8}{'in time':>9}{'late':>7}{'refused':>9}"
+    f"{'failed':>8}{'after ms':>10}{'p50 ms':>8}{'p99 ms':>9}"
+)
+
+
+def main(argv: list[str]) -> int:
+    """Play every order at every load."""
+    del argv
+    print(_HEADER)
+    for load, order in itertools.product(_LOADS.value, _ORDERS.value):
+        player = pool_loads.Player(pool_loads.LAGOS, float(load), _SEED.value, ranks.Order(order))
+        print(_row(order, float(load), player.play(_SECONDS.value)))
+    return 0
+
+
+def _row(order: str, load: float, found: pool_loads.Outcome) -> str:
+    kinds = " ".join(f"{name} {share:.2f}" for name, share in found.earned_by_kind.items())
+    return (
+        f"{order:14}{load:6.2f}{found.jobs:7}{found.earned:8.3f}{found.in_time:9.3f}"
+        f"{found.late:7.3f}{found.refused:9.3f}{found.failed:8.3f}{found.refused_after_ms:10.1f}"
+        f"{found.p50_ms:8.1f}{found.p99_ms:9.1f}  {kinds}"
+    )
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from chiveridge_load import pool_targets
-from chiveridge_pool import actions, events, identifiers, jobs, kernels, messages, targets
+from chiveridge_pool import actions, events, identifiers, jobs, kernels, messages, ranks, targets
 
 EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 TICK = datetime.timedelta(milliseconds=20)
@@ -68,7 +68,10 @@
         now = self.pool.simulation.now
         identity = identifiers.NodeId(f"{self.name}-{next(self._boots)}")
         settings = kernels.KernelSettings(
-            node=identity, zone=identifiers.ZoneName(self.zone), endpoint=self.endpoint
+            node=identity,
+            zone=identifiers.ZoneName(self.zone),
+            endpoint=self.endpoint,
+            order=self.pool.order,
         )
         self.kernel = kernels.Kernel(settings, random.Random(f"{identity}"), now)
         self.kernel.version = 1
@@ -121,7 +124,8 @@
 class PoolModel:
     """Nodes and targets, and what passes between them."""
 
-    def __init__(self, seed: int = 1):
+    def __init__(self, seed: int = 1, order: ranks.Order = ranks.Order.SHARES):
+        self.order = order
         self.simulation = Simulation()
         self.rng = random.Random(seed)
         self.nodes_by_name: dict[str, NodeModel] = {}
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -11,6 +11,7 @@
     mailboxes,
     members,
     messages,
+    ranks,
     rooms,
     runs,
     timings,
@@ -31,11 +32,18 @@
 class Coordinator:
     """All jobs that callers handed in at this node."""
 
-    def __init__(self, table: members.Members, mailbox: mailboxes.Mailbox, holder: holders.Holder):
+    def __init__(
+        self,
+        table: members.Members,
+        mailbox: mailboxes.Mailbox,
+        holder: holders.Holder,
+        order: ranks.Order,
+    ):
         self._members = table
         self._mailbox = mailbox
         self._holder = holder
         self._own_id = table.own_id
+        self._ranks = ranks.Ranks(order)
         self._start_sequences: dict[identifiers.NodeId, int] = {}
         self._runs_by_grant: dict[identifiers.GrantId, jobs.Run] = {}
         self._job_by_caller: dict[identifiers.CallerId, jobs.Job] = {}
@@ -56,10 +64,16 @@
             self._refuse(event.caller, event.job.id, reason)
             return
         job = jobs.Job(event.job, event.caller, now)
+        self._ranks.arrived(event.job, now)
         self.jobs_by_id[event.job.id] = job
         self._job_by_caller[event.caller] = job
         self._mailbox.note(
-            "job_taken", job=event.job.id, queue=event.job.queue, tasks=event.job.count
+            "job_taken",
+            job=event.job.id,
+            queue=event.job.queue,
+            tasks=event.job.count,
+            patience_ms=event.job.patience / datetime.timedelta(milliseconds=1),
+            estimate_ms=event.job.estimate / datetime.timedelta(milliseconds=1),
         )
         self._ask(job, now)
 
@@ -138,11 +152,6 @@
 
     # Room
 
-    def _rank(self, job: jobs.Job) -> tuple[float, float]:
-        """Return the order of service: what has started first, then by latest start."""
-        latest = job.arrived_at + job.objective() - job.request.estimate
-        return (0.0 if job.has_started else 1.0, latest.timestamp())
-
     def _ask(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Ask those owners that probably have room, and all when these are not enough."""
         need = len(job.waiting)
@@ -151,22 +160,25 @@
             self._ask_all(job, now)
             return
         for node, share in shares:
-            self._send_ask(job, node, share)
+            self._send_ask(job, node, share, now)
         job.widen_at = now + timings.WIDEN_AFTER
 
     def _ask_all(self, job: jobs.Job, now: datetime.datetime) -> None:
         job.widen_at = None
         need = len(job.waiting)
         for node in [self._own_id, *(member.id for member in self._members.live(now))]:
-            self._send_ask(job, node, need)
+            self._send_ask(job, node, need, now)
 
-    def _send_ask(self, job: jobs.Job, node: identifiers.NodeId, count: int) -> None:
+    def _send_ask(
+        self, job: jobs.Job, node: identifiers.NodeId, count: int, now: datetime.datetime
+    ) -> None:
         request = job.request
         job.asked[node] = count
+        job.standing = self._ranks.standing(job, now)
         ask = messages.Ask(
             sender=self._own_id,
             job=request.id,
-            rank=self._rank(job),
+            rank=self._ranks.rank(job, now),
             service=request.service,
             size=request.size,
             count=count,
@@ -344,11 +356,19 @@
         elif not job.has_started and now >= self.start_limit(job):
             self._answer(job, actions.Verdict.REFUSED, "no room in time")
             self._end(job, now)
-        elif job.waiting and job.widen_at is not None and now >= job.widen_at:
+        elif job.waiting and self._must_ask_all(job, now):
             self._ask_all(job, now)
 
+    def _must_ask_all(self, job: jobs.Job, now: datetime.datetime) -> bool:
+        """Tell whether few owners were asked in vain, or they know an old rank."""
+        if job.widen_at is not None and now >= job.widen_at:
+            return True
+        return job.standing != self._ranks.standing(job, now)
+
     def start_limit(self, job: jobs.Job) -> datetime.datetime:
         """Return when a job that has not started is refused."""
+        if not self._ranks.refuses:
+            return job.deadline
         by_objective = _LATE_OBJECTIVES * job.objective()
         in_time = min(by_objective, job.request.patience) - job.request.estimate
         return job.arrived_at + max(in_time, job.objective() / 4)
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -10,6 +10,10 @@
 MAX_TASKS = 4096
 """Most tasks of a job; the target size has 740."""
 
+_CORES_PER_ACCELERATOR = 8
+_SHORTEST_SECONDS = 0.001
+_SMALLEST_CORES = 0.001
+
 
 class JobRequest(msgspec.Struct, frozen=True, kw_only=True):
     """One job of equal tasks.
@@ -34,6 +38,12 @@
     rack: str = ""
     per_target: int = 0
 
+    def work(self) -> float:
+        """Return the declared work, in seconds of a core; an accelerator counts as 8 cores."""
+        cores = self.size.cpu / 1000 + _CORES_PER_ACCELERATOR * self.size.accelerators
+        seconds = max(self.estimate.total_seconds(), _SHORTEST_SECONDS)
+        return self.count * max(cores, _SMALLEST_CORES) * seconds
+
 
 class TaskState(enum.Enum):
     """Life of a task at its job's node."""
@@ -111,6 +121,7 @@
         self.is_over = False
         self.asked: dict[identifiers.NodeId, int] = {}
         self.widen_at: datetime.datetime | None = None
+        self.standing: int | None = None
 
     def name_of(self, task: Task) -> identifiers.TaskName:
         """Return the name under which a target knows the task."""
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -15,6 +15,7 @@
     mailboxes,
     members,
     messages,
+    ranks,
     timings,
 )
 
@@ -31,6 +32,7 @@
     node: identifiers.NodeId
     zone: identifiers.ZoneName
     endpoint: identifiers.Endpoint
+    order: ranks.Order = ranks.Order.SHARES
 
 
 class Kernel:
@@ -41,7 +43,9 @@
         self.members = members.Members(settings.node, settings.zone, settings.endpoint)
         self.mailbox = mailboxes.Mailbox(self.members)
         self.holder = holders.Holder(self.members, self.mailbox, rng, now)
-        self.coordinator = coordinators.Coordinator(self.members, self.mailbox, self.holder)
+        self.coordinator = coordinators.Coordinator(
+            self.members, self.mailbox, self.holder, settings.order
+        )
         self.version = 0
         self.draining_since: datetime.datetime | None = None
         self.started_by_node: dict[identifiers.NodeId, int] = {}
