--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -354,11 +354,31 @@
         if now >= job.deadline - _DEADLINE_MARGIN:
             self._expire(job, now)
         elif not job.has_started and now >= self.start_limit(job):
+            self._note_refusal(job, now)
             self._answer(job, actions.Verdict.REFUSED, "no room in time")
             self._end(job, now)
         elif job.waiting and self._must_ask_all(job, now):
             self._ask_all(job, now)
 
+    def _note_refusal(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Write what was known of the room when a job was refused for want of it."""
+        size = job.request.size
+        free_by_node = {
+            member.endpoint: sum(size.times_in(room) for room in member.free)
+            for member in self._members.live(now)
+        }
+        own = sum(size.times_in(holding.free()) for holding in self._holder.usable(now))
+        self._mailbox.note(
+            "job_refused",
+            job=job.request.id,
+            queue=job.request.queue,
+            waited_ms=(now - job.arrived_at) / datetime.timedelta(milliseconds=1),
+            tasks=job.request.count,
+            own_room=own,
+            room_by_node=free_by_node,
+            asked=len(job.asked),
+        )
+
     def _must_ask_all(self, job: jobs.Job, now: datetime.datetime) -> bool:
         """Tell whether few owners were asked in vain, or they know an old rank."""
         if job.widen_at is not None and now >= job.widen_at:
