Tell peers the configuration, the targets and what leaves

Cause: a node that starts while the store turns it away knew neither routes nor targets, though its peers did; and one that is cut from the store went on with targets that others had seen draining. Change: heartbeats carry version and draining targets; a peer with an older version is sent the configuration, one that starts the targets. Versions only rise.

--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -65,6 +65,19 @@
 
     def boot(self) -> None:
         """Start a process, which knows nothing of an earlier one."""
+        self._start()
+        self.handle(events.ConfigurationRead(version=1, text=b"first"))
+        endpoints = tuple(node.endpoint for node in self.pool.nodes_by_name.values())
+        self.handle(events.EndpointsListed(endpoints=endpoints, is_complete=True))
+        self.handle(events.TargetsListed(targets=self.pool.listed()))
+
+    def boot_without_store(self) -> None:
+        """Start a process that knows no more than one seed."""
+        self._start()
+        others = [node for node in self.pool.nodes_by_name.values() if node is not self]
+        self.handle(events.EndpointsListed(endpoints=(others[-1].endpoint,)))
+
+    def _start(self) -> None:
         now = self.pool.simulation.now
         identity = identifiers.NodeId(f"{self.name}-{next(self._boots)}")
         settings = kernels.KernelSettings(
@@ -74,12 +87,8 @@
             order=self.pool.order,
         )
         self.kernel = kernels.Kernel(settings, random.Random(f"{identity}"), now)
-        self.kernel.version = 1
         self.is_frozen = False
         self._inbox.clear()
-        endpoints = tuple(node.endpoint for node in self.pool.nodes_by_name.values())
-        self.handle(events.EndpointsListed(endpoints=endpoints, is_complete=True))
-        self.handle(events.TargetsListed(targets=self.pool.listed()))
         self._tick(self.kernel)
 
     def kill(self) -> None:
@@ -137,6 +146,7 @@
         self.broken_callers: set[identifiers.CallerId] = set()
         self.exited: list[NodeModel] = []
         self.notes: list[actions.Note] = []
+        self.applied: list[actions.ApplyConfiguration] = []
         self.drops: Callable[[NodeModel, NodeModel, messages.AnyMessage], bool] = _nothing
         self._node_by_caller: dict[identifiers.CallerId, NodeModel] = {}
         self._caller_numbers = itertools.count(1)
@@ -211,6 +221,9 @@
         elif isinstance(action, actions.Exit):
             self.exited.append(node)
             node.kill()
+        elif isinstance(action, actions.ApplyConfiguration):
+            self.applied.append(action)
+            node.handle(events.ConfigurationRead(version=action.version, text=action.text))
         elif isinstance(action, actions.Note):
             self.notes.append(action)
 
--- a/packages/pool/chiveridge_pool/actions.py
+++ b/packages/pool/chiveridge_pool/actions.py
@@ -83,6 +83,16 @@
     timeout: datetime.timedelta
 
 
+class ApplyConfiguration(Action, frozen=True, kw_only=True):
+    """Put a configuration in force that a peer has sent, if it can be read.
+
+    Answered by :class:`chiveridge_pool.events.ConfigurationRead`.
+    """
+
+    version: int
+    text: bytes
+
+
 class Note(Action, frozen=True, kw_only=True):
     """Write a decision to the log."""
 
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -51,6 +51,13 @@
     targets: tuple[targets.Target, ...]
 
 
+class ConfigurationRead(Event, frozen=True, kw_only=True):
+    """A configuration is in force at this node; ``text`` is what peers are sent."""
+
+    version: int
+    text: bytes
+
+
 class EndpointsListed(Event, frozen=True, kw_only=True):
     """Endpoints of nodes that may be running; ``is_complete`` when no other node is registered."""
 
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -4,6 +4,8 @@
 import itertools
 import random
 
+import msgspec
+
 from chiveridge_pool import (
     events,
     grants,
@@ -40,6 +42,7 @@
         self._own_id = table.own_id
         self._settled_at = started_at + timings.SETTLING_UNLISTED
         self._is_settled = False
+        self._has_list = False
         self._tokens = tokens.TokenSource(rng)
         self._grant_numbers = itertools.count(1)
         self._orders = orders.Orders(mailbox, self)
@@ -55,6 +58,7 @@
 
     def list_targets(self, listed: tuple[targets.Target, ...], now: datetime.datetime) -> None:
         """Take the platform's list."""
+        self._has_list = True
         known = {target.id: target for target in listed}
         for target_id in self.targets_by_id.keys() - known.keys():
             self.missing_since.setdefault(target_id, now)
@@ -65,6 +69,30 @@
             if holding is not None:
                 self._update(holding, target, now)
 
+    def learn_targets(self, told: tuple[targets.Target, ...]) -> None:
+        """Take targets from a peer, until the platform's list was read."""
+        if not self._has_list:
+            for target in told:
+                self.targets_by_id.setdefault(target.id, target)
+
+    def leaving(self) -> tuple[tuple[identifiers.TargetId, int], ...]:
+        """Return the targets that are draining, each with its birth."""
+        return tuple(
+            (target.id, target.born) for target in self.targets_by_id.values() if target.is_draining
+        )
+
+    def note_leaving(self, told: tuple[tuple[identifiers.TargetId, int], ...]) -> None:
+        """Start nothing more on targets that a peer has seen draining."""
+        for target_id, born in told:
+            target = self.targets_by_id.get(target_id)
+            if target is None or target.is_draining or target.born > born:
+                continue
+            draining = msgspec.structs.replace(target, is_draining=True)
+            self.targets_by_id[target_id] = draining
+            holding = self.holdings_by_target.get(target_id)
+            if holding is not None:
+                holding.target = draining
+
     def _update(
         self, holding: holdings.Holding, target: targets.Target, now: datetime.datetime
     ) -> None:
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -47,10 +47,12 @@
             self.members, self.mailbox, self.holder, settings.order
         )
         self.version = 0
+        self.configuration = b""
         self.draining_since: datetime.datetime | None = None
         self.started_by_node: dict[identifiers.NodeId, int] = {}
         self._beat_due = now
         self._beats = 0
+        self._share_due_by_node: dict[identifiers.NodeId, datetime.datetime] = {}
         self._has_exited = False
 
     def handle(self, event: events.Event, now: datetime.datetime) -> list[actions.Action]:
@@ -98,6 +100,7 @@
             free=tuple(holding.free() for holding in self.holder.usable(now)),
             is_leaving=self.draining_since is not None,
             version=self.version,
+            leaving=self.holder.leaving(),
             endpoints=self._endpoints(),
         )
         for member in self.members.by_endpoint.values():
@@ -107,10 +110,25 @@
                 )
             )
 
+    def share_configuration(self, member: members.Member, now: datetime.datetime) -> None:
+        """Send the configuration to a member that has an older one."""
+        due = self._share_due_by_node.get(member.id, now)
+        if member.version >= self.version or not self.configuration or now < due:
+            return
+        self._share_due_by_node[member.id] = now + timings.SHARE_INTERVAL
+        message = messages.Configuration(
+            sender=self.settings.node, version=self.version, text=self.configuration
+        )
+        self.mailbox.send(member.id, message)
+
     def greet(self, member: members.Member, now: datetime.datetime) -> None:
         """Answer a node that has just started, over a connection that is not backing off."""
         self.mailbox.add(actions.Reconnect(endpoint=member.endpoint))
         self._beat_due = now
+        known = tuple(self.holder.targets_by_id.values())
+        if known:
+            message = messages.Targets(sender=self.settings.node, targets=known)
+            self.mailbox.send(member.id, message)
 
     def _beat_for(self, member: members.Member, common: messages.Heartbeat) -> messages.Heartbeat:
         if member.id is None:
@@ -179,6 +197,13 @@
     kernel.holder.list_targets(event.targets, now)
 
 
+@handle.register
+def _(event: events.ConfigurationRead, kernel: Kernel, now: datetime.datetime) -> None:
+    if event.version > kernel.version:
+        kernel.version = event.version
+        kernel.configuration = event.text
+
+
 @handle.register
 def _(event: events.EndpointsListed, kernel: Kernel, now: datetime.datetime) -> None:
     for endpoint in event.endpoints:
@@ -237,6 +262,8 @@
         return
     if known_id != member.id:
         kernel.greet(member, now)
+    kernel.share_configuration(member, now)
+    kernel.holder.note_leaving(message.leaving)
     kernel.coordinator.reconcile(message, now)
 
 
@@ -276,6 +303,18 @@
     kernel.coordinator.ended(message, now)
 
 
+@take_message.register
+def _(message: messages.Configuration, kernel: Kernel, now: datetime.datetime) -> None:
+    if message.version > kernel.version:
+        action = actions.ApplyConfiguration(version=message.version, text=message.text)
+        kernel.mailbox.add(action)
+
+
+@take_message.register
+def _(message: messages.Targets, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.holder.learn_targets(message.targets)
+
+
 @take_message.register
 def _(message: messages.Handover, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.holder.take_handover(message, now)
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -22,7 +22,8 @@
 
     ``hears`` names the nodes heard lately, ``held`` the targets under the sender's token with
     none but its own runs, ``free`` the room left on each of them. ``runs`` are the grants in use
-    on behalf of the recipient, complete for all starts up to ``started``.
+    on behalf of the recipient, complete for all starts up to ``started``. ``leaving`` are the
+    targets that the sender has seen draining, with the time of their birth.
     """
 
     zone: identifiers.ZoneName
@@ -35,6 +36,7 @@
     is_leaving: bool = False
     is_goodbye: bool = False
     version: int = 0
+    leaving: tuple[tuple[identifiers.TargetId, int], ...] = ()
     endpoints: tuple[identifiers.Endpoint, ...] = ()
 
 
@@ -127,9 +129,9 @@
 
 
 class Targets(Message, tag="tg", frozen=True, kw_only=True):
-    """Targets that the sender knows, for a peer that cannot reach the platform's list."""
+    """Targets that the sender knows, for a peer that has not read the platform's list."""
 
-    text: bytes
+    targets: tuple[targets.Target, ...]
 
 
 AnyMessage = (
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -61,5 +61,8 @@
 STOP_INTERVAL = _ms(150)
 """Pause between stops of a run until its end is known."""
 
+SHARE_INTERVAL = _ms(500)
+"""Pause between two sendings of the configuration to one peer; a quarter of the users' bound."""
+
 MEMBER_FORGOTTEN_AFTER = _ms(20_000)
 """Silence after which a node no longer counts in a majority; longer than any cut in the brief."""
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -235,3 +235,44 @@
     model.run(seconds=0.5)
     assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
     assert model.overlaps() == []
+
+
+def test_a_node_without_the_store_gets_configuration_and_targets_from_its_peers():
+    model = pools.pool()
+    for node in model.nodes_by_name.values():
+        node.handle(events.ConfigurationRead(version=7, text=b"routes"))
+    starting = pools.node(model, 1)
+    starting.kill()
+    model.run(seconds=1)
+    starting.boot_without_store()
+    model.run(seconds=0.5)
+    assert [(action.version, action.text) for action in model.applied] == [(7, b"routes")]
+    caller = model.submit(starting, pools.job("a" * 16, 4))
+    model.run(seconds=1)
+    assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
+
+
+def test_a_configuration_never_goes_back():
+    model = pools.pool()
+    node = pools.node(model, 1)
+    node.handle(events.ConfigurationRead(version=7, text=b"new"))
+    node.handle(events.ConfigurationRead(version=5, text=b"old"))
+    assert (node.kernel.version, node.kernel.configuration) == (7, b"new")
+
+
+def test_a_node_without_the_store_learns_from_its_peers_that_a_target_leaves():
+    model = pools.pool()
+    leaving = next(iter(model.targets_by_id.values()))
+    owner = next(
+        node
+        for node in model.nodes_by_name.values()
+        if leaving.target.id in node.kernel.holder.held()
+    )
+    leaving.drain()
+    for node in model.nodes_by_name.values():
+        if node is not owner:
+            node.handle(events.TargetsListed(targets=model.listed()))
+    model.run(seconds=0.2)
+    _busy(model, work_ms=200.0)
+    model.run(seconds=3)
+    assert leaving.starts == 0
