Wait less for lost replies, allow for the own lag, give targets of slow nodes away

Change: 60 ms for a reply and 60 ms waits while replies are lost; timeouts grow with the lag of the own ticks; a node whose lag stays above 25 ms hands its targets over until it is well again. Proof: test_lags, test_a_slow_node_gives_its_targets_to_others_and_loses_no_run.

--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -11,10 +11,19 @@
 from collections.abc import Callable
 
 from chiveridge_load import pool_targets
-from chiveridge_pool import actions, events, identifiers, jobs, kernels, messages, ranks, targets
+from chiveridge_pool import (
+    actions,
+    events,
+    identifiers,
+    jobs,
+    kernels,
+    messages,
+    ranks,
+    targets,
+    timings,
+)
 
 EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-TICK = datetime.timedelta(milliseconds=20)
 IN_ZONE = datetime.timedelta(milliseconds=0.2)
 CROSS_ZONE = datetime.timedelta(milliseconds=0.9)
 PORT = 7000
@@ -55,6 +64,7 @@
         self.endpoint = identifiers.Endpoint(f"{address}:{PORT}")
         self.kernel: kernels.Kernel | None = None
         self.is_frozen = False
+        self.slowness = 1.0
         self._inbox: list[events.Event] = []
         self._boots = itertools.count(1)
 
@@ -127,7 +137,8 @@
             return
         if not self.is_frozen:
             self.handle(events.Ticked())
-        self.pool.simulation.call_later(TICK, lambda: self._tick(kernel))
+        interval = timings.TICK_INTERVAL * self.slowness
+        self.pool.simulation.call_later(interval, lambda: self._tick(kernel))
 
 
 class PoolModel:
--- a/packages/node/chiveridge_node/pool_shells.py
+++ b/packages/node/chiveridge_node/pool_shells.py
@@ -7,10 +7,9 @@
 
 from chiveridge_kernel import clocks
 from chiveridge_node import logevents
-from chiveridge_pool import actions, events, kernels
+from chiveridge_pool import actions, events, kernels, timings
 
-TICK_SECONDS = 0.02
-"""Time between ticks: a fifth of the interval of heartbeats, which are the most frequent."""
+TICK_SECONDS = timings.TICK_INTERVAL.total_seconds()
 
 PAUSE_THRESHOLD = datetime.timedelta(milliseconds=400)
 """Time without a tick after which the process counts as having been paused."""
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -11,6 +11,7 @@
     grants,
     holdings,
     identifiers,
+    lags,
     mailboxes,
     members,
     messages,
@@ -36,16 +37,18 @@
         mailbox: mailboxes.Mailbox,
         rng: random.Random,
         started_at: datetime.datetime,
+        lag: lags.Lag,
     ):
         self._members = table
         self._mailbox = mailbox
+        self._lag = lag
         self._own_id = table.own_id
         self._settled_at = started_at + timings.SETTLING_UNLISTED
         self._is_settled = False
         self._has_list = False
         self._tokens = tokens.TokenSource(rng)
         self._grant_numbers = itertools.count(1)
-        self._orders = orders.Orders(mailbox, self)
+        self._orders = orders.Orders(mailbox, self, lag)
         self.targets_by_id: dict[identifiers.TargetId, targets.Target] = {}
         self.missing_since: dict[identifiers.TargetId, datetime.datetime] = {}
         self.holdings_by_target: dict[identifiers.TargetId, holdings.Holding] = {}
@@ -104,7 +107,8 @@
 
     def tick(self, now: datetime.datetime) -> None:
         """Do what is due: claims, handovers, renewals, stops and lapses."""
-        candidates = ownerships.Candidates(self._members, now, is_leaving=self.is_leaving)
+        is_unfit = self.is_leaving or self._lag.is_slow
+        candidates = ownerships.Candidates(self._members, now, is_unfit=is_unfit)
         self._drop_missing(now)
         for target in list(self.targets_by_id.values()):
             chosen = candidates.choose(target)
--- a/packages/pool/chiveridge_pool/holdings.py
+++ b/packages/pool/chiveridge_pool/holdings.py
@@ -71,7 +71,7 @@
         return (
             self.state is HoldingState.HELD
             and not self.target.is_draining
-            and not self.failures
+            and self.failures <= timings.FAILURES_BORNE
             and not self.strangers
             and now >= self.suspended_until
         )
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -12,6 +12,7 @@
     events,
     holders,
     identifiers,
+    lags,
     mailboxes,
     members,
     messages,
@@ -42,7 +43,8 @@
         self.settings = settings
         self.members = members.Members(settings.node, settings.zone, settings.endpoint)
         self.mailbox = mailboxes.Mailbox(self.members)
-        self.holder = holders.Holder(self.members, self.mailbox, rng, now)
+        self.lag = lags.Lag()
+        self.holder = holders.Holder(self.members, self.mailbox, rng, now, self.lag)
         self.coordinator = coordinators.Coordinator(
             self.members, self.mailbox, self.holder, settings.order
         )
@@ -78,6 +80,7 @@
 
     def tick(self, now: datetime.datetime) -> None:
         """Do what is due."""
+        self.lag.tick(now)
         if self.draining_since is not None:
             self._drain(now)
         self.holder.tick(now)
@@ -99,6 +102,7 @@
             held=self.holder.held(),
             free=tuple(holding.free() for holding in self.holder.usable(now)),
             is_leaving=self.draining_since is not None,
+            is_slow=self.lag.is_slow,
             version=self.version,
             leaving=self.holder.leaving(),
             endpoints=self._endpoints(),
--- a/packages/pool/chiveridge_pool/members.py
+++ b/packages/pool/chiveridge_pool/members.py
@@ -17,12 +17,17 @@
         # The first heartbeat, or the first after a silence.
         self.joined_at: datetime.datetime | None = None
         self.is_leaving = False
+        self.is_slow = False
         self.hears: frozenset[identifiers.NodeId] = frozenset()
         self.held: dict[identifiers.TargetId, identifiers.FencingToken] = {}
         self.free: list[resources.Resources] = []
         self.started = 0
         self.version = 0
 
+    def is_fit(self) -> bool:
+        """Tell whether it should hold targets."""
+        return not self.is_leaving and not self.is_slow
+
     def is_live(self, now: datetime.datetime) -> bool:
         """Tell whether it was heard lately."""
         return self.heard_at is not None and now - self.heard_at < timings.DEAD_AFTER
@@ -66,6 +71,7 @@
         member.heard_at = now
         self.heard_by_id[beat.sender] = now
         member.is_leaving = beat.is_leaving
+        member.is_slow = beat.is_slow
         member.hears = frozenset(beat.hears)
         member.held = beat.held
         member.free = list(beat.free)
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -34,6 +34,7 @@
     runs: tuple[identifiers.GrantId, ...] = ()
     started: int = 0
     is_leaving: bool = False
+    is_slow: bool = False
     is_goodbye: bool = False
     version: int = 0
     leaving: tuple[tuple[identifiers.TargetId, int], ...] = ()
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -9,6 +9,7 @@
     grants,
     holdings,
     identifiers,
+    lags,
     mailboxes,
     runs,
     timings,
@@ -38,11 +39,13 @@
 class Orders:
     """Gives orders to held targets."""
 
-    def __init__(self, mailbox: mailboxes.Mailbox, holder: "holders.Holder"):
+    def __init__(self, mailbox: mailboxes.Mailbox, holder: "holders.Holder", lag: lags.Lag):
         self._mailbox = mailbox
         self._holder = holder
         self._due_by_target: dict[identifiers.TargetId, datetime.datetime] = {}
         self._pending: dict[identifiers.TargetId, identifiers.FencingToken] = {}
+        self._lag = lag
+        self._lost_at: datetime.datetime | None = None
         self._failed_jobs_by_target: dict[identifiers.TargetId, set[identifiers.JobId]] = {}
 
     def tick(self, holding: holdings.Holding, now: datetime.datetime) -> None:
@@ -80,7 +83,7 @@
         if until_ms is not None:
             holding.note_renewal(now)
         is_calm = is_held and not holding.failures and not holding.strangers
-        wait = timings.HOLD_WAIT if is_calm else datetime.timedelta()
+        wait = self._wait(now) if is_calm else datetime.timedelta()
         self._pending[holding.target.id] = holding.token
         self._mailbox.add(
             actions.Hold(
@@ -89,10 +92,15 @@
                 until_ms=until_ms,
                 acknowledged=holding.acknowledged,
                 wait=wait,
-                timeout=wait + timings.HOLD_TIMEOUT,
+                timeout=wait + timings.HOLD_TIMEOUT + self._lag.allowance(),
             )
         )
 
+    def _wait(self, now: datetime.datetime) -> datetime.timedelta:
+        """Return how long a hold may wait: the less, the fewer ends a lost reply hides."""
+        is_lossy = self._lost_at is not None and now - self._lost_at < timings.LOSS_MEMORY
+        return timings.HOLD_WAIT_IN_LOSS if is_lossy else timings.HOLD_WAIT
+
     def hold_replied(
         self, holding: holdings.Holding, event: events.HoldReplied, now: datetime.datetime
     ) -> None:
@@ -121,6 +129,8 @@
         if not holding.failures:
             self._mailbox.note("target_silent", target=holding.target.id, failure=failure.value)
         holding.failures += 1
+        if failure is events.Failure.TIMEOUT:
+            self._lost_at = now
         if failure is events.Failure.UNREACHABLE and holding.grants_by_id:
             self._holder.new_life(holding, "the target refuses connections", now)
         pause = _RETRY_AFTER.get(failure, datetime.timedelta())
@@ -222,7 +232,7 @@
                 grant=identifiers.GrantId(""),
                 task=task,
                 run=run,
-                timeout=timings.ORDER_TIMEOUT,
+                timeout=timings.ORDER_TIMEOUT + self._lag.allowance(),
             )
         )
 
@@ -243,7 +253,7 @@
                 run=grant.run,
                 spec=grant.spec,
                 until_ms=grant.until_ms,
-                timeout=timings.ORDER_TIMEOUT,
+                timeout=timings.ORDER_TIMEOUT + self._lag.allowance(),
             )
         )
 
@@ -344,7 +354,7 @@
                 grant=grant.id,
                 task=grant.task,
                 run=grant.run,
-                timeout=timings.ORDER_TIMEOUT,
+                timeout=timings.ORDER_TIMEOUT + self._lag.allowance(),
             )
         )
 
--- a/packages/pool/chiveridge_pool/ownerships.py
+++ b/packages/pool/chiveridge_pool/ownerships.py
@@ -23,13 +23,13 @@
 class Candidates:
     """The nodes that may hold targets at one moment, by failure domain."""
 
-    def __init__(self, table: members.Members, now: datetime.datetime, *, is_leaving: bool):
+    def __init__(self, table: members.Members, now: datetime.datetime, *, is_unfit: bool):
         self._own = table.own_endpoint
         self._by_zone: dict[identifiers.ZoneName, list[identifiers.Endpoint]] = {}
-        staying = [member for member in table.live(now) if not member.is_leaving]
-        for member in staying:
+        fit = [member for member in table.live(now) if member.is_fit()]
+        for member in fit:
             self._by_zone.setdefault(member.zone, []).append(member.endpoint)
-        if not is_leaving:
+        if not is_unfit:
             self._by_zone.setdefault(table.own_zone, []).append(table.own_endpoint)
         self._all = [endpoint for zone in self._by_zone.values() for endpoint in zone]
 
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -7,6 +7,9 @@
     return datetime.timedelta(milliseconds=milliseconds)
 
 
+TICK_INTERVAL = _ms(20)
+"""Time between ticks: a fifth of the interval of heartbeats, which are the most frequent."""
+
 HEARTBEAT_INTERVAL = _ms(100)
 """A sixth of the silence after which a node is dead: five lost heartbeats are borne."""
 
@@ -25,14 +28,23 @@
 LEASE_MARGIN = _ms(50)
 """Time for a target to end what has lapsed."""
 
-HOLD_WAIT = _ms(300)
-"""How long a target may wait for an end; three renewals fit in one lease."""
+HOLD_WAIT = _ms(200)
+"""How long a target may wait for an end; four renewals fit in one lease."""
+
+HOLD_WAIT_IN_LOSS = _ms(60)
+"""The same while replies are being lost: ends are unseen until a lost hold has timed out."""
+
+LOSS_MEMORY = _ms(3000)
+"""How long replies count as being lost after the last timeout; about as long as such spells."""
+
+HOLD_TIMEOUT = _ms(60)
+"""Time for the reply to a hold beyond its wait; thirty round trips between domains."""
 
-HOLD_TIMEOUT = _ms(150)
-"""Time for the reply to a hold beyond its wait."""
+ORDER_TIMEOUT = _ms(60)
+"""Time for the reply to a start or a stop; thirty round trips between domains."""
 
-ORDER_TIMEOUT = _ms(150)
-"""Time for the reply to a start or a stop; a round trip takes a few milliseconds."""
+FAILURES_BORNE = 1
+"""Holds without a reply after which a target still gets new runs."""
 
 CLAIM_RETRY = _ms(500)
 """Pause between attempts to claim a target that cannot be reached."""
@@ -58,7 +70,7 @@
 WIDEN_AFTER = _ms(8)
 """Wait for the first grants before all owners are asked; four round trips between domains."""
 
-STOP_INTERVAL = _ms(150)
+STOP_INTERVAL = _ms(80)
 """Pause between stops of a run until its end is known."""
 
 SHARE_INTERVAL = _ms(500)
--- /dev/null
+++ b/packages/pool/tests/test_lags.py
@@ -0,0 +1,40 @@
+import datetime
+
+from chiveridge_pool import lags, timings
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+MS = datetime.timedelta(milliseconds=1)
+
+
+def test_ticks_in_time_add_nothing():
+    lag = lags.Lag()
+    for number in range(5):
+        lag.tick(START + number * timings.TICK_INTERVAL)
+    assert lag.allowance() == 0 * MS
+
+
+def test_a_late_tick_adds_to_timeouts_and_is_forgotten():
+    lag = lags.Lag()
+    lag.tick(START)
+    now = START + timings.TICK_INTERVAL + 30 * MS
+    lag.tick(now)
+    assert lag.allowance() >= 60 * MS
+    for _ in range(60):
+        now += timings.TICK_INTERVAL
+        lag.tick(now)
+    assert lag.allowance() < 1 * MS
+
+
+def test_a_node_is_slow_after_a_while_and_well_again_later():
+    lag = lags.Lag()
+    now = START
+    states = []
+    for number in range(300):
+        is_late = number < 30
+        now += timings.TICK_INTERVAL + (60 * MS if is_late else 0 * MS)
+        lag.tick(now)
+        states.append(lag.is_slow)
+    assert not states[2]
+    assert states[29]
+    assert states[60]
+    assert not states[-1]
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -276,3 +276,19 @@
     _busy(model, work_ms=200.0)
     model.run(seconds=3)
     assert leaving.starts == 0
+
+
+def test_a_slow_node_gives_its_targets_to_others_and_loses_no_run():
+    model = pools.pool()
+    callers = _busy(model, work_ms=1500.0)
+    model.run(seconds=0.1)
+    slow = pools.node(model, 1)
+    slow.slowness = 4.0
+    model.run(seconds=1.2)
+    assert slow.kernel.holder.held() == {}
+    model.run(seconds=3)
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+    assert sum(target.starts for target in model.targets_by_id.values()) == 24
+    slow.slowness = 1.0
+    model.run(seconds=4)
+    assert slow.kernel.holder.held()
