Avoid slow targets, and move runs that hang or crawl there

Ruled out: failing targets (suspended already; no run_ended failed beyond the usual share). Change: speeds learns the ratio of run time and declared time by target, from ends and from progress; a slow target gets one run each 0.7 s; a run that would be done sooner anew is stopped. Proof: two tests on the model.

--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -153,6 +153,7 @@
         self.cuts: set[frozenset[str]] = set()
         self.late_orders = 0.0
         self.answers_by_caller: dict[identifiers.CallerId, actions.AnswerCaller] = {}
+        self.submitted_at: dict[identifiers.CallerId, datetime.datetime] = {}
         self.answered_at: dict[identifiers.CallerId, datetime.datetime] = {}
         self.broken_callers: set[identifiers.CallerId] = set()
         self.exited: list[NodeModel] = []
@@ -194,6 +195,7 @@
         """Hand a job in at a node; return the caller that waits for the answer."""
         caller = identifiers.CallerId(next(self._caller_numbers))
         self._node_by_caller[caller] = node
+        self.submitted_at[caller] = self.simulation.now
         if node.is_up:
             node.handle(events.JobSubmitted(caller=caller, job=request))
         else:
--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -28,8 +28,15 @@
     def __init__(self, started_at: datetime.datetime, size: resources.Resources):
         self.started_at = started_at
         self.size = size
+        self.takes: datetime.timedelta | None = None
         self.is_stopping = False
 
+    def percent(self, now: datetime.datetime) -> int:
+        """Return the progress; a run that hangs makes none."""
+        if self.takes is None:
+            return 0
+        return min(int(100 * ((now - self.started_at) / self.takes)), 99)
+
 
 class TargetModel:
     """One target. Its tasks take the time that their spec names, in milliseconds.
@@ -156,7 +163,11 @@
             waiting[1](self._news())
 
     def _news(self) -> Reply:
-        running = tuple(events.Running(task, run) for task, run in self._running)
+        now = self._simulation.now
+        running = tuple(
+            events.Running(task, number, run.percent(now))
+            for (task, number), run in self._running.items()
+        )
         return msgspec.structs.replace(self._reply(), running=running, ended=tuple(self._ended))
 
     def start(self, action: actions.StartRun, reply) -> None:
@@ -196,8 +207,8 @@
             return
         how = "failed" if self._rng.random() < self.fails else "done"
         milliseconds = 1.0 if how == "failed" else float(words[0]) / self.speed
-        delay = datetime.timedelta(milliseconds=milliseconds)
-        self._simulation.call_later(delay, lambda: self._end_if(key, run, how))
+        run.takes = datetime.timedelta(milliseconds=milliseconds)
+        self._simulation.call_later(run.takes, lambda: self._end_if(key, run, how))
 
     def _end_if(self, key: tuple[str, int], run: _Run, how: str) -> None:
         if self._running.get(key) is run:
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -182,6 +182,7 @@
             service=request.service,
             size=request.size,
             count=count,
+            estimate_ms=request.estimate / datetime.timedelta(milliseconds=1),
             label=request.label,
             rack=request.rack,
             per_target=request.per_target,
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -10,6 +10,7 @@
 
     __slots__ = (
         "changed_at",
+        "estimate",
         "expires_at",
         "first_sent_at",
         "id",
@@ -17,6 +18,7 @@
         "job",
         "node",
         "run",
+        "running_since",
         "size",
         "spec",
         "state",
@@ -31,12 +33,15 @@
         node: identifiers.NodeId,
         job: identifiers.JobId,
         size: resources.Resources,
+        estimate: datetime.timedelta,
         expires_at: datetime.datetime,
     ):
         self.id = grant
         self.node = node
         self.job = job
         self.size = size
+        self.estimate = estimate
+        self.running_since: datetime.datetime | None = None
         self.expires_at = expires_at
         self.state = runs.GrantState.RESERVED
         self.task = identifiers.TaskName("")
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -48,7 +48,7 @@
         self._has_list = False
         self._tokens = tokens.TokenSource(rng)
         self._grant_numbers = itertools.count(1)
-        self._orders = orders.Orders(mailbox, self, lag)
+        self.orders = orders.Orders(mailbox, self, lag)
         self.targets_by_id: dict[identifiers.TargetId, targets.Target] = {}
         self.missing_since: dict[identifiers.TargetId, datetime.datetime] = {}
         self.holdings_by_target: dict[identifiers.TargetId, holdings.Holding] = {}
@@ -118,7 +118,7 @@
             else:
                 self._hand_over_if_due(holding, chosen, candidates, now)
         for holding in list(self.holdings_by_target.values()):
-            self._orders.tick(holding, now)
+            self.orders.tick(holding, now)
         self._end_orphans(now)
         self._watch_nodes(now)
         self.serve(now)
@@ -166,7 +166,7 @@
     def _hold(self, holding: holdings.Holding, how: str, now: datetime.datetime) -> None:
         self.holdings_by_target[holding.target.id] = holding
         self._mailbox.note("owner_changed", target=holding.target.id, token=holding.token, how=how)
-        self._orders.hold(holding, now)
+        self.orders.hold(holding, now)
 
     def _hand_over_if_due(
         self,
@@ -194,7 +194,15 @@
     ) -> None:
         sent = holding.sent_grants()
         rows = tuple(
-            messages.HandedRun(grant.id, grant.node, grant.job, grant.task, grant.run, grant.size)
+            messages.HandedRun(
+                grant.id,
+                grant.node,
+                grant.job,
+                grant.task,
+                grant.run,
+                grant.size,
+                grant.estimate / datetime.timedelta(milliseconds=1),
+            )
             for grant in sent
         )
         handover = messages.Handover(
@@ -238,7 +246,7 @@
         """Take the reply to a hold, or its absence."""
         holding = self._current(event.target, event.token)
         if holding is not None:
-            self._orders.hold_replied(holding, event, now)
+            self.orders.hold_replied(holding, event, now)
             self.serve(now)
 
     def start_replied(self, event: events.StartReplied, now: datetime.datetime) -> None:
@@ -248,7 +256,7 @@
             return
         grant = holding.grants_by_id.get(event.grant)
         if grant is not None and grant.state is runs.GrantState.STARTING:
-            self._orders.start_replied(holding, grant, event, now)
+            self.orders.start_replied(holding, grant, event, now)
 
     def stop_replied(self, event: events.StopReplied, now: datetime.datetime) -> None:
         """Take the reply to a stop, or its absence."""
@@ -347,7 +355,7 @@
         for holding in list(self.holdings_by_target.values()):
             for grant in list(holding.grants_by_id.values()):
                 if grant.node == node:
-                    self._orders.stop(holding, grant, "its node is silent", now)
+                    self.orders.stop(holding, grant, "its node is silent", now)
 
     # Room
 
@@ -373,6 +381,7 @@
             holding
             for holding in self.holdings_by_target.values()
             if holding.may_grant(now)
+            and self.orders.may_use(holding, now)
             and holding.target.id not in self.moving
             and holding.target.id not in self.missing_since
         ]
@@ -391,9 +400,13 @@
                 ask.sender,
                 ask.job,
                 ask.size,
+                datetime.timedelta(milliseconds=ask.estimate_ms),
                 now + timings.GRANT_LIFE,
             )
             holding.add(grant)
+            self.orders.note_use(holding, now)
+            if not self.orders.may_use(holding, now):
+                usable.remove(holding)
             granted.append((grant.id, holding.target.id, holding.token))
             request.left -= 1
         if granted:
@@ -420,14 +433,14 @@
                 continue
             holding, grant = found
             grant.task, grant.run, grant.spec = task, run, message.spec
-            self._orders.start(holding, grant, now)
+            self.orders.start(holding, grant, now)
 
     def stop(self, message: messages.Stop, now: datetime.datetime) -> None:
         """Stop runs that are no longer wanted."""
         for grant_id in message.grants:
             found = self._find(grant_id)
             if found is not None:
-                self._orders.stop(found[0], found[1], "its job does not want it", now)
+                self.orders.stop(found[0], found[1], "its job does not want it", now)
             elif grant_id not in self.orphans:
                 lost = runs.RunEnd.LOST.value
                 self._mailbox.send_end(message.sender, grant_id, lost)
@@ -461,7 +474,8 @@
 
 
 def _adopted(row: messages.HandedRun, now: datetime.datetime) -> grants.Grant:
-    grant = grants.Grant(row.grant, row.node, row.job, row.size, now)
+    estimate = datetime.timedelta(milliseconds=row.estimate_ms)
+    grant = grants.Grant(row.grant, row.node, row.job, row.size, estimate, now)
     grant.task, grant.run = row.task, row.run
     grant.state = runs.GrantState.RUNNING
     return grant
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -49,6 +49,7 @@
     service: identifiers.ServiceName
     size: resources.Resources
     count: int
+    estimate_ms: float = 0.0
     label: str = ""
     rack: str = ""
     per_target: int = 0
@@ -103,6 +104,7 @@
     task: identifiers.TaskName
     run: identifiers.RunNumber
     size: resources.Resources
+    estimate_ms: float
 
 
 class Handover(Message, tag="ho", frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -12,6 +12,7 @@
     lags,
     mailboxes,
     runs,
+    speeds,
     timings,
 )
 
@@ -33,6 +34,9 @@
 _SUSPEND_UNHEALTHY = datetime.timedelta(milliseconds=400)
 _SUSPEND_FAILING = datetime.timedelta(milliseconds=500)
 _MAX_SUSPENSION = datetime.timedelta(seconds=4)
+_TRY_SLOW_EVERY = datetime.timedelta(milliseconds=700)
+"""Pause between single runs on a slow target, which tell when it is well again."""
+
 _FAILURES_TOLERATED = 1
 
 
@@ -45,6 +49,8 @@
         self._due_by_target: dict[identifiers.TargetId, datetime.datetime] = {}
         self._pending: dict[identifiers.TargetId, identifiers.FencingToken] = {}
         self._lag = lag
+        self._speeds = speeds.Speeds()
+        self._try_due_by_target: dict[identifiers.TargetId, datetime.datetime] = {}
         self._lost_at: datetime.datetime | None = None
         self._failed_jobs_by_target: dict[identifiers.TargetId, set[identifiers.JobId]] = {}
 
@@ -169,6 +175,8 @@
                 continue
             how = runs.END_BY_WORD.get(row.how, runs.RunEnd.LOST)
             self._judge(holding, grant, how, now)
+            if how is runs.RunEnd.DONE:
+                self._speeds.ended(holding.target.id, grant, now)
             self._holder.finish(holding, grant, how)
 
     def _judge(
@@ -195,20 +203,48 @@
     def _take_running(
         self, holding: holdings.Holding, event: events.HoldReplied, now: datetime.datetime
     ) -> None:
-        rows = {(row.task, row.run) for row in event.running}
+        rows = {(row.task, row.run): row for row in event.running}
         by_key = {grant.key: grant for grant in holding.sent_grants()}
         holding.strangers = {key for key in rows if key not in by_key}
         for task, run in holding.strangers:
             self._stop_stranger(holding, task, run, now)
         for key, grant in by_key.items():
             if key in rows:
-                if grant.state is runs.GrantState.STARTING:
-                    grant.state = runs.GrantState.RUNNING
+                self._take_progress(holding, grant, rows[key], now)
             else:
                 self._missing(holding, grant, event.sent_at)
         if holding.state is holdings.HoldingState.CLAIM and not holding.strangers:
             holding.state = holdings.HoldingState.HELD
 
+    def _take_progress(
+        self,
+        holding: holdings.Holding,
+        grant: grants.Grant,
+        row: events.Running,
+        now: datetime.datetime,
+    ) -> None:
+        """Learn from a run's progress, and stop it where it would be done sooner elsewhere."""
+        if grant.state is runs.GrantState.STARTING:
+            grant.state = runs.GrantState.RUNNING
+        grant.running_since = grant.running_since or now
+        if grant.state is not runs.GrantState.RUNNING:
+            return
+        self._speeds.progressed(holding.target.id, grant, row.percent, now)
+        is_slow = self._speeds.is_slow(holding.target.id)
+        if is_slow and self._speeds.is_sooner_elsewhere(grant, row.percent, now):
+            self.stop(holding, grant, f"at {row.percent}% on a slow target", now)
+
+    def may_use(self, holding: holdings.Holding, now: datetime.datetime) -> bool:
+        """Tell whether a target is fast, or due to be tried by a single run."""
+        target = holding.target.id
+        if not self._speeds.is_slow(target):
+            return True
+        return not holding.grants_by_id and now >= self._try_due_by_target.get(target, now)
+
+    def note_use(self, holding: holdings.Holding, now: datetime.datetime) -> None:
+        """Note that a run is about to be started on a target."""
+        self._try_due_by_target[holding.target.id] = now + _TRY_SLOW_EVERY
+
     def _missing(
         self, holding: holdings.Holding, grant: grants.Grant, asked_at: datetime.datetime
     ) -> None:
@@ -269,6 +305,7 @@
             holding.see_clock(event.clock_ms, now)
         if event.failure is None:
             grant.state = runs.GrantState.RUNNING
+            grant.running_since = grant.running_since or now
             return
         handler = _START_FAILED[event.failure]
         handler(self, holding, grant, now)
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -292,3 +292,34 @@
     slow.slowness = 1.0
     model.run(seconds=4)
     assert slow.kernel.holder.held()
+
+
+def test_a_hanging_target_holds_no_job_up_for_long():
+    model = pools.pool()
+    hanging = next(iter(model.targets_by_id.values()))
+    hanging.hangs = True
+    callers = _busy(model, work_ms=200.0)
+    model.run(seconds=2)
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+    assert max(model.answered_at[caller] - model.submitted_at[caller] for caller in callers) < (
+        datetime.timedelta(seconds=1)
+    )
+
+
+def test_a_slow_target_is_avoided_and_used_again_when_it_is_well():
+    model = pools.pool()
+    slow = next(iter(model.targets_by_id.values()))
+    slow.speed = 0.15
+    for number in range(40):
+        node = pools.node(model, number % 6 + 1)
+        model.submit(node, pools.job(f"{number:016x}", 3, 100.0))
+        model.run(seconds=0.1)
+    assert slow.starts <= 12
+    slow.speed = 1.0
+    model.run(seconds=1)
+    before = slow.starts
+    for number in range(40, 100):
+        node = pools.node(model, number % 6 + 1)
+        model.submit(node, pools.job(f"{number:016x}", 6, 100.0))
+        model.run(seconds=0.1)
+    assert slow.starts > before + 20
