--- a/packages/pool/chiveridge_pool/actions.py
+++ b/packages/pool/chiveridge_pool/actions.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chiveridge_pool import identifiers, messages, targets
+from chiveridge_pool import identifiers, messages, notes, targets
 
 
 class Verdict(enum.Enum):
@@ -94,9 +94,9 @@
 
 
 class Note(Action, frozen=True, kw_only=True):
-    """Write a decision to the log."""
+    """Write a decision to the log; ``fields`` are its inputs and its outcome."""
 
-    event: str
+    event: notes.NoteEvent
     fields: dict[str, object]
 
 
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -11,6 +11,7 @@
     mailboxes,
     members,
     messages,
+    notes,
     ranks,
     rooms,
     runs,
@@ -25,6 +26,7 @@
 
 _RETRY_AFTER = datetime.timedelta(seconds=1)
 _RETRY_AFTER_DRAIN = datetime.timedelta(milliseconds=50)
+_AVOIDED_AFTER = frozenset({runs.RunEnd.FAILED, runs.RunEnd.STOPPED})
 _RUN_NUMBER_STEP = 16
 """Raise of the run number after a target has refused one as old."""
 
@@ -57,23 +59,32 @@
         known = self.jobs_by_id.get(event.job.id)
         if known is not None and not known.is_over:
             known.callers.add(event.caller)
+            self._mailbox.note(notes.NoteEvent.JOB_JOINED, job=event.job.id)
             self._job_by_caller[event.caller] = known
             return
         reason = self._refusal(event.job, known)
         if reason is not None:
             self._refuse(event.caller, event.job.id, reason)
+            self._mailbox.note(
+                notes.NoteEvent.JOB_REFUSED,
+                job=event.job.id,
+                queue=event.job.queue,
+                reason=reason,
+                waited_ms=0.0,
+            )
             return
         job = jobs.Job(event.job, event.caller, now)
         self._ranks.arrived(event.job, now)
         self.jobs_by_id[event.job.id] = job
         self._job_by_caller[event.caller] = job
         self._mailbox.note(
-            "job_taken",
+            notes.NoteEvent.JOB_TAKEN,
             job=event.job.id,
             queue=event.job.queue,
             tasks=event.job.count,
-            patience_ms=event.job.patience / datetime.timedelta(milliseconds=1),
-            estimate_ms=event.job.estimate / datetime.timedelta(milliseconds=1),
+            patience_ms=_ms(event.job.patience),
+            estimate_ms=_ms(event.job.estimate),
+            size=list(event.job.size.as_tuple()),
         )
         self._ask(job, now)
 
@@ -111,7 +122,7 @@
             return
         job.callers.discard(caller)
         if not job.callers:
-            self._mailbox.note("caller_left", job=job.request.id)
+            self._mailbox.note(notes.NoteEvent.CALLER_LEFT, job=job.request.id)
             self._end(job, now)
 
     def cancel(self, job_id: identifiers.JobId, now: datetime.datetime) -> bool:
@@ -119,11 +130,26 @@
         job = self.jobs_by_id.get(job_id)
         if job is None or job.is_over:
             return False
-        self._answer(job, actions.Verdict.CANCELLED, "cancelled by a caller")
+        self._answer(job, actions.Verdict.CANCELLED, "cancelled by a caller", now)
         self._end(job, now)
         return True
 
-    def _answer(self, job: jobs.Job, verdict: actions.Verdict, reason: str) -> None:
+    def _answer(
+        self, job: jobs.Job, verdict: actions.Verdict, reason: str, now: datetime.datetime
+    ) -> None:
+        took = now - job.arrived_at
+        self._mailbox.note(
+            notes.NoteEvent.JOB_ANSWERED,
+            job=job.request.id,
+            queue=job.request.queue,
+            verdict=verdict.value,
+            reason=reason,
+            took_ms=_ms(took),
+            objective_ms=_ms(job.objective()),
+            is_late=took > job.objective(),
+            done=job.done,
+            tasks=len(job.tasks),
+        )
         retry_after = _RETRY_AFTER if verdict is actions.Verdict.REFUSED else None
         for caller in job.callers:
             self._job_by_caller.pop(caller, None)
@@ -179,10 +205,11 @@
             sender=self._own_id,
             job=request.id,
             rank=self._ranks.rank(job, now),
+            queue=request.queue,
             service=request.service,
             size=request.size,
             count=count,
-            estimate_ms=request.estimate / datetime.timedelta(milliseconds=1),
+            estimate_ms=_ms(request.estimate),
             label=request.label,
             rack=request.rack,
             per_target=request.per_target,
@@ -246,6 +273,14 @@
             self._runs_by_grant[grant] = run
             rows.append((grant, job.name_of(task), identifiers.RunNumber(task.run)))
         job.has_started = True
+        self._mailbox.note(
+            notes.NoteEvent.JOB_PLACED,
+            job=job.request.id,
+            owner=owner,
+            targets=[target for _, _, target, _ in started],
+            waited_ms=_ms(now - job.arrived_at),
+            still_waiting=len(job.waiting),
+        )
         message = messages.Start(
             sender=self._own_id,
             job=job.request.id,
@@ -276,24 +311,48 @@
             return
         if how is runs.RunEnd.FAILED:
             run.task.attempts += 1
-            run.task.avoided.add(run.target)
+        if how in _AVOIDED_AFTER:
+            self._avoid(run)
         if how is runs.RunEnd.OLD:
             run.task.run += _RUN_NUMBER_STEP
         if run.task.attempts >= job.request.max_attempts:
-            self._answer(job, actions.Verdict.FAILED, "a task has used up its attempts")
+            self._answer(job, actions.Verdict.FAILED, "a task has used up its attempts", now)
             self._end(job, now)
             return
+        self._note_run_again(run, how, now)
         run.task.state = jobs.TaskState.WAITING
         job.waiting.append(run.task)
         if job.widen_at is None:
             job.widen_at = now
 
+    def _avoid(self, run: jobs.Run) -> None:
+        """Run a task elsewhere, unless it was everywhere already."""
+        run.task.avoided.add(run.target)
+        if len(run.task.avoided) >= len(self._holder.targets_by_id):
+            run.task.avoided.clear()
+
+    def _note_run_again(self, run: jobs.Run, how: runs.RunEnd, now: datetime.datetime) -> None:
+        """Write why a task has to run again, with the age of what is known of its owner."""
+        heard = self._members.heard_by_id.get(run.owner)
+        self._mailbox.note(
+            notes.NoteEvent.RUN_LOST,
+            job=run.job.request.id,
+            task=run.job.name_of(run.task),
+            run=run.task.run,
+            target=run.target,
+            owner=run.owner,
+            how=how.value,
+            ran_ms=_ms(now - run.started_at),
+            owner_heard_ms_ago=None if heard is None else _ms(now - heard),
+            failed_attempts=run.task.attempts,
+        )
+
     def _task_done(self, run: jobs.Run, now: datetime.datetime) -> None:
         job = run.job
         run.task.state = jobs.TaskState.DONE
         job.done += 1
         if job.done == len(job.tasks):
-            self._answer(job, actions.Verdict.COMPLETE, "")
+            self._answer(job, actions.Verdict.COMPLETE, "", now)
             self._end(job, now)
 
     def _stop_runs(self, stopped: list[jobs.Run], now: datetime.datetime) -> None:
@@ -309,6 +368,12 @@
         for grant in message.grants:
             run = self._runs_by_grant.get(grant)
             if run is not None:
+                self._mailbox.note(
+                    notes.NoteEvent.RUN_MOVED,
+                    job=run.job.request.id,
+                    target=run.target,
+                    owner=message.owner,
+                )
                 run.owner = message.owner
                 run.moved_at = now
 
@@ -356,7 +421,7 @@
             self._expire(job, now)
         elif not job.has_started and now >= self.start_limit(job):
             self._note_refusal(job, now)
-            self._answer(job, actions.Verdict.REFUSED, "no room in time")
+            self._answer(job, actions.Verdict.REFUSED, "no room in time", now)
             self._end(job, now)
         elif job.waiting and self._must_ask_all(job, now):
             self._ask_all(job, now)
@@ -370,10 +435,11 @@
         }
         own = sum(size.times_in(holding.free()) for holding in self._holder.usable(now))
         self._mailbox.note(
-            "job_refused",
+            notes.NoteEvent.JOB_REFUSED,
             job=job.request.id,
             queue=job.request.queue,
-            waited_ms=(now - job.arrived_at) / datetime.timedelta(milliseconds=1),
+            reason="no room in time",
+            waited_ms=_ms(now - job.arrived_at),
             tasks=job.request.count,
             own_room=own,
             room_by_node=free_by_node,
@@ -396,7 +462,7 @@
 
     def _expire(self, job: jobs.Job, now: datetime.datetime) -> None:
         verdict = actions.Verdict.GIVEN_UP if job.has_started else actions.Verdict.REFUSED
-        self._answer(job, verdict, "not done before the caller's deadline")
+        self._answer(job, verdict, "not done before the caller's deadline", now)
         self._end(job, now)
 
     def _tick_run(self, run: jobs.Run, now: datetime.datetime) -> None:
@@ -419,3 +485,7 @@
             job.request.queue == queue and not job.has_started and not job.is_over
             for job in self.jobs_by_id.values()
         )
+
+
+def _ms(duration: datetime.timedelta) -> float:
+    return round(duration / datetime.timedelta(milliseconds=1), 1)
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -17,6 +17,7 @@
         "is_confirmed_stopped",
         "job",
         "node",
+        "queue",
         "run",
         "running_since",
         "size",
@@ -32,6 +33,7 @@
         grant: identifiers.GrantId,
         node: identifiers.NodeId,
         job: identifiers.JobId,
+        queue: identifiers.QueueName,
         size: resources.Resources,
         estimate: datetime.timedelta,
         expires_at: datetime.datetime,
@@ -39,6 +41,7 @@
         self.id = grant
         self.node = node
         self.job = job
+        self.queue = queue
         self.size = size
         self.estimate = estimate
         self.running_since: datetime.datetime | None = None
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -15,6 +15,7 @@
     mailboxes,
     members,
     messages,
+    notes,
     orders,
     ownerships,
     requests,
@@ -165,7 +166,9 @@
 
     def _hold(self, holding: holdings.Holding, how: str, now: datetime.datetime) -> None:
         self.holdings_by_target[holding.target.id] = holding
-        self._mailbox.note("owner_changed", target=holding.target.id, token=holding.token, how=how)
+        self._mailbox.note(
+            notes.NoteEvent.OWNER_CHANGED, target=holding.target.id, token=holding.token, how=how
+        )
         self.orders.hold(holding, now)
 
     def _hand_over_if_due(
@@ -198,6 +201,7 @@
                 grant.id,
                 grant.node,
                 grant.job,
+                grant.queue,
                 grant.task,
                 grant.run,
                 grant.size,
@@ -221,7 +225,10 @@
             message = messages.Moved(sender=self._own_id, grants=tuple(moved), owner=heir.id)
             self._mailbox.send(node, message)
         self._mailbox.note(
-            "owner_changed", target=holding.target.id, how="handed over", to=heir.endpoint
+            notes.NoteEvent.OWNER_CHANGED,
+            target=holding.target.id,
+            how="handed over",
+            to=heir.endpoint,
         )
         self._forget(holding)
 
@@ -290,7 +297,7 @@
         self._mailbox.send_end(grant.node, grant.id, how.value)
         if how is not runs.RunEnd.DONE:
             self._mailbox.note(
-                "run_ended",
+                notes.NoteEvent.RUN_ENDED,
                 job=grant.job,
                 task=grant.task,
                 run=grant.run,
@@ -319,7 +326,9 @@
         """Give a target up on which runs may go on until their leases lapse."""
         for grant in holding.sent_grants():
             self.orphans[grant.id] = (grant.node, holding.lapses_at)
-        self._mailbox.note("owner_changed", target=holding.target.id, how="given up", reason=reason)
+        self._mailbox.note(
+            notes.NoteEvent.OWNER_CHANGED, target=holding.target.id, how="given up", reason=reason
+        )
         self._forget(holding)
 
     def _forget(self, holding: holdings.Holding) -> None:
@@ -399,6 +408,7 @@
                 identifiers.GrantId(f"{self._own_id}-{next(self._grant_numbers)}"),
                 ask.sender,
                 ask.job,
+                ask.queue,
                 ask.size,
                 datetime.timedelta(milliseconds=ask.estimate_ms),
                 now + timings.GRANT_LIFE,
@@ -475,7 +485,7 @@
 
 def _adopted(row: messages.HandedRun, now: datetime.datetime) -> grants.Grant:
     estimate = datetime.timedelta(milliseconds=row.estimate_ms)
-    grant = grants.Grant(row.grant, row.node, row.job, row.size, estimate, now)
+    grant = grants.Grant(row.grant, row.node, row.job, row.queue, row.size, estimate, now)
     grant.task, grant.run = row.task, row.run
     grant.state = runs.GrantState.RUNNING
     return grant
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -16,6 +16,7 @@
     mailboxes,
     members,
     messages,
+    notes,
     ranks,
     timings,
 )
@@ -54,6 +55,7 @@
         self.started_by_node: dict[identifiers.NodeId, int] = {}
         self._beat_due = now
         self._beats = 0
+        self._live_before: set[identifiers.NodeId] = set()
         self._share_due_by_node: dict[identifiers.NodeId, datetime.datetime] = {}
         self._has_exited = False
 
@@ -80,7 +82,15 @@
 
     def tick(self, now: datetime.datetime) -> None:
         """Do what is due."""
+        was_slow = self.lag.is_slow
         self.lag.tick(now)
+        if self.lag.is_slow != was_slow:
+            self.mailbox.note(
+                notes.NoteEvent.NODE_SLOW,
+                is_slow=self.lag.is_slow,
+                allowance_ms=self.lag.allowance() / datetime.timedelta(milliseconds=1),
+            )
+        self._note_silent_members(now)
         if self.draining_since is not None:
             self._drain(now)
         self.holder.tick(now)
@@ -114,6 +124,15 @@
                 )
             )
 
+    def _note_silent_members(self, now: datetime.datetime) -> None:
+        """Write which members have fallen silent or are heard again."""
+        live = {member.id: member for member in self.members.live(now)}
+        for node in self._live_before - live.keys():
+            heard = self.members.heard_by_id.get(node)
+            silent = None if heard is None else (now - heard) / datetime.timedelta(milliseconds=1)
+            self.mailbox.note(notes.NoteEvent.MEMBER_LOST, member=node, silent_ms=silent)
+        self._live_before = set(live)
+
     def share_configuration(self, member: members.Member, now: datetime.datetime) -> None:
         """Send the configuration to a member that has an older one."""
         due = self._share_due_by_node.get(member.id, now)
@@ -265,6 +284,13 @@
     if member is None:
         return
     if known_id != member.id:
+        kernel.mailbox.note(
+            notes.NoteEvent.MEMBER_HEARD,
+            member=member.id,
+            endpoint=member.endpoint,
+            zone=member.zone,
+            version=member.version,
+        )
         kernel.greet(member, now)
     kernel.share_configuration(member, now)
     kernel.holder.note_leaving(message.leaving)
--- a/packages/pool/chiveridge_pool/mailboxes.py
+++ b/packages/pool/chiveridge_pool/mailboxes.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from chiveridge_pool import actions, identifiers, members, messages
+from chiveridge_pool import actions, identifiers, members, messages, notes
 
 
 class Mailbox:
@@ -18,7 +18,7 @@
         """Add an action."""
         self._actions.append(action)
 
-    def note(self, event: str, **fields: object) -> None:
+    def note(self, event: notes.NoteEvent, **fields: object) -> None:
         """Add a line for the log."""
         self._actions.append(actions.Note(event=event, fields=fields))
 
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -46,6 +46,7 @@
 
     job: identifiers.JobId
     rank: tuple[float, float]
+    queue: identifiers.QueueName
     service: identifiers.ServiceName
     size: resources.Resources
     count: int
@@ -101,6 +102,7 @@
     grant: identifiers.GrantId
     node: identifiers.NodeId
     job: identifiers.JobId
+    queue: identifiers.QueueName
     task: identifiers.TaskName
     run: identifiers.RunNumber
     size: resources.Resources
--- /dev/null
+++ b/packages/pool/chiveridge_pool/notes.py
@@ -0,0 +1,34 @@
+"""Numbered log events of the pool; ``docs/events.md`` is their catalogue."""
+
+import enum
+
+
+class NoteEvent(enum.IntEnum):
+    """What is written to the log; a number is never used again."""
+
+    JOB_TAKEN = 500
+    JOB_JOINED = 501
+    JOB_PLACED = 502
+    JOB_REFUSED = 503
+    JOB_ANSWERED = 504
+    JOB_ASKED_WIDER = 505
+    CALLER_LEFT = 506
+    RUN_ENDED = 510
+    RUN_STOPPED = 511
+    RUN_MOVED = 512
+    RUN_LOST = 513
+    START_REPEATED = 514
+    STRANGER_STOPPED = 515
+    OWNER_CHANGED = 520
+    TARGET_SILENT = 521
+    TARGET_BACK = 522
+    TARGET_SUSPENDED = 523
+    TARGET_SLOW = 524
+    TARGETS_LISTED = 525
+    MEMBER_HEARD = 530
+    MEMBER_LOST = 531
+    NODE_SLOW = 532
+
+
+REQUEST_EVENTS = frozenset(event for event in NoteEvent if event < NoteEvent.OWNER_CHANGED)
+"""Events that belong to one request and carry its id."""
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -11,6 +11,7 @@
     identifiers,
     lags,
     mailboxes,
+    notes,
     runs,
     speeds,
     timings,
@@ -37,6 +38,7 @@
 _TRY_SLOW_EVERY = datetime.timedelta(milliseconds=700)
 """Pause between single runs on a slow target, which tell when it is well again."""
 
+_FIRST_RUN = 1
 _FAILURES_TOLERATED = 1
 
 
@@ -133,7 +135,9 @@
         self, holding: holdings.Holding, failure: events.Failure, now: datetime.datetime
     ) -> None:
         if not holding.failures:
-            self._mailbox.note("target_silent", target=holding.target.id, failure=failure.value)
+            self._mailbox.note(
+                notes.NoteEvent.TARGET_SILENT, target=holding.target.id, failure=failure.value
+            )
         holding.failures += 1
         if failure is events.Failure.TIMEOUT:
             self._lost_at = now
@@ -154,7 +158,7 @@
             self._holder.new_life(holding, "the target started anew", now)
             holding.acknowledged = 0
         if holding.failures:
-            self._mailbox.note("target_back", target=holding.target.id)
+            self._mailbox.note(notes.NoteEvent.TARGET_BACK, target=holding.target.id)
         holding.born = event.born or holding.born
         holding.failures = 0
         holding.replied_at = now
@@ -196,7 +200,9 @@
                 pause = _SUSPEND_FAILING * 2 ** (len(jobs) - _FAILURES_TOLERATED - 1)
                 holding.suspended_until = now + min(pause, _MAX_SUSPENSION)
                 self._mailbox.note(
-                    "target_suspended", target=holding.target.id, failed_jobs=len(jobs)
+                    notes.NoteEvent.TARGET_SUSPENDED,
+                    target=holding.target.id,
+                    failed_jobs=len(jobs),
                 )
         holding.failed_in_row = len(jobs)
 
@@ -230,8 +236,9 @@
         if grant.state is not runs.GrantState.RUNNING:
             return
         self._speeds.progressed(holding.target.id, grant, row.percent, now)
-        is_slow = self._speeds.is_slow(holding.target.id)
-        if is_slow and self._speeds.is_sooner_elsewhere(grant, row.percent, now):
+        # A task is moved once at most, as its job may be what takes long.
+        may_move = grant.run == _FIRST_RUN and self._speeds.is_slow(holding.target.id)
+        if may_move and self._speeds.is_sooner_elsewhere(grant, row.percent, now):
             self.stop(holding, grant, f"at {row.percent}% on a slow target", now)
 
     def may_use(self, holding: holdings.Holding, now: datetime.datetime) -> bool:
@@ -260,7 +267,9 @@
         run: identifiers.RunNumber,
         now: datetime.datetime,
     ) -> None:
-        self._mailbox.note("stranger_stopped", target=holding.target.id, task=task, run=run)
+        self._mailbox.note(
+            notes.NoteEvent.STRANGER_STOPPED, target=holding.target.id, task=task, run=run
+        )
         self._mailbox.add(
             actions.StopRun(
                 target=holding.target,
@@ -376,7 +385,11 @@
         grant.state = runs.GrantState.STOPPING
         grant.changed_at = now
         self._mailbox.note(
-            "run_stopped", job=grant.job, task=grant.task, run=grant.run, reason=reason
+            notes.NoteEvent.RUN_STOPPED,
+            job=grant.job,
+            task=grant.task,
+            run=grant.run,
+            reason=reason,
         )
         self._send_stop(holding, grant, now)
 
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -5,7 +5,7 @@
 import pools
 import pytest
 
-from chiveridge_pool import actions, events, messages
+from chiveridge_pool import actions, events, messages, notes
 
 SECONDS_TO_RESEND = 1.3
 
@@ -158,7 +158,7 @@
     handed = [
         note
         for note in model.notes
-        if note.event == "owner_changed" and note.fields.get("how") == "handed over"
+        if note.event is notes.NoteEvent.OWNER_CHANGED and note.fields.get("how") == "handed over"
     ]
     assert len(handed) == held
 
@@ -323,3 +323,16 @@
         model.submit(node, pools.job(f"{number:016x}", 6, 100.0))
         model.run(seconds=0.1)
     assert slow.starts > before + 20
+
+
+def test_jobs_that_take_far_longer_than_declared_are_not_moved_about():
+    model = pools.pool()
+    estimate = datetime.timedelta(milliseconds=20)
+    callers = []
+    for number in range(30):
+        request = pools.job(f"{number:016x}", 4, 400.0, estimate=estimate)
+        callers.append(model.submit(pools.node(model, number % 6 + 1), request))
+        model.run(seconds=0.1)
+    model.run(seconds=3)
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+    assert sum(target.starts for target in model.targets_by_id.values()) <= 1.1 * 120
