--- a/packages/client/chiveridge_client/mains.py
+++ b/packages/client/chiveridge_client/mains.py
@@ -10,12 +10,13 @@
     commands,
     errors,
     exits,
+    log_commands,
     operator_commands,
     options,
     settings,
 )
 
-GROUPS = (commands, operator_commands)
+GROUPS = (commands, operator_commands, log_commands)
 """Modules whose import registers subcommands."""
 
 EXAMPLES = """\
@@ -28,6 +29,7 @@
   chiveridge why lekki dryer-1
   chiveridge status --nodes 10.1.0.4:7001,10.1.0.5:7001
   chiveridge keys new ikeja
+  chiveridge trace 0123456789abcdef node-1.log node-2.log
 """
 
 
--- /dev/null
+++ b/packages/client/chiveridge_client/traces.py
@@ -0,0 +1,201 @@
+"""Explains one request from the log lines of all nodes."""
+
+import json
+from collections.abc import Iterable
+
+import msgspec
+
+CONTEXT_SECONDS = 1.5
+"""Time before and after a request in which other events may explain it; twice a node's silence."""
+
+_RUN_EVENTS = ("RUN_ENDED", "RUN_STOPPED", "RUN_LOST", "STRANGER_STOPPED")
+_CONTEXT_EVENTS = (
+    "OWNER_CHANGED",
+    "TARGET_SILENT",
+    "TARGET_SUSPENDED",
+    "TARGET_SLOW",
+    "MEMBER_LOST",
+    "NODE_SLOW",
+    "LOG_UNREACHABLE",
+    "CHANGE_ACCEPTED",
+    "DRAIN_STARTED",
+    "PROCESS_PAUSED",
+    "NODE_LISTENING",
+)
+_FIELDS_LEFT_OUT = ("at", "node", "event", "name", "job")
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One line of a node's log; ``at`` is by the clock of the node."""
+
+    at: float
+    node: str
+    name: str
+    fields: dict[str, object]
+
+    def text(self, start: float) -> str:
+        """Return the line for a reader, with the time since ``start`` in milliseconds."""
+        shown = " ".join(
+            f"{key}={_shown(value)}"
+            for key, value in self.fields.items()
+            if key not in _FIELDS_LEFT_OUT
+        )
+        return f"{(self.at - start) * 1000:9.1f}  {self.node:20} {self.name:18} {shown}"
+
+
+class Trace(msgspec.Struct, frozen=True):
+    """All lines on one request in order, what happened around it, and what decided its answer."""
+
+    request: str
+    lines: tuple[Line, ...]
+    context: tuple[Line, ...]
+    deciding: Line | None
+    cause: str
+    clock_leads_ms: dict[str, float]
+
+
+def parse(texts: Iterable[str]) -> list[Line]:
+    """Return the lines that are events; a prefix before the JSON, as of a collector, is passed."""
+    found = []
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(text[start:])
+        except ValueError:
+            continue
+        if not isinstance(fields, dict):
+            continue
+        if isinstance(fields.get("at"), int | float) and "name" in fields:
+            name, node = str(fields["name"]), str(fields.get("node", ""))
+            found.append(Line(float(fields["at"]), node, name, fields))
+    return found
+
+
+def trace(request: str, lines: list[Line]) -> Trace | None:
+    """Return what is known of a request, or None when no line names it."""
+    own = sorted((line for line in lines if _is_of(line, request)), key=lambda line: line.at)
+    if not own:
+        return None
+    context = _context(own, lines)
+    deciding, cause = _decide(own, context)
+    return Trace(request, tuple(own), tuple(context), deciding, cause, _clock_leads(own))
+
+
+def render(found: Trace) -> str:
+    """Return a trace as text."""
+    start = found.lines[0].at
+    parts = [f"request {found.request}", "", *(line.text(start) for line in found.lines)]
+    if found.context:
+        parts += ["", "around it:", *(line.text(start) for line in found.context)]
+    if found.clock_leads_ms:
+        parts += ["", "clocks:"]
+        parts += [
+            f"  {node} is at least {lead:.1f} ms behind the node of the job"
+            for node, lead in found.clock_leads_ms.items()
+        ]
+    parts += ["", f"cause: {found.cause}"]
+    if found.deciding is not None:
+        parts += [f"deciding line: {found.deciding.text(start).strip()}"]
+    return "\n".join(parts)
+
+
+def _is_of(line: Line, request: str) -> bool:
+    if line.fields.get("job") == request:
+        return True
+    return str(line.fields.get("task", "")).startswith(f"{request}.")
+
+
+def _context(own: list[Line], lines: list[Line]) -> list[Line]:
+    """Return events of the targets, owners and nodes that the request had to do with."""
+    first, last = own[0].at - CONTEXT_SECONDS, own[-1].at + CONTEXT_SECONDS
+    concerned: set[object] = {line.node for line in own}
+    for line in own:
+        concerned.update((line.fields.get("target"), line.fields.get("owner")))
+        concerned.update(line.fields.get("targets") or ())
+    concerned.discard(None)
+    found = [
+        line
+        for line in lines
+        if line.name in _CONTEXT_EVENTS
+        and first <= line.at <= last
+        and concerned & {line.node, line.fields.get("target"), line.fields.get("member")}
+        and (line.fields.get("target") is None or line.fields.get("target") in concerned)
+    ]
+    return sorted(found, key=lambda line: line.at)
+
+
+def _last(lines: list[Line], *names: str, **fields: object) -> Line | None:
+    for line in reversed(lines):
+        if line.name in names and all(line.fields.get(k) == v for k, v in fields.items()):
+            return line
+    return None
+
+
+def _decide(own: list[Line], context: list[Line]) -> tuple[Line | None, str]:
+    """Return the line that decided the answer, and the cause in words."""
+    answer = _last(own, "JOB_ANSWERED", "JOB_REFUSED", "CALLER_LEFT")
+    if answer is None:
+        lost = _last(context, "MEMBER_LOST", "NODE_LISTENING")
+        return lost, "no answer: the node of the job ended, or fell silent, before it"
+    verdict = answer.fields.get("verdict", answer.name)
+    return _DECISIONS.get(verdict, _decide_by_answer)(own, context, answer)
+
+
+def _decide_by_answer(
+    own: list[Line], context: list[Line], answer: Line
+) -> tuple[Line | None, str]:
+    return answer, str(answer.fields.get("reason") or "answered")
+
+
+def _decide_complete(own: list[Line], context: list[Line], answer: Line) -> tuple[Line | None, str]:
+    if not answer.fields.get("is_late"):
+        return answer, "answered in time"
+    again = _last(own, *_RUN_EVENTS)
+    if again is not None:
+        how = again.fields.get("how") or again.fields.get("reason")
+        return again, f"late: a task had to run again ({how})"
+    placed = _last(own, "JOB_PLACED")
+    return placed or answer, "late: it waited for room or its tasks took long"
+
+
+def _decide_failed(own: list[Line], context: list[Line], answer: Line) -> tuple[Line | None, str]:
+    failed = _last(own, "RUN_ENDED", "RUN_LOST", how="failed")
+    return failed or answer, "failed: a task failed as often as its queue allows"
+
+
+def _decide_given_up(own: list[Line], context: list[Line], answer: Line) -> tuple[Line | None, str]:
+    again = _last(own, "RUN_LOST")
+    if again is None:
+        return answer, "given up: its tasks took longer than the caller waits"
+    return again, f"given up: a task had to run again ({again.fields.get('how')})"
+
+
+def _decide_left(own: list[Line], context: list[Line], answer: Line) -> tuple[Line | None, str]:
+    return answer, "the caller left before the answer"
+
+
+_DECISIONS = {
+    "complete": _decide_complete,
+    "failed": _decide_failed,
+    "given_up": _decide_given_up,
+    "CALLER_LEFT": _decide_left,
+}
+
+
+def _clock_leads(own: list[Line]) -> dict[str, float]:
+    """Return by how much nodes wrote of the request before its own node had taken it."""
+    taken = next((line for line in own if line.name == "JOB_TAKEN"), None)
+    if taken is None:
+        return {}
+    leads: dict[str, float] = {}
+    for line in own:
+        if line.node != taken.node and line.at < taken.at:
+            lead = (taken.at - line.at) * 1000
+            leads[line.node] = max(leads.get(line.node, 0.0), lead)
+    return leads
+
+
+def _shown(value: object) -> str:
+    return value if isinstance(value, str) and " " not in value else json.dumps(value)
--- /dev/null
+++ b/packages/client/tests/test_traces.py
@@ -0,0 +1,82 @@
+import json
+
+import pytest
+
+from chiveridge_client import traces
+
+ID = "a" * 16
+
+
+def line(at: float, node: str, name: str, **fields) -> str:
+    return json.dumps({"at": at, "node": node, "event": 1, "name": name, **fields})
+
+
+TAKEN = line(10.0, "n1", "JOB_TAKEN", job=ID, tasks=2)
+PLACED = line(10.01, "n1", "JOB_PLACED", job=ID, owner="o2", targets=["t1"], waited_ms=10)
+
+
+def explain(*texts: str) -> traces.Trace:
+    return traces.trace(ID, traces.parse(texts))
+
+
+def answered(verdict: str, at: float = 11.0, **fields) -> str:
+    return line(at, "n1", "JOB_ANSWERED", job=ID, verdict=verdict, **fields)
+
+
+@pytest.mark.parametrize(
+    ("texts", "deciding", "words"),
+    [
+        ([line(10.3, "n1", "JOB_REFUSED", job=ID, reason="no room")], "JOB_REFUSED", "no room"),
+        ([PLACED, answered("complete", is_late=False)], "JOB_ANSWERED", "in time"),
+        ([PLACED, answered("complete", is_late=True)], "JOB_PLACED", "waited"),
+        (
+            [
+                line(10.4, "n2", "RUN_ENDED", job=ID, task=f"{ID}.0.0.1", how="failed"),
+                answered("failed", reason="a task has used up its attempts"),
+            ],
+            "RUN_ENDED",
+            "as often",
+        ),
+        (
+            [line(10.4, "n1", "RUN_LOST", job=ID, how="lapsed"), answered("given_up")],
+            "RUN_LOST",
+            "lapsed",
+        ),
+        ([answered("given_up")], "JOB_ANSWERED", "longer than the caller waits"),
+        ([line(10.4, "n1", "CALLER_LEFT", job=ID)], "CALLER_LEFT", "left"),
+        (
+            [PLACED, line(10.9, "n2", "MEMBER_LOST", member="n1", silent_ms=650)],
+            "MEMBER_LOST",
+            "no answer",
+        ),
+    ],
+)
+def test_the_deciding_line_and_the_cause(texts, deciding, words):
+    found = explain(TAKEN, *texts)
+    assert found.deciding.name == deciding
+    assert words in found.cause
+
+
+def test_lines_of_all_nodes_are_merged_in_order_and_others_left_out():
+    other = line(10.2, "n1", "JOB_TAKEN", job="b" * 16)
+    stopped = line(10.5, "n2", "STRANGER_STOPPED", task=f"{ID}.0.0.0", target="t1")
+    silent = line(10.1, "n2", "TARGET_SILENT", target="t1", failure="timeout")
+    far = line(10.1, "n2", "TARGET_SILENT", target="t9", failure="timeout")
+    found = explain(stopped, other, PLACED, silent, far, TAKEN, "no json", "{broken")
+    assert [entry.name for entry in found.lines] == ["JOB_TAKEN", "JOB_PLACED", "STRANGER_STOPPED"]
+    assert [entry.fields["target"] for entry in found.context] == ["t1"]
+
+
+def test_a_collectors_prefix_is_passed_over():
+    assert explain(f"  30.99 edge-1 {TAKEN}").lines[0].node == "n1"
+
+
+def test_clocks_that_differ_are_shown():
+    early = line(9.0, "n2", "RUN_ENDED", job=ID, task=f"{ID}.0.0.1", how="stopped")
+    found = explain(TAKEN, early, answered("given_up"))
+    assert found.clock_leads_ms == {"n2": 1000.0}
+    assert "n2 is at least 1000.0 ms behind" in traces.render(found)
+
+
+def test_a_request_that_no_line_names():
+    assert traces.trace("c" * 16, traces.parse([TAKEN])) is None
--- a/packages/node/chiveridge_node/decision_logs.py
+++ b/packages/node/chiveridge_node/decision_logs.py
@@ -6,6 +6,7 @@
 
 import collections
 import json
+import logging
 import os
 import time
 from collections.abc import Callable
@@ -90,6 +91,17 @@
             # A request that is answered by another node: what is known here may explain it.
             self._put(self._lines_by_request.popitem(last=False)[1], is_good=False)
 
+    def write_record(self, text: str, level: str) -> None:
+        """Take a line that is no note: an event of the node itself, or a library's message."""
+        try:
+            fields = json.loads(text)
+        except ValueError:
+            fields = None
+        if not isinstance(fields, dict):
+            fields = {"name": "MESSAGE", "level": level, "message": text}
+        line = {"at": round(self._wall_clock(), 4), "node": self._node, **fields}
+        self._put([json.dumps(line, default=str).encode() + b"\n"], is_good=False)
+
     def flush(self) -> None:
         """Hand to the reader what it takes without waiting."""
         if not self._buffer:
@@ -136,6 +148,21 @@
 """Events after which the lines of a request are written at once, whatever its answer."""
 
 
+class Handler(logging.Handler):
+    """Sends the records of the standard logging library to a decision log."""
+
+    def __init__(self, log: DecisionLog):
+        super().__init__()
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Take a record; the traceback of an error goes with it."""
+        text = record.getMessage()
+        if record.exc_info:
+            text = json.dumps({"name": "FAULT", "message": self.format(record)})
+        self._log.write_record(text, record.levelname)
+
+
 def write_to_stdout(data: bytes) -> int:
     """Write what standard output takes without waiting; return how many bytes.
 
