--- a/packages/client/chiveridge_client/traces.py
+++ b/packages/client/chiveridge_client/traces.py
@@ -176,7 +176,14 @@
     return answer, "the caller left before the answer"
 
 
+def _decide_refused(own: list[Line], context: list[Line], answer: Line) -> tuple[Line | None, str]:
+    refused = _last(own, "JOB_REFUSED") or answer
+    return refused, f"refused: {refused.fields.get('reason')}"
+
+
 _DECISIONS = {
+    "refused": _decide_refused,
+    "JOB_REFUSED": _decide_refused,
     "complete": _decide_complete,
     "failed": _decide_failed,
     "given_up": _decide_given_up,
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -18,12 +18,15 @@
     timings,
 )
 
-_DEADLINE_MARGIN = datetime.timedelta(milliseconds=20)
+_DEADLINE_MARGIN = datetime.timedelta(milliseconds=50)
 """The answer must reach the caller before it leaves."""
 
 _LATE_OBJECTIVES = 2.0
 """Multiple of the objective after which a job that has not started is refused."""
 
+_SOONEST_END = 0.5
+"""Part of the declared run time that a task takes at least; declarations are off by so much."""
+
 _RETRY_AFTER = datetime.timedelta(seconds=1)
 _RETRY_AFTER_DRAIN = datetime.timedelta(milliseconds=50)
 _AVOIDED_AFTER = frozenset({runs.RunEnd.FAILED, runs.RunEnd.STOPPED})
@@ -62,7 +65,7 @@
             self._mailbox.note(notes.NoteEvent.JOB_JOINED, job=event.job.id)
             self._job_by_caller[event.caller] = known
             return
-        reason = self._refusal(event.job, known)
+        reason = self._refusal(event.job, known, now)
         if reason is not None:
             self._refuse(event.caller, event.job.id, reason)
             self._mailbox.note(
@@ -88,13 +91,17 @@
         )
         self._ask(job, now)
 
-    def _refusal(self, request: jobs.JobRequest, known: jobs.Job | None) -> str | None:
+    def _refusal(
+        self, request: jobs.JobRequest, known: jobs.Job | None, now: datetime.datetime
+    ) -> str | None:
         if not self.accepts_jobs:
             return "the node is draining"
         if known is not None:
             return "runs of the job are still being stopped"
         if not any(request.size.fits_in(room) for room in self._capacities(request)):
             return "no target is large enough"
+        if not self._holder.reaches_any(now) and not self._members.live(now):
+            return "no owner of targets is reached"
         return None
 
     def _capacities(self, request: jobs.JobRequest):
@@ -417,7 +424,7 @@
             self._tick_run(run, now)
 
     def _tick_job(self, job: jobs.Job, now: datetime.datetime) -> None:
-        if now >= job.deadline - _DEADLINE_MARGIN:
+        if now >= job.deadline - _DEADLINE_MARGIN or self._is_hopeless(job, now):
             self._expire(job, now)
         elif not job.has_started and now >= self.start_limit(job):
             self._note_refusal(job, now)
@@ -446,6 +453,11 @@
             asked=len(job.asked),
         )
 
+    def _is_hopeless(self, job: jobs.Job, now: datetime.datetime) -> bool:
+        """Tell whether a task that does not run could not end before the deadline."""
+        soonest = now + _SOONEST_END * job.request.estimate
+        return job.has_started and bool(job.waiting) and soonest > job.deadline
+
     def _must_ask_all(self, job: jobs.Job, now: datetime.datetime) -> bool:
         """Tell whether few owners were asked in vain, or they know an old rank."""
         if job.widen_at is not None and now >= job.widen_at:
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -472,6 +472,13 @@
             if holding.state is holdings.HoldingState.HELD
         }
 
+    def reaches_any(self, now: datetime.datetime) -> bool:
+        """Tell whether a target that this node holds has replied lately."""
+        return any(
+            holding.replied_at is not None and now - holding.replied_at < timings.DEAD_AFTER
+            for holding in self.holdings_by_target.values()
+        )
+
     def grants_of(self, node: identifiers.NodeId) -> list[identifiers.GrantId]:
         """Return the grants in use on behalf of a node."""
         used = [
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -336,3 +336,26 @@
     model.run(seconds=3)
     assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
     assert sum(target.starts for target in model.targets_by_id.values()) <= 1.1 * 120
+
+
+def test_a_node_that_reaches_nobody_refuses_at_once():
+    model = pools.pool()
+    lonely = pools.node(model, 1)
+    for name in [*model.nodes_by_name, *model.targets_by_id]:
+        if name != lonely.name:
+            model.cut(lonely.name, name)
+    model.run(seconds=5)
+    caller = model.submit(lonely, pools.job("a" * 16))
+    answer = model.answers_by_caller[caller]
+    assert answer.verdict is actions.Verdict.REFUSED
+    assert answer.retry_after is not None
+
+
+def test_a_job_that_cannot_be_done_any_more_is_given_up_before_its_deadline():
+    model = pools.pool(nodes_per_zone=2, targets_per_zone=1, zones="a")
+    caller = model.submit(pools.node(model, 1), pools.job("a" * 16, 8, 1000.0))
+    model.run(seconds=2.8)
+    assert model.answers_by_caller[caller].verdict is actions.Verdict.GIVEN_UP
+    took = model.answered_at[caller] - model.submitted_at[caller]
+    assert took < datetime.timedelta(seconds=2.6)
+    assert _running(model) == 0
