--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -33,6 +33,7 @@
     )
 
 
+@pytest.mark.promise("at_most_once", failures=["kill"])
 @pytest.mark.parametrize("number", range(1, 7))
 def test_runs_of_a_killed_node_end_before_its_callers_send_again(number):
     model = pools.pool()
@@ -51,6 +52,7 @@
     assert len(callers) == 6
 
 
+@pytest.mark.promise("complete_or_failed", failures=["kill"])
 def test_jobs_survive_the_loss_of_an_owner():
     model = pools.pool()
     callers = _busy(model, work_ms=400.0)
@@ -61,6 +63,7 @@
     assert model.overlaps() == []
 
 
+@pytest.mark.promise("at_most_once", failures=["freeze", "paused_lease_holder"])
 @pytest.mark.parametrize("frozen_seconds", [0.3, 0.7, 0.9, 1.2, 2.0, 4.0])
 def test_a_frozen_node_starts_nothing_that_runs_elsewhere(frozen_seconds):
     model = pools.pool()
@@ -75,6 +78,7 @@
     assert _running(model) == 0
 
 
+@pytest.mark.promise("complete_or_failed", failures=["cut"])
 def test_a_zone_that_is_cut_off_serves_with_its_own_targets():
     model = pools.pool()
     model.cut("a", "b")
@@ -86,6 +90,7 @@
     assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
 
 
+@pytest.mark.promise("at_most_once", failures=["cut"])
 def test_jobs_over_a_cut_are_finished_and_never_run_twice_at_once():
     model = pools.pool()
     callers = _busy(model, work_ms=600.0)
@@ -101,6 +106,7 @@
     assert verdicts <= {actions.Verdict.COMPLETE, actions.Verdict.GIVEN_UP}
 
 
+@pytest.mark.promise("at_most_once", failures=["cut"])
 def test_a_node_cut_off_from_its_peers_takes_no_targets_from_them():
     model = pools.pool()
     before = [pools.node(model, number).kernel.holder.held().keys() for number in range(1, 7)]
@@ -114,6 +120,7 @@
     assert pools.node(model, 1).kernel.holder.held() == {}
 
 
+@pytest.mark.promise("at_most_once", failures=["replaced_vm", "two_at_once"])
 def test_a_run_handed_to_a_new_node_is_not_run_elsewhere_at_the_same_time():
     """A node that has just started may be unknown to the nodes whose runs it is handed."""
     model = pools.pool(targets_per_zone=5)
@@ -139,6 +146,7 @@
     assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
 
 
+@pytest.mark.promise("graceful_shutdown")
 def test_a_node_that_drains_hands_its_targets_over_and_loses_no_run():
     model = pools.pool()
     callers = _busy(model, work_ms=1500.0)
@@ -172,6 +180,7 @@
     assert _running(model) == 0
 
 
+@pytest.mark.promise("at_most_once", failures=["lost_reply"])
 @pytest.mark.parametrize("seed", range(5))
 def test_orders_that_are_carried_out_late_run_nothing_twice(seed):
     model = pools.pool()
@@ -187,6 +196,7 @@
     assert len(model.answers_by_caller) == 60
 
 
+@pytest.mark.promise("complete_or_failed", failures=["target_death"])
 def test_a_crashed_target_loses_its_runs_and_jobs_go_on():
     model = pools.pool()
     callers = _busy(model, work_ms=400.0)
@@ -196,6 +206,7 @@
     assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
 
 
+@pytest.mark.promise("at_most_once", failures=["target_death"])
 def test_a_dark_target_is_avoided_and_its_runs_go_elsewhere_after_their_lease():
     model = pools.pool()
     callers = _busy(model, work_ms=400.0)
@@ -206,6 +217,7 @@
     assert model.overlaps() == []
 
 
+@pytest.mark.promise("leaving_target")
 def test_a_draining_target_gets_no_new_runs():
     model = pools.pool()
     leaving = next(iter(model.targets_by_id.values()))
@@ -218,6 +230,7 @@
     assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
 
 
+@pytest.mark.promise("complete_or_failed", failures=["kill", "two_at_once"])
 def test_all_nodes_serve_again_soon_after_all_were_killed():
     model = pools.pool()
     _busy(model, work_ms=400.0)
@@ -237,6 +250,7 @@
     assert model.overlaps() == []
 
 
+@pytest.mark.promise("configuration_in_force", failures=["platform_outage"])
 def test_a_node_without_the_store_gets_configuration_and_targets_from_its_peers():
     model = pools.pool()
     for node in model.nodes_by_name.values():
@@ -252,6 +266,7 @@
     assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
 
 
+@pytest.mark.promise("configuration_in_force")
 def test_a_configuration_never_goes_back():
     model = pools.pool()
     node = pools.node(model, 1)
@@ -260,6 +275,7 @@
     assert (node.kernel.version, node.kernel.configuration) == (7, b"new")
 
 
+@pytest.mark.promise("leaving_target", failures=["platform_outage"])
 def test_a_node_without_the_store_learns_from_its_peers_that_a_target_leaves():
     model = pools.pool()
     leaving = next(iter(model.targets_by_id.values()))
@@ -338,6 +354,7 @@
     assert sum(target.starts for target in model.targets_by_id.values()) <= 1.1 * 120
 
 
+@pytest.mark.promise("honest_refusal", failures=["cut"])
 def test_a_node_that_reaches_nobody_refuses_at_once():
     model = pools.pool()
     lonely = pools.node(model, 1)
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -9,6 +9,7 @@
 
 from chiveridge_kernel import messages, results
 from chiveridge_node import caller_resources, logevents, mains, nodes, settings
+from chiveridge_pool import notes
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 SECTION_DOC = "### [{}]"
@@ -37,7 +38,8 @@
 
 def test_every_log_event_has_its_row():
     found = [(int(row[0]), row[1]) for row in rows("events.md")]
-    assert found == sorted((int(event), event.name) for event in logevents.LogEvent)
+    events = [*logevents.LogEvent, *notes.NoteEvent]
+    assert found == sorted((int(event), event.name) for event in events)
 
 
 @pytest.mark.parametrize(
