Move runs that stand still at any progress

Ruled out: a lost end (the target listed it as stopped when its job was given up). Change: a run without progress for its usual time and 100 ms counts as standing still. Proof: test_a_run_that_stands_still_near_its_end_is_moved, which failed before.

--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -30,11 +30,12 @@
         self.size = size
         self.takes: datetime.timedelta | None = None
         self.is_stopping = False
+        self.stands_at = 0
 
     def percent(self, now: datetime.datetime) -> int:
         """Return the progress; a run that hangs makes none."""
         if self.takes is None:
-            return 0
+            return self.stands_at
         return min(int(100 * ((now - self.started_at) / self.takes)), 99)
 
 
@@ -100,6 +101,14 @@
         self._waiting.clear()
         self.target = msgspec.structs.replace(self.target, born=self._lives)
 
+    def stand_still(self) -> None:
+        """Let what runs make no more progress, and never end."""
+        now = self._simulation.now
+        for key, run in list(self._running.items()):
+            still = _Run(run.started_at, run.size)
+            still.stands_at = run.percent(now)
+            self._running[key] = still
+
     def drain(self) -> None:
         """Announce that the target leaves."""
         self.target = msgspec.structs.replace(self.target, is_draining=True)
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -17,6 +17,8 @@
         "is_confirmed_stopped",
         "job",
         "node",
+        "percent",
+        "progressed_at",
         "queue",
         "run",
         "running_since",
@@ -45,6 +47,8 @@
         self.size = size
         self.estimate = estimate
         self.running_since: datetime.datetime | None = None
+        self.percent = 0
+        self.progressed_at: datetime.datetime | None = None
         self.expires_at = expires_at
         self.state = runs.GrantState.RESERVED
         self.task = identifiers.TaskName("")
@@ -61,6 +65,13 @@
         """What the target calls the run."""
         return self.task, self.run
 
+    def see_running(self, percent: int, now: datetime.datetime) -> None:
+        """Note that the target runs it, and how far it is."""
+        self.running_since = self.running_since or now
+        if self.progressed_at is None or percent != self.percent:
+            self.percent = percent
+            self.progressed_at = now
+
     def is_sent(self) -> bool:
         """Tell whether the target may know of it."""
         return self.state is not runs.GrantState.RESERVED
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -232,13 +232,13 @@
         """Learn from a run's progress, and stop it where it would be done sooner elsewhere."""
         if grant.state is runs.GrantState.STARTING:
             grant.state = runs.GrantState.RUNNING
-        grant.running_since = grant.running_since or now
+        grant.see_running(row.percent, now)
         if grant.state is not runs.GrantState.RUNNING:
             return
-        self._speeds.progressed(holding.target.id, grant, row.percent, now)
+        self._speeds.progressed(holding.target.id, grant, now)
         # A task is moved once at most, as its job may be what takes long.
         may_move = grant.run == _FIRST_RUN and self._speeds.is_slow(holding.target.id)
-        if may_move and self._speeds.is_sooner_elsewhere(grant, row.percent, now):
+        if may_move and self._speeds.is_sooner_elsewhere(grant, now):
             self.stop(holding, grant, f"at {row.percent}% on a slow target", now)
 
     def may_use(self, holding: holdings.Holding, now: datetime.datetime) -> bool:
@@ -314,7 +314,7 @@
             holding.see_clock(event.clock_ms, now)
         if event.failure is None:
             grant.state = runs.GrantState.RUNNING
-            grant.running_since = grant.running_since or now
+            grant.see_running(grant.percent, now)
             return
         handler = _START_FAILED[event.failure]
         handler(self, holding, grant, now)
--- a/packages/pool/chiveridge_pool/speeds.py
+++ b/packages/pool/chiveridge_pool/speeds.py
@@ -28,12 +28,15 @@
 _FIRST_PROGRESS = datetime.timedelta(milliseconds=40)
 """Run time before which progress says little."""
 
-_STANDSTILL_PERCENT = 3
-_LONG_FOR_DECLARED = 2
-_LONG = datetime.timedelta(milliseconds=100)
-"""What is long for a task of a queue that is not known yet."""
+_LEAST_PERCENT = 3
+_STANDSTILL = datetime.timedelta(milliseconds=100)
+_DOUBT = 2
+"""How much longer a run of a queue that is not known yet may make no progress."""
 
 _NO_END = 100.0
+_LARGEST_EXCESS = 3.0
+"""Most that a target's excess becomes, so that a few good run times outweigh it."""
+
 _RESTART_COST = datetime.timedelta(milliseconds=30)
 _WORTH_RESTART = 1.5
 """A run is moved when it would be done sooner by this factor elsewhere."""
@@ -75,35 +78,26 @@
         self._excess_by_target[target] = known + _WEIGHT * (ratio - usual.mean - known)
 
     def progressed(
-        self,
-        target: identifiers.TargetId,
-        grant: grants.Grant,
-        percent: int,
-        now: datetime.datetime,
+        self, target: identifiers.TargetId, grant: grants.Grant, now: datetime.datetime
     ) -> None:
-        """Learn from a task that takes far longer than is usual."""
-        if grant.running_since is None:
-            return
+        """Learn from a run that takes far longer than is usual, or makes no progress."""
         usual = self._usual(grant)
-        is_known = usual.ends >= _ENDS_TO_JUDGE
-        if not is_known and not _stands_still(grant, percent, now):
+        if usual.ends < _ENDS_TO_JUDGE and not self._stands_still(grant, now):
             return
-        excess = math.log(self._expected(grant, percent, now) / _declared(grant)) - usual.mean
+        excess = math.log(self._expected(grant, now) / _declared(grant)) - usual.mean
         if excess > math.log(CRAWL_RATIO):
             known = self._excess_by_target.get(target, 0.0)
-            self._excess_by_target[target] = max(known, excess)
+            self._excess_by_target[target] = max(known, min(excess, _LARGEST_EXCESS))
 
     def is_slow(self, target: identifiers.TargetId) -> bool:
         """Tell whether a target takes much longer than is usual."""
         return self._excess_by_target.get(target, 0.0) > math.log(SLOW_RATIO)
 
-    def is_sooner_elsewhere(
-        self, grant: grants.Grant, percent: int, now: datetime.datetime
-    ) -> bool:
+    def is_sooner_elsewhere(self, grant: grants.Grant, now: datetime.datetime) -> bool:
         """Tell whether a run would be done much sooner if it was started anew."""
-        if grant.running_since is None or now - grant.running_since < _FIRST_PROGRESS:
+        if now - grant.running_since < _FIRST_PROGRESS:
             return False
-        expected = self._expected(grant, percent, now)
+        expected = self._expected(grant, now)
         left = expected - (now - grant.running_since)
         anew = self._usual_time(grant) + _RESTART_COST
         return left > _WORTH_RESTART * anew and expected > SLOW_RATIO * anew
@@ -114,24 +108,20 @@
     def _usual_time(self, grant: grants.Grant) -> datetime.timedelta:
         return _declared(grant) * math.exp(self._usual(grant).mean)
 
-    def _expected(
-        self, grant: grants.Grant, percent: int, now: datetime.datetime
-    ) -> datetime.timedelta:
+    def _expected(self, grant: grants.Grant, now: datetime.datetime) -> datetime.timedelta:
         """Return the whole run time that the progress so far leads to."""
-        usual = self._usual_time(grant)
         elapsed = now - grant.running_since
-        if elapsed < _FIRST_PROGRESS:
-            return usual
-        if percent < _STANDSTILL_PERCENT:
-            # No progress says little before a sound target would have been done.
-            return elapsed * _NO_END if elapsed > usual else usual
-        return elapsed * (100 / percent)
-
-
-def _stands_still(grant: grants.Grant, percent: int, now: datetime.datetime) -> bool:
-    """Tell whether a run has made no progress in a time that is long for any task."""
-    long = _LONG_FOR_DECLARED * _declared(grant) + _LONG
-    return percent < _STANDSTILL_PERCENT and now - grant.running_since > long
+        if self._stands_still(grant, now):
+            return max(elapsed, _SMALLEST) * _NO_END
+        if elapsed < _FIRST_PROGRESS or grant.percent < _LEAST_PERCENT:
+            return self._usual_time(grant)
+        return elapsed * (100 / grant.percent)
+
+    def _stands_still(self, grant: grants.Grant, now: datetime.datetime) -> bool:
+        """Tell whether a run has made no progress for as long as it should take in all."""
+        is_known = self._usual(grant).ends >= _ENDS_TO_JUDGE
+        whole = self._usual_time(grant) * (1 if is_known else _DOUBT)
+        return now - grant.progressed_at > whole + _STANDSTILL
 
 
 def _declared(grant: grants.Grant) -> datetime.timedelta:
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -376,3 +376,17 @@
     took = model.answered_at[caller] - model.submitted_at[caller]
     assert took < datetime.timedelta(seconds=2.6)
     assert _running(model) == 0
+
+
+def test_a_run_that_stands_still_near_its_end_is_moved():
+    model = pools.pool()
+    warm = _busy(model, count=60, work_ms=50.0)
+    model.run(seconds=2)
+    target = next(iter(model.targets_by_id.values()))
+    caller = model.submit(pools.node(model, 1), pools.job("b" * 16, 24, 200.0))
+    model.run(seconds=0.19)
+    target.stand_still()
+    model.run(seconds=1.5)
+    assert _verdicts(model, [*warm, caller]) == {actions.Verdict.COMPLETE}
+    took = model.answered_at[caller] - model.submitted_at[caller]
+    assert took < datetime.timedelta(seconds=1)
