Name for whom a heartbeat lists runs; wait for the first heartbeat of a job's node

Ruled out: the loss of Moved messages (written at the job's node). Change: heartbeats name the recipient of the list; a new owner waits 350 ms for a first heartbeat; runs that were moved are lost as soon as the new owner holds the target and does not list them.

--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -386,6 +386,8 @@
 
     def reconcile(self, beat: messages.Heartbeat, now: datetime.datetime) -> None:
         """Compare an owner's list of runs with what this node believes."""
+        if beat.recipient != self._own_id:
+            return
         listed = frozenset(beat.runs)
         for run in list(self._runs_by_grant.values()):
             if run.grant in listed:
@@ -405,7 +407,9 @@
         self, run: jobs.Run, beat: messages.Heartbeat, now: datetime.datetime
     ) -> None:
         if run.moved_at is not None:
-            if now - run.moved_at > timings.OWNER_LOST_AFTER:
+            # A target counts as held once nothing but the listed runs is there.
+            is_taken = run.target in beat.held
+            if is_taken or now - run.moved_at > timings.OWNER_LOST_AFTER:
                 self._run_ended(run, runs.RunEnd.LOST, now)
         elif run.sequence <= beat.started:
             self._run_ended(run, runs.RunEnd.LOST, now)
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -55,6 +55,7 @@
         self.holdings_by_target: dict[identifiers.TargetId, holdings.Holding] = {}
         self.orphans: dict[identifiers.GrantId, tuple[identifiers.NodeId, datetime.datetime]] = {}
         self.requests = requests.Requests()
+        self._unheard_since: dict[identifiers.NodeId, datetime.datetime] = {}
         self.moving: set[identifiers.TargetId] = set()
         self.is_leaving = False
 
@@ -348,12 +349,19 @@
             for holding in self.holdings_by_target.values()
             for grant in holding.grants_by_id.values()
         }
-        for node in (nodes | self.requests.nodes()) - {self._own_id}:
+        nodes = (nodes | self.requests.nodes()) - {self._own_id}
+        self._unheard_since = {
+            node: since for node, since in self._unheard_since.items() if node in nodes
+        }
+        for node in nodes:
             if not self._is_served(node, now):
                 self._abandon(node, now)
 
     def _is_served(self, node: identifiers.NodeId, now: datetime.datetime) -> bool:
         member = self._members.find_live(node, now)
+        if member is None and node not in self._members.heard_by_id:
+            since = self._unheard_since.setdefault(node, now)
+            return now - since < timings.FIRST_HEARD_WITHIN
         if member is None:
             return False
         is_new = now - member.joined_at < timings.DEAD_AFTER
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -158,6 +158,7 @@
             return common
         return msgspec.structs.replace(
             common,
+            recipient=member.id,
             runs=tuple(self.holder.grants_of(member.id)),
             started=self.started_by_node.get(member.id, 0),
         )
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -22,8 +22,9 @@
 
     ``hears`` names the nodes heard lately, ``held`` the targets under the sender's token with
     none but its own runs, ``free`` the room left on each of them. ``runs`` are the grants in use
-    on behalf of the recipient, complete for all starts up to ``started``. ``leaving`` are the
-    targets that the sender has seen draining, with the time of their birth.
+    on behalf of ``recipient``, complete for all starts up to ``started``; the recipient is unset
+    while the sender does not know who listens there. ``leaving`` are the targets that the sender
+    has seen draining, with the time of their birth.
     """
 
     zone: identifiers.ZoneName
@@ -31,6 +32,7 @@
     hears: tuple[identifiers.NodeId, ...] = ()
     held: dict[identifiers.TargetId, identifiers.FencingToken] = {}
     free: tuple[resources.Resources, ...] = ()
+    recipient: identifiers.NodeId | None = None
     runs: tuple[identifiers.GrantId, ...] = ()
     started: int = 0
     is_leaving: bool = False
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -16,6 +16,12 @@
 DEAD_AFTER = _ms(650)
 """Silence of a dead node. Its runs must end before its callers send again, 1.3 s later."""
 
+FIRST_HEARD_WITHIN = _ms(350)
+"""How long an owner waits for the first heartbeat of a node whose runs it was handed.
+
+With ``DEAD_AFTER`` of the owner before, it is less than the 1.3 s after which callers send again.
+"""
+
 OWNER_LOST_AFTER = _ms(1300)
 """Silence of an owner after which its leases, of 1 s and 2% drift, have lapsed for certain."""
 
@@ -64,9 +70,6 @@
 START_PATIENCE = _ms(600)
 """How long a start is sent again before it is given up and stopped."""
 
-MOVE_PATIENCE = _ms(600)
-"""How long a new owner may take to list the runs that it was handed."""
-
 WIDEN_AFTER = _ms(8)
 """Wait for the first grants before all owners are asked; four round trips between domains."""
 
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -390,3 +390,43 @@
     assert _verdicts(model, [*warm, caller]) == {actions.Verdict.COMPLETE}
     took = model.answered_at[caller] - model.submitted_at[caller]
     assert took < datetime.timedelta(seconds=1)
+
+
+def test_a_new_owner_that_has_not_heard_a_jobs_node_yet_keeps_its_runs():
+    model = pools.pool()
+    pools.node(model, 1).kill()
+    model.run(seconds=3)
+    asking = pools.node(model, 3)
+    caller = model.submit(asking, pools.job("a" * 16, 24, 1500.0))
+    model.run(seconds=0.3)
+    reborn = pools.node(model, 1)
+    heard_from = model.simulation.now + datetime.timedelta(milliseconds=300)
+    model.drops = lambda sender, receiver, message: (
+        sender is asking and receiver is reborn and model.simulation.now < heard_from
+    )
+    reborn.boot()
+    model.run(seconds=3)
+    assert reborn.kernel.holder.held()
+    assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
+    assert sum(target.starts for target in model.targets_by_id.values()) == 24
+
+
+def test_a_list_of_runs_that_is_not_meant_for_a_node_ends_none_of_its_runs():
+    """A node that has just started says what it holds before it knows to whom."""
+    model = pools.pool()
+    asking = pools.node(model, 3)
+    model.submit(asking, pools.job("a" * 16, 24, 700.0))
+    model.run(seconds=0.2)
+    coordinator = asking.kernel.coordinator
+    runs = dict(coordinator.jobs_by_id["a" * 16].runs_by_grant)
+    token = 2 * max(run.token for run in runs.values())
+    beat = messages.Heartbeat(
+        sender="other-1",
+        zone="a",
+        endpoint="10.0.0.99:7000",
+        held={run.target: token for run in runs.values()},
+    )
+    asking.handle(events.MessageReceived(message=beat))
+    assert coordinator.jobs_by_id["a" * 16].runs_by_grant.keys() == runs.keys()
+    model.run(seconds=2)
+    assert model.overlaps() == []
