Take a handover in place of an old holding; judge moved runs by the token

It was handed the target with its runs, took no notice as it held it already, and its heartbeat, which says that it holds the target and does not list the runs, ended them for the job's node 21 ms after the handover. Ruled out: the fence (the target refused hakodate-2 at once) and lost messages (RUN_MOVED is written). Change: a handover by a higher token replaces an old holding; runs that were moved count as lost only when the new owner holds the target by a token above the run's.

--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -407,8 +407,9 @@
         self, run: jobs.Run, beat: messages.Heartbeat, now: datetime.datetime
     ) -> None:
         if run.moved_at is not None:
-            # A target counts as held once nothing but the listed runs is there.
-            is_taken = run.target in beat.held
+            # A target counts as held once nothing but the listed runs is there. A token that is
+            # not above the run's is left from before the handover.
+            is_taken = beat.held.get(run.target, 0) > run.token
             if is_taken or now - run.moved_at > timings.OWNER_LOST_AFTER:
                 self._run_ended(run, runs.RunEnd.LOST, now)
         elif run.sequence <= beat.started:
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -235,8 +235,11 @@
 
     def take_handover(self, message: messages.Handover, now: datetime.datetime) -> None:
         """Continue with a target, and with what runs there, in place of another owner."""
-        if message.target.id in self.holdings_by_target:
+        known = self.holdings_by_target.get(message.target.id)
+        if known is not None and known.token > message.token:
             return
+        if known is not None:
+            self._drop(known, "a higher token was handed over", now)
         self.targets_by_id.setdefault(message.target.id, message.target)
         target = self.targets_by_id[message.target.id]
         token = self._tokens.next(target.id, now, above=message.token)
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -5,7 +5,7 @@
 import pools
 import pytest
 
-from chiveridge_pool import actions, events, messages, notes
+from chiveridge_pool import actions, events, holdings, messages, notes
 
 SECONDS_TO_RESEND = 1.3
 
@@ -430,3 +430,34 @@
     assert coordinator.jobs_by_id["a" * 16].runs_by_grant.keys() == runs.keys()
     model.run(seconds=2)
     assert model.overlaps() == []
+
+
+def test_a_target_is_handed_to_a_node_that_still_holds_it_by_an_old_token():
+    """After a cut a node may not know yet that the target it claimed obeys another."""
+    model = pools.pool()
+    asking = pools.node(model, 3)
+    caller = model.submit(asking, pools.job("a" * 16, 24, 700.0))
+    model.run(seconds=0.2)
+    giver, heir = pools.node(model, 1), pools.node(model, 2)
+    target_id, holding = next(iter(giver.kernel.holder.holdings_by_target.items()))
+    runs = len(holding.sent_grants())
+    old = holdings.Holding(holding.target, holding.token - 5, model.simulation.now)
+    old.state = holdings.HoldingState.HELD
+    heir.kernel.holder.holdings_by_target[target_id] = old
+    member = giver.kernel.members.by_endpoint[heir.endpoint]
+    giver.kernel.holder._hand_over(holding, member, model.simulation.now)
+    giver.handle(events.Ticked())
+    beat = messages.Heartbeat(
+        sender=heir.kernel.settings.node,
+        recipient=asking.kernel.settings.node,
+        zone="a",
+        endpoint=heir.endpoint,
+        held={target_id: old.token},
+    )
+    model.run(seconds=0.001)
+    asking.handle(events.MessageReceived(message=beat))
+    model.run(seconds=2)
+    assert runs > 0
+    assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
+    assert model.overlaps() == []
+    assert sum(target.starts for target in model.targets_by_id.values()) == 24
