--- a/packages/kernel/chiveridge_kernel/owners.py
+++ b/packages/kernel/chiveridge_kernel/owners.py
@@ -4,19 +4,9 @@
 owner; that crowds a target, and nothing else depends on it.
 """
 
-import hashlib
-
 import msgspec
 
-from chiveridge_kernel import identifiers, members, targets
-
-_SCORE_BYTES = 8
-
-
-def score(node: str, target: str) -> int:
-    """Return the weight of a node for a target; the highest owns it."""
-    digest = hashlib.blake2b(f"{node}/{target}".encode(), digest_size=_SCORE_BYTES)
-    return int.from_bytes(digest.digest(), "big")
+from chiveridge_kernel import identifiers, members, scores, targets
 
 
 class OwnerChanges(msgspec.Struct, frozen=True):
@@ -107,7 +97,7 @@
     def _score(self, node: str, target: str) -> int:
         known = self._scores.get((node, target))
         if known is None:
-            known = score(node, target)
+            known = scores.score(node, target)
             self._scores[node, target] = known
         return known
 
--- a/packages/kernel/tests/test_owner_policies.py
+++ b/packages/kernel/tests/test_owner_policies.py
@@ -14,10 +14,10 @@
     events,
     kernels,
     messages,
-    owners,
     peers,
     records,
     results,
+    scores,
     slotreturns,
     slots,
     vms,
@@ -396,8 +396,8 @@
 def test_owners_of_a_target_agree_and_move_only_with_their_node():
     names = [f"e{number}" for number in range(9)]
     targets = [f"t{number}" for number in range(64)]
-    before = {t: max(names, key=lambda n, t=t: owners.score(n, t)) for t in targets}
+    before = {t: max(names, key=lambda n, t=t: scores.score(n, t)) for t in targets}
     left = names[1:]
-    after = {t: max(left, key=lambda n, t=t: owners.score(n, t)) for t in targets}
+    after = {t: max(left, key=lambda n, t=t: scores.score(n, t)) for t in targets}
     assert all(after[t] == before[t] for t in targets if before[t] != names[0])
     assert set(before.values()) == set(names)
--- a/packages/kernel/tests/test_owners.py
+++ b/packages/kernel/tests/test_owners.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, settings, strategies
 
-from chiveridge_kernel import clocks, identifiers, members, owners, peers, targets, vms
+from chiveridge_kernel import clocks, identifiers, members, owners, peers, scores, targets, vms
 
 DOMAINS = ("ikeja", "lekki", "surulere")
 PLACED = strategies.dictionaries(
@@ -36,7 +36,7 @@
         for target in self.targets.vms_by_name.values():
             names = self.members.live_names(target.domain) or self.members.live_names()
             found[target.name] = max(
-                names, key=lambda name, target=target: (owners.score(name, target.name), name)
+                names, key=lambda name, target=target: (scores.score(name, target.name), name)
             )
         return found
 
--- a/packages/node/chiveridge_node/callers_http.py
+++ b/packages/node/chiveridge_node/callers_http.py
@@ -1,12 +1,10 @@
 """Serves callers over HTTP with falcon on uvicorn."""
 
 import asyncio
-import contextlib
-import socket
 
 import uvicorn
 
-from chiveridge_node import caller_resources, plugins
+from chiveridge_node import caller_resources, listeners, plugins
 
 LISTEN_BACKLOG = 2048
 GRACEFUL_EXIT_SECONDS = 60
@@ -19,27 +17,19 @@
 STALL_CHECK_SECONDS = 0.1
 
 
-class _Server(uvicorn.Server):
-    """Leaves signals to the node."""
-
-    @contextlib.contextmanager
-    def capture_signals(self):
-        yield
-
-
 class HttpCallers:
     """The callers' port."""
 
     def __init__(self, node):
         self._node = node
         self.port = 0
-        self._server: _Server | None = None
+        self._server: listeners.Server | None = None
         self._task: asyncio.Task | None = None
 
     async def open(self) -> None:
         """Bind the port and begin to serve."""
         section = self._node.settings.node
-        listener = _listener(section.address, section.caller_port)
+        listener = listeners.listener(section.address, section.caller_port, LISTEN_BACKLOG)
         self.port = listener.getsockname()[1]
         config = uvicorn.Config(
             caller_resources.new_app(self._node),
@@ -50,7 +40,7 @@
             log_config=None,
             timeout_graceful_shutdown=GRACEFUL_EXIT_SECONDS,
         )
-        self._server = _Server(config)
+        self._server = listeners.Server(config)
         serving = self._server.serve(sockets=[listener])
         self._task = asyncio.get_running_loop().create_task(serving)
 
@@ -83,17 +73,6 @@
         return sum(connection.transport.get_write_buffer_size() for connection in connections)
 
 
-def _listener(address: str, port: int) -> socket.socket:
-    """Return a listening socket; asyncio sets TCP_NODELAY only where the protocol is named."""
-    family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((address, port))
-    listener.listen(LISTEN_BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
 def register() -> None:
     """Register the adapter under the name ``http``."""
     plugins.add(plugins.Kind.CALLERS, "http", HttpCallers)
--- /dev/null
+++ b/packages/node/chiveridge_node/listeners.py
@@ -0,0 +1,26 @@
+"""Sockets and servers of the node's HTTP ports."""
+
+import contextlib
+import socket
+
+import uvicorn
+
+
+class Server(uvicorn.Server):
+    """Leaves signals to the node."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Install no handlers."""
+        yield
+
+
+def listener(address: str, port: int, backlog: int) -> socket.socket:
+    """Return a listening socket; asyncio sets TCP_NODELAY only where the protocol is named."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((address, port))
+    listening.listen(backlog)
+    listening.setblocking(False)
+    return listening
--- a/packages/node/chiveridge_node/pool_shells.py
+++ b/packages/node/chiveridge_node/pool_shells.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import time
 from collections.abc import Callable
 
 from chiveridge_kernel import clocks
@@ -63,8 +62,3 @@
         self._ticked_at = now
         self.handle(events.Ticked())
         self._timer = asyncio.get_running_loop().call_later(TICK_SECONDS, self._tick)
-
-
-def loop_seconds() -> float:
-    """Return a clock that counts on while the VM is suspended, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from chiveridge_kernel import clocks
 from chiveridge_pool import (
     actions,
     events,
@@ -273,7 +274,6 @@
         self._start_sequences[owner] = sequence
         rows = []
         for task, grant, target, token in started:
-            task.state = jobs.TaskState.RUNNING
             task.run += 1
             run = jobs.Run(job, task, grant, owner, target, token, sequence, now)
             job.runs_by_grant[grant] = run
@@ -327,7 +327,6 @@
             self._end(job, now)
             return
         self._note_run_again(run, how, now)
-        run.task.state = jobs.TaskState.WAITING
         job.waiting.append(run.task)
         if job.widen_at is None:
             job.widen_at = now
@@ -356,7 +355,6 @@
 
     def _task_done(self, run: jobs.Run, now: datetime.datetime) -> None:
         job = run.job
-        run.task.state = jobs.TaskState.DONE
         job.done += 1
         if job.done == len(job.tasks):
             self._answer(job, actions.Verdict.COMPLETE, "", now)
@@ -492,10 +490,6 @@
         if run.stopped_at is not None and now - run.stopped_at > timings.STOP_INTERVAL:
             self._stop_runs([run], now)
 
-    def sequence_for(self, node: identifiers.NodeId) -> int:
-        """Return the number of the last start sent to an owner."""
-        return self._start_sequences.get(node, 0)
-
     def pending(self, queue: identifiers.QueueName) -> int:
         """Return how many jobs of a queue have not started."""
         return sum(
@@ -505,4 +499,4 @@
 
 
 def _ms(duration: datetime.timedelta) -> float:
-    return round(duration / datetime.timedelta(milliseconds=1), 1)
+    return round(clocks.to_ms(duration), 1)
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chiveridge_kernel import clocks
 from chiveridge_pool import (
     events,
     grants,
@@ -141,7 +142,7 @@
     ) -> None:
         if not is_chosen or not self._may_claim(now) or target.id in self.missing_since:
             return
-        if self._members.holder_of(target.id, now) is not None:
+        if self._members.is_held(target.id, now):
             return
         if not self._tokens.may_claim(target.id, now) or not self._is_trusted(target, now):
             return
@@ -206,7 +207,7 @@
                 grant.task,
                 grant.run,
                 grant.size,
-                grant.estimate / datetime.timedelta(milliseconds=1),
+                clocks.to_ms(grant.estimate),
             )
             for grant in sent
         )
@@ -412,7 +413,7 @@
         ask = request.ask
         granted = []
         while request.left > 0:
-            holding = requests.choose_target(ask, usable, now)
+            holding = requests.choose_target(ask, usable)
             if holding is None:
                 break
             grant = grants.Grant(
@@ -447,14 +448,13 @@
         """Start runs on granted room; what is not granted any more is refused."""
         for grant_id, task, run in message.runs:
             found = self._find(grant_id)
-            if found is None or found[1].is_sent():
-                refused = runs.RunEnd.REFUSED.value
-                if found is None:
-                    self._mailbox.send_end(message.sender, grant_id, refused)
+            if found is None:
+                self._mailbox.send_end(message.sender, grant_id, runs.RunEnd.REFUSED.value)
                 continue
             holding, grant = found
-            grant.task, grant.run, grant.spec = task, run, message.spec
-            self.orders.start(holding, grant, now)
+            if not grant.is_sent():
+                grant.task, grant.run, grant.spec = task, run, message.spec
+                self.orders.start(holding, grant, now)
 
     def stop(self, message: messages.Stop, now: datetime.datetime) -> None:
         """Stop runs that are no longer wanted."""
--- a/packages/pool/chiveridge_pool/holdings.py
+++ b/packages/pool/chiveridge_pool/holdings.py
@@ -29,7 +29,6 @@
         self.target = target
         self.token = token
         self.state = HoldingState.CLAIM
-        self.claimed_at = now
         self.acknowledged = 0
         self.born = 0
         self.grants_by_id: dict[identifiers.GrantId, grants.Grant] = {}
@@ -39,7 +38,6 @@
         self.failures = 0
         self.lapses_at = now
         self.suspended_until = now
-        self.failed_in_row = 0
         self._clock_ms = 0.0
         self._clock_at = now
 
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -1,7 +1,6 @@
 """Jobs as callers hand them in, and their tasks while they run."""
 
 import datetime
-import enum
 
 import msgspec
 
@@ -45,22 +44,13 @@
         return self.count * max(cores, _SMALLEST_CORES) * seconds
 
 
-class TaskState(enum.Enum):
-    """Life of a task at its job's node."""
-
-    WAITING = "waiting"
-    RUNNING = "running"
-    DONE = "done"
-
-
 class Task:
     """One task of a job in progress."""
 
-    __slots__ = ("attempts", "avoided", "index", "run", "state")
+    __slots__ = ("attempts", "avoided", "index", "run")
 
     def __init__(self, index: int):
         self.index = index
-        self.state = TaskState.WAITING
         self.attempts = 0
         self.run = 0
         self.avoided: set[identifiers.TargetId] = set()
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chiveridge_kernel import clocks
 from chiveridge_pool import (
     actions,
     coordinators,
@@ -88,7 +89,7 @@
             self.mailbox.note(
                 notes.NoteEvent.NODE_SLOW,
                 is_slow=self.lag.is_slow,
-                allowance_ms=self.lag.allowance() / datetime.timedelta(milliseconds=1),
+                allowance_ms=clocks.to_ms(self.lag.allowance()),
             )
         self._note_silent_members(now)
         if self.draining_since is not None:
@@ -129,7 +130,7 @@
         live = {member.id: member for member in self.members.live(now)}
         for node in self._live_before - live.keys():
             heard = self.members.heard_by_id.get(node)
-            silent = None if heard is None else (now - heard) / datetime.timedelta(milliseconds=1)
+            silent = None if heard is None else clocks.to_ms(now - heard)
             self.mailbox.note(notes.NoteEvent.MEMBER_LOST, member=node, silent_ms=silent)
         self._live_before = set(live)
 
--- a/packages/pool/chiveridge_pool/members.py
+++ b/packages/pool/chiveridge_pool/members.py
@@ -21,7 +21,6 @@
         self.hears: frozenset[identifiers.NodeId] = frozenset()
         self.held: dict[identifiers.TargetId, identifiers.FencingToken] = {}
         self.free: list[resources.Resources] = []
-        self.started = 0
         self.version = 0
 
     def is_fit(self) -> bool:
@@ -75,7 +74,6 @@
         member.hears = frozenset(beat.hears)
         member.held = beat.held
         member.free = list(beat.free)
-        member.started = beat.started
         member.version = beat.version
         for endpoint in beat.endpoints:
             self.add(endpoint, now)
@@ -90,17 +88,9 @@
         member = self.by_id.get(node)
         return member if member is not None and member.is_live(now) else None
 
-    def holder_of(
-        self, target: identifiers.TargetId, now: datetime.datetime
-    ) -> tuple[Member, identifiers.FencingToken] | None:
-        """Return the live member that holds a target by the highest token, with the token."""
-        claims = [
-            (member.held[target], member) for member in self.live(now) if target in member.held
-        ]
-        if not claims:
-            return None
-        token, member = max(claims, key=lambda claim: claim[0])
-        return member, token
+    def is_held(self, target: identifiers.TargetId, now: datetime.datetime) -> bool:
+        """Tell whether a live member holds a target."""
+        return any(target in member.held for member in self.live(now))
 
     def are_all_heard(self) -> bool:
         """Tell whether every node that is known was heard at least once."""
@@ -115,8 +105,8 @@
         zone = [member for member in self.by_endpoint.values() if member.zone == self.own_zone]
         return _is_majority(zone, now)
 
-    def forget(self, now: datetime.datetime) -> list[identifiers.Endpoint]:
-        """Drop members that have been silent for long; return their endpoints."""
+    def forget(self, now: datetime.datetime) -> None:
+        """Drop members that have been silent for long."""
         silent = [
             member.endpoint
             for member in self.by_endpoint.values()
@@ -124,7 +114,6 @@
         ]
         for endpoint in silent:
             self._remove(endpoint)
-        return silent
 
     def _rename(self, member: Member, node: identifiers.NodeId, now: datetime.datetime) -> None:
         if member.id is not None:
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -204,7 +204,6 @@
                     target=holding.target.id,
                     failed_jobs=len(jobs),
                 )
-        holding.failed_in_row = len(jobs)
 
     def _take_running(
         self, holding: holdings.Holding, event: events.HoldReplied, now: datetime.datetime
@@ -213,7 +212,10 @@
         by_key = {grant.key: grant for grant in holding.sent_grants()}
         holding.strangers = {key for key in rows if key not in by_key}
         for task, run in holding.strangers:
-            self._stop_stranger(holding, task, run, now)
+            self._mailbox.note(
+                notes.NoteEvent.STRANGER_STOPPED, target=holding.target.id, task=task, run=run
+            )
+            self._order_stop(holding, identifiers.GrantId(""), task, run)
         for key, grant in by_key.items():
             if key in rows:
                 self._take_progress(holding, grant, rows[key], now)
@@ -260,27 +262,6 @@
         if is_stopped and asked_at - grant.changed_at >= _SETTLED_AFTER_STOP:
             self._holder.finish(holding, grant, runs.RunEnd.STOPPED, "it never ran")
 
-    def _stop_stranger(
-        self,
-        holding: holdings.Holding,
-        task: identifiers.TaskName,
-        run: identifiers.RunNumber,
-        now: datetime.datetime,
-    ) -> None:
-        self._mailbox.note(
-            notes.NoteEvent.STRANGER_STOPPED, target=holding.target.id, task=task, run=run
-        )
-        self._mailbox.add(
-            actions.StopRun(
-                target=holding.target,
-                token=holding.token,
-                grant=identifiers.GrantId(""),
-                task=task,
-                run=run,
-                timeout=timings.ORDER_TIMEOUT + self._lag.allowance(),
-            )
-        )
-
     def start(self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime) -> None:
         """Start a run."""
         if grant.state is runs.GrantState.RESERVED:
@@ -397,13 +378,22 @@
         self, holding: holdings.Holding, grant: grants.Grant, now: datetime.datetime
     ) -> None:
         grant.stopped_at = now
+        self._order_stop(holding, grant.id, grant.task, grant.run)
+
+    def _order_stop(
+        self,
+        holding: holdings.Holding,
+        grant: identifiers.GrantId,
+        task: identifiers.TaskName,
+        run: identifiers.RunNumber,
+    ) -> None:
         self._mailbox.add(
             actions.StopRun(
                 target=holding.target,
                 token=holding.token,
-                grant=grant.id,
-                task=grant.task,
-                run=grant.run,
+                grant=grant,
+                task=task,
+                run=run,
                 timeout=timings.ORDER_TIMEOUT + self._lag.allowance(),
             )
         )
--- a/packages/pool/chiveridge_pool/ownerships.py
+++ b/packages/pool/chiveridge_pool/ownerships.py
@@ -6,18 +6,11 @@
 
 import datetime
 import functools
-import hashlib
 
+from chiveridge_kernel import scores
 from chiveridge_pool import identifiers, members, targets
 
-_SCORE_BYTES = 8
-
-
-@functools.lru_cache(maxsize=65_536)
-def score(endpoint: str, target: str) -> int:
-    """Return the weight of a node for a target; the highest should hold it."""
-    digest = hashlib.blake2b(f"{endpoint}/{target}".encode(), digest_size=_SCORE_BYTES)
-    return int.from_bytes(digest.digest(), "big")
+_score = functools.lru_cache(maxsize=65_536)(scores.score)
 
 
 class Candidates:
@@ -36,7 +29,7 @@
     def choose(self, target: targets.Target) -> identifiers.Endpoint | None:
         """Return who should hold a target: a node of its failure domain, if one lives."""
         endpoints = self._by_zone.get(target.zone) or self._all
-        return max(endpoints, key=lambda endpoint: score(endpoint, target.id), default=None)
+        return max(endpoints, key=lambda endpoint: _score(endpoint, target.id), default=None)
 
     def is_own(self, endpoint: identifiers.Endpoint | None) -> bool:
         """Tell whether an endpoint is this node's."""
--- a/packages/pool/chiveridge_pool/requests.py
+++ b/packages/pool/chiveridge_pool/requests.py
@@ -1,7 +1,5 @@
 """Asks for room that wait at an owner, in the order in which they are served."""
 
-import datetime
-
 from chiveridge_pool import holdings, identifiers, messages
 
 _Key = tuple[identifiers.NodeId, identifiers.JobId]
@@ -51,9 +49,7 @@
             del self._by_key[key]
 
 
-def choose_target(
-    ask: messages.Ask, usable: list[holdings.Holding], now: datetime.datetime
-) -> holdings.Holding | None:
+def choose_target(ask: messages.Ask, usable: list[holdings.Holding]) -> holdings.Holding | None:
     """Return the target for one task: one that fits, near its data, with least room to spare."""
     fitting = [holding for holding in usable if _suits(ask, holding)]
     if not fitting:
--- a/packages/pool/chiveridge_pool/tokens.py
+++ b/packages/pool/chiveridge_pool/tokens.py
@@ -7,9 +7,9 @@
 import datetime
 import random
 
+from chiveridge_kernel import clocks
 from chiveridge_pool import identifiers, timings
 
-_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
 _PER_MILLISECOND = 1000
 _RAISE = 10_000 * _PER_MILLISECOND
 """Added after a refusal: more than the clocks of two nodes differ by."""
@@ -30,7 +30,7 @@
         self, target: identifiers.TargetId, now: datetime.datetime, above: int = 0
     ) -> identifiers.FencingToken:
         """Return a token above every one that is known for the target."""
-        milliseconds = (now - _EPOCH) // datetime.timedelta(milliseconds=1)
+        milliseconds = clocks.to_epoch_ms(now)
         token = milliseconds * _PER_MILLISECOND + self._rng.randrange(_PER_MILLISECOND)
         floor = max(self._floor_by_target.get(target, 0), above)
         return identifiers.FencingToken(max(token, floor + 1))
