Judge runs under a newer token by one rule

The rule that a target held by a token above a run's runs only what its owner lists stood twice: for runs of another owner, and since for runs that were moved. It comes first now, for every run that is not listed, and what is left of a moved run is its time limit. New only for a run whose own owner has claimed its target anew: it is over at once, as it was by the number of the start before.

--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -392,10 +392,11 @@
                 run.owner = beat.sender
                 run.moved_at = None
                 run.token = beat.held.get(run.target, run.token)
-            elif run.owner == beat.sender:
-                self._check_unlisted(run, beat, now)
             elif beat.held.get(run.target, 0) > run.token:
+                # Under a newer token the target runs only what its owner lists.
                 self._run_ended(run, runs.RunEnd.LOST, now)
+            elif run.owner == beat.sender:
+                self._check_unlisted(run, beat, now)
         strays = [grant for grant in beat.runs if grant not in self._runs_by_grant]
         if strays:
             stop = messages.Stop(sender=self._own_id, grants=tuple(strays))
@@ -405,10 +406,7 @@
         self, run: jobs.Run, beat: messages.Heartbeat, now: datetime.datetime
     ) -> None:
         if run.moved_at is not None:
-            # A target counts as held once nothing but the listed runs is there. A token that is
-            # not above the run's is left from before the handover.
-            is_taken = beat.held.get(run.target, 0) > run.token
-            if is_taken or now - run.moved_at > timings.OWNER_LOST_AFTER:
+            if now - run.moved_at > timings.OWNER_LOST_AFTER:
                 self._run_ended(run, runs.RunEnd.LOST, now)
         elif run.sequence <= beat.started:
             self._run_ended(run, runs.RunEnd.LOST, now)
