--- a/packages/node/chiveridge_node/pool_metrics.py
+++ b/packages/node/chiveridge_node/pool_metrics.py
@@ -74,10 +74,10 @@
         kernel = self._kernel
         values = {
             "jobs": len(kernel.coordinator.jobs_by_id),
-            "targets_listed": len(kernel.holder.targets_by_id),
+            "targets_listed": len(kernel.holder.listing.by_id),
             "targets_held": len(kernel.holder.held()),
             "free_cpu": sum(held.free().cpu for held in kernel.holder.usable(now)) / 1000,
-            "asks_waiting": len(kernel.holder.requests.in_order()),
+            "asks_waiting": len(kernel.holder.lending.requests),
             "members_live": len(kernel.members.live(now)),
             "configuration_version": kernel.version,
             "lag_allowance_seconds": kernel.lag.allowance().total_seconds(),
--- /dev/null
+++ b/packages/pool/chiveridge_pool/asks.py
@@ -0,0 +1,101 @@
+"""Asks for room: whom a job's node asks, for how much, and when it asks all owners."""
+
+import datetime
+
+from chiveridge_kernel import clocks
+from chiveridge_pool import (
+    holders,
+    identifiers,
+    jobs,
+    mailboxes,
+    members,
+    messages,
+    ranks,
+    rooms,
+    timings,
+)
+
+
+class Asks:
+    """What is asked for the steps of the jobs of this node."""
+
+    def __init__(
+        self,
+        table: members.Members,
+        mailbox: mailboxes.Mailbox,
+        holder: holders.Holder,
+        ranking: ranks.Ranks,
+    ):
+        self._members = table
+        self._mailbox = mailbox
+        self._holder = holder
+        self._ranks = ranking
+
+    def ask(self, job: jobs.Job, step: jobs.Step, now: datetime.datetime) -> None:
+        """Ask those owners that probably have room, and all when these are not enough."""
+        need = len(step.waiting)
+        shares = rooms.split(need, step.request.size, self._members, self._holder, now)
+        if sum(share for _, share in shares) < need:
+            self.ask_all(job, step, now)
+            return
+        for node, share in shares:
+            self._send(job, step, node, share, now)
+        step.widen_at = now + timings.WIDEN_AFTER
+
+    def ask_all(self, job: jobs.Job, step: jobs.Step, now: datetime.datetime) -> None:
+        """Ask every owner for room for all tasks that wait."""
+        step.widen_at = None
+        need = len(step.waiting)
+        nodes = [self._members.own_id, *(member.id for member in self._members.live(now))]
+        for node in nodes:
+            self._send(job, step, node, need, now)
+
+    def tick(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Ask all owners where few were asked in vain, or where they know an old rank."""
+        for step in job.due_steps():
+            is_in_vain = step.widen_at is not None and now >= step.widen_at
+            if is_in_vain or step.standing != self._ranks.standing(job, now):
+                self.ask_all(job, step, now)
+
+    def withdraw(self, job: jobs.Job, step: jobs.Step) -> None:
+        """Ask for nothing more."""
+        message = messages.Withdraw(
+            sender=self._members.own_id, job=job.request.id, step=step.number
+        )
+        for node, left in step.asked.items():
+            if left > 0:
+                self._mailbox.send(node, message)
+        step.asked.clear()
+        step.widen_at = None
+
+    def granted(self, step: jobs.Step, owner: identifiers.NodeId, count: int) -> None:
+        """Note that an owner granted a part of what it was asked for."""
+        step.asked[owner] = max(step.asked.get(owner, 0) - count, 0)
+
+    def _send(
+        self,
+        job: jobs.Job,
+        step: jobs.Step,
+        node: identifiers.NodeId,
+        count: int,
+        now: datetime.datetime,
+    ) -> None:
+        step.asked[node] = count
+        step.standing = self._ranks.standing(job, now)
+        request = step.request
+        ask = messages.Ask(
+            sender=self._members.own_id,
+            job=job.request.id,
+            step=step.number,
+            rank=self._ranks.rank(job, now),
+            queue=job.request.queue,
+            service=job.request.service,
+            size=request.size,
+            count=count,
+            estimate_ms=clocks.to_ms(request.estimate),
+            label=request.label,
+            rack=request.rack,
+            remote_factor=request.remote_factor,
+            per_target=request.per_target,
+        )
+        self._mailbox.send(node, ask)
--- /dev/null
+++ b/packages/pool/chiveridge_pool/deliveries.py
@@ -0,0 +1,117 @@
+"""Messages from peers, handed to the parts of a kernel that take them."""
+
+import datetime
+import functools
+from typing import TYPE_CHECKING
+
+from chiveridge_pool import actions, messages, notes
+
+if TYPE_CHECKING:
+    from chiveridge_pool import kernels
+
+
+@functools.singledispatch
+def take_message(
+    message: messages.AnyMessage, kernel: "kernels.Kernel", now: datetime.datetime
+) -> None:
+    """Have the parts of a kernel take a message."""
+    raise TypeError(f"no handler for message {type(message).__name__}")
+
+
+@take_message.register(messages.Heartbeat)
+def _(message: messages.Heartbeat, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    known = kernel.members.by_endpoint.get(message.endpoint)
+    known_id = None if known is None else known.id
+    member = kernel.members.hear(message, now)
+    if member is None:
+        return
+    if known_id != member.id:
+        kernel.mailbox.note(
+            notes.NoteEvent.MEMBER_HEARD,
+            member=member.id,
+            endpoint=member.endpoint,
+            zone=member.zone,
+            version=member.version,
+        )
+        kernel.greet(member, now)
+    kernel.share_configuration(member, now)
+    kernel.holder.note_leaving(message.leaving)
+    kernel.coordinator.placements.reconcile(message, now)
+
+
+@take_message.register(messages.Ask)
+def _(message: messages.Ask, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.holder.ask(message, now)
+
+
+@take_message.register(messages.Withdraw)
+def _(message: messages.Withdraw, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.holder.lending.requests.withdraw(message)
+
+
+@take_message.register(messages.Granted)
+def _(message: messages.Granted, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.coordinator.granted(message, now)
+
+
+@take_message.register(messages.Release)
+def _(message: messages.Release, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.holder.release(message, now)
+
+
+@take_message.register(messages.Start)
+def _(message: messages.Start, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.started_by_node[message.sender] = message.sequence
+    kernel.holder.lending.start(message, now)
+
+
+@take_message.register(messages.Stop)
+def _(message: messages.Stop, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.holder.stop(message, now)
+
+
+@take_message.register(messages.Ended)
+def _(message: messages.Ended, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.coordinator.placements.ended(message, now)
+
+
+@take_message.register(messages.Configuration)
+def _(message: messages.Configuration, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    if message.version > kernel.version:
+        action = actions.ApplyConfiguration(version=message.version, text=message.text)
+        kernel.mailbox.add(action)
+
+
+@take_message.register(messages.Targets)
+def _(message: messages.Targets, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.holder.listing.learn(message.targets)
+
+
+@take_message.register(messages.Handover)
+def _(message: messages.Handover, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.holder.take_handover(message, now)
+
+
+@take_message.register(messages.Moved)
+def _(message: messages.Moved, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.coordinator.placements.moved(message, now)
+
+
+@take_message.register(messages.Follow)
+def _(message: messages.Follow, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.coordinator.followings.follow(message, now)
+
+
+@take_message.register(messages.Unfollow)
+def _(message: messages.Unfollow, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.coordinator.followings.unfollow(message, now)
+
+
+@take_message.register(messages.Outcome)
+def _(message: messages.Outcome, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.coordinator.followings.outcome(message, now)
+
+
+@take_message.register(messages.Cancel)
+def _(message: messages.Cancel, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.coordinator.cancel(message.job, now)
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -25,6 +25,7 @@
         "size",
         "spec",
         "state",
+        "step",
         "stopped_at",
         "task",
         "until_ms",
@@ -35,6 +36,7 @@
         grant: identifiers.GrantId,
         node: identifiers.NodeId,
         job: identifiers.JobId,
+        step: int,
         queue: identifiers.QueueName,
         size: resources.Resources,
         estimate: datetime.timedelta,
@@ -43,6 +45,7 @@
         self.id = grant
         self.node = node
         self.job = job
+        self.step = step
         self.queue = queue
         self.size = size
         self.estimate = estimate
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -1,34 +1,30 @@
 """The owner's part: claims targets, renews their leases, lends their room, follows their ends."""
 
 import datetime
-import itertools
 import random
 
-import msgspec
-
-from chiveridge_kernel import clocks
 from chiveridge_pool import (
     events,
     grants,
+    handovers,
     holdings,
     identifiers,
     lags,
+    lendings,
+    listings,
     mailboxes,
     members,
     messages,
     notes,
     orders,
     ownerships,
-    requests,
     runs,
+    starts,
     targets,
     timings,
     tokens,
 )
 
-_GONE_AFTER = datetime.timedelta(seconds=3)
-"""Absence from the platform's list after which an idle target is dropped."""
-
 
 class Holder:
     """All targets that this node holds."""
@@ -47,15 +43,15 @@
         self._own_id = table.own_id
         self._settled_at = started_at + timings.SETTLING_UNLISTED
         self._is_settled = False
-        self._has_list = False
         self._tokens = tokens.TokenSource(rng)
-        self._grant_numbers = itertools.count(1)
         self.orders = orders.Orders(mailbox, self, lag)
-        self.targets_by_id: dict[identifiers.TargetId, targets.Target] = {}
-        self.missing_since: dict[identifiers.TargetId, datetime.datetime] = {}
+        self._starts = starts.Starts(mailbox, self, self.orders, lag)
+        self.listing = listings.Listing()
         self.holdings_by_target: dict[identifiers.TargetId, holdings.Holding] = {}
+        self.lending = lendings.Lending(
+            self._own_id, mailbox, self.orders, self._starts, self.holdings_by_target
+        )
         self.orphans: dict[identifiers.GrantId, tuple[identifiers.NodeId, datetime.datetime]] = {}
-        self.requests = requests.Requests()
         self._unheard_since: dict[identifiers.NodeId, datetime.datetime] = {}
         self.moving: set[identifiers.TargetId] = set()
         self.is_leaving = False
@@ -64,40 +60,18 @@
 
     def list_targets(self, listed: tuple[targets.Target, ...], now: datetime.datetime) -> None:
         """Take the platform's list."""
-        self._has_list = True
-        known = {target.id: target for target in listed}
-        for target_id in self.targets_by_id.keys() - known.keys():
-            self.missing_since.setdefault(target_id, now)
-        for target_id, target in known.items():
-            self.missing_since.pop(target_id, None)
-            self.targets_by_id[target_id] = target
-            holding = self.holdings_by_target.get(target_id)
+        self.listing.replace(listed, now)
+        for target in listed:
+            holding = self.holdings_by_target.get(target.id)
             if holding is not None:
                 self._update(holding, target, now)
 
-    def learn_targets(self, told: tuple[targets.Target, ...]) -> None:
-        """Take targets from a peer, until the platform's list was read."""
-        if not self._has_list:
-            for target in told:
-                self.targets_by_id.setdefault(target.id, target)
-
-    def leaving(self) -> tuple[tuple[identifiers.TargetId, int], ...]:
-        """Return the targets that are draining, each with its birth."""
-        return tuple(
-            (target.id, target.born) for target in self.targets_by_id.values() if target.is_draining
-        )
-
     def note_leaving(self, told: tuple[tuple[identifiers.TargetId, int], ...]) -> None:
         """Start nothing more on targets that a peer has seen draining."""
-        for target_id, born in told:
-            target = self.targets_by_id.get(target_id)
-            if target is None or target.is_draining or target.born > born:
-                continue
-            draining = msgspec.structs.replace(target, is_draining=True)
-            self.targets_by_id[target_id] = draining
-            holding = self.holdings_by_target.get(target_id)
+        for target in self.listing.note_leaving(told):
+            holding = self.holdings_by_target.get(target.id)
             if holding is not None:
-                holding.target = draining
+                holding.target = target
 
     def _update(
         self, holding: holdings.Holding, target: targets.Target, now: datetime.datetime
@@ -113,7 +87,7 @@
         is_unfit = self.is_leaving or self._lag.is_slow
         candidates = ownerships.Candidates(self._members, now, is_unfit=is_unfit)
         self._drop_missing(now)
-        for target in list(self.targets_by_id.values()):
+        for target in list(self.listing.by_id.values()):
             chosen = candidates.choose(target)
             holding = self.holdings_by_target.get(target.id)
             if holding is None:
@@ -127,20 +101,18 @@
         self.serve(now)
 
     def _drop_missing(self, now: datetime.datetime) -> None:
-        for target_id, since in list(self.missing_since.items()):
+        for target_id in self.listing.gone(now):
             holding = self.holdings_by_target.get(target_id)
-            is_busy = holding is not None and holding.grants_by_id
-            if now - since < _GONE_AFTER or (is_busy and now < holding.lapses_at):
+            if holding is not None and holding.grants_by_id and now < holding.lapses_at:
                 continue
-            del self.missing_since[target_id]
-            self.targets_by_id.pop(target_id, None)
+            self.listing.drop(target_id)
             if holding is not None:
                 self._drop(holding, "the target is no longer listed", now)
 
     def _claim_if_due(
         self, target: targets.Target, is_chosen: bool, now: datetime.datetime
     ) -> None:
-        if not is_chosen or not self._may_claim(now) or target.id in self.missing_since:
+        if not is_chosen or not self._may_claim(now) or target.id in self.listing.missing_since:
             return
         if self._members.is_held(target.id, now):
             return
@@ -197,34 +169,9 @@
     def _hand_over(
         self, holding: holdings.Holding, heir: members.Member, now: datetime.datetime
     ) -> None:
-        sent = holding.sent_grants()
-        rows = tuple(
-            messages.HandedRun(
-                grant.id,
-                grant.node,
-                grant.job,
-                grant.queue,
-                grant.task,
-                grant.run,
-                grant.size,
-                clocks.to_ms(grant.estimate),
-            )
-            for grant in sent
-        )
-        handover = messages.Handover(
-            sender=self._own_id,
-            target=holding.target,
-            token=holding.token,
-            acknowledged=holding.acknowledged,
-            born=holding.born,
-            runs=rows,
-        )
-        self._mailbox.send(heir.id, handover)
-        by_node: dict[identifiers.NodeId, list[identifiers.GrantId]] = {}
-        for grant in sent:
-            by_node.setdefault(grant.node, []).append(grant.id)
-        for node, moved in by_node.items():
-            message = messages.Moved(sender=self._own_id, grants=tuple(moved), owner=heir.id)
+        self._mailbox.send(heir.id, handovers.handover_of(holding, self._own_id))
+        for node, moved in handovers.grants_by_node(holding).items():
+            message = messages.Moved(sender=self._own_id, grants=moved, owner=heir.id)
             self._mailbox.send(node, message)
         self._mailbox.note(
             notes.NoteEvent.OWNER_CHANGED,
@@ -241,14 +188,9 @@
             return
         if known is not None:
             self._drop(known, "a higher token was handed over", now)
-        self.targets_by_id.setdefault(message.target.id, message.target)
-        target = self.targets_by_id[message.target.id]
+        target = self.listing.by_id.setdefault(message.target.id, message.target)
         token = self._tokens.next(target.id, now, above=message.token)
-        holding = holdings.Holding(target, token, now)
-        holding.acknowledged = message.acknowledged
-        holding.born = message.born
-        for row in message.runs:
-            holding.add(_adopted(row, now))
+        holding = handovers.holding_of(message, target, token, now)
         holding.note_renewal(now)
         self._hold(holding, "taken over", now)
 
@@ -268,7 +210,7 @@
             return
         grant = holding.grants_by_id.get(event.grant)
         if grant is not None and grant.state is runs.GrantState.STARTING:
-            self.orders.start_replied(holding, grant, event, now)
+            self._starts.replied(holding, grant, event, now)
 
     def stop_replied(self, event: events.StopReplied, now: datetime.datetime) -> None:
         """Take the reply to a stop, or its absence."""
@@ -348,18 +290,13 @@
 
     def _watch_nodes(self, now: datetime.datetime) -> None:
         """Stop what nodes left that are dead, or that do not hear this one."""
-        nodes = {
-            grant.node
-            for holding in self.holdings_by_target.values()
-            for grant in holding.grants_by_id.values()
-        }
-        nodes = (nodes | self.requests.nodes()) - {self._own_id}
+        nodes = self.lending.nodes() - {self._own_id}
         self._unheard_since = {
             node: since for node, since in self._unheard_since.items() if node in nodes
         }
         for node in nodes:
             if not self._is_served(node, now):
-                self._abandon(node, now)
+                self.lending.forget_node(node, now)
 
     def _is_served(self, node: identifiers.NodeId, now: datetime.datetime) -> bool:
         member = self._members.find_live(node, now)
@@ -371,30 +308,16 @@
         is_new = now - member.joined_at < timings.DEAD_AFTER
         return is_new or self._own_id in member.hears
 
-    def _abandon(self, node: identifiers.NodeId, now: datetime.datetime) -> None:
-        self.requests.forget_node(node)
-        for holding in list(self.holdings_by_target.values()):
-            for grant in list(holding.grants_by_id.values()):
-                if grant.node == node:
-                    self.orders.stop(holding, grant, "its node is silent", now)
-
     # Room
 
     def ask(self, message: messages.Ask, now: datetime.datetime) -> None:
         """Take a job's ask for room."""
-        self.requests.put(message)
-        self.serve(now)
+        self.lending.ask(message, self.usable(now), now)
 
     def serve(self, now: datetime.datetime) -> None:
-        """Grant free room to those who wait, in order."""
-        waiting = self.requests.in_order()
-        if not waiting:
-            return
-        usable = self.usable(now)
-        for request in waiting:
-            if not usable:
-                return
-            self._serve_one(request, usable, now)
+        """Grant free room to those who wait."""
+        if self.lending.requests:
+            self.lending.serve(self.usable(now), now)
 
     def usable(self, now: datetime.datetime) -> list[holdings.Holding]:
         """Return the holdings with which new runs may be started."""
@@ -404,75 +327,24 @@
             if holding.may_grant(now)
             and self.orders.may_use(holding, now)
             and holding.target.id not in self.moving
-            and holding.target.id not in self.missing_since
+            and holding.target.id not in self.listing.missing_since
         ]
 
-    def _serve_one(
-        self, request: requests.Request, usable: list[holdings.Holding], now: datetime.datetime
-    ) -> None:
-        ask = request.ask
-        granted = []
-        while request.left > 0:
-            holding = requests.choose_target(ask, usable)
-            if holding is None:
-                break
-            grant = grants.Grant(
-                identifiers.GrantId(f"{self._own_id}-{next(self._grant_numbers)}"),
-                ask.sender,
-                ask.job,
-                ask.queue,
-                ask.size,
-                datetime.timedelta(milliseconds=ask.estimate_ms),
-                now + timings.GRANT_LIFE,
-            )
-            holding.add(grant)
-            self.orders.note_use(holding, now)
-            if not self.orders.may_use(holding, now):
-                usable.remove(holding)
-            granted.append((grant.id, holding.target.id, holding.token))
-            request.left -= 1
-        if granted:
-            self.requests.settle(request)
-            message = messages.Granted(sender=self._own_id, job=ask.job, grants=tuple(granted))
-            self._mailbox.send(ask.sender, message)
-
     def release(self, message: messages.Release, now: datetime.datetime) -> None:
         """Take grants back that were not used."""
-        for grant_id in message.grants:
-            found = self._find(grant_id)
-            if found is not None and not found[1].is_sent():
-                found[0].remove(found[1])
+        self.lending.release(message)
         self.serve(now)
 
-    def start(self, message: messages.Start, now: datetime.datetime) -> None:
-        """Start runs on granted room; what is not granted any more is refused."""
-        for grant_id, task, run in message.runs:
-            found = self._find(grant_id)
-            if found is None:
-                self._mailbox.send_end(message.sender, grant_id, runs.RunEnd.REFUSED.value)
-                continue
-            holding, grant = found
-            if not grant.is_sent():
-                grant.task, grant.run, grant.spec = task, run, message.spec
-                self.orders.start(holding, grant, now)
-
     def stop(self, message: messages.Stop, now: datetime.datetime) -> None:
         """Stop runs that are no longer wanted."""
         for grant_id in message.grants:
-            found = self._find(grant_id)
+            found = self.lending.find(grant_id)
             if found is not None:
                 self.orders.stop(found[0], found[1], "its job does not want it", now)
             elif grant_id not in self.orphans:
                 lost = runs.RunEnd.LOST.value
                 self._mailbox.send_end(message.sender, grant_id, lost)
 
-    def _find(self, grant_id: identifiers.GrantId) -> tuple[holdings.Holding, grants.Grant] | None:
-        for holding in self.holdings_by_target.values():
-            grant = holding.grants_by_id.get(grant_id)
-            if grant is not None:
-                return holding, grant
-        return None
-
     # What other nodes are told
 
     def held(self) -> dict[identifiers.TargetId, identifiers.FencingToken]:
@@ -499,11 +371,3 @@
             if grant.node == node
         ]
         return used + [grant for grant, (owner, _) in self.orphans.items() if owner == node]
-
-
-def _adopted(row: messages.HandedRun, now: datetime.datetime) -> grants.Grant:
-    estimate = datetime.timedelta(milliseconds=row.estimate_ms)
-    grant = grants.Grant(row.grant, row.node, row.job, row.queue, row.size, estimate, now)
-    grant.task, grant.run = row.task, row.run
-    grant.state = runs.GrantState.RUNNING
-    return grant
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -1,6 +1,7 @@
-"""Jobs as callers hand them in, and their tasks while they run."""
+"""Jobs as callers hand them in, and their steps and tasks while they run."""
 
 import datetime
+import functools
 
 import msgspec
 
@@ -12,29 +13,24 @@
 _CORES_PER_ACCELERATOR = 8
 _SHORTEST_SECONDS = 0.001
 _SMALLEST_CORES = 0.001
+_NO_TIME = datetime.timedelta()
 
 
-class JobRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """One job of equal tasks.
+class StepRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Equal tasks, which may start once all tasks of the steps in ``depends_on`` are done.
 
-    ``objective_base`` and ``stretch`` give the response time asked for: the base plus the
-    stretch times the work. ``patience`` is how long the caller waits.
+    ``label`` is one that the target must have, ``rack`` the label of the racks near the data, away
+    from which a task takes ``remote_factor`` times as long, and ``per_target`` the most tasks of
+    the step on one target, 0 for any number.
     """
 
-    id: identifiers.JobId
-    queue: identifiers.QueueName
-    service: identifiers.ServiceName
-    spec: str
     count: int
     size: resources.Resources
     estimate: datetime.timedelta
-    patience: datetime.timedelta
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    objective_base: datetime.timedelta = datetime.timedelta()
+    depends_on: tuple[int, ...] = ()
     label: str = ""
     rack: str = ""
+    remote_factor: float = 1.0
     per_target: int = 0
 
     def work(self) -> float:
@@ -44,12 +40,58 @@
         return self.count * max(cores, _SMALLEST_CORES) * seconds
 
 
+class JobRequest(msgspec.Struct, frozen=True, kw_only=True, dict=True):
+    """One job of steps, each of which depends on earlier ones only.
+
+    ``objective_base`` and ``stretch`` give the response time asked for: the base plus the
+    stretch times the longest chain of steps. ``patience`` is how long the caller waits.
+    """
+
+    id: identifiers.JobId
+    queue: identifiers.QueueName
+    service: identifiers.ServiceName
+    spec: str
+    steps: tuple[StepRequest, ...]
+    patience: datetime.timedelta
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    objective_base: datetime.timedelta = _NO_TIME
+
+    @functools.cached_property
+    def count(self) -> int:
+        """Number of tasks of all steps."""
+        return sum(step.count for step in self.steps)
+
+    @functools.cached_property
+    def work(self) -> float:
+        """Declared work of all steps, in seconds of a core."""
+        return sum(step.work() for step in self.steps)
+
+    @functools.cached_property
+    def chains(self) -> tuple[datetime.timedelta, ...]:
+        """Declared time, by step, from its start to the end of all that depends on it."""
+        after = [_NO_TIME] * len(self.steps)
+        chains = list(after)
+        for number in range(len(self.steps) - 1, -1, -1):
+            chains[number] = self.steps[number].estimate + after[number]
+            for earlier in self.steps[number].depends_on:
+                after[earlier] = max(after[earlier], chains[number])
+        return tuple(chains)
+
+    @functools.cached_property
+    def estimate(self) -> datetime.timedelta:
+        """Declared time of the longest chain of steps."""
+        return max(self.chains)
+
+
 class Task:
     """One task of a job in progress."""
 
-    __slots__ = ("attempts", "avoided", "index", "run")
+    __slots__ = ("attempts", "avoided", "index", "run", "step")
 
-    def __init__(self, index: int):
+    def __init__(self, step: "Step", index: int):
+        self.step = step
         self.index = index
         self.attempts = 0
         self.run = 0
@@ -95,28 +137,66 @@
         self.stopped_at: datetime.datetime | None = None
 
 
+class Step:
+    """One step of a job in progress, with what its owners of room were asked for."""
+
+    def __init__(self, number: int, request: StepRequest):
+        self.number = number
+        self.request = request
+        self.waiting = [Task(self, index) for index in range(request.count - 1, -1, -1)]
+        self.done = 0
+        self.asked: dict[identifiers.NodeId, int] = {}
+        self.widen_at: datetime.datetime | None = None
+        self.standing: int | None = None
+
+    def is_done(self) -> bool:
+        """Tell whether all its tasks are done."""
+        return self.done == self.request.count
+
+
 class Job:
-    """One job in progress."""
+    """One job in progress; ``followers`` are nodes whose callers wait for its answer too."""
 
     def __init__(self, request: JobRequest, caller: identifiers.CallerId, now: datetime.datetime):
         self.request = request
         self.callers = {caller}
+        self.followers: set[identifiers.NodeId] = set()
         self.arrived_at = now
         self.deadline = now + request.patience
-        self.tasks = [Task(index) for index in range(request.count)]
-        self.waiting = list(reversed(self.tasks))
+        self.steps = [Step(number, step) for number, step in enumerate(request.steps)]
         self.runs_by_grant: dict[identifiers.GrantId, Run] = {}
-        self.done = 0
         self.has_started = False
         self.is_over = False
-        self.asked: dict[identifiers.NodeId, int] = {}
-        self.widen_at: datetime.datetime | None = None
-        self.standing: int | None = None
 
     def name_of(self, task: Task) -> identifiers.TaskName:
         """Return the name under which a target knows the task."""
-        return identifiers.TaskName(f"{self.request.id}.0.0.{task.index}")
+        return identifiers.TaskName(f"{self.request.id}.0.{task.step.number}.{task.index}")
 
     def objective(self) -> datetime.timedelta:
         """Return the response time that is asked for."""
         return self.request.objective_base + self.request.stretch * self.request.estimate
+
+    def due_steps(self) -> list[Step]:
+        """Return the steps with tasks that wait and may start."""
+        return [step for step in self.steps if step.waiting and self._may_start(step)]
+
+    def _may_start(self, step: Step) -> bool:
+        return all(self.steps[earlier].is_done() for earlier in step.request.depends_on)
+
+    def done(self) -> int:
+        """Return how many tasks are done."""
+        return sum(step.done for step in self.steps)
+
+    def is_done(self) -> bool:
+        """Tell whether all tasks are done."""
+        return all(step.is_done() for step in self.steps)
+
+    def waiting(self) -> int:
+        """Return how many tasks do not run and are not done."""
+        return sum(len(step.waiting) for step in self.steps)
+
+    def time_left(self) -> datetime.timedelta:
+        """Return the declared time that tasks which do not run still take."""
+        chains = self.request.chains
+        waiting = [chains[step.number] for step in self.steps if step.waiting]
+        return max(waiting, default=_NO_TIME)
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -10,6 +10,7 @@
 from chiveridge_pool import (
     actions,
     coordinators,
+    deliveries,
     events,
     holders,
     identifiers,
@@ -70,7 +71,7 @@
         """Handle the messages that this node sends to itself."""
         self.mailbox.flush_ends()
         while self.mailbox.own:
-            take_message(self.mailbox.own.popleft(), self, now)
+            deliveries.take_message(self.mailbox.own.popleft(), self, now)
             self.mailbox.flush_ends()
 
     def is_ready(self, now: datetime.datetime) -> bool:
@@ -115,8 +116,9 @@
             is_leaving=self.draining_since is not None,
             is_slow=self.lag.is_slow,
             version=self.version,
-            leaving=self.holder.leaving(),
+            leaving=self.holder.listing.leaving(),
             endpoints=self._endpoints(),
+            jobs=self.coordinator.followings.told_jobs(now),
         )
         for member in self.members.by_endpoint.values():
             self.mailbox.add(
@@ -149,7 +151,7 @@
         """Answer a node that has just started, over a connection that is not backing off."""
         self.mailbox.add(actions.Reconnect(endpoint=member.endpoint))
         self._beat_due = now
-        known = tuple(self.holder.targets_by_id.values())
+        known = tuple(self.holder.listing.by_id.values())
         if known:
             message = messages.Targets(sender=self.settings.node, targets=known)
             self.mailbox.send(member.id, message)
@@ -239,7 +241,7 @@
 
 @handle.register
 def _(event: events.MessageReceived, kernel: Kernel, now: datetime.datetime) -> None:
-    take_message(event.message, kernel, now)
+    deliveries.take_message(event.message, kernel, now)
 
 
 @handle.register
@@ -270,88 +272,3 @@
         # Peers must know before they are handed targets, or they would hand them back.
         kernel.beat(now)
         kernel.tick(now)
-
-
-@functools.singledispatch
-def take_message(message: messages.AnyMessage, kernel: Kernel, now: datetime.datetime) -> None:
-    """Have the parts of a kernel take a message."""
-    raise TypeError(f"no handler for message {type(message).__name__}")
-
-
-@take_message.register
-def _(message: messages.Heartbeat, kernel: Kernel, now: datetime.datetime) -> None:
-    known = kernel.members.by_endpoint.get(message.endpoint)
-    known_id = None if known is None else known.id
-    member = kernel.members.hear(message, now)
-    if member is None:
-        return
-    if known_id != member.id:
-        kernel.mailbox.note(
-            notes.NoteEvent.MEMBER_HEARD,
-            member=member.id,
-            endpoint=member.endpoint,
-            zone=member.zone,
-            version=member.version,
-        )
-        kernel.greet(member, now)
-    kernel.share_configuration(member, now)
-    kernel.holder.note_leaving(message.leaving)
-    kernel.coordinator.reconcile(message, now)
-
-
-@take_message.register
-def _(message: messages.Ask, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.holder.ask(message, now)
-
-
-@take_message.register
-def _(message: messages.Withdraw, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.holder.requests.withdraw(message.sender, message.job)
-
-
-@take_message.register
-def _(message: messages.Granted, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.coordinator.granted(message, now)
-
-
-@take_message.register
-def _(message: messages.Release, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.holder.release(message, now)
-
-
-@take_message.register
-def _(message: messages.Start, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.started_by_node[message.sender] = message.sequence
-    kernel.holder.start(message, now)
-
-
-@take_message.register
-def _(message: messages.Stop, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.holder.stop(message, now)
-
-
-@take_message.register
-def _(message: messages.Ended, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.coordinator.ended(message, now)
-
-
-@take_message.register
-def _(message: messages.Configuration, kernel: Kernel, now: datetime.datetime) -> None:
-    if message.version > kernel.version:
-        action = actions.ApplyConfiguration(version=message.version, text=message.text)
-        kernel.mailbox.add(action)
-
-
-@take_message.register
-def _(message: messages.Targets, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.holder.learn_targets(message.targets)
-
-
-@take_message.register
-def _(message: messages.Handover, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.holder.take_handover(message, now)
-
-
-@take_message.register
-def _(message: messages.Moved, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.coordinator.moved(message, now)
--- /dev/null
+++ b/packages/pool/chiveridge_pool/lendings.py
@@ -0,0 +1,133 @@
+"""Room of held targets, lent to jobs' nodes in grants under which they have tasks run."""
+
+import datetime
+import itertools
+
+from chiveridge_pool import (
+    grants,
+    holdings,
+    identifiers,
+    mailboxes,
+    messages,
+    orders,
+    requests,
+    runs,
+    starts,
+    timings,
+)
+
+
+class Lending:
+    """Grants room of the targets that this node holds."""
+
+    def __init__(
+        self,
+        own_id: identifiers.NodeId,
+        mailbox: mailboxes.Mailbox,
+        orders_given: orders.Orders,
+        starts_given: starts.Starts,
+        holdings_by_target: dict[identifiers.TargetId, holdings.Holding],
+    ):
+        self._own_id = own_id
+        self._mailbox = mailbox
+        self._orders = orders_given
+        self._starts = starts_given
+        self._holdings_by_target = holdings_by_target
+        self._grant_numbers = itertools.count(1)
+        self.requests = requests.Requests()
+
+    def ask(
+        self, message: messages.Ask, usable: list[holdings.Holding], now: datetime.datetime
+    ) -> None:
+        """Take a job's ask for room."""
+        self.requests.put(message)
+        self.serve(usable, now)
+
+    def serve(self, usable: list[holdings.Holding], now: datetime.datetime) -> None:
+        """Grant free room to those who wait, in order."""
+        for request in self.requests.in_order():
+            if not usable:
+                return
+            self._serve_one(request, usable, now)
+
+    def _serve_one(
+        self, request: requests.Request, usable: list[holdings.Holding], now: datetime.datetime
+    ) -> None:
+        ask = request.ask
+        granted = []
+        while request.left > 0:
+            holding = requests.choose_target(ask, usable)
+            if holding is None:
+                break
+            grant = self._reserve(ask, holding, now)
+            if not self._orders.may_use(holding, now):
+                usable.remove(holding)
+            granted.append((grant.id, holding.target.id, holding.token))
+            request.left -= 1
+        if granted:
+            self.requests.settle(request)
+            message = messages.Granted(
+                sender=self._own_id, job=ask.job, step=ask.step, grants=tuple(granted)
+            )
+            self._mailbox.send(ask.sender, message)
+
+    def _reserve(
+        self, ask: messages.Ask, holding: holdings.Holding, now: datetime.datetime
+    ) -> grants.Grant:
+        grant = grants.Grant(
+            identifiers.GrantId(f"{self._own_id}-{next(self._grant_numbers)}"),
+            ask.sender,
+            ask.job,
+            ask.step,
+            ask.queue,
+            ask.size,
+            requests.expected_time(ask, holding),
+            now + timings.GRANT_LIFE,
+        )
+        holding.add(grant)
+        self._orders.note_use(holding, now)
+        return grant
+
+    def release(self, message: messages.Release) -> None:
+        """Take grants back that were not used."""
+        for grant_id in message.grants:
+            found = self.find(grant_id)
+            if found is not None and not found[1].is_sent():
+                found[0].remove(found[1])
+
+    def start(self, message: messages.Start, now: datetime.datetime) -> None:
+        """Start runs on granted room; what is not granted any more is refused."""
+        for grant_id, task, run in message.runs:
+            found = self.find(grant_id)
+            if found is None:
+                self._mailbox.send_end(message.sender, grant_id, runs.RunEnd.REFUSED.value)
+                continue
+            holding, grant = found
+            if not grant.is_sent():
+                grant.task, grant.run, grant.spec = task, run, message.spec
+                self._starts.start(holding, grant, now)
+
+    def forget_node(self, node: identifiers.NodeId, now: datetime.datetime) -> None:
+        """Stop everything of a node that is dead, or that does not hear this one."""
+        self.requests.forget_node(node)
+        for holding in list(self._holdings_by_target.values()):
+            for grant in list(holding.grants_by_id.values()):
+                if grant.node == node:
+                    self._orders.stop(holding, grant, "its node is silent", now)
+
+    def nodes(self) -> set[identifiers.NodeId]:
+        """Return the nodes that have grants or wait for them."""
+        lent = {
+            grant.node
+            for holding in self._holdings_by_target.values()
+            for grant in holding.grants_by_id.values()
+        }
+        return lent | self.requests.nodes()
+
+    def find(self, grant_id: identifiers.GrantId) -> tuple[holdings.Holding, grants.Grant] | None:
+        """Return a grant and the target that it is for."""
+        for holding in self._holdings_by_target.values():
+            grant = holding.grants_by_id.get(grant_id)
+            if grant is not None:
+                return holding, grant
+        return None
--- a/packages/pool/chiveridge_pool/members.py
+++ b/packages/pool/chiveridge_pool/members.py
@@ -22,6 +22,7 @@
         self.held: dict[identifiers.TargetId, identifiers.FencingToken] = {}
         self.free: list[resources.Resources] = []
         self.version = 0
+        self.jobs: frozenset[identifiers.JobId] = frozenset()
 
     def is_fit(self) -> bool:
         """Tell whether it should hold targets."""
@@ -75,6 +76,7 @@
         member.held = beat.held
         member.free = list(beat.free)
         member.version = beat.version
+        member.jobs = frozenset(beat.jobs)
         for endpoint in beat.endpoints:
             self.add(endpoint, now)
         return member
@@ -88,6 +90,11 @@
         member = self.by_id.get(node)
         return member if member is not None and member.is_live(now) else None
 
+    def find_with_job(self, job: identifiers.JobId, now: datetime.datetime) -> Member | None:
+        """Return a member that was heard lately and has a job in progress, or None."""
+        having = (member for member in self.live(now) if job in member.jobs)
+        return next(having, None)
+
     def is_held(self, target: identifiers.TargetId, now: datetime.datetime) -> bool:
         """Tell whether a live member holds a target."""
         return any(target in member.held for member in self.live(now))
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -24,7 +24,8 @@
     none but its own runs, ``free`` the room left on each of them. ``runs`` are the grants in use
     on behalf of ``recipient``, complete for all starts up to ``started``; the recipient is unset
     while the sender does not know who listens there. ``leaving`` are the targets that the sender
-    has seen draining, with the time of their birth.
+    has seen draining, with the time of their birth. ``jobs`` are those that the sender has had in
+    progress for so long that their callers may have sent them to another node as well.
     """
 
     zone: identifiers.ZoneName
@@ -41,12 +42,17 @@
     version: int = 0
     leaving: tuple[tuple[identifiers.TargetId, int], ...] = ()
     endpoints: tuple[identifiers.Endpoint, ...] = ()
+    jobs: tuple[identifiers.JobId, ...] = ()
 
 
 class Ask(Message, tag="ask", frozen=True, kw_only=True):
-    """Ask an owner for room for ``count`` tasks of one job; replaces an earlier ask."""
+    """Ask an owner for room for ``count`` tasks of a job's step; replaces an earlier ask.
+
+    Away from the racks with the label ``rack`` a task takes ``remote_factor`` times as long.
+    """
 
     job: identifiers.JobId
+    step: int = 0
     rank: tuple[float, float]
     queue: identifiers.QueueName
     service: identifiers.ServiceName
@@ -55,19 +61,22 @@
     estimate_ms: float = 0.0
     label: str = ""
     rack: str = ""
+    remote_factor: float = 1.0
     per_target: int = 0
 
 
 class Withdraw(Message, tag="wd", frozen=True, kw_only=True):
-    """The job needs no more room."""
+    """The step of a job needs no more room."""
 
     job: identifiers.JobId
+    step: int = 0
 
 
 class Granted(Message, tag="gr", frozen=True, kw_only=True):
-    """Room for tasks of a job, reserved for a short time."""
+    """Room for tasks of a job's step, reserved for a short time."""
 
     job: identifiers.JobId
+    step: int = 0
     grants: tuple[tuple[identifiers.GrantId, identifiers.TargetId, identifiers.FencingToken], ...]
 
 
@@ -109,6 +118,7 @@
     run: identifiers.RunNumber
     size: resources.Resources
     estimate_ms: float
+    step: int = 0
 
 
 class Handover(Message, tag="ho", frozen=True, kw_only=True):
@@ -141,6 +151,40 @@
     targets: tuple[targets.Target, ...]
 
 
+class Follow(Message, tag="fo", frozen=True, kw_only=True):
+    """Ask for the answer of a job that the recipient works at; answered by :class:`Outcome`.
+
+    ``patience_ms`` is how much longer the sender's caller waits.
+    """
+
+    job: identifiers.JobId
+    patience_ms: float
+
+
+class Unfollow(Message, tag="uf", frozen=True, kw_only=True):
+    """Nobody waits for a job at the sender any more."""
+
+    job: identifiers.JobId
+
+
+class Outcome(Message, tag="oc", frozen=True, kw_only=True):
+    """The answer of a job for those who follow it.
+
+    ``verdict`` is a word of :class:`chiveridge_pool.actions.Verdict`, or empty when the job ended
+    without an answer and nothing of it runs any more, so that it may be run anew.
+    """
+
+    job: identifiers.JobId
+    verdict: str = ""
+    reason: str = ""
+
+
+class Cancel(Message, tag="cn", frozen=True, kw_only=True):
+    """Cancel a job that the recipient works at."""
+
+    job: identifiers.JobId
+
+
 AnyMessage = (
     Heartbeat
     | Ask
@@ -154,6 +198,10 @@
     | Moved
     | Configuration
     | Targets
+    | Follow
+    | Unfollow
+    | Outcome
+    | Cancel
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/pool/chiveridge_pool/notes.py
+++ b/packages/pool/chiveridge_pool/notes.py
@@ -1,7 +1,10 @@
 """Numbered log events of the pool; ``docs/events.md`` is their catalogue."""
 
+import datetime
 import enum
 
+from chiveridge_kernel import clocks
+
 
 class NoteEvent(enum.IntEnum):
     """What is written to the log; a number is never used again."""
@@ -12,6 +15,7 @@
     JOB_REFUSED = 503
     JOB_ANSWERED = 504
     CALLER_LEFT = 506
+    JOB_FOLLOWED = 507
     RUN_ENDED = 510
     RUN_STOPPED = 511
     RUN_MOVED = 512
@@ -28,3 +32,8 @@
 
 REQUEST_EVENTS = frozenset(event for event in NoteEvent if event < NoteEvent.OWNER_CHANGED)
 """Events that belong to one request and carry its id."""
+
+
+def to_ms(duration: datetime.timedelta) -> float:
+    """Return a duration as it is written to the log, in milliseconds and their tenths."""
+    return round(clocks.to_ms(duration), 1)
--- /dev/null
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -0,0 +1,158 @@
+"""Runs that this node has asked owners to start, followed until their ends are known."""
+
+import datetime
+from collections.abc import Callable
+
+from chiveridge_pool import (
+    identifiers,
+    jobs,
+    mailboxes,
+    members,
+    messages,
+    notes,
+    runs,
+    timings,
+)
+
+OnEnd = Callable[[jobs.Run, runs.RunEnd, datetime.datetime], None]
+"""Takes a run that is over, how it ended and when that was learned."""
+
+Placed = tuple[jobs.Task, identifiers.GrantId, identifiers.TargetId, identifiers.FencingToken]
+"""A task with the grant under which it is to run."""
+
+
+class Placements:
+    """All runs that this node wants, or waits to see stopped."""
+
+    def __init__(self, table: members.Members, mailbox: mailboxes.Mailbox, on_end: OnEnd):
+        self._members = table
+        self._mailbox = mailbox
+        self._on_end = on_end
+        self._own_id = table.own_id
+        self._sequence_by_owner: dict[identifiers.NodeId, int] = {}
+        self._runs_by_grant: dict[identifiers.GrantId, jobs.Run] = {}
+
+    def start(
+        self,
+        job: jobs.Job,
+        owner: identifiers.NodeId,
+        placed: list[Placed],
+        now: datetime.datetime,
+    ) -> None:
+        """Have an owner start tasks on granted room."""
+        sequence = self._sequence_by_owner.get(owner, 0) + 1
+        self._sequence_by_owner[owner] = sequence
+        rows = []
+        for task, grant, target, token in placed:
+            task.run += 1
+            run = jobs.Run(job, task, grant, owner, target, token, sequence, now)
+            job.runs_by_grant[grant] = run
+            self._runs_by_grant[grant] = run
+            rows.append((grant, job.name_of(task), identifiers.RunNumber(task.run)))
+        message = messages.Start(
+            sender=self._own_id,
+            job=job.request.id,
+            sequence=sequence,
+            spec=job.request.spec,
+            runs=tuple(rows),
+        )
+        self._mailbox.send(owner, message)
+
+    def stop(self, stopped: list[jobs.Run], now: datetime.datetime) -> None:
+        """Have runs stopped; each is followed until its end is known."""
+        by_owner: dict[identifiers.NodeId, list[identifiers.GrantId]] = {}
+        for run in stopped:
+            run.stopped_at = now
+            by_owner.setdefault(run.owner, []).append(run.grant)
+        for owner, grants in by_owner.items():
+            self._mailbox.send(owner, messages.Stop(sender=self._own_id, grants=tuple(grants)))
+
+    def ended(self, message: messages.Ended, now: datetime.datetime) -> None:
+        """Take the ends of runs."""
+        for grant, how in message.ends:
+            run = self._runs_by_grant.get(grant)
+            if run is not None:
+                self._end(run, runs.END_BY_WORD.get(how, runs.RunEnd.LOST), now)
+
+    def _end(self, run: jobs.Run, how: runs.RunEnd, now: datetime.datetime) -> None:
+        del self._runs_by_grant[run.grant]
+        del run.job.runs_by_grant[run.grant]
+        self._on_end(run, how, now)
+
+    def moved(self, message: messages.Moved, now: datetime.datetime) -> None:
+        """Follow runs to the new owner of their target."""
+        for grant in message.grants:
+            run = self._runs_by_grant.get(grant)
+            if run is not None:
+                self._mailbox.note(
+                    notes.NoteEvent.RUN_MOVED,
+                    job=run.job.request.id,
+                    target=run.target,
+                    owner=message.owner,
+                )
+                run.owner = message.owner
+                run.moved_at = now
+
+    def reconcile(self, beat: messages.Heartbeat, now: datetime.datetime) -> None:
+        """Compare an owner's list of runs with what this node believes."""
+        if beat.recipient != self._own_id:
+            return
+        listed = frozenset(beat.runs)
+        for run in list(self._runs_by_grant.values()):
+            if run.grant in listed:
+                run.owner = beat.sender
+                run.moved_at = None
+                run.token = beat.held.get(run.target, run.token)
+            elif beat.held.get(run.target, 0) > run.token:
+                # Under a newer token the target runs only what its owner lists.
+                self._end(run, runs.RunEnd.LOST, now)
+            elif run.owner == beat.sender:
+                self._check_unlisted(run, beat, now)
+        strays = [grant for grant in beat.runs if grant not in self._runs_by_grant]
+        if strays:
+            stop = messages.Stop(sender=self._own_id, grants=tuple(strays))
+            self._mailbox.send(beat.sender, stop)
+
+    def _check_unlisted(
+        self, run: jobs.Run, beat: messages.Heartbeat, now: datetime.datetime
+    ) -> None:
+        if run.moved_at is not None:
+            if now - run.moved_at > timings.OWNER_LOST_AFTER:
+                self._end(run, runs.RunEnd.LOST, now)
+        elif run.sequence <= beat.started:
+            self._end(run, runs.RunEnd.LOST, now)
+        elif run.stopped_at is None and now - run.started_at > timings.START_PATIENCE:
+            # The start was lost on its way; an owner that does not know the run says so.
+            self.stop([run], now)
+
+    def tick(self, now: datetime.datetime) -> None:
+        """End the runs of owners that are lost, and repeat stops."""
+        for run in list(self._runs_by_grant.values()):
+            if self._is_owner_lost(run, now):
+                self._end(run, runs.RunEnd.LOST, now)
+            elif run.stopped_at is not None and now - run.stopped_at > timings.STOP_INTERVAL:
+                self.stop([run], now)
+
+    def _is_owner_lost(self, run: jobs.Run, now: datetime.datetime) -> bool:
+        """Tell whether an owner is silent for so long that its leases have lapsed."""
+        if run.owner == self._own_id or self._members.find_live(run.owner, now) is not None:
+            return False
+        heard = self._members.heard_by_id.get(run.owner, run.started_at)
+        owned_at = run.moved_at or run.started_at
+        return now - max(heard, owned_at) > timings.OWNER_LOST_AFTER
+
+    def note_run_again(self, run: jobs.Run, how: runs.RunEnd, now: datetime.datetime) -> None:
+        """Write why a task has to run again, with the age of what is known of its owner."""
+        heard = self._members.heard_by_id.get(run.owner)
+        self._mailbox.note(
+            notes.NoteEvent.RUN_LOST,
+            job=run.job.request.id,
+            task=run.job.name_of(run.task),
+            run=run.task.run,
+            target=run.target,
+            owner=run.owner,
+            how=how.value,
+            ran_ms=notes.to_ms(now - run.started_at),
+            owner_heard_ms_ago=None if heard is None else notes.to_ms(now - heard),
+            failed_attempts=run.task.attempts,
+        )
--- a/packages/pool/chiveridge_pool/ranks.py
+++ b/packages/pool/chiveridge_pool/ranks.py
@@ -75,7 +75,7 @@
         known = self._by_queue.get(request.queue)
         if known is None:
             known = self._by_queue[request.queue] = _Queue(now)
-        known.add(request.work(), now)
+        known.add(request.work, now)
 
     def standing(self, job: jobs.Job, now: datetime.datetime) -> Standing:
         """Return the group of a job."""
@@ -94,7 +94,7 @@
         request = job.request
         known = self._by_queue[request.queue]
         mean = known.work / known.count
-        work = request.work()
+        work = request.work
         value = (FIXED_SHARE + (1 - FIXED_SHARE) * work / mean) / known.count
         return work / value
 
@@ -102,7 +102,7 @@
 _COSTS = {
     Order.ARRIVAL: lambda ranks, job: job.arrived_at.timestamp(),
     Order.LATEST_START: lambda ranks, job: latest_start(job).timestamp(),
-    Order.LEAST_WORK: lambda ranks, job: job.request.work(),
+    Order.LEAST_WORK: lambda ranks, job: job.request.work,
     Order.SHARES: Ranks._share_cost,
 }
 
--- a/packages/pool/chiveridge_pool/requests.py
+++ b/packages/pool/chiveridge_pool/requests.py
@@ -1,12 +1,14 @@
 """Asks for room that wait at an owner, in the order in which they are served."""
 
+import datetime
+
 from chiveridge_pool import holdings, identifiers, messages
 
-_Key = tuple[identifiers.NodeId, identifiers.JobId]
+_Key = tuple[identifiers.NodeId, identifiers.JobId, int]
 
 
 class Request:
-    """The newest ask of one job."""
+    """The newest ask for one step of a job."""
 
     def __init__(self, ask: messages.Ask):
         self.ask = ask
@@ -14,20 +16,21 @@
 
 
 class Requests:
-    """Waiting asks by node and job."""
+    """Waiting asks by node, job and step."""
 
     def __init__(self):
         self._by_key: dict[_Key, Request] = {}
 
-    def put(self, ask: messages.Ask) -> Request:
-        """Add an ask, in place of an earlier one of the job."""
-        request = Request(ask)
-        self._by_key[ask.sender, ask.job] = request
-        return request
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def put(self, ask: messages.Ask) -> None:
+        """Add an ask, in place of an earlier one for the step."""
+        self._by_key[_key(ask)] = Request(ask)
 
-    def withdraw(self, node: identifiers.NodeId, job: identifiers.JobId) -> None:
-        """Forget the ask of a job."""
-        self._by_key.pop((node, job), None)
+    def withdraw(self, message: messages.Withdraw) -> None:
+        """Forget the ask for a step."""
+        self._by_key.pop((message.sender, message.job, message.step), None)
 
     def forget_node(self, node: identifiers.NodeId) -> None:
         """Forget the asks of a node."""
@@ -36,7 +39,7 @@
 
     def nodes(self) -> set[identifiers.NodeId]:
         """Return the nodes with waiting asks."""
-        return {node for node, _ in self._by_key}
+        return {node for node, _, _ in self._by_key}
 
     def in_order(self) -> list[Request]:
         """Return the asks, first to be served first."""
@@ -44,11 +47,15 @@
 
     def settle(self, request: Request) -> None:
         """Forget an ask that is served whole."""
-        key = (request.ask.sender, request.ask.job)
+        key = _key(request.ask)
         if request.left <= 0 and self._by_key.get(key) is request:
             del self._by_key[key]
 
 
+def _key(ask: messages.Ask) -> _Key:
+    return ask.sender, ask.job, ask.step
+
+
 def choose_target(ask: messages.Ask, usable: list[holdings.Holding]) -> holdings.Holding | None:
     """Return the target for one task: one that fits, near its data, with least room to spare."""
     fitting = [holding for holding in usable if _suits(ask, holding)]
@@ -57,6 +64,12 @@
     return min(fitting, key=lambda holding: (not _is_near(ask, holding), holding.free().cpu))
 
 
+def expected_time(ask: messages.Ask, holding: holdings.Holding) -> datetime.timedelta:
+    """Return the declared run time of one task on a target."""
+    declared = datetime.timedelta(milliseconds=ask.estimate_ms)
+    return declared if _is_near(ask, holding) else declared * ask.remote_factor
+
+
 def _suits(ask: messages.Ask, holding: holdings.Holding) -> bool:
     target = holding.target
     if target.service != ask.service or not ask.size.fits_in(holding.free()):
@@ -65,7 +78,9 @@
         return False
     if not ask.per_target:
         return True
-    same = sum(grant.job == ask.job for grant in holding.grants_by_id.values())
+    same = sum(
+        grant.job == ask.job and grant.step == ask.step for grant in holding.grants_by_id.values()
+    )
     return same < ask.per_target
 
 
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -81,3 +81,9 @@
 
 MEMBER_FORGOTTEN_AFTER = _ms(20_000)
 """Silence after which a node no longer counts in a majority; longer than any cut in the brief."""
+
+TOLD_JOB_AGE = _ms(500)
+"""Age from which peers are told of a job; callers send it again 1.3 s after it is lost."""
+
+FOLLOW_INTERVAL = _ms(300)
+"""Pause between questions to the node of a job that is followed; three heartbeats."""
--- a/tests/pool/pools.py
+++ b/tests/pool/pools.py
@@ -7,12 +7,24 @@
 
 TASK_CPU = 27_000
 
+_STEP_FIELDS = ("cpu", "estimate", "label", "rack", "per_target", "remote_factor")
 
-def job(name: str, count: int = 1, work_ms: float = 100.0, **fields) -> jobs.JobRequest:
-    """Return a job whose tasks take ``work_ms``."""
-    size = resources.Resources(fields.pop("cpu", TASK_CPU), 64, 0)
+
+def step(count: int = 1, work_ms: float = 100.0, **fields) -> jobs.StepRequest:
+    """Return a step whose tasks are declared to take ``work_ms``."""
     defaults = {
         "estimate": datetime.timedelta(milliseconds=work_ms),
+        "size": resources.Resources(fields.pop("cpu", TASK_CPU), 64, 0),
+    }
+    return jobs.StepRequest(count=count, **{**defaults, **fields})
+
+
+def job(name: str, count: int = 1, work_ms: float = 100.0, **fields) -> jobs.JobRequest:
+    """Return a job whose tasks take ``work_ms``, of one step or of those given as ``steps``."""
+    of_step = {key: fields.pop(key) for key in _STEP_FIELDS if key in fields}
+    steps = fields.pop("steps", None) or (step(count, work_ms, **of_step),)
+    size = steps[0].size
+    defaults = {
         "patience": datetime.timedelta(seconds=3),
         "max_attempts": 3,
         "stretch": 1.6,
@@ -23,8 +35,7 @@
         queue=identifiers.QueueName("queue"),
         service=identifiers.ServiceName("service"),
         spec=f"{work_ms} {size.cpu} {size.memory_mb} {size.accelerators}",
-        count=count,
-        size=size,
+        steps=steps,
         **{**defaults, **fields},
     )
 
--- /dev/null
+++ b/tests/pool/test_pool_followings.py
@@ -0,0 +1,130 @@
+"""Jobs that reach a second node while the first still works at them."""
+
+import datetime
+
+import pools
+import pytest
+
+from chiveridge_pool import actions, events, messages
+
+JOB = "a" * 16
+PATIENCE = datetime.timedelta(seconds=6)
+UNTIL_TOLD_SECONDS = 1.3
+"""Time after which callers send a job again; by then the others know that it is in progress."""
+
+
+def _sent_twice(model, work_ms=2000.0, **fields):
+    """Hand one job in at two nodes, as a caller does that hears nothing of the first."""
+    request = pools.job(JOB, 3, work_ms, patience=PATIENCE, **fields)
+    first = model.submit(pools.node(model, 1), request)
+    model.run(seconds=UNTIL_TOLD_SECONDS)
+    second = model.submit(pools.node(model, 2), request)
+    return first, second
+
+
+def _starts(model):
+    return sum(target.starts for target in model.targets_by_id.values())
+
+
+@pytest.mark.promise("at_most_once", failures=["silent_connection"])
+def test_a_job_that_reaches_a_second_node_runs_once_and_answers_both():
+    model = pools.pool()
+    callers = _sent_twice(model)
+    model.run(seconds=2)
+    verdicts = {model.answers_by_caller[caller].verdict for caller in callers}
+    assert verdicts == {actions.Verdict.COMPLETE}
+    assert _starts(model) == 3
+
+
+@pytest.mark.promise("at_most_once", failures=["silent_connection"])
+def test_a_job_goes_on_when_its_first_caller_leaves_and_a_second_waits():
+    model = pools.pool()
+    first, second = _sent_twice(model)
+    model.run(seconds=0.1)
+    model.leave(first)
+    model.run(seconds=2)
+    assert model.answers_by_caller[second].verdict is actions.Verdict.COMPLETE
+    assert _starts(model) == 3
+
+
+@pytest.mark.promise("at_most_once", failures=["silent_connection"])
+def test_a_job_stops_once_nobody_waits_at_any_node():
+    model = pools.pool()
+    first, second = _sent_twice(model, 4000.0)
+    model.run(seconds=0.1)
+    model.leave(first)
+    model.run(seconds=0.3)
+    assert any(target.spans(model.simulation.now) for target in model.targets_by_id.values())
+    model.leave(second)
+    model.run(seconds=0.3)
+    assert not any(target._running for target in model.targets_by_id.values())
+    assert not pools.node(model, 1).kernel.coordinator.jobs_by_id
+
+
+@pytest.mark.promise("at_most_once", failures=["silent_connection"])
+def test_a_job_that_is_being_stopped_elsewhere_runs_anew_after_its_end():
+    model = pools.pool()
+    request = pools.job(JOB, 3, 2000.0, patience=PATIENCE)
+    first = model.submit(pools.node(model, 1), request)
+    model.run(seconds=UNTIL_TOLD_SECONDS)
+    model.leave(first)
+    second = model.submit(pools.node(model, 2), request)
+    model.run(seconds=4)
+    assert model.answers_by_caller[second].verdict is actions.Verdict.COMPLETE
+    assert model.overlaps() == []
+
+
+@pytest.mark.promise("at_most_once", failures=["silent_connection", "kill"])
+def test_a_job_runs_anew_when_the_node_that_had_it_dies():
+    model = pools.pool()
+    _, second = _sent_twice(model, 1000.0)
+    pools.node(model, 1).kill()
+    model.run(seconds=4.5)
+    assert model.answers_by_caller[second].verdict is actions.Verdict.COMPLETE
+    assert model.overlaps() == []
+
+
+@pytest.mark.promise("at_most_once", failures=["silent_connection", "lost_reply"])
+def test_a_lost_question_is_asked_again():
+    model = pools.pool()
+    lost = []
+
+    def drops(sender, receiver, message):
+        is_first = isinstance(message, messages.Follow) and not lost
+        if is_first:
+            lost.append(message)
+        return is_first
+
+    model.drops = drops
+    callers = _sent_twice(model)
+    model.run(seconds=2)
+    assert lost
+    verdicts = {model.answers_by_caller[caller].verdict for caller in callers}
+    assert verdicts == {actions.Verdict.COMPLETE}
+    assert _starts(model) == 3
+
+
+@pytest.mark.promise("honest_refusal", failures=["silent_connection"])
+def test_a_follower_is_answered_by_its_own_deadline():
+    model = pools.pool()
+    request = pools.job(JOB, 3, 5000.0, patience=PATIENCE)
+    model.submit(pools.node(model, 1), request)
+    model.run(seconds=UNTIL_TOLD_SECONDS)
+    model.cut(pools.node(model, 1).name, pools.node(model, 2).name)
+    short = pools.job(JOB, 3, 5000.0, patience=datetime.timedelta(seconds=0.5))
+    second = model.submit(pools.node(model, 2), short)
+    model.run(seconds=0.5)
+    assert model.answers_by_caller[second].verdict is actions.Verdict.GIVEN_UP
+
+
+def test_a_job_is_cancelled_through_another_node():
+    model = pools.pool()
+    request = pools.job(JOB, 3, 4000.0, patience=PATIENCE)
+    caller = model.submit(pools.node(model, 1), request)
+    model.run(seconds=UNTIL_TOLD_SECONDS)
+    other = pools.node(model, 2).kernel.coordinator
+    assert other.state_of(JOB, model.simulation.now) is not None
+    pools.node(model, 2).handle(events.JobCancelled(job=JOB))
+    model.run(seconds=0.3)
+    assert model.answers_by_caller[caller].verdict is actions.Verdict.CANCELLED
+    assert not any(target._running for target in model.targets_by_id.values())
