Send the state of a node in heartbeats only until it is confirmed

Ruled out: slower heartbeats across domains (runs of a dead node would end too late for the 1.3 s of callers); the whole state once a second (a lost one leaves a second of ignorance of who holds what). Change: NodeState has a number; it is sent with each heartbeat until the recipient's own heartbeats confirm that number. Messages are arrays without names. Grants of the sender's own are called by their numbers. Goodbye is a message of its own, and one of a former life removes no member any more. Heartbeats moved from kernels to beats. Runs are compared only where the state that goes with the list of runs is known. Proofs: tests/pool/test_pool_heartbeats.py, failing with: state always sent; state left out unconfirmed; goodbyes of former lives taken; older states taken.

--- /dev/null
+++ b/packages/pool/chiveridge_pool/beats.py
@@ -0,0 +1,103 @@
+"""Heartbeats: what a node tells every other, ten times a second, and no more than it must."""
+
+import datetime
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from chiveridge_pool import actions, grants, identifiers, members, messages, timings
+
+if TYPE_CHECKING:
+    from chiveridge_pool import kernels
+
+_ENDPOINTS_EVERY = 10
+"""Heartbeats from one that names all known nodes to the next."""
+
+
+class Beats:
+    """Composes the heartbeats of one node.
+
+    What changes rarely is sent to each member until it has confirmed it.
+    """
+
+    def __init__(self, kernel: "kernels.Kernel", now: datetime.datetime):
+        self._kernel = kernel
+        self._members = kernel.members
+        self._due = now
+        self._count = 0
+        self._state: messages.NodeState | None = None
+        self._state_number = 0
+
+    def hurry(self, now: datetime.datetime) -> None:
+        """Send the next heartbeats at once."""
+        self._due = now
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Send heartbeats when they are due."""
+        if now >= self._due:
+            self.send(now)
+
+    def send(self, now: datetime.datetime) -> None:
+        """Send a heartbeat to every node that may be running."""
+        self._due = now + timings.HEARTBEAT_INTERVAL
+        self._count += 1
+        self._renew_state(now)
+        kernel = self._kernel
+        common = messages.Heartbeat(
+            sender=kernel.settings.node,
+            state_number=self._state_number,
+            state=self._state,
+            free=tuple(holding.free() for holding in kernel.holder.usable(now)),
+            jobs=kernel.coordinator.followings.told_jobs(now),
+            endpoints=self._endpoints(),
+        )
+        for member in self._members.by_endpoint.values():
+            beat = common if member.id is None else self._for_member(member, common)
+            kernel.mailbox.add(actions.SendMessage(endpoint=member.endpoint, message=beat))
+
+    def say_goodbye(self) -> None:
+        """Tell every node that this one exits."""
+        settings = self._kernel.settings
+        goodbye = messages.Goodbye(sender=settings.node, endpoint=settings.endpoint)
+        for endpoint in self._members.by_endpoint:
+            self._kernel.mailbox.add(actions.SendMessage(endpoint=endpoint, message=goodbye))
+
+    def _renew_state(self, now: datetime.datetime) -> None:
+        kernel = self._kernel
+        state = messages.NodeState(
+            zone=kernel.settings.zone,
+            endpoint=kernel.settings.endpoint,
+            hears=tuple(sorted(member.id for member in self._members.live(now))),
+            held=kernel.holder.held(),
+            leaving=kernel.holder.listing.leaving(),
+            is_leaving=kernel.draining_since is not None,
+            is_slow=kernel.lag.is_slow,
+            version=kernel.version,
+        )
+        if state != self._state:
+            self._state = state
+            self._state_number += 1
+
+    def _for_member(self, member: members.Member, common: messages.Heartbeat) -> messages.Heartbeat:
+        own_id = self._kernel.settings.node
+        is_known = member.confirmed == self._state_number
+        return msgspec.structs.replace(
+            common,
+            state=None if is_known else self._state,
+            recipient=member.id,
+            seen=member.state_number,
+            runs=tuple(
+                grants.short_id(own_id, grant) for grant in self._kernel.holder.grants_of(member.id)
+            ),
+            started=self._kernel.started_by_node.get(member.id, 0),
+        )
+
+    def _endpoints(self) -> tuple[identifiers.Endpoint, ...]:
+        if self._count % _ENDPOINTS_EVERY:
+            return ()
+        heard = [
+            member.endpoint
+            for member in self._members.by_endpoint.values()
+            if member.heard_at is not None
+        ]
+        return tuple(heard)
--- a/packages/pool/chiveridge_pool/deliveries.py
+++ b/packages/pool/chiveridge_pool/deliveries.py
@@ -4,7 +4,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from chiveridge_pool import actions, messages, notes
+from chiveridge_pool import actions, messages
 
 if TYPE_CHECKING:
     from chiveridge_pool import kernels
@@ -20,23 +20,20 @@
 
 @take_message.register(messages.Heartbeat)
 def _(message: messages.Heartbeat, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
-    known = kernel.members.by_endpoint.get(message.endpoint)
-    known_id = None if known is None else known.id
     member = kernel.members.hear(message, now)
     if member is None:
         return
-    if known_id != member.id:
-        kernel.mailbox.note(
-            notes.NoteEvent.MEMBER_HEARD,
-            member=member.id,
-            endpoint=member.endpoint,
-            zone=member.zone,
-            version=member.version,
-        )
+    if not member.is_greeted:
         kernel.greet(member, now)
     kernel.share_configuration(member, now)
-    kernel.holder.note_leaving(message.leaving)
-    kernel.coordinator.placements.reconcile(message, now)
+    if message.state is not None:
+        kernel.holder.note_leaving(message.state.leaving)
+    kernel.coordinator.placements.reconcile(message, member, now)
+
+
+@take_message.register(messages.Goodbye)
+def _(message: messages.Goodbye, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.members.bid_farewell(message)
 
 
 @take_message.register(messages.Ask)
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -78,3 +78,14 @@
     def is_sent(self) -> bool:
         """Tell whether the target may know of it."""
         return self.state is not runs.GrantState.RESERVED
+
+
+def full_id(node: identifiers.NodeId, short: int | identifiers.GrantId) -> identifiers.GrantId:
+    """Return the id of a grant that a node calls by a short one."""
+    return identifiers.GrantId(f"{node}-{short}") if isinstance(short, int) else short
+
+
+def short_id(node: identifiers.NodeId, grant: identifiers.GrantId) -> int | identifiers.GrantId:
+    """Return the number of a grant of a node's own, and the whole id of one handed to it."""
+    maker, _, number = grant.rpartition("-")
+    return int(number) if maker == node else grant
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -9,6 +9,7 @@
 from chiveridge_kernel import clocks
 from chiveridge_pool import (
     actions,
+    beats,
     coordinators,
     deliveries,
     events,
@@ -23,9 +24,6 @@
     timings,
 )
 
-_ENDPOINTS_EVERY = 10
-"""Heartbeats from one that names all known nodes to the next."""
-
 _ACCEPT_AFTER_DRAIN = datetime.timedelta(milliseconds=2500)
 """Time in which the balancer notices that a node is not ready: two probes a second apart."""
 
@@ -55,8 +53,7 @@
         self.configuration = b""
         self.draining_since: datetime.datetime | None = None
         self.started_by_node: dict[identifiers.NodeId, int] = {}
-        self._beat_due = now
-        self._beats = 0
+        self.beats = beats.Beats(self, now)
         self._live_before: set[identifiers.NodeId] = set()
         self._share_due_by_node: dict[identifiers.NodeId, datetime.datetime] = {}
         self._has_exited = False
@@ -98,34 +95,7 @@
         self.holder.tick(now)
         self.coordinator.tick(now)
         self.members.forget(now)
-        if now >= self._beat_due:
-            self.beat(now)
-
-    def beat(self, now: datetime.datetime) -> None:
-        """Send a heartbeat to every node that may be running."""
-        self._beat_due = now + timings.HEARTBEAT_INTERVAL
-        self._beats += 1
-        live = self.members.live(now)
-        common = messages.Heartbeat(
-            sender=self.settings.node,
-            zone=self.settings.zone,
-            endpoint=self.settings.endpoint,
-            hears=tuple(member.id for member in live),
-            held=self.holder.held(),
-            free=tuple(holding.free() for holding in self.holder.usable(now)),
-            is_leaving=self.draining_since is not None,
-            is_slow=self.lag.is_slow,
-            version=self.version,
-            leaving=self.holder.listing.leaving(),
-            endpoints=self._endpoints(),
-            jobs=self.coordinator.followings.told_jobs(now),
-        )
-        for member in self.members.by_endpoint.values():
-            self.mailbox.add(
-                actions.SendMessage(
-                    endpoint=member.endpoint, message=self._beat_for(member, common)
-                )
-            )
+        self.beats.tick(now)
 
     def _note_silent_members(self, now: datetime.datetime) -> None:
         """Write which members have fallen silent or are heard again."""
@@ -149,33 +119,21 @@
 
     def greet(self, member: members.Member, now: datetime.datetime) -> None:
         """Answer a node that has just started, over a connection that is not backing off."""
+        member.is_greeted = True
+        self.mailbox.note(
+            notes.NoteEvent.MEMBER_HEARD,
+            member=member.id,
+            endpoint=member.endpoint,
+            zone=member.zone,
+            version=member.version,
+        )
         self.mailbox.add(actions.Reconnect(endpoint=member.endpoint))
-        self._beat_due = now
+        self.beats.hurry(now)
         known = tuple(self.holder.listing.by_id.values())
         if known:
             message = messages.Targets(sender=self.settings.node, targets=known)
             self.mailbox.send(member.id, message)
 
-    def _beat_for(self, member: members.Member, common: messages.Heartbeat) -> messages.Heartbeat:
-        if member.id is None:
-            return common
-        return msgspec.structs.replace(
-            common,
-            recipient=member.id,
-            runs=tuple(self.holder.grants_of(member.id)),
-            started=self.started_by_node.get(member.id, 0),
-        )
-
-    def _endpoints(self) -> tuple[identifiers.Endpoint, ...]:
-        if self._beats % _ENDPOINTS_EVERY:
-            return ()
-        heard = [
-            member.endpoint
-            for member in self.members.by_endpoint.values()
-            if member.heard_at is not None
-        ]
-        return tuple(heard)
-
     def _drain(self, now: datetime.datetime) -> None:
         if now - self.draining_since >= _ACCEPT_AFTER_DRAIN:
             self.coordinator.accepts_jobs = False
@@ -184,19 +142,9 @@
         is_handed = not self.holder.holdings_by_target or not others
         if is_idle and is_handed and not self._has_exited:
             self._has_exited = True
-            self._say_goodbye()
+            self.beats.say_goodbye()
             self.mailbox.add(actions.Exit())
 
-    def _say_goodbye(self) -> None:
-        goodbye = messages.Heartbeat(
-            sender=self.settings.node,
-            zone=self.settings.zone,
-            endpoint=self.settings.endpoint,
-            is_goodbye=True,
-        )
-        for member in self.members.by_endpoint.values():
-            self.mailbox.add(actions.SendMessage(endpoint=member.endpoint, message=goodbye))
-
 
 @functools.singledispatch
 def handle(event: events.Event, kernel: Kernel, now: datetime.datetime) -> None:
@@ -270,5 +218,5 @@
         kernel.draining_since = now
         kernel.holder.is_leaving = True
         # Peers must know before they are handed targets, or they would hand them back.
-        kernel.beat(now)
+        kernel.beats.send(now)
         kernel.tick(now)
--- a/packages/pool/chiveridge_pool/lendings.py
+++ b/packages/pool/chiveridge_pool/lendings.py
@@ -75,7 +75,7 @@
         self, ask: messages.Ask, holding: holdings.Holding, now: datetime.datetime
     ) -> grants.Grant:
         grant = grants.Grant(
-            identifiers.GrantId(f"{self._own_id}-{next(self._grant_numbers)}"),
+            grants.full_id(self._own_id, next(self._grant_numbers)),
             ask.sender,
             ask.job,
             ask.step,
--- a/packages/pool/chiveridge_pool/members.py
+++ b/packages/pool/chiveridge_pool/members.py
@@ -14,6 +14,10 @@
         self.zone = identifiers.ZoneName("")
         self.known_at = now
         self.heard_at: datetime.datetime | None = None
+        # The newest state of it that is known here, and the newest of this node that it knows.
+        self.state_number = 0
+        self.confirmed = 0
+        self.is_greeted = False
         # The first heartbeat, or the first after a silence.
         self.joined_at: datetime.datetime | None = None
         self.is_leaving = False
@@ -55,32 +59,49 @@
             self.by_endpoint[endpoint] = Member(endpoint, now)
 
     def hear(self, beat: messages.Heartbeat, now: datetime.datetime) -> Member | None:
-        """Take a heartbeat; return the member that sent it, or None when it says goodbye."""
+        """Take a heartbeat; return the member that sent it, or None while it is not known."""
         if beat.sender == self.own_id:
             return None
-        if beat.is_goodbye:
-            self._remove(beat.endpoint)
+        if beat.state is not None:
+            self._take_state(beat, beat.state, now)
+        member = self.by_id.get(beat.sender)
+        if member is None:
             return None
-        self.add(beat.endpoint, now)
-        member = self.by_endpoint[beat.endpoint]
         if not member.is_live(now):
             member.joined_at = now
-        if member.id != beat.sender:
-            self._rename(member, beat.sender, now)
-        member.zone = beat.zone
         member.heard_at = now
         self.heard_by_id[beat.sender] = now
-        member.is_leaving = beat.is_leaving
-        member.is_slow = beat.is_slow
-        member.hears = frozenset(beat.hears)
-        member.held = beat.held
+        if beat.recipient == self.own_id:
+            member.confirmed = beat.seen
         member.free = list(beat.free)
-        member.version = beat.version
         member.jobs = frozenset(beat.jobs)
         for endpoint in beat.endpoints:
             self.add(endpoint, now)
         return member
 
+    def _take_state(
+        self, beat: messages.Heartbeat, state: messages.NodeState, now: datetime.datetime
+    ) -> None:
+        self.add(state.endpoint, now)
+        member = self.by_endpoint[state.endpoint]
+        if member.id != beat.sender:
+            self._rename(member, beat.sender, now)
+        elif beat.state_number < member.state_number:
+            return
+        member.state_number = beat.state_number
+        member.zone = state.zone
+        member.is_leaving = state.is_leaving
+        member.is_slow = state.is_slow
+        member.hears = frozenset(state.hears)
+        member.held = state.held
+        member.version = state.version
+
+    def bid_farewell(self, message: messages.Goodbye) -> None:
+        """Forget a node that has exited."""
+        member = self.by_endpoint.get(message.endpoint)
+        if member is not None and member.id == message.sender:
+            self._remove(message.endpoint)
+
     def live(self, now: datetime.datetime) -> list[Member]:
         """Return the members that were heard lately."""
         return [member for member in self.by_id.values() if member.is_live(now)]
@@ -127,6 +148,8 @@
             self.by_id.pop(member.id, None)
         member.id = node
         member.joined_at = now
+        member.confirmed = 0
+        member.is_greeted = False
         self.by_id[node] = member
 
     def _remove(self, endpoint: identifiers.Endpoint) -> None:
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -11,38 +11,56 @@
     """Bytes from a peer that are not a message."""
 
 
-class Message(msgspec.Struct, frozen=True, kw_only=True, tag_field="t", omit_defaults=True):
-    """A message; ``sender`` is the incarnation that sent it."""
+class Message(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A message; ``sender`` is the incarnation that sent it. New fields are added at the end."""
 
     sender: identifiers.NodeId
 
 
-class Heartbeat(Message, tag="hb", frozen=True, kw_only=True):
-    """The state of a node as one peer needs it.
+class NodeState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What changes rarely of a node.
 
-    ``hears`` names the nodes heard lately, ``held`` the targets under the sender's token with
-    none but its own runs, ``free`` the room left on each of them. ``runs`` are the grants in use
-    on behalf of ``recipient``, complete for all starts up to ``started``; the recipient is unset
-    while the sender does not know who listens there. ``leaving`` are the targets that the sender
-    has seen draining, with the time of their birth. ``jobs`` are those that the sender has had in
-    progress for so long that their callers may have sent them to another node as well.
+    ``hears`` names the nodes heard lately, and ``held`` the targets under its token with none but
+    its own runs. ``leaving`` are the targets that it has seen draining, with the time of their
+    birth.
     """
 
     zone: identifiers.ZoneName
     endpoint: identifiers.Endpoint
     hears: tuple[identifiers.NodeId, ...] = ()
     held: dict[identifiers.TargetId, identifiers.FencingToken] = {}
-    free: tuple[resources.Resources, ...] = ()
-    recipient: identifiers.NodeId | None = None
-    runs: tuple[identifiers.GrantId, ...] = ()
-    started: int = 0
+    leaving: tuple[tuple[identifiers.TargetId, int], ...] = ()
     is_leaving: bool = False
     is_slow: bool = False
-    is_goodbye: bool = False
     version: int = 0
-    leaving: tuple[tuple[identifiers.TargetId, int], ...] = ()
-    endpoints: tuple[identifiers.Endpoint, ...] = ()
+
+
+class Heartbeat(Message, tag="hb", frozen=True, kw_only=True):
+    """The state of a node as one peer needs it.
+
+    ``state`` is left out once the recipient has confirmed ``state_number``, which it does by
+    ``seen``. ``free`` is the room left on each usable target. ``runs`` are the grants in use on
+    behalf of ``recipient``, see :func:`chiveridge_pool.grants.short_id`, complete for all starts
+    up to ``started``; the recipient is unset while the sender does not know who listens there.
+    ``jobs`` are those that the sender has had in progress for so long that their callers may have
+    sent them to another node as well.
+    """
+
+    state_number: int
+    state: NodeState | None = None
+    recipient: identifiers.NodeId | None = None
+    seen: int = 0
+    free: tuple[resources.Resources, ...] = ()
+    runs: tuple[int | identifiers.GrantId, ...] = ()
+    started: int = 0
     jobs: tuple[identifiers.JobId, ...] = ()
+    endpoints: tuple[identifiers.Endpoint, ...] = ()
+
+
+class Goodbye(Message, tag="gb", frozen=True, kw_only=True):
+    """The node at an endpoint exits."""
+
+    endpoint: identifiers.Endpoint
 
 
 class Ask(Message, tag="ask", frozen=True, kw_only=True):
@@ -187,6 +205,7 @@
 
 AnyMessage = (
     Heartbeat
+    | Goodbye
     | Ask
     | Withdraw
     | Granted
--- a/packages/pool/chiveridge_pool/placements.py
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from chiveridge_pool import (
+    grants,
     identifiers,
     jobs,
     mailboxes,
@@ -64,8 +65,9 @@
         for run in stopped:
             run.stopped_at = now
             by_owner.setdefault(run.owner, []).append(run.grant)
-        for owner, grants in by_owner.items():
-            self._mailbox.send(owner, messages.Stop(sender=self._own_id, grants=tuple(grants)))
+        for owner, unwanted in by_owner.items():
+            stop = messages.Stop(sender=self._own_id, grants=tuple(unwanted))
+            self._mailbox.send(owner, stop)
 
     def ended(self, message: messages.Ended, now: datetime.datetime) -> None:
         """Take the ends of runs."""
@@ -93,22 +95,24 @@
                 run.owner = message.owner
                 run.moved_at = now
 
-    def reconcile(self, beat: messages.Heartbeat, now: datetime.datetime) -> None:
+    def reconcile(
+        self, beat: messages.Heartbeat, owner: members.Member, now: datetime.datetime
+    ) -> None:
         """Compare an owner's list of runs with what this node believes."""
-        if beat.recipient != self._own_id:
+        if beat.recipient != self._own_id or beat.state_number != owner.state_number:
             return
-        listed = frozenset(beat.runs)
+        listed = frozenset(grants.full_id(beat.sender, run) for run in beat.runs)
         for run in list(self._runs_by_grant.values()):
             if run.grant in listed:
                 run.owner = beat.sender
                 run.moved_at = None
-                run.token = beat.held.get(run.target, run.token)
-            elif beat.held.get(run.target, 0) > run.token:
+                run.token = owner.held.get(run.target, run.token)
+            elif owner.held.get(run.target, 0) > run.token:
                 # Under a newer token the target runs only what its owner lists.
                 self._end(run, runs.RunEnd.LOST, now)
             elif run.owner == beat.sender:
                 self._check_unlisted(run, beat, now)
-        strays = [grant for grant in beat.runs if grant not in self._runs_by_grant]
+        strays = [grant for grant in listed if grant not in self._runs_by_grant]
         if strays:
             stop = messages.Stop(sender=self._own_id, grants=tuple(strays))
             self._mailbox.send(beat.sender, stop)
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -420,12 +420,12 @@
     coordinator = asking.kernel.coordinator
     runs = dict(coordinator.jobs_by_id["a" * 16].runs_by_grant)
     token = 2 * max(run.token for run in runs.values())
-    beat = messages.Heartbeat(
-        sender="other-1",
+    state = messages.NodeState(
         zone="a",
         endpoint="10.0.0.99:7000",
         held={run.target: token for run in runs.values()},
     )
+    beat = messages.Heartbeat(sender="other-1", state_number=1, state=state)
     asking.handle(events.MessageReceived(message=beat))
     assert coordinator.jobs_by_id["a" * 16].runs_by_grant.keys() == runs.keys()
     model.run(seconds=2)
@@ -447,12 +447,13 @@
     member = giver.kernel.members.by_endpoint[heir.endpoint]
     giver.kernel.holder._hand_over(holding, member, model.simulation.now)
     giver.handle(events.Ticked())
+    known = asking.kernel.members.by_endpoint[heir.endpoint]
+    state = messages.NodeState(zone="a", endpoint=heir.endpoint, held={target_id: old.token})
     beat = messages.Heartbeat(
         sender=heir.kernel.settings.node,
         recipient=asking.kernel.settings.node,
-        zone="a",
-        endpoint=heir.endpoint,
-        held={target_id: old.token},
+        state_number=known.state_number + 1,
+        state=state,
     )
     model.run(seconds=0.001)
     asking.handle(events.MessageReceived(message=beat))
--- /dev/null
+++ b/tests/pool/test_pool_heartbeats.py
@@ -0,0 +1,102 @@
+"""What heartbeats carry, and what members know when some are lost."""
+
+import pools
+import pytest
+
+from chiveridge_pool import events, grants, messages
+
+CALM_BYTES = 100
+"""Mean size of a heartbeat between idle nodes; a third of the 302 bytes of whole states."""
+
+
+def _watched(model, seconds):
+    """Let time pass; return the heartbeats that were sent."""
+    seen = []
+
+    def drops(sender, receiver, message):
+        if isinstance(message, messages.Heartbeat):
+            seen.append((sender, receiver, message))
+        return False
+
+    model.drops = drops
+    model.run(seconds=seconds)
+    return seen
+
+
+def _known_held(model, viewer, node):
+    member = viewer.kernel.members.by_endpoint[node.endpoint]
+    return member.held
+
+
+def test_a_calm_heartbeat_carries_no_state_that_the_recipient_has():
+    model = pools.pool()
+    beats = [beat for _, _, beat in _watched(model, 1)]
+    assert beats
+    assert not any(beat.state for beat in beats)
+    assert sum(len(messages.encode(beat)) for beat in beats) / len(beats) < CALM_BYTES
+    nodes = list(model.nodes_by_name.values())
+    for viewer in nodes:
+        for node in nodes:
+            if node is not viewer:
+                assert _known_held(model, viewer, node) == node.kernel.holder.held()
+
+
+@pytest.mark.promise("at_most_once", failures=["lost_reply"])
+def test_a_change_is_sent_until_it_is_confirmed():
+    model = pools.pool()
+    viewer, node = pools.node(model, 3), pools.node(model, 1)
+    lost = []
+
+    def drops(sender, receiver, message):
+        is_lost = (sender, receiver) == (node, viewer) and len(lost) < 4
+        if is_lost and isinstance(message, messages.Heartbeat) and message.state:
+            lost.append(message)
+            return True
+        return False
+
+    model.drops = drops
+    node.handle(events.ConfigurationRead(version=7, text=b"seventh"))
+    model.run(seconds=0.35)
+    assert len(lost) >= 3
+    assert viewer.kernel.members.by_endpoint[node.endpoint].version == 1
+    model.run(seconds=0.5)
+    assert viewer.kernel.members.by_endpoint[node.endpoint].version == 7
+    assert not any(beat.state for _, _, beat in _watched(model, 0.5))
+
+
+def test_a_node_that_forgot_a_member_learns_its_state_again():
+    model = pools.pool()
+    viewer, node = pools.node(model, 3), pools.node(model, 1)
+    viewer.kernel.members.bid_farewell(
+        messages.Goodbye(sender=node.kernel.settings.node, endpoint=node.endpoint)
+    )
+    assert node.endpoint not in viewer.kernel.members.by_endpoint
+    model.run(seconds=1)
+    assert _known_held(model, viewer, node) == node.kernel.holder.held()
+
+
+@pytest.mark.promise("at_most_once", failures=["replaced_vm"])
+def test_a_goodbye_of_a_former_life_forgets_nobody():
+    model = pools.pool()
+    viewer, node = pools.node(model, 3), pools.node(model, 1)
+    former = messages.Goodbye(sender="former-life", endpoint=node.endpoint)
+    viewer.handle(events.MessageReceived(message=former))
+    assert viewer.kernel.members.find_live(node.kernel.settings.node, model.simulation.now)
+
+
+def test_an_older_state_replaces_no_newer_one():
+    model = pools.pool()
+    viewer, node = pools.node(model, 3), pools.node(model, 1)
+    state = messages.NodeState(zone="a", endpoint=node.endpoint, version=0)
+    late = messages.Heartbeat(sender=node.kernel.settings.node, state_number=0, state=state)
+    viewer.handle(events.MessageReceived(message=late))
+    assert _known_held(model, viewer, node) == node.kernel.holder.held()
+
+
+@pytest.mark.parametrize(
+    ("grant", "short"),
+    [("0a1b-17", 17), ("ffff-17", "ffff-17"), ("0a1b-2-17", "0a1b-2-17")],
+)
+def test_a_grant_of_a_nodes_own_is_called_by_its_number(grant, short):
+    assert grants.short_id("0a1b", grant) == short
+    assert grants.full_id("0a1b", short) == grant
