--- a/packages/node/chiveridge_node/pool_links.py
+++ b/packages/node/chiveridge_node/pool_links.py
@@ -88,12 +88,9 @@
             self._dealers_by_endpoint.pop(endpoint).close(linger=0)
 
     def _read(self) -> None:
-        while True:
-            try:
-                frames = self._router.recv_multipart(zmq.NOBLOCK)
-            except zmq.Again:
-                return
-            self._take(frames[-1])
+        # Asking first is cheaper than the exception that an empty socket raises.
+        while self._router.get(zmq.EVENTS) & zmq.POLLIN:
+            self._take(self._router.recv_multipart(zmq.NOBLOCK)[-1])
 
     def _take(self, data: bytes) -> None:
         try:
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -53,6 +53,7 @@
         )
         self.orphans: dict[identifiers.GrantId, tuple[identifiers.NodeId, datetime.datetime]] = {}
         self._unheard_since: dict[identifiers.NodeId, datetime.datetime] = {}
+        self._candidates: ownerships.Candidates | None = None
         self.moving: set[identifiers.TargetId] = set()
         self.is_leaving = False
 
@@ -85,7 +86,8 @@
     def tick(self, now: datetime.datetime) -> None:
         """Do what is due: claims, handovers, renewals, stops and lapses."""
         is_unfit = self.is_leaving or self._lag.is_slow
-        candidates = ownerships.Candidates(self._members, now, is_unfit=is_unfit)
+        candidates = ownerships.current(self._members, self._candidates, now, is_unfit=is_unfit)
+        self._candidates = candidates
         self._drop_missing(now)
         for target in list(self.listing.by_id.values()):
             chosen = candidates.choose(target)
