Take jobs while a node settles, and ask owners that start while they wait

Ruled out: claiming sooner (the 250 ms keep two nodes from taking the same targets in turn). Change: such a job waits like any other, up to its start limit; one that waits asks each new owner at once. Where no target is known, the refusal says so in place of 'no target is large enough'.

--- a/packages/node/chiveridge_node/pool_links.py
+++ b/packages/node/chiveridge_node/pool_links.py
@@ -20,6 +20,7 @@
 """Interval at which the socket is read even if no wake-up was seen."""
 
 CLOSE_LINGER_MS = 200
+_READABLE = int(zmq.POLLIN)
 
 
 class PoolLinks:
@@ -89,7 +90,7 @@
 
     def _read(self) -> None:
         # Asking first is cheaper than the exception that an empty socket raises.
-        while self._router.get(zmq.EVENTS) & zmq.POLLIN:
+        while self._router.get(zmq.EVENTS) & _READABLE:
             self._take(self._router.recv_multipart(zmq.NOBLOCK)[-1])
 
     def _take(self, data: bytes) -> None:
--- a/packages/pool/chiveridge_pool/asks.py
+++ b/packages/pool/chiveridge_pool/asks.py
@@ -51,12 +51,19 @@
             self._send(job, step, node, need, now)
 
     def tick(self, job: jobs.Job, now: datetime.datetime) -> None:
-        """Ask all owners where few were asked in vain, or where they know an old rank."""
+        """Ask all owners where it is due."""
         for step in job.due_steps():
-            is_in_vain = step.widen_at is not None and now >= step.widen_at
-            if is_in_vain or step.standing != self._ranks.standing(job, now):
+            if self._must_ask_all(job, step, now):
                 self.ask_all(job, step, now)
 
+    def _must_ask_all(self, job: jobs.Job, step: jobs.Step, now: datetime.datetime) -> bool:
+        """Tell whether few owners were asked in vain, they know an old rank, or one is new."""
+        if step.widen_at is not None:
+            return now >= step.widen_at
+        if step.standing != self._ranks.standing(job, now):
+            return True
+        return any(member.id not in step.asked for member in self._members.live(now))
+
     def withdraw(self, job: jobs.Job, step: jobs.Step) -> None:
         """Ask for nothing more."""
         message = messages.Withdraw(
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -109,6 +109,10 @@
             return "the node is draining"
         if known is not None:
             return "runs of the job are still being stopped"
+        if self._holder.is_settling(now):
+            return None
+        if not self._holder.listing.by_id:
+            return "no target is known"
         if not all(self._fits_somewhere(request, step) for step in request.steps):
             return "no target is large enough"
         if not self._holder.reaches_any(now) and not self._members.live(now):
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -127,6 +127,10 @@
         """Note that the list of nodes is known, so that those that are silent are few."""
         self._settled_at = min(self._settled_at, now + timings.SETTLING)
 
+    def is_settling(self, now: datetime.datetime) -> bool:
+        """Tell whether this node started so lately that it will soon have targets or peers."""
+        return now < self._settled_at + timings.FIRST_HOLD and not self.reaches_any(now)
+
     def _may_claim(self, now: datetime.datetime) -> bool:
         """Tell whether this node has heard its peers, or waited long enough for them."""
         is_listed = self._settled_at - now <= timings.SETTLING
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -64,6 +64,9 @@
 SETTLING_UNLISTED = _ms(1500)
 """How long a node that starts waits for the list of nodes before it claims."""
 
+FIRST_HOLD = _ms(100)
+"""Time from the claim of the first targets to their replies; five ticks."""
+
 GRANT_LIFE = _ms(300)
 """How long a grant stays reserved without a start; a hundred round trips between domains."""
 
