--- a/packages/node/chiveridge_node/decision_logs.py
+++ b/packages/node/chiveridge_node/decision_logs.py
@@ -139,6 +139,7 @@
 _ENDS = frozenset(
     {
         notes.NoteEvent.JOB_REFUSED,
+        notes.NoteEvent.REQUEST_REJECTED,
         notes.NoteEvent.CALLER_LEFT,
         notes.NoteEvent.RUN_ENDED,
         notes.NoteEvent.RUN_STOPPED,
--- a/packages/node/chiveridge_node/pool_metrics.py
+++ b/packages/node/chiveridge_node/pool_metrics.py
@@ -42,6 +42,12 @@
             buckets=_SECONDS,
             registry=self.registry,
         )
+        self._rejections = prometheus_client.Counter(
+            "chiveridge_rejected_requests",
+            "Requests that were no job for the pool, by status.",
+            ["status"],
+            registry=self.registry,
+        )
         self._runs = prometheus_client.Counter(
             "chiveridge_bad_runs",
             "Runs that did not end done, by how.",
@@ -64,6 +70,10 @@
             queue = self._label(fields["queue"])
             self._answers.labels(queue, fields["verdict"], fields["reason"]).inc()
             self._took.labels(queue).observe(fields["took_ms"] / 1000)
+        elif action.event is notes.NoteEvent.JOB_REFUSED and fields.get("at_once"):
+            self._answers.labels(self._label(fields["queue"]), "refused", fields["reason"]).inc()
+        elif action.event is notes.NoteEvent.REQUEST_REJECTED:
+            self._rejections.labels(fields["status"]).inc()
         elif action.event is notes.NoteEvent.JOB_PLACED:
             self._waited.observe(fields["waited_ms"] / 1000)
         elif action.event is notes.NoteEvent.RUN_ENDED:
--- /dev/null
+++ b/packages/node/tests/test_pool_metrics.py
@@ -0,0 +1,69 @@
+import datetime
+
+from chiveridge_load import pool_models
+from chiveridge_node import decision_logs, pool_metrics
+from chiveridge_pool import actions, identifiers, jobs, notes, resources
+
+MS = datetime.timedelta(milliseconds=1)
+
+
+def job(number: int, cpu: int = 27_000) -> jobs.JobRequest:
+    size = resources.Resources(cpu, 64, 0)
+    return jobs.JobRequest(
+        id=identifiers.JobId(f"{number:016x}"),
+        queue=identifiers.QueueName("queue"),
+        service=identifiers.ServiceName("service"),
+        spec=f"100 {cpu} 64 0",
+        steps=(jobs.StepRequest(count=2, size=size, estimate=100 * MS),),
+        patience=2000 * MS,
+        stretch=1.6,
+        objective_base=60 * MS,
+    )
+
+
+def played(sizes: list[int]):
+    """Return the verdicts of callers at one node, and the metrics of this node."""
+    model = pool_models.PoolModel()
+    node = model.add_node("a")
+    model.add_target("a")
+    model.boot_all()
+    log = decision_logs.DecisionLog("n1", len)
+    metrics = pool_metrics.PoolMetrics(node.kernel, log)
+    for number, cpu in enumerate(sizes):
+        model.submit(node, job(number, cpu))
+    model.run(seconds=4)
+    for note in model.notes:
+        metrics.note(note)
+    verdicts = [answer.verdict for answer in model.answers_by_caller.values()]
+    return verdicts, metrics, model.simulation.now
+
+
+def counted(metrics: pool_metrics.PoolMetrics, name: str) -> dict[str, float]:
+    """Return a counter by its last label but one."""
+    found: dict[str, float] = {}
+    for family in metrics.registry.collect():
+        for sample in family.samples:
+            if sample.name == name:
+                key = sample.labels.get("verdict") or sample.labels.get("status")
+                found[key] = found.get(key, 0) + sample.value
+    return found
+
+
+def test_answers_are_counted_as_the_callers_counted_them():
+    verdicts, metrics, _ = played([27_000] * 8 + [500_000] * 3)
+    told = {verdict.value: verdicts.count(verdict) for verdict in set(verdicts)}
+    assert told["complete"] > 0
+    assert told["refused"] >= 3
+    assert sum(told.values()) == 11
+    assert counted(metrics, "chiveridge_answers_total") == told
+
+
+def test_requests_that_were_no_jobs_are_counted_by_status():
+    _, metrics, now = played([])
+    for status in (404, 404, 400):
+        fields = {"job": "x", "status": status, "reason": "no such queue"}
+        metrics.note(actions.Note(event=notes.NoteEvent.REQUEST_REJECTED, fields=fields))
+    assert counted(metrics, "chiveridge_rejected_requests_total") == {"404": 2, "400": 1}
+    text = metrics.text(now).decode()
+    assert "chiveridge_targets_held 1.0" in text
+    assert "chiveridge_members_live 0.0" in text
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -144,6 +144,7 @@
             queue=event.job.queue,
             reason=reason,
             waited_ms=0.0,
+            at_once=True,
         )
 
     def caller_left(self, caller: identifiers.CallerId, now: datetime.datetime) -> None:
--- a/packages/pool/chiveridge_pool/followings.py
+++ b/packages/pool/chiveridge_pool/followings.py
@@ -15,6 +15,7 @@
     mailboxes,
     members,
     messages,
+    notes,
     timings,
 )
 
@@ -85,7 +86,7 @@
         if following is None:
             return
         if message.verdict:
-            self._answer(following, actions.Verdict(message.verdict), message.reason)
+            self._answer(following, actions.Verdict(message.verdict), message.reason, now)
         else:
             self._take_over(following, now)
 
@@ -95,16 +96,34 @@
             if now >= following.deadline - deadlines.ANSWER_MARGIN:
                 self._leave(following)
                 reason = "the node that has the job did not answer in time"
-                self._answer(following, actions.Verdict.GIVEN_UP, reason)
+                self._answer(following, actions.Verdict.GIVEN_UP, reason, now)
             elif self._is_lost(following, now):
                 del self._by_id[following.request.id]
                 self._take_over(following, now)
             elif now - following.asked_at >= timings.FOLLOW_INTERVAL:
                 self._ask(following, now)
 
-    def _answer(self, following: Following, verdict: actions.Verdict, reason: str) -> None:
-        job_id = following.request.id
-        self._coordinator.answer_callers(job_id, following.callers, verdict, reason)
+    def _answer(
+        self,
+        following: Following,
+        verdict: actions.Verdict,
+        reason: str,
+        now: datetime.datetime,
+    ) -> None:
+        request = following.request
+        took = now - following.arrived_at
+        self._mailbox.note(
+            notes.NoteEvent.JOB_ANSWERED,
+            job=request.id,
+            queue=request.queue,
+            verdict=verdict.value,
+            reason=reason,
+            took_ms=notes.to_ms(took),
+            objective_ms=notes.to_ms(request.objective()),
+            is_late=took > request.objective(),
+            leader=following.leader,
+        )
+        self._coordinator.answer_callers(request.id, following.callers, verdict, reason)
 
     def _take_over(self, following: Following, now: datetime.datetime) -> None:
         for event in following.resubmitted(now):
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -84,6 +84,10 @@
         """Declared time of the longest chain of steps."""
         return max(self.chains)
 
+    def objective(self) -> datetime.timedelta:
+        """Return the response time that is asked for."""
+        return self.objective_base + self.stretch * self.estimate
+
 
 class Task:
     """One task of a job in progress."""
@@ -174,7 +178,7 @@
 
     def objective(self) -> datetime.timedelta:
         """Return the response time that is asked for."""
-        return self.request.objective_base + self.request.stretch * self.request.estimate
+        return self.request.objective()
 
     def due_steps(self) -> list[Step]:
         """Return the steps with tasks that wait and may start."""
--- a/packages/pool/chiveridge_pool/notes.py
+++ b/packages/pool/chiveridge_pool/notes.py
@@ -16,6 +16,7 @@
     JOB_ANSWERED = 504
     CALLER_LEFT = 506
     JOB_FOLLOWED = 507
+    REQUEST_REJECTED = 508
     RUN_ENDED = 510
     RUN_STOPPED = 511
     RUN_MOVED = 512
