Answer /v1/status on the platform, as chiveridge status reads it

Change: pool_statuses, served beside the metrics with the fields that the command reads; the followers of the store tell how long ago it last replied.

--- /dev/null
+++ b/packages/node/chiveridge_node/pool_statuses.py
@@ -0,0 +1,103 @@
+"""What a pool's node tells operators of itself and of the others.
+
+The fields are those of :mod:`chiveridge_node.statuses` as far as ``chiveridge status`` reads them,
+so that one command serves both; the offset of the configuration is its version here.
+"""
+
+import datetime
+
+import msgspec
+
+from chiveridge_kernel import clocks
+from chiveridge_pool import holdings, kernels, members
+
+
+class PoolMemberStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Another node as this one hears it; ``silent_ms`` counts from its last heartbeat."""
+
+    name: str
+    domain: str
+    state: str
+    incarnation: str
+    config_offset: int
+    silent_ms: float
+
+
+class PoolStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A node's view of the pool; ``target_states`` are those of the targets that it holds.
+
+    Staleness is the time since the platform's topic last replied, None when it never did.
+    """
+
+    name: str
+    domain: str
+    incarnation: str
+    ready: bool
+    draining: bool
+    config_offset: int
+    config_staleness_s: float | None
+    vms_staleness_s: float | None
+    jobs_in_progress: int
+    targets_listed: int
+    target_states: dict[str, str]
+    members: list[PoolMemberStatus]
+
+
+def status_of(
+    kernel: kernels.Kernel,
+    name: str,
+    *,
+    is_ready: bool,
+    config_age: datetime.timedelta | None,
+    list_age: datetime.timedelta | None,
+    now: datetime.datetime,
+) -> PoolStatus:
+    """Return a node's view; the ages are those of what was last read of the platform."""
+    usable = {holding.target.id for holding in kernel.holder.usable(now)}
+    held = kernel.holder.holdings_by_target.values()
+    known = sorted(kernel.members.by_endpoint.values(), key=lambda member: member.endpoint)
+    return PoolStatus(
+        name=name,
+        domain=kernel.settings.zone,
+        incarnation=kernel.settings.node,
+        ready=is_ready,
+        draining=kernel.draining_since is not None,
+        config_offset=kernel.version,
+        config_staleness_s=_seconds(config_age),
+        vms_staleness_s=_seconds(list_age),
+        jobs_in_progress=len(kernel.coordinator.jobs_by_id),
+        targets_listed=len(kernel.holder.listing.by_id),
+        target_states={holding.target.id: _target_state(holding, usable) for holding in held},
+        members=[_member_status(member, now) for member in known],
+    )
+
+
+def _seconds(age: datetime.timedelta | None) -> float | None:
+    return None if age is None else age.total_seconds()
+
+
+def _target_state(holding: holdings.Holding, usable: set[str]) -> str:
+    if holding.state is holdings.HoldingState.CLAIM:
+        return "claimed"
+    if holding.target.is_draining:
+        return "leaving"
+    return "usable" if holding.target.id in usable else "avoided"
+
+
+def _member_status(member: members.Member, now: datetime.datetime) -> PoolMemberStatus:
+    return PoolMemberStatus(
+        name=member.endpoint,
+        domain=member.zone,
+        state=_member_state(member, now),
+        incarnation=member.id or "",
+        config_offset=member.version,
+        silent_ms=clocks.to_ms(now - (member.heard_at or member.known_at)),
+    )
+
+
+def _member_state(member: members.Member, now: datetime.datetime) -> str:
+    if member.heard_at is None:
+        return "unknown"
+    if not member.is_live(now):
+        return "dead"
+    return "leaving" if member.is_leaving else "live"
--- /dev/null
+++ b/packages/node/tests/test_pool_statuses.py
@@ -0,0 +1,52 @@
+import datetime
+
+import msgspec
+
+from chiveridge_client import statuses
+from chiveridge_load import pool_models
+from chiveridge_node import pool_statuses
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+def played(silent_seconds: float = 0.0):
+    """Return the status of the first of two nodes, the second of which is dead for a while."""
+    model = pool_models.PoolModel()
+    for zone in "ab":
+        model.add_node(zone)
+        model.add_target(zone)
+    model.boot_all()
+    first, second = model.nodes_by_name.values()
+    if silent_seconds:
+        second.kill()
+        model.run(seconds=silent_seconds)
+    return pool_statuses.status_of(
+        first.kernel,
+        "edge-a-1",
+        is_ready=True,
+        config_age=2 * SECOND,
+        list_age=None,
+        now=model.simulation.now,
+    )
+
+
+def test_a_node_tells_what_it_holds_and_whom_it_hears():
+    status = played()
+    assert (status.name, status.domain, status.ready) == ("edge-a-1", "a", True)
+    assert (status.config_offset, status.config_staleness_s) == (1, 2.0)
+    assert status.target_states == {"t001": "usable"}
+    assert status.targets_listed == 2
+    assert [(member.domain, member.state) for member in status.members] == [("b", "live")]
+
+
+def test_a_silent_member_is_shown_as_dead_with_its_silence():
+    (member,) = played(silent_seconds=3).members
+    assert member.state == "dead"
+    assert 3000 <= member.silent_ms < 3200
+
+
+def test_the_operators_command_shows_it():
+    payload = msgspec.json.decode(msgspec.json.encode(played()))
+    text = statuses.text_of([statuses.NodeStatus("http://127.0.0.1:9464", payload)])
+    for shown in ("edge-a-1", "ready", "t001", "usable", "10.0.0.2:7000", "live", "never"):
+        assert shown in text
