Tell requests as they are taken in, write log lines whole, count causes

The missing lines were in writes of over 8 KiB, of which the reader kept 8 KiB; a pipe takes 4 KiB as one. Requests in progress at a killed node left no line at all, as theirs are kept until the answer. Ruled out: the budget (nothing dropped), the buffer (never over 1 MiB). Change: a flush writes whole lines, 4 KiB at once. JOB_TAKEN is written at once, out of the budget of good requests, and pays for the line of the answer too, so that whoever is told is told to the end. chiveridge causes groups all requests that were not answered in time by the cause that chiveridge trace finds; a late answer is told apart by waiting and running.

--- a/packages/client/chiveridge_client/log_commands.py
+++ b/packages/client/chiveridge_client/log_commands.py
@@ -3,7 +3,7 @@
 import pathlib
 import sys
 
-from chiveridge_client import commands, errors, exits, traces
+from chiveridge_client import causes, commands, errors, exits, traces
 
 
 @commands.command("trace", "ID [FILE ...]", minimum=1, maximum=1000)
@@ -18,6 +18,14 @@
     return exits.ExitCode.DONE
 
 
+@commands.command("causes", "[FILE ...]", minimum=0, maximum=1000)
+async def count_causes(context: commands.Context) -> exits.ExitCode:
+    """Count why requests failed or were late, from log files or standard input."""
+    found = causes.count(traces.parse(_read(list(context.arguments))))
+    commands.show(context, found, causes.render(found))
+    return exits.ExitCode.DONE
+
+
 def _read(paths: list[str]) -> list[str]:
     if not paths:
         return list(sys.stdin)
--- a/packages/client/chiveridge_client/traces.py
+++ b/packages/client/chiveridge_client/traces.py
@@ -1,5 +1,6 @@
-"""Explains one request from the log lines of all nodes."""
+"""Explains requests from the log lines of all nodes."""
 
+import bisect
 import json
 from collections.abc import Iterable
 
@@ -72,14 +73,52 @@
     return found
 
 
-def trace(request: str, lines: list[Line]) -> Trace | None:
+class Log:
+    """The lines of all nodes, by request and in the order of time."""
+
+    def __init__(self, lines: Iterable[Line]):
+        self._by_request: dict[str, list[Line]] = {}
+        self._context: list[Line] = []
+        for line in sorted(lines, key=lambda line: line.at):
+            request = _request_of(line)
+            if request:
+                self._by_request.setdefault(request, []).append(line)
+            elif line.name in _CONTEXT_EVENTS:
+                self._context.append(line)
+
+    def requests(self) -> list[str]:
+        """Return the ids of all requests, in the order of their first lines."""
+        return list(self._by_request)
+
+    def trace(self, request: str) -> Trace | None:
+        """Return what is known of a request, or None when no line names it."""
+        own = self._by_request.get(request)
+        if own is None:
+            return None
+        context = self._around(own)
+        deciding, cause = _decide(own, context)
+        return Trace(request, tuple(own), tuple(context), deciding, cause, _clock_leads(own))
+
+    def _around(self, own: list[Line]) -> list[Line]:
+        """Return events of the targets, owners and nodes that a request had to do with."""
+        start = bisect.bisect_left(self._context, own[0].at - CONTEXT_SECONDS, key=_time_of)
+        end = bisect.bisect_right(self._context, own[-1].at + CONTEXT_SECONDS, key=_time_of)
+        concerned: set[object] = {line.node for line in own}
+        for line in own:
+            concerned.update((line.fields.get("target"), line.fields.get("owner")))
+            concerned.update(line.fields.get("targets") or ())
+        concerned.discard(None)
+        return [
+            line
+            for line in self._context[start:end]
+            if concerned & {line.node, line.fields.get("target"), line.fields.get("member")}
+            and (line.fields.get("target") is None or line.fields.get("target") in concerned)
+        ]
+
+
+def trace(request: str, lines: Iterable[Line]) -> Trace | None:
     """Return what is known of a request, or None when no line names it."""
-    own = sorted((line for line in lines if _is_of(line, request)), key=lambda line: line.at)
-    if not own:
-        return None
-    context = _context(own, lines)
-    deciding, cause = _decide(own, context)
-    return Trace(request, tuple(own), tuple(context), deciding, cause, _clock_leads(own))
+    return Log(lines).trace(request)
 
 
 def render(found: Trace) -> str:
@@ -100,29 +139,13 @@
     return "\n".join(parts)
 
 
-def _is_of(line: Line, request: str) -> bool:
-    if line.fields.get("job") == request:
-        return True
-    return str(line.fields.get("task", "")).startswith(f"{request}.")
+def _time_of(line: Line) -> float:
+    return line.at
 
 
-def _context(own: list[Line], lines: list[Line]) -> list[Line]:
-    """Return events of the targets, owners and nodes that the request had to do with."""
-    first, last = own[0].at - CONTEXT_SECONDS, own[-1].at + CONTEXT_SECONDS
-    concerned: set[object] = {line.node for line in own}
-    for line in own:
-        concerned.update((line.fields.get("target"), line.fields.get("owner")))
-        concerned.update(line.fields.get("targets") or ())
-    concerned.discard(None)
-    found = [
-        line
-        for line in lines
-        if line.name in _CONTEXT_EVENTS
-        and first <= line.at <= last
-        and concerned & {line.node, line.fields.get("target"), line.fields.get("member")}
-        and (line.fields.get("target") is None or line.fields.get("target") in concerned)
-    ]
-    return sorted(found, key=lambda line: line.at)
+def _request_of(line: Line) -> str:
+    job = line.fields.get("job")
+    return str(job) if job else str(line.fields.get("task", "")).partition(".")[0]
 
 
 def _last(lines: list[Line], *names: str, **fields: object) -> Line | None:
@@ -134,7 +157,7 @@
 
 def _decide(own: list[Line], context: list[Line]) -> tuple[Line | None, str]:
     """Return the line that decided the answer, and the cause in words."""
-    answer = _last(own, "JOB_ANSWERED", "JOB_REFUSED", "CALLER_LEFT")
+    answer = _last(own, "JOB_ANSWERED", "JOB_REFUSED", "CALLER_LEFT", "REQUEST_REJECTED")
     if answer is None:
         lost = _last(context, "MEMBER_LOST", "NODE_LISTENING")
         return lost, "no answer: the node of the job ended, or fell silent, before it"
@@ -156,7 +179,13 @@
         how = again.fields.get("how") or again.fields.get("reason")
         return again, f"late: a task had to run again ({how})"
     placed = _last(own, "JOB_PLACED")
-    return placed or answer, "late: it waited for room or its tasks took long"
+    if placed is None:
+        return answer, "late: its lines do not tell why"
+    waited = float(placed.fields.get("waited_ms") or 0)
+    ran = float(answer.fields.get("took_ms") or 0) - waited
+    if waited > ran:
+        return placed, "late: it waited for room longer than its tasks took"
+    return placed, "late: its tasks took longer than it waited for room"
 
 
 def _decide_failed(own: list[Line], context: list[Line], answer: Line) -> tuple[Line | None, str]:
@@ -171,6 +200,10 @@
     return again, f"given up: a task had to run again ({again.fields.get('how')})"
 
 
+def _decide_rejected(own: list[Line], context: list[Line], answer: Line) -> tuple[Line | None, str]:
+    return answer, f"rejected with {answer.fields.get('status')}: {answer.fields.get('reason')}"
+
+
 def _decide_left(own: list[Line], context: list[Line], answer: Line) -> tuple[Line | None, str]:
     return answer, "the caller left before the answer"
 
@@ -187,6 +220,7 @@
     "failed": _decide_failed,
     "given_up": _decide_given_up,
     "CALLER_LEFT": _decide_left,
+    "REQUEST_REJECTED": _decide_rejected,
 }
 
 
--- a/packages/node/chiveridge_node/decision_logs.py
+++ b/packages/node/chiveridge_node/decision_logs.py
@@ -1,7 +1,8 @@
 """Decisions as lines of JSON on standard output: bounded in volume, never waiting for a reader.
 
-The lines of a request are kept until its answer is known. Those of a request that was answered well
-are written only while the budget lasts; those of any other request come first.
+A request is written as it is taken in, so that one which is lost with its node leaves a trace. Its
+other lines are kept until its answer is known. Those of a request that was answered well are
+written only while the budget lasts; those of any other request come first.
 """
 
 import collections
@@ -21,8 +22,14 @@
 """Budget of all other lines; a node serves fewer requests than this a second."""
 
 BAD_BURST_LINES = 4000
+_LINES_OF_TOLD = 2
+"""Lines that a request needs at least once it is told: that it was taken in, and its answer."""
+
 MAX_REQUESTS_KEPT = 4096
 MAX_LINES_OF_REQUEST = 200
+MAX_WRITE_BYTES = 4096
+"""Most bytes of one write, but for a longer line: what a pipe takes as one (PIPE_BUF)."""
+
 MAX_BUFFER_BYTES = 1024 * 1024
 """Bytes that wait for a reader; more are dropped and counted."""
 
@@ -50,6 +57,19 @@
         return True
 
 
+class _RequestLines:
+    """The lines of one request that wait for its answer; ``is_told`` when the first is written."""
+
+    def __init__(self):
+        self.lines: list[bytes] = []
+        self.is_told = False
+
+    def add(self, line: bytes) -> None:
+        """Keep a line, if there are not too many."""
+        if len(self.lines) < MAX_LINES_OF_REQUEST:
+            self.lines.append(line)
+
+
 class DecisionLog:
     """Writes notes of the kernel."""
 
@@ -65,7 +85,7 @@
         self._wall_clock = wall_clock
         self._good = _Budget(LINES_PER_SECOND, BURST_LINES, clock)
         self._bad = _Budget(BAD_LINES_PER_SECOND, BAD_BURST_LINES, clock)
-        self._lines_by_request: collections.OrderedDict[str, list[bytes]] = (
+        self._lines_by_request: collections.OrderedDict[str, _RequestLines] = (
             collections.OrderedDict()
         )
         self._buffer = bytearray()
@@ -79,17 +99,32 @@
         if action.event not in notes.REQUEST_EVENTS or request is None:
             self._put([line], is_good=False)
             return
-        kept = self._lines_by_request.setdefault(request, [])
-        if len(kept) < MAX_LINES_OF_REQUEST:
-            kept.append(line)
+        kept = self._lines_by_request.setdefault(request, _RequestLines())
+        if action.event is notes.NoteEvent.JOB_TAKEN:
+            kept.is_told = self._good.take(_LINES_OF_TOLD) and self._append([line])
+        if not kept.is_told or action.event is not notes.NoteEvent.JOB_TAKEN:
+            kept.add(line)
         if action.event is notes.NoteEvent.JOB_ANSWERED:
-            is_good = action.fields["verdict"] == _GOOD_VERDICT and not action.fields["is_late"]
-            self._put(self._lines_by_request.pop(request), is_good=is_good)
+            del self._lines_by_request[request]
+            self._put_answered(kept, action)
         elif action.event in _ENDS:
-            self._put(self._lines_by_request.pop(request), is_good=False)
+            self._put(kept.lines, is_good=False)
+            kept.lines = []
+            if not kept.is_told or action.event is notes.NoteEvent.CALLER_LEFT:
+                del self._lines_by_request[request]
         elif len(self._lines_by_request) > MAX_REQUESTS_KEPT:
             # A request that is answered by another node: what is known here may explain it.
-            self._put(self._lines_by_request.popitem(last=False)[1], is_good=False)
+            self._put(self._lines_by_request.popitem(last=False)[1].lines, is_good=False)
+
+    def _put_answered(self, kept: _RequestLines, action: actions.Note) -> None:
+        is_good = action.fields["verdict"] == _GOOD_VERDICT and not action.fields["is_late"]
+        if not is_good or not kept.is_told:
+            self._put(kept.lines, is_good=is_good)
+            return
+        *others, answer = kept.lines
+        self._put(others, is_good=True)
+        if not self._append([answer]):
+            self.dropped_good += 1
 
     def write_record(self, text: str, level: str) -> None:
         """Take a line that is no note: an event of the node itself, or a library's message."""
@@ -104,27 +139,39 @@
 
     def flush(self) -> None:
         """Hand to the reader what it takes without waiting."""
-        if not self._buffer:
-            return
-        try:
-            written = self._write(bytes(self._buffer))
-        except BlockingIOError:
-            return
-        except OSError:
-            written = len(self._buffer)
-        del self._buffer[:written]
+        while self._buffer:
+            chunk = self._next_chunk()
+            try:
+                written = self._write(chunk)
+            except BlockingIOError:
+                return
+            except OSError:
+                written = len(chunk)
+            del self._buffer[:written]
+
+    def _next_chunk(self) -> bytes:
+        """Return the next whole lines, at least one."""
+        end = self._buffer.rfind(b"\n", 0, MAX_WRITE_BYTES) + 1
+        if not end:
+            end = self._buffer.find(b"\n") + 1
+        return bytes(self._buffer[: end or MAX_WRITE_BYTES])
 
     def _put(self, lines: list[bytes], *, is_good: bool) -> None:
-        size = sum(len(line) for line in lines)
         budget = self._good if is_good else self._bad
-        has_room = len(self._buffer) + size <= MAX_BUFFER_BYTES
-        if has_room and budget.take(len(lines)):
-            self._buffer += b"".join(lines)
-        elif is_good:
+        if budget.take(len(lines)) and self._append(lines):
+            return
+        if is_good:
             self.dropped_good += len(lines)
         else:
             self.dropped_bad += len(lines)
 
+    def _append(self, lines: list[bytes]) -> bool:
+        """Add lines to what waits for the reader, if there is room for all of them."""
+        if len(self._buffer) + sum(len(line) for line in lines) > MAX_BUFFER_BYTES:
+            return False
+        self._buffer += b"".join(lines)
+        return True
+
     def _encode(self, action: actions.Note) -> bytes:
         line = {
             "at": round(self._wall_clock(), 4),
--- a/packages/node/tests/test_decision_logs.py
+++ b/packages/node/tests/test_decision_logs.py
@@ -52,6 +52,77 @@
     }
 
 
+def test_lines_are_written_whole_and_no_more_at_once_than_a_pipe_takes_as_one():
+    writes = []
+
+    def write(data: bytes) -> int:
+        writes.append(data)
+        return len(data)
+
+    log = decision_logs.DecisionLog("n1", write)
+    for number in range(200):
+        request(log, f"job-{number}", BAD)
+    log.note(note(notes.NoteEvent.JOB_REFUSED, "wide", reason="x" * 10_000))
+    log.flush()
+    assert all(data.endswith(b"\n") for data in writes)
+    *usual, widest = sorted(writes, key=len)
+    assert max(len(data) for data in usual) <= decision_logs.MAX_WRITE_BYTES
+    assert widest.count(b"\n") == 1
+    assert sum(data.count(b"\n") for data in writes) == 601
+
+
+def test_a_reader_that_takes_nothing_more_gets_the_rest_later():
+    log, output, _ = new_log()
+    taken = []
+
+    def write(data: bytes) -> int:
+        if len(taken) == 2:
+            raise BlockingIOError
+        taken.append(data)
+        return output.write(data)
+
+    log._write = write
+    for number in range(100):
+        request(log, f"job-{number}", BAD)
+    log.flush()
+    assert len(taken) == 2
+    log._write = output.write
+    log.flush()
+    assert len(output.jobs()) == 300
+
+
+def test_a_request_is_told_when_it_is_taken_in():
+    log, output, _ = new_log()
+    log.note(note(notes.NoteEvent.JOB_TAKEN, "lost"))
+    log.note(note(notes.NoteEvent.JOB_PLACED, "lost"))
+    log.flush()
+    assert output.jobs() == ["lost"]
+
+
+def test_a_request_that_is_told_has_its_answer_told_whatever_the_budget():
+    log, output, _ = new_log()
+    for number in range(1000):
+        request(log, f"good-{number}", GOOD)
+    log.flush()
+    lines = [json.loads(line) for line in output.data.splitlines()]
+    taken = [line["job"] for line in lines if line["name"] == "JOB_TAKEN"]
+    answered = [line["job"] for line in lines if line["name"] == "JOB_ANSWERED"]
+    assert taken == answered
+    assert 0 < len(taken) < 1000
+
+
+def test_a_request_whose_run_failed_is_told_to_its_answer():
+    log, output, _ = new_log()
+    log.note(note(notes.NoteEvent.JOB_TAKEN, "mended"))
+    log.note(note(notes.NoteEvent.RUN_ENDED, "mended", how="failed"))
+    for number in range(1000):
+        request(log, f"good-{number}", GOOD)
+    log.note(note(notes.NoteEvent.JOB_ANSWERED, "mended", **GOOD))
+    log.flush()
+    assert output.jobs().count("mended") == 3
+    assert not log._lines_by_request
+
+
 def test_a_flood_of_good_requests_keeps_to_the_budget_and_every_bad_one_is_written():
     log, output, times = new_log()
     for number in range(5000):
