--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -18,11 +18,13 @@
     notes,
     placements,
     ranks,
+    refusals,
     runs,
 )
 
-_RETRY_AFTER = datetime.timedelta(seconds=1)
 _RETRY_AFTER_DRAIN = datetime.timedelta(milliseconds=50)
+"""Pause after a refusal by a node that drains, as others serve at once."""
+
 _AVOIDED_AFTER = frozenset({runs.RunEnd.FAILED, runs.RunEnd.STOPPED})
 _RUN_NUMBER_STEP = 16
 """Raise of the run number after a target has refused one as old."""
@@ -50,6 +52,7 @@
         self._holder = holder
         self._own_id = table.own_id
         self._ranks = ranks.Ranks(order)
+        self._refusals = refusals.Refusals(table, mailbox, holder)
         self._asks = asks.Asks(table, mailbox, holder, self._ranks)
         self.followings = followings.Followings(table, mailbox, self)
         self._job_by_caller: dict[identifiers.CallerId, jobs.Job] = {}
@@ -69,7 +72,9 @@
             return
         reason = self._refusal(event.job, known, now)
         if reason is not None:
-            self._refuse(event, reason)
+            is_draining = not self.accepts_jobs
+            pause = _RETRY_AFTER_DRAIN if is_draining else refusals.RETRY_AFTER
+            self._refusals.refuse_at_once(event, reason, pause)
             return
         self._take(event, now)
 
@@ -109,43 +114,7 @@
             return "the node is draining"
         if known is not None:
             return "runs of the job are still being stopped"
-        if self._holder.is_settling(now):
-            return None
-        if not self._holder.listing.by_id:
-            return "no target is known"
-        if not all(self._fits_somewhere(request, step) for step in request.steps):
-            return "no target is large enough"
-        if not self._holder.reaches_any(now) and not self._members.live(now):
-            return "no owner of targets is reached"
-        return None
-
-    def _fits_somewhere(self, request: jobs.JobRequest, step: jobs.StepRequest) -> bool:
-        return any(
-            target.service == request.service
-            and (not step.label or step.label in target.labels)
-            and step.size.fits_in(target.capacity)
-            for target in self._holder.listing.by_id.values()
-        )
-
-    def _refuse(self, event: events.JobSubmitted, reason: str) -> None:
-        is_draining = not self.accepts_jobs
-        self._mailbox.add(
-            actions.AnswerCaller(
-                caller=event.caller,
-                job=event.job.id,
-                verdict=actions.Verdict.REFUSED,
-                reason=reason,
-                retry_after=_RETRY_AFTER_DRAIN if is_draining else _RETRY_AFTER,
-            )
-        )
-        self._mailbox.note(
-            notes.NoteEvent.JOB_REFUSED,
-            job=event.job.id,
-            queue=event.job.queue,
-            reason=reason,
-            waited_ms=0.0,
-            at_once=True,
-        )
+        return self._refusals.reason_for(request, now)
 
     def caller_left(self, caller: identifiers.CallerId, now: datetime.datetime) -> None:
         """Stop a job that nobody waits for any more."""
@@ -214,7 +183,7 @@
         reason: str,
     ) -> None:
         """Answer all callers of a job that wait at this node."""
-        retry_after = _RETRY_AFTER if verdict is actions.Verdict.REFUSED else None
+        retry_after = refusals.RETRY_AFTER if verdict is actions.Verdict.REFUSED else None
         for caller in callers:
             answer = actions.AnswerCaller(
                 caller=caller, job=job_id, verdict=verdict, reason=reason, retry_after=retry_after
@@ -339,33 +308,12 @@
         if deadlines.is_over(job, now):
             self._expire(job, now)
         elif self._is_too_late_to_start(job, now):
-            self._note_refusal(job, now)
-            self._answer(job, actions.Verdict.REFUSED, "no room in time", now)
+            self._refusals.note_no_room(job, now)
+            self._answer(job, actions.Verdict.REFUSED, refusals.NO_ROOM, now)
             self._end(job, now)
         else:
             self._asks.tick(job, now)
 
-    def _note_refusal(self, job: jobs.Job, now: datetime.datetime) -> None:
-        """Write what was known of the room when a job was refused for want of it."""
-        step = job.steps[0]
-        size = step.request.size
-        free_by_node = {
-            member.endpoint: sum(size.times_in(room) for room in member.free)
-            for member in self._members.live(now)
-        }
-        own = sum(size.times_in(holding.free()) for holding in self._holder.usable(now))
-        self._mailbox.note(
-            notes.NoteEvent.JOB_REFUSED,
-            job=job.request.id,
-            queue=job.request.queue,
-            reason="no room in time",
-            waited_ms=notes.to_ms(now - job.arrived_at),
-            tasks=step.request.count,
-            own_room=own,
-            room_by_node=free_by_node,
-            asked=len(step.asked),
-        )
-
     def _is_too_late_to_start(self, job: jobs.Job, now: datetime.datetime) -> bool:
         if job.has_started or not self._ranks.refuses:
             return False
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -17,12 +17,14 @@
     messages,
     notes,
     orders,
+    orphans,
     ownerships,
     runs,
     starts,
     targets,
     timings,
     tokens,
+    watches,
 )
 
 
@@ -51,8 +53,8 @@
         self.lending = lendings.Lending(
             self._own_id, mailbox, self.orders, self._starts, self.holdings_by_target
         )
-        self.orphans: dict[identifiers.GrantId, tuple[identifiers.NodeId, datetime.datetime]] = {}
-        self._unheard_since: dict[identifiers.NodeId, datetime.datetime] = {}
+        self.orphans = orphans.Orphans(mailbox)
+        self._watch = watches.Watch(table, self.lending)
         self._candidates: ownerships.Candidates | None = None
         self.moving: set[identifiers.TargetId] = set()
         self.is_leaving = False
@@ -98,8 +100,8 @@
                 self._hand_over_if_due(holding, chosen, candidates, now)
         for holding in list(self.holdings_by_target.values()):
             self.orders.tick(holding, now)
-        self._end_orphans(now)
-        self._watch_nodes(now)
+        self.orphans.tick(now)
+        self._watch.tick(now)
         self.serve(now)
 
     def _drop_missing(self, now: datetime.datetime) -> None:
@@ -278,7 +280,7 @@
     def _drop(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
         """Give a target up on which runs may go on until their leases lapse."""
         for grant in holding.sent_grants():
-            self.orphans[grant.id] = (grant.node, holding.lapses_at)
+            self.orphans.add(grant, holding.lapses_at)
         self._mailbox.note(
             notes.NoteEvent.OWNER_CHANGED, target=holding.target.id, how="given up", reason=reason
         )
@@ -288,32 +290,6 @@
         self.holdings_by_target.pop(holding.target.id, None)
         self.moving.discard(holding.target.id)
 
-    def _end_orphans(self, now: datetime.datetime) -> None:
-        for grant, (node, lapses_at) in list(self.orphans.items()):
-            if now >= lapses_at:
-                del self.orphans[grant]
-                self._mailbox.send_end(node, grant, runs.RunEnd.LOST.value)
-
-    def _watch_nodes(self, now: datetime.datetime) -> None:
-        """Stop what nodes left that are dead, or that do not hear this one."""
-        nodes = self.lending.nodes() - {self._own_id}
-        self._unheard_since = {
-            node: since for node, since in self._unheard_since.items() if node in nodes
-        }
-        for node in nodes:
-            if not self._is_served(node, now):
-                self.lending.forget_node(node, now)
-
-    def _is_served(self, node: identifiers.NodeId, now: datetime.datetime) -> bool:
-        member = self._members.find_live(node, now)
-        if member is None and node not in self._members.heard_by_id:
-            since = self._unheard_since.setdefault(node, now)
-            return now - since < timings.FIRST_HEARD_WITHIN
-        if member is None:
-            return False
-        is_new = now - member.joined_at < timings.DEAD_AFTER
-        return is_new or self._own_id in member.hears
-
     # Room
 
     def ask(self, message: messages.Ask, now: datetime.datetime) -> None:
@@ -376,4 +352,4 @@
             for grant in holding.sent_grants()
             if grant.node == node
         ]
-        return used + [grant for grant, (owner, _) in self.orphans.items() if owner == node]
+        return used + self.orphans.of(node)
--- /dev/null
+++ b/packages/pool/chiveridge_pool/orphans.py
@@ -0,0 +1,31 @@
+"""Runs on targets that were given up, which may go on until their leases lapse."""
+
+import datetime
+
+from chiveridge_pool import grants, identifiers, mailboxes, runs
+
+
+class Orphans:
+    """Grants without an owner here, each with its node and the time at which it is over."""
+
+    def __init__(self, mailbox: mailboxes.Mailbox):
+        self._mailbox = mailbox
+        self._by_grant: dict[identifiers.GrantId, tuple[identifiers.NodeId, datetime.datetime]] = {}
+
+    def __contains__(self, grant: identifiers.GrantId) -> bool:
+        return grant in self._by_grant
+
+    def add(self, grant: grants.Grant, lapses_at: datetime.datetime) -> None:
+        """Take a grant of a target that was given up."""
+        self._by_grant[grant.id] = (grant.node, lapses_at)
+
+    def of(self, node: identifiers.NodeId) -> list[identifiers.GrantId]:
+        """Return the grants that may still be in use on behalf of a node."""
+        return [grant for grant, (owner, _) in self._by_grant.items() if owner == node]
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Tell the nodes of runs whose leases have lapsed."""
+        for grant, (node, lapses_at) in list(self._by_grant.items()):
+            if now >= lapses_at:
+                del self._by_grant[grant]
+                self._mailbox.send_end(node, grant, runs.RunEnd.LOST.value)
--- /dev/null
+++ b/packages/pool/chiveridge_pool/refusals.py
@@ -0,0 +1,85 @@
+"""Refusals of jobs of which nothing ran: why, and what is written and answered."""
+
+import datetime
+
+from chiveridge_pool import actions, events, holders, jobs, mailboxes, members, notes
+
+RETRY_AFTER = datetime.timedelta(seconds=1)
+"""Pause after which callers may come back; about as long as a burst's queue."""
+
+NO_ROOM = "no room in time"
+
+
+class Refusals:
+    """Judges which jobs cannot be served, and refuses them."""
+
+    def __init__(self, table: members.Members, mailbox: mailboxes.Mailbox, holder: holders.Holder):
+        self._members = table
+        self._mailbox = mailbox
+        self._holder = holder
+
+    def reason_for(self, request: jobs.JobRequest, now: datetime.datetime) -> str | None:
+        """Return why no target will take a job, or None when one may."""
+        if self._holder.is_settling(now):
+            return None
+        if not self._holder.listing.by_id:
+            return "no target is known"
+        if not all(self._fits_somewhere(request, step) for step in request.steps):
+            return "no target is large enough"
+        if not self._holder.reaches_any(now) and not self._members.live(now):
+            return "no owner of targets is reached"
+        return None
+
+    def _fits_somewhere(self, request: jobs.JobRequest, step: jobs.StepRequest) -> bool:
+        return any(
+            target.service == request.service
+            and (not step.label or step.label in target.labels)
+            and step.size.fits_in(target.capacity)
+            for target in self._holder.listing.by_id.values()
+        )
+
+    def refuse_at_once(
+        self,
+        event: events.JobSubmitted,
+        reason: str,
+        retry_after: datetime.timedelta = RETRY_AFTER,
+    ) -> None:
+        """Refuse a job as it arrives."""
+        self._mailbox.add(
+            actions.AnswerCaller(
+                caller=event.caller,
+                job=event.job.id,
+                verdict=actions.Verdict.REFUSED,
+                reason=reason,
+                retry_after=retry_after,
+            )
+        )
+        self._mailbox.note(
+            notes.NoteEvent.JOB_REFUSED,
+            job=event.job.id,
+            queue=event.job.queue,
+            reason=reason,
+            waited_ms=0.0,
+            at_once=True,
+        )
+
+    def note_no_room(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Write what was known of the room when a job was refused for want of it."""
+        step = job.steps[0]
+        size = step.request.size
+        free_by_node = {
+            member.endpoint: sum(size.times_in(room) for room in member.free)
+            for member in self._members.live(now)
+        }
+        own = sum(size.times_in(holding.free()) for holding in self._holder.usable(now))
+        self._mailbox.note(
+            notes.NoteEvent.JOB_REFUSED,
+            job=job.request.id,
+            queue=job.request.queue,
+            reason=NO_ROOM,
+            waited_ms=notes.to_ms(now - job.arrived_at),
+            tasks=step.request.count,
+            own_room=own,
+            room_by_node=free_by_node,
+            asked=len(step.asked),
+        )
--- /dev/null
+++ b/packages/pool/chiveridge_pool/watches.py
@@ -0,0 +1,34 @@
+"""Watches the nodes that have runs here, and stops what dead ones left."""
+
+import datetime
+
+from chiveridge_pool import identifiers, lendings, members, timings
+
+
+class Watch:
+    """The nodes with grants or asks at this owner."""
+
+    def __init__(self, table: members.Members, lending: lendings.Lending):
+        self._members = table
+        self._lending = lending
+        self._unheard_since: dict[identifiers.NodeId, datetime.datetime] = {}
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Stop what nodes left that are dead, or that do not hear this one."""
+        nodes = self._lending.nodes() - {self._members.own_id}
+        self._unheard_since = {
+            node: since for node, since in self._unheard_since.items() if node in nodes
+        }
+        for node in nodes:
+            if not self._is_served(node, now):
+                self._lending.forget_node(node, now)
+
+    def _is_served(self, node: identifiers.NodeId, now: datetime.datetime) -> bool:
+        member = self._members.find_live(node, now)
+        if member is None and node not in self._members.heard_by_id:
+            since = self._unheard_since.setdefault(node, now)
+            return now - since < timings.FIRST_HEARD_WITHIN
+        if member is None:
+            return False
+        is_new = now - member.joined_at < timings.DEAD_AFTER
+        return is_new or self._members.own_id in member.hears
