--- a/packages/kernel/chiveridge_kernel/borrowers.py
+++ b/packages/kernel/chiveridge_kernel/borrowers.py
@@ -10,8 +10,8 @@
     jobs,
     lenders,
     owners,
-    peers,
     placements,
+    slot_messages,
     slotqueues,
     slotreturns,
     vms,
@@ -114,7 +114,7 @@
         if not demand.wanted:
             self._withdraw(demand, now)
 
-    def handle_grant(self, message: peers.SlotGrant, now: datetime.datetime) -> None:
+    def handle_grant(self, message: slot_messages.SlotGrant, now: datetime.datetime) -> None:
         """Use the slots lent by another owner."""
         self.hints.learn(message.sender, message.free)
         self._returns.granted(message.sender, message.serial)
@@ -246,7 +246,7 @@
         self.hints.spend(node, count)
         self._returns.contacted(node)
         demand.asked_nodes.add(node)
-        message = peers.SlotRequest(
+        message = slot_messages.SlotRequest(
             sender=self._own_name,
             demand_id=demand.demand_id,
             team=query.team,
@@ -276,4 +276,6 @@
     def _give_back(
         self, name: str, team: identifiers.TeamName, outcome: str, now: datetime.datetime
     ) -> None:
-        self._returns.give_back(peers.SlotEnd(identifiers.TargetName(name), team, outcome), now)
+        self._returns.give_back(
+            slot_messages.SlotEnd(identifiers.TargetName(name), team, outcome), now
+        )
--- a/packages/kernel/chiveridge_kernel/count_policies.py
+++ b/packages/kernel/chiveridge_kernel/count_policies.py
@@ -8,7 +8,16 @@
 import datetime
 from collections.abc import Sequence
 
-from chiveridge_kernel import actions, events, jobs, peers, placements, startcounts, vms
+from chiveridge_kernel import (
+    actions,
+    events,
+    jobs,
+    peers,
+    placements,
+    slot_messages,
+    startcounts,
+    vms,
+)
 
 SAMPLE_SIZE = 8
 """Targets compared for a task; the random sample also keeps nodes from choosing the same one."""
@@ -46,7 +55,7 @@
 
     def received(self, message: peers.PeerMessage, now: datetime.datetime) -> None:
         """Take the counts of another node; other messages are for other parts of the kernel."""
-        is_known = isinstance(message, peers.StartCounts) and self.starter.members.find(
+        is_known = isinstance(message, slot_messages.StartCounts) and self.starter.members.find(
             message.sender
         )
         if is_known and message.sender != self.starter.members.own_name:
--- a/packages/kernel/chiveridge_kernel/dispatchers.py
+++ b/packages/kernel/chiveridge_kernel/dispatchers.py
@@ -22,6 +22,7 @@
     starts_in_progress,
     stops,
     targets,
+    usable_targets,
     vms,
 )
 
@@ -55,8 +56,7 @@
         self._incarnation = incarnation
         self._tasks_by_lease: dict[identifiers.LeaseId, jobs.Task] = {}
         self._deadlines: list[tuple[datetime.datetime, identifiers.SubmissionId]] = []
-        self._usable_by_fitting: dict[int, tuple[Sequence[vms.Vm], Sequence[vms.Vm]]] = {}
-        self._usable_version = -1
+        self._usable = usable_targets.UsableTargets(target_table)
         self._lease_serial = 0
         self.backlogs = backlogs.Backlogs()
         self.limiter = limits.Limiter(member_table, incarnation, self._emit)
@@ -120,17 +120,7 @@
 
     def usable(self, job: jobs.Job, task: jobs.Task) -> Sequence[vms.Vm]:
         """Return the targets that may be sent the task now."""
-        if self._usable_version != self.target_table.version:
-            self._usable_by_fitting.clear()
-            self._usable_version = self.target_table.version
-        fitting = job.candidates.fitting(task.spec)
-        # The key is an identity, so the entry keeps the object alive.
-        entry = self._usable_by_fitting.get(id(fitting))
-        if entry is None:
-            found = [vm for vm in fitting if self.target_table.is_worth_waiting(vm.name)]
-            entry = (fitting, found)
-            self._usable_by_fitting[id(fitting)] = entry
-        return entry[1]
+        return self._usable.of(job, task)
 
     def report(self, event: events.LeaseReported, now: datetime.datetime) -> None:
         """Handle what a target or a connection told about a start."""
--- /dev/null
+++ b/packages/kernel/chiveridge_kernel/kernel_parts.py
@@ -0,0 +1,280 @@
+"""The parts of a kernel, wired to each other, and what takes several of them."""
+
+import datetime
+import functools
+import random
+
+import msgspec
+
+from chiveridge_kernel import (
+    actions,
+    admissions,
+    answers,
+    catch_ups,
+    clocks,
+    configurations,
+    dispatchers,
+    errors,
+    followers,
+    handovers,
+    heartbeats,
+    identifiers,
+    jobchecks,
+    limit_outboxes,
+    loadings,
+    members,
+    peers,
+    policies,
+    probes,
+    reach_indexes,
+    reaches,
+    records,
+    results,
+    revocations,
+    snapshot_schedules,
+    submissions,
+    targets,
+    vms,
+)
+
+
+class KernelSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What the kernel must know before its first event."""
+
+    node: identifiers.NodeName
+    domain: identifiers.DomainName
+    incarnation: identifiers.Incarnation
+    secret: bytes
+    policy: str = policies.DEFAULT
+    snapshots: snapshot_schedules.SnapshotSettings = snapshot_schedules.SnapshotSettings()
+    catch_up: catch_ups.CatchUpSettings = catch_ups.CatchUpSettings()
+    heartbeat: heartbeats.HeartbeatSettings = heartbeats.HeartbeatSettings()
+    answer_budget_bytes: int = answers.DEFAULT_BUDGET_BYTES
+    linger: datetime.timedelta = handovers.DEFAULT_LINGER
+    probe_limits: probes.ProbeLimits = probes.ProbeLimits()
+
+
+class KernelParts:
+    """What one node decides with; :class:`kernels.Kernel` feeds it events."""
+
+    def __init__(self, settings: KernelSettings, rng: random.Random):
+        self.settings = settings
+        self.configuration = configurations.Configuration()
+        self.target_table = targets.TargetTable()
+        self.members = members.MemberTable(settings.node, settings.domain)
+        self.reach = reaches.Reach(self.configuration)
+        self.dispatcher = dispatchers.Dispatcher(
+            self.reach,
+            self.target_table,
+            self.members,
+            rng,
+            settings.policy,
+            settings.incarnation,
+            settings.probe_limits,
+        )
+        self.dispatcher.limiter.limit_of = self._limit_of
+        self.revoker = revocations.Revoker(self.dispatcher, self.reach)
+        self.snapshot_schedule = snapshot_schedules.SnapshotSchedule(settings.snapshots, rng)
+        self.loader = loadings.Loader()
+        self.follower = followers.Follower(
+            self.configuration,
+            self.snapshot_schedule.saw_chunk,
+            functools.partial(self.loader.offer, is_from_peer=False),
+        )
+        self.catch_up = catch_ups.CatchUp(
+            settings.catch_up,
+            self.configuration,
+            self.members,
+            rng,
+            functools.partial(self.loader.offer, is_from_peer=True),
+        )
+        self.heartbeats = heartbeats.Heartbeats(
+            settings.heartbeat, self.members, settings.incarnation, rng
+        )
+        self._is_asked_to_load = False
+        self.draining = False
+        self.has_listing = False
+        self.answers = answers.AnswerStore(settings.answer_budget_bytes)
+        self.admissions = admissions.Admissions(
+            submissions.Issuer(settings.node, settings.incarnation, settings.secret),
+            self.dispatcher,
+            self.answers,
+            self._check_serving,
+        )
+        self.handovers = handovers.HandoverTable(self.answers)
+        self._leaving: handovers.Sender | None = None
+
+    def take_actions(self) -> list[actions.Action]:
+        """Return what is to be done and was not returned yet, in order."""
+        self.dispatcher.policy.flush()
+        done = self.dispatcher.outbox
+        self.dispatcher.outbox = []
+        for action in done:
+            if isinstance(action, actions.AnswerJob):
+                self.admissions.keep(action)
+        return done
+
+    def is_ready(self) -> bool:
+        """Tell whether new jobs may be sent here."""
+        return self.has_listing and self.configuration.offset > 0 and not self.draining
+
+    def next_wakeup(self) -> datetime.datetime | None:
+        """Return when the next :class:`events.Ticked` is due."""
+        moments = [
+            self.dispatcher.next_deadline(),
+            self.target_table.next_expiry(),
+            self.dispatcher.policy.next_wakeup(),
+            self.heartbeats.next_due(),
+            self.dispatcher.limiter.next_wakeup(),
+            self.dispatcher.stops.next_wakeup(),
+            None if self._leaving is None else self._leaving.due,
+        ]
+        return clocks.earliest(moments)
+
+    def drain(self, forced: bool, now: datetime.datetime) -> None:
+        """Take no new jobs; with ``forced``, end those in progress as failed."""
+        self.draining = True
+        self.members.leave()
+        self.dispatcher.outbox.extend(self.heartbeats.farewell())
+        if forced:
+            message = "the node was told to stop at once"
+            self.dispatcher.fail_all(results.ResultCode.NODE_STOPPED, message, now)
+
+    def handover_kept(self, message: peers.HandoverKept, now: datetime.datetime) -> None:
+        """Learn that a peer keeps a part of what this node leaves."""
+        if self._leaving is not None and message.incarnation == self.settings.incarnation:
+            self._leaving.confirmed(message, now)
+
+    def leave(self, now: datetime.datetime) -> None:
+        """Hand over to peers, and exit once they have it."""
+        # Answers that are given in this same step are kept before they are handed over.
+        done = self.take_actions()
+        if self._leaving is None:
+            self._leaving = self._new_handover(now)
+            done += self.heartbeats.exit()
+        self._leaving.aim_at(handovers.choose_peers(self.members))
+        silent = self._leaving.take_silent(now)
+        done += [actions.DisconnectPeer(peer=vm) for vm in silent]
+        due = self._leaving.messages_due(now)
+        done += [actions.SendToPeer(peer=vm, message=part) for vm, part in due]
+        if self._leaving.is_over(now):
+            done.append(actions.Exit())
+        self.dispatcher.outbox = done
+
+    def _new_handover(self, now: datetime.datetime) -> handovers.Sender:
+        admitted = self.admissions.admitted()
+        if not admitted:
+            # Without an unexpired id there is nothing that anybody could ask for.
+            return handovers.Sender([], [], now, self.settings.linger)
+        kept = self.answers.newest(handovers.MAX_ANSWER_BYTES)
+        parts = handovers.parts_of(
+            self.settings.node, self.settings.incarnation, admitted, kept, now
+        )
+        return handovers.Sender(parts, [], now, self.settings.linger)
+
+    def configuration_moved(
+        self, changes: list[configurations.ChangeResult], now: datetime.datetime
+    ) -> None:
+        """Bring everything that depends on the configuration up to date."""
+        self.dispatcher.outbox.extend(actions.NoteChange(result=change) for change in changes)
+        touched = self.configuration.take_touched()
+        if touched:
+            self._reach_changed(self.reach.update(touched), touched, now)
+
+    def load_on(self, now: datetime.datetime) -> None:
+        """Do one step of loading a snapshot."""
+        self._is_asked_to_load = False
+        if self.loader.is_busy():
+            self.loader.step()
+        elif self.follower.is_decoding():
+            self.follower.step()
+        else:
+            self.catch_up.step()
+        self.finish_loading(now)
+
+    def finish_loading(self, now: datetime.datetime) -> None:
+        """Use a snapshot that is loaded whole, unless it is behind by now."""
+        loading = self.loader.take_finished()
+        if loading is not None:
+            self._adopt(loading, now)
+        self.ask_to_load_on()
+
+    def ask_to_load_on(self) -> None:
+        """Ask for the next step of loading, if there is one."""
+        parts = (self.loader.is_busy, self.follower.is_decoding, self.catch_up.is_decoding)
+        if not self._is_asked_to_load and any(is_at_work() for is_at_work in parts):
+            self._is_asked_to_load = True
+            self.dispatcher.outbox.append(actions.ContinueLoading())
+
+    def _adopt(self, loading: loadings.Loading, now: datetime.datetime) -> None:
+        is_expired = not loading.is_from_peer and loading.base < self.follower.first
+        if is_expired or not self.configuration.adopt(loading.configuration):
+            return
+        loading.index.bind(self.configuration)
+        if loading.is_from_peer:
+            self.snapshot_schedule.assume_base(self.configuration.offset)
+        self.note_restored(is_from_peer=loading.is_from_peer)
+        touched = self.configuration.take_touched()
+        self._reach_changed(self.reach.adopt(loading.index), touched, now)
+
+    def _reach_changed(
+        self,
+        changes: reach_indexes.ReachChanges,
+        touched: set[configurations.ObjectKey],
+        now: datetime.datetime,
+    ) -> None:
+        self.revoker.reconsider(changes.affected_teams(), now)
+        self.revoker.refuse(self._teams_without_key(touched), now)
+        self.dispatcher.place_waiting(now)
+
+    def _teams_without_key(self, touched: set[configurations.ObjectKey]) -> set[str]:
+        teams = self.configuration.teams_by_name
+        return {
+            name
+            for kind, name in touched
+            if kind is records.ObjectKind.TEAM
+            and (name not in teams or not teams[name].key_digests)
+        }
+
+    def take_listing(self, listing: vms.VmList, now: datetime.datetime) -> None:
+        """Take a list of VMs, of the platform or of a peer."""
+        self.catch_up.listing = listing
+        gone = self.members.replace(listing, now)
+        self.dispatcher.outbox.extend(actions.DisconnectPeer(peer=vm) for vm in gone)
+        self.heartbeats.listed(now)
+        partners = len(self.members.others_in_domain())
+        self.dispatcher.limiter.bytes_per_second = limit_outboxes.left_by_heartbeats(
+            partners, self.heartbeats.interval
+        )
+        self.dispatcher.limiter.takeovers.longest_wait = self.heartbeats.times().dead_after
+        self.target_table.replace(listing)
+        self.reach.replace_vms(self.target_table.vms_by_name)
+        self.has_listing = True
+        self.dispatcher.place_waiting(now)
+
+    def note_restored(self, *, is_from_peer: bool) -> None:
+        """Tell that the configuration was taken from a snapshot."""
+        self.dispatcher.outbox.append(
+            actions.NoteRestored(offset=self.configuration.offset, is_from_peer=is_from_peer)
+        )
+
+    def plan_snapshot(self, now: datetime.datetime) -> None:
+        """Note when to write a snapshot, once every record of the log has been read."""
+        offset = self.configuration.offset
+        if offset and offset >= self.follower.next:
+            count = len(self.members.live_names())
+            self.snapshot_schedule.update(offset, self.follower.first, count, now)
+
+    def _limit_of(self, team: identifiers.TeamName) -> int | None:
+        found = self.configuration.teams_by_name.get(team)
+        return None if found is None else found.max_starts
+
+    def _check_serving(self) -> None:
+        if self.draining:
+            message = "this node is draining; ask another node for new submission ids"
+            raise errors.RefusedError(results.ResultCode.DRAINING, message, 0)
+        if not self.is_ready():
+            message = "this node has no configuration or no list of VMs yet"
+            raise errors.RefusedError(
+                results.ResultCode.NOT_READY, message, jobchecks.RETRY_AFTER_MS
+            )
--- a/packages/kernel/chiveridge_kernel/lenders.py
+++ b/packages/kernel/chiveridge_kernel/lenders.py
@@ -10,11 +10,11 @@
     free_slots,
     messages,
     owners,
-    peers,
     placements,
     refusals,
     requesters,
     shares,
+    slot_messages,
     slotqueues,
     slots,
     targets,
@@ -109,7 +109,7 @@
         self.shares.advance(query.team, self.lent_count(query.team), now)
         return Loan(chosen, self.ledger.lend(node, query.team, chosen, now))
 
-    def ended(self, node: str, end: peers.SlotEnd, now: datetime.datetime) -> None:
+    def ended(self, node: str, end: slot_messages.SlotEnd, now: datetime.datetime) -> None:
         """Take a slot back and learn from the outcome of its start."""
         self.shares.advance(end.team, self.lent_count(end.team), now)
         self.ledger.give_back(node, end.target, end.team, now)
@@ -223,19 +223,21 @@
         self._slow_probe_at_by_target[name] = now + SLOW_PROBE_INTERVAL
         return True
 
-    def _learn_success(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
+    def _learn_success(self, end: slot_messages.SlotEnd, node: str, now: datetime.datetime) -> None:
         started_at = now - datetime.timedelta(milliseconds=end.run_ms)
         self.breakers.succeeded(end.target, end.team, started_at)
         self.speeds.learn_target(end.target, end.team, end.run_ms)
 
-    def _learn_failure(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
+    def _learn_failure(self, end: slot_messages.SlotEnd, node: str, now: datetime.datetime) -> None:
         self.breakers.failed(end.target, end.team, len(self._owner_table.owned), now)
 
-    def _learn_unusable(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
+    def _learn_unusable(
+        self, end: slot_messages.SlotEnd, node: str, now: datetime.datetime
+    ) -> None:
         # Only for this node: a target that it cannot reach may be well for others.
         self._refusals.add(node, end.target, now + UNREACHABLE_TIME)
 
-    def _learn_leaving(self, end: peers.SlotEnd, node: str, now: datetime.datetime) -> None:
+    def _learn_leaving(self, end: slot_messages.SlotEnd, node: str, now: datetime.datetime) -> None:
         self._starter.target_table.avoid(end.target, now + targets.LEAVING_EVIDENCE_LIFETIME)
 
 
--- a/packages/kernel/chiveridge_kernel/limit_batches.py
+++ b/packages/kernel/chiveridge_kernel/limit_batches.py
@@ -3,12 +3,12 @@
 import itertools
 from collections.abc import Iterable, Iterator
 
-from chiveridge_kernel import identifiers, limit_terms, peers
+from chiveridge_kernel import identifiers, limit_messages, limit_terms
 
 
 def pack(
     reports: Iterable[limit_terms.LimitReport], grants: Iterable[limit_terms.LimitGrant]
-) -> Iterator[peers.LimitBatch]:
+) -> Iterator[limit_messages.LimitBatch]:
     """Yield as few batches as hold the reports of one batch number and the grants to a node.
 
     A batch names one keeper that its reports follow, and one incarnation of the holder.
@@ -28,27 +28,27 @@
 
 def _batch(
     reports: list[limit_terms.LimitReport], grants: list[limit_terms.LimitGrant]
-) -> peers.LimitBatch:
+) -> limit_messages.LimitBatch:
     any_part = [*reports, *grants][0]
-    return peers.LimitBatch(
+    return limit_messages.LimitBatch(
         sender=any_part.sender,
         incarnation=any_part.incarnation,
         sequence=reports[0].sequence if reports else 0,
         lease_ms=reports[0].lease_ms if reports else 0,
         keeper_seen=reports[0].keeper_seen if reports else "",
         uses=[
-            peers.LimitUse(report.team, report.in_use, report.wanted, report.serial_seen)
+            limit_messages.LimitUse(report.team, report.in_use, report.wanted, report.serial_seen)
             for report in reports
         ],
         holder_incarnation=identifiers.Incarnation(grants[0].holder_incarnation if grants else ""),
         allowances=[
-            peers.LimitAllowance(grant.team, grant.sequence, grant.serial, grant.allowed)
+            limit_messages.LimitAllowance(grant.team, grant.sequence, grant.serial, grant.allowed)
             for grant in grants
         ],
     )
 
 
-def reports_of(batch: peers.LimitBatch) -> Iterator[limit_terms.LimitReport]:
+def reports_of(batch: limit_messages.LimitBatch) -> Iterator[limit_terms.LimitReport]:
     """Yield the reports of a batch."""
     for use in batch.uses:
         yield limit_terms.LimitReport(
@@ -64,7 +64,7 @@
         )
 
 
-def grants_of(batch: peers.LimitBatch) -> Iterator[limit_terms.LimitGrant]:
+def grants_of(batch: limit_messages.LimitBatch) -> Iterator[limit_terms.LimitGrant]:
     """Yield the grants of a batch."""
     for allowance in batch.allowances:
         yield limit_terms.LimitGrant(
--- a/packages/kernel/chiveridge_kernel/limits.py
+++ b/packages/kernel/chiveridge_kernel/limits.py
@@ -16,11 +16,11 @@
     limit_batches,
     limit_exchanges,
     limit_keepers,
+    limit_messages,
     limit_shares,
     limit_takeovers,
     limit_terms,
     members,
-    peers,
     results,
 )
 
@@ -164,7 +164,7 @@
         moments = (self._due_at, self._exchange.outbox.next_at(), self.takeovers.next_at())
         return clocks.earliest(moments)
 
-    def take_batch(self, batch: peers.LimitBatch, now: datetime.datetime) -> None:
+    def take_batch(self, batch: limit_messages.LimitBatch, now: datetime.datetime) -> None:
         """Take the reports and the grants of another node."""
         for report in limit_batches.reports_of(batch):
             self.take_report(report, now)
--- a/packages/kernel/chiveridge_kernel/outcomes.py
+++ b/packages/kernel/chiveridge_kernel/outcomes.py
@@ -2,12 +2,21 @@
 
 import datetime
 from collections.abc import Callable
-from typing import TYPE_CHECKING
-
-from chiveridge_kernel import actions, events, evidence, jobs, results, targets
-
-if TYPE_CHECKING:
-    from chiveridge_kernel import dispatchers
+from typing import Protocol
+
+from chiveridge_kernel import (
+    actions,
+    backlogs,
+    events,
+    evidence,
+    jobs,
+    limits,
+    members,
+    placements,
+    probes,
+    results,
+    targets,
+)
 
 MAX_OUTCOME_ASKS = 5
 OUTCOME_ASK_DELAY = datetime.timedelta(milliseconds=200)
@@ -15,8 +24,64 @@
 _OUTCOME_UNKNOWN_MESSAGE = "the outcome of a start is unknown; nothing more of this job will start"
 
 
+class Dispatcher(Protocol):
+    """What the outcome of a start is told to; implemented by :mod:`dispatchers`."""
+
+    members: members.MemberTable
+    target_table: targets.TargetTable
+    outbox: list[actions.Action]
+    backlogs: backlogs.Backlogs
+    limiter: limits.Limiter
+    prober: probes.Prober
+    policy: placements.Policy
+
+    def finish(
+        self,
+        task: jobs.Task,
+        event: events.LeaseReported,
+        signal: jobs.TaskSignal,
+        now: datetime.datetime,
+    ) -> None:
+        """Take the result of a task that has ended."""
+
+    def release(
+        self, task: jobs.Task, report: events.LeaseReported | None, now: datetime.datetime
+    ) -> None:
+        """Let go of a start."""
+
+    def ask(self, task: jobs.Task, delay: datetime.timedelta = datetime.timedelta()) -> None:
+        """Ask the target for the outcome of a start, after a delay."""
+
+    def start_no_more(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Give up what waits of a job."""
+
+    def give_up_revoked(self, task: jobs.Task) -> None:
+        """Give up a task of a job that may start nothing more."""
+
+    def end_if_revoked(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Fail a job that was cut short, once nothing of it runs any more."""
+
+    def fail(
+        self, job: jobs.Job, code: results.ResultCode, message: str, now: datetime.datetime
+    ) -> None:
+        """End a job as failed."""
+
+    def end(
+        self,
+        job: jobs.Job,
+        state: results.JobState,
+        code: results.ResultCode,
+        message: str,
+        now: datetime.datetime,
+    ) -> None:
+        """End a job and answer it."""
+
+    def expire(self, now: datetime.datetime) -> None:
+        """Fail the jobs whose deadline has passed."""
+
+
 def handle(
-    dispatcher: "dispatchers.Dispatcher",
+    dispatcher: Dispatcher,
     task: jobs.Task,
     event: events.LeaseReported,
     now: datetime.datetime,
@@ -26,7 +91,7 @@
 
 
 def _succeed(
-    dispatcher: "dispatchers.Dispatcher",
+    dispatcher: Dispatcher,
     task: jobs.Task,
     event: events.LeaseReported,
     now: datetime.datetime,
@@ -39,7 +104,7 @@
 
 
 def _task_failed(
-    dispatcher: "dispatchers.Dispatcher",
+    dispatcher: Dispatcher,
     task: jobs.Task,
     event: events.LeaseReported,
     now: datetime.datetime,
@@ -51,7 +116,7 @@
 
 
 def _not_started(
-    dispatcher: "dispatchers.Dispatcher",
+    dispatcher: Dispatcher,
     task: jobs.Task,
     event: events.LeaseReported,
     now: datetime.datetime,
@@ -83,7 +148,7 @@
 
 
 def _lost(
-    dispatcher: "dispatchers.Dispatcher",
+    dispatcher: Dispatcher,
     task: jobs.Task,
     event: events.LeaseReported,
     now: datetime.datetime,
@@ -101,7 +166,7 @@
 
 
 def _still_running(
-    dispatcher: "dispatchers.Dispatcher",
+    dispatcher: Dispatcher,
     task: jobs.Task,
     event: events.LeaseReported,
     now: datetime.datetime,
@@ -114,7 +179,7 @@
 
 
 def _queued(
-    dispatcher: "dispatchers.Dispatcher",
+    dispatcher: Dispatcher,
     task: jobs.Task,
     event: events.LeaseReported,
     now: datetime.datetime,
@@ -123,7 +188,7 @@
 
 
 def _unseen(
-    dispatcher: "dispatchers.Dispatcher",
+    dispatcher: Dispatcher,
     task: jobs.Task,
     event: events.LeaseReported,
     now: datetime.datetime,
@@ -134,7 +199,7 @@
 
 
 def _give_up(
-    dispatcher: "dispatchers.Dispatcher",
+    dispatcher: Dispatcher,
     task: jobs.Task,
     event: events.LeaseReported,
     now: datetime.datetime,
@@ -146,9 +211,7 @@
     dispatcher.fail(task.job, results.ResultCode.OUTCOME_UNKNOWN, message, now)
 
 
-_Handler = Callable[
-    ["dispatchers.Dispatcher", jobs.Task, events.LeaseReported, datetime.datetime], None
-]
+_Handler = Callable[[Dispatcher, jobs.Task, events.LeaseReported, datetime.datetime], None]
 
 _HANDLERS_BY_OUTCOME: dict[events.LeaseOutcome, _Handler] = {
     events.LeaseOutcome.SUCCEEDED: _succeed,
--- a/packages/kernel/chiveridge_kernel/owner_policies.py
+++ b/packages/kernel/chiveridge_kernel/owner_policies.py
@@ -20,6 +20,7 @@
     owners,
     peers,
     placements,
+    slot_messages,
     slotqueues,
     slotreturns,
     slots,
@@ -110,7 +111,7 @@
         """Send the slots given back during one event together."""
         self.returns.flush()
 
-    def handle_request(self, message: peers.SlotRequest, now: datetime.datetime) -> None:
+    def handle_request(self, message: slot_messages.SlotRequest, now: datetime.datetime) -> None:
         """Lend what is free at once, and queue the rest."""
         self.lender.queue.cancel(message.sender, message.demand_id)
         if message.wanted <= 0:
@@ -135,11 +136,11 @@
         )
         self.lender.queue_request(waiting, now)
 
-    def handle_grant(self, message: peers.SlotGrant, now: datetime.datetime) -> None:
+    def handle_grant(self, message: slot_messages.SlotGrant, now: datetime.datetime) -> None:
         """Use slots that another owner lent."""
         self.borrower.handle_grant(message, now)
 
-    def handle_return(self, message: peers.SlotReturn, now: datetime.datetime) -> None:
+    def handle_return(self, message: slot_messages.SlotReturn, now: datetime.datetime) -> None:
         """Take slots back and lend them on."""
         self.borrower.hints.learn(message.sender, message.free)
         for end in message.ends:
@@ -148,7 +149,7 @@
                 self.suspicions.learn(message.sender, end, now)
         self._serve_queue(now)
 
-    def handle_report(self, message: peers.SlotReport, now: datetime.datetime) -> None:
+    def handle_report(self, message: slot_messages.SlotReport, now: datetime.datetime) -> None:
         """Correct the ledger by a holder's own account."""
         self.borrower.hints.learn(message.sender, message.free)
         held = slots.lots_of(message.held_by_target, message.teams_by_target)
@@ -177,7 +178,7 @@
     def _grant(
         self, node: str, demand_id: int, team: identifiers.TeamName, loan: lenders.Loan
     ) -> None:
-        message = peers.SlotGrant(
+        message = slot_messages.SlotGrant(
             sender=self._own_name,
             demand_id=demand_id,
             team=team,
@@ -202,7 +203,7 @@
             self.borrower.take(demand, loan.names, now)
             return
         for name in loan.names:
-            self.lender.ended(self._own_name, peers.SlotEnd(name, waiting.query.team), now)
+            self.lender.ended(self._own_name, slot_messages.SlotEnd(name, waiting.query.team), now)
 
 
 @functools.singledispatch
@@ -211,22 +212,22 @@
 
 
 @_receive.register
-def _(message: peers.SlotRequest, policy: OwnersPolicy, now: datetime.datetime) -> None:
+def _(message: slot_messages.SlotRequest, policy: OwnersPolicy, now: datetime.datetime) -> None:
     policy.handle_request(message, now)
 
 
 @_receive.register
-def _(message: peers.SlotGrant, policy: OwnersPolicy, now: datetime.datetime) -> None:
+def _(message: slot_messages.SlotGrant, policy: OwnersPolicy, now: datetime.datetime) -> None:
     policy.handle_grant(message, now)
 
 
 @_receive.register
-def _(message: peers.SlotReturn, policy: OwnersPolicy, now: datetime.datetime) -> None:
+def _(message: slot_messages.SlotReturn, policy: OwnersPolicy, now: datetime.datetime) -> None:
     policy.handle_return(message, now)
 
 
 @_receive.register
-def _(message: peers.SlotReport, policy: OwnersPolicy, now: datetime.datetime) -> None:
+def _(message: slot_messages.SlotReport, policy: OwnersPolicy, now: datetime.datetime) -> None:
     policy.handle_report(message, now)
 
 
@@ -240,10 +241,12 @@
     policy.handle_probe_reply(message, now)
 
 
-def _end_of(task: jobs.Task, vm: vms.Vm, report: events.LeaseReported | None) -> peers.SlotEnd:
+def _end_of(
+    task: jobs.Task, vm: vms.Vm, report: events.LeaseReported | None
+) -> slot_messages.SlotEnd:
     target = identifiers.TargetName(vm.name)
     if report is None or report.reason == actions.WITHDRAWN:
-        return peers.SlotEnd(target, task.job.team)
+        return slot_messages.SlotEnd(target, task.job.team)
     if report.reason == "leaving":
-        return peers.SlotEnd(target, task.job.team, "leaving")
-    return peers.SlotEnd(target, task.job.team, report.outcome.value, report.run_ms)
+        return slot_messages.SlotEnd(target, task.job.team, "leaving")
+    return slot_messages.SlotEnd(target, task.job.team, report.outcome.value, report.run_ms)
--- a/packages/kernel/chiveridge_kernel/peers.py
+++ b/packages/kernel/chiveridge_kernel/peers.py
@@ -6,14 +6,22 @@
 
 import msgspec
 
-from chiveridge_kernel import errors, identifiers, records, results, target_messages, vms
+from chiveridge_kernel import (
+    errors,
+    identifiers,
+    limit_messages,
+    records,
+    results,
+    slot_messages,
+    target_messages,
+    vms,
+)
 
 PROTOCOL_VERSION = 1
 MAX_PEER_MESSAGE_BYTES = 16 * 1024 * 1024
-MAX_LIMIT_LEASE_MS = 600_000
 
 
-# Short keys, as heartbeats, limits and counts are most of the control traffic.
+# Short keys, as heartbeats are much of the control traffic.
 _HEARTBEAT_KEYS_BY_FIELD = {
     "sender": "s",
     "incarnation": "i",
@@ -25,29 +33,10 @@
     "reply_wanted": "r",
     "endpoint": "a",
 }
-_LIMIT_KEYS_BY_FIELD = {
-    "sender": "s",
-    "incarnation": "i",
-    "sequence": "q",
-    "lease_ms": "d",
-    "keeper_seen": "k",
-    "uses": "u",
-    "holder_incarnation": "h",
-    "allowances": "a",
-}
-
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 
 
-_START_COUNTS_KEYS_BY_FIELD = {
-    "sender": "s",
-    "sent_at_ms": "t",
-    "whole": "w",
-    "count_by_target": "c",
-}
-
-
 class DropReason(enum.Enum):
     """Why a message from a peer is dropped."""
 
@@ -133,130 +122,6 @@
     part: int
 
 
-class SlotRequest(msgspec.Struct, frozen=True, kw_only=True, tag="slot_request"):
-    """Asks the owner of targets for slots; it replaces an earlier request of the demand.
-
-    ``wanted`` 0 cancels. The owner serves requests by ``due_ms``, when the job would end
-    without any wait; like ``arrived_at_ms`` it is in milliseconds since the Unix epoch.
-    """
-
-    sender: identifiers.NodeName
-    demand_id: int
-    team: identifiers.TeamName
-    selector: str
-    wanted: int
-    arrived_at_ms: int
-    due_ms: int
-    memory_mb: int = 0
-    cores: int = 0
-    accelerators: int = 0
-
-
-class SlotGrant(msgspec.Struct, frozen=True, kw_only=True, tag="slot_grant"):
-    """Lends slots, one for each target named; ``free`` is what the owner has left.
-
-    ``serial`` counts the owner's grants to this node from 1.
-    """
-
-    sender: identifiers.NodeName
-    demand_id: int
-    team: identifiers.TeamName
-    serial: int
-    targets: list[identifiers.TargetName]
-    free: int
-
-
-class SlotEnd(msgspec.Struct, frozen=True, array_like=True):
-    """A slot given back, with what its start showed of the target."""
-
-    target: identifiers.TargetName
-    team: identifiers.TeamName
-    outcome: str = ""
-    run_ms: float = 0.0
-
-
-class SlotReturn(msgspec.Struct, frozen=True, kw_only=True, tag="slot_return"):
-    """Gives slots back to their owner; ``free`` is what the sender has left of its own."""
-
-    sender: identifiers.NodeName
-    ends: list[SlotEnd]
-    free: int
-
-
-class SlotReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="slot_report"):
-    """All slots of the owner that the sender holds, as a correction of lost messages.
-
-    ``last_serial`` is the last grant received from the owner, 0 for none. ``teams_by_target``
-    says how many of the slots each team has; without it their teams are not known.
-    """
-
-    sender: identifiers.NodeName
-    last_serial: int
-    held_by_target: dict[identifiers.TargetName, int]
-    free: int
-    teams_by_target: dict[identifiers.TargetName, dict[identifiers.TeamName, int]] = {}
-
-
-class StartCounts(
-    msgspec.Struct,
-    frozen=True,
-    kw_only=True,
-    omit_defaults=True,
-    tag="sc",
-    rename=_START_COUNTS_KEYS_BY_FIELD.get,
-):
-    """Starts of the sender in progress by target: those that changed, or all when ``whole``.
-
-    ``sent_at_ms``, in milliseconds since the Unix epoch, puts the messages of a sender in order.
-    """
-
-    sender: identifiers.NodeName
-    sent_at_ms: int
-    whole: bool = False
-    count_by_target: dict[identifiers.TargetName, Annotated[int, msgspec.Meta(ge=0)]]
-
-
-class LimitUse(msgspec.Struct, frozen=True, array_like=True):
-    """What :class:`limit_terms.LimitReport` tells of one team."""
-
-    team: identifiers.TeamName
-    in_use: Annotated[int, msgspec.Meta(ge=0)]
-    wanted: Annotated[int, msgspec.Meta(ge=0)]
-    serial_seen: int
-
-
-class LimitAllowance(msgspec.Struct, frozen=True, array_like=True):
-    """What :class:`limit_terms.LimitGrant` tells of one team."""
-
-    team: identifiers.TeamName
-    sequence: int
-    serial: int
-    allowed: Annotated[int, msgspec.Meta(ge=0)]
-
-
-class LimitBatch(
-    msgspec.Struct,
-    frozen=True,
-    kw_only=True,
-    omit_defaults=True,
-    tag="limits",
-    rename=_LIMIT_KEYS_BY_FIELD.get,
-):
-    """Reports and grants of many teams to one node.
-
-    The fields are those of the types in :mod:`limit_terms`.
-    """
-
-    sender: identifiers.NodeName
-    incarnation: identifiers.Incarnation
-    sequence: int = 0
-    lease_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT_LEASE_MS)] = 0
-    keeper_seen: str = ""
-    uses: list[LimitUse] = []
-    holder_incarnation: identifiers.Incarnation = identifiers.Incarnation("")
-    allowances: list[LimitAllowance] = []
-
-
 class ConfigurationAsk(msgspec.Struct, frozen=True, kw_only=True, tag="configuration_ask"):
     """Asks for the configuration when the peer's offset is higher, and for a list of VMs."""
 
@@ -322,15 +187,15 @@
     | target_messages.TargetLeaving
     | target_messages.ProbeRequest
     | target_messages.ProbeReply
-    | LimitBatch
+    | limit_messages.LimitBatch
     | ConfigurationAsk
     | ConfigurationChunk
     | ListingReply
-    | SlotRequest
-    | SlotGrant
-    | SlotReturn
-    | SlotReport
-    | StartCounts
+    | slot_messages.SlotRequest
+    | slot_messages.SlotGrant
+    | slot_messages.SlotReturn
+    | slot_messages.SlotReport
+    | slot_messages.StartCounts
 )
 
 
--- a/packages/kernel/chiveridge_kernel/slotreturns.py
+++ b/packages/kernel/chiveridge_kernel/slotreturns.py
@@ -3,7 +3,16 @@
 import datetime
 from collections.abc import Iterable
 
-from chiveridge_kernel import actions, identifiers, lenders, owners, peers, placements, slots
+from chiveridge_kernel import (
+    actions,
+    identifiers,
+    lenders,
+    owners,
+    peers,
+    placements,
+    slot_messages,
+    slots,
+)
 
 REPORT_INTERVAL = datetime.timedelta(seconds=1)
 SECOND_REPORT_DELAY = datetime.timedelta(milliseconds=100)
@@ -24,12 +33,12 @@
         self._owner_table = owner_table
         self._lender = lender
         self._own_name = starter.members.own_name
-        self._ends_by_owner: dict[str, list[peers.SlotEnd]] = {}
+        self._ends_by_owner: dict[str, list[slot_messages.SlotEnd]] = {}
         self._reports_due_by_owner: dict[str, int] = {}
         self._last_serial_by_owner: dict[str, int] = {}
         self._report_at: datetime.datetime | None = None
 
-    def give_back(self, end: peers.SlotEnd, now: datetime.datetime) -> bool:
+    def give_back(self, end: slot_messages.SlotEnd, now: datetime.datetime) -> bool:
         """Give a slot back; tell whether it was this node's own."""
         owner = self._owner_table.owner_by_target.get(end.target)
         if owner == self._own_name:
@@ -45,7 +54,7 @@
             return
         free = self._lender.free_count()
         for owner, ends in self._ends_by_owner.items():
-            self.send(owner, peers.SlotReturn(sender=self._own_name, ends=ends, free=free))
+            self.send(owner, slot_messages.SlotReturn(sender=self._own_name, ends=ends, free=free))
         self._ends_by_owner = {}
 
     def contacted(self, owner: str) -> None:
@@ -95,9 +104,9 @@
 
     def _report_of(
         self, owner: str, held: list[identifiers.TargetName], free: int
-    ) -> peers.SlotReport:
+    ) -> slot_messages.SlotReport:
         in_progress = self._starter.in_progress
-        return peers.SlotReport(
+        return slot_messages.SlotReport(
             sender=self._own_name,
             last_serial=self._last_serial_by_owner.get(owner, 0),
             held_by_target={name: in_progress.count_by_target[name] for name in held},
--- a/packages/kernel/chiveridge_kernel/startcounts.py
+++ b/packages/kernel/chiveridge_kernel/startcounts.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from chiveridge_kernel import clocks, identifiers, peers, targets, vms
+from chiveridge_kernel import clocks, identifiers, peers, slot_messages, targets, vms
 
 TELL_INTERVAL = datetime.timedelta(milliseconds=50)
 WHOLE_INTERVAL = datetime.timedelta(seconds=1)
@@ -43,7 +43,7 @@
         """Return the starts on a target of all other nodes, as they last told."""
         return self._total_by_target[target]
 
-    def take(self, message: peers.StartCounts, now: datetime.datetime) -> None:
+    def take(self, message: slot_messages.StartCounts, now: datetime.datetime) -> None:
         """Take what a node tells; a message that was overtaken changes nothing."""
         told = self._told_by_node.get(message.sender)
         if told is None:
@@ -98,7 +98,7 @@
 
     def message_due(
         self, receivers: list[vms.Vm], now: datetime.datetime
-    ) -> peers.StartCounts | None:
+    ) -> slot_messages.StartCounts | None:
         """Return what to tell the receivers now, or None when it is not time or nothing is new."""
         due = self.next_due()
         if due is not None and now < due:
@@ -112,7 +112,7 @@
             self._whole_due = now + WHOLE_INTERVAL
         if not receivers or not (is_whole or found):
             return None
-        message = peers.StartCounts(
+        message = slot_messages.StartCounts(
             sender=self._own_name,
             sent_at_ms=clocks.to_epoch_ms(now),
             whole=is_whole,
--- a/packages/kernel/chiveridge_kernel/suspicions.py
+++ b/packages/kernel/chiveridge_kernel/suspicions.py
@@ -10,7 +10,14 @@
 
 import msgspec
 
-from chiveridge_kernel import actions, identifiers, peers, placements, target_messages, vms
+from chiveridge_kernel import (
+    actions,
+    identifiers,
+    placements,
+    slot_messages,
+    target_messages,
+    vms,
+)
 
 PROBE_LIMIT = datetime.timedelta(seconds=1)
 """Time after which a probe without any result is forgotten, and the target trusted again."""
@@ -77,7 +84,7 @@
         if outcome in _REACHED:
             self._reached_at = now
 
-    def learn(self, node: str, end: peers.SlotEnd, now: datetime.datetime) -> None:
+    def learn(self, node: str, end: slot_messages.SlotEnd, now: datetime.datetime) -> None:
         """Learn how a start of a node ended on a target that this node owns."""
         vm = self._table.vms_by_name.get(end.target)
         if end.outcome not in _UNREACHED or vm is None or self._is_ignored(node, now):
--- a/packages/kernel/tests/conftest.py
+++ b/packages/kernel/tests/conftest.py
@@ -11,6 +11,7 @@
     clocks,
     errors,
     events,
+    kernel_parts,
     kernels,
     messages,
     records,
@@ -33,7 +34,7 @@
     def __init__(self, target_count: int = 3, policy: str = "power_of_two", **settings):
         self.clock = clocks.ManualClock(START)
         self.kernel = kernels.Kernel(
-            kernels.KernelSettings(
+            kernel_parts.KernelSettings(
                 node="ikeja-e1",
                 domain="ikeja",
                 incarnation="first-life",
--- a/packages/kernel/tests/test_catch_ups.py
+++ b/packages/kernel/tests/test_catch_ups.py
@@ -9,6 +9,7 @@
     catch_ups,
     clocks,
     events,
+    kernel_parts,
     kernels,
     peers,
     records,
@@ -28,7 +29,7 @@
 
 
 def new_kernel(name):
-    settings = kernels.KernelSettings(
+    settings = kernel_parts.KernelSettings(
         node=name,
         domain="ikeja",
         incarnation=name,
--- a/packages/kernel/tests/test_clusters.py
+++ b/packages/kernel/tests/test_clusters.py
@@ -15,6 +15,7 @@
     clocks,
     errors,
     events,
+    kernel_parts,
     kernels,
     member_states,
     messages,
@@ -68,7 +69,7 @@
             port=1,
             peer_port=serial,
         )
-        settings = kernels.KernelSettings(
+        settings = kernel_parts.KernelSettings(
             node=name,
             domain=DOMAINS_BY_NAME[name],
             incarnation=f"{serial:08}",
--- a/packages/kernel/tests/test_count_policies.py
+++ b/packages/kernel/tests/test_count_policies.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from chiveridge_kernel import actions, events, peers, startcounts, vms
+from chiveridge_kernel import actions, events, peers, slot_messages, startcounts, vms
 
 SILENCE_MS = startcounts.SILENCE_LIMIT.total_seconds() * 1000
 
@@ -24,7 +24,7 @@
 
 def hear(driven, sent_at_ms: int, sender: str = "ikeja-e2", whole: bool = False, **counts) -> None:
     count_by_target = {f"ikeja-{name}": count for name, count in counts.items()}
-    message = peers.StartCounts(
+    message = slot_messages.StartCounts(
         sender=sender, sent_at_ms=sent_at_ms, whole=whole, count_by_target=count_by_target
     )
     driven.handle(events.PeerMessageReceived(message=message))
@@ -34,9 +34,9 @@
     return dict(collections.Counter(start.target.name[-2:] for start in driven.starts()))
 
 
-def told(driven) -> list[peers.StartCounts]:
+def told(driven) -> list[slot_messages.StartCounts]:
     sent = [action.message for action in driven.of(actions.SendToPeer)]
-    return [message for message in sent if isinstance(message, peers.StartCounts)]
+    return [message for message in sent if isinstance(message, slot_messages.StartCounts)]
 
 
 def test_tasks_go_where_all_nodes_together_run_the_fewest(counting):
--- a/packages/kernel/tests/test_lenders.py
+++ b/packages/kernel/tests/test_lenders.py
@@ -12,10 +12,11 @@
 from chiveridge_kernel import (
     clocks,
     events,
+    kernel_parts,
     kernels,
     lenders,
-    peers,
     records,
+    slot_messages,
     slotqueues,
     slots,
     speeds,
@@ -65,7 +66,7 @@
     """A lender that owns every target, and what the plain rule needs to know beside."""
 
     def __init__(self):
-        settings = kernels.KernelSettings(
+        settings = kernel_parts.KernelSettings(
             node="e1", domain="ikeja", incarnation="a", secret=b"k", policy="owners"
         )
         self.clock = clocks.ManualClock()
@@ -94,7 +95,9 @@
         if step in ENDS:
             repeats, outcome, run_ms = ENDS[step]
             for _ in range(repeats):
-                self.lender.ended(node, peers.SlotEnd(name, team, outcome, run_ms), self.now)
+                self.lender.ended(
+                    node, slot_messages.SlotEnd(name, team, outcome, run_ms), self.now
+                )
             if outcome == "lost" and self.lender.ledger.owns(name):
                 self._refused_until[node, name] = self.now + lenders.UNREACHABLE_TIME
         elif step == "lend":
--- a/packages/kernel/tests/test_limit_budgets.py
+++ b/packages/kernel/tests/test_limit_budgets.py
@@ -8,7 +8,7 @@
 import member_domains
 import pytest
 
-from chiveridge_kernel import clocks, events, kernels, limit_outboxes, vms
+from chiveridge_kernel import clocks, events, kernel_parts, kernels, limit_outboxes, vms
 
 CONTROL_BYTES_PER_SECOND = 3000
 HEARTBEAT_BYTES_PER_SECOND = 2600
@@ -38,7 +38,7 @@
 
 
 def test_a_kernel_leaves_to_limits_what_heartbeats_do_not_take(names):
-    settings = kernels.KernelSettings(
+    settings = kernel_parts.KernelSettings(
         node=names[0], domain="ikeja", incarnation="a", secret=b"s" * 32
     )
     kernel = kernels.Kernel(settings, random.Random(1))
--- a/packages/kernel/tests/test_loadings.py
+++ b/packages/kernel/tests/test_loadings.py
@@ -14,6 +14,7 @@
     configurations,
     errors,
     events,
+    kernel_parts,
     kernels,
     loadings,
     peers,
@@ -97,7 +98,7 @@
     """A kernel whose steps of loading are done one by one; it checks that its offset grows."""
 
     def __init__(self):
-        settings = kernels.KernelSettings(node="e1", domain="d", incarnation="a", secret=b"k")
+        settings = kernel_parts.KernelSettings(node="e1", domain="d", incarnation="a", secret=b"k")
         self.kernel = kernels.Kernel(settings, random.Random(1))
         self.clock = clocks.ManualClock()
         self.offset = 0
--- a/packages/kernel/tests/test_owner_policies.py
+++ b/packages/kernel/tests/test_owner_policies.py
@@ -12,12 +12,14 @@
     actions,
     clocks,
     events,
+    kernel_parts,
     kernels,
     messages,
     peers,
     records,
     results,
     scores,
+    slot_messages,
     slotreturns,
     slots,
     vms,
@@ -75,7 +77,7 @@
     names = [f"e{number}" for number in range(1, 41)]
     listing = [entry(name, f"domain-{name}") for name in names]
     listing += [target(f"t{number}", f"domain-e{number}") for number in range(1, 41)]
-    settings = kernels.KernelSettings(
+    settings = kernel_parts.KernelSettings(
         node="e1", domain="domain-e1", incarnation="a", secret=b"k", policy="owners"
     )
     clock, kernel = clocks.ManualClock(), kernels.Kernel(settings, random.Random(1))
@@ -89,7 +91,9 @@
         clock.advance(STEP)
         done += kernel.handle(events.Ticked(), clock.now())
     sends = [action for action in done if isinstance(action, actions.SendToPeer)]
-    reports = [send.peer.name for send in sends if isinstance(send.message, peers.SlotReport)]
+    reports = [
+        send.peer.name for send in sends if isinstance(send.message, slot_messages.SlotReport)
+    ]
     assert set(reports) == {"e7"}
     assert len(reports) <= slotreturns.REPORTS_AFTER_CONTACT
 
@@ -130,7 +134,7 @@
         self.feed(name)
 
     def _kernel(self, name: str, life: str = "life") -> kernels.Kernel:
-        settings = kernels.KernelSettings(
+        settings = kernel_parts.KernelSettings(
             node=name, domain="ikeja", incarnation=f"{life}-of-{name}", secret=b"k", policy="owners"
         )
         return kernels.Kernel(settings, random.Random(name))
@@ -226,7 +230,9 @@
         assert network.started - before == {expected: 1}
 
 
-@pytest.mark.parametrize("lost", [peers.SlotReturn, peers.SlotGrant, peers.SlotRequest])
+@pytest.mark.parametrize(
+    "lost", [slot_messages.SlotReturn, slot_messages.SlotGrant, slot_messages.SlotRequest]
+)
 def test_lost_messages_cost_time_but_no_slot(network, lost):
     network.dropped_types = (lost,)
     network.submit("e1", len(TARGETS) * SLOTS)
@@ -275,7 +281,7 @@
 
 def test_slots_whose_return_was_lost_count_no_more_for_their_team(network):
     network.submit("e1", len(TARGETS) * SLOTS)
-    network.dropped_types = (peers.SlotReturn,)
+    network.dropped_types = (slot_messages.SlotReturn,)
     for lease_id in list(network.running):
         network.end(lease_id)
     network.advance(3.0)
@@ -310,7 +316,7 @@
 
 
 def test_tasks_start_without_owners_that_never_answer(network):
-    network.dropped_types = (peers.SlotGrant,)
+    network.dropped_types = (slot_messages.SlotGrant,)
     network.submit("e1", len(TARGETS) * SLOTS)
     assert len(network.running) < len(TARGETS) * SLOTS
     network.advance(5.0)
--- a/packages/kernel/tests/test_revocations.py
+++ b/packages/kernel/tests/test_revocations.py
@@ -10,12 +10,13 @@
     errors,
     events,
     identifiers,
+    kernel_parts,
     kernels,
     messages,
-    peers,
     placements,
     records,
     results,
+    slot_messages,
     vms,
 )
 
@@ -46,7 +47,7 @@
 
     def __init__(self, policy="two_at_once", slots=8):
         self.clock = clocks.ManualClock()
-        settings = kernels.KernelSettings(
+        settings = kernel_parts.KernelSettings(
             node="e1", domain="d", incarnation="i1", secret=b"s", policy=policy
         )
         self.kernel = kernels.Kernel(settings, random.Random(4))
@@ -234,7 +235,7 @@
     system.put(records.TargetObject(name="t2"))
     demand = system.demand()
     for name, count in (("t2", 2), ("t1", 3)):
-        grant = peers.SlotGrant(
+        grant = slot_messages.SlotGrant(
             sender="e2", team=TEAM, demand_id=demand.demand_id, serial=1, targets=[name], free=0
         )
         system.handle(events.PeerMessageReceived(message=grant))
@@ -246,7 +247,7 @@
     system.put(records.TargetObject(name="t2"))
     demand = system.demand()
     system.put(records.TargetObject(name="t1"))
-    grant = peers.SlotGrant(
+    grant = slot_messages.SlotGrant(
         sender="e2", team=TEAM, demand_id=demand.demand_id, serial=1, targets=["t1"], free=0
     )
     system.handle(events.PeerMessageReceived(message=grant))
--- a/packages/kernel/tests/test_shares.py
+++ b/packages/kernel/tests/test_shares.py
@@ -7,11 +7,12 @@
 from chiveridge_kernel import (
     clocks,
     events,
+    kernel_parts,
     kernels,
     lenders,
-    peers,
     records,
     shares,
+    slot_messages,
     slotqueues,
     vms,
 )
@@ -134,7 +135,7 @@
     """The lender of a node that owns every target, called as its policy calls it."""
 
     def __init__(self):
-        settings = kernels.KernelSettings(
+        settings = kernel_parts.KernelSettings(
             node=NODE, domain="ikeja", incarnation="a", secret=b"k", policy="owners"
         )
         self.clock = clocks.ManualClock()
@@ -154,7 +155,7 @@
         assert len(loan.names) == count
 
     def end(self, team: str) -> None:
-        self.lender.ended(NODE, peers.SlotEnd(TARGET, team, "succeeded"), self.clock.now())
+        self.lender.ended(NODE, slot_messages.SlotEnd(TARGET, team, "succeeded"), self.clock.now())
 
     def wait(self, team: str, due_ms: int) -> None:
         waiting = slotqueues.Waiting(
--- a/packages/kernel/tests/test_suspicions.py
+++ b/packages/kernel/tests/test_suspicions.py
@@ -12,9 +12,10 @@
     clocks,
     errors,
     events,
+    kernel_parts,
     kernels,
     messages,
-    peers,
+    slot_messages,
     suspicions,
     target_messages,
     vms,
@@ -75,7 +76,7 @@
         return self.kernels_by_name[self.owner_of(target)].target_table.state_of(target).value
 
     def _kernel(self, name: str) -> kernels.Kernel:
-        settings = kernels.KernelSettings(
+        settings = kernel_parts.KernelSettings(
             node=name, domain="ikeja", incarnation=f"life-of-{name}", secret=b"k", policy="owners"
         )
         return kernels.Kernel(settings, random.Random(name))
@@ -166,7 +167,7 @@
     owner = domain.owner_of("t0")
     other = next(name for name in NODES if name != owner)
     policy = domain.kernels_by_name[owner].dispatcher.policy
-    end = peers.SlotEnd("t0", TEAM, "refused")
+    end = slot_messages.SlotEnd("t0", TEAM, "refused")
     domain.is_silent = True
     for reached_at, state in ((None, "usable"), (domain.clock.now(), "avoided")):
         policy.suspicions._reached_at = reached_at
@@ -195,7 +196,7 @@
     owner = domain.owner_of("t0")
     policy = domain.kernels_by_name[owner].dispatcher.policy
     for target in policy.owner_table.owned:
-        end = peers.SlotEnd(target, TEAM, "refused")
+        end = slot_messages.SlotEnd(target, TEAM, "refused")
         policy.suspicions.learn(owner, end, domain.clock.now())
     assert domain.states("t0") == "avoided"
     domain.submit(owner, len(TARGETS) * SLOTS)
--- a/packages/load/chiveridge_load/control_benches.py
+++ b/packages/load/chiveridge_load/control_benches.py
@@ -17,7 +17,7 @@
 from chiveridge_client import clients
 from chiveridge_kernel import heartbeats, messages
 from chiveridge_load import deployments, interruptions, node_usages
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans, fleets
 
 _SIZES = flags.DEFINE_list("sizes", ["3", "9", "25"], "Numbers of nodes in each domain.")
 _DOMAINS = flags.DEFINE_integer("domains", 1, "Number of domains.", lower_bound=1)
@@ -94,8 +94,8 @@
 
 async def measure_size(nodes: int, seconds: float, jobs_per_second: float) -> list[Measurement]:
     """Measure domains of so many nodes, idle and under a light load."""
-    domain = fleets.DomainPlan(nodes=nodes, targets=TARGETS)
-    plan = fleets.FleetPlan(
+    domain = fleet_plans.DomainPlan(nodes=nodes, targets=TARGETS)
+    plan = fleet_plans.FleetPlan(
         domains={f"domain-{number + 1}": domain for number in range(_DOMAINS.value)}
     )
     async with (
--- a/packages/load/chiveridge_load/control_suites.py
+++ b/packages/load/chiveridge_load/control_suites.py
@@ -20,7 +20,7 @@
     reach_benches,
     reports,
 )
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans
 
 DEFAULT_OUT = "build/control.json"
 NODES_PER_DOMAIN = 3
@@ -89,8 +89,8 @@
 
 
 async def _measure_domain(nodes: int) -> control_benches.Measurement:
-    domain = fleets.DomainPlan(nodes=nodes, targets=control_benches.TARGETS)
-    plan = fleets.FleetPlan(domains={"domain-1": domain})
+    domain = fleet_plans.DomainPlan(nodes=nodes, targets=control_benches.TARGETS)
+    plan = fleet_plans.FleetPlan(domains={"domain-1": domain})
     async with (
         deployments.ready_fleet(plan, [control_benches.TEAM]) as fleet,
         aiohttp.ClientSession() as session,
--- a/packages/load/chiveridge_load/demos.py
+++ b/packages/load/chiveridge_load/demos.py
@@ -8,7 +8,7 @@
 from chiveridge_client import clients
 from chiveridge_kernel import messages, results
 from chiveridge_load import deployments, interruptions
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans, fleets
 
 DOMAINS = ("ikeja", "surulere", "lekki")
 TARGETS_PER_DOMAIN = 2
@@ -25,8 +25,8 @@
 
 
 async def _run() -> int:
-    domain = fleets.DomainPlan(nodes=1, targets=TARGETS_PER_DOMAIN)
-    fleet = fleets.Fleet(fleets.FleetPlan(domains={name: domain for name in DOMAINS}))
+    domain = fleet_plans.DomainPlan(nodes=1, targets=TARGETS_PER_DOMAIN)
+    fleet = fleets.Fleet(fleet_plans.FleetPlan(domains={name: domain for name in DOMAINS}))
     async with fleet:
         await _publish(fleet)
         await fleet.wait_ready()
--- a/packages/load/chiveridge_load/deployments.py
+++ b/packages/load/chiveridge_load/deployments.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from chiveridge_kernel import records
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans, fleets
 
 ALL_TEAMS_RULE = "every-team-every-target"
 READY_TIMEOUT_S = 30.0
@@ -69,7 +69,7 @@
 
 @contextlib.asynccontextmanager
 async def ready_fleet(
-    plan: fleets.FleetPlan, teams: list[TeamPlan], timeout_s: float = READY_TIMEOUT_S
+    plan: fleet_plans.FleetPlan, teams: list[TeamPlan], timeout_s: float = READY_TIMEOUT_S
 ) -> AsyncIterator[fleets.Fleet]:
     """Run a fleet in which every team may reach every target, once all nodes are ready."""
     async with fleets.Fleet(plan) as fleet:
@@ -101,17 +101,17 @@
     return records.ObjectWrite(kind=records.ObjectKind.RULE, name=rule.name, rule=rule)
 
 
-def fleet_plan(name: str, policy: str, *, proxied: bool = False) -> fleets.FleetPlan:
+def fleet_plan(name: str, policy: str, *, proxied: bool = False) -> fleet_plans.FleetPlan:
     """Return the fleet of a deployment: 3 domains, 9 nodes and 24 targets of 8 slots.
 
     ``proxied`` puts a proxy in front of every node for the messages of the others.
     """
     deployment = DEPLOYMENTS_BY_NAME[name]
-    domain = fleets.DomainPlan(nodes=3, targets=8)
+    domain = fleet_plans.DomainPlan(nodes=3, targets=8)
     nodes = [
         f"{domain_name}-e{number}" for domain_name in deployment.domains for number in (1, 2, 3)
     ]
-    return fleets.FleetPlan(
+    return fleet_plans.FleetPlan(
         domains={domain_name: domain for domain_name in deployment.domains},
         slots=8,
         cores=deployment.cores,
@@ -131,6 +131,6 @@
         proxy.delay = delay
 
 
-def slots(plan: fleets.FleetPlan) -> int:
+def slots(plan: fleet_plans.FleetPlan) -> int:
     """Return the slots of all targets of a fleet."""
     return plan.slots * sum(domain.targets for domain in plan.domains.values())
--- a/packages/load/chiveridge_load/faults.py
+++ b/packages/load/chiveridge_load/faults.py
@@ -20,10 +20,10 @@
     fault_schedules,
     interruptions,
 )
-from chiveridge_standins import fleets, journals
+from chiveridge_standins import fleet_plans, fleets, journals
 
 DOMAINS = ("ikeja", "surulere", "lekki")
-DOMAIN_PLAN = fleets.DomainPlan(nodes=2, targets=4)
+DOMAIN_PLAN = fleet_plans.DomainPlan(nodes=2, targets=4)
 TEAM = deployments.TeamPlan(name="dispatch-desk", secret="secret-of-no-value")
 OPERATORS = ("operator-a", "operator-b")
 VMS_INTERVAL_MS = 200
@@ -132,10 +132,10 @@
         records.append(await caller.run(job))
 
 
-def _fleet_plan() -> fleets.FleetPlan:
+def _fleet_plan() -> fleet_plans.FleetPlan:
     nodes = [f"{domain}-e{n + 1}" for domain in DOMAINS for n in range(DOMAIN_PLAN.nodes)]
     targets = [f"{domain}-t{n + 1}" for domain in DOMAINS for n in range(DOMAIN_PLAN.targets)]
-    return fleets.FleetPlan(
+    return fleet_plans.FleetPlan(
         domains=dict.fromkeys(DOMAINS, DOMAIN_PLAN),
         targets_per_process=1,
         proxied=frozenset([*nodes, *targets, fleets.PLATFORM]),
--- a/packages/load/chiveridge_load/listing_benches.py
+++ b/packages/load/chiveridge_load/listing_benches.py
@@ -14,7 +14,7 @@
 from absl import app, flags
 
 from chiveridge_load import node_usages
-from chiveridge_standins import fleets, vms
+from chiveridge_standins import fleet_plans, fleets, vms
 
 _TARGETS = flags.DEFINE_integer("targets", 4_100, "Listed targets.", lower_bound=1)
 _SECONDS = flags.DEFINE_float("seconds", 20.0, "Length of a measurement.", lower_bound=1.0)
@@ -99,9 +99,9 @@
 
 async def run() -> list[Measurement]:
     """Measure each pace on one fleet of one node."""
-    domain = fleets.DomainPlan(nodes=1, targets=1)
+    domain = fleet_plans.DomainPlan(nodes=1, targets=1)
     async with (
-        fleets.Fleet(fleets.FleetPlan(domains={"domain-0": domain})) as fleet,
+        fleets.Fleet(fleet_plans.FleetPlan(domains={"domain-0": domain})) as fleet,
         aiohttp.ClientSession() as session,
     ):
         await fleet.control_vms(whole=_WHOLE.value)
--- a/packages/load/chiveridge_load/meshes.py
+++ b/packages/load/chiveridge_load/meshes.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from chiveridge_kernel import actions, events, identifiers, kernels, messages, vms
+from chiveridge_kernel import actions, events, identifiers, kernel_parts, kernels, messages, vms
 from chiveridge_load import deployments
 
 TARGET_MEMORY_MB = 128 * 1024
@@ -92,7 +92,7 @@
                     pending.append((action.peer.name, message))
 
     def _new_kernel(self, vm: vms.Vm) -> kernels.Kernel:
-        settings = kernels.KernelSettings(
+        settings = kernel_parts.KernelSettings(
             node=identifiers.NodeName(vm.name),
             domain=identifiers.DomainName(vm.domain),
             incarnation=identifiers.Incarnation(f"boot-{vm.name}"),
--- a/packages/load/chiveridge_load/publication_benches.py
+++ b/packages/load/chiveridge_load/publication_benches.py
@@ -16,7 +16,7 @@
 from chiveridge_client import clocks, errors, platforms, publications, statuses
 from chiveridge_kernel import records
 from chiveridge_load import deployments, interruptions
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans, fleets
 
 DOMAINS = ("ikeja", "lekki", "surulere")
 POLL_SECONDS = 0.002
@@ -43,8 +43,8 @@
 
 async def measure(nodes_per_domain: int, changes: int) -> PublicationFigures:
     """Publish changes one after the other and wait for each on every node."""
-    domain = fleets.DomainPlan(nodes=nodes_per_domain, targets=1)
-    plan = fleets.FleetPlan(domains=dict.fromkeys(DOMAINS, domain))
+    domain = fleet_plans.DomainPlan(nodes=nodes_per_domain, targets=1)
+    plan = fleet_plans.FleetPlan(domains=dict.fromkeys(DOMAINS, domain))
     async with (
         deployments.ready_fleet(plan, [TEAM]) as fleet,
         aiohttp.ClientSession() as session,
--- a/packages/load/chiveridge_load/runs.py
+++ b/packages/load/chiveridge_load/runs.py
@@ -15,7 +15,7 @@
     reconciliations,
     workloads,
 )
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans, fleets
 
 READY_TIMEOUT_S = 60.0
 SETTLE_S = 1.0
@@ -28,7 +28,7 @@
 class Run(msgspec.Struct, frozen=True, kw_only=True):
     """What to run: a fleet, a trace, the teams of the trace and what happens meanwhile."""
 
-    plan: fleets.FleetPlan
+    plan: fleet_plans.FleetPlan
     jobs: list[workloads.JobPlan]
     seed: int
     seconds: float
--- a/packages/load/chiveridge_load/saturations.py
+++ b/packages/load/chiveridge_load/saturations.py
@@ -9,7 +9,7 @@
 from chiveridge_client import clients
 from chiveridge_kernel import messages
 from chiveridge_load import deployments, usages
-from chiveridge_standins import counts, fleets
+from chiveridge_standins import counts, fleet_plans, fleets
 
 DOMAIN = "ikeja"
 NODE = f"{DOMAIN}-e1"
@@ -53,10 +53,10 @@
     bytes_per_task: float
 
 
-def plan(policy: str, profiles: str = "") -> fleets.FleetPlan:
+def plan(policy: str, profiles: str = "") -> fleet_plans.FleetPlan:
     """Return a fleet of one node with targets that are never the limit."""
-    return fleets.FleetPlan(
-        domains={DOMAIN: fleets.DomainPlan(nodes=1, targets=TARGETS)},
+    return fleet_plans.FleetPlan(
+        domains={DOMAIN: fleet_plans.DomainPlan(nodes=1, targets=TARGETS)},
         slots=SLOTS,
         targets_per_process=TARGETS_PER_PROCESS,
         settings={
--- a/packages/node/chiveridge_node/nodes.py
+++ b/packages/node/chiveridge_node/nodes.py
@@ -17,6 +17,7 @@
     events,
     heartbeats,
     identifiers,
+    kernel_parts,
     kernels,
     peers,
     probes,
@@ -141,8 +142,8 @@
         logevents.write(logevents.LogEvent.NODE_LISTENING, **fields)
 
 
-def _kernel_settings(node_settings: settings.Settings) -> kernels.KernelSettings:
-    return kernels.KernelSettings(
+def _kernel_settings(node_settings: settings.Settings) -> kernel_parts.KernelSettings:
+    return kernel_parts.KernelSettings(
         node=identifiers.NodeName(node_settings.node.name),
         domain=identifiers.DomainName(node_settings.node.domain),
         incarnation=identifiers.Incarnation(_new_incarnation()),
--- a/packages/node/tests/test_requests.py
+++ b/packages/node/tests/test_requests.py
@@ -9,6 +9,7 @@
     actions,
     clocks,
     events,
+    kernel_parts,
     kernels,
     messages,
     peers,
@@ -36,7 +37,7 @@
     """Requests on a kernel of one target, to which nothing is really sent."""
 
     def __init__(self):
-        settings = kernels.KernelSettings(
+        settings = kernel_parts.KernelSettings(
             node="ikeja-e1", domain="ikeja", incarnation="life", secret=b"k"
         )
         self.shell = shells.Shell(kernels.Kernel(settings, random.Random(1)), clocks.ManualClock())
--- a/packages/standins/chiveridge_standins/fleets.py
+++ b/packages/standins/chiveridge_standins/fleets.py
@@ -12,6 +12,7 @@
 
 from chiveridge_standins import (
     configs,
+    fleet_plans,
     journals,
     logs,
     members,
@@ -33,41 +34,13 @@
     """The fleet did not come to the state that was waited for."""
 
 
-class DomainPlan(msgspec.Struct, frozen=True):
-    """Numbers of nodes and of targets in one failure domain."""
-
-    nodes: int
-    targets: int
-
-
-class FleetPlan(msgspec.Struct, frozen=True, kw_only=True):
-    """What a fleet consists of.
-
-    ``slots``, ``memory_mb`` and ``cores`` are those of each target. ``settings`` adds to the
-    nodes' INI files, by section and key. ``proxied`` names what has a proxy in front: targets,
-    nodes (their peer ports) and ``platform``, which only the nodes reach by its proxy. With
-    ``journaled`` the starts survive a target's end, see :meth:`Fleet.starts`. With ``profiles``,
-    a directory, the nodes run under cProfile and leave ``NAME.prof`` there.
-    """
-
-    domains: dict[str, DomainPlan]
-    slots: int = 8
-    memory_mb: int = 128 * 1024
-    cores: int = 64
-    settings: dict[str, dict[str, str]] = {}
-    targets_per_process: int = 8
-    proxied: frozenset[str] = frozenset()
-    journaled: bool = False
-    profiles: str = ""
-
-
 class Fleet:
     """Running processes of a plan; an asynchronous context manager.
 
     ``exit_codes_by_name`` is complete once the context has been left.
     """
 
-    def __init__(self, plan: FleetPlan):
+    def __init__(self, plan: fleet_plans.FleetPlan):
         self.plan = plan
         self.nodes_by_name: dict[str, members.Node] = {}
         self.targets_by_name: dict[str, members.Target] = {}
--- a/packages/standins/tests/test_fleets.py
+++ b/packages/standins/tests/test_fleets.py
@@ -3,7 +3,7 @@
 import aiohttp
 import pytest
 
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans, fleets
 
 
 async def start_task(url: str, key: str, run_ms: int = 0) -> int:
@@ -18,8 +18,8 @@
 
 
 async def test_runs_a_platform_and_targets():
-    plan = fleets.FleetPlan(
-        domains={"ikeja": fleets.DomainPlan(nodes=0, targets=3)},
+    plan = fleet_plans.FleetPlan(
+        domains={"ikeja": fleet_plans.DomainPlan(nodes=0, targets=3)},
         targets_per_process=2,
         proxied=frozenset({"ikeja-t1"}),
     )
@@ -45,7 +45,7 @@
 
 
 async def test_planned_stops_with_open_requests_exit_with_0():
-    plan = fleets.FleetPlan(domains={"ikeja": fleets.DomainPlan(nodes=0, targets=1)})
+    plan = fleet_plans.FleetPlan(domains={"ikeja": fleet_plans.DomainPlan(nodes=0, targets=1)})
     async with fleets.Fleet(plan) as fleet:
         target = fleet.targets_by_name["ikeja-t1"]
         url = f"{fleet.platform_url}/v1/streams/s/records?from=0&wait_ms=3600000"
@@ -60,7 +60,7 @@
 
 
 async def test_an_unknown_name_is_an_error():
-    async with fleets.Fleet(fleets.FleetPlan(domains={})) as fleet:
+    async with fleets.Fleet(fleet_plans.FleetPlan(domains={})) as fleet:
         with pytest.raises(fleets.FleetError, match="no-such"):
             await fleet.kill("no-such")
         with pytest.raises(fleets.FleetError, match="no-such"):
--- a/packages/standins/tests/test_journals.py
+++ b/packages/standins/tests/test_journals.py
@@ -1,4 +1,4 @@
-from chiveridge_standins import fleets, journals, members
+from chiveridge_standins import fleet_plans, fleets, journals, members
 
 
 def test_starts_of_every_target_are_read_again(tmp_path):
@@ -10,8 +10,8 @@
 
 
 async def test_starts_outlive_a_killed_target():
-    domains = {"ikeja": fleets.DomainPlan(nodes=0, targets=1)}
-    async with fleets.Fleet(fleets.FleetPlan(domains=domains, journaled=True)) as fleet:
+    domains = {"ikeja": fleet_plans.DomainPlan(nodes=0, targets=1)}
+    async with fleets.Fleet(fleet_plans.FleetPlan(domains=domains, journaled=True)) as fleet:
         for key in ("before", "after"):
             target = fleet.targets_by_name["ikeja-t1"]
             url = f"{target.url}/v1/leases/{key}"
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -10,7 +10,7 @@
 
 from chiveridge_kernel import messages
 from chiveridge_load import deployments
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans, fleets
 
 PATIENCE_S = 30
 
@@ -144,8 +144,8 @@
 
     @contextlib.asynccontextmanager
     async def deployed(nodes: int = 1, targets: int = 1, domains=("ikeja",), **plan):
-        domain = fleets.DomainPlan(nodes=nodes, targets=targets)
-        fleet_plan = fleets.FleetPlan(domains=dict.fromkeys(domains, domain), **plan)
+        domain = fleet_plans.DomainPlan(nodes=nodes, targets=targets)
+        fleet_plan = fleet_plans.FleetPlan(domains=dict.fromkeys(domains, domain), **plan)
         async with (
             deployments.ready_fleet(fleet_plan, [team]) as fleet,
             aiohttp.ClientSession() as session,
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -13,7 +13,7 @@
 from chiveridge_client import clients, errors, exits, mains, platforms, publications
 from chiveridge_kernel import messages, records, results
 from chiveridge_load import deployments
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans, fleets
 
 DOMAIN = "ikeja"
 WAIT_S = 20
@@ -33,8 +33,8 @@
 
 @contextlib.asynccontextmanager
 async def running_fleet(team, nodes, *, slots=8, settings=SETTINGS):
-    plan = fleets.FleetPlan(
-        domains={DOMAIN: fleets.DomainPlan(nodes=nodes, targets=1)},
+    plan = fleet_plans.FleetPlan(
+        domains={DOMAIN: fleet_plans.DomainPlan(nodes=nodes, targets=1)},
         slots=slots,
         settings=settings,
         proxied=frozenset({fleets.PLATFORM}),
--- a/tests/integration/test_load_tool.py
+++ b/tests/integration/test_load_tool.py
@@ -3,11 +3,11 @@
 import msgspec
 
 from chiveridge_load import disturbances, runs, workloads
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans
 
 SECONDS = 1.5
-PLAN = fleets.FleetPlan(
-    domains={"ikeja": fleets.DomainPlan(nodes=2, targets=2)},
+PLAN = fleet_plans.FleetPlan(
+    domains={"ikeja": fleet_plans.DomainPlan(nodes=2, targets=2)},
     targets_per_process=2,
     settings={"placement": {"policy": "round_robin"}},
 )
--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -7,7 +7,7 @@
 
 from chiveridge_kernel import results
 from chiveridge_load import deployments
-from chiveridge_standins import fleets, members
+from chiveridge_standins import fleet_plans, fleets, members
 
 HEARTBEAT_MS = 200
 WAIT_MS = 8000
@@ -80,8 +80,8 @@
 
 @contextlib.asynccontextmanager
 async def running(team, nodes: int, domains: tuple[str, ...], proxied: tuple[str, ...] = ()):
-    plan = fleets.FleetPlan(
-        domains=dict.fromkeys(domains, fleets.DomainPlan(nodes=nodes, targets=2)),
+    plan = fleet_plans.FleetPlan(
+        domains=dict.fromkeys(domains, fleet_plans.DomainPlan(nodes=nodes, targets=2)),
         settings={
             "membership": {"heartbeat_ms": str(HEARTBEAT_MS), "bytes_per_second": "100000"},
             "platform": {"vms_interval_ms": "100"},
--- a/tests/integration/test_team_limits.py
+++ b/tests/integration/test_team_limits.py
@@ -7,7 +7,7 @@
 from chiveridge_client import clients
 from chiveridge_kernel import messages, results
 from chiveridge_load import deployments
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans, fleets
 
 NODES = 3
 LIMIT = 4
@@ -26,8 +26,8 @@
 @pytest.mark.promise("complete_or_failed")
 async def test_the_nodes_of_a_domain_hold_the_limit_of_a_team_together():
     team = deployments.TeamPlan(name="limited-desk", secret="secret", max_starts=LIMIT)
-    domain = fleets.DomainPlan(nodes=NODES, targets=1)
-    plan = fleets.FleetPlan(domains={"ikeja": domain}, slots=NODES * TASKS_PER_JOB)
+    domain = fleet_plans.DomainPlan(nodes=NODES, targets=1)
+    plan = fleet_plans.FleetPlan(domains={"ikeja": domain}, slots=NODES * TASKS_PER_JOB)
     async with fleets.Fleet(plan) as fleet:
         (target,) = fleet.targets_by_name.values()
         change = deployments.first_change([team], [target.vm.name])
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -6,7 +6,7 @@
 from chiveridge_client import clients
 from chiveridge_kernel import messages, results
 from chiveridge_load import deployments
-from chiveridge_standins import fleets
+from chiveridge_standins import fleet_plans
 
 DOMAINS = ("ikeja", "lekki")
 TASK_COUNT = 12
@@ -18,8 +18,8 @@
 
 @pytest.mark.promise("complete_or_failed")
 async def test_a_job_runs_once_and_its_answer_is_whole(team):
-    domain = fleets.DomainPlan(nodes=1, targets=2)
-    plan = fleets.FleetPlan(domains=dict.fromkeys(DOMAINS, domain))
+    domain = fleet_plans.DomainPlan(nodes=1, targets=2)
+    plan = fleet_plans.FleetPlan(domains=dict.fromkeys(DOMAINS, domain))
     async with deployments.ready_fleet(plan, [team]) as fleet:
         keys = [f"task-{index}" for index in range(TASK_COUNT)]
         async with clients.Client(fleet.node_urls(), team.credential) as client:
--- a/tests/plugins/replays.py
+++ b/tests/plugins/replays.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from chiveridge_kernel import actions, errors, events, identifiers, kernels
+from chiveridge_kernel import actions, errors, events, identifiers, kernel_parts, kernels
 
 SEED = 7
 _PLACEHOLDER = re.compile(rb"\$(id|lease)(\d+)")
@@ -126,7 +126,7 @@
 
 
 def _kernel(recorded: TraceSettings) -> kernels.Kernel:
-    settings = kernels.KernelSettings(
+    settings = kernel_parts.KernelSettings(
         node=recorded.node,
         domain=recorded.domain,
         policy=recorded.policy,
