Claim a target that started anew by a token that fences orders to its former life

Cause: found by reading, while listing what is not proved: a start without a reply may be carried out 2 to 12 s later. Its time limit is on the clock of the target, which starts anew after a crash, and its token was still the one in use when a reply to a hold told of the new life; so a target that starts again under its id would run it while the task runs elsewhere. Ruled out: the expected instance (the id is the same), the run number (the new life knows none). Change: a new life, however it is learned of, ends the holding, and the next claim exceeds the token of the last, also where that was above the time of day. Claims that are accepted end the growth of pauses after refusals; the method for it was never called.

--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -158,6 +158,7 @@
         self.broken_callers: set[identifiers.CallerId] = set()
         self.exited: list[NodeModel] = []
         self.notes: list[actions.Note] = []
+        self.on_note: Callable[[NodeModel, actions.Note], None] = _pass_over
         self.applied: list[actions.ApplyConfiguration] = []
         self.drops: Callable[[NodeModel, NodeModel, messages.AnyMessage], bool] = _nothing
         self._node_by_caller: dict[identifiers.CallerId, NodeModel] = {}
@@ -239,6 +240,7 @@
             node.handle(events.ConfigurationRead(version=action.version, text=action.text))
         elif isinstance(action, actions.Note):
             self.notes.append(action)
+            self.on_note(node, action)
 
     def _send(self, sender: NodeModel, action: actions.SendMessage) -> None:
         for node in self.nodes_by_name.values():
@@ -335,6 +337,10 @@
     return False
 
 
+def _pass_over(node: NodeModel, note: actions.Note) -> None:
+    """Do nothing with a note."""
+
+
 def _ignore(reply: pool_targets.Reply) -> None:
     """Take a reply that nobody waits for any more."""
 
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -81,7 +81,7 @@
     ) -> None:
         is_reborn = bool(target.born and holding.born and target.born > holding.born)
         if is_reborn or target.address != holding.target.address:
-            self._drop_life(holding, "the target started anew", now)
+            self.drop_life(holding, "the target started anew", now)
             return
         holding.target = target
 
@@ -239,6 +239,10 @@
         holding = self.holdings_by_target.get(target)
         return holding if holding is not None and holding.token == token else None
 
+    def claimed(self, holding: holdings.Holding) -> None:
+        """Note that a target obeys this owner."""
+        self._tokens.accepted(holding.target.id)
+
     def fenced(self, holding: holdings.Holding, now: datetime.datetime) -> None:
         """Give a target up that obeys a higher token."""
         self._tokens.refused(holding.target.id, holding.token, now)
@@ -268,13 +272,15 @@
             self.finish(holding, grant, how, reason)
         holding.strangers.clear()
 
-    def _drop_life(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
+    def drop_life(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
+        """Give up a life of a target; the next is claimed by a token that fences its orders."""
         self.new_life(holding, reason, now)
+        self._tokens.exceed(holding.target.id, holding.token)
         self._forget(holding)
 
     def target_gone(self, holding: holdings.Holding, now: datetime.datetime) -> None:
         """Drop a target whose address answers as another life."""
-        self._drop_life(holding, "another life answers at its address", now)
+        self.drop_life(holding, "another life answers at its address", now)
         self._tokens.refused(holding.target.id, holding.token, now)
 
     def _drop(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -123,6 +123,9 @@
             self._hold_failed(holding, event.failure, now)
             return
         self._due_by_target.pop(target, None)
+        if event.born and holding.born and event.born != holding.born:
+            self._holder.drop_life(holding, "the target started anew", now)
+            return
         self._take_news(holding, event, now)
         if holding.strangers:
             self._due_by_target[target] = now + _STRANGER_POLL
@@ -152,9 +155,6 @@
     def _take_news(
         self, holding: holdings.Holding, event: events.HoldReplied, now: datetime.datetime
     ) -> None:
-        if event.born and holding.born and event.born != holding.born:
-            self._holder.new_life(holding, "the target started anew", now)
-            holding.acknowledged = 0
         if holding.failures:
             self._mailbox.note(notes.NoteEvent.TARGET_BACK, target=holding.target.id)
         holding.born = event.born or holding.born
@@ -221,6 +221,7 @@
                 self._missing(holding, grant, event.sent_at)
         if holding.state is holdings.HoldingState.CLAIM and not holding.strangers:
             holding.state = holdings.HoldingState.HELD
+            self._holder.claimed(holding)
 
     def _take_progress(
         self,
--- a/packages/pool/chiveridge_pool/tokens.py
+++ b/packages/pool/chiveridge_pool/tokens.py
@@ -52,6 +52,11 @@
         self._wait_by_target[target] = now + pause
         self._floor_by_target[target] = token + _RAISE
 
+    def exceed(self, target: identifiers.TargetId, token: identifiers.FencingToken) -> None:
+        """Have later tokens for a target exceed one, so that its orders are refused."""
+        known = self._floor_by_target.get(target, 0)
+        self._floor_by_target[target] = max(known, token)
+
     def accepted(self, target: identifiers.TargetId) -> None:
         """Note that a target obeys this node's token."""
         self._refusals_by_target.pop(target, None)
--- a/tests/pool/pools.py
+++ b/tests/pool/pools.py
@@ -2,8 +2,10 @@
 
 import datetime
 
+from chiveridge_client import traces
 from chiveridge_load import pool_models
-from chiveridge_pool import identifiers, jobs, resources
+from chiveridge_node import decision_logs
+from chiveridge_pool import actions, identifiers, jobs, resources
 
 TASK_CPU = 27_000
 
@@ -40,6 +42,41 @@
     )
 
 
+class Logs:
+    """The logs of all nodes of a model, as each would write them."""
+
+    def __init__(self, model: pool_models.PoolModel):
+        self._model = model
+        self._text = bytearray()
+        self._log_by_node: dict[str, decision_logs.DecisionLog] = {}
+        model.on_note = self._note
+
+    def _note(self, node: pool_models.NodeModel, note: actions.Note) -> None:
+        life = node.kernel.settings.node
+        if life not in self._log_by_node:
+            self._log_by_node[life] = decision_logs.DecisionLog(
+                node.name, self._write, self._seconds, self._seconds
+            )
+        log = self._log_by_node[life]
+        log.note(note)
+        log.flush()
+
+    def _seconds(self) -> float:
+        return self._model.simulation.now.timestamp()
+
+    def _write(self, data: bytes) -> int:
+        self._text += data
+        return len(data)
+
+    def lines(self) -> list[traces.Line]:
+        """Return all lines written so far."""
+        return traces.parse(self._text.decode().splitlines())
+
+    def trace(self, job: str) -> traces.Trace:
+        """Explain a job from the logs."""
+        return traces.trace(job, self.lines())
+
+
 def pool(nodes_per_zone: int = 2, targets_per_zone: int = 4, zones: str = "abc"):
     """Return a running pool."""
     model = pool_models.PoolModel()
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -206,6 +206,59 @@
     assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
 
 
+def test_refusals_before_a_claim_that_was_accepted_are_forgotten():
+    model = pools.pool()
+    node = pools.node(model, 1)
+    holder = node.kernel.holder
+    target_id = next(iter(holder.held()))
+    for _ in range(5):
+        holder._tokens.refused(target_id, 1, model.simulation.now)
+    model.targets_by_id[target_id].crash()
+    model.run(seconds=5)
+    assert target_id in holder.held()
+    assert target_id not in holder._tokens._refusals_by_target
+
+
+@pytest.mark.promise("at_most_once", failures=["target_death", "two_at_once"])
+@pytest.mark.parametrize("raised", [0, 10**16])
+def test_an_order_to_a_former_life_of_a_target_starts_nothing_in_the_next(raised):
+    """An order without a reply may be carried out seconds later, by a target that started anew."""
+    model = pools.pool()
+    for node in model.nodes_by_name.values():
+        for holding in list(node.kernel.holder.holdings_by_target.values()):
+            # A claim after a refusal is above what the time of day gives.
+            node.kernel.holder._tokens.refused(holding.target.id, raised, model.simulation.now)
+            model.targets_by_id[holding.target.id].crash()
+    model.run(seconds=2)
+    callers = _busy(model, work_ms=700.0)
+    model.run(seconds=0.2)
+    target = next(target for target in model.targets_by_id.values() if target._running)
+    holding = next(
+        node.kernel.holder.holdings_by_target[target.target.id]
+        for node in model.nodes_by_name.values()
+        if target.target.id in node.kernel.holder.held()
+    )
+    grant = holding.sent_grants()[0]
+    late = actions.StartRun(
+        target=holding.target,
+        token=holding.token,
+        grant=grant.id,
+        task=grant.task,
+        run=grant.run,
+        spec=grant.spec,
+        until_ms=grant.until_ms,
+        timeout=datetime.timedelta(milliseconds=60),
+    )
+    target.crash()
+    model.run(seconds=0.3)
+    replies = []
+    target.carry_out(late, replies.append)
+    assert [reply.failure for reply in replies] == [events.Failure.FENCED]
+    model.run(seconds=3)
+    assert model.overlaps() == []
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+
+
 @pytest.mark.promise("at_most_once", failures=["target_death"])
 def test_a_dark_target_is_avoided_and_its_runs_go_elsewhere_after_their_lease():
     model = pools.pool()
