Soak the pool in random faults; mend what it found

A soak on the model plays a seed of random faults in a second (pool_soaks, make soak). Also, as seeds must play the same again: sets of names are walked in order.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e $(p))
 SOURCES := conftest.py packages platform tests
 
-.PHONY: bench demo test test-units test-platform test-faults test-system faults proof lint format check setup
+.PHONY: bench demo test test-units test-platform test-faults test-system faults soak proof lint format check setup
 
 setup: $(STAMP)
 
@@ -42,6 +42,11 @@
 test-system: $(STAMP)
 	$(BIN)/python -m pytest tests/integration --ignore=tests/integration/test_faults.py
 
+SEEDS ?= 300
+
+soak: $(STAMP)
+	$(BIN)/python -m chiveridge_load.pool_soaks --seeds $(SEEDS) $(if $(SEED),--first_seed $(SEED))
+
 JOBS ?= 2000
 
 faults: $(STAMP)
--- /dev/null
+++ b/packages/load/chiveridge_load/pool_soaks.py
@@ -0,0 +1,373 @@
+"""Random faults on the pool's model, and what must hold whatever they are.
+
+Usage: ``python -m chiveridge_load.pool_soaks --seeds 100 [--first_seed 1] [--seconds 20]``
+
+A seed gives the jobs, the faults and their times. Callers behave as those of the platform: one
+whose connection breaks, or that is told that its job was given up, sends it again 1.3 s later to
+any node. At the end every fault is healed, and the truth at the targets is compared with the
+answers.
+"""
+
+import datetime
+import itertools
+import random
+import sys
+from collections.abc import Callable
+
+import msgspec
+from absl import app, flags
+
+from chiveridge_load import pool_models, pool_targets
+from chiveridge_pool import actions, identifiers, jobs, resources
+
+RESEND_AFTER = datetime.timedelta(milliseconds=1300)
+"""Pause after which a caller without an answer sends its job again; from the users' pages."""
+
+CALM_SECONDS = 14.0
+"""Time without faults at the end: more than three times the patience, and two pauses, of a caller."""
+
+_ZONES = "abc"
+_NODES_PER_ZONE = 2
+_TARGETS_PER_ZONE = 4
+_JOBS_PER_SECOND = 12.0
+_FAULTS_PER_SECOND = 1.2
+_TASK_CPU = 27_000
+_MS = datetime.timedelta(milliseconds=1)
+_MAX_SENDS = 3
+
+
+class Sent(msgspec.Struct):
+    """One job of a caller, with the callers' ids under which it was sent."""
+
+    request: jobs.JobRequest
+    callers: list[identifiers.CallerId]
+    has_left: bool = False
+
+
+class Soak:
+    """One seed: a pool, its jobs and its faults."""
+
+    def __init__(self, seed: int):
+        self._rng = random.Random(seed)
+        self.model = pool_models.PoolModel(seed)
+        for zone in _ZONES:
+            for _ in range(_NODES_PER_ZONE):
+                self.model.add_node(zone)
+            for _ in range(_TARGETS_PER_ZONE):
+                self.model.add_target(zone, drift=self._rng.choice((0.98, 1.0)))
+        self.model.boot_all()
+        self.sent: list[Sent] = []
+        self.faults: list[str] = []
+        self._ids = itertools.count(1)
+        self._ends_at = self.model.simulation.now
+
+    def play(self, seconds: float) -> list[str]:
+        """Play jobs and faults; return what did not hold."""
+        self._ends_at = self.model.simulation.now + datetime.timedelta(seconds=seconds)
+        self._arm(_JOBS_PER_SECOND, self._hand_in)
+        self._arm(_FAULTS_PER_SECOND, self._strike)
+        self.model.run(seconds)
+        self._heal_all()
+        self.model.run(CALM_SECONDS)
+        return [*self._check_runs(), *self._check_answers(), *self._check_owners()]
+
+    def _arm(self, per_second: float, what: Callable[[], None]) -> None:
+        gap = datetime.timedelta(seconds=self._rng.expovariate(per_second))
+
+        def due() -> None:
+            if self.model.simulation.now < self._ends_at:
+                what()
+                self._arm(per_second, what)
+
+        self.model.simulation.call_later(gap, due)
+
+    # Callers
+
+    def _hand_in(self) -> None:
+        sent = Sent(self._new_request(), [])
+        self.sent.append(sent)
+        self._send(sent)
+        if self._rng.random() < 0.1:
+            leaves_after = self._rng.uniform(0.05, 1.0) * datetime.timedelta(seconds=1)
+            self.model.simulation.call_later(leaves_after, lambda: self._leave(sent))
+
+    def _new_request(self) -> jobs.JobRequest:
+        work_ms = self._rng.choice((60.0, 200.0, 900.0))
+        size = resources.Resources(_TASK_CPU, 64, 0)
+        count = self._rng.choice((1, 2, 4, 8))
+        step = jobs.StepRequest(
+            count=count, size=size, estimate=self._rng.uniform(0.6, 1.5) * work_ms * _MS
+        )
+        steps = (step,)
+        if self._rng.random() < 0.2:
+            steps += (msgspec.structs.replace(step, count=1, depends_on=(0,)),)
+        return jobs.JobRequest(
+            id=identifiers.JobId(f"{next(self._ids):016x}"),
+            queue=identifiers.QueueName(f"queue-{work_ms:.0f}"),
+            service=identifiers.ServiceName("service"),
+            spec=f"{work_ms} {size.cpu} {size.memory_mb} 0",
+            steps=steps,
+            patience=self._rng.uniform(1500, 3200) * _MS,
+            max_attempts=3,
+            stretch=1.6,
+            objective_base=60 * _MS,
+        )
+
+    def _send(self, sent: Sent) -> None:
+        if sent.has_left or len(sent.callers) == _MAX_SENDS:
+            return
+        node = self._rng.choice(list(self.model.nodes_by_name.values()))
+        caller = self.model.submit(node, sent.request)
+        sent.callers.append(caller)
+        self.model.simulation.call_later(50 * _MS, lambda: self._look(sent, caller))
+
+    def _look(self, sent: Sent, caller: identifiers.CallerId) -> None:
+        """Send again where the connection broke or the job was given up; look again later."""
+        if sent.has_left:
+            return
+        answer = self.model.answers_by_caller.get(caller)
+        is_given_up = answer is not None and answer.verdict is actions.Verdict.GIVEN_UP
+        if caller in self.model.broken_callers or is_given_up:
+            self.model.simulation.call_later(RESEND_AFTER, lambda: self._send(sent))
+        elif answer is None:
+            self.model.simulation.call_later(50 * _MS, lambda: self._look(sent, caller))
+
+    def _leave(self, sent: Sent) -> None:
+        sent.has_left = True
+        for caller in sent.callers:
+            if caller not in self.model.answers_by_caller:
+                self.model.leave(caller)
+
+    # Faults
+
+    def _strike(self) -> None:
+        name = self._rng.choice(sorted(_FAULTS))
+        lasts = datetime.timedelta(seconds=self._rng.uniform(0.2, 5.0))
+        heal = _FAULTS[name](self)
+        at = (self.model.simulation.now - pool_models.EPOCH).total_seconds()
+        self.faults.append(f"{at:.2f} s {name} for {lasts.total_seconds():.2f} s")
+        if heal is not None:
+            self.model.simulation.call_later(lasts, heal)
+
+    def _node(self) -> pool_models.NodeModel:
+        return self._rng.choice(list(self.model.nodes_by_name.values()))
+
+    def _target(self) -> pool_targets.TargetModel:
+        return self._rng.choice(list(self.model.targets_by_id.values()))
+
+    def _kill(self) -> Callable[[], None] | None:
+        return self._kill_all([self._node()])
+
+    def _kill_zone(self) -> Callable[[], None] | None:
+        zone = self._rng.choice(_ZONES)
+        return self._kill_all(
+            [node for node in self.model.nodes_by_name.values() if node.zone == zone]
+        )
+
+    def _kill_all(self, nodes: list[pool_models.NodeModel]) -> Callable[[], None] | None:
+        killed = [node for node in nodes if node.is_up]
+        for node in killed:
+            node.kill()
+
+        def heal() -> None:
+            for node in killed:
+                if not node.is_up:
+                    node.boot()
+
+        return heal
+
+    def _freeze(self) -> Callable[[], None] | None:
+        node = self._node()
+        kernel = node.kernel
+        node.freeze()
+
+        def heal() -> None:
+            if node.kernel is kernel and node.is_frozen:
+                node.wake()
+
+        return heal
+
+    def _drain(self) -> Callable[[], None] | None:
+        node = self._node()
+        if node.is_up and not node.is_frozen:
+            node.drain()
+
+        def heal() -> None:
+            if not node.is_up:
+                node.boot()
+
+        return heal
+
+    def _slow(self) -> Callable[[], None] | None:
+        node = self._node()
+        node.slowness = self._rng.uniform(2, 20)
+
+        def heal() -> None:
+            node.slowness = 1.0
+
+        return heal
+
+    def _cut(self, one: str, other: str) -> Callable[[], None]:
+        self.model.cut(one, other)
+        return lambda: self.model.cuts.discard(frozenset((one, other)))
+
+    def _cut_zones(self) -> Callable[[], None] | None:
+        return self._cut(*self._rng.sample(_ZONES, 2))
+
+    def _cut_nodes(self) -> Callable[[], None] | None:
+        one, other = self._rng.sample(sorted(self.model.nodes_by_name), 2)
+        return self._cut(one, other)
+
+    def _cut_target(self) -> Callable[[], None] | None:
+        return self._cut(self._node().name, self._target().target.id)
+
+    def _crash(self) -> Callable[[], None] | None:
+        self._target().crash()
+        return None
+
+    def _dark(self) -> Callable[[], None] | None:
+        target = self._target()
+        target.is_dark = True
+
+        def heal() -> None:
+            target.is_dark = False
+
+        return heal
+
+    def _hang(self) -> Callable[[], None] | None:
+        target = self._target()
+        target.hangs = True
+        target.stand_still()
+
+        def heal() -> None:
+            target.hangs = False
+
+        return heal
+
+    def _fail(self) -> Callable[[], None] | None:
+        target = self._target()
+        target.fails = 1.0
+
+        def heal() -> None:
+            target.fails = 0.0
+
+        return heal
+
+    def _late(self) -> Callable[[], None] | None:
+        self.model.late_orders = self._rng.uniform(0.02, 0.2)
+
+        def heal() -> None:
+            self.model.late_orders = 0.0
+
+        return heal
+
+    def _heal_all(self) -> None:
+        self.model.heal()
+        self.model.late_orders = 0.0
+        for target in self.model.targets_by_id.values():
+            target.is_dark = target.hangs = False
+            target.fails = 0.0
+        for node in self.model.nodes_by_name.values():
+            node.slowness = 1.0
+            if node.is_up and node.kernel.draining_since is not None:
+                node.kill()
+            if not node.is_up:
+                node.boot()
+            elif node.is_frozen:
+                node.wake()
+
+    # Checks
+
+    def _check_runs(self) -> list[str]:
+        running = [
+            task for target in self.model.targets_by_id.values() for task, _ in target._running
+        ]
+        found = [f"task {task} ran twice at the same time" for task in self.model.overlaps()]
+        return found + [f"task {task} still runs after the end" for task in running]
+
+    def _check_answers(self) -> list[str]:
+        now = self.model.simulation.now
+        started = {
+            task.partition(".")[0]
+            for target in self.model.targets_by_id.values()
+            for task, _, _ in target.spans(now)
+        }
+        found = []
+        for sent in self.sent:
+            found += self._check_job(sent, sent.request.id in started)
+        return found
+
+    def _check_job(self, sent: Sent, has_started: bool) -> list[str]:
+        job = sent.request.id
+        answers = [self.model.answers_by_caller.get(caller) for caller in sent.callers]
+        silent = [
+            caller
+            for caller, answer in zip(sent.callers, answers, strict=True)
+            if answer is None and caller not in self.model.broken_callers
+        ]
+        found = []
+        if silent and not sent.has_left:
+            found.append(f"job {job}: callers {silent} have no answer")
+        verdicts = {answer.verdict for answer in answers if answer is not None}
+        is_told = None not in answers and verdicts == {actions.Verdict.REFUSED}
+        if is_told and has_started:
+            found.append(f"job {job} was refused and ran")
+        if actions.Verdict.COMPLETE in verdicts and not has_started:
+            found.append(f"job {job} is complete and never ran")
+        return found
+
+    def _check_owners(self) -> list[str]:
+        held = [
+            target
+            for node in self.model.nodes_by_name.values()
+            for target in node.kernel.holder.held()
+        ]
+        found = [f"target {name} has no owner" for name in self.model.targets_by_id.keys() - held]
+        doubled = {target for target in held if held.count(target) > 1}
+        return found + [f"target {name} has several owners" for name in sorted(doubled)]
+
+
+_FAULTS: dict[str, Callable[[Soak], Callable[[], None] | None]] = {
+    "kill a node": Soak._kill,
+    "kill a domain": Soak._kill_zone,
+    "freeze a node": Soak._freeze,
+    "drain a node": Soak._drain,
+    "slow a node": Soak._slow,
+    "cut two domains": Soak._cut_zones,
+    "cut two nodes": Soak._cut_nodes,
+    "cut a target off": Soak._cut_target,
+    "crash a target": Soak._crash,
+    "darken a target": Soak._dark,
+    "hang a target": Soak._hang,
+    "fail a target": Soak._fail,
+    "carry orders out late": Soak._late,
+}
+"""Faults by name; each returns what heals it, if it does not heal by itself."""
+
+
+def define_flags() -> None:
+    """Define what the command line may say."""
+    flags.DEFINE_integer("seeds", 100, "How many seeds to play.", lower_bound=1)
+    flags.DEFINE_integer("first_seed", 1, "The first of them.")
+    flags.DEFINE_float("seconds", 20.0, "Length of the faults.", lower_bound=1.0)
+
+
+def main(argv: list[str]) -> int:
+    """Play seeds, and print what did not hold."""
+    del argv
+    options = flags.FLAGS
+    bad = 0
+    for seed in range(options.first_seed, options.first_seed + options.seeds):
+        soak = Soak(seed)
+        found = soak.play(options.seconds)
+        if found:
+            bad += 1
+            print(f"seed {seed}:", *found, *(f"  {fault}" for fault in soak.faults), sep="\n  ")
+            sys.stdout.flush()
+    print(f"{options.seeds} seeds, {bad} with a broken promise")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    define_flags()
+    app.run(main)
--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -96,6 +96,7 @@
         self._highest_run.clear()
         self._ends = 0
         self._fence = 0
+        self._lease_until_ms = 0.0
         self._lives += 1
         self._born_at = now
         self._waiting.clear()
@@ -105,6 +106,8 @@
         """Let what runs make no more progress, and never end."""
         now = self._simulation.now
         for key, run in list(self._running.items()):
+            if run.is_stopping:
+                continue
             still = _Run(run.started_at, run.size)
             still.stands_at = run.percent(now)
             self._running[key] = still
--- a/packages/pool/chiveridge_pool/followings.py
+++ b/packages/pool/chiveridge_pool/followings.py
@@ -179,7 +179,7 @@
 
     def tell(self, job: jobs.Job, verdict: actions.Verdict | None = None, reason: str = "") -> None:
         """Tell those who follow a job its answer, or that it ended without one."""
-        for node in job.followers:
+        for node in sorted(job.followers):
             self._send_outcome(node, job.request.id, verdict, reason)
         job.followers.clear()
 
--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -265,22 +265,30 @@
                 reason=reason,
             )
 
-    def new_life(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
-        """End all grants of a target that runs nothing any more."""
+    def drop_life(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
+        """Give up a life of a target; what the next may run is over when its lease has lapsed."""
+        lapses_at = now + timings.LEASE * timings.LEASE_DRIFT + timings.LEASE_MARGIN
+        for grant in holding.sent_grants():
+            if not holding.ran_in_this_life(grant):
+                holding.remove(grant)
+                self.orphans.add(grant, lapses_at)
+        self._end_grants(holding, reason)
+        self.renounce(holding)
+
+    def _end_grants(self, holding: holdings.Holding, reason: str) -> None:
         for grant in list(holding.grants_by_id.values()):
             how = runs.RunEnd.LOST if grant.is_sent() else runs.RunEnd.REFUSED
             self.finish(holding, grant, how, reason)
-        holding.strangers.clear()
 
-    def drop_life(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
-        """Give up a life of a target; the next is claimed by a token that fences its orders."""
-        self.new_life(holding, reason, now)
+    def renounce(self, holding: holdings.Holding) -> None:
+        """Give a target up, to be claimed by a token that fences the orders given so far."""
         self._tokens.exceed(holding.target.id, holding.token)
         self._forget(holding)
 
     def target_gone(self, holding: holdings.Holding, now: datetime.datetime) -> None:
-        """Drop a target whose address answers as another life."""
-        self.drop_life(holding, "another life answers at its address", now)
+        """Drop a target whose address answers as another instance, which refuses its orders."""
+        self._end_grants(holding, "another instance answers at its address")
+        self.renounce(holding)
         self._tokens.refused(holding.target.id, holding.token, now)
 
     def _drop(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
--- a/packages/pool/chiveridge_pool/holdings.py
+++ b/packages/pool/chiveridge_pool/holdings.py
@@ -88,6 +88,15 @@
         """Return the grants of which the target may know."""
         return [grant for grant in self.grants_by_id.values() if grant.is_sent()]
 
+    def ran_in_this_life(self, grant: grants.Grant) -> bool:
+        """Tell whether a run was known to go on when the target last replied.
+
+        Any other start may have been carried out by the next life of a target that has crashed.
+        """
+        if grant.running_since is None or self.replied_at is None:
+            return False
+        return grant.running_since <= self.replied_at
+
     def has_unsettled(self) -> bool:
         """Tell whether a grant is reserved or its start is on its way."""
         unsettled = (runs.GrantState.RESERVED, runs.GrantState.STARTING)
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -108,6 +108,7 @@
     __slots__ = (
         "grant",
         "job",
+        "listed_at",
         "moved_at",
         "owner",
         "sequence",
@@ -137,6 +138,8 @@
         self.token = token
         self.sequence = sequence
         self.started_at = started_at
+        # When an owner last listed it, or was asked to start it.
+        self.listed_at = started_at
         self.moved_at: datetime.datetime | None = None
         self.stopped_at: datetime.datetime | None = None
 
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -100,7 +100,7 @@
     def _note_silent_members(self, now: datetime.datetime) -> None:
         """Write which members have fallen silent or are heard again."""
         live = {member.id: member for member in self.members.live(now)}
-        for node in self._live_before - live.keys():
+        for node in sorted(self._live_before - live.keys()):
             heard = self.members.heard_by_id.get(node)
             silent = None if heard is None else clocks.to_ms(now - heard)
             self.mailbox.note(notes.NoteEvent.MEMBER_LOST, member=node, silent_ms=silent)
--- a/packages/pool/chiveridge_pool/listings.py
+++ b/packages/pool/chiveridge_pool/listings.py
@@ -22,7 +22,7 @@
         """Take the platform's list; what it shows no more counts as missing."""
         self._is_read = True
         known = {target.id: target for target in listed}
-        for target_id in self.by_id.keys() - known.keys():
+        for target_id in sorted(self.by_id.keys() - known.keys()):
             self.missing_since.setdefault(target_id, now)
         for target_id, target in known.items():
             self.missing_since.pop(target_id, None)
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -77,8 +77,12 @@
                 self._send_stop(holding, grant, now)
 
     def _lapse(self, holding: holdings.Holding) -> None:
-        for grant in holding.sent_grants():
+        """End the runs of a target that is silent, and claim it anew."""
+        lapsed = holding.sent_grants()
+        for grant in lapsed:
             self._holder.finish(holding, grant, runs.RunEnd.LAPSED, "the target is silent")
+        if lapsed:
+            self._holder.renounce(holding)
 
     def hold(self, holding: holdings.Holding, now: datetime.datetime) -> None:
         """Renew, acknowledge and ask for news."""
@@ -143,7 +147,8 @@
         if failure is events.Failure.TIMEOUT:
             self._lost_at = now
         if failure is events.Failure.UNREACHABLE and holding.grants_by_id:
-            self._holder.new_life(holding, "the target refuses connections", now)
+            self._holder.drop_life(holding, "the target refuses connections", now)
+            return
         pause = _RETRY_AFTER.get(failure, datetime.timedelta())
         if now >= holding.lapses_at:
             pause = timings.CLAIM_RETRY
@@ -209,7 +214,7 @@
         rows = {(row.task, row.run): row for row in event.running}
         by_key = {grant.key: grant for grant in holding.sent_grants()}
         holding.strangers = {key for key in rows if key not in by_key}
-        for task, run in holding.strangers:
+        for task, run in sorted(holding.strangers):
             self._mailbox.note(
                 notes.NoteEvent.STRANGER_STOPPED, target=holding.target.id, task=task, run=run
             )
--- a/packages/pool/chiveridge_pool/placements.py
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -101,25 +101,43 @@
         """Compare an owner's list of runs with what this node believes."""
         if beat.recipient != self._own_id or beat.state_number != owner.state_number:
             return
-        listed = frozenset(grants.full_id(beat.sender, run) for run in beat.runs)
+        listed = dict.fromkeys(grants.full_id(beat.sender, run) for run in beat.runs)
         for run in list(self._runs_by_grant.values()):
             if run.grant in listed:
                 run.owner = beat.sender
+                run.listed_at = now
                 run.moved_at = None
                 run.token = owner.held.get(run.target, run.token)
-            elif owner.held.get(run.target, 0) > run.token:
-                # Under a newer token the target runs only what its owner lists.
+            elif self._is_taken_from_its_owner(run, owner, now):
                 self._end(run, runs.RunEnd.LOST, now)
             elif run.owner == beat.sender:
-                self._check_unlisted(run, beat, now)
+                self._check_unlisted(run, beat, owner, now)
         strays = [grant for grant in listed if grant not in self._runs_by_grant]
         if strays:
             stop = messages.Stop(sender=self._own_id, grants=tuple(strays))
             self._mailbox.send(beat.sender, stop)
 
+    def _is_taken_from_its_owner(
+        self, run: jobs.Run, holder: members.Member, now: datetime.datetime
+    ) -> bool:
+        """Tell whether a target runs only what a new owner lists, under a newer token.
+
+        While its own owner lists the run, that token may be of a former life of the target.
+        """
+        if holder.held.get(run.target, 0) <= run.token:
+            return False
+        return now - run.listed_at > timings.DEAD_AFTER
+
     def _check_unlisted(
-        self, run: jobs.Run, beat: messages.Heartbeat, now: datetime.datetime
+        self,
+        run: jobs.Run,
+        beat: messages.Heartbeat,
+        owner: members.Member,
+        now: datetime.datetime,
     ) -> None:
+        if run.moved_at is None and run.target not in owner.held:
+            # The target may have been handed over with the run, and the word of it been lost.
+            run.moved_at = now
         if run.moved_at is not None:
             if now - run.moved_at > timings.OWNER_LOST_AFTER:
                 self._end(run, runs.RunEnd.LOST, now)
--- a/packages/pool/chiveridge_pool/tokens.py
+++ b/packages/pool/chiveridge_pool/tokens.py
@@ -12,7 +12,13 @@
 
 _PER_MILLISECOND = 1000
 _RAISE = 10_000 * _PER_MILLISECOND
-"""Added after a refusal: more than the clocks of two nodes differ by."""
+"""Added after the first refusal in a row: more than the clocks of two nodes differ by.
+
+It doubles with each further one, as others may have raised their tokens before.
+"""
+
+_MOST_DOUBLINGS = 10
+"""Raises of nearly three hours each; tokens stay below 2**53 for any time of day to come."""
 
 _FIRST_PAUSE = datetime.timedelta(milliseconds=300)
 
@@ -50,7 +56,7 @@
         self._refusals_by_target[target] = count + 1
         pause = min(_FIRST_PAUSE * 2**count, timings.CLAIM_DEFERENCE)
         self._wait_by_target[target] = now + pause
-        self._floor_by_target[target] = token + _RAISE
+        self._floor_by_target[target] = token + _RAISE * 2 ** min(count, _MOST_DOUBLINGS)
 
     def exceed(self, target: identifiers.TargetId, token: identifiers.FencingToken) -> None:
         """Have later tokens for a target exceed one, so that its orders are refused."""
--- a/packages/pool/chiveridge_pool/watches.py
+++ b/packages/pool/chiveridge_pool/watches.py
@@ -19,7 +19,7 @@
         self._unheard_since = {
             node: since for node, since in self._unheard_since.items() if node in nodes
         }
-        for node in nodes:
+        for node in sorted(nodes):
             if not self._is_served(node, now):
                 self._lending.forget_node(node, now)
 
--- a/packages/pool/tests/test_tokens.py
+++ b/packages/pool/tests/test_tokens.py
@@ -30,6 +30,17 @@
     assert source.next("t1", START, above=10**18) == 10**18 + 1
 
 
+def test_a_few_refusals_suffice_to_exceed_what_others_raised_over_time():
+    source = tokens.TokenSource(random.Random(1))
+    now, highest = START, tokens.TokenSource(random.Random(2)).next("t1", START + 3600_000 * MS)
+    refusals = 0
+    while source.next("t1", now) < highest:
+        now += refused_at(source, now)
+        refusals += 1
+    assert refusals < 10
+    assert source.next("t1", now) < 2**53
+
+
 def test_pauses_after_refusals_grow_until_a_claim_is_accepted():
     source = tokens.TokenSource(random.Random(1))
     pauses = [refused_at(source, START + number * 10_000 * MS) for number in range(6)]
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -206,6 +206,35 @@
     assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
 
 
+@pytest.mark.promise("at_most_once", failures=["target_death"])
+def test_a_start_that_the_next_life_of_a_target_carried_out_runs_nowhere_else():
+    """An owner that has not seen a crash yet gives orders to the life after it."""
+    model = pools.pool(nodes_per_zone=1, targets_per_zone=2, zones="ab")
+    model.run(seconds=1)
+    for target in model.targets_by_id.values():
+        target.crash()
+    patience = datetime.timedelta(seconds=6)
+    request = pools.job("a" * 16, 4, 1500.0, patience=patience)
+    caller = model.submit(pools.node(model, 1), request)
+    model.run(seconds=6)
+    assert model.overlaps() == []
+    assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
+
+
+@pytest.mark.promise("at_most_once", failures=["target_death"])
+def test_an_order_to_a_target_that_fell_silent_for_a_lease_starts_nothing_after():
+    model = pools.pool()
+    _busy(model, work_ms=700.0)
+    model.run(seconds=0.2)
+    target = next(target for target in model.targets_by_id.values() if target._running)
+    before = target._fence
+    target.is_dark = True
+    model.run(seconds=2)
+    target.is_dark = False
+    model.run(seconds=2)
+    assert target._fence > before
+
+
 def test_refusals_before_a_claim_that_was_accepted_are_forgotten():
     model = pools.pool()
     node = pools.node(model, 1)
--- /dev/null
+++ b/tests/pool/test_pool_soaks.py
@@ -0,0 +1,28 @@
+"""Random faults on the model: seeds that once broke a promise, and a few more."""
+
+import pytest
+
+from chiveridge_load import pool_soaks
+
+SECONDS = 20.0
+BROKEN_ONCE = [4, 15, 28, 49, 66, 87, 91, 94, 113, 149]
+"""Seeds with two runs of a task at once, or a run that outlived its job."""
+
+
+@pytest.mark.promise("at_most_once", failures=["kill", "freeze", "cut", "target_death"])
+@pytest.mark.promise("at_most_once", failures=["two_at_once"])
+@pytest.mark.promise("complete_or_failed", failures=["two_at_once"])
+@pytest.mark.promise("honest_refusal", failures=["two_at_once"])
+@pytest.mark.parametrize("seed", [*BROKEN_ONCE, 1, 2, 3])
+def test_random_faults_break_no_promise(seed):
+    soak = pool_soaks.Soak(seed)
+    assert soak.play(SECONDS) == []
+    assert soak.faults
+    assert len(soak.sent) > 100
+
+
+def test_a_seed_plays_the_same_again():
+    first, second = pool_soaks.Soak(7), pool_soaks.Soak(7)
+    assert first.play(5.0) == second.play(5.0)
+    assert first.faults == second.faults
+    assert first.model.answered_at == second.model.answered_at
