--- a/packages/load/chiveridge_load/pool_soaks.py
+++ b/packages/load/chiveridge_load/pool_soaks.py
@@ -24,7 +24,7 @@
 """Pause after which a caller without an answer sends its job again; from the users' pages."""
 
 CALM_SECONDS = 14.0
-"""Time without faults at the end: more than three times the patience, and two pauses, of a caller."""
+"""Time without faults at the end: more than a caller needs for all its sends."""
 
 _ZONES = "abc"
 _NODES_PER_ZONE = 2
