Keep a draining node until the answers that it follows are given

Cause: found on reading the change again: a node that drains exited once its own jobs were done, and cut off callers for whom it follows a job of another node. Change: a drain waits for followed jobs too. Proof: test_a_node_that_drains_waits_for_the_answers_that_it_follows, which got no answer before.

--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -324,6 +324,10 @@
         self._answer(job, verdict, "not done before the caller's deadline", now)
         self._end(job, now)
 
+    def has_callers(self) -> bool:
+        """Tell whether a job is in progress here, or followed for a caller that waits here."""
+        return bool(self.jobs_by_id) or self.followings.has_any()
+
     def pending(self, queue: identifiers.QueueName) -> int:
         """Return how many jobs of a queue have not started."""
         return sum(
--- a/packages/pool/chiveridge_pool/followings.py
+++ b/packages/pool/chiveridge_pool/followings.py
@@ -90,6 +90,10 @@
         else:
             self._take_over(following, now)
 
+    def has_any(self) -> bool:
+        """Tell whether a caller waits here for the job of another node."""
+        return bool(self._by_id)
+
     def tick(self, now: datetime.datetime) -> None:
         """Do what is due: answers at the deadline, lost nodes, questions that may be lost."""
         for following in list(self._by_id.values()):
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -137,7 +137,7 @@
     def _drain(self, now: datetime.datetime) -> None:
         if now - self.draining_since >= _ACCEPT_AFTER_DRAIN:
             self.coordinator.accepts_jobs = False
-        is_idle = not self.coordinator.accepts_jobs and not self.coordinator.jobs_by_id
+        is_idle = not self.coordinator.accepts_jobs and not self.coordinator.has_callers()
         others = any(not member.is_leaving for member in self.members.live(now))
         is_handed = not self.holder.holdings_by_target or not others
         if is_idle and is_handed and not self._has_exited:
--- a/tests/pool/test_pool_followings.py
+++ b/tests/pool/test_pool_followings.py
@@ -117,6 +117,19 @@
     assert model.answers_by_caller[second].verdict is actions.Verdict.GIVEN_UP
 
 
+@pytest.mark.promise("graceful_shutdown", failures=["silent_connection"])
+def test_a_node_that_drains_waits_for_the_answers_that_it_follows():
+    model = pools.pool()
+    callers = _sent_twice(model, 4500.0)
+    follower = pools.node(model, 2)
+    model.run(seconds=0.1)
+    follower.drain()
+    model.run(seconds=6)
+    assert follower in model.exited
+    verdicts = {model.answers_by_caller[caller].verdict for caller in callers}
+    assert verdicts == {actions.Verdict.COMPLETE}
+
+
 def test_a_job_is_cancelled_through_another_node():
     model = pools.pool()
     request = pools.job(JOB, 3, 4000.0, patience=PATIENCE)
