Work out in one place when a lease is over

Found on reading the whole change again: the sum of lease, drift and margin stood in holdings and, since, in holders. It is timings.LEASE_OVER_AFTER now; the value and all behaviour are as before.

--- a/packages/pool/chiveridge_pool/holders.py
+++ b/packages/pool/chiveridge_pool/holders.py
@@ -267,7 +267,7 @@
 
     def drop_life(self, holding: holdings.Holding, reason: str, now: datetime.datetime) -> None:
         """Give up a life of a target; what the next may run is over when its lease has lapsed."""
-        lapses_at = now + timings.LEASE * timings.LEASE_DRIFT + timings.LEASE_MARGIN
+        lapses_at = now + timings.LEASE_OVER_AFTER
         for grant in holding.sent_grants():
             if not holding.ran_in_this_life(grant):
                 holding.remove(grant)
--- a/packages/pool/chiveridge_pool/holdings.py
+++ b/packages/pool/chiveridge_pool/holdings.py
@@ -57,8 +57,7 @@
 
     def note_renewal(self, now: datetime.datetime) -> None:
         """Note that an order was sent that may renew the lease."""
-        until = now + timings.LEASE * timings.LEASE_DRIFT + timings.LEASE_MARGIN
-        self.lapses_at = max(self.lapses_at, until)
+        self.lapses_at = max(self.lapses_at, now + timings.LEASE_OVER_AFTER)
 
     def free(self) -> resources.Resources:
         """Return the room that is neither used nor promised."""
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -34,6 +34,9 @@
 LEASE_MARGIN = _ms(50)
 """Time for a target to end what has lapsed."""
 
+LEASE_OVER_AFTER = LEASE * LEASE_DRIFT + LEASE_MARGIN
+"""Time after the last renewal when everything on a target has ended for certain."""
+
 HOLD_WAIT = _ms(200)
 """How long a target may wait for an end; four renewals fit in one lease."""
 
