--- a/packages/node/chiveridge_node/pool_metrics.py
+++ b/packages/node/chiveridge_node/pool_metrics.py
@@ -1,6 +1,8 @@
 """Prometheus metrics of a pool node."""
 
 import datetime
+import math
+from collections.abc import Callable
 
 import prometheus_client
 
@@ -15,12 +17,21 @@
 
 
 class PoolMetrics:
-    """Derives counters and histograms from the kernel's notes, and gauges from its state."""
+    """Derives counters and histograms from the kernel's notes, and gauges from its state.
 
-    def __init__(self, kernel: kernels.Kernel, log: decision_logs.DecisionLog):
+    ``config_age`` returns the time since the platform last confirmed the configuration, or None.
+    """
+
+    def __init__(
+        self,
+        kernel: kernels.Kernel,
+        log: decision_logs.DecisionLog,
+        config_age: Callable[[], datetime.timedelta | None] = lambda: None,
+    ):
         self.registry = prometheus_client.CollectorRegistry()
         self._kernel = kernel
         self._log = log
+        self._config_age = config_age
         self._labelled_queues: set[str] = set()
         self._answers = prometheus_client.Counter(
             "chiveridge_answers",
@@ -84,6 +95,7 @@
     def refresh(self, now: datetime.datetime) -> None:
         """Set the gauges from the current state of the kernel."""
         kernel = self._kernel
+        config_age = self._config_age()
         values = {
             "jobs": len(kernel.coordinator.jobs_by_id),
             "targets_listed": len(kernel.target_owner.target_list.by_id),
@@ -93,6 +105,9 @@
             "asks_waiting": len(kernel.target_owner.allocator.capacity_queue),
             "members_live": len(kernel.members.live(now)),
             "configuration_version": kernel.configuration_version,
+            "configuration_age_seconds": (
+                math.nan if config_age is None else config_age.total_seconds()
+            ),
             "lag_allowance_seconds": kernel.loop_lag.timeout_allowance().total_seconds(),
             "log_lines_dropped_good": self._log.dropped_good,
             "log_lines_dropped_bad": self._log.dropped_bad,
@@ -120,6 +135,7 @@
     "asks_waiting": "Jobs that wait for room on this node's targets.",
     "members_live": "Other nodes heard lately.",
     "configuration_version": "Version of the configuration in force.",
+    "configuration_age_seconds": "Time since the platform confirmed it; NaN if it never did.",
     "lag_allowance_seconds": "What is added to timeouts as this process runs late.",
     "log_lines_dropped_good": "Log lines of good requests over the budget.",
     "log_lines_dropped_bad": "Other log lines over the budget.",
--- a/packages/node/tests/test_pool_metrics.py
+++ b/packages/node/tests/test_pool_metrics.py
@@ -67,3 +67,16 @@
     text = metrics.render(now).decode()
     assert "chiveridge_targets_held 1.0" in text
     assert "chiveridge_members_live 0.0" in text
+
+
+def test_the_age_of_the_configuration_is_exported_and_unknown_before_the_first_read():
+    ages = [datetime.timedelta(seconds=4), None]
+    model = pool_models.PoolModel()
+    node = model.add_node("a")
+    model.boot_all()
+    metrics = pool_metrics.PoolMetrics(
+        node.kernel, decision_logs.DecisionLog("n1", len), config_age=lambda: ages.pop(0)
+    )
+    lines = [metrics.render(datetime.datetime.now(datetime.UTC)).decode() for _ in range(2)]
+    assert "chiveridge_configuration_age_seconds 4.0" in lines[0]
+    assert "chiveridge_configuration_age_seconds NaN" in lines[1]
--- a/packages/pool/chiveridge_pool/actions.py
+++ b/packages/pool/chiveridge_pool/actions.py
@@ -91,6 +91,7 @@
     Answered by :class:`chiveridge_pool.events.ConfigurationRead`.
     """
 
+    sender: identifiers.NodeId
     version: int
     text: bytes
 
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -115,6 +115,7 @@
             patience_ms=notes.to_ms(request.caller_timeout),
             estimate_ms=notes.to_ms(request.estimate),
             size=[list(step.size.as_tuple()) for step in request.steps],
+            version=event.configuration_version,
         )
         self._request_for_startable_steps(job, now)
 
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -30,10 +30,12 @@
     """A caller submitted a job and waits for its answer.
 
     ``former_leader`` is a node that had the job before and does not have it any more.
+    ``configuration_version`` is that of the configuration by which the job was accepted.
     """
 
     caller: identifiers.CallerId
     job: jobs.JobRequest
+    configuration_version: int = 0
     former_leader: identifiers.NodeId | None = None
 
 
--- a/packages/pool/chiveridge_pool/message_handlers.py
+++ b/packages/pool/chiveridge_pool/message_handlers.py
@@ -82,7 +82,9 @@
 @handle_message.register(messages.Configuration)
 def _(message: messages.Configuration, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     if message.version > kernel.configuration_version:
-        action = actions.ApplyConfiguration(version=message.version, text=message.text)
+        action = actions.ApplyConfiguration(
+            sender=message.sender, version=message.version, text=message.text
+        )
         kernel.outbox.add(action)
 
 
