--- a/tests/test_known_failures.py
+++ b/tests/test_known_failures.py
@@ -64,3 +64,17 @@
     project.path.joinpath("KNOWN-RED.txt").write_text(invalid_text)
     project.makepyfile(test_it="def test_red(): pass")
     assert project.runpytest("-q").ret == pytest.ExitCode.USAGE_ERROR
+
+
+def test_a_list_above_the_root_folder_names_its_tests_relative_to_itself(project):
+    folder = project.mkdir("part")
+    entry = ENTRY.replace("test_it.py", "part/tests/test_it.py")
+    project.path.joinpath("KNOWN-RED.txt").write_text(entry)
+    folder.joinpath("pytest.ini").write_text(project.path.joinpath("tox.ini").read_text())
+    folder.joinpath("conftest.py").write_text("pytest_plugins = ('known_failures',)")
+    folder.joinpath("tests").mkdir()
+    source = "def test_red(): assert False\ndef test_new(): assert False"
+    folder.joinpath("tests", "test_it.py").write_text(source)
+    result = project.runpytest("-q", "--rootdir", str(folder), str(folder))
+    result.stdout.fnmatch_lines(["part/tests/test_it.py::test_red: still fails"])
+    result.assert_outcomes(xfailed=1, failed=1)
