--- a/packages/node/tests/test_hedged_reads.py
+++ b/packages/node/tests/test_hedged_reads.py
@@ -19,18 +19,25 @@
 
 
 class Reads:
-    """Reads of which each has an outcome after some seconds; ``sent`` has the time of each."""
+    """Reads of which each has an outcome after some seconds; ``sent`` has the time of each.
+
+    Before its outcome the first read receives a part of its reply after each of ``pauses``.
+    """
 
     def __init__(self, *outcomes: tuple[float, object]):
         self.outcomes = list(outcomes)
         self.sent: list[tuple[float, bool]] = []
         self.cancelled = 0
+        self.pauses: list[float] = []
 
-    async def send(self, is_hedge: bool) -> object:
+    async def send(self, is_hedge: bool, record_progress) -> object:
         """Wait for the outcome of the next read, and return or raise it."""
         self.sent.append((asyncio.get_running_loop().time(), is_hedge))
         seconds, outcome = self.outcomes[len(self.sent) - 1]
         try:
+            for pause in self.pauses if len(self.sent) == 1 else ():
+                await asyncio.sleep(pause)
+                record_progress()
             await asyncio.sleep(seconds)
         except asyncio.CancelledError:
             self.cancelled += 1
@@ -47,9 +54,9 @@
     async def main():
         loop = asyncio.get_running_loop()
         try:
-            reply = await hedged_reads.first_reply(
+            reply = await hedged_reads.HedgedRead(
                 reads.send, schedule, random.Random(seed), lambda: overdue_times.append(loop.time())
-            )
+            ).first_reply()
         except ReadError as error:
             reply = error
         ended_at = loop.time()
@@ -79,6 +86,18 @@
     assert play(reads)[:2] == ("slow", 3.5)
 
 
+def test_no_hedge_is_sent_while_parts_of_a_reply_arrive():
+    reads = Reads((1.5, "long"))
+    reads.pauses = [1.5] * 39
+    assert play(reads) == ("long", 60.0, 0)
+
+
+def test_a_reply_that_stops_halfway_is_followed_by_hedges():
+    reads = Reads((NEVER, None), (0.5, "reply"))
+    reads.pauses = [1.0]
+    assert play(reads)[:2] == ("reply", 1.0 + 2.0 + 0.5)
+
+
 def test_a_hedge_that_fails_does_not_give_up_the_reads_in_progress():
     reads = Reads((2.5, "slow"), (0.1, ReadError("refused")))
     assert play(reads)[:2] == ("slow", 2.5)
@@ -103,10 +122,10 @@
     reads = Reads(*[(NEVER, None)] * 5)
 
     async def main():
-        read = hedged_reads.first_reply(reads.send, SCHEDULE, random.Random(1), lambda: None)
+        read = hedged_reads.HedgedRead(reads.send, SCHEDULE, random.Random(1), lambda: None)
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(3.5):
-                await read
+                await read.first_reply()
         await asyncio.sleep(0)
 
     virtual_loops.run(main())
