Send a read of a silent platform again in the product's pollers too

Change: the pollers read through HedgedRead: a read without a reply 1 s after its wait stays in progress up to request_timeout_ms and is sent again about each second. The back-off after errors is as before.

The tests of the poller on real sockets, with replies withheld, pass unchanged.

--- a/packages/node/chiveridge_node/platform_pollers.py
+++ b/packages/node/chiveridge_node/platform_pollers.py
@@ -1,23 +1,24 @@
 """Polls the platform over HTTP until closed; no failure of a poll ends the polling."""
 
 import asyncio
+import datetime
 import random
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import msgspec
 import prometheus_client
 
 from chiveridge_kernel import errors
-from chiveridge_node import log_events
+from chiveridge_node import hedged_reads, log_events
 
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 MAX_DOUBLINGS = 32
 REPLY_MARGIN_MS = 1000
-"""Time allowed for a reply beyond the requested wait.
+"""Time without a reply, beyond the requested wait, after which a read is sent again."""
 
-The limit for wait and margin doubles with each failure in a row, up to the request timeout.
-"""
+HEDGE_INTERVAL = datetime.timedelta(seconds=1)
 
 _HEADER_SEPARATOR_BYTES = len(": \r\n")
 
@@ -45,16 +46,22 @@
         self.settings = node.settings.platform
         self._rng: random.Random = node.rng
         self._session: aiohttp.ClientSession | None = None
+        self._hedge_session: aiohttp.ClientSession | None = None
         self._task: asyncio.Task | None = None
         self._consecutive_failures = 0
+        self._overdue_reads = 0
         self._bytes_read = bytes_read
         self._faults = faults
         self._last_fault_type: type[Exception] | None = None
 
     async def open(self) -> None:
         """Start polling."""
-        total = self.settings.request_timeout_ms / 1000
-        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=total))
+        timeout = aiohttp.ClientTimeout(total=self.settings.request_timeout_ms / 1000)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        # Idle connections may have gone silent together with the one of the overdue read.
+        self._hedge_session = aiohttp.ClientSession(
+            timeout=timeout, connector=aiohttp.TCPConnector(force_close=True)
+        )
         self._task = asyncio.get_running_loop().create_task(self._poll_forever())
 
     async def close(self) -> None:
@@ -62,6 +69,7 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         await self._session.close()
+        await self._hedge_session.close()
 
     async def poll(self) -> None:
         """Poll once; if the poll succeeds, also wait for the pause before the next."""
@@ -70,23 +78,49 @@
     async def get(
         self, url: str, decoder: msgspec.json.Decoder, wait_ms: int
     ) -> tuple[int, object]:
-        """Send a long-polling GET; return the status and the decoded body of the reply.
+        """Send a GET with the parameter ``wait_ms``; return status and decoded body of the reply.
 
-        The timeout is short, so that a silent connection is noticed early, and doubles with each
-        failure in a row, so that a slow platform has time to reply.
+        A read without a reply is sent again while it stays in progress, so that a silent
+        connection is noticed early and a slow platform has time to reply.
 
         :raises aiohttp.ClientError: when the status is neither 200 nor 410.
         """
-        limit_ms = self._double_per_failure(
-            wait_ms + REPLY_MARGIN_MS, self.settings.request_timeout_ms
+        schedule = hedged_reads.HedgeSchedule(
+            overdue_after=datetime.timedelta(milliseconds=wait_ms + REPLY_MARGIN_MS),
+            interval=HEDGE_INTERVAL,
         )
-        timeout = aiohttp.ClientTimeout(total=limit_ms / 1000)
-        async with self._session.get(url, timeout=timeout) as response:
-            body = await response.read()
+
+        def send(
+            is_hedge: bool, record_progress: Callable[[], None]
+        ) -> Awaitable[tuple[int, bytes]]:
+            # A hedge asks for no wait, so that a platform that is back replies at once.
+            if is_hedge:
+                return self._send(self._hedge_session, url, 0, record_progress)
+            return self._send(self._session, url, wait_ms, record_progress)
+
+        read = hedged_reads.HedgedRead(send, schedule, self._rng, self._record_overdue)
+        status, body = await read.first_reply()
+        return status, decoder.decode(body)
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        wait_ms: int,
+        record_progress: Callable[[], None],
+    ) -> tuple[int, bytes]:
+        timeout = aiohttp.ClientTimeout(total=self.settings.request_timeout_ms / 1000)
+        async with session.get(url, params={"wait_ms": wait_ms}, timeout=timeout) as response:
+            body = await hedged_reads.read_body(response, record_progress)
             self._bytes_read.inc(len(body) + _header_bytes(response))
             if response.status not in (200, 410):
                 raise aiohttp.ClientError(f"status {response.status} from {url}")
-            return response.status, decoder.decode(body)
+            return response.status, body
+
+    def _record_overdue(self) -> None:
+        if not self._consecutive_failures and not self._overdue_reads:
+            log_events.log_event(self.unreachable_event, error="no reply yet")
+        self._overdue_reads += 1
 
     async def _poll_forever(self) -> None:
         while True:
@@ -117,7 +151,7 @@
         self.reset()
 
     async def _back_off(self, error: Exception) -> None:
-        if self._consecutive_failures == 0:
+        if not self._consecutive_failures and not self._overdue_reads:
             log_events.log_event(self.unreachable_event, error=repr(error))
         self._consecutive_failures += 1
         max_delay = self._double_per_failure(MIN_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
@@ -128,9 +162,11 @@
         return min(initial * 2 ** min(self._consecutive_failures, MAX_DOUBLINGS), limit)
 
     def _record_success(self) -> None:
-        if self._consecutive_failures:
-            log_events.log_event(self.reachable_event, failures=self._consecutive_failures)
+        failures = self._consecutive_failures + self._overdue_reads
+        if failures:
+            log_events.log_event(self.reachable_event, failures=failures)
         self._consecutive_failures = 0
+        self._overdue_reads = 0
         self._last_fault_type = None
 
 
--- a/packages/node/chiveridge_node/platforms_http.py
+++ b/packages/node/chiveridge_node/platforms_http.py
@@ -67,7 +67,7 @@
 
     async def _read(self, offset: int, limit: int) -> tuple[int, LogPage]:
         wait_ms = self.settings.poll_wait_ms
-        query = f"from={offset}&limit={limit}&wait_ms={wait_ms}"
+        query = f"from={offset}&limit={limit}"
         return await self.get(f"{self._stream_url}?{query}", self._decoder, wait_ms)
 
     async def _read_one(self, offset: int) -> tuple[int, LogPage]:
@@ -176,8 +176,7 @@
         wait_ms = (
             0 if self._needs_fresh_list() else min(self.settings.poll_wait_ms, MAX_VMS_WAIT_MS)
         )
-        query = f"since={known.version}&wait_ms={wait_ms}"
-        return await self.get(f"{url}?{query}", self._decoder, wait_ms)
+        return await self.get(f"{url}?since={known.version}", self._decoder, wait_ms)
 
 
 def register() -> None:
--- a/packages/node/tests/test_platform_pollers.py
+++ b/packages/node/tests/test_platform_pollers.py
@@ -59,17 +59,15 @@
             if lost.is_set():
                 await asyncio.Event().wait()
         body = msgspec.json.encode(self.version)
-        yield types.SimpleNamespace(status=200, read=_return_later(body), raw_headers=())
+        content = types.SimpleNamespace(iter_any=lambda: _send_parts(body))
+        yield types.SimpleNamespace(status=200, content=content, raw_headers=())
 
     async def close(self) -> None:
         """Close nothing."""
 
 
-def _return_later(value: bytes):
-    async def read() -> bytes:
-        return value
-
-    return read
+async def _send_parts(body: bytes):
+    yield body
 
 
 class VersionPoller(platform_pollers.Poller):
