Tell requests apart that an unconfirmed configuration has decided

`chiveridge causes` counts rejected requests whose node had not been confirmed its configuration by the platform for over 2 s apart from others, so that a 404 by an old version is seen among those of routes that never were; `chiveridge trace` shows when the platform could be read again.

--- a/packages/client/chiveridge_client/traces.py
+++ b/packages/client/chiveridge_client/traces.py
@@ -20,11 +20,15 @@
     "MEMBER_LOST",
     "NODE_SLOW",
     "LOG_UNREACHABLE",
+    "LOG_REACHABLE",
     "CHANGE_ACCEPTED",
     "DRAIN_STARTED",
     "PROCESS_PAUSED",
     "NODE_LISTENING",
 )
+MAX_CONFIRMED_AGE_MS = 2000.0
+"""Age above which a configuration counts as unconfirmed; a node confirms it about each second."""
+
 _OMITTED_FIELDS = ("at", "node", "event", "name", "job")
 
 
@@ -229,7 +233,11 @@
 def _decide_rejected(
     request_lines: list[LogLine], context: list[LogLine], answer: LogLine
 ) -> tuple[LogLine | None, str]:
-    return answer, f"rejected with {answer.fields.get('status')}: {answer.fields.get('reason')}"
+    cause = f"rejected with {answer.fields.get('status')}: {answer.fields.get('reason')}"
+    age_ms = answer.fields.get("version_age_ms")
+    if isinstance(age_ms, int | float) and age_ms > MAX_CONFIRMED_AGE_MS:
+        return answer, f"{cause} (by a configuration unconfirmed for over 2 s)"
+    return answer, cause
 
 
 def _decide_caller_left(
--- a/packages/client/tests/test_causes.py
+++ b/packages/client/tests/test_causes.py
@@ -25,6 +25,15 @@
     answered_line(6.1, "queued", "complete", is_late=True, took_ms=400.0),
     log_line(7.0, "JOB_PLACED", "slow", waited_ms=3.0),
     answered_line(7.5, "slow", "complete", is_late=True, took_ms=400.0),
+    log_line(
+        8.0, "REQUEST_REJECTED", "new", status=404, reason="no such queue", version_age_ms=900.0
+    ),
+    log_line(
+        9.0, "REQUEST_REJECTED", "old", status=404, reason="no such queue", version_age_ms=4e3
+    ),
+    log_line(
+        9.1, "REQUEST_REJECTED", "none", status=404, reason="no such queue", version_age_ms=None
+    ),
     "not a line of the log",
 ]
 
@@ -37,6 +46,11 @@
     assert requests_by_cause == {
         "refused: no room in time": (2, ("full-1", "full-2")),
         "rejected with 400: the body is not a job": (1, ("bad",)),
+        "rejected with 404: no such queue": (2, ("new", "none")),
+        "rejected with 404: no such queue (by a configuration unconfirmed for over 2 s)": (
+            1,
+            ("old",),
+        ),
         "no answer: the node of the job ended, or fell silent, before it": (1, ("lost",)),
         "late: it waited for room longer than its tasks took": (1, ("queued",)),
         "late: its tasks took longer than it waited for room": (1, ("slow",)),
