Keep targets in use whose entries lapsed while the store was away

Callers were refused with "no room in time" for seconds after the store's return although all targets lived. Entries that lapsed are back 2 s after the store's return.

Change: an owned target that answers stays in use while its entry is missing; it is dropped at a read that lacks it 3 s or more after the first that did. A target that does not answer gets no runs, as before.

--- a/packages/pool/chiveridge_pool/target_lists.py
+++ b/packages/pool/chiveridge_pool/target_lists.py
@@ -8,7 +8,10 @@
 from chiveridge_pool import identifiers, targets
 
 _DROP_MISSING_AFTER = datetime.timedelta(seconds=3)
-"""Time without an entry in the platform's list after which an idle target is dropped."""
+"""Time between two reads of the platform's list without a target after which it is dropped.
+
+Entries that lapse while the store is away are back about 2 s after its return.
+"""
 
 
 class TargetList:
@@ -16,6 +19,7 @@
 
     def __init__(self):
         self.has_platform_list = False
+        self._read_at: datetime.datetime | None = None
         # Increases with each change of the listed targets and their domains.
         self.revision = 0
         self.by_id: dict[identifiers.TargetId, targets.Target] = {}
@@ -24,6 +28,7 @@
     def replace(self, listed: tuple[targets.Target, ...], now: datetime.datetime) -> None:
         """Update the targets from the platform's list; mark those no longer listed as missing."""
         self.has_platform_list = True
+        self._read_at = now
         known = {target.id: target for target in listed}
         for target_id in sorted(self.by_id.keys() - known.keys()):
             self.missing_since.setdefault(target_id, now)
@@ -75,12 +80,12 @@
             newly_draining.append(draining)
         return newly_draining
 
-    def droppable(self, now: datetime.datetime) -> list[identifiers.TargetId]:
-        """Return the targets that have been missing long enough to be dropped."""
+    def droppable(self) -> list[identifiers.TargetId]:
+        """Return the targets that were missing long enough at the latest read to be dropped."""
         return [
             target_id
             for target_id, since in self.missing_since.items()
-            if now - since >= _DROP_MISSING_AFTER
+            if self._read_at - since >= _DROP_MISSING_AFTER
         ]
 
     def remove(self, target_id: identifiers.TargetId) -> None:
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -114,7 +114,7 @@
             self._members.set_target_counts(self.target_list.count_by_domain())
 
     def _drop_missing(self, now: datetime.datetime) -> None:
-        for target_id in self.target_list.droppable(now):
+        for target_id in self.target_list.droppable():
             owned = self.owned_by_target.get(target_id)
             if owned is not None and owned.grants_by_id and now < owned.lease_expires_at:
                 continue
@@ -349,9 +349,12 @@
             if owned.accepts_runs(now)
             and self.orders.is_fast_or_trial_due(owned, now)
             and owned.target.id not in self.targets_in_handover
-            and owned.target.id not in self.target_list.missing_since
         ]
 
+    def has_missing_target(self) -> bool:
+        """Return whether the platform's list lacked an owned target when it was last read."""
+        return not self.owned_by_target.keys().isdisjoint(self.target_list.missing_since)
+
     def release(self, message: messages.GrantRelease, now: datetime.datetime) -> None:
         """Take back unused grants."""
         self.allocator.release(message)
