--- a/packages/node/chiveridge_node/platform_pollers.py
+++ b/packages/node/chiveridge_node/platform_pollers.py
@@ -19,6 +19,7 @@
 """Time without a reply, beyond the requested wait, after which a read is sent again."""
 
 HEDGE_INTERVAL = datetime.timedelta(seconds=1)
+"""Longest time between further reads, whatever the length of the silence."""
 
 _HEADER_SEPARATOR_BYTES = len(": \r\n")
 
