Log the runs that were on a target as it crashed

TARGET_CRASHED names the target, its incarnation and the runs, with how long each had run. The model of targets plays tasks that crash them.

--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -1,5 +1,6 @@
 """Simulated targets: capacity, leases, fencing tokens, ended runs and injected failures."""
 
+import collections
 import datetime
 import functools
 import random
@@ -9,7 +10,11 @@
 from chiveridge_pool import actions, events, identifiers, resources, targets
 
 STOP_DURATION = datetime.timedelta(milliseconds=20)
+CRASH_DELAY = datetime.timedelta(milliseconds=10)
+"""Time from the start of a task that crashes its target to the crash."""
+
 MAX_LEASE_MS = 1000
+_DEADLY = "deadly"
 INITIAL_CLOCK_MS = 100_000
 """Reading of a target's clock when the target boots."""
 
@@ -44,7 +49,9 @@
 
     ``speed`` divides that time; ``clock_rate`` is the speed of the target's clock. ``fails`` is the
     probability that a new run fails after 1 ms; while ``hangs`` is set, new runs never end. A
-    target that ``is_dark`` ignores all commands.
+    target that ``is_dark`` ignores all commands. A deadly task (see :func:`is_deadly`) crashes the
+    target, which then refuses connections for ``restart_time``, or ignores all commands if it
+    ``crashes_silently``. ``deadly_starts`` counts the runs of deadly tasks.
     """
 
     def __init__(
@@ -66,6 +73,11 @@
         self.hangs = False
         self.is_dark = False
         self.is_unlisted = False
+        self.restart_time = datetime.timedelta()
+        self.crashes_silently = False
+        self.is_down = False
+        self.crashes = 0
+        self.deadly_starts: collections.Counter[str] = collections.Counter()
         self._rng = random.Random(name)
         self.target = targets.Target(
             id=identifiers.TargetId(name),
@@ -91,6 +103,7 @@
     def crash(self) -> None:
         """Lose all runs and all state, and restart as a new instance."""
         now = self._simulation.now
+        self.crashes += 1
         for (task, _), run in self._running.items():
             self._spans.append((task, run.started_at, now))
         self._running.clear()
@@ -104,6 +117,23 @@
         self._waiting_holds.clear()
         self.target = msgspec.structs.replace(self.target, started_at_ms=self._incarnation)
 
+    def _crash_and_restart(self, incarnation: int) -> None:
+        """Crash, unless this has happened, and accept commands again after the restart time."""
+        if self._incarnation != incarnation:
+            return
+        waiting_holds = list(self._waiting_holds)
+        self.crash()
+        if not self.crashes_silently:
+            for _, reply in waiting_holds:
+                reply(Reply(failure=events.Failure.TIMEOUT))
+        if self.restart_time:
+            self.is_down = True
+            self._simulation.call_later(self.restart_time, self._come_back)
+
+    def _come_back(self) -> None:
+        self.is_down = False
+        self._booted_at = self._simulation.now
+
     def stand_still(self) -> None:
         """Stall all runs: they make no more progress and never end."""
         now = self._simulation.now
@@ -135,7 +165,10 @@
 
         A command with a lower token than one seen before is refused as fenced.
         """
-        if self.is_dark:
+        if self.is_down and not self.crashes_silently:
+            reply(Reply(failure=events.Failure.UNREACHABLE))
+            return
+        if self.is_dark or self.is_down:
             return
         if action.token < self._fence:
             reply(self._reply(failure=events.Failure.FENCED))
@@ -211,7 +244,7 @@
             return events.Failure.OLD_RUN
         if action.until_ms <= self.clock_ms():
             return events.Failure.TOO_LATE
-        size = resources.Resources(*(int(amount) for amount in action.spec.split()[1:]))
+        size = _size_in(action.spec)
         used = resources.ZERO
         for run in self._running.values():
             used = used.plus(run.size)
@@ -222,9 +255,12 @@
     def _begin_run(self, key: tuple[str, int], spec: str) -> None:
         self.starts += 1
         words = spec.split()
-        size = resources.Resources(*(int(amount) for amount in words[1:]))
-        run = _Run(self._simulation.now, size)
+        run = _Run(self._simulation.now, _size_in(spec))
         self._running[key] = run
+        if is_deadly(key[0], spec):
+            self.deadly_starts[key[0]] += 1
+            incarnation = self._incarnation
+            self._simulation.call_later(CRASH_DELAY, lambda: self._crash_and_restart(incarnation))
         if self.hangs:
             return
         run_end = "failed" if self._rng.random() < self.fails else "done"
@@ -259,6 +295,18 @@
         reply(self._reply())
 
 
+def is_deadly(task: str, spec: str) -> bool:
+    """Tell whether a task crashes its target: the spec names its index after ``deadly``."""
+    words = spec.split()
+    if _DEADLY not in words:
+        return False
+    return task.rpartition(".")[2] in words[words.index(_DEADLY) + 1 :]
+
+
+def _size_in(spec: str) -> resources.Resources:
+    return resources.Resources(*(int(amount) for amount in spec.split()[1:4]))
+
+
 @functools.singledispatch
 def _execute(action, model: TargetModel, reply) -> None:
     raise TypeError(f"a target cannot execute {type(action).__name__}")
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -281,6 +281,7 @@
         The new incarnation may have executed a recent start. Such a grant is orphaned, so that it
         ends only when its lease must have expired.
         """
+        self._note_crash(owned, reason, now)
         lease_expires_at = now + timings.LEASE_EXPIRED_AFTER
         for grant in owned.sent_grants():
             if not owned.was_running_at_last_reply(grant):
@@ -289,6 +290,28 @@
         self._end_grants(owned, reason)
         self.release_target(owned)
 
+    def _note_crash(
+        self, owned: owned_targets.OwnedTarget, reason: str, now: datetime.datetime
+    ) -> None:
+        """Log the runs that were on a target when its incarnation ended, if there were any."""
+        lost_runs = [
+            (
+                grant.task,
+                grant.run,
+                notes.to_ms(now - grant.first_sent_at),
+                owned.was_running_at_last_reply(grant),
+            )
+            for grant in owned.sent_grants()
+        ]
+        if lost_runs:
+            self._outbox.note(
+                notes.NoteEvent.TARGET_CRASHED,
+                target=owned.target.id,
+                started_at_ms=owned.started_at_ms,
+                reason=reason,
+                runs=lost_runs,
+            )
+
     def _end_grants(self, owned: owned_targets.OwnedTarget, reason: str) -> None:
         for grant in list(owned.grants_by_id.values()):
             how = runs.RunEnd.LOST if grant.is_sent() else runs.RunEnd.REFUSED
@@ -306,7 +329,9 @@
 
         The other instance rejects all requests that are meant for this target.
         """
-        self._end_grants(owned, "another instance answers at its address")
+        reason = "another instance answers at its address"
+        self._note_crash(owned, reason, now)
+        self._end_grants(owned, reason)
         self.release_target(owned)
         self._tokens.record_rejection(owned.target.id, owned.token, now)
 
--- a/tests/pool/pools.py
+++ b/tests/pool/pools.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import msgspec
+
 from chiveridge_client import traces
 from chiveridge_load import pool_models
 from chiveridge_node import decision_logs
@@ -42,6 +44,11 @@
     )
 
 
+def with_spec(request: jobs.JobRequest, spec: str) -> jobs.JobRequest:
+    """Return a job with another spec."""
+    return msgspec.structs.replace(request, spec=spec)
+
+
 class DecisionLogs:
     """Collects the decision logs that the nodes of a model would write."""
 
