Add tests that fail: tasks that crash their targets are started without end, beside others

On this code a task of a patient caller crashes a target in each of 18 starts (17 if the crashes are silent); 8 such tasks crash 60 targets in 20 s; a job sent again to another node, or after its node or all nodes were killed, begins anew (6 and 15 starts); jobs of other callers are refused meanwhile. A target that came back is claimed only after the next read of the owner that it is assigned to, and a smaller capacity is noticed as late.

--- a/tests/pool/test_pool_crashing_tasks.py
+++ b/tests/pool/test_pool_crashing_tasks.py
@@ -57,3 +57,101 @@
     ran_ms_by_task = {task: ran_ms for task, _, ran_ms, _ in crash.fields["runs"]}
     assert ran_ms_by_task.keys() == {f"{'a' * 16}.0.0.0", f"{'b' * 16}.0.0.0"}
     assert ran_ms_by_task[f"{'b' * 16}.0.0.0"] < 50 < ran_ms_by_task[f"{'a' * 16}.0.0.0"]
+
+
+def test_a_task_under_which_two_targets_have_crashed_is_given_up():
+    model = _pool()
+    caller = model.submit(pools.node(model, 1), _deadly_job("d" * 16))
+    model.run(seconds=20)
+    assert max(_starts(model).values()) <= MAX_CRASHES
+    assert _verdict(model, caller) is actions.Verdict.FAILED
+
+
+def test_a_task_that_crashes_its_targets_silently_is_not_started_without_end():
+    model = _pool()
+    for target in model.targets_by_id.values():
+        target.crashes_silently = True
+    model.submit(pools.node(model, 1), _deadly_job("d" * 16))
+    model.run(seconds=20)
+    assert max(_starts(model).values()) < MAX_STARTS
+
+
+def test_a_job_of_many_tasks_that_crash_their_targets_crashes_one_target_after_the_first_ones():
+    model = _pool()
+    caller = model.submit(pools.node(model, 1), _deadly_job("d" * 16, 8, deadly=range(8)))
+    model.run(seconds=0.5)
+    crashes = _crashes(model)
+    model.run(seconds=19)
+    assert _crashes(model) <= crashes + 1
+    assert _verdict(model, caller) is actions.Verdict.FAILED
+
+
+def test_a_job_sent_again_to_other_nodes_does_not_crash_targets_anew():
+    model = _pool()
+    callers = []
+    for number in range(6):
+        patience = datetime.timedelta(seconds=0.9)
+        request = _deadly_job("d" * 16, caller_timeout=patience)
+        callers.append(model.submit(pools.node(model, number + 1), request))
+        model.run(seconds=2.3)
+    assert max(_starts(model).values()) <= MAX_CRASHES
+    assert _verdict(model, callers[-1]) is actions.Verdict.FAILED
+
+
+@pytest.mark.promise("complete_or_failed", failures=["kill"])
+@pytest.mark.parametrize("number", range(1, 7))
+def test_a_job_sent_again_after_its_node_was_killed_does_not_crash_targets_anew(number):
+    model = _pool()
+    caller = None
+    for attempt in range(6):
+        at = pools.node(model, (number + attempt - 1) % 6 + 1)
+        caller = model.submit(at, _deadly_job("d" * 16))
+        model.run(seconds=0.3)
+        at.kill()
+        model.run(seconds=1.3)
+        at.boot()
+        model.run(seconds=0.5)
+    caller = model.submit(pools.node(model, number), _deadly_job("d" * 16))
+    model.run(seconds=10)
+    assert max(_starts(model).values()) <= MAX_CRASHES
+    assert _verdict(model, caller) is actions.Verdict.FAILED
+
+
+@pytest.mark.promise("complete_or_failed", failures=["two_at_once"])
+def test_a_job_sent_again_after_all_nodes_were_killed_does_not_crash_targets_anew():
+    model = _pool()
+    for _ in range(6):
+        model.submit(pools.node(model, 1), _deadly_job("d" * 16))
+        model.run(seconds=0.3)
+        for node in model.nodes_by_name.values():
+            node.kill()
+        model.run(seconds=1)
+        for node in model.nodes_by_name.values():
+            node.boot()
+        model.run(seconds=3)
+    caller = model.submit(pools.node(model, 2), _deadly_job("d" * 16))
+    model.run(seconds=10)
+    assert max(_starts(model).values()) <= MAX_CRASHES
+    assert _verdict(model, caller) is actions.Verdict.FAILED
+
+
+def test_tasks_beside_those_that_crash_targets_lose_one_run_and_are_done():
+    model = _pool(targets_per_domain=8)
+    callers = []
+    for round_number in range(20):
+        node = pools.node(model, round_number % 6 + 1)
+        for number in range(4):
+            name = f"{round_number:08x}{number:08x}"
+            callers.append(model.submit(node, pools.job(name, 2, 300.0, caller_timeout=PATIENCE)))
+        if round_number < 8:
+            model.submit(node, _deadly_job(f"{round_number:08x}{99:08x}", 4))
+        model.run(seconds=0.3)
+    model.run(seconds=20)
+    assert {_verdict(model, caller) for caller in callers} == {actions.Verdict.COMPLETE}
+    starts_by_task = {}
+    for target in model.targets_by_id.values():
+        for task, _, _ in target.spans(model.simulation.now):
+            starts_by_task[task] = starts_by_task.get(task, 0) + 1
+    innocent = [count for task, count in starts_by_task.items() if task not in _starts(model)]
+    assert max(innocent) <= 2
+    assert max(_starts(model).values()) <= MAX_CRASHES
--- a/tests/pool/test_pool_target_lists.py
+++ b/tests/pool/test_pool_target_lists.py
@@ -75,3 +75,14 @@
     starts = dark.starts
     assert _serve_at_every_node(model) == {actions.Verdict.COMPLETE}
     assert dark.starts == starts
+
+
+def test_new_targets_that_one_owner_has_read_are_owned_at_once():
+    model = pools.pool()
+    new = {model.add_target("a").target.id for _ in range(4)}
+    pools.node(model, 1).handle(events.TargetsListed(targets=model.listed()))
+    model.run(seconds=0.5)
+    owned = set()
+    for node in model.nodes_by_name.values():
+        owned |= node.kernel.target_owner.owned_tokens().keys()
+    assert new <= owned
