Give up tasks under which two targets have crashed, wherever their job is sent

What callers saw: a task that crashes its target was started until its caller's patience ended, each start took the runs of others with it, and a job that was sent again began anew. Cause: a run that is lost with its target was put back without counting, and nothing outlasted the job at its node. Class of fault: a retry without a bound, whose count is kept where a retry elsewhere does not find it.

Owners report the runs on a target that crashed or fell silent to the nodes that they hear and to the topic keyed.crashes of the store, which all nodes read, also when they start. A task under which two targets have crashed ends its job as failed, also when the job is sent again to any node; one that lost four targets without a known outcome is given up.

--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -13,6 +13,7 @@
 from chiveridge_load import pool_targets
 from chiveridge_pool import (
     actions,
+    crash_histories,
     events,
     identifiers,
     jobs,
@@ -27,6 +28,9 @@
 EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 SAME_DOMAIN_LATENCY = datetime.timedelta(milliseconds=0.2)
 CROSS_DOMAIN_LATENCY = datetime.timedelta(milliseconds=0.9)
+STORE_LATENCY = datetime.timedelta(milliseconds=20)
+"""Time from a write to the store until all nodes have read it."""
+
 PORT = 7000
 
 
@@ -85,6 +89,8 @@
         listed = tuple(node.listing() for node in self.pool.nodes_by_name.values())
         self.handle(events.NodesListed(nodes=listed, is_complete=True))
         self.handle(events.TargetsListed(targets=self.pool.listed()))
+        if not self.pool.is_store_away:
+            self.handle(events.CrashesRead(crashes=tuple(self.pool.published_crashes)))
 
     def boot_without_store(self) -> None:
         """Start a process that has no configuration or targets and knows one peer endpoint."""
@@ -203,6 +209,9 @@
         self.notes: list[actions.Note] = []
         self.on_note: Callable[[NodeModel, actions.Note], None] = _ignore_note
         self.on_send: Callable[[NodeModel, messages.AnyMessage], None] = _ignore_message
+        # Crashes in the platform's store, which nodes read unless it is away.
+        self.published_crashes: list[crash_histories.Crash] = []
+        self.is_store_away = False
         self.applied: list[actions.ApplyConfiguration] = []
         self.drops: Callable[[NodeModel, NodeModel, messages.AnyMessage], bool] = _drop_none
         self._node_by_caller: dict[identifiers.CallerId, NodeModel] = {}
@@ -283,10 +292,20 @@
         elif isinstance(action, actions.ApplyConfiguration):
             self.applied.append(action)
             node.handle(events.ConfigurationRead(version=action.version, text=action.text))
+        elif isinstance(action, actions.PublishCrashes):
+            self._publish(action)
         elif isinstance(action, actions.Note):
             self.notes.append(action)
             self.on_note(node, action)
 
+    def _publish(self, action: actions.PublishCrashes) -> None:
+        if self.is_store_away:
+            return
+        self.published_crashes += action.crashes
+        for node in self.nodes_by_name.values():
+            if node.is_running:
+                self._handle_later(node, events.CrashesRead(crashes=action.crashes), STORE_LATENCY)
+
     def _send(self, sender: NodeModel, action: actions.SendMessage) -> None:
         self.on_send(sender, action.message)
         for node in self._nodes_at(action.endpoint):
@@ -303,14 +322,19 @@
         return [node for node in self.nodes_by_name.values() if node.endpoint == endpoint]
 
     def _deliver_later(self, sender: NodeModel, node: NodeModel, event: events.Event) -> None:
+        self._handle_later(node, event, self._latency(sender.domain, node.domain))
+
+    def _handle_later(
+        self, node: NodeModel, event: events.Event, delay: datetime.timedelta
+    ) -> None:
+        """Pass an event to a node after a delay, unless it has restarted meanwhile."""
         kernel = node.kernel
-        delay = self._latency(sender.domain, node.domain)
 
-        def deliver() -> None:
+        def handle_if_same() -> None:
             if node.kernel is kernel:
                 node.handle(event)
 
-        self.simulation.call_later(delay, deliver)
+        self.simulation.call_later(delay, handle_if_same)
 
     def _send_command(
         self, node: NodeModel, action: actions.Hold | actions.StartRun | actions.StopRun
--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -90,7 +90,7 @@
         )
         self._booted_at = simulation.now
         self._fence = 0
-        self._incarnation = 1
+        self.incarnation = 1
         self._lease_until_ms = 0.0
         self._running: dict[tuple[str, int], _Run] = {}
         self._highest_run: dict[str, int] = {}
@@ -112,14 +112,14 @@
         self._end_count = 0
         self._fence = 0
         self._lease_until_ms = 0.0
-        self._incarnation += 1
+        self.incarnation += 1
         self._booted_at = now
         self._waiting_holds.clear()
-        self.target = msgspec.structs.replace(self.target, started_at_ms=self._incarnation)
+        self.target = msgspec.structs.replace(self.target, started_at_ms=self.incarnation)
 
-    def _crash_and_restart(self, incarnation: int) -> None:
-        """Crash, unless this has happened, and accept commands again after the restart time."""
-        if self._incarnation != incarnation:
+    def crash_under(self, incarnation: int) -> None:
+        """Crash an incarnation unless it is over, and accept commands after the restart time."""
+        if self.incarnation != incarnation:
             return
         waiting_holds = list(self._waiting_holds)
         self.crash()
@@ -177,9 +177,7 @@
         _execute(action, self, reply)
 
     def _reply(self, failure: events.Failure | None = None) -> Reply:
-        return Reply(
-            failure=failure, clock_ms=int(self.clock_ms()), started_at_ms=self._incarnation
-        )
+        return Reply(failure=failure, clock_ms=int(self.clock_ms()), started_at_ms=self.incarnation)
 
     def _renew(self, until_ms: float) -> None:
         latest_ms = self.clock_ms() + MAX_LEASE_MS
@@ -259,8 +257,8 @@
         self._running[key] = run
         if is_deadly(key[0], spec):
             self.deadly_starts[key[0]] += 1
-            incarnation = self._incarnation
-            self._simulation.call_later(CRASH_DELAY, lambda: self._crash_and_restart(incarnation))
+            incarnation = self.incarnation
+            self._simulation.call_later(CRASH_DELAY, lambda: self.crash_under(incarnation))
         if self.hangs:
             return
         run_end = "failed" if self._rng.random() < self.fails else "done"
--- a/packages/pool/chiveridge_pool/actions.py
+++ b/packages/pool/chiveridge_pool/actions.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chiveridge_pool import identifiers, messages, notes, targets
+from chiveridge_pool import crash_histories, identifiers, messages, notes, targets
 
 
 class Verdict(enum.Enum):
@@ -96,6 +96,12 @@
     text: bytes
 
 
+class PublishCrashes(Action, frozen=True, kw_only=True):
+    """Write crashes to the store, for the nodes that this one does not hear and later ones."""
+
+    crashes: tuple[crash_histories.Crash, ...]
+
+
 class Note(Action, frozen=True, kw_only=True):
     """Log a decision; ``fields`` hold its inputs and its outcome."""
 
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -8,6 +8,8 @@
 from chiveridge_pool import (
     actions,
     capacity_requests,
+    crash_histories,
+    crash_reports,
     deadlines,
     events,
     followed_jobs,
@@ -28,6 +30,16 @@
 """Retry delay when this node is draining; short, as other nodes can accept the job at once."""
 
 _ENDS_TO_AVOID_TARGET_AFTER = frozenset({runs.RunEnd.FAILED, runs.RunEnd.STOPPED})
+_UNEXPLAINED_ENDS = frozenset({runs.RunEnd.CRASHED, runs.RunEnd.LOST})
+"""Ends of runs whose task may have crashed its target."""
+
+_ENDING_BY_FINDING = {
+    crash_histories.Finding.CULPRIT: (actions.Verdict.FAILED, "a task has crashed its targets"),
+    crash_histories.Finding.UNEXPLAINED: (
+        actions.Verdict.GIVEN_UP,
+        "the targets of a task were lost too often",
+    ),
+}
 _RUN_NUMBER_INCREMENT = 16
 """Added to the run number after a target has rejected it as out of date."""
 
@@ -48,11 +60,13 @@
         outbox: outboxes.Outbox,
         target_owner: target_owners.TargetOwner,
         order: ranks.RankingPolicy,
+        reports: crash_reports.CrashReports,
     ):
         self._members = table
         self._outbox = outbox
         self._target_owner = target_owner
         self._own_id = table.own_id
+        self._crash_reports = reports
         self._ranks = ranks.Ranks(order)
         self._refusals = refusals.Refusals(table, outbox, target_owner)
         self._capacity_requester = capacity_requests.CapacityRequester(
@@ -79,6 +93,8 @@
             return
         if known is None and self._follow(event, now):
             return
+        if known is None and self._answer_if_crashing(event):
+            return
         reason = "the process was paused" if was_paused else None
         reason = reason or self._refusal_reason(event.job, known, now)
         if reason is not None:
@@ -100,6 +116,36 @@
         self._outbox.note(notes.NoteEvent.JOB_FOLLOWED, job=event.job.id, leader=followed.leader)
         return True
 
+    def _answer_if_crashing(self, event: events.JobSubmitted) -> bool:
+        """Answer a job that was sent again and of which a task is known to crash targets."""
+        ending = _ENDING_BY_FINDING.get(self._crash_reports.history.worst_finding(event.job.id))
+        if ending is None:
+            return False
+        verdict, reason = ending
+        self._outbox.note(
+            notes.NoteEvent.JOB_ANSWERED,
+            job=event.job.id,
+            queue=event.job.queue,
+            verdict=verdict.value,
+            reason=reason,
+            took_ms=0.0,
+            objective_ms=notes.to_ms(event.job.objective()),
+            is_late=False,
+            done=0,
+            tasks=event.job.count,
+        )
+        self.answer_callers(event.job.id, {event.caller}, verdict, reason)
+        return True
+
+    def end_if_crashing(self, job_id: identifiers.JobId, now: datetime.datetime) -> None:
+        """End a job in progress of which a task is known to crash targets."""
+        job = self.jobs_by_id.get(job_id)
+        ending = _ENDING_BY_FINDING.get(self._crash_reports.history.worst_finding(job_id))
+        if job is None or job.has_ended or ending is None:
+            return
+        self._answer(job, *ending, now)
+        self._end(job, now)
+
     def _accept(self, event: events.JobSubmitted, now: datetime.datetime) -> None:
         request = event.job
         job = jobs.Job(request, event.caller, now)
@@ -336,6 +382,10 @@
             task.attempts += 1
         if how in _ENDS_TO_AVOID_TARGET_AFTER:
             self._avoid_target(run)
+        if how in _UNEXPLAINED_ENDS:
+            self._report_unexplained_end(run, now)
+            if job.has_ended:
+                return
         if how is runs.RunEnd.OLD:
             task.run_number += _RUN_NUMBER_INCREMENT
         if task.attempts >= job.request.max_attempts:
@@ -347,6 +397,12 @@
         if task.step.request_all_at is None:
             task.step.request_all_at = now
 
+    def _report_unexplained_end(self, run: jobs.Run, now: datetime.datetime) -> None:
+        """Report that a target was lost with a run, and end the job if it crashes targets."""
+        job = run.job.request.id
+        self._crash_reports.report_run(job, run.job.task_name(run.task), run.target, now)
+        self.end_if_crashing(job, now)
+
     def _avoid_target(self, run: jobs.Run) -> None:
         """Exclude a target for a task; start over once every listed target is excluded."""
         run.task.avoided_targets.add(run.target)
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chiveridge_pool import identifiers, jobs, messages, node_lists, targets
+from chiveridge_pool import crash_histories, identifiers, jobs, messages, node_lists, targets
 
 
 class Failure(enum.Enum):
@@ -71,6 +71,12 @@
     is_complete: bool = False
 
 
+class CrashesRead(Event, frozen=True, kw_only=True):
+    """Crashes were read from the store."""
+
+    crashes: tuple[crash_histories.Crash, ...]
+
+
 class MessageReceived(Event, frozen=True, kw_only=True):
     """A message from a peer has arrived."""
 
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -15,6 +15,7 @@
         "first_sent_at",
         "id",
         "is_confirmed_stopped",
+        "is_start_repeated",
         "job",
         "node",
         "percent",
@@ -62,6 +63,7 @@
         self.state_changed_at = expires_at
         self.stop_sent_at: datetime.datetime | None = None
         self.is_confirmed_stopped = False
+        self.is_start_repeated = False
 
     @property
     def key(self) -> tuple[identifiers.TaskName, identifiers.RunNumber]:
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -10,6 +10,8 @@
 from chiveridge_pool import (
     actions,
     coordinators,
+    crash_histories,
+    crash_reports,
     events,
     heartbeats,
     identifiers,
@@ -63,11 +65,12 @@
         )
         self.outbox = outboxes.Outbox(self.members)
         self.loop_lag = loop_lags.LoopLag()
+        self.crash_reports = crash_reports.CrashReports(self.members, self.outbox)
         self.target_owner = target_owners.TargetOwner(
-            self.members, self.outbox, rng, now, self.loop_lag
+            self.members, self.outbox, rng, now, self.loop_lag, self.crash_reports
         )
         self.coordinator = coordinators.Coordinator(
-            self.members, self.outbox, self.target_owner, settings.order
+            self.members, self.outbox, self.target_owner, settings.order, self.crash_reports
         )
         self.configuration_version = 0
         self.configuration = b""
@@ -155,6 +158,7 @@
             self._exit_if_drained(now)
         self.target_owner.tick(now)
         self.coordinator.tick(now)
+        self.crash_reports.tick(now)
         self.heartbeats.tick(now)
 
     def _review_members(self, now: datetime.datetime) -> None:
@@ -236,6 +240,14 @@
         )
         self.outbox.add(actions.Reconnect(endpoint=member.endpoint))
         self.heartbeats.send_to(member, now)
+        self.crash_reports.send_all(member)
+
+    def record_crashes(
+        self, crashes: tuple[crash_histories.Crash, ...], now: datetime.datetime
+    ) -> None:
+        """Record crashes that a peer or the store tells of, and end the jobs that cause them."""
+        for job in sorted(self.crash_reports.record_all(crashes, now)):
+            self.coordinator.end_if_crashing(job, now)
 
     def _exit_if_drained(self, now: datetime.datetime) -> None:
         if now - self.draining_since >= _ACCEPT_JOBS_AFTER_DRAIN:
@@ -289,6 +301,11 @@
         kernel.list_read(now)
 
 
+@handle.register
+def _(event: events.CrashesRead, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.record_crashes(event.crashes, now)
+
+
 @handle.register
 def _(event: events.MessageReceived, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.members.record_heard(event.message.sender, now)
--- a/packages/pool/chiveridge_pool/message_handlers.py
+++ b/packages/pool/chiveridge_pool/message_handlers.py
@@ -128,6 +128,11 @@
     kernel.coordinator.followed_jobs.handle_outcome(message, now)
 
 
+@handle_message.register(messages.CrashesReported)
+def _(message: messages.CrashesReported, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.record_crashes(message.crashes, now)
+
+
 @handle_message.register(messages.CancelJob)
 def _(message: messages.CancelJob, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.coordinator.cancel(message.job, now)
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from chiveridge_pool import identifiers, node_lists, resources, targets
+from chiveridge_pool import crash_histories, identifiers, node_lists, resources, targets
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
@@ -245,6 +245,12 @@
     job: identifiers.JobId
 
 
+class CrashesReported(Message, tag="cr", frozen=True, kw_only=True):
+    """Runs that were on targets as these crashed or fell silent."""
+
+    crashes: tuple[crash_histories.Crash, ...]
+
+
 AnyMessage = (
     Heartbeat
     | Goodbye
@@ -265,6 +271,7 @@
     | UnfollowJob
     | JobOutcome
     | CancelJob
+    | CrashesReported
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -81,7 +81,7 @@
         for grant in list(owned.grants_by_id.values()):
             self._tick_grant(owned, grant, now)
         if owned.failures and now >= owned.lease_expires_at:
-            self._expire_runs(owned)
+            self._target_owner.expire_runs(owned, now)
 
     def _is_hold_due(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> bool:
         pending = self._pending_by_target.get(owned.target.id)
@@ -107,14 +107,6 @@
             if is_due and not grant.is_confirmed_stopped:
                 self._send_run_stop(owned, grant, now)
 
-    def _expire_runs(self, owned: owned_targets.OwnedTarget) -> None:
-        """End the runs of a silent target whose lease has expired, and release it."""
-        expired = owned.sent_grants()
-        for grant in expired:
-            self._target_owner.end_grant(owned, grant, runs.RunEnd.LAPSED, "the target is silent")
-        if expired:
-            self._target_owner.release_target(owned)
-
     def send_hold(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
         """Send a hold request: renew the lease, acknowledge ends and poll for new ones."""
         is_owned = owned.state is owned_targets.OwnershipState.OWNED
--- a/packages/pool/chiveridge_pool/owned_targets.py
+++ b/packages/pool/chiveridge_pool/owned_targets.py
@@ -109,6 +109,15 @@
             return False
         return grant.running_since <= self.replied_at
 
+    def has_confirmed_start(self, grant: grants.Grant) -> bool:
+        """Return whether this incarnation of the target has certainly started a run.
+
+        A start that was sent again may have been confirmed by the next incarnation.
+        """
+        if grant.is_start_repeated and not self.was_running_at_last_reply(grant):
+            return False
+        return grant.state is runs.GrantState.RUNNING
+
     def has_pending_grants(self) -> bool:
         """Return whether a grant is reserved or the reply to its start is outstanding."""
         pending = (runs.GrantState.RESERVED, runs.GrantState.STARTING)
--- a/packages/pool/chiveridge_pool/runs.py
+++ b/packages/pool/chiveridge_pool/runs.py
@@ -8,7 +8,7 @@
 
     ``LAPSED``: the lease of the target expired. ``REFUSED``: nothing ran. ``OLD``: the target
     requires a higher run number. ``LOST``: the target certainly no longer runs the task, but its
-    outcome was not observed.
+    outcome was not observed. ``CRASHED``: the incarnation of the target that ran it is over.
     """
 
     DONE = "done"
@@ -20,6 +20,7 @@
     REFUSED = "refused"
     OLD = "old"
     LOST = "lost"
+    CRASHED = "crashed"
 
 
 END_BY_VALUE = {end.value: end for end in RunEnd}
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -50,6 +50,8 @@
             grant.state_changed_at = now
             grant.until_ms = owned.lease_end_ms(now)
             owned.extend_lease(now)
+        else:
+            grant.is_start_repeated = True
         self._outbox.add(
             actions.StartRun(
                 target=owned.target,
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -4,6 +4,7 @@
 import random
 
 from chiveridge_pool import (
+    crash_reports,
     events,
     grant_allocators,
     grants,
@@ -39,8 +40,10 @@
         rng: random.Random,
         started_at: datetime.datetime,
         loop_lag: loop_lags.LoopLag,
+        reports: crash_reports.CrashReports,
     ):
         self._members = table
+        self._crash_reports = reports
         self._outbox = outbox
         self._loop_lag = loop_lag
         self._own_id = table.own_id
@@ -273,6 +276,16 @@
                 reason=reason,
             )
 
+    def expire_runs(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
+        """End the runs of a silent target whose lease has expired, and release it."""
+        expired = owned.sent_grants()
+        if not expired:
+            return
+        self._crash_reports.report_target(owned, expired, now, is_certain=False)
+        for grant in expired:
+            self.end_grant(owned, grant, runs.RunEnd.LAPSED, "the target is silent")
+        self.release_target(owned)
+
     def end_incarnation(
         self, owned: owned_targets.OwnedTarget, reason: str, now: datetime.datetime
     ) -> None:
@@ -281,19 +294,22 @@
         The new incarnation may have executed a recent start. Such a grant is orphaned, so that it
         ends only when its lease must have expired.
         """
-        self._note_crash(owned, reason, now)
+        self._report_crash(owned, reason, now)
         lease_expires_at = now + timings.LEASE_EXPIRED_AFTER
         for grant in owned.sent_grants():
             if not owned.was_running_at_last_reply(grant):
                 owned.remove(grant)
-                self.orphaned_grants.add(grant, lease_expires_at)
+                self.orphaned_grants.add(grant, lease_expires_at, _end_with(owned.target))
         self._end_grants(owned, reason)
         self.release_target(owned)
 
-    def _note_crash(
+    def _report_crash(
         self, owned: owned_targets.OwnedTarget, reason: str, now: datetime.datetime
     ) -> None:
-        """Log the runs that were on a target when its incarnation ended, if there were any."""
+        """Report the runs that were on a target when its incarnation ended, if there were any."""
+        if owned.target.is_draining:
+            return
+        self._crash_reports.report_target(owned, owned.sent_grants(), now, is_certain=True)
         lost_runs = [
             (
                 grant.task,
@@ -314,7 +330,7 @@
 
     def _end_grants(self, owned: owned_targets.OwnedTarget, reason: str) -> None:
         for grant in list(owned.grants_by_id.values()):
-            how = runs.RunEnd.LOST if grant.is_sent() else runs.RunEnd.REFUSED
+            how = _end_with(owned.target) if grant.is_sent() else runs.RunEnd.REFUSED
             self.end_grant(owned, grant, how, reason)
 
     def release_target(self, owned: owned_targets.OwnedTarget) -> None:
@@ -330,7 +346,7 @@
         The other instance rejects all requests that are meant for this target.
         """
         reason = "another instance answers at its address"
-        self._note_crash(owned, reason, now)
+        self._report_crash(owned, reason, now)
         self._end_grants(owned, reason)
         self.release_target(owned)
         self._tokens.record_rejection(owned.target.id, owned.token, now)
@@ -435,3 +451,8 @@
     def related_nodes(self) -> set[identifiers.NodeId]:
         """Return the nodes that have requests, grants or orphaned runs here."""
         return self.allocator.nodes() | self.orphaned_grants.by_node().keys()
+
+
+def _end_with(target: targets.Target) -> runs.RunEnd:
+    """Return how runs end with their target; one that leaves as planned has not crashed."""
+    return runs.RunEnd.LOST if target.is_draining else runs.RunEnd.CRASHED
--- /dev/null
+++ b/tests/pool/test_pool_crash_histories.py
@@ -0,0 +1,70 @@
+"""What is concluded from the crashes of targets under a task."""
+
+import datetime
+
+import pytest
+
+from chiveridge_pool import crash_histories
+
+NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+AT_MS = crash_histories.to_unix_ms(NOW)
+JOB = "a" * 16
+TASK = f"{JOB}.0.0.0"
+Finding = crash_histories.Finding
+
+
+def _crash(target, started_at_ms=1, *, is_certain=True, task=TASK, at_ms=AT_MS):
+    return crash_histories.Crash(JOB, task, target, started_at_ms, is_certain, at_ms)
+
+
+def _history(*crashes):
+    history = crash_histories.CrashHistory()
+    for crash in crashes:
+        history.record(crash, NOW)
+    return history
+
+
+@pytest.mark.parametrize(
+    ("crashes", "finding"),
+    [
+        ((), Finding.NONE),
+        ((_crash("t1"),), Finding.SUSPECT),
+        ((_crash("t1"), _crash("t1")), Finding.SUSPECT),
+        ((_crash("t1"), _crash("t2")), Finding.CULPRIT),
+        ((_crash("t1"), _crash("t1", 2)), Finding.CULPRIT),
+        ((_crash("t1"), _crash("t1", 0)), Finding.SUSPECT),
+        ((_crash("t1"), _crash("t2", task=f"{JOB}.0.0.1")), Finding.SUSPECT),
+        ([_crash(f"t{n}", is_certain=False) for n in range(3)], Finding.SUSPECT),
+        ([_crash(f"t{n}", is_certain=False) for n in range(4)], Finding.UNEXPLAINED),
+        ([_crash(f"t{n}", is_certain=n == 0) for n in range(4)], Finding.UNEXPLAINED),
+        ((_crash("t1", is_certain=False), _crash("t1"), _crash("t2")), Finding.CULPRIT),
+    ],
+)
+def test_finding_of_a_task(crashes, finding):
+    history = _history(*crashes)
+    assert history.finding(JOB, TASK) is finding
+    assert history.worst_finding(JOB) is finding
+
+
+def test_a_crash_that_is_known_tells_nothing_new():
+    history = _history(_crash("t1", is_certain=False))
+    assert not history.record(_crash("t1", is_certain=False), NOW)
+    assert history.record(_crash("t1"), NOW)
+    assert not history.record(_crash("t1", is_certain=False), NOW)
+
+
+def test_expired_crashes_are_neither_recorded_nor_kept():
+    history = _history(_crash("t1"))
+    later = NOW + crash_histories.KEPT_FOR + datetime.timedelta(seconds=1)
+    assert not history.record(_crash("t2"), later)
+    history.forget_expired(later)
+    assert history.all() == []
+
+
+def test_the_jobs_with_the_oldest_crashes_are_forgotten_first(monkeypatch):
+    monkeypatch.setattr(crash_histories, "_MAX_JOBS", 2)
+    history = crash_histories.CrashHistory()
+    for job in ("a", "b", "a", "c"):
+        target = f"t{len(history.all())}"
+        history.record(crash_histories.Crash(job, f"{job}.0.0.0", target, 1, True, AT_MS), NOW)
+    assert {crash.job for crash in history.all()} == {"a", "c"}
--- a/tests/pool/test_pool_crashing_tasks.py
+++ b/tests/pool/test_pool_crashing_tasks.py
@@ -155,3 +155,23 @@
     innocent = [count for task, count in starts_by_task.items() if task not in _starts(model)]
     assert max(innocent) <= 2
     assert max(_starts(model).values()) <= MAX_CRASHES
+
+
+def test_a_target_that_crashed_before_it_confirmed_a_start_did_not_crash_under_it():
+    model = _pool(nodes_per_domain=1, targets_per_domain=1, domains="a")
+    (target,) = model.targets_by_id.values()
+    target.restart_time = datetime.timedelta(milliseconds=100)
+    target.crashes_silently = True
+    crashes = []
+
+    def crash_as_tasks_are_placed(node, note):
+        if note.event is notes.NoteEvent.JOB_PLACED and len(crashes) < MAX_CRASHES:
+            crashes.append(note)
+            delay = datetime.timedelta(microseconds=100)
+            model.simulation.call_later(delay, lambda: target.crash_under(target.incarnation))
+
+    model.on_note = crash_as_tasks_are_placed
+    caller = model.submit(pools.node(model, 1), pools.job("a" * 16, caller_timeout=PATIENCE))
+    model.run(seconds=10)
+    assert len(crashes) == MAX_CRASHES
+    assert _verdict(model, caller) is actions.Verdict.COMPLETE
