Run tasks by themselves under which a target has crashed, while there are tasks that crash targets

What callers saw: tasks that shared a target with one that crashes it were lost, some to several crashes, and a target was out of use for 4 to 5 s for each retry of a deadly task. Cause: a task whose target crashed was placed like any other, beside the runs of others. Class of fault: a retry that puts the same load on what it broke.

Once a task was found under which two targets crashed, or if several targets crashed under one job, its suspects start only where nothing else runs, one after the other (150 ms). A start counts as made by the incarnation whose clock it agrees with: a start that the next incarnation had executed was blamed for the crash before it (test_a_start_executed_by_the_next_incarnation_of_a_target_runs_nowhere_else failed).

--- a/packages/pool/chiveridge_pool/capacity_queues.py
+++ b/packages/pool/chiveridge_pool/capacity_queues.py
@@ -4,7 +4,7 @@
 
 from chiveridge_pool import identifiers, messages, owned_targets
 
-_Key = tuple[identifiers.NodeId, identifiers.JobId, int]
+_Key = tuple[identifiers.NodeId, identifiers.JobId, int, bool]
 
 
 class QueuedRequest:
@@ -31,7 +31,7 @@
 
     def withdraw(self, message: messages.CapacityWithdrawal) -> None:
         """Remove the request for a step."""
-        self._by_key.pop((message.sender, message.job, message.step), None)
+        self._by_key.pop(_key(message), None)
 
     def forget_node(self, node: identifiers.NodeId) -> None:
         """Remove all requests of a node."""
@@ -40,7 +40,7 @@
 
     def nodes(self) -> set[identifiers.NodeId]:
         """Return the nodes with queued requests."""
-        return {node for node, _, _ in self._by_key}
+        return {key[0] for key in self._by_key}
 
     def by_rank(self) -> list[QueuedRequest]:
         """Return the requests by rank, the next to be served first."""
@@ -53,8 +53,8 @@
             del self._by_key[key]
 
 
-def _key(message: messages.CapacityRequest) -> _Key:
-    return message.sender, message.job, message.step
+def _key(message: messages.CapacityRequest | messages.CapacityWithdrawal) -> _Key:
+    return message.sender, message.job, message.step, message.is_isolated
 
 
 def choose_target(
@@ -80,6 +80,8 @@
 
 def _is_eligible(message: messages.CapacityRequest, owned: owned_targets.OwnedTarget) -> bool:
     target = owned.target
+    if owned.has_isolated_run() or (message.is_isolated and owned.grants_by_id):
+        return False
     if target.service != message.service or not message.size.fits_in(owned.free()):
         return False
     if message.label and message.label not in target.labels:
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -70,7 +70,7 @@
         self._ranks = ranks.Ranks(order)
         self._refusals = refusals.Refusals(table, outbox, target_owner)
         self._capacity_requester = capacity_requests.CapacityRequester(
-            table, outbox, target_owner, self._ranks
+            table, outbox, target_owner, self._ranks, reports
         )
         self.followed_jobs = followed_jobs.FollowedJobs(table, outbox, self)
         self._job_by_caller: dict[identifiers.CallerId, jobs.Job] = {}
@@ -163,6 +163,7 @@
             size=[list(step.size.as_tuple()) for step in request.steps],
             version=event.configuration_version,
         )
+        self._isolate_suspects(job, now)
         self._request_for_startable_steps(job, now)
 
     def _refusal_reason(
@@ -262,8 +263,8 @@
     def _end(self, job: jobs.Job, now: datetime.datetime) -> None:
         """Withdraw the requests and stop the runs of a job; remove it once all runs have ended."""
         job.has_ended = True
-        for step in job.steps:
-            self._capacity_requester.withdraw(job, step)
+        for demand in job.demands():
+            self._capacity_requester.withdraw(job, demand)
         self.placements.stop(list(job.runs_by_grant.values()), now)
         self._remove_if_settled(job)
 
@@ -303,40 +304,56 @@
         related = self.placements.owners() | self.followed_jobs.leaders()
         for job in self.jobs_by_id.values():
             related |= job.followers
-            for step in job.steps:
-                related |= {node for node, count in step.requested_by_owner.items() if count}
+            for demand in job.demands():
+                related |= {node for node, count in demand.requested_by_owner.items() if count}
         return related - {self._own_id}
 
     # Tasks
 
     def _request_for_startable_steps(self, job: jobs.Job, now: datetime.datetime) -> None:
-        for step in job.startable_steps():
-            self._capacity_requester.request_capacity(job, step, now)
+        for demand in job.startable_demands():
+            self._capacity_requester.request_capacity(job, demand, now)
 
     def handle_granted(self, message: messages.CapacityGranted, now: datetime.datetime) -> None:
         """Start tasks under the grants received, and release the grants that are not needed."""
         job = self.jobs_by_id.get(message.job)
-        step = None if job is None or job.has_ended else job.steps[message.step]
+        if job is None or job.has_ended:
+            self._release(message.sender, [grant for grant, _, _ in message.grants])
+            return
+        demand = job.find_demand(message.step, is_isolated=message.is_isolated)
         unused = []
         granted_tasks = []
         for grant, target, token in message.grants:
-            task = None if step is None else _next_task(step, target)
+            task = _next_task(demand, job, target, now)
             if task is None:
                 unused.append(grant)
             else:
                 granted_tasks.append((task, grant, target, token))
-        if unused:
-            release = messages.GrantRelease(sender=self._own_id, grants=tuple(unused))
-            self._outbox.send(message.sender, release)
-        if step is None:
-            return
-        self._capacity_requester.record_grants(step, message.sender, len(message.grants))
+        self._release(message.sender, unused)
+        self._capacity_requester.record_grants(demand, message.sender, len(message.grants))
         if granted_tasks:
-            self._start(job, message.sender, granted_tasks, now)
-        if not step.waiting_tasks:
-            self._capacity_requester.withdraw(job, step)
+            self._start(job, message.sender, granted_tasks, now, is_isolated=demand.is_isolated)
+        if not demand.waiting_tasks:
+            self._capacity_requester.withdraw(job, demand)
+        elif demand.is_isolated:
+            self._wait_for_probation(job, demand, now)
         elif message.is_short:
-            self._capacity_requester.handle_shortage(job, step, message.sender, now)
+            self._capacity_requester.handle_shortage(job, demand, message.sender, now)
+
+    def _release(self, owner: identifiers.NodeId, unused: list[identifiers.GrantId]) -> None:
+        """Return grants to their owner."""
+        if unused:
+            release = messages.GrantRelease(sender=self._own_id, grants=tuple(unused))
+            self._outbox.send(owner, release)
+
+    def _wait_for_probation(
+        self, job: jobs.Job, demand: jobs.CapacityDemand, now: datetime.datetime
+    ) -> None:
+        """Withdraw the requests for isolated tasks while another one has just started."""
+        probation_ends_at = job.probation_ends_at(now)
+        if probation_ends_at is not None:
+            self._capacity_requester.withdraw(job, demand)
+            demand.request_all_at = probation_ends_at
 
     def _start(
         self,
@@ -344,6 +361,8 @@
         owner: identifiers.NodeId,
         granted_tasks: list[placements.GrantedTask],
         now: datetime.datetime,
+        *,
+        is_isolated: bool,
     ) -> None:
         job.has_started = True
         self._outbox.note(
@@ -353,8 +372,9 @@
             targets=[target for _, _, target, _ in granted_tasks],
             waited_ms=notes.to_ms(now - job.arrived_at),
             still_waiting=job.waiting_count(),
+            isolated=is_isolated,
         )
-        self.placements.start(job, owner, granted_tasks, now)
+        self.placements.start(job, owner, granted_tasks, now, is_isolated=is_isolated)
 
     def _run_ended(self, run: jobs.Run, how: runs.RunEnd, now: datetime.datetime) -> None:
         job = run.job
@@ -393,9 +413,22 @@
             self._end(job, now)
             return
         self.placements.log_requeue(run, how, now)
-        task.step.waiting_tasks.append(task)
-        if task.step.request_all_at is None:
-            task.step.request_all_at = now
+        demand = task.step.isolated if self._must_isolate(job, task, now) else task.step
+        demand.waiting_tasks.append(task)
+        if demand.request_all_at is None:
+            demand.request_all_at = now
+
+    def _must_isolate(self, job: jobs.Job, task: jobs.Task, now: datetime.datetime) -> bool:
+        history = self._crash_reports.history
+        return history.must_isolate(job.request.id, job.task_name(task), now)
+
+    def _isolate_suspects(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Let tasks under which a target crashed before the job was sent again run alone."""
+        for step in job.steps:
+            isolated = [task for task in step.waiting_tasks if self._must_isolate(job, task, now)]
+            if isolated:
+                step.waiting_tasks = [task for task in step.waiting_tasks if task not in isolated]
+                step.isolated.waiting_tasks = isolated
 
     def _report_unexplained_end(self, run: jobs.Run, now: datetime.datetime) -> None:
         """Report that a target was lost with a run, and end the job if it crashes targets."""
@@ -455,9 +488,16 @@
         )
 
 
-def _next_task(step: jobs.Step, target: identifiers.TargetId) -> jobs.Task | None:
+def _next_task(
+    demand: jobs.CapacityDemand,
+    job: jobs.Job,
+    target: identifiers.TargetId,
+    now: datetime.datetime,
+) -> jobs.Task | None:
     """Remove and return the next waiting task that may run on a target, or None."""
-    for position in range(len(step.waiting_tasks) - 1, -1, -1):
-        if target not in step.waiting_tasks[position].avoided_targets:
-            return step.waiting_tasks.pop(position)
+    if demand.is_isolated and job.probation_ends_at(now) is not None:
+        return None
+    for position in range(len(demand.waiting_tasks) - 1, -1, -1):
+        if target not in demand.waiting_tasks[position].avoided_targets:
+            return demand.waiting_tasks.pop(position)
     return None
--- a/packages/pool/chiveridge_pool/crash_histories.py
+++ b/packages/pool/chiveridge_pool/crash_histories.py
@@ -23,6 +23,15 @@
 KEPT_FOR = datetime.timedelta(minutes=10)
 """Time for which a crash is remembered; far longer than callers send a job again."""
 
+ISOLATING_FOR = datetime.timedelta(seconds=30)
+"""Time after a task was found to crash targets for which suspects run by themselves."""
+
+_LIKELY_WITHIN_MS = 250.0
+"""Run time at the crash up to which a task is its likely cause; others have run for a while."""
+
+_ISOLATING_CRASHES = 2
+"""Targets that crashed under a job, after which its suspects run by themselves at once."""
+
 _MAX_JOBS = 2000
 """Jobs remembered; the ones with the oldest crashes are forgotten first."""
 
@@ -32,7 +41,8 @@
 
     ``started_at_ms`` is the start of the target's incarnation in Unix milliseconds, or 0 if it is
     unknown. ``is_certain`` tells a crash from silence. ``recorded_at_ms`` is the time of day in
-    Unix milliseconds. Add new fields at the end.
+    Unix milliseconds. ``ran_ms`` is how long ago the run was started, in milliseconds. Add new
+    fields at the end.
     """
 
     job: identifiers.JobId
@@ -41,6 +51,7 @@
     started_at_ms: int
     is_certain: bool
     recorded_at_ms: int
+    ran_ms: float = 0.0
 
     def is_expired(self, now: datetime.datetime) -> bool:
         """Tell whether it need not be remembered any more."""
@@ -61,6 +72,7 @@
 
     def __init__(self):
         self._crashes_by_job: dict[identifiers.JobId, dict[tuple, Crash]] = {}
+        self._culprit_found_at: datetime.datetime | None = None
 
     def record(self, crash: Crash, now: datetime.datetime) -> bool:
         """Remember a crash; return whether it tells anything new."""
@@ -75,6 +87,8 @@
         # Inserted anew, so that the jobs stay in the order of their last crashes.
         self._crashes_by_job.pop(crash.job, None)
         self._crashes_by_job[crash.job] = crashes
+        if self.finding(crash.job, crash.task) is Finding.CULPRIT:
+            self._culprit_found_at = now
         if len(self._crashes_by_job) > _MAX_JOBS:
             del self._crashes_by_job[next(iter(self._crashes_by_job))]
         return True
@@ -112,6 +126,30 @@
             return Finding.UNEXPLAINED
         return Finding.SUSPECT
 
+    def must_isolate(
+        self, job: identifiers.JobId, task: identifiers.TaskName, now: datetime.datetime
+    ) -> bool:
+        """Return whether a task may start only where nothing else runs.
+
+        Targets crash for other reasons too. So that is only required while there are tasks that
+        crash targets, or if several targets have crashed under the job.
+        """
+        if self.finding(job, task) is Finding.NONE:
+            return False
+        found_at = self._culprit_found_at
+        if found_at is not None and now - found_at < ISOLATING_FOR:
+            return True
+        crashes = self._crashes_by_job[job].values()
+        crashed = {crash.target for crash in crashes if crash.is_certain}
+        return len(crashed) >= _ISOLATING_CRASHES
+
+    def is_likely_culprit(self, job: identifiers.JobId, task: identifiers.TaskName) -> bool:
+        """Return whether a task had just started when a target crashed under it."""
+        return any(
+            crash.task == task and crash.ran_ms <= _LIKELY_WITHIN_MS
+            for crash in self._crashes_by_job.get(job, {}).values()
+        )
+
     def worst_finding(self, job: identifiers.JobId) -> Finding:
         """Return the finding that decides whether a job may go on."""
         tasks = {crash.task for crash in self._crashes_by_job.get(job, {}).values()}
--- a/packages/pool/chiveridge_pool/crash_reports.py
+++ b/packages/pool/chiveridge_pool/crash_reports.py
@@ -3,6 +3,7 @@
 import datetime
 from collections.abc import Iterable
 
+from chiveridge_kernel import clocks
 from chiveridge_pool import (
     actions,
     crash_histories,
@@ -48,8 +49,9 @@
                 grant.task,
                 owned.target.id,
                 owned.started_at_ms,
-                is_certain and owned.has_confirmed_start(grant),
+                is_certain and grant.is_start_confirmed,
                 crash_histories.to_unix_ms(now),
+                clocks.to_ms(now - grant.first_sent_at),
             )
             for grant in lost
         ]
--- a/packages/pool/chiveridge_pool/grant_allocators.py
+++ b/packages/pool/chiveridge_pool/grant_allocators.py
@@ -52,6 +52,7 @@
                 step=message.step,
                 grants=(),
                 is_short=True,
+                is_isolated=message.is_isolated,
             )
             self._outbox.send(message.sender, answer)
 
@@ -88,6 +89,7 @@
                 job=capacity_request.job,
                 step=capacity_request.step,
                 grants=tuple(granted),
+                is_isolated=capacity_request.is_isolated,
             )
             self._outbox.send(capacity_request.sender, message)
 
@@ -107,6 +109,7 @@
             capacity_queues.declared_run_time(capacity_request, owned),
             now + timings.GRANT_RESERVATION_TIMEOUT,
         )
+        grant.is_isolated = capacity_request.is_isolated
         owned.add(grant)
         self._orders.record_use(owned, now)
         return grant
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -15,7 +15,8 @@
         "first_sent_at",
         "id",
         "is_confirmed_stopped",
-        "is_start_repeated",
+        "is_isolated",
+        "is_start_confirmed",
         "job",
         "node",
         "percent",
@@ -63,7 +64,9 @@
         self.state_changed_at = expires_at
         self.stop_sent_at: datetime.datetime | None = None
         self.is_confirmed_stopped = False
-        self.is_start_repeated = False
+        # Whether the present incarnation of the target has certainly started it.
+        self.is_start_confirmed = False
+        self.is_isolated = False
 
     @property
     def key(self) -> tuple[identifiers.TaskName, identifiers.RunNumber]:
--- a/packages/pool/chiveridge_pool/handovers.py
+++ b/packages/pool/chiveridge_pool/handovers.py
@@ -21,6 +21,7 @@
             grant.size,
             clocks.to_ms(grant.estimate),
             grant.step,
+            grant.is_isolated,
         )
         for grant in owned.sent_grants()
     )
@@ -63,5 +64,6 @@
     estimate = datetime.timedelta(milliseconds=row.estimate_ms)
     grant = grants.Grant(row.grant, row.node, row.job, row.step, row.queue, row.size, estimate, now)
     grant.task, grant.run = row.task, row.run
+    grant.is_isolated = row.is_isolated
     grant.state = runs.GrantState.RUNNING
     return grant
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -10,6 +10,9 @@
 MAX_TASKS = 4096
 """Maximum number of tasks in a job; the design size is 740."""
 
+ISOLATED_PROBATION = datetime.timedelta(milliseconds=150)
+"""Time after the start of an isolated task before the next one of its job; crashes show sooner."""
+
 _CORES_PER_ACCELERATOR = 8
 _MIN_SECONDS = 0.001
 _MIN_CORES = 0.001
@@ -110,6 +113,7 @@
 
     __slots__ = (
         "grant",
+        "is_isolated",
         "job",
         "listed_at",
         "moved_at",
@@ -132,6 +136,8 @@
         token: identifiers.FencingToken,
         sequence: int,
         started_at: datetime.datetime,
+        *,
+        is_isolated: bool = False,
     ):
         self.job = job
         self.task = task
@@ -143,6 +149,7 @@
         self.started_at = started_at
         # When an owner last listed the run in a heartbeat, or was asked to start it.
         self.listed_at = started_at
+        self.is_isolated = is_isolated
         # When the target was handed over, or its owner no longer had it; None while an owner
         # lists the run.
         self.moved_at: datetime.datetime | None = None
@@ -150,15 +157,18 @@
         self.stopped_at: datetime.datetime | None = None
 
 
-class Step:
-    """A step of a job in progress, with the capacity requested from each owner of targets."""
+class CapacityDemand:
+    """Waiting tasks of a step, with the capacity requested from each owner of targets.
 
-    def __init__(self, number: int, request: StepRequest):
+    Those of an isolated demand start only where nothing else runs.
+    """
+
+    def __init__(self, number: int, request: StepRequest, *, is_isolated: bool = False):
         self.number = number
         self.request = request
+        self.is_isolated = is_isolated
         # In reverse order, as tasks are taken from the end.
-        self.waiting_tasks = [Task(self, index) for index in range(request.count - 1, -1, -1)]
-        self.done_count = 0
+        self.waiting_tasks: list[Task] = []
         # Number of tasks for which each owner was asked for capacity and has not granted it yet.
         self.requested_by_owner: dict[identifiers.NodeId, int] = {}
         # Owners that had less free capacity than requested when they were last asked.
@@ -168,6 +178,16 @@
         # The priority group of the job in the last request.
         self.priority_group: int | None = None
 
+
+class Step(CapacityDemand):
+    """A step of a job in progress; tasks that may crash their targets wait in ``isolated``."""
+
+    def __init__(self, number: int, request: StepRequest):
+        super().__init__(number, request)
+        self.waiting_tasks = [Task(self, index) for index in range(request.count - 1, -1, -1)]
+        self.done_count = 0
+        self.isolated = CapacityDemand(number, request, is_isolated=True)
+
     def is_done(self) -> bool:
         """Tell whether all tasks of the step are done."""
         return self.done_count == self.request.count
@@ -197,9 +217,22 @@
         """Return the response time objective."""
         return self.request.objective()
 
-    def startable_steps(self) -> list[Step]:
-        """Return the steps with waiting tasks whose dependencies are all done."""
-        return [step for step in self.steps if step.waiting_tasks and self._may_start(step)]
+    def find_demand(self, step: int, *, is_isolated: bool) -> CapacityDemand:
+        """Return the demand of a step for its ordinary or its isolated tasks."""
+        return self.steps[step].isolated if is_isolated else self.steps[step]
+
+    def demands(self) -> list[CapacityDemand]:
+        """Return the demands of all steps."""
+        return [demand for step in self.steps for demand in (step, step.isolated)]
+
+    def startable_demands(self) -> list[CapacityDemand]:
+        """Return the demands with waiting tasks whose steps' dependencies are all done."""
+        return [
+            demand
+            for step in self.steps
+            for demand in (step, step.isolated)
+            if demand.waiting_tasks and self._may_start(step)
+        ]
 
     def _may_start(self, step: Step) -> bool:
         return all(self.steps[earlier].is_done() for earlier in step.request.depends_on)
@@ -212,14 +245,29 @@
         """Tell whether all tasks are done."""
         return all(step.is_done() for step in self.steps)
 
+    def probation_ends_at(self, now: datetime.datetime) -> datetime.datetime | None:
+        """Return until when another isolated task has to wait, or None if one may start.
+
+        One after the other, tasks of a job that crash their targets crash fewer of them.
+        """
+        ends = (
+            run.started_at + ISOLATED_PROBATION
+            for run in self.runs_by_grant.values()
+            if run.is_isolated
+        )
+        latest = max(ends, default=now)
+        return latest if latest > now else None
+
     def waiting_count(self) -> int:
         """Return the number of tasks that are neither running nor done."""
-        return sum(len(step.waiting_tasks) for step in self.steps)
+        return sum(len(demand.waiting_tasks) for demand in self.demands())
 
     def remaining_time(self) -> datetime.timedelta:
         """Return the declared time from starting the waiting tasks to the end of the job."""
         remaining_times_by_step = self.request.remaining_times_by_step
         waiting = [
-            remaining_times_by_step[step.number] for step in self.steps if step.waiting_tasks
+            remaining_times_by_step[demand.number]
+            for demand in self.demands()
+            if demand.waiting_tasks
         ]
         return max(waiting, default=_ZERO_DURATION)
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -89,7 +89,8 @@
     Replaces an earlier request for the same step. A task takes ``remote_factor`` times as long on
     a target without the rack label ``rack``. ``wants_answer`` asks for a :class:`CapacityGranted`
     at once, also if the free capacity does not suffice. ``former_leader`` is a node that had the
-    job before and has confirmed that it does not have it any more.
+    job before and has confirmed that it does not have it any more. ``is_isolated`` asks for targets
+    on which nothing else runs, as the tasks may crash them.
     """
 
     job: identifiers.JobId
@@ -106,13 +107,15 @@
     per_target: int = 0
     former_leader: identifiers.NodeId | None = None
     wants_answer: bool = False
+    is_isolated: bool = False
 
 
 class CapacityWithdrawal(Message, tag="wd", frozen=True, kw_only=True):
-    """Withdraw the capacity request for a job's step."""
+    """Withdraw the capacity request for a job's step, or for its isolated tasks."""
 
     job: identifiers.JobId
     step: int = 0
+    is_isolated: bool = False
 
 
 class CapacityGranted(Message, tag="gr", frozen=True, kw_only=True):
@@ -125,6 +128,7 @@
     step: int = 0
     grants: tuple[tuple[identifiers.GrantId, identifiers.TargetId, identifiers.FencingToken], ...]
     is_short: bool = False
+    is_isolated: bool = False
 
 
 class GrantRelease(Message, tag="rl", frozen=True, kw_only=True):
@@ -166,6 +170,7 @@
     size: resources.Resources
     estimate_ms: float
     step: int = 0
+    is_isolated: bool = False
 
 
 class Handover(Message, tag="ho", frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -291,6 +291,7 @@
         """Record a run's progress, and stop the run if it would finish sooner on another target."""
         if grant.state is runs.GrantState.STARTING:
             grant.state = runs.GrantState.RUNNING
+        grant.is_start_confirmed = True
         grant.record_progress(row.percent, now)
         if grant.state is not runs.GrantState.RUNNING:
             return
--- a/packages/pool/chiveridge_pool/owned_targets.py
+++ b/packages/pool/chiveridge_pool/owned_targets.py
@@ -5,6 +5,9 @@
 
 from chiveridge_pool import grants, identifiers, resources, runs, targets, timings
 
+_CLOCK_TOLERANCE_MS = 200.0
+"""Difference of two readings of a target's clock that the way of the replies may cause."""
+
 
 class OwnershipState(enum.Enum):
     """Ownership state of a target.
@@ -47,6 +50,12 @@
         self._clock_ms = clock_ms
         self._clock_at = now
 
+    def agrees_with_clock(self, clock_ms: int, now: datetime.datetime) -> bool:
+        """Return whether a reading continues the earlier ones, as the clock restarts at a crash."""
+        elapsed_ms = (now - self._clock_at) / datetime.timedelta(milliseconds=1)
+        tolerance_ms = _CLOCK_TOLERANCE_MS + elapsed_ms * (timings.LEASE_DRIFT_FACTOR - 1)
+        return abs(clock_ms - self._clock_ms - elapsed_ms) <= tolerance_ms
+
     def lease_end_ms(self, now: datetime.datetime) -> int:
         """Return the end of a full lease that starts now, in milliseconds of the target's clock."""
         elapsed = (now - self._clock_at) / timings.LEASE * 1000
@@ -85,6 +94,10 @@
         if self.grants_by_id.pop(grant.id, None) is not None:
             self.used = self.used.minus(grant.size)
 
+    def has_isolated_run(self) -> bool:
+        """Return whether a run is granted here beside which nothing else may start."""
+        return any(grant.is_isolated for grant in self.grants_by_id.values())
+
     def is_idle(self, now: datetime.datetime) -> bool:
         """Return whether nothing has run on the target for some time."""
         return not self.grants_by_id and now - self._used_at > timings.IDLE_AFTER
@@ -109,15 +122,6 @@
             return False
         return grant.running_since <= self.replied_at
 
-    def has_confirmed_start(self, grant: grants.Grant) -> bool:
-        """Return whether this incarnation of the target has certainly started a run.
-
-        A start that was sent again may have been confirmed by the next incarnation.
-        """
-        if grant.is_start_repeated and not self.was_running_at_last_reply(grant):
-            return False
-        return grant.state is runs.GrantState.RUNNING
-
     def has_pending_grants(self) -> bool:
         """Return whether a grant is reserved or the reply to its start is outstanding."""
         pending = (runs.GrantState.RESERVED, runs.GrantState.STARTING)
--- a/packages/pool/chiveridge_pool/placements.py
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -39,14 +39,18 @@
         owner: identifiers.NodeId,
         granted_tasks: list[GrantedTask],
         now: datetime.datetime,
+        *,
+        is_isolated: bool = False,
     ) -> None:
-        """Ask an owner to start tasks under its grants."""
+        """Ask an owner to start tasks under its grants; no other runs beside isolated ones."""
         sequence = self._sequence_by_owner.get(owner, 0) + 1
         self._sequence_by_owner[owner] = sequence
         run_rows = []
         for task, grant, target, token in granted_tasks:
             task.run_number += 1
-            run = jobs.Run(job, task, grant, owner, target, token, sequence, now)
+            run = jobs.Run(
+                job, task, grant, owner, target, token, sequence, now, is_isolated=is_isolated
+            )
             job.runs_by_grant[grant] = run
             self._runs_by_grant[grant] = run
             run_rows.append((grant, job.task_name(task), identifiers.RunNumber(task.run_number)))
--- a/packages/pool/chiveridge_pool/ranks.py
+++ b/packages/pool/chiveridge_pool/ranks.py
@@ -30,6 +30,10 @@
     LATE = 2
 
 
+LAST: tuple[float, float] = (math.inf, 0.0)
+"""Rank of tasks that are served only where nobody else waits for the room."""
+
+
 class RankingPolicy(enum.Enum):
     """Ranking policies; all but ``SHARES`` exist for comparison.
 
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -50,8 +50,6 @@
             grant.state_changed_at = now
             grant.until_ms = owned.lease_end_ms(now)
             owned.extend_lease(now)
-        else:
-            grant.is_start_repeated = True
         self._outbox.add(
             actions.StartRun(
                 target=owned.target,
@@ -73,10 +71,12 @@
         now: datetime.datetime,
     ) -> None:
         """Handle the reply to a start request, or its failure."""
+        is_same_incarnation = owned.agrees_with_clock(event.clock_ms, now)
         if event.clock_ms:
             owned.record_clock(event.clock_ms, now)
         if event.failure is None:
             grant.state = runs.GrantState.RUNNING
+            grant.is_start_confirmed = is_same_incarnation
             grant.record_progress(grant.percent, now)
             return
         handler = _HANDLER_BY_FAILURE[event.failure]
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -390,6 +390,7 @@
             if owned.accepts_runs(now)
             and self.orders.is_fast_or_trial_due(owned, now)
             and owned.target.id not in self.targets_in_handover
+            and not owned.has_isolated_run()
         ]
 
     def has_missing_target(self) -> bool:
