--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -47,11 +47,13 @@
 class TargetModel:
     """A simulated target; a task runs for the milliseconds given in its spec.
 
-    ``speed`` divides that time; ``clock_rate`` is the speed of the target's clock. ``fails`` is the
-    probability that a new run fails after 1 ms; while ``hangs`` is set, new runs never end. A
-    target that ``is_dark`` ignores all commands. A deadly task (see :func:`is_deadly`) crashes the
-    target, which then refuses connections for ``restart_time``, or ignores all commands if it
-    ``crashes_silently``. ``deadly_starts`` counts the runs of deadly tasks.
+    ``speed`` divides that time; ``clock_rate`` is the speed of the target's clock. A target without
+    ``guards_capacity`` starts whatever it is told. ``fails`` is the probability that a new run
+    fails after 1 ms; while ``hangs`` is set, new runs never end. A target that ``is_dark`` ignores
+    all commands. A deadly task (see :func:`is_deadly`) crashes the target, which then refuses
+    connections for ``restart_time``, or ignores all commands if it ``crashes_silently``.
+    ``deadly_starts`` counts the runs of deadly tasks by task, and ``crashed_runs`` the runs that a
+    crash has ended.
     """
 
     def __init__(
@@ -65,10 +67,12 @@
         speed: float = 1.0,
         clock_rate: float = 1.0,
         labels: tuple[str, ...] = (),
+        guards_capacity: bool = True,
     ):
         self._simulation = simulation
         self.speed = speed
         self.clock_rate = clock_rate
+        self.guards_capacity = guards_capacity
         self.fails = 0.0
         self.hangs = False
         self.is_dark = False
@@ -78,6 +82,7 @@
         self.is_down = False
         self.crashes = 0
         self.deadly_starts: collections.Counter[str] = collections.Counter()
+        self.crashed_runs: collections.Counter[str] = collections.Counter()
         self._rng = random.Random(name)
         self.target = targets.Target(
             id=identifiers.TargetId(name),
@@ -106,6 +111,7 @@
         self.crashes += 1
         for (task, _), run in self._running.items():
             self._spans.append((task, run.started_at, now))
+            self.crashed_runs[task] += 1
         self._running.clear()
         self._ended.clear()
         self._highest_run.clear()
@@ -246,7 +252,7 @@
         used = resources.ZERO
         for run in self._running.values():
             used = used.plus(run.size)
-        if not size.fits_in(self.target.capacity.minus(used)):
+        if self.guards_capacity and not size.fits_in(self.target.capacity.minus(used)):
             return events.Failure.NO_ROOM
         return None
 
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -198,9 +198,14 @@
 
 
 class Targets(Message, tag="tg", frozen=True, kw_only=True):
-    """Targets known to the sender, for a peer that has not read the platform's list."""
+    """Targets known to the sender, for a peer that has not read the platform's list.
+
+    With ``are_new``, the platform's list has named them for the first time, and the recipient is
+    their owner.
+    """
 
     targets: tuple[targets.Target, ...]
+    are_new: bool = False
 
 
 class Nodes(Message, tag="nd", frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -68,11 +68,36 @@
 
     def update_targets(self, listed: tuple[targets.Target, ...], now: datetime.datetime) -> None:
         """Update the known and owned targets from the list read from the platform."""
+        new = [target for target in listed if target.id not in self.target_list.by_id]
+        had_list = self.target_list.has_platform_list
         self.target_list.replace(listed, now)
         for target in listed:
             owned = self.owned_by_target.get(target.id)
             if owned is not None:
                 self._update_target(owned, target, now)
+        if had_list and new:
+            self._tell_owners(new, now)
+
+    def _tell_owners(self, new: list[targets.Target], now: datetime.datetime) -> None:
+        """Tell the owners of targets that are new on the list, as they may read it later."""
+        self._update_assignments(now)
+        by_owner: dict[identifiers.NodeId, list[targets.Target]] = {}
+        for target in new:
+            endpoint = self._assignments.endpoint_of(target.id)
+            member = self._members.by_endpoint.get(endpoint)
+            if member is not None and member.is_live(now):
+                by_owner.setdefault(member.id, []).append(target)
+        for owner, of_owner in by_owner.items():
+            message = messages.Targets(sender=self._own_id, targets=tuple(of_owner), are_new=True)
+            self._outbox.send(owner, message)
+
+    def add_reported_targets(self, message: messages.Targets) -> None:
+        """Add targets of which a peer tells, unless this node knows better from the list."""
+        if message.are_new:
+            for target in message.targets:
+                self.target_list.add(target)
+        else:
+            self.target_list.add_reported(message.targets)
 
     def mark_draining(self, reported: tuple[tuple[identifiers.TargetId, int], ...]) -> None:
         """Start no more runs on targets that a peer reports as draining."""
@@ -98,7 +123,7 @@
         """Perform due claims, handovers, lease renewals, stops and expirations."""
         self._drop_missing(now)
         self._count_targets()
-        self._assignments.update(self.target_list.by_id.values(), self.target_list.revision, now)
+        self._update_assignments(now)
         for target in self._assignments.own_targets:
             if target.id not in self.owned_by_target:
                 self._claim_if_due(target.id, now)
@@ -110,6 +135,10 @@
         self._node_monitor.tick(now)
         self.serve_requests(now)
 
+    def _update_assignments(self, now: datetime.datetime) -> None:
+        listed = self.target_list.by_id.values()
+        self._assignments.update(listed, self.target_list.revision, now)
+
     def _count_targets(self) -> None:
         """Tell the membership how many targets each failure domain has, if that has changed."""
         if self._counted_revision != self.target_list.revision:
--- a/tests/pool/test_pool_target_lists.py
+++ b/tests/pool/test_pool_target_lists.py
@@ -1,9 +1,12 @@
 """Handling of targets whose entries are missing from the platform's list."""
 
+import datetime
+
+import msgspec
 import pools
 import pytest
 
-from chiveridge_pool import actions, events
+from chiveridge_pool import actions, events, resources
 
 
 def _list_targets(model) -> None:
@@ -86,3 +89,18 @@
     for node in model.nodes_by_name.values():
         owned |= node.kernel.target_owner.owned_tokens().keys()
     assert new <= owned
+
+
+def test_nothing_starts_beyond_a_capacity_that_has_shrunk():
+    model = pools.pool(nodes_per_domain=1, targets_per_domain=1, domains="ab")
+    for target in model.targets_by_id.values():
+        target.guards_capacity = False
+        shrunk = resources.Resources(pools.TASK_CPU + 1, 1000, 0)
+        target.target = msgspec.structs.replace(target.target, capacity=shrunk)
+    _list_targets(model)
+    caller_timeout = datetime.timedelta(seconds=5)
+    model.submit(pools.node(model, 1), pools.job("a" * 16, 8, caller_timeout=caller_timeout))
+    for _ in range(40):
+        model.run(seconds=0.02)
+        assert all(len(target._running) <= 1 for target in model.targets_by_id.values())
+    assert sum(target.starts for target in model.targets_by_id.values()) >= 8
