Tell probable causes of a crash from innocent tasks by how soon targets crash

Decisions on suspects move to a module of their own; the soak plays tasks that crash their targets and checks that none is blamed wrongly.

--- a/packages/client/chiveridge_client/traces.py
+++ b/packages/client/chiveridge_client/traces.py
@@ -218,6 +218,10 @@
 def _decide_failed(
     request_lines: list[LogLine], context: list[LogLine], answer: LogLine
 ) -> tuple[LogLine | None, str]:
+    reason = str(answer.fields.get("reason") or "")
+    if "crashed" in reason:
+        crashed = _last_line(context, "TARGET_CRASHED")
+        return crashed or answer, f"failed: {reason}"
     failed = _last_line(request_lines, "RUN_ENDED", "RUN_LOST", how="failed")
     return failed or answer, "failed: a task failed as often as its queue allows"
 
--- a/packages/load/chiveridge_load/pool_soaks.py
+++ b/packages/load/chiveridge_load/pool_soaks.py
@@ -1,7 +1,7 @@
 """Soak test of the simulated pool: injects random faults and checks the guarantees.
 
 Usage: ``python -m chiveridge_load.pool_soaks --seeds 100 [--first_seed 1] [--seconds 20]
-[--nodes_per_domain 2] [--duplicate_share 0]``
+[--nodes_per_domain 2] [--duplicate_share 0] [--deadly_share 0]``
 
 The seed determines the jobs, the faults and their times. Callers behave like those of the
 platform: if the connection breaks or the answer is that the job was given up, they send the job
@@ -9,6 +9,7 @@
 targets recorded are compared with the answers.
 """
 
+import collections
 import datetime
 import itertools
 import random
@@ -19,7 +20,7 @@
 from absl import app, flags
 
 from chiveridge_load import pool_models, pool_targets
-from chiveridge_pool import actions, identifiers, jobs, resources
+from chiveridge_pool import actions, crash_histories, identifiers, jobs, resources, suspects
 
 RESEND_DELAY = datetime.timedelta(milliseconds=1300)
 """Delay after which a caller without an answer sends its job again, as the users specify it."""
@@ -27,6 +28,9 @@
 RECOVERY_SECONDS = 14.0
 """Time without faults at the end, longer than a caller needs for all its attempts."""
 
+MAX_DEADLY_STARTS = 5
+"""Starts of a task that crashes its targets: two more after the third, as the users allow."""
+
 _DOMAINS = "abc"
 _TARGETS_PER_DOMAIN = 4
 _JOBS_PER_SECOND = 12.0
@@ -47,8 +51,15 @@
 class Soak:
     """The soak test of one seed: a simulated pool, its jobs and its faults."""
 
-    def __init__(self, seed: int, nodes_per_domain: int = 2, duplicate_share: float = 0.0):
+    def __init__(
+        self,
+        seed: int,
+        nodes_per_domain: int = 2,
+        duplicate_share: float = 0.0,
+        deadly_share: float = 0.0,
+    ):
         self._duplicate_share = duplicate_share
+        self._deadly_share = deadly_share
         self._rng = random.Random(seed)
         self.model = pool_models.PoolModel(seed)
         for domain in _DOMAINS:
@@ -56,6 +67,10 @@
                 self.model.add_node(domain, strength=number % 2)
             for _ in range(_TARGETS_PER_DOMAIN):
                 self.model.add_target(domain, clock_rate=self._rng.choice((0.98, 1.0)))
+        if deadly_share:
+            for target in self.model.targets_by_id.values():
+                target.restart_time = self._rng.uniform(0.5, 4) * datetime.timedelta(seconds=1)
+                target.crashes_silently = self._rng.random() < 0.2
         self.model.boot_all()
         self.sent: list[SentJob] = []
         self.faults: list[str] = []
@@ -70,7 +85,12 @@
         self.model.run(seconds)
         self._end_all_faults()
         self.model.run(RECOVERY_SECONDS)
-        return [*self._check_runs(), *self._check_answers(), *self._check_owners()]
+        return [
+            *self._check_runs(),
+            *self._check_answers(),
+            *self._check_owners(),
+            *self._check_crashes(),
+        ]
 
     def _schedule_repeatedly(self, per_second: float, callback: Callable[[], None]) -> None:
         delay = datetime.timedelta(seconds=self._rng.expovariate(per_second))
@@ -105,11 +125,14 @@
         steps = (step,)
         if self._rng.random() < 0.2:
             steps += (msgspec.structs.replace(step, count=1, depends_on=(0,)),)
+        spec = f"{run_ms} {size.cpu} {size.memory_mb} 0"
+        if self._deadly_share and self._rng.random() < self._deadly_share:
+            spec += f" deadly {self._rng.randrange(count)}"
         return jobs.JobRequest(
             id=identifiers.JobId(f"{next(self._ids):016x}"),
             queue=identifiers.QueueName(f"queue-{run_ms:.0f}"),
             service=identifiers.ServiceName("service"),
-            spec=f"{run_ms} {size.cpu} {size.memory_mb} 0",
+            spec=spec,
             steps=steps,
             caller_timeout=self._rng.uniform(1500, 3200) * _MS,
             max_attempts=3,
@@ -349,6 +372,28 @@
         shared = {target for target in owned if owned.count(target) > 1}
         return violations + [f"target {name} has several owners" for name in sorted(shared)]
 
+    def _check_crashes(self) -> list[str]:
+        """Check that no task crashes targets without end, and that none is blamed wrongly."""
+        starts: collections.Counter[str] = collections.Counter()
+        crashed: collections.Counter[str] = collections.Counter()
+        for target in self.model.targets_by_id.values():
+            starts.update(target.deadly_starts)
+            crashed.update(target.crashed_runs)
+        violations = [
+            f"task {task} crashed targets in {count} starts"
+            for task, count in starts.items()
+            if count > MAX_DEADLY_STARTS
+        ]
+        most_crashes_by_job: dict[str, int] = {}
+        for task, count in crashed.items():
+            job = task.partition(".")[0]
+            most_crashes_by_job[job] = max(most_crashes_by_job.get(job, 0), count)
+        for answer in self.model.answers_by_caller.values():
+            is_blamed = answer.reason == suspects.CRASHING_REASON
+            if is_blamed and most_crashes_by_job.get(answer.job, 0) < crash_histories.MAX_CRASHES:
+                violations.append(f"job {answer.job} failed for crashes that were not its own")
+        return violations
+
 
 _FAULTS: dict[str, Callable[[Soak], Callable[[], None] | None]] = {
     "kill a node": Soak._kill_node,
@@ -377,6 +422,7 @@
     flags.DEFINE_integer("first_seed", 1, "First seed.")
     flags.DEFINE_integer("nodes_per_domain", 2, "Nodes of each domain.", lower_bound=1)
     flags.DEFINE_float("duplicate_share", 0.0, "Share of the jobs sent again while in progress.")
+    flags.DEFINE_float("deadly_share", 0.0, "Share of the jobs with a task that crashes targets.")
     flags.DEFINE_float("seconds", 20.0, "Duration of the faults, in seconds.", lower_bound=1.0)
 
 
@@ -386,7 +432,7 @@
     options = flags.FLAGS
     failed_seeds = 0
     for seed in range(options.first_seed, options.first_seed + options.seeds):
-        soak = Soak(seed, options.nodes_per_domain, options.duplicate_share)
+        soak = Soak(seed, options.nodes_per_domain, options.duplicate_share, options.deadly_share)
         violations = soak.play(options.seconds)
         if violations:
             failed_seeds += 1
--- a/packages/pool/chiveridge_pool/capacity_requests.py
+++ b/packages/pool/chiveridge_pool/capacity_requests.py
@@ -155,11 +155,10 @@
     ) -> tuple[float, float]:
         """Return the rank of a demand; tasks that probably crash their target are served last."""
         history = self._crash_reports.history
-        if demand.is_isolated and any(
-            history.is_likely_culprit(job.request.id, job.task_name(task))
-            for task in demand.waiting_tasks
-        ):
-            return ranks.LAST
+        if demand.is_isolated:
+            next_task = job.task_name(demand.waiting_tasks[-1])
+            if history.is_likely_culprit(job.request.id, next_task, now):
+                return ranks.LAST
         return self._ranks.rank(job, now)
 
     def _send(
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -8,7 +8,6 @@
 from chiveridge_pool import (
     actions,
     capacity_requests,
-    crash_histories,
     crash_reports,
     deadlines,
     events,
@@ -23,6 +22,7 @@
     ranks,
     refusals,
     runs,
+    suspects,
     target_owners,
 )
 
@@ -33,13 +33,6 @@
 _UNEXPLAINED_ENDS = frozenset({runs.RunEnd.CRASHED, runs.RunEnd.LOST})
 """Ends of runs whose task may have crashed its target."""
 
-_ENDING_BY_FINDING = {
-    crash_histories.Finding.CULPRIT: (actions.Verdict.FAILED, "a task has crashed its targets"),
-    crash_histories.Finding.UNEXPLAINED: (
-        actions.Verdict.GIVEN_UP,
-        "the targets of a task were lost too often",
-    ),
-}
 _RUN_NUMBER_INCREMENT = 16
 """Added to the run number after a target has rejected it as out of date."""
 
@@ -66,12 +59,12 @@
         self._outbox = outbox
         self._target_owner = target_owner
         self._own_id = table.own_id
-        self._crash_reports = reports
         self._ranks = ranks.Ranks(order)
         self._refusals = refusals.Refusals(table, outbox, target_owner)
         self._capacity_requester = capacity_requests.CapacityRequester(
             table, outbox, target_owner, self._ranks, reports
         )
+        self._suspects = suspects.Suspects(reports, self._capacity_requester)
         self.followed_jobs = followed_jobs.FollowedJobs(table, outbox, self)
         self._job_by_caller: dict[identifiers.CallerId, jobs.Job] = {}
         self.placements = placements.Placements(table, outbox, self._run_ended)
@@ -118,7 +111,7 @@
 
     def _answer_if_crashing(self, event: events.JobSubmitted) -> bool:
         """Answer a job that was sent again and of which a task is known to crash targets."""
-        ending = _ENDING_BY_FINDING.get(self._crash_reports.history.worst_finding(event.job.id))
+        ending = self._suspects.find_ending(event.job.id)
         if ending is None:
             return False
         verdict, reason = ending
@@ -140,7 +133,7 @@
     def end_if_crashing(self, job_id: identifiers.JobId, now: datetime.datetime) -> None:
         """End a job in progress of which a task is known to crash targets."""
         job = self.jobs_by_id.get(job_id)
-        ending = _ENDING_BY_FINDING.get(self._crash_reports.history.worst_finding(job_id))
+        ending = self._suspects.find_ending(job_id)
         if job is None or job.has_ended or ending is None:
             return
         self._answer(job, *ending, now)
@@ -163,7 +156,7 @@
             size=[list(step.size.as_tuple()) for step in request.steps],
             version=event.configuration_version,
         )
-        self._isolate_suspects(job, now)
+        self._suspects.isolate_known(job, now)
         self._request_for_startable_steps(job, now)
 
     def _refusal_reason(
@@ -403,7 +396,8 @@
         if how in _ENDS_TO_AVOID_TARGET_AFTER:
             self._avoid_target(run)
         if how in _UNEXPLAINED_ENDS:
-            self._report_unexplained_end(run, now)
+            self._suspects.report_lost_run(run, now)
+            self.end_if_crashing(job.request.id, now)
             if job.has_ended:
                 return
         if how is runs.RunEnd.OLD:
@@ -413,28 +407,7 @@
             self._end(job, now)
             return
         self.placements.log_requeue(run, how, now)
-        demand = task.step.isolated if self._must_isolate(job, task, now) else task.step
-        demand.waiting_tasks.append(task)
-        if demand.request_all_at is None:
-            demand.request_all_at = now
-
-    def _must_isolate(self, job: jobs.Job, task: jobs.Task, now: datetime.datetime) -> bool:
-        history = self._crash_reports.history
-        return history.must_isolate(job.request.id, job.task_name(task), now)
-
-    def _isolate_suspects(self, job: jobs.Job, now: datetime.datetime) -> None:
-        """Let tasks under which a target crashed before the job was sent again run alone."""
-        for step in job.steps:
-            isolated = [task for task in step.waiting_tasks if self._must_isolate(job, task, now)]
-            if isolated:
-                step.waiting_tasks = [task for task in step.waiting_tasks if task not in isolated]
-                step.isolated.waiting_tasks = isolated
-
-    def _report_unexplained_end(self, run: jobs.Run, now: datetime.datetime) -> None:
-        """Report that a target was lost with a run, and end the job if it crashes targets."""
-        job = run.job.request.id
-        self._crash_reports.report_run(job, run.job.task_name(run.task), run.target, now)
-        self.end_if_crashing(job, now)
+        self._suspects.put_back(job, task, now)
 
     def _avoid_target(self, run: jobs.Run) -> None:
         """Exclude a target for a task; start over once every listed target is excluded."""
@@ -464,6 +437,7 @@
             self._answer(job, actions.Verdict.REFUSED, refusals.NO_ROOM, now)
             self._end(job, now)
         else:
+            self._suspects.end_long_isolations(job, now)
             self._capacity_requester.tick(job, now)
 
     def _is_too_late_to_start(self, job: jobs.Job, now: datetime.datetime) -> bool:
--- a/packages/pool/chiveridge_pool/crash_histories.py
+++ b/packages/pool/chiveridge_pool/crash_histories.py
@@ -26,8 +26,11 @@
 ISOLATING_FOR = datetime.timedelta(seconds=30)
 """Time after a task was found to crash targets for which suspects run by themselves."""
 
-_LIKELY_WITHIN_MS = 250.0
-"""Run time at the crash up to which a task is its likely cause; others have run for a while."""
+_MAX_LIKELY_MS = 250.0
+"""Run time at a crash up to which a task is its likely cause, until a cause has been found."""
+
+_LIKELY_FACTOR = 3.0
+"""Factor on the run time after which tasks have been found to crash their targets."""
 
 _ISOLATING_CRASHES = 2
 """Targets that crashed under a job, after which its suspects run by themselves at once."""
@@ -67,54 +70,80 @@
     UNEXPLAINED = "unexplained"
 
 
+_Incarnation = tuple[identifiers.TargetId, int]
+_CrashesByTask = dict[identifiers.TaskName, dict[_Incarnation, Crash]]
+
+
 class CrashHistory:
-    """The crashes that are known to this node, by job."""
+    """The crashes that are known to this node, by job and task."""
 
     def __init__(self):
-        self._crashes_by_job: dict[identifiers.JobId, dict[tuple, Crash]] = {}
+        self._by_job: dict[identifiers.JobId, _CrashesByTask] = {}
         self._culprit_found_at: datetime.datetime | None = None
+        self._likely_within_ms = _MAX_LIKELY_MS
 
     def record(self, crash: Crash, now: datetime.datetime) -> bool:
         """Remember a crash; return whether it tells anything new."""
         if crash.is_expired(now):
             return False
-        crashes = self._crashes_by_job.get(crash.job, {})
-        key = (crash.task, crash.target, crash.started_at_ms)
-        known = crashes.get(key)
+        by_task = self._by_job.get(crash.job, {})
+        crashes = by_task.setdefault(crash.task, {})
+        incarnation = (crash.target, crash.started_at_ms)
+        known = crashes.get(incarnation)
         if known is not None and known.is_certain >= crash.is_certain:
             return False
-        crashes[key] = crash
+        crashes[incarnation] = crash
         # Inserted anew, so that the jobs stay in the order of their last crashes.
-        self._crashes_by_job.pop(crash.job, None)
-        self._crashes_by_job[crash.job] = crashes
+        self._by_job.pop(crash.job, None)
+        self._by_job[crash.job] = by_task
+        if len(self._by_job) > _MAX_JOBS:
+            del self._by_job[next(iter(self._by_job))]
         if self.finding(crash.job, crash.task) is Finding.CULPRIT:
-            self._culprit_found_at = now
-        if len(self._crashes_by_job) > _MAX_JOBS:
-            del self._crashes_by_job[next(iter(self._crashes_by_job))]
+            self._learn_from_culprit(crash, now)
         return True
 
-    def knows(self, task: identifiers.TaskName, target: identifiers.TargetId, job) -> bool:
-        """Return whether a crash of a target under a task is known."""
-        return any(
-            crash.task == task and crash.target == target
-            for crash in self._crashes_by_job.get(job, {}).values()
-        )
+    def _learn_from_culprit(self, crash: Crash, now: datetime.datetime) -> None:
+        """Remember when a culprit was found, and how soon after their start culprits crash."""
+        crashes = self._crashes_under(crash.job, crash.task)
+        ran_ms = max(known.ran_ms for known in crashes if known.is_certain)
+        is_first = not self._has_recent_culprit(now)
+        likely_ms = 0.0 if is_first else self._likely_within_ms
+        self._likely_within_ms = min(max(likely_ms, _LIKELY_FACTOR * ran_ms), _MAX_LIKELY_MS)
+        self._culprit_found_at = now
+
+    def _has_recent_culprit(self, now: datetime.datetime) -> bool:
+        found_at = self._culprit_found_at
+        return found_at is not None and now - found_at < ISOLATING_FOR
+
+    def _crashes_under(self, job: identifiers.JobId, task: identifiers.TaskName) -> list[Crash]:
+        return list(self._by_job.get(job, {}).get(task, {}).values())
+
+    def knows(
+        self,
+        job: identifiers.JobId,
+        task: identifiers.TaskName,
+        target: identifiers.TargetId,
+    ) -> bool:
+        """Return whether a crash or the silence of a target under a task is known."""
+        return any(crash.target == target for crash in self._crashes_under(job, task))
 
     def forget_expired(self, now: datetime.datetime) -> None:
         """Forget the jobs whose crashes have all expired."""
-        for job, crashes in list(self._crashes_by_job.items()):
-            if all(crash.is_expired(now) for crash in crashes.values()):
-                del self._crashes_by_job[job]
+        for job in list(self._by_job):
+            if all(crash.is_expired(now) for crash in self._crashes_of(job)):
+                del self._by_job[job]
+
+    def _crashes_of(self, job: identifiers.JobId) -> list[Crash]:
+        by_task = self._by_job.get(job, {})
+        return [crash for crashes in by_task.values() for crash in crashes.values()]
 
     def all(self) -> list[Crash]:
         """Return all crashes."""
-        return [crash for crashes in self._crashes_by_job.values() for crash in crashes.values()]
+        return [crash for job in self._by_job for crash in self._crashes_of(job)]
 
     def finding(self, job: identifiers.JobId, task: identifiers.TaskName) -> Finding:
         """Return what the crashes under a task mean for it."""
-        crashes = [
-            crash for crash in self._crashes_by_job.get(job, {}).values() if crash.task == task
-        ]
+        crashes = self._crashes_under(job, task)
         if not crashes:
             return Finding.NONE
         crash_count = _count_incarnations([crash for crash in crashes if crash.is_certain])
@@ -136,24 +165,21 @@
         """
         if self.finding(job, task) is Finding.NONE:
             return False
-        found_at = self._culprit_found_at
-        if found_at is not None and now - found_at < ISOLATING_FOR:
+        if self._has_recent_culprit(now):
             return True
-        crashes = self._crashes_by_job[job].values()
-        crashed = {crash.target for crash in crashes if crash.is_certain}
+        crashed = {crash.target for crash in self._crashes_of(job) if crash.is_certain}
         return len(crashed) >= _ISOLATING_CRASHES
 
-    def is_likely_culprit(self, job: identifiers.JobId, task: identifiers.TaskName) -> bool:
-        """Return whether a task had just started when a target crashed under it."""
-        return any(
-            crash.task == task and crash.ran_ms <= _LIKELY_WITHIN_MS
-            for crash in self._crashes_by_job.get(job, {}).values()
-        )
+    def is_likely_culprit(
+        self, job: identifiers.JobId, task: identifiers.TaskName, now: datetime.datetime
+    ) -> bool:
+        """Return whether a target crashed as soon after a task's start as culprits crash theirs."""
+        limit_ms = self._likely_within_ms if self._has_recent_culprit(now) else _MAX_LIKELY_MS
+        return any(crash.ran_ms <= limit_ms for crash in self._crashes_under(job, task))
 
     def worst_finding(self, job: identifiers.JobId) -> Finding:
         """Return the finding that decides whether a job may go on."""
-        tasks = {crash.task for crash in self._crashes_by_job.get(job, {}).values()}
-        findings = {self.finding(job, task) for task in tasks}
+        findings = {self.finding(job, task) for task in self._by_job.get(job, {})}
         return next((finding for finding in _WORST_FIRST if finding in findings), Finding.NONE)
 
 
--- a/packages/pool/chiveridge_pool/crash_reports.py
+++ b/packages/pool/chiveridge_pool/crash_reports.py
@@ -65,7 +65,7 @@
         now: datetime.datetime,
     ) -> None:
         """Report a run that was lost without a word on its target by the target's owner."""
-        if self.history.knows(task, target, job):
+        if self.history.knows(job, task, target):
             return
         recorded_at_ms = crash_histories.to_unix_ms(now)
         self._report([crash_histories.Crash(job, task, target, 0, False, recorded_at_ms)], now)
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -98,7 +98,7 @@
 class Task:
     """One task of a job in progress."""
 
-    __slots__ = ("attempts", "avoided_targets", "index", "run_number", "step")
+    __slots__ = ("attempts", "avoided_targets", "index", "isolated_since", "run_number", "step")
 
     def __init__(self, step: "Step", index: int):
         self.step = step
@@ -106,6 +106,8 @@
         self.attempts = 0
         self.run_number = 0
         self.avoided_targets: set[identifiers.TargetId] = set()
+        # Since when it waits for a target on which nothing else runs; None otherwise.
+        self.isolated_since: datetime.datetime | None = None
 
 
 class Run:
@@ -188,6 +190,12 @@
         self.done_count = 0
         self.isolated = CapacityDemand(number, request, is_isolated=True)
 
+    def isolate(self, task: Task, now: datetime.datetime, *, is_last: bool) -> None:
+        """Let a task wait for a target on which nothing else runs, ``is_last`` after others."""
+        task.isolated_since = now
+        position = 0 if is_last else len(self.isolated.waiting_tasks)
+        self.isolated.waiting_tasks.insert(position, task)
+
     def is_done(self) -> bool:
         """Tell whether all tasks of the step are done."""
         return self.done_count == self.request.count
--- a/tests/pool/test_pool_crash_histories.py
+++ b/tests/pool/test_pool_crash_histories.py
@@ -13,8 +13,11 @@
 Finding = crash_histories.Finding
 
 
-def _crash(target, started_at_ms=1, *, is_certain=True, task=TASK, at_ms=AT_MS):
-    return crash_histories.Crash(JOB, task, target, started_at_ms, is_certain, at_ms)
+OTHER_TASK = f"{JOB}.0.0.1"
+
+
+def _crash(target, started_at_ms=1, *, is_certain=True, task=TASK, ran_ms=0.0):
+    return crash_histories.Crash(JOB, task, target, started_at_ms, is_certain, AT_MS, ran_ms)
 
 
 def _history(*crashes):
@@ -33,7 +36,7 @@
         ((_crash("t1"), _crash("t2")), Finding.CULPRIT),
         ((_crash("t1"), _crash("t1", 2)), Finding.CULPRIT),
         ((_crash("t1"), _crash("t1", 0)), Finding.SUSPECT),
-        ((_crash("t1"), _crash("t2", task=f"{JOB}.0.0.1")), Finding.SUSPECT),
+        ((_crash("t1"), _crash("t2", task=OTHER_TASK)), Finding.SUSPECT),
         ([_crash(f"t{n}", is_certain=False) for n in range(3)], Finding.SUSPECT),
         ([_crash(f"t{n}", is_certain=False) for n in range(4)], Finding.UNEXPLAINED),
         ([_crash(f"t{n}", is_certain=n == 0) for n in range(4)], Finding.UNEXPLAINED),
@@ -68,3 +71,22 @@
         target = f"t{len(history.all())}"
         history.record(crash_histories.Crash(job, f"{job}.0.0.0", target, 1, True, AT_MS), NOW)
     assert {crash.job for crash in history.all()} == {"a", "c"}
+
+
+def test_suspects_run_alone_while_there_are_tasks_that_crash_targets():
+    history = _history(_crash("t1"), _crash("t1", task=OTHER_TASK))
+    assert not history.must_isolate(JOB, OTHER_TASK, NOW)
+    history.record(_crash("t2"), NOW)
+    assert history.must_isolate(JOB, OTHER_TASK, NOW)
+    assert not history.must_isolate(JOB, f"{JOB}.0.0.2", NOW)
+
+
+def test_the_likely_cause_of_a_crash_had_run_as_long_as_those_found_before():
+    history = _history(_crash("t1", task=OTHER_TASK, ran_ms=100.0))
+    assert history.is_likely_culprit(JOB, OTHER_TASK, NOW)
+    for target in ("t2", "t3"):
+        history.record(_crash(target, ran_ms=12.0), NOW)
+    assert not history.is_likely_culprit(JOB, OTHER_TASK, NOW)
+    assert history.is_likely_culprit(JOB, TASK, NOW)
+    later = NOW + crash_histories.ISOLATING_FOR
+    assert history.is_likely_culprit(JOB, OTHER_TASK, later)
--- a/tests/pool/test_pool_crashing_tasks.py
+++ b/tests/pool/test_pool_crashing_tasks.py
@@ -5,7 +5,8 @@
 import pools
 import pytest
 
-from chiveridge_pool import actions, notes
+from chiveridge_load import pool_models
+from chiveridge_pool import actions, crash_histories, events, notes
 
 PATIENCE = datetime.timedelta(seconds=20)
 RESTART_TIME = datetime.timedelta(seconds=4)
@@ -175,3 +176,36 @@
     model.run(seconds=10)
     assert len(crashes) == MAX_CRASHES
     assert _verdict(model, caller) is actions.Verdict.COMPLETE
+
+
+def test_explains_a_job_that_failed_since_its_task_crashes_targets():
+    model = _pool()
+    logs = pools.DecisionLogs(model)
+    model.submit(pools.node(model, 1), _deadly_job("d" * 16))
+    model.run(seconds=10)
+    trace = logs.trace("d" * 16)
+    assert trace.cause == "failed: a task has crashed its targets"
+    assert trace.deciding.name == "TARGET_CRASHED"
+    assert trace.deciding.fields["runs"][0][0] == f"{'d' * 16}.0.0.0"
+
+
+def _crash(job, target, ran_ms):
+    at_ms = crash_histories.to_unix_ms(pool_models.EPOCH)
+    return crash_histories.Crash(job, f"{job}.0.0.0", target, 1, True, at_ms, ran_ms)
+
+
+@pytest.mark.parametrize(("ran_ms", "starts"), [(100.0, 1), (12.0, 0)])
+def test_a_suspect_runs_beside_others_if_it_is_probably_innocent_and_no_target_is_empty(
+    ran_ms, starts
+):
+    model = _pool(nodes_per_domain=1, targets_per_domain=1)
+    crashes = [_crash("c" * 16, "t8", 12.0), _crash("c" * 16, "t9", 12.0)]
+    crashes.append(_crash("a" * 16, "t9", ran_ms))
+    for node in model.nodes_by_name.values():
+        node.handle(events.CrashesRead(crashes=tuple(crashes)))
+    filling = pools.job("b" * 16, 3, 9000.0, cpu=40_000, caller_timeout=PATIENCE)
+    model.submit(pools.node(model, 1), filling)
+    model.run(seconds=0.1)
+    model.submit(pools.node(model, 1), pools.job("a" * 16, cpu=20_000, caller_timeout=PATIENCE))
+    model.run(seconds=1)
+    assert sum(target.starts for target in model.targets_by_id.values()) == 3 + starts
--- a/tests/pool/test_pool_soaks.py
+++ b/tests/pool/test_pool_soaks.py
@@ -26,3 +26,11 @@
     assert first.play(5.0) == second.play(5.0)
     assert first.faults == second.faults
     assert first.model.answered_at == second.model.answered_at
+
+
+@pytest.mark.promise("at_most_once", failures=["target_death", "two_at_once"])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_random_faults_beside_tasks_that_crash_their_targets_violate_no_guarantee(seed):
+    soak = pool_soaks.Soak(seed, deadly_share=0.15)
+    assert soak.play(SECONDS) == []
+    assert any(target.deadly_starts for target in soak.model.targets_by_id.values())
