Count each incarnation of a silent target that was lost under a task

Soak with 15% deadly jobs, seed 52: a task was started six times. Two silent crashes of one target counted once, as silent targets were counted by their id. test_finding_of_a_task with four incarnations of one target failed before. In the model a deadly task now crashes its target also where others fail; one of the six starts had failed there after 1 ms, and the crash after it was nobody's.

--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -265,6 +265,7 @@
             self.deadly_starts[key[0]] += 1
             incarnation = self.incarnation
             self._simulation.call_later(CRASH_DELAY, lambda: self.crash_under(incarnation))
+            return
         if self.hangs:
             return
         run_end = "failed" if self._rng.random() < self.fails else "done"
--- a/packages/pool/chiveridge_pool/crash_histories.py
+++ b/packages/pool/chiveridge_pool/crash_histories.py
@@ -146,12 +146,9 @@
         crashes = self._crashes_under(job, task)
         if not crashes:
             return Finding.NONE
-        crash_count = _count_incarnations([crash for crash in crashes if crash.is_certain])
-        if crash_count >= MAX_CRASHES:
+        if _count_incarnations([crash for crash in crashes if crash.is_certain]) >= MAX_CRASHES:
             return Finding.CULPRIT
-        crashed = {crash.target for crash in crashes if crash.is_certain}
-        silent = {crash.target for crash in crashes} - crashed
-        if crash_count + len(silent) >= MAX_UNEXPLAINED_ENDS:
+        if _count_incarnations(crashes) >= MAX_UNEXPLAINED_ENDS:
             return Finding.UNEXPLAINED
         return Finding.SUSPECT
 
@@ -187,7 +184,7 @@
 
 
 def _count_incarnations(crashes: list[Crash]) -> int:
-    """Count crashed incarnations; an unknown one is taken for a known one of the same target."""
+    """Count lost incarnations; an unknown one is taken for a known one of the same target."""
     known = {(crash.target, crash.started_at_ms) for crash in crashes if crash.started_at_ms}
     targets = {target for target, _ in known}
     unknown = {crash.target for crash in crashes if not crash.started_at_ms}
--- a/tests/pool/test_pool_crash_histories.py
+++ b/tests/pool/test_pool_crash_histories.py
@@ -39,6 +39,7 @@
         ((_crash("t1"), _crash("t2", task=OTHER_TASK)), Finding.SUSPECT),
         ([_crash(f"t{n}", is_certain=False) for n in range(3)], Finding.SUSPECT),
         ([_crash(f"t{n}", is_certain=False) for n in range(4)], Finding.UNEXPLAINED),
+        ([_crash("t1", n, is_certain=False) for n in range(1, 5)], Finding.UNEXPLAINED),
         ([_crash(f"t{n}", is_certain=n == 0) for n in range(4)], Finding.UNEXPLAINED),
         ((_crash("t1", is_certain=False), _crash("t1"), _crash("t2")), Finding.CULPRIT),
     ],
--- a/tests/pool/test_pool_soaks.py
+++ b/tests/pool/test_pool_soaks.py
@@ -29,7 +29,7 @@
 
 
 @pytest.mark.promise("at_most_once", failures=["target_death", "two_at_once"])
-@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("seed", [1, 2, 52])
 def test_random_faults_beside_tasks_that_crash_their_targets_violate_no_guarantee(seed):
     soak = pool_soaks.Soak(seed, deadly_share=0.15)
     assert soak.play(SECONDS) == []
