Look for room by size at full owners, and for a new request only at its own

Class of fault: work a event that grows with the queue, which grows as work falls behind.

A size that fits nowhere is not tried again in the same pass, nor larger ones, and a new request is served from what the others have left, as whatever frees room serves the whole queue. Test: 300 requests at a full owner try 3,600 targets a pass before, 360 at most now.

--- a/packages/pool/chiveridge_pool/capacity_queues.py
+++ b/packages/pool/chiveridge_pool/capacity_queues.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from chiveridge_pool import identifiers, messages, owned_targets
+from chiveridge_pool import identifiers, messages, owned_targets, resources
 
 _Key = tuple[identifiers.NodeId, identifiers.JobId, int, bool]
 
@@ -57,6 +57,32 @@
     return message.sender, message.job, message.step, message.is_isolated
 
 
+class UnfitSizes:
+    """Sizes that fit on none of an owner's targets, while free capacity does not grow.
+
+    With hundreds of requests in the queue of a full owner, looking for a target for each of them
+    would take most of its processor time.
+    """
+
+    def __init__(self):
+        self._sizes_by_kind: dict[tuple, list[resources.Resources]] = {}
+
+    def add(self, message: messages.CapacityRequest) -> None:
+        """Record that a task of a request fits nowhere; a limit per target tells nothing."""
+        if not message.per_target:
+            self._sizes_by_kind.setdefault(_kind(message), []).append(message.size)
+
+    def cover(self, message: messages.CapacityRequest) -> bool:
+        """Return whether a task fits nowhere, as one that needs no more of anything does not."""
+        return any(
+            size.fits_in(message.size) for size in self._sizes_by_kind.get(_kind(message), ())
+        )
+
+
+def _kind(message: messages.CapacityRequest) -> tuple:
+    return message.service, message.label, message.is_isolated
+
+
 def choose_target(
     message: messages.CapacityRequest, usable_targets: list[owned_targets.OwnedTarget]
 ) -> owned_targets.OwnedTarget | None:
--- a/packages/pool/chiveridge_pool/grant_allocators.py
+++ b/packages/pool/chiveridge_pool/grant_allocators.py
@@ -42,9 +42,12 @@
         usable_targets: list[owned_targets.OwnedTarget],
         now: datetime.datetime,
     ) -> None:
-        """Queue a job's request for capacity and serve the queue."""
+        """Queue a job's request for capacity and serve it from what the others have left.
+
+        Whatever frees capacity serves the whole queue.
+        """
         queued = self.capacity_queue.put_or_replace(message)
-        self.serve_requests(usable_targets, now)
+        self._serve_one(queued, usable_targets, now)
         if message.wants_answer and queued.outstanding > 0:
             answer = messages.CapacityGranted(
                 sender=self._own_id,
@@ -60,10 +63,15 @@
         self, usable_targets: list[owned_targets.OwnedTarget], now: datetime.datetime
     ) -> None:
         """Grant free capacity to pending requests, in queue order."""
+        unfit_sizes = capacity_queues.UnfitSizes()
         for request in self.capacity_queue.by_rank():
             if not usable_targets:
                 return
+            if unfit_sizes.cover(request.message):
+                continue
             self._serve_one(request, usable_targets, now)
+            if request.outstanding > 0:
+                unfit_sizes.add(request.message)
 
     def _serve_one(
         self,
--- a/packages/pool/chiveridge_pool/owned_targets.py
+++ b/packages/pool/chiveridge_pool/owned_targets.py
@@ -37,6 +37,7 @@
         self.grants_by_id: dict[identifiers.GrantId, grants.Grant] = {}
         self.unknown_runs: set[tuple[identifiers.TaskName, identifiers.RunNumber]] = set()
         self.used = resources.ZERO
+        self._isolated_count = 0
         self.replied_at: datetime.datetime | None = None
         self.failures = 0
         self.lease_expires_at = now
@@ -88,15 +89,17 @@
         self.grants_by_id[grant.id] = grant
         self._used_at = grant.expires_at
         self.used = self.used.plus(grant.size)
+        self._isolated_count += grant.is_isolated
 
     def remove(self, grant: grants.Grant) -> None:
         """Remove a grant and free its capacity."""
         if self.grants_by_id.pop(grant.id, None) is not None:
             self.used = self.used.minus(grant.size)
+            self._isolated_count -= grant.is_isolated
 
     def has_isolated_run(self) -> bool:
         """Return whether a run is granted here beside which nothing else may start."""
-        return any(grant.is_isolated for grant in self.grants_by_id.values())
+        return self._isolated_count > 0
 
     def is_idle(self, now: datetime.datetime) -> bool:
         """Return whether nothing has run on the target for some time."""
