Blame no run for a crash that was being stopped, lost with its owner, or is long past

Found by reading, each with a test that failed before: a run that was being stopped counted as crashed with its target; a run that was lost with its owner counted as the likely cause of a crash, as its run time was not reported, and so waited behind everybody else; a node that starts and reads a culprit of minutes ago from the store isolated suspects for 30 s.

--- a/packages/pool/chiveridge_pool/crash_histories.py
+++ b/packages/pool/chiveridge_pool/crash_histories.py
@@ -58,7 +58,11 @@
 
     def is_expired(self, now: datetime.datetime) -> bool:
         """Tell whether it need not be remembered any more."""
-        return to_unix_ms(now) - self.recorded_at_ms > KEPT_FOR / datetime.timedelta(milliseconds=1)
+        return self.age(now) > KEPT_FOR
+
+    def age(self, now: datetime.datetime) -> datetime.timedelta:
+        """Return the time since it was recorded; clocks of nodes may differ."""
+        return datetime.timedelta(milliseconds=max(to_unix_ms(now) - self.recorded_at_ms, 0))
 
 
 class Finding(enum.Enum):
@@ -109,7 +113,8 @@
         is_first = not self._has_recent_culprit(now)
         likely_ms = 0.0 if is_first else self._likely_within_ms
         self._likely_within_ms = min(max(likely_ms, _LIKELY_FACTOR * ran_ms), _MAX_LIKELY_MS)
-        self._culprit_found_at = now
+        found_at = now - crash.age(now)
+        self._culprit_found_at = max(self._culprit_found_at or found_at, found_at)
 
     def _has_recent_culprit(self, now: datetime.datetime) -> bool:
         found_at = self._culprit_found_at
--- a/packages/pool/chiveridge_pool/crash_reports.py
+++ b/packages/pool/chiveridge_pool/crash_reports.py
@@ -41,7 +41,7 @@
     ) -> None:
         """Report the runs that an owned target has lost by a crash or by silence.
 
-        A run counts as started before a crash only if the target has confirmed it.
+        A target has crashed under a run only if it has confirmed the start, and no stop was sent.
         """
         crashes = [
             crash_histories.Crash(
@@ -49,7 +49,7 @@
                 grant.task,
                 owned.target.id,
                 owned.started_at_ms,
-                is_certain and grant.is_start_confirmed,
+                is_certain and grant.was_certainly_running(),
                 crash_histories.to_unix_ms(now),
                 clocks.to_ms(now - grant.first_sent_at),
             )
@@ -62,13 +62,22 @@
         job: identifiers.JobId,
         task: identifiers.TaskName,
         target: identifiers.TargetId,
+        started_at: datetime.datetime,
         now: datetime.datetime,
     ) -> None:
         """Report a run that was lost without a word on its target by the target's owner."""
         if self.history.knows(job, task, target):
             return
-        recorded_at_ms = crash_histories.to_unix_ms(now)
-        self._report([crash_histories.Crash(job, task, target, 0, False, recorded_at_ms)], now)
+        crash = crash_histories.Crash(
+            job,
+            task,
+            target,
+            started_at_ms=0,
+            is_certain=False,
+            recorded_at_ms=crash_histories.to_unix_ms(now),
+            ran_ms=clocks.to_ms(now - started_at),
+        )
+        self._report([crash], now)
 
     def _report(self, crashes: list[crash_histories.Crash], now: datetime.datetime) -> None:
         new = tuple(crash for crash in crashes if self.history.record(crash, now))
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -80,6 +80,10 @@
             self.percent = percent
             self.progressed_at = now
 
+    def was_certainly_running(self) -> bool:
+        """Return whether this incarnation of the target has started it, and no stop was sent."""
+        return self.is_start_confirmed and self.state is runs.GrantState.RUNNING
+
     def is_sent(self) -> bool:
         """Return whether its start was sent to the target."""
         return self.state is not runs.GrantState.RESERVED
--- a/packages/pool/chiveridge_pool/suspects.py
+++ b/packages/pool/chiveridge_pool/suspects.py
@@ -44,7 +44,9 @@
 
     def report_lost_run(self, run: jobs.Run, now: datetime.datetime) -> None:
         """Report that a run was lost with its target."""
-        self._reports.report_run(run.job.request.id, run.job.task_name(run.task), run.target, now)
+        self._reports.report_run(
+            run.job.request.id, run.job.task_name(run.task), run.target, run.started_at, now
+        )
 
     def put_back(self, job: jobs.Job, task: jobs.Task, now: datetime.datetime) -> None:
         """Let a task that has to run again wait: a suspect for a target of its own."""
--- a/tests/pool/test_pool_crash_histories.py
+++ b/tests/pool/test_pool_crash_histories.py
@@ -91,3 +91,17 @@
     assert history.is_likely_culprit(JOB, TASK, NOW)
     later = NOW + crash_histories.ISOLATING_FOR
     assert history.is_likely_culprit(JOB, OTHER_TASK, later)
+
+
+def test_a_culprit_of_long_ago_that_a_new_node_reads_isolates_nobody():
+    later = NOW + datetime.timedelta(minutes=5)
+    history = crash_histories.CrashHistory()
+    for crash in (_crash("t1"), _crash("t2")):
+        history.record(crash, later)
+    assert history.finding(JOB, TASK) is Finding.CULPRIT
+    history.record(_crash("t3", task=OTHER_TASK), later)
+    other_job = "b" * 16
+    at_ms = crash_histories.to_unix_ms(later)
+    suspect = crash_histories.Crash(other_job, f"{other_job}.0.0.0", "t3", 1, True, at_ms)
+    history.record(suspect, later)
+    assert not history.must_isolate(other_job, suspect.task, later)
--- a/tests/pool/test_pool_crashing_tasks.py
+++ b/tests/pool/test_pool_crashing_tasks.py
@@ -209,3 +209,30 @@
     model.submit(pools.node(model, 1), pools.job("a" * 16, cpu=20_000, caller_timeout=PATIENCE))
     model.run(seconds=1)
     assert sum(target.starts for target in model.targets_by_id.values()) == 3 + starts
+
+
+def test_a_run_that_was_lost_with_its_owner_is_no_likely_cause_of_a_crash():
+    model = _pool(nodes_per_domain=1)
+    submitter = pools.node(model, 2)
+    request = pools.job("a" * 16, 20, 900.0, caller_timeout=PATIENCE)
+    model.submit(submitter, request)
+    model.run(seconds=0.3)
+    pools.node(model, 1).kill()
+    model.run(seconds=2)
+    history = submitter.kernel.crash_reports.history
+    lost = {crash.task for crash in history.all()}
+    assert lost
+    now = model.simulation.now
+    assert not any(history.is_likely_culprit(request.id, task, now) for task in lost)
+
+
+def test_a_target_that_crashes_while_it_stops_a_run_did_not_crash_under_it():
+    model = _pool(nodes_per_domain=1, targets_per_domain=1, domains="a")
+    caller = model.submit(pools.node(model, 1), pools.job("a" * 16, 1, 900.0))
+    model.run(seconds=0.3)
+    model.leave(caller)
+    for target in model.targets_by_id.values():
+        target.crash_under(target.incarnation)
+    model.run(seconds=1)
+    history = pools.node(model, 1).kernel.crash_reports.history
+    assert [crash.is_certain for crash in history.all()] == [False]
