Keep a target for a second that was handed over before it is handed on

Cause: how many owners a failure domain has depends on how many targets are listed, and nodes that have read the list at different times differ on it while targets crash and come back. Class of fault: two views that each act at once on what the other undoes. A fencing token kept them from acting both, so that it cost time, not a rule.

A node that does not drain keeps a target for 1 s that was handed to it.

--- a/packages/pool/chiveridge_pool/owned_targets.py
+++ b/packages/pool/chiveridge_pool/owned_targets.py
@@ -32,6 +32,7 @@
         self.target = target
         self.token = token
         self.state = OwnershipState.CLAIMING
+        self.taken_over_at: datetime.datetime | None = None
         self.acknowledged = 0
         self.started_at_ms = 0
         self.grants_by_id: dict[identifiers.GrantId, grants.Grant] = {}
@@ -97,6 +98,12 @@
             self.used = self.used.minus(grant.size)
             self._isolated_count -= grant.is_isolated
 
+    def was_just_taken_over(self, now: datetime.datetime) -> bool:
+        """Return whether another owner has handed it over so lately that it should stay here."""
+        if self.taken_over_at is None:
+            return False
+        return now - self.taken_over_at < timings.MIN_TIME_BETWEEN_HANDOVERS
+
     def has_isolated_run(self) -> bool:
         """Return whether a run is granted here beside which nothing else may start."""
         return self._isolated_count > 0
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -198,7 +198,8 @@
         target_id = owned.target.id
         assigned = self._assignments.endpoint_of(target_id)
         new_owner = self._members.by_endpoint.get(assigned) if assigned is not None else None
-        if new_owner is None or not self._is_reachable(new_owner, now):
+        is_early = not self.is_draining and owned.was_just_taken_over(now)
+        if new_owner is None or is_early or not self._is_reachable(new_owner, now):
             self.targets_in_handover.discard(target_id)
             return
         self.targets_in_handover.add(target_id)
@@ -235,6 +236,7 @@
         target = self.target_list.add(message.target)
         token = self._tokens.next(target.id, now, above=message.token)
         owned = handovers.restore_owned_target(message, target, token, now)
+        owned.taken_over_at = now
         owned.extend_lease(now)
         self._add_owned(owned, "taken over", now)
 
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -95,6 +95,12 @@
 MAX_FAILED_HOLDS = 1
 """Number of consecutive failed holds up to which a target is still given new runs."""
 
+MIN_TIME_BETWEEN_HANDOVERS = _ms(1000)
+"""How long a node that does not drain keeps a target that was handed to it.
+
+Nodes that read the list of targets at different times may each believe that the other is the owner.
+"""
+
 CLAIM_RETRY_INTERVAL = _ms(500)
 """Time between attempts to claim an unreachable target."""
 
--- a/tests/pool/test_pool_owners.py
+++ b/tests/pool/test_pool_owners.py
@@ -1,12 +1,22 @@
 """Pools in which only some nodes own targets: who owns them, what is sent, and what faults do."""
 
+import collections
 import datetime
 
 import pools
 import pytest
 
 from chiveridge_load import pool_messages, pool_models
-from chiveridge_pool import actions, events, identifiers, messages, node_lists, timings
+from chiveridge_pool import (
+    actions,
+    events,
+    identifiers,
+    messages,
+    node_lists,
+    notes,
+    owner_sets,
+    timings,
+)
 
 JOB = "a" * 16
 CALLER_TIMEOUT = datetime.timedelta(seconds=8)
@@ -375,3 +385,22 @@
     assert None not in {_verdict(model, caller) for caller in callers}
     complete = sum(_verdict(model, caller) is actions.Verdict.COMPLETE for caller in callers)
     assert complete >= 0.9 * len(callers)
+
+
+def test_owners_that_count_targets_differently_do_not_hand_them_back_and_forth():
+    targets = 3 * owner_sets.TARGETS_PER_OWNER
+    model = pools.pool(nodes_per_domain=4, targets_per_domain=targets, domains="a")
+    model.add_target("a")
+    before = len(model.notes)
+    for number in (1, 2):
+        node = pools.node(model, number)
+        node.handle(events.TargetsListed(targets=model.listed()))
+    seconds = 3
+    model.run(seconds=seconds)
+    taken_over = collections.Counter(
+        note.fields["target"]
+        for note in model.notes[before:]
+        if note.event is notes.NoteEvent.OWNER_CHANGED and note.fields["how"] == "taken over"
+    )
+    assert taken_over
+    assert max(taken_over.values()) <= 2 * seconds
