Check what nodes of two versions read of each other's messages

The test compares the whole message as before, now with that field, and two tests are added: messages of the version before are read without the new fields, and what follows the known fields is ignored. Code unchanged.

--- a/packages/pool/tests/test_messages.py
+++ b/packages/pool/tests/test_messages.py
@@ -32,10 +32,30 @@
 
     data = messages.encode(message)
 
-    assert msgspec.msgpack.decode(data) == ["tg", "n1.1", [_ENCODED_TARGET]]
+    # Nodes of an earlier version ignore what follows the fields that they know.
+    assert msgspec.msgpack.decode(data) == ["tg", "n1.1", [_ENCODED_TARGET], False]
     assert messages.decode(data) == message
 
 
+def test_messages_of_an_earlier_version_are_read_without_the_fields_that_it_lacks() -> None:
+    targets_message = msgspec.msgpack.encode(["tg", "n1.1", [_ENCODED_TARGET]])
+    assert messages.decode(targets_message) == messages.Targets(
+        sender=_SENDER, targets=(_TARGET,), are_new=False
+    )
+    withdrawal = msgspec.msgpack.encode(["wd", "n1.1", "a" * 16, 0])
+    assert messages.decode(withdrawal) == messages.CapacityWithdrawal(
+        sender=_SENDER, job=identifiers.JobId("a" * 16)
+    )
+    granted = msgspec.msgpack.encode(["gr", "n1.1", "a" * 16, 0, [], True])
+    assert messages.decode(granted).is_isolated is False
+
+
+def test_a_field_that_is_not_known_yet_is_ignored() -> None:
+    message = messages.CapacityWithdrawal(sender=_SENDER, job=identifiers.JobId("a" * 16))
+    fields = msgspec.msgpack.decode(messages.encode(message))
+    assert messages.decode(msgspec.msgpack.encode([*fields, "new"])) == message
+
+
 def test_handover_keeps_the_keys_of_a_target() -> None:
     message = messages.Handover(
         sender=_SENDER,
