Add tests that fail: a target behind a cut that resets connections is taken for crashed

Found by asking whether a target that is merely cut off counts as crashed. A task under which two such cuts fall is taken for one that crashes targets, and its job shown as failed.

--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -50,10 +50,10 @@
     ``speed`` divides that time; ``clock_rate`` is the speed of the target's clock. A target without
     ``guards_capacity`` starts whatever it is told. ``fails`` is the probability that a new run
     fails after 1 ms; while ``hangs`` is set, new runs never end. A target that ``is_dark`` ignores
-    all commands. A deadly task (see :func:`is_deadly`) crashes the target, which then refuses
-    connections for ``restart_time``, or ignores all commands if it ``crashes_silently``.
-    ``deadly_starts`` counts the runs of deadly tasks by task, and ``crashed_runs`` the runs that a
-    crash has ended.
+    all commands; one that ``refuses_connections`` is behind a cut and goes on with its runs. A
+    deadly task (see :func:`is_deadly`) crashes the target, which then refuses connections for
+    ``restart_time``, or ignores all commands if it ``crashes_silently``. ``deadly_starts`` counts
+    the runs of deadly tasks by task, and ``crashed_runs`` the runs that a crash has ended.
     """
 
     def __init__(
@@ -80,6 +80,7 @@
         self.restart_time = datetime.timedelta()
         self.crashes_silently = False
         self.is_down = False
+        self.refuses_connections = False
         self.crashes = 0
         self.deadly_starts: collections.Counter[str] = collections.Counter()
         self.crashed_runs: collections.Counter[str] = collections.Counter()
@@ -136,6 +137,13 @@
             self.is_down = True
             self._simulation.call_later(self.restart_time, self._come_back)
 
+    def cut_off(self) -> None:
+        """Reset the connections to the target and refuse new ones, while its runs go on."""
+        self.refuses_connections = True
+        waiting_holds, self._waiting_holds = self._waiting_holds, []
+        for _, reply in waiting_holds:
+            reply(Reply(failure=events.Failure.TIMEOUT))
+
     def _come_back(self) -> None:
         self.is_down = False
         self._booted_at = self._simulation.now
@@ -171,7 +179,7 @@
 
         A command with a lower token than one seen before is refused as fenced.
         """
-        if self.is_down and not self.crashes_silently:
+        if self.refuses_connections or (self.is_down and not self.crashes_silently):
             reply(Reply(failure=events.Failure.UNREACHABLE))
             return
         if self.is_dark or self.is_down:
--- a/tests/pool/test_pool_crashing_tasks.py
+++ b/tests/pool/test_pool_crashing_tasks.py
@@ -236,3 +236,21 @@
     model.run(seconds=1)
     history = pools.node(model, 1).kernel.crash_reports.history
     assert [crash.is_certain for crash in history.all()] == [False]
+
+
+def test_targets_that_were_cut_off_by_resets_twice_under_a_task_did_not_crash_under_it():
+    model = _pool(nodes_per_domain=1, targets_per_domain=3, domains="a")
+    request = pools.job("a" * 16, 1, 1500.0, caller_timeout=PATIENCE)
+    caller = model.submit(pools.node(model, 1), request)
+    targets = list(model.targets_by_id.values())
+    for _ in range(MAX_CRASHES):
+        running = []
+        while not running:
+            model.run(seconds=0.6)
+            running = [t for t in targets if t._running and not t.refuses_connections]
+        running[0].cut_off()
+    model.run(seconds=2)
+    for target in model.targets_by_id.values():
+        target.refuses_connections = False
+    model.run(seconds=10)
+    assert _verdict(model, caller) is actions.Verdict.COMPLETE
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -572,3 +572,21 @@
     assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
     assert model.overlaps() == []
     assert sum(target.starts for target in model.targets_by_id.values()) == 24
+
+
+@pytest.mark.promise("at_most_once", failures=["cut"])
+@pytest.mark.parametrize("seconds", [0.3, 0.8, 2.0])
+def test_runs_on_a_target_behind_a_cut_that_resets_connections_run_nowhere_else(seconds):
+    model = pools.pool()
+    callers = _submit_everywhere(model, count=12, work_ms=1800.0)
+    model.run(seconds=0.8)
+    cut_off = [target for target in model.targets_by_id.values() if target._running][:4]
+    for target in cut_off:
+        target.cut_off()
+    model.run(seconds=seconds)
+    for target in cut_off:
+        target.refuses_connections = False
+    model.run(seconds=5)
+    assert model.overlaps() == []
+    assert _verdicts(model, callers) <= {actions.Verdict.COMPLETE, actions.Verdict.GIVEN_UP}
+    assert _count_running(model) == 0
