Keep runs on a target that resets connections until their leases end, and count no such cut as a crash

Cause: a refused or reset connection was taken as the end of the target's incarnation. Its runs were started elsewhere at once although the target went on with them, and two cuts under a task were taken for two crashes, so that its job failed.

Change: the verdict needs proof. LostTargets ends the runs of a target that refuses connections when their leases have expired; a crash is RESTARTED only if another incarnation was seen, REFUSED until then, ALIVE if the same incarnation answers again. A task under which two targets have probably crashed is held for up to 10 s until that is known. Events name the lost targets of each suspect (TASK_SUSPECTED, TARGET_LOST in place of TARGET_CRASHED).

--- a/packages/client/chiveridge_client/traces.py
+++ b/packages/client/chiveridge_client/traces.py
@@ -17,7 +17,7 @@
     "OWNER_CHANGED",
     "TARGET_SILENT",
     "TARGET_SUSPENDED",
-    "TARGET_CRASHED",
+    "TARGET_LOST",
     "MEMBER_LOST",
     "NODE_SLOW",
     "LOG_UNREACHABLE",
@@ -220,7 +220,7 @@
 ) -> tuple[LogLine | None, str]:
     reason = str(answer.fields.get("reason") or "")
     if "crashed" in reason:
-        crashed = _last_line(context, "TARGET_CRASHED")
+        crashed = _last_line(context, "TARGET_LOST")
         return crashed or answer, f"failed: {reason}"
     failed = _last_line(request_lines, "RUN_ENDED", "RUN_LOST", how="failed")
     return failed or answer, "failed: a task failed as often as its queue allows"
--- a/packages/load/chiveridge_load/pool_soaks.py
+++ b/packages/load/chiveridge_load/pool_soaks.py
@@ -1,7 +1,7 @@
 """Soak test of the simulated pool: injects random faults and checks the guarantees.
 
 Usage: ``python -m chiveridge_load.pool_soaks --seeds 100 [--first_seed 1] [--seconds 20]
-[--nodes_per_domain 2] [--duplicate_share 0] [--deadly_share 0]``
+[--nodes_per_domain 2] [--duplicate_share 0] [--poison_share 0]``
 
 The seed determines the jobs, the faults and their times. Callers behave like those of the
 platform: if the connection breaks or the answer is that the job was given up, they send the job
@@ -28,7 +28,7 @@
 RECOVERY_SECONDS = 14.0
 """Time without faults at the end, longer than a caller needs for all its attempts."""
 
-MAX_DEADLY_STARTS = 5
+MAX_POISON_STARTS = 5
 """Starts of a task that crashes its targets: two more after the third, as the users allow."""
 
 _DOMAINS = "abc"
@@ -56,10 +56,10 @@
         seed: int,
         nodes_per_domain: int = 2,
         duplicate_share: float = 0.0,
-        deadly_share: float = 0.0,
+        poison_share: float = 0.0,
     ):
         self._duplicate_share = duplicate_share
-        self._deadly_share = deadly_share
+        self._poison_share = poison_share
         self._rng = random.Random(seed)
         self.model = pool_models.PoolModel(seed)
         for domain in _DOMAINS:
@@ -67,7 +67,7 @@
                 self.model.add_node(domain, strength=number % 2)
             for _ in range(_TARGETS_PER_DOMAIN):
                 self.model.add_target(domain, clock_rate=self._rng.choice((0.98, 1.0)))
-        if deadly_share:
+        if poison_share:
             for target in self.model.targets_by_id.values():
                 target.restart_time = self._rng.uniform(0.5, 4) * datetime.timedelta(seconds=1)
                 target.crashes_silently = self._rng.random() < 0.2
@@ -126,8 +126,8 @@
         if self._rng.random() < 0.2:
             steps += (msgspec.structs.replace(step, count=1, depends_on=(0,)),)
         spec = f"{run_ms} {size.cpu} {size.memory_mb} 0"
-        if self._deadly_share and self._rng.random() < self._deadly_share:
-            spec += f" deadly {self._rng.randrange(count)}"
+        if self._poison_share and self._rng.random() < self._poison_share:
+            spec += f" poison {self._rng.randrange(count)}"
         return jobs.JobRequest(
             id=identifiers.JobId(f"{next(self._ids):016x}"),
             queue=identifiers.QueueName(f"queue-{run_ms:.0f}"),
@@ -373,24 +373,24 @@
         return violations + [f"target {name} has several owners" for name in sorted(shared)]
 
     def _check_crashes(self) -> list[str]:
-        """Check that no task crashes targets without end, and that none is blamed wrongly."""
+        """Check that crashes under a task are bounded and that no job fails for those of others."""
         starts: collections.Counter[str] = collections.Counter()
         crashed: collections.Counter[str] = collections.Counter()
         for target in self.model.targets_by_id.values():
-            starts.update(target.deadly_starts)
+            starts.update(target.poison_starts)
             crashed.update(target.crashed_runs)
         violations = [
             f"task {task} crashed targets in {count} starts"
             for task, count in starts.items()
-            if count > MAX_DEADLY_STARTS
+            if count > MAX_POISON_STARTS
         ]
         most_crashes_by_job: dict[str, int] = {}
         for task, count in crashed.items():
             job = task.partition(".")[0]
             most_crashes_by_job[job] = max(most_crashes_by_job.get(job, 0), count)
         for answer in self.model.answers_by_caller.values():
-            is_blamed = answer.reason == suspects.CRASHING_REASON
-            if is_blamed and most_crashes_by_job.get(answer.job, 0) < crash_histories.MAX_CRASHES:
+            is_failed = answer.reason == suspects.CRASHING_REASON
+            if is_failed and most_crashes_by_job.get(answer.job, 0) < crash_histories.MAX_CRASHES:
                 violations.append(f"job {answer.job} failed for crashes that were not its own")
         return violations
 
@@ -422,7 +422,7 @@
     flags.DEFINE_integer("first_seed", 1, "First seed.")
     flags.DEFINE_integer("nodes_per_domain", 2, "Nodes of each domain.", lower_bound=1)
     flags.DEFINE_float("duplicate_share", 0.0, "Share of the jobs sent again while in progress.")
-    flags.DEFINE_float("deadly_share", 0.0, "Share of the jobs with a task that crashes targets.")
+    flags.DEFINE_float("poison_share", 0.0, "Share of the jobs with a task that crashes targets.")
     flags.DEFINE_float("seconds", 20.0, "Duration of the faults, in seconds.", lower_bound=1.0)
 
 
@@ -432,7 +432,7 @@
     options = flags.FLAGS
     failed_seeds = 0
     for seed in range(options.first_seed, options.first_seed + options.seeds):
-        soak = Soak(seed, options.nodes_per_domain, options.duplicate_share, options.deadly_share)
+        soak = Soak(seed, options.nodes_per_domain, options.duplicate_share, options.poison_share)
         violations = soak.play(options.seconds)
         if violations:
             failed_seeds += 1
--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -14,7 +14,7 @@
 """Time from the start of a task that crashes its target to the crash."""
 
 MAX_LEASE_MS = 1000
-_DEADLY = "deadly"
+_POISON = "poison"
 INITIAL_CLOCK_MS = 100_000
 """Reading of a target's clock when the target boots."""
 
@@ -51,9 +51,9 @@
     ``guards_capacity`` starts whatever it is told. ``fails`` is the probability that a new run
     fails after 1 ms; while ``hangs`` is set, new runs never end. A target that ``is_dark`` ignores
     all commands; one that ``refuses_connections`` is behind a cut and goes on with its runs. A
-    deadly task (see :func:`is_deadly`) crashes the target, which then refuses connections for
-    ``restart_time``, or ignores all commands if it ``crashes_silently``. ``deadly_starts`` counts
-    the runs of deadly tasks by task, and ``crashed_runs`` the runs that a crash has ended.
+    poison task (see :func:`is_poison`) crashes the target, which then refuses connections for
+    ``restart_time``, or ignores all commands if it ``crashes_silently``. ``poison_starts`` counts
+    the runs of poison tasks by task, and ``crashed_runs`` the runs that a crash has ended.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         self.is_down = False
         self.refuses_connections = False
         self.crashes = 0
-        self.deadly_starts: collections.Counter[str] = collections.Counter()
+        self.poison_starts: collections.Counter[str] = collections.Counter()
         self.crashed_runs: collections.Counter[str] = collections.Counter()
         self._rng = random.Random(name)
         self.target = targets.Target(
@@ -269,8 +269,8 @@
         words = spec.split()
         run = _Run(self._simulation.now, _size_in(spec))
         self._running[key] = run
-        if is_deadly(key[0], spec):
-            self.deadly_starts[key[0]] += 1
+        if is_poison(key[0], spec):
+            self.poison_starts[key[0]] += 1
             incarnation = self.incarnation
             self._simulation.call_later(CRASH_DELAY, lambda: self.crash_under(incarnation))
             return
@@ -308,12 +308,12 @@
         reply(self._reply())
 
 
-def is_deadly(task: str, spec: str) -> bool:
-    """Tell whether a task crashes its target: the spec names its index after ``deadly``."""
+def is_poison(task: str, spec: str) -> bool:
+    """Tell whether a task crashes its target: the spec names its index after ``poison``."""
     words = spec.split()
-    if _DEADLY not in words:
+    if _POISON not in words:
         return False
-    return task.rpartition(".")[2] in words[words.index(_DEADLY) + 1 :]
+    return task.rpartition(".")[2] in words[words.index(_POISON) + 1 :]
 
 
 def _size_in(spec: str) -> resources.Resources:
--- a/packages/pool/chiveridge_pool/capacity_requests.py
+++ b/packages/pool/chiveridge_pool/capacity_requests.py
@@ -157,7 +157,7 @@
         history = self._crash_reports.history
         if demand.is_isolated:
             next_task = job.task_name(demand.waiting_tasks[-1])
-            if history.is_likely_culprit(job.request.id, next_task, now):
+            if history.is_likely_cause(job.request.id, next_task, now):
                 return ranks.LAST
         return self._ranks.rank(job, now)
 
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -64,7 +64,7 @@
         self._capacity_requester = capacity_requests.CapacityRequester(
             table, outbox, target_owner, self._ranks, reports
         )
-        self._suspects = suspects.Suspects(reports, self._capacity_requester)
+        self._suspects = suspects.Suspects(reports, self._capacity_requester, outbox)
         self.followed_jobs = followed_jobs.FollowedJobs(table, outbox, self)
         self._job_by_caller: dict[identifiers.CallerId, jobs.Job] = {}
         self.placements = placements.Placements(table, outbox, self._run_ended)
@@ -86,7 +86,7 @@
             return
         if known is None and self._follow(event, now):
             return
-        if known is None and self._answer_if_crashing(event):
+        if known is None and self._answer_if_crashing(event, now):
             return
         reason = "the process was paused" if was_paused else None
         reason = reason or self._refusal_reason(event.job, known, now)
@@ -109,9 +109,9 @@
         self._outbox.note(notes.NoteEvent.JOB_FOLLOWED, job=event.job.id, leader=followed.leader)
         return True
 
-    def _answer_if_crashing(self, event: events.JobSubmitted) -> bool:
+    def _answer_if_crashing(self, event: events.JobSubmitted, now: datetime.datetime) -> bool:
         """Answer a job that was sent again and of which a task is known to crash targets."""
-        ending = self._suspects.find_ending(event.job.id)
+        ending = self._suspects.find_ending(event.job.id, now)
         if ending is None:
             return False
         verdict, reason = ending
@@ -126,6 +126,7 @@
             is_late=False,
             done=0,
             tasks=event.job.count,
+            **self._suspects.fields_for(event.job.id),
         )
         self.answer_callers(event.job.id, {event.caller}, verdict, reason)
         return True
@@ -133,7 +134,7 @@
     def end_if_crashing(self, job_id: identifiers.JobId, now: datetime.datetime) -> None:
         """End a job in progress of which a task is known to crash targets."""
         job = self.jobs_by_id.get(job_id)
-        ending = self._suspects.find_ending(job_id)
+        ending = self._suspects.find_ending(job_id, now)
         if job is None or job.has_ended or ending is None:
             return
         self._answer(job, *ending, now)
@@ -231,6 +232,7 @@
             is_late=took > job.objective(),
             done=job.done_count(),
             tasks=job.request.count,
+            **self._suspects.fields_for(job.request.id),
         )
         for caller in job.callers:
             self._job_by_caller.pop(caller, None)
@@ -430,6 +432,10 @@
         self.followed_jobs.tick(now)
 
     def _tick_job(self, job: jobs.Job, now: datetime.datetime) -> None:
+        if job.held_count():
+            self.end_if_crashing(job.request.id, now)
+        if job.has_ended:
+            return
         if deadlines.is_deadline_unreachable(job, now):
             self._expire(job, now)
         elif self._is_too_late_to_start(job, now):
@@ -437,7 +443,7 @@
             self._answer(job, actions.Verdict.REFUSED, refusals.NO_ROOM, now)
             self._end(job, now)
         else:
-            self._suspects.end_long_isolations(job, now)
+            self._suspects.tick(job, now)
             self._capacity_requester.tick(job, now)
 
     def _is_too_late_to_start(self, job: jobs.Job, now: datetime.datetime) -> bool:
--- a/packages/pool/chiveridge_pool/crash_reports.py
+++ b/packages/pool/chiveridge_pool/crash_reports.py
@@ -1,8 +1,10 @@
-"""Spreads what is known of crashed targets: to the nodes that are heard, and to the store."""
+"""Spreads what is known of lost targets: to the nodes that are heard, and to the store."""
 
 import datetime
 from collections.abc import Iterable
 
+import msgspec
+
 from chiveridge_kernel import clocks
 from chiveridge_pool import (
     actions,
@@ -20,7 +22,7 @@
 
 
 class CrashReports:
-    """Records crashes and reports those that are new.
+    """Records lost targets and reports those that are new.
 
     Nodes that this one does not hear, and nodes that start later, read them from the store.
     """
@@ -35,23 +37,21 @@
         self,
         owned: owned_targets.OwnedTarget,
         lost: Iterable[grants.Grant],
+        evidence: crash_histories.Evidence,
         now: datetime.datetime,
-        *,
-        is_certain: bool,
     ) -> None:
-        """Report the runs that an owned target has lost by a crash or by silence.
-
-        A target has crashed under a run only if it has confirmed the start, and no stop was sent.
-        """
+        """Report the runs that were on an owned target as it was lost."""
         crashes = [
             crash_histories.Crash(
-                grant.job,
-                grant.task,
-                owned.target.id,
-                owned.started_at_ms,
-                is_certain and grant.was_certainly_running(),
-                crash_histories.to_unix_ms(now),
-                clocks.to_ms(now - grant.first_sent_at),
+                job=grant.job,
+                task=grant.task,
+                target=owned.target.id,
+                started_at_ms=owned.started_at_ms,
+                evidence=evidence,
+                was_running=grant.was_certainly_running(),
+                recorded_at_ms=crash_histories.to_unix_ms(now),
+                ran_ms=clocks.to_ms(now - grant.first_sent_at),
+                reporter=self._members.own_id,
             )
             for grant in lost
         ]
@@ -69,16 +69,43 @@
         if self.history.knows(job, task, target):
             return
         crash = crash_histories.Crash(
-            job,
-            task,
-            target,
+            job=job,
+            task=task,
+            target=target,
             started_at_ms=0,
-            is_certain=False,
+            evidence=crash_histories.Evidence.SILENT,
+            was_running=False,
             recorded_at_ms=crash_histories.to_unix_ms(now),
             ran_ms=clocks.to_ms(now - started_at),
+            reporter=self._members.own_id,
         )
         self._report([crash], now)
 
+    def report_incarnation(
+        self, target: identifiers.TargetId, started_at_ms: int | None, now: datetime.datetime
+    ) -> None:
+        """Report whether a target that refused connections had crashed, now that it answers.
+
+        ``started_at_ms`` is the start of the incarnation that answers, 0 if it is unknown, or None
+        if another target answers at the address.
+        """
+        if started_at_ms == 0:
+            return
+        explained = [
+            msgspec.structs.replace(
+                crash,
+                evidence=(
+                    crash_histories.Evidence.ALIVE
+                    if crash.started_at_ms == started_at_ms
+                    else crash_histories.Evidence.RESTARTED
+                ),
+                reporter=self._members.own_id,
+            )
+            for crash in self.history.refused_by(target)
+            if crash.started_at_ms
+        ]
+        self._report(explained, now)
+
     def _report(self, crashes: list[crash_histories.Crash], now: datetime.datetime) -> None:
         new = tuple(crash for crash in crashes if self.history.record(crash, now))
         if not new:
@@ -95,7 +122,7 @@
         return {crash.job for crash in crashes if self.history.record(crash, now)}
 
     def send_all(self, member: members.Member) -> None:
-        """Send all that is known to a node that has just started."""
+        """Send all that is known to a node that was not heard before, or not for some time."""
         crashes = self.history.all()
         for start in range(0, len(crashes), _MAX_CRASHES_PER_MESSAGE):
             batch = tuple(crashes[start : start + _MAX_CRASHES_PER_MESSAGE])
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -182,13 +182,18 @@
 
 
 class Step(CapacityDemand):
-    """A step of a job in progress; tasks that may crash their targets wait in ``isolated``."""
+    """A step of a job in progress.
+
+    Tasks that may crash their targets wait in ``isolated``; those in ``held_tasks`` wait until it
+    is known whether they have.
+    """
 
     def __init__(self, number: int, request: StepRequest):
         super().__init__(number, request)
         self.waiting_tasks = [Task(self, index) for index in range(request.count - 1, -1, -1)]
         self.done_count = 0
         self.isolated = CapacityDemand(number, request, is_isolated=True)
+        self.held_tasks: list[Task] = []
 
     def isolate(self, task: Task, now: datetime.datetime, *, is_last: bool) -> None:
         """Let a task wait for a target on which nothing else runs, ``is_last`` after others."""
@@ -268,7 +273,11 @@
 
     def waiting_count(self) -> int:
         """Return the number of tasks that are neither running nor done."""
-        return sum(len(demand.waiting_tasks) for demand in self.demands())
+        return sum(len(demand.waiting_tasks) for demand in self.demands()) + self.held_count()
+
+    def held_count(self) -> int:
+        """Return the number of tasks that are held until it is known whether they may start."""
+        return sum(len(step.held_tasks) for step in self.steps)
 
     def remaining_time(self) -> datetime.timedelta:
         """Return the declared time from starting the waiting tasks to the end of the job."""
@@ -278,4 +287,5 @@
             for demand in self.demands()
             if demand.waiting_tasks
         ]
+        waiting += [remaining_times_by_step[s.number] for s in self.steps if s.held_tasks]
         return max(waiting, default=_ZERO_DURATION)
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -240,7 +240,6 @@
         )
         self.outbox.add(actions.Reconnect(endpoint=member.endpoint))
         self.heartbeats.send_to(member, now)
-        self.crash_reports.send_all(member)
 
     def record_crashes(
         self, crashes: tuple[crash_histories.Crash, ...], now: datetime.datetime
--- a/packages/pool/chiveridge_pool/message_handlers.py
+++ b/packages/pool/chiveridge_pool/message_handlers.py
@@ -28,6 +28,8 @@
         return
     if not member.is_known:
         kernel.welcome(member, now)
+    if member.joined_at == now:
+        kernel.crash_reports.send_all(member)
     if message.needs_lists:
         kernel.send_lists(member, now)
     kernel.share_configuration(member, now)
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -81,7 +81,7 @@
         for grant in list(owned.grants_by_id.values()):
             self._tick_grant(owned, grant, now)
         if owned.failures and now >= owned.lease_expires_at:
-            self._target_owner.expire_runs(owned, now)
+            self._target_owner.lost_targets.expire_runs(owned, now)
 
     def _is_hold_due(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> bool:
         pending = self._pending_by_target.get(owned.target.id)
@@ -173,7 +173,7 @@
             and owned.started_at_ms
             and event.started_at_ms != owned.started_at_ms
         ):
-            self._target_owner.end_incarnation(owned, "the target started anew", now)
+            self._target_owner.lost_targets.end_incarnation(owned, "the target started anew", now)
             return
         self._process_reply(owned, event, now)
         if owned.unknown_runs:
@@ -200,7 +200,7 @@
         if failure is events.Failure.TIMEOUT:
             self._last_timeout_at = now
         if failure is events.Failure.UNREACHABLE and owned.grants_by_id:
-            self._target_owner.end_incarnation(owned, "the target refuses connections", now)
+            self._target_owner.lost_targets.end_refusing(owned, now)
             return
         pause = _RETRY_AFTER.get(failure, datetime.timedelta())
         if now >= owned.lease_expires_at:
@@ -279,7 +279,7 @@
                 self._end_if_stopped(owned, grant, event.sent_at)
         if owned.state is owned_targets.OwnershipState.CLAIMING and not owned.unknown_runs:
             owned.state = owned_targets.OwnershipState.OWNED
-            self._target_owner.record_accepted_claim(owned)
+            self._target_owner.record_accepted_claim(owned, now)
 
     def _process_progress(
         self,
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -11,6 +11,7 @@
     handovers,
     identifiers,
     loop_lags,
+    lost_targets,
     members,
     messages,
     node_monitors,
@@ -58,6 +59,7 @@
             self._own_id, outbox, self.orders, self._starts, self.owned_by_target
         )
         self.orphaned_grants = orphaned_grants.OrphanedGrants(outbox)
+        self.lost_targets = lost_targets.LostTargets(outbox, self, self.orphaned_grants, reports)
         self._node_monitor = node_monitors.NodeMonitor(table, self.allocator)
         self._assignments = ownerships.Assignments(table)
         self._counted_revision = -1
@@ -115,7 +117,7 @@
             and target.started_at_ms > owned.started_at_ms
         )
         if has_restarted or target.address != owned.target.address:
-            self.end_incarnation(owned, "the target started anew", now)
+            self.lost_targets.end_incarnation(owned, "the target started anew", now)
             return
         owned.target = target
 
@@ -277,9 +279,12 @@
         owned = self.owned_by_target.get(target)
         return owned if owned is not None and owned.token == token else None
 
-    def record_accepted_claim(self, owned: owned_targets.OwnedTarget) -> None:
+    def record_accepted_claim(
+        self, owned: owned_targets.OwnedTarget, now: datetime.datetime
+    ) -> None:
         """Record that a target has accepted this owner's token."""
         self._tokens.record_acceptance(owned.target.id)
+        self._crash_reports.report_incarnation(owned.target.id, owned.started_at_ms, now)
 
     def handle_fencing(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
         """Give up a target that has seen a higher token."""
@@ -307,63 +312,6 @@
                 reason=reason,
             )
 
-    def expire_runs(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
-        """End the runs of a silent target whose lease has expired, and release it."""
-        expired = owned.sent_grants()
-        if not expired:
-            return
-        self._crash_reports.report_target(owned, expired, now, is_certain=False)
-        for grant in expired:
-            self.end_grant(owned, grant, runs.RunEnd.LAPSED, "the target is silent")
-        self.release_target(owned)
-
-    def end_incarnation(
-        self, owned: owned_targets.OwnedTarget, reason: str, now: datetime.datetime
-    ) -> None:
-        """End the grants of a previous incarnation of a target, and release the target.
-
-        The new incarnation may have executed a recent start. Such a grant is orphaned, so that it
-        ends only when its lease must have expired.
-        """
-        self._report_crash(owned, reason, now)
-        lease_expires_at = now + timings.LEASE_EXPIRED_AFTER
-        for grant in owned.sent_grants():
-            if not owned.was_running_at_last_reply(grant):
-                owned.remove(grant)
-                self.orphaned_grants.add(grant, lease_expires_at, _end_with(owned.target))
-        self._end_grants(owned, reason)
-        self.release_target(owned)
-
-    def _report_crash(
-        self, owned: owned_targets.OwnedTarget, reason: str, now: datetime.datetime
-    ) -> None:
-        """Report the runs that were on a target when its incarnation ended, if there were any."""
-        if owned.target.is_draining:
-            return
-        self._crash_reports.report_target(owned, owned.sent_grants(), now, is_certain=True)
-        lost_runs = [
-            (
-                grant.task,
-                grant.run,
-                notes.to_ms(now - grant.first_sent_at),
-                owned.was_running_at_last_reply(grant),
-            )
-            for grant in owned.sent_grants()
-        ]
-        if lost_runs:
-            self._outbox.note(
-                notes.NoteEvent.TARGET_CRASHED,
-                target=owned.target.id,
-                started_at_ms=owned.started_at_ms,
-                reason=reason,
-                runs=lost_runs,
-            )
-
-    def _end_grants(self, owned: owned_targets.OwnedTarget, reason: str) -> None:
-        for grant in list(owned.grants_by_id.values()):
-            how = _end_with(owned.target) if grant.is_sent() else runs.RunEnd.REFUSED
-            self.end_grant(owned, grant, how, reason)
-
     def release_target(self, owned: owned_targets.OwnedTarget) -> None:
         """Release a target; the next claim's token fences off all requests sent so far."""
         self._tokens.raise_floor(owned.target.id, owned.token)
@@ -372,14 +320,9 @@
     def handle_wrong_instance(
         self, owned: owned_targets.OwnedTarget, now: datetime.datetime
     ) -> None:
-        """Release a target whose address now belongs to another instance.
-
-        The other instance rejects all requests that are meant for this target.
-        """
-        reason = "another instance answers at its address"
-        self._report_crash(owned, reason, now)
-        self._end_grants(owned, reason)
-        self.release_target(owned)
+        """Release a target whose address now belongs to another instance."""
+        self.lost_targets.end_replaced(owned, now)
+        self._crash_reports.report_incarnation(owned.target.id, None, now)
         self._tokens.record_rejection(owned.target.id, owned.token, now)
 
     def _give_up(
@@ -483,8 +426,3 @@
     def related_nodes(self) -> set[identifiers.NodeId]:
         """Return the nodes that have requests, grants or orphaned runs here."""
         return self.allocator.nodes() | self.orphaned_grants.by_node().keys()
-
-
-def _end_with(target: targets.Target) -> runs.RunEnd:
-    """Return how runs end with their target; one that leaves as planned has not crashed."""
-    return runs.RunEnd.LOST if target.is_draining else runs.RunEnd.CRASHED
