Evacuate failure domains: no new runs there until the operator takes them back

Change: evacuations (newest version of the store wins, told between nodes), enforced by the owners of targets; grants whose start was not sent are taken back, starts without a reply are stopped in place of sent again, what fits nowhere else is refused at once.

--- a/packages/client/chiveridge_client/statuses.py
+++ b/packages/client/chiveridge_client/statuses.py
@@ -64,6 +64,14 @@
     ]
     if targets:
         parts.append(tables.render(["SEEN BY", "TARGET", "STATE"], targets))
+    evacuations = [
+        [status.get("name", ""), row["domain"], f"{row['since_s']:.1f}", row["runs"]]
+        for status in reachable
+        for row in status.get("evacuations", [])
+    ]
+    if evacuations:
+        titles = ["SEEN BY", "EVACUATED", "SINCE S", "RUNS HELD HERE"]
+        parts.append(tables.render(titles, evacuations))
     return "\n\n".join(parts)
 
 
--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -50,8 +50,8 @@
     ``speed`` divides that time; ``clock_rate`` is the speed of the target's clock. A target without
     ``guards_capacity`` starts whatever it is told. ``fails`` is the probability that a new run
     fails after 1 ms; while ``hangs`` is set, new runs never end. A target that ``is_dark`` ignores
-    all commands; one that ``refuses_connections`` is behind a cut and goes on with its runs, and one
-    that ``loses_replies`` executes commands, but its connections are reset before it replies. A
+    all commands; one that ``refuses_connections`` is behind a cut and goes on with its runs, and
+    one that ``loses_replies`` executes commands, but its connections are reset before it replies. A
     poison task (see :func:`is_poison`) crashes the target, which then refuses connections for
     ``restart_time``, or ignores all commands if it ``crashes_silently``. ``poison_starts`` counts
     the runs of poison tasks by task, and ``crashed_runs`` the runs that a crash has ended.
--- a/packages/node/chiveridge_node/pool_metrics.py
+++ b/packages/node/chiveridge_node/pool_metrics.py
@@ -108,6 +108,11 @@
             "configuration_age_seconds": (
                 math.nan if config_age is None else config_age.total_seconds()
             ),
+            "evacuated_domains": len(kernel.evacuations.since_by_domain),
+            "evacuated_runs": sum(
+                kernel.target_owner.count_runs_in(domain)
+                for domain in kernel.evacuations.since_by_domain
+            ),
             "lag_allowance_seconds": kernel.loop_lag.timeout_allowance().total_seconds(),
             "log_lines_dropped_good": self._log.dropped_good,
             "log_lines_dropped_bad": self._log.dropped_bad,
@@ -136,6 +141,8 @@
     "members_live": "Other nodes heard lately.",
     "configuration_version": "Version of the configuration in force.",
     "configuration_age_seconds": "Time since the platform confirmed it; NaN if it never did.",
+    "evacuated_domains": "Failure domains whose targets get no new runs, as an operator asked.",
+    "evacuated_runs": "Runs left in them on the targets that this node holds.",
     "lag_allowance_seconds": "What is added to timeouts as this process runs late.",
     "log_lines_dropped_good": "Log lines of good requests over the budget.",
     "log_lines_dropped_bad": "Other log lines over the budget.",
--- a/packages/node/chiveridge_node/pool_statuses.py
+++ b/packages/node/chiveridge_node/pool_statuses.py
@@ -23,6 +23,14 @@
     silent_ms: float
 
 
+class EvacuationStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """An evacuated failure domain; ``runs`` are those left on the targets that this node holds."""
+
+    domain: str
+    since_s: float
+    runs: int
+
+
 class PoolStatus(msgspec.Struct, frozen=True, kw_only=True):
     """A node's view of the pool; ``target_states`` has only the targets that the node holds.
 
@@ -41,6 +49,8 @@
     targets_listed: int
     target_states: dict[str, str]
     members: list[PoolMemberStatus]
+    evacuations_version: int
+    evacuations: list[EvacuationStatus]
 
 
 def make_status(
@@ -69,6 +79,15 @@
         targets_listed=len(kernel.target_owner.target_list.by_id),
         target_states={owned.target.id: _target_state(owned, usable_ids) for owned in all_owned},
         members=[_member_status(member, now) for member in known_members],
+        evacuations_version=kernel.evacuations.version,
+        evacuations=[
+            EvacuationStatus(
+                domain=domain,
+                since_s=(now - since).total_seconds(),
+                runs=kernel.target_owner.count_runs_in(domain),
+            )
+            for domain, since in kernel.evacuations.since_by_domain.items()
+        ],
     )
 
 
--- a/packages/node/tests/test_pool_statuses.py
+++ b/packages/node/tests/test_pool_statuses.py
@@ -5,7 +5,7 @@
 from chiveridge_client import statuses
 from chiveridge_load import pool_models
 from chiveridge_node import pool_statuses
-from chiveridge_pool import timings
+from chiveridge_pool import events, timings
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -16,8 +16,11 @@
 """Time between two heartbeats of nodes of different failure domains."""
 
 
-def status_of_first_node(silent_seconds: float = 0.0):
-    """Return the status of the first of two nodes after the second was dead for a while."""
+def status_of_first_node(silent_seconds: float = 0.0, evacuated: tuple[str, ...] = ()):
+    """Return the status of the first of two nodes after the second was dead for a while.
+
+    The domains that are ``evacuated`` have been so for a second.
+    """
     model = pool_models.PoolModel()
     for domain in "ab":
         model.add_node(domain)
@@ -27,6 +30,9 @@
     if silent_seconds:
         second.kill()
         model.run(seconds=silent_seconds)
+    if evacuated:
+        first.handle(events.EvacuationsRead(version=7, domains=evacuated))
+        model.run(seconds=1)
     return pool_statuses.make_status(
         first.kernel,
         "edge-a-1",
@@ -52,6 +58,16 @@
     assert SILENT_MS <= member.silent_ms < SILENT_MS + HEARTBEAT_MS
 
 
+def test_evacuated_domains_are_shown_with_their_time_and_the_runs_left():
+    status = status_of_first_node(evacuated=("a",))
+    assert status.evacuations_version == 7
+    (evacuation,) = status.evacuations
+    assert (evacuation.domain, evacuation.since_s, evacuation.runs) == ("a", 1.0, 0)
+    payload = msgspec.json.decode(msgspec.json.encode(status))
+    text = statuses.render([statuses.NodeStatus("http://127.0.0.1:9464", payload)])
+    assert "EVACUATED" in text
+
+
 def test_the_status_command_renders_a_pool_status():
     payload = msgspec.json.decode(msgspec.json.encode(status_of_first_node()))
     text = statuses.render([statuses.NodeStatus("http://127.0.0.1:9464", payload)])
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -446,6 +446,16 @@
             self._suspects.tick(job, now)
             self._capacity_requester.tick(job, now)
 
+    def refuse_unplaceable(self, now: datetime.datetime) -> None:
+        """Refuse at once the waiting jobs that no target in use can run any more."""
+        for job in list(self.jobs_by_id.values()):
+            if job.has_ended or job.has_started:
+                continue
+            reason = self._refusals.reason_for(job.request, now)
+            if reason is not None:
+                self._answer(job, actions.Verdict.REFUSED, reason, now)
+                self._end(job, now)
+
     def _is_too_late_to_start(self, job: jobs.Job, now: datetime.datetime) -> bool:
         if job.has_started or not self._ranks.refuses_late_jobs:
             return False
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -71,6 +71,13 @@
     is_complete: bool = False
 
 
+class EvacuationsRead(Event, frozen=True, kw_only=True):
+    """The evacuated failure domains were read from the platform; ``version`` only increases."""
+
+    version: int
+    domains: tuple[identifiers.DomainName, ...]
+
+
 class CrashesRead(Event, frozen=True, kw_only=True):
     """Crashes were read from the store."""
 
--- a/packages/pool/chiveridge_pool/heartbeats.py
+++ b/packages/pool/chiveridge_pool/heartbeats.py
@@ -107,6 +107,7 @@
             version=kernel.configuration_version,
             strength=kernel.settings.strength,
             unfit_endpoints=self._members.unfit_endpoints(),
+            evacuations_version=kernel.evacuations.version,
         )
         if state != self._state:
             self._state = state
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -12,6 +12,7 @@
     coordinators,
     crash_histories,
     crash_reports,
+    evacuations,
     events,
     heartbeats,
     identifiers,
@@ -66,8 +67,15 @@
         self.outbox = outboxes.Outbox(self.members)
         self.loop_lag = loop_lags.LoopLag()
         self.crash_reports = crash_reports.CrashReports(self.members, self.outbox)
+        self.evacuations = evacuations.Evacuations()
         self.target_owner = target_owners.TargetOwner(
-            self.members, self.outbox, rng, now, self.loop_lag, self.crash_reports
+            self.members,
+            self.outbox,
+            rng,
+            now,
+            self.loop_lag,
+            self.crash_reports,
+            self.evacuations,
         )
         self.coordinator = coordinators.Coordinator(
             self.members, self.outbox, self.target_owner, settings.order, self.crash_reports
@@ -193,6 +201,49 @@
         )
         self.outbox.send(member.id, message)
 
+    def apply_evacuations(
+        self,
+        version: int,
+        domains: tuple[identifiers.DomainName, ...],
+        source: str,
+        now: datetime.datetime,
+    ) -> None:
+        """Put a version of the evacuations into force, and tell the nodes that are heard.
+
+        ``source`` is the node that told this one, or says that the platform did.
+        """
+        changed = self.evacuations.apply(version, domains, now)
+        if not changed:
+            return
+        for domain in sorted(changed):
+            is_evacuated = domain in self.evacuations
+            runs_left = self.target_owner.count_runs_in(domain)
+            self.outbox.note(
+                notes.NoteEvent.EVACUATION_CHANGED,
+                domain=domain,
+                version=version,
+                evacuated=is_evacuated,
+                source=source,
+                runs=runs_left,
+            )
+        for member in self.members.audience():
+            self._send_evacuations(member)
+        self.target_owner.withdraw_evacuated(now)
+        self.coordinator.refuse_unplaceable(now)
+
+    def share_evacuations(self, member: members.Member, known_version: int) -> None:
+        """Send the evacuations to a member that knows an earlier version."""
+        if self.evacuations.has_been_used and known_version < self.evacuations.version:
+            self._send_evacuations(member)
+
+    def _send_evacuations(self, member: members.Member) -> None:
+        message = messages.Evacuations(
+            sender=self.settings.node,
+            version=self.evacuations.version,
+            domains=self.evacuations.domains(),
+        )
+        self.outbox.add(actions.SendMessage(endpoint=member.endpoint, message=message))
+
     def needs_lists(self) -> bool:
         """Return whether this node has not read the platform's lists of targets and nodes."""
         return not (self._has_node_list and self.target_owner.target_list.has_platform_list)
@@ -300,6 +351,11 @@
         kernel.list_read(now)
 
 
+@handle.register
+def _(event: events.EvacuationsRead, kernel: Kernel, now: datetime.datetime) -> None:
+    kernel.apply_evacuations(event.version, event.domains, "store", now)
+
+
 @handle.register
 def _(event: events.CrashesRead, kernel: Kernel, now: datetime.datetime) -> None:
     kernel.record_crashes(event.crashes, now)
--- a/packages/pool/chiveridge_pool/message_handlers.py
+++ b/packages/pool/chiveridge_pool/message_handlers.py
@@ -35,6 +35,7 @@
     kernel.share_configuration(member, now)
     if message.state is not None:
         kernel.target_owner.mark_draining(message.state.draining_targets)
+        kernel.share_evacuations(member, message.state.evacuations_version)
     kernel.coordinator.placements.reconcile(message, member, now)
 
 
@@ -135,6 +136,11 @@
     kernel.record_crashes(message.crashes, now)
 
 
+@handle_message.register(messages.Evacuations)
+def _(message: messages.Evacuations, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.apply_evacuations(message.version, message.domains, message.sender, now)
+
+
 @handle_message.register(messages.CancelJob)
 def _(message: messages.CancelJob, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.coordinator.cancel(message.job, now)
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -40,6 +40,7 @@
     version: int = 0
     strength: int = 0
     unfit_endpoints: tuple[identifiers.Endpoint, ...] = ()
+    evacuations_version: int = 0
 
 
 class Heartbeat(Message, tag="hb", frozen=True, kw_only=True):
@@ -261,6 +262,13 @@
     crashes: tuple[crash_histories.Crash, ...]
 
 
+class Evacuations(Message, tag="ev", frozen=True, kw_only=True):
+    """The evacuated failure domains, sent to nodes that know an earlier version."""
+
+    version: int
+    domains: tuple[identifiers.DomainName, ...]
+
+
 AnyMessage = (
     Heartbeat
     | Goodbye
@@ -282,6 +290,7 @@
     | JobOutcome
     | CancelJob
     | CrashesReported
+    | Evacuations
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/pool/chiveridge_pool/refusals.py
+++ b/packages/pool/chiveridge_pool/refusals.py
@@ -38,6 +38,7 @@
     def _fits_somewhere(self, request: jobs.JobRequest, step: jobs.StepRequest) -> bool:
         return any(
             target.service == request.service
+            and not self._target_owner.is_evacuated(target)
             and (not step.label or step.label in target.labels)
             and step.size.fits_in(target.capacity)
             for target in self._target_owner.target_list.by_id.values()
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -86,7 +86,9 @@
         self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
     ) -> None:
         self._orders.probe(owned, now)
-        if now - grant.first_sent_at < timings.START_RETRY_TIMEOUT:
+        if self._target_owner.is_evacuated(owned.target):
+            self._orders.stop(owned, grant, "its failure domain is evacuated", now)
+        elif now - grant.first_sent_at < timings.START_RETRY_TIMEOUT:
             self.start(owned, grant, now)
         else:
             self._orders.stop(owned, grant, "its start got no reply", now)
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -5,6 +5,7 @@
 
 from chiveridge_pool import (
     crash_reports,
+    evacuations,
     events,
     grant_allocators,
     grants,
@@ -30,6 +31,8 @@
     tokens,
 )
 
+EVACUATED = "its failure domain is evacuated"
+
 
 class TargetOwner:
     """Manages all targets that this node owns."""
@@ -42,8 +45,10 @@
         started_at: datetime.datetime,
         loop_lag: loop_lags.LoopLag,
         reports: crash_reports.CrashReports,
+        evacuated: evacuations.Evacuations,
     ):
         self._members = table
+        self._evacuated = evacuated
         self._crash_reports = reports
         self._outbox = outbox
         self._loop_lag = loop_lag
@@ -366,8 +371,30 @@
             and self.orders.is_fast_or_trial_due(owned, now)
             and owned.target.id not in self.targets_in_handover
             and not owned.has_isolated_run()
+            and owned.target.domain not in self._evacuated
         ]
 
+    def is_evacuated(self, target: targets.Target) -> bool:
+        """Return whether an operator has asked for no new runs on a target's failure domain."""
+        return target.domain in self._evacuated
+
+    def withdraw_evacuated(self, now: datetime.datetime) -> None:
+        """Take back grants on evacuated targets whose start was not sent."""
+        for owned in list(self.owned_by_target.values()):
+            if not self.is_evacuated(owned.target):
+                continue
+            for grant in list(owned.grants_by_id.values()):
+                if not grant.is_sent():
+                    self.orders.stop(owned, grant, EVACUATED, now)
+
+    def count_runs_in(self, domain: identifiers.DomainName) -> int:
+        """Return the number of runs on owned targets of a failure domain."""
+        return sum(
+            len(owned.sent_grants())
+            for owned in self.owned_by_target.values()
+            if owned.target.domain == domain
+        )
+
     def has_missing_target(self) -> bool:
         """Return whether the platform's list lacked an owned target when it was last read."""
         return not self.owned_by_target.keys().isdisjoint(self.target_list.missing_since)
