Add a check of a configuration before it is published

Cause: the users' operators asked for one tool: errors, entries that can never match, limits that contradict each other, and what differs from the version in force. What was wrong before and is not written by the file is left out.

--- a/packages/client/chiveridge_client/operator_commands.py
+++ b/packages/client/chiveridge_client/operator_commands.py
@@ -8,6 +8,7 @@
 
 from chiveridge_client import (
     changes,
+    checks,
     commands,
     diffs,
     errors,
@@ -93,17 +94,34 @@
     writes = changes.parse(commands.read_text(context.arguments[0]))
     configuration = await _read_configuration(context)
     differences = diffs.differences(writes, configuration)
-    rows = [
-        [item.effect.value, item.kind.value, item.name, item.field, _value_text(item.before)]
-        + [_value_text(item.after)]
-        for item in differences
-    ]
-    titles = ["EFFECT", "KIND", "NAME", "FIELD", "NOW", "THEN"]
-    lines = [tables.render(titles, rows), *_warning_lines(diffs.warnings(writes, configuration))]
+    warnings = _warning_lines(diffs.warnings(writes, configuration))
+    lines = [_differences_text(differences), *warnings]
     commands.print_result(context, differences, "\n".join(lines))
     return exits.ExitCode.DONE
 
 
+@commands.command("check", "FILE", min_arguments=1, max_arguments=1)
+async def check(context: commands.Context) -> exits.ExitCode:
+    """Check a file against the configuration in force; exits with 3 if entries make no sense."""
+    writes = changes.parse(commands.read_text(context.arguments[0]))
+    configuration = await _read_configuration(context)
+    report = checks.Report(
+        offset=configuration.offset,
+        findings=checks.check(writes, configuration),
+        differences=diffs.differences(writes, configuration),
+    )
+    rows = [
+        [item.finding.value, item.kind.value, item.name, item.message] for item in report.findings
+    ]
+    lines = [
+        tables.render(["FINDING", "KIND", "NAME", "WHY"], rows) if rows else "nothing found",
+        f"differences from the configuration in force as of offset {report.offset}:",
+        _differences_text(report.differences),
+    ]
+    commands.print_result(context, report, "\n".join(lines))
+    return exits.ExitCode.REFUSED if report.findings else exits.ExitCode.DONE
+
+
 @commands.command("list", "[team|target|rule]", min_arguments=0, max_arguments=1)
 async def list_objects(context: commands.Context) -> exits.ExitCode:
     """Print the objects of the configuration, of one kind or of all."""
@@ -217,6 +235,15 @@
     return "\n".join([*lines, *_warning_lines(report.warnings)])
 
 
+def _differences_text(differences: list[diffs.Difference]) -> str:
+    rows = [
+        [item.effect.value, item.kind.value, item.name, item.field, _value_text(item.before)]
+        + [_value_text(item.after)]
+        for item in differences
+    ]
+    return tables.render(["EFFECT", "KIND", "NAME", "FIELD", "NOW", "THEN"], rows)
+
+
 def _warning_lines(warnings: list[str]) -> list[str]:
     return [f"warning: {text}" for text in warnings]
 
--- a/packages/client/tests/test_operator_commands.py
+++ b/packages/client/tests/test_operator_commands.py
@@ -184,3 +184,20 @@
     assert ["ikeja-e1", "e2", "d", "live", "100", "0.0"] in lines
     assert ["ikeja-e1", "dryer-2", "leaving"] in lines
     assert "never" in output
+
+
+async def test_check_lists_findings_and_what_differs_from_the_version_in_force(published):
+    text = CHANGE_FILE.replace("area=lagos\nkey", "area=osaka\nkey")
+    code, output, _ = await published("check", text=text)
+    assert code is Exit.REFUSED
+    assert "never matches" in output
+    assert "no team matches its teams selector" in output
+    assert "area=osaka" in output
+
+
+async def test_check_finds_nothing_in_a_sound_change(published):
+    text = "[team surulere]\nlabels = area=lagos\n"
+    code, output, _ = await published("check", "--json", text=text)
+    report = json.loads(output)
+    assert (code, report["findings"]) == (Exit.DONE, [])
+    assert {item["name"] for item in report["differences"]} == {"surulere"}
