Say that a job is refused because the targets that could run it are evacuated

Cause: such a job was refused with 'no target is large enough', which hides the operator's request. Change: a reason of its own. The test checks it.

--- a/packages/pool/chiveridge_pool/refusals.py
+++ b/packages/pool/chiveridge_pool/refusals.py
@@ -8,6 +8,7 @@
 """Retry delay for refused callers; about the time it takes to drain the queue of a burst."""
 
 NO_ROOM = "no room in time"
+EVACUATED = "all targets that could run it are evacuated"
 
 
 class Refusals:
@@ -31,14 +32,19 @@
             return "no target is known"
         if not all(self._fits_somewhere(request, step) for step in request.steps):
             return "no target is large enough"
+        if not all(self._fits_somewhere(request, step, in_use=True) for step in request.steps):
+            return EVACUATED
         if not self._target_owner.has_reachable_target(now) and not self._members.live(now):
             return "no owner of targets is reached"
         return None
 
-    def _fits_somewhere(self, request: jobs.JobRequest, step: jobs.StepRequest) -> bool:
+    def _fits_somewhere(
+        self, request: jobs.JobRequest, step: jobs.StepRequest, *, in_use: bool = False
+    ) -> bool:
+        """Return whether a target is large enough, or one ``in_use`` that is not evacuated."""
         return any(
             target.service == request.service
-            and not self._target_owner.is_evacuated(target)
+            and not (in_use and self._target_owner.is_evacuated(target))
             and (not step.label or step.label in target.labels)
             and step.size.fits_in(target.capacity)
             for target in self._target_owner.target_list.by_id.values()
--- a/tests/pool/test_pool_evacuations.py
+++ b/tests/pool/test_pool_evacuations.py
@@ -5,7 +5,7 @@
 import pools
 import pytest
 
-from chiveridge_pool import actions, events, notes
+from chiveridge_pool import actions, events, notes, refusals
 
 IN_FORCE_WITHIN_S = 5.0
 """The users' limit from the request to the last start on an evacuated target."""
@@ -107,6 +107,7 @@
     model.run(seconds=0.01)
     assert model.answers_by_caller[late].verdict is actions.Verdict.REFUSED
     assert model.answers_by_caller[late].retry_after
+    assert model.answers_by_caller[late].reason == refusals.EVACUATED
 
 
 def test_an_evacuated_domain_is_used_again_when_it_is_taken_back():
