Prefer targets where a task is not slowed down, and whose speed suits it

The users' operators asked to notice tasks that slow each other down and to keep them apart where there is room. Change: target_speeds and interferences learn from run times at the owner; target_preferences orders the targets that have room. It refuses, holds and stops nothing. Not shared between owners, not kept by a restart.

--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -15,6 +15,7 @@
 
 MAX_LEASE_MS = 1000
 _POISON = "poison"
+_KIND = "kind"
 INITIAL_CLOCK_MS = 100_000
 """Reading of a target's clock when the target boots."""
 
@@ -36,6 +37,7 @@
         self.duration: datetime.timedelta | None = None
         self.is_stopping = False
         self.stalled_percent = 0
+        self.kind = ""
 
     def progress_percent(self, now: datetime.datetime) -> int:
         """Return the progress in percent; a hanging run makes none."""
@@ -55,6 +57,8 @@
     poison task (see :func:`is_poison`) crashes the target, which then refuses connections for
     ``restart_time``, or ignores all commands if it ``crashes_silently``. ``poison_starts`` counts
     the runs of poison tasks by task, and ``crashed_runs`` the runs that a crash has ended.
+    ``slowdown_beside`` has the factor by which a run takes longer beside one of another kind, by
+    both kinds, which specs name after ``kind``.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         self.is_unlisted = False
         self.restart_time = datetime.timedelta()
         self.crashes_silently = False
+        self.slowdown_beside: dict[frozenset[str], float] = {}
         self.is_down = False
         self.refuses_connections = False
         self.loses_replies = False
@@ -283,9 +288,21 @@
             return
         run_end = "failed" if self._rng.random() < self.fails else "done"
         milliseconds = 1.0 if run_end == "failed" else float(words[0]) / self.speed
+        milliseconds *= self._slowdown(key, spec)
         run.duration = datetime.timedelta(milliseconds=milliseconds)
         self._simulation.call_later(run.duration, lambda: self._end_if_current(key, run, run_end))
 
+    def _slowdown(self, key: tuple[str, int], spec: str) -> float:
+        """Return the factor by which a run is slowed down by those on the target as it starts."""
+        run = self._running[key]
+        run.kind = _kind_in(spec)
+        pairs = {
+            frozenset((run.kind, other.kind))
+            for other in self._running.values()
+            if other is not run
+        }
+        return max((self.slowdown_beside.get(pair, 1.0) for pair in pairs), default=1.0)
+
     def _end_if_current(self, key: tuple[str, int], run: _Run, run_end: str) -> None:
         if self._running.get(key) is run:
             self._end_run(key, run_end)
@@ -325,6 +342,12 @@
     return task.rpartition(".")[2] in words[words.index(_POISON) + 1 :]
 
 
+def _kind_in(spec: str) -> str:
+    """Return the word after ``kind`` in a spec, or an empty string."""
+    words = spec.split()
+    return words[words.index(_KIND) + 1] if _KIND in words else ""
+
+
 def _size_in(spec: str) -> resources.Resources:
     return resources.Resources(*(int(amount) for amount in spec.split()[1:4]))
 
--- a/packages/node/chiveridge_node/pool_metrics.py
+++ b/packages/node/chiveridge_node/pool_metrics.py
@@ -96,6 +96,7 @@
         """Set the gauges from the current state of the kernel."""
         kernel = self._kernel
         config_age = self._config_age()
+        preferences = kernel.target_owner.orders.preferences
         values = {
             "jobs": len(kernel.coordinator.jobs_by_id),
             "targets_listed": len(kernel.target_owner.target_list.by_id),
@@ -108,6 +109,10 @@
             "configuration_age_seconds": (
                 math.nan if config_age is None else config_age.total_seconds()
             ),
+            "fast_targets": sum(
+                preferences.speeds.is_fast(target) for target in kernel.target_owner.owned_by_target
+            ),
+            "interfering_pairs": len(preferences.interferences.found()),
             "evacuated_domains": len(kernel.evacuations.since_by_domain),
             "evacuated_runs": sum(
                 kernel.target_owner.count_runs_in(domain)
@@ -141,6 +146,8 @@
     "members_live": "Other nodes heard lately.",
     "configuration_version": "Version of the configuration in force.",
     "configuration_age_seconds": "Time since the platform confirmed it; NaN if it never did.",
+    "fast_targets": "Targets that this node holds and has found faster than is typical.",
+    "interfering_pairs": "Pairs of queues of which one's tasks slow down the other's.",
     "evacuated_domains": "Failure domains whose targets get no new runs, as an operator asked.",
     "evacuated_runs": "Runs left in them on the targets that this node holds.",
     "lag_allowance_seconds": "What is added to timeouts as this process runs late.",
--- a/packages/pool/chiveridge_pool/capacity_queues.py
+++ b/packages/pool/chiveridge_pool/capacity_queues.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from chiveridge_pool import identifiers, messages, owned_targets, resources
+from chiveridge_pool import identifiers, messages, owned_targets, resources, target_preferences
 
 _Key = tuple[identifiers.NodeId, identifiers.JobId, int, bool]
 
@@ -84,16 +84,27 @@
 
 
 def choose_target(
-    message: messages.CapacityRequest, usable_targets: list[owned_targets.OwnedTarget]
+    message: messages.CapacityRequest,
+    usable_targets: list[owned_targets.OwnedTarget],
+    preferences: target_preferences.TargetPreferences,
 ) -> owned_targets.OwnedTarget | None:
     """Return the target for one task, or None if it fits nowhere.
 
-    Targets near the data are preferred, then those with the least free processor capacity.
+    Targets near the data are preferred, then those where the task is not slowed down and whose
+    speed suits it, then those with the least free processor capacity.
     """
     fitting = [owned for owned in usable_targets if _is_eligible(message, owned)]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda owned: (not _is_near(message, owned), owned.free().cpu))
+    if len(fitting) <= 1:
+        return fitting[0] if fitting else None
+    is_long = preferences.is_long(message)
+    return min(
+        fitting,
+        key=lambda owned: (
+            not _is_near(message, owned),
+            preferences.rank(message, owned, is_long=is_long),
+            owned.free().cpu,
+        ),
+    )
 
 
 def declared_run_time(
--- a/packages/pool/chiveridge_pool/grant_allocators.py
+++ b/packages/pool/chiveridge_pool/grant_allocators.py
@@ -82,7 +82,9 @@
         capacity_request = request.message
         granted = []
         while request.outstanding > 0:
-            owned = capacity_queues.choose_target(capacity_request, usable_targets)
+            owned = capacity_queues.choose_target(
+                capacity_request, usable_targets, self._orders.preferences
+            )
             if owned is None:
                 break
             grant = self._reserve(capacity_request, owned, now)
@@ -118,6 +120,7 @@
             now + timings.GRANT_RESERVATION_TIMEOUT,
         )
         grant.is_isolated = capacity_request.is_isolated
+        self._orders.preferences.record_start(owned, grant)
         owned.add(grant)
         self._orders.record_use(owned, now)
         return grant
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -11,6 +11,7 @@
     """A grant, as tracked by the owner of its target."""
 
     __slots__ = (
+        "beside_at_start",
         "state_changed_at",
         "estimate",
         "expires_at",
@@ -69,6 +70,8 @@
         # Whether the present incarnation of the target has certainly started it.
         self.is_start_confirmed = False
         self.is_isolated = False
+        # Queues of the other runs on the target as it was granted.
+        self.beside_at_start: frozenset[identifiers.QueueName] = frozenset()
 
     @property
     def key(self) -> tuple[identifiers.TaskName, identifiers.RunNumber]:
--- a/packages/pool/chiveridge_pool/lost_targets.py
+++ b/packages/pool/chiveridge_pool/lost_targets.py
@@ -48,6 +48,7 @@
         orphaned.
         """
         self._report(owned, crash_histories.Evidence.RESTARTED, reason, now)
+        self._target_owner.orders.preferences.speeds.forget(owned.target.id)
         for grant in owned.sent_grants():
             if not owned.was_running_at_last_reply(grant):
                 self._orphan(owned, grant, _ends_in_next_incarnation_at(grant, now))
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -17,6 +17,7 @@
     owned_targets,
     runs,
     slow_targets,
+    target_preferences,
     timings,
 )
 
@@ -70,6 +71,7 @@
         self._pending_by_target: dict[identifiers.TargetId, _PendingHold] = {}
         self._loop_lag = loop_lag
         self._slow_targets = slow_targets.SlowTargets()
+        self.preferences = target_preferences.TargetPreferences(outbox)
         self._trial_due_by_target: dict[identifiers.TargetId, datetime.datetime] = {}
         self._last_timeout_at: datetime.datetime | None = None
         self._failed_jobs_by_target: dict[identifiers.TargetId, set[identifiers.JobId]] = {}
@@ -238,7 +240,9 @@
                 continue
             self._suspend_if_failing(owned, grant, how, now)
             if how is runs.RunEnd.DONE:
-                self._slow_targets.record_completion(owned.target.id, grant, now)
+                excess = self._slow_targets.record_completion(owned.target.id, grant, now)
+                if excess is not None:
+                    self.preferences.record_completion(owned, grant, excess)
             self._target_owner.end_grant(owned, grant, how)
 
     def _suspend_if_failing(
--- a/packages/pool/chiveridge_pool/slow_targets.py
+++ b/packages/pool/chiveridge_pool/slow_targets.py
@@ -71,10 +71,14 @@
 
     def record_completion(
         self, target: identifiers.TargetId, grant: grants.Grant, now: datetime.datetime
-    ) -> None:
-        """Update queue and target with the run time of a completed task."""
+    ) -> float | None:
+        """Update queue and target with the run time of a completed task.
+
+        Return the natural logarithm of its run time over what is typical for its queue, or None if
+        that is not known.
+        """
         if grant.running_since is None:
-            return
+            return None
         ratio = math.log((now - grant.running_since + _MIN_DURATION) / _declared(grant))
         queue_ratio = self._queue_ratio(grant)
         queue_ratio.add(ratio)
@@ -82,6 +86,9 @@
         self._excess_by_target[target] = previous + _TARGET_WEIGHT * (
             ratio - queue_ratio.mean - previous
         )
+        if queue_ratio.samples < _MIN_SAMPLES:
+            return None
+        return ratio - queue_ratio.mean
 
     def record_progress(
         self, target: identifiers.TargetId, grant: grants.Grant, now: datetime.datetime
