Retry a start without a reply after silence once it is fenced off or late

Change: the start message carries how long its task may wait for proof; the owner keeps a run whose start got no reply until the target accepts a higher token, or until the deadline leaves twice the run time for a retry. Other runs end with their lease, as before.

--- a/packages/pool/chiveridge_pool/grant_allocators.py
+++ b/packages/pool/chiveridge_pool/grant_allocators.py
@@ -142,6 +142,7 @@
             owned, grant = found
             if not grant.is_sent():
                 grant.task, grant.run, grant.spec = task, run, message.spec
+                grant.retry_by = now + datetime.timedelta(milliseconds=message.retry_slack_ms)
                 self._starts.start(owned, grant, now)
 
     def forget_node(self, node: identifiers.NodeId, now: datetime.datetime) -> None:
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -25,6 +25,7 @@
         "percent",
         "progressed_at",
         "queue",
+        "retry_by",
         "run",
         "running_since",
         "size",
@@ -65,6 +66,8 @@
         self.until_ms = 0
         self.first_sent_at = expires_at
         self.state_changed_at = expires_at
+        # When its task is retried although the run may not have ended.
+        self.retry_by = expires_at
         self.stop_sent_at: datetime.datetime | None = None
         self.is_confirmed_stopped = False
         # Whether the present incarnation of the target has certainly started it.
--- a/packages/pool/chiveridge_pool/lost_targets.py
+++ b/packages/pool/chiveridge_pool/lost_targets.py
@@ -70,12 +70,20 @@
         self._target_owner.release_target(owned)
 
     def expire_runs(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
-        """End the runs of a silent target whose lease has expired, and release it."""
+        """End the runs of a silent target whose lease has expired, and release it.
+
+        A target may have been restarted and execute a start without a reply late. Such a run ends
+        when the target has accepted a higher token, or when its task must be retried to be in time.
+        """
         if not owned.sent_grants():
             return
         self._report(owned, crash_histories.Evidence.SILENT, SILENT, now)
         for grant in owned.sent_grants():
-            self._target_owner.end_grant(owned, grant, runs.RunEnd.LAPSED, SILENT)
+            ends_at = min(_ends_in_next_incarnation_at(grant, now), grant.retry_by)
+            if grant.is_start_unanswered() and ends_at > now:
+                self._orphan(owned, grant, ends_at, runs.RunEnd.LAPSED)
+            else:
+                self._target_owner.end_grant(owned, grant, runs.RunEnd.LAPSED, SILENT)
         self._target_owner.release_target(owned)
 
     def end_replaced(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
@@ -92,9 +100,10 @@
         owned: owned_targets.OwnedTarget,
         grant: grants.Grant,
         ends_at: datetime.datetime,
+        how: runs.RunEnd | None = None,
     ) -> None:
         owned.remove(grant)
-        self._orphaned.add(grant, owned.target.id, ends_at, _end_with(owned.target))
+        self._orphaned.add(grant, owned.target.id, ends_at, how or _end_with(owned.target))
 
     def _end_grants(self, owned: owned_targets.OwnedTarget, reason: str) -> None:
         for grant in list(owned.grants_by_id.values()):
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -139,12 +139,16 @@
 
 
 class StartRuns(Message, tag="st", frozen=True, kw_only=True):
-    """Run tasks on granted capacity; ``sequence`` numbers the starts sent to one owner."""
+    """Run tasks on granted capacity; ``sequence`` numbers the starts sent to one owner.
+
+    ``retry_slack_ms``: how long a task may wait for proof that its run has ended.
+    """
 
     job: identifiers.JobId
     sequence: int
     spec: str
     runs: tuple[tuple[identifiers.GrantId, identifiers.TaskName, identifiers.RunNumber], ...]
+    retry_slack_ms: float = 0.0
 
 
 class StopRuns(Message, tag="sp", frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/placements.py
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -3,7 +3,9 @@
 import datetime
 from collections.abc import Callable
 
+from chiveridge_kernel import clocks
 from chiveridge_pool import (
+    deadlines,
     grants,
     identifiers,
     jobs,
@@ -60,6 +62,7 @@
             sequence=sequence,
             spec=job.request.spec,
             runs=tuple(run_rows),
+            retry_slack_ms=clocks.to_ms(deadlines.retry_slack(job, now)),
         )
         self._outbox.send(owner, message)
 
