Look at waiting requests only while a target has room for one

Change: targets without room for the smallest waiting task are left out first, and serving stops once no target is left; the failure domains are kept until the membership changes. The test of full owners frees one target before it counts, since a full owner now tries none; its bound is as it was. A new test shows that a full owner does not sort its queue.

--- a/packages/pool/chiveridge_pool/capacity_queues.py
+++ b/packages/pool/chiveridge_pool/capacity_queues.py
@@ -42,6 +42,10 @@
         """Return the nodes with queued requests."""
         return {key[0] for key in self._by_key}
 
+    def min_cpu(self) -> int:
+        """Return the least processor capacity that a queued task needs."""
+        return min(request.message.size.cpu for request in self._by_key.values())
+
     def by_rank(self) -> list[QueuedRequest]:
         """Return the requests by rank, the next to be served first."""
         return sorted(self._by_key.values(), key=lambda request: request.message.rank)
@@ -102,7 +106,7 @@
         key=lambda owned: (
             not _is_near(message, owned),
             preferences.rank(message, owned, is_long=is_long),
-            owned.free().cpu,
+            owned.free_cpu(),
         ),
     )
 
--- a/packages/pool/chiveridge_pool/grant_allocators.py
+++ b/packages/pool/chiveridge_pool/grant_allocators.py
@@ -63,13 +63,17 @@
         self, usable_targets: list[owned_targets.OwnedTarget], now: datetime.datetime
     ) -> None:
         """Grant free capacity to pending requests, in queue order."""
+        if not usable_targets:
+            return
+        min_cpu = self.capacity_queue.min_cpu()
         unfit_sizes = capacity_queues.UnfitSizes()
         for request in self.capacity_queue.by_rank():
-            if not usable_targets:
-                return
             if unfit_sizes.cover(request.message):
                 continue
-            self._serve_one(request, usable_targets, now)
+            if self._serve_one(request, usable_targets, now):
+                usable_targets = [t for t in usable_targets if t.free_cpu() >= min_cpu]
+                if not usable_targets:
+                    return
             if request.outstanding > 0:
                 unfit_sizes.add(request.message)
 
@@ -78,7 +82,8 @@
         request: capacity_queues.QueuedRequest,
         usable_targets: list[owned_targets.OwnedTarget],
         now: datetime.datetime,
-    ) -> None:
+    ) -> int:
+        """Grant a request what there is room for, and return the number of grants."""
         capacity_request = request.message
         granted = []
         while request.outstanding > 0:
@@ -102,6 +107,7 @@
                 is_isolated=capacity_request.is_isolated,
             )
             self._outbox.send(capacity_request.sender, message)
+        return len(granted)
 
     def _reserve(
         self,
--- a/packages/pool/chiveridge_pool/members.py
+++ b/packages/pool/chiveridge_pool/members.py
@@ -118,6 +118,8 @@
         self._target_counts: dict[identifiers.DomainName, int] = {}
         self._owner_sets: dict[identifiers.DomainName, tuple[identifiers.Endpoint, ...]] = {}
         self._owner_sets_revision = -1
+        self._domains: frozenset[identifiers.DomainName] = frozenset()
+        self._domains_revision = -1
 
     # Listed nodes
 
@@ -358,11 +360,13 @@
             self._choose_owners()
         return self._owner_sets.get(domain, ())
 
-    def domains(self) -> list[identifiers.DomainName]:
+    def domains(self) -> frozenset[identifiers.DomainName]:
         """Return the failure domains of all known nodes."""
-        return sorted(
-            {member.domain for member in (self._own, *self.by_endpoint.values()) if member.domain}
-        )
+        if self._domains_revision != self.revision:
+            known = (self._own, *self.by_endpoint.values())
+            self._domains = frozenset(member.domain for member in known if member.domain)
+            self._domains_revision = self.revision
+        return self._domains
 
     def preferred_owners(
         self, domain: identifiers.DomainName, now: datetime.datetime
--- a/packages/pool/chiveridge_pool/owned_targets.py
+++ b/packages/pool/chiveridge_pool/owned_targets.py
@@ -75,6 +75,10 @@
         """Return the capacity that is neither used nor reserved."""
         return self.target.capacity.minus(self.used)
 
+    def free_cpu(self) -> int:
+        """Return the processor capacity that is free, in thousandths of a core."""
+        return self.target.capacity.cpu - self.used.cpu
+
     def accepts_runs(self, now: datetime.datetime) -> bool:
         """Return whether the target can accept new runs."""
         return (
--- a/packages/pool/chiveridge_pool/ownerships.py
+++ b/packages/pool/chiveridge_pool/ownerships.py
@@ -45,7 +45,7 @@
         """Return the domains of which a node is heard, or none was silent yet."""
         live = {member.domain for member in self._members.live(now)}
         silent = {member.domain for member in self._members.watched() if member.is_suspected} - live
-        return frozenset(self._members.domains()) - silent | {self._members.own_domain}
+        return self._members.domains() - silent | {self._members.own_domain}
 
     def _choose(self, target: targets.Target) -> identifiers.Endpoint | None:
         """Return a node of the target's failure domain, or of another if none is in reach."""
--- a/packages/pool/chiveridge_pool/peer_selection.py
+++ b/packages/pool/chiveridge_pool/peer_selection.py
@@ -40,7 +40,7 @@
         """
         table = self._members
         watched = {member.endpoint for member in table.by_endpoint.values() if not member.domain}
-        domains = table.domains() if is_owner else [table.own_domain]
+        domains = sorted(table.domains()) if is_owner else [table.own_domain]
         for domain in domains:
             watched.update(table.owner_set(domain))
             watched.update(table.preferred_owners(domain, now))
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -355,19 +355,28 @@
             elsewhere = messages.JobElsewhere(sender=self._own_id, job=message.job, leader=leader)
             self._outbox.send(message.sender, elsewhere)
             return
-        self.allocator.request_capacity(message, self.usable_targets(now), now)
+        usable = self.usable_targets(now, min_cpu=message.size.cpu)
+        self.allocator.request_capacity(message, usable, now)
 
     def serve_requests(self, now: datetime.datetime) -> None:
         """Grant free capacity to pending requests."""
         if self.allocator.capacity_queue:
-            self.allocator.serve_requests(self.usable_targets(now), now)
+            min_cpu = self.allocator.capacity_queue.min_cpu()
+            self.allocator.serve_requests(self.usable_targets(now, min_cpu=min_cpu), now)
 
-    def usable_targets(self, now: datetime.datetime) -> list[owned_targets.OwnedTarget]:
-        """Return the owned targets on which new runs may be started."""
+    def usable_targets(
+        self, now: datetime.datetime, *, min_cpu: int = 0
+    ) -> list[owned_targets.OwnedTarget]:
+        """Return the owned targets on which new runs may be started.
+
+        ``min_cpu`` is the processor capacity that must be free, in thousandths of a core.
+        """
         return [
             owned
             for owned in self.owned_by_target.values()
-            if owned.accepts_runs(now)
+            # First, as most targets of a busy owner are full.
+            if owned.free_cpu() >= min_cpu
+            and owned.accepts_runs(now)
             and self.orders.is_fast_or_trial_due(owned, now)
             and owned.target.id not in self.targets_in_handover
             and not owned.has_isolated_run()
--- a/tests/pool/test_pool_full_owners.py
+++ b/tests/pool/test_pool_full_owners.py
@@ -41,6 +41,8 @@
     monkeypatch.setattr(capacity_queues, "_is_eligible", count_and_check)
     owner = pools.node(full_pool, 1).kernel.target_owner
     assert len(owner.allocator.capacity_queue) == REQUESTS
+    freed = next(iter(owner.owned_by_target.values()))
+    freed.remove(next(iter(freed.grants_by_id.values())))
     owner.serve_requests(full_pool.simulation.now)
     assert 0 < len(tried) <= MAX_TARGETS_TRIED
 
@@ -54,3 +56,16 @@
     small = model.submit(node, pools.job("b" * 16, 1, 100.0, cpu=20_000, caller_timeout=PATIENCE))
     model.run(seconds=0.3)
     assert model.answers_by_caller[small].verdict is actions.Verdict.COMPLETE
+
+
+def test_requests_that_wait_are_not_looked_at_while_no_target_has_room(full_pool, monkeypatch):
+    looked_at = []
+    monkeypatch.setattr(
+        capacity_queues.CapacityQueue, "by_rank", lambda queue: looked_at.append(queue) or []
+    )
+    owner = pools.node(full_pool, 1).kernel.target_owner
+    smallest = owner.allocator.capacity_queue.min_cpu()
+    assert owner.usable_targets(full_pool.simulation.now)
+    assert all(owned.free_cpu() < smallest for owned in owner.owned_by_target.values())
+    owner.serve_requests(full_pool.simulation.now)
+    assert looked_at == []
