Make preferences a setting, share them between owners, and compare a target with itself

Cause: what owners learn of speeds and of queues that slow each other down was on everywhere, unknown to the next owner of a target and to a process that starts anew, and not seen in what it decides; a fast target that had become half as fast was taken for a normal one. Conclusion: whole but for the log of single tasks and for speeds of an owner that died.

--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -21,6 +21,7 @@
     messages,
     node_lists,
     ranks,
+    target_preferences,
     targets,
     timings,
 )
@@ -113,6 +114,7 @@
             endpoint=self.endpoint,
             strength=self.strength,
             order=self.pool.order,
+            preferences=self.pool.preferences,
         )
         self.kernel = kernels.Kernel(settings, random.Random(f"{identity}"), now)
         self.is_frozen = False
@@ -193,8 +195,14 @@
 class PoolModel:
     """A simulated pool: nodes, targets, and the messages and commands between them."""
 
-    def __init__(self, seed: int = 1, order: ranks.RankingPolicy = ranks.RankingPolicy.SHARES):
+    def __init__(
+        self,
+        seed: int = 1,
+        order: ranks.RankingPolicy = ranks.RankingPolicy.SHARES,
+        preferences: frozenset[target_preferences.Preference] = target_preferences.ALL,
+    ):
         self.order = order
+        self.preferences = preferences
         self.simulation = Simulation()
         self.rng = random.Random(seed)
         self.nodes_by_name: dict[str, NodeModel] = {}
--- a/packages/node/chiveridge_node/pool_metrics.py
+++ b/packages/node/chiveridge_node/pool_metrics.py
@@ -68,6 +68,12 @@
         self._events = prometheus_client.Counter(
             "chiveridge_events", "Log events, by name.", ["name"], registry=self.registry
         )
+        self._preferred_choices = prometheus_client.Gauge(
+            "chiveridge_preferred_choices",
+            "Tasks that went to another target than the fullest with room, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self._gauges = {
             name: prometheus_client.Gauge(f"chiveridge_{name}", text, registry=self.registry)
             for name, text in _GAUGES.items()
@@ -112,7 +118,7 @@
             "fast_targets": sum(
                 preferences.speeds.is_fast(target) for target in kernel.target_owner.owned_by_target
             ),
-            "interfering_pairs": len(preferences.interferences.found()),
+            "interfering_pairs": len(preferences.interferences.followed()),
             "evacuated_domains": len(kernel.evacuations.since_by_domain),
             "evacuated_runs": sum(
                 kernel.target_owner.count_runs_in(domain)
@@ -124,6 +130,8 @@
         }
         for name, value in values.items():
             self._gauges[name].set(value)
+        for reason, count in preferences.choices_by_reason.items():
+            self._preferred_choices.labels(reason.value).set(count)
 
     def render(self, now: datetime.datetime) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -147,7 +155,7 @@
     "configuration_version": "Version of the configuration in force.",
     "configuration_age_seconds": "Time since the platform confirmed it; NaN if it never did.",
     "fast_targets": "Targets that this node holds and has found faster than is typical.",
-    "interfering_pairs": "Pairs of queues of which one's tasks slow down the other's.",
+    "interfering_pairs": "Pairs of queues kept apart, as one's tasks slow down the other's.",
     "evacuated_domains": "Failure domains whose targets get no new runs, as an operator asked.",
     "evacuated_runs": "Runs left in them on the targets that this node holds.",
     "lag_allowance_seconds": "What is added to timeouts as this process runs late.",
--- a/packages/pool/chiveridge_pool/capacity_queues.py
+++ b/packages/pool/chiveridge_pool/capacity_queues.py
@@ -100,15 +100,30 @@
     fitting = [owned for owned in usable_targets if _is_eligible(message, owned)]
     if len(fitting) <= 1:
         return fitting[0] if fitting else None
+    if not preferences.are_any_known():
+        return min(fitting, key=lambda owned: (not _is_near(message, owned), owned.free_cpu()))
+    return _choose_preferred(message, fitting, preferences)
+
+
+def _choose_preferred(
+    message: messages.CapacityRequest,
+    fitting: list[owned_targets.OwnedTarget],
+    preferences: target_preferences.TargetPreferences,
+) -> owned_targets.OwnedTarget:
     is_long = preferences.is_long(message)
-    return min(
-        fitting,
-        key=lambda owned: (
+    candidates = [
+        (
             not _is_near(message, owned),
             preferences.rank(message, owned, is_long=is_long),
             owned.free_cpu(),
-        ),
-    )
+            owned,
+        )
+        for owned in fitting
+    ]
+    chosen = min(candidates, key=lambda candidate: candidate[:3])
+    fullest = min(candidates, key=lambda candidate: (candidate[0], candidate[2]))
+    preferences.record_choice(chosen[1], fullest[1])
+    return chosen[3]
 
 
 def declared_run_time(
--- a/packages/pool/chiveridge_pool/handovers.py
+++ b/packages/pool/chiveridge_pool/handovers.py
@@ -3,13 +3,22 @@
 import datetime
 
 from chiveridge_kernel import clocks
-from chiveridge_pool import grants, identifiers, messages, owned_targets, runs, targets
+from chiveridge_pool import (
+    grants,
+    identifiers,
+    messages,
+    owned_targets,
+    runs,
+    target_speeds,
+    targets,
+)
 
 
 def build_handover(
-    owned: owned_targets.OwnedTarget, owner: identifiers.NodeId
+    owned: owned_targets.OwnedTarget, owner: identifiers.NodeId, speeds: target_speeds.TargetSpeeds
 ) -> messages.Handover:
-    """Return the message that hands over a target and its runs."""
+    """Return the message that hands over a target, its runs and what is known of its speed."""
+    speed_excess, speed_runs = speeds.learned(owned.target.id)
     rows = tuple(
         messages.HandedRun(
             grant.id,
@@ -32,6 +41,8 @@
         acknowledged=owned.acknowledged,
         started_at_ms=owned.started_at_ms,
         runs=rows,
+        speed_excess=speed_excess,
+        speed_runs=speed_runs,
     )
 
 
--- a/packages/pool/chiveridge_pool/heartbeats.py
+++ b/packages/pool/chiveridge_pool/heartbeats.py
@@ -108,6 +108,7 @@
             strength=kernel.settings.strength,
             unfit_endpoints=self._members.unfit_endpoints(),
             evacuations_version=kernel.evacuations.version,
+            interferences=kernel.target_owner.orders.preferences.interferences.found_pairs(),
         )
         if state != self._state:
             self._state = state
--- a/packages/pool/chiveridge_pool/interferences.py
+++ b/packages/pool/chiveridge_pool/interferences.py
@@ -25,6 +25,9 @@
 _MAX_QUEUES = 32
 """Queues that are compared; the pairs grow with their square."""
 
+_IDLE_AFTER_RUNS = 10_000
+"""Runs of other queues after which a queue without runs makes room for a new one."""
+
 _Pair = tuple[identifiers.QueueName, identifiers.QueueName]
 
 
@@ -59,8 +62,12 @@
     def __init__(self):
         self._beside_by_pair: dict[_Pair, _Mean] = {}
         self._apart_by_pair: dict[_Pair, _Mean] = {}
-        self._queues: set[identifiers.QueueName] = set()
+        self._last_run_by_queue: dict[identifiers.QueueName, int] = {}
+        self._run_count = 0
+        # What this owner has found itself, and what others have.
         self._slowdown_by_pair: dict[_Pair, float] = {}
+        self._reported_pairs: frozenset[_Pair] = frozenset()
+        self._followed_pairs: frozenset[_Pair] = frozenset()
 
     def record(
         self,
@@ -74,11 +81,12 @@
         ``excess`` is the natural logarithm of its run time over what is typical for the queue on
         that target. ``at_start`` and ``at_end`` hold the queues of the other runs on the target.
         """
-        if queue not in self._queues and len(self._queues) >= _MAX_QUEUES:
+        self._run_count += 1
+        if queue not in self._last_run_by_queue and not self._make_room():
             return None
-        self._queues.add(queue)
+        self._last_run_by_queue[queue] = self._run_count
         changed = None
-        for other in self._queues:
+        for other in self._last_run_by_queue:
             was_beside = other in at_start
             if was_beside != (other in at_end):
                 continue
@@ -87,13 +95,35 @@
             means.setdefault(pair, _Mean()).add(excess)
             if self._conclude(pair):
                 changed = pair
+        if changed is not None:
+            self._follow()
         return changed
 
+    def _make_room(self) -> bool:
+        """Return whether a further queue can be compared; forget one without runs for it."""
+        if len(self._last_run_by_queue) < _MAX_QUEUES:
+            return True
+        idle, last_run = min(self._last_run_by_queue.items(), key=lambda item: item[1])
+        if self._run_count - last_run < _IDLE_AFTER_RUNS:
+            return False
+        del self._last_run_by_queue[idle]
+        for by_pair in (self._beside_by_pair, self._apart_by_pair, self._slowdown_by_pair):
+            for pair in [pair for pair in by_pair if idle in pair]:
+                del by_pair[pair]
+        self._follow()
+        return True
+
+    def _has_evidence(self, pair: _Pair) -> bool:
+        beside, apart = self._beside_by_pair.get(pair), self._apart_by_pair.get(pair)
+        if beside is None or apart is None:
+            return False
+        return min(beside.weight, apart.weight) >= MIN_RUNS
+
     def _conclude(self, pair: _Pair) -> bool:
         """Compare the runs beside and apart; return whether the conclusion has changed."""
-        beside, apart = self._beside_by_pair.get(pair), self._apart_by_pair.get(pair)
-        if beside is None or apart is None or min(beside.weight, apart.weight) < MIN_RUNS:
+        if not self._has_evidence(pair):
             return False
+        beside, apart = self._beside_by_pair[pair], self._apart_by_pair[pair]
         difference = beside.mean - apart.mean
         error = math.sqrt(beside.squared_error() + apart.squared_error())
         was_found = pair in self._slowdown_by_pair
@@ -106,17 +136,38 @@
             self._slowdown_by_pair.pop(pair, None)
         return is_found != was_found
 
+    def set_reported(self, reported: Iterable[_Pair]) -> None:
+        """Set the pairs that other owners have found; they count where this one knows too little.
+
+        Thus a process that has started anew need not learn them again.
+        """
+        self._reported_pairs = frozenset(reported)
+        self._follow()
+
+    def _follow(self) -> None:
+        """Combine the own findings with those of others."""
+        unknown = {pair for pair in self._reported_pairs if not self._has_evidence(pair)}
+        self._followed_pairs = unknown | self._slowdown_by_pair.keys()
+
     def found(self) -> dict[_Pair, float]:
-        """Return the factor by which the first queue's runs are slowed down, by pair."""
+        """Return the factor by which this owner has found the first queue's runs slowed down."""
         return dict(self._slowdown_by_pair)
 
+    def found_pairs(self) -> tuple[_Pair, ...]:
+        """Return the pairs that this owner has found, sorted."""
+        return tuple(sorted(self._slowdown_by_pair))
+
+    def followed(self) -> frozenset[_Pair]:
+        """Return the pairs that are kept apart, as found here or by other owners."""
+        return self._followed_pairs
+
     def has_any(self) -> bool:
-        """Return whether any pair was found."""
-        return bool(self._slowdown_by_pair)
+        """Return whether any pair was found here or elsewhere."""
+        return bool(self._followed_pairs)
 
     def disturb(
         self, queue: identifiers.QueueName, others: Iterable[identifiers.QueueName]
     ) -> bool:
         """Return whether a run of a queue and runs of others slow down each other."""
-        pairs = self._slowdown_by_pair
+        pairs = self._followed_pairs
         return any((queue, other) in pairs or (other, queue) in pairs for other in others)
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -26,6 +26,7 @@
     peer_selection,
     ranks,
     target_owners,
+    target_preferences,
     timings,
 )
 
@@ -46,7 +47,7 @@
     """Fixed settings of a kernel.
 
     ``strength`` is the processor share of the machine in hundredths of a core; the strongest nodes
-    of a failure domain own its targets.
+    of a failure domain own its targets. ``preferences`` are followed when a target is chosen.
     """
 
     node: identifiers.NodeId
@@ -54,6 +55,7 @@
     endpoint: identifiers.Endpoint
     strength: int = 0
     order: ranks.RankingPolicy = ranks.RankingPolicy.SHARES
+    preferences: frozenset[target_preferences.Preference] = target_preferences.ALL
 
 
 class Kernel:
@@ -76,6 +78,7 @@
             self.loop_lag,
             self.crash_reports,
             self.evacuations,
+            settings.preferences,
         )
         self.coordinator = coordinators.Coordinator(
             self.members, self.outbox, self.target_owner, settings.order, self.crash_reports
@@ -231,6 +234,13 @@
         self.target_owner.withdraw_evacuated(now)
         self.coordinator.refuse_unplaceable(now)
 
+    def follow_interferences(self, now: datetime.datetime) -> None:
+        """Take over which queues' tasks other owners have found to slow each other down."""
+        if target_preferences.Preference.SEPARATION not in self.settings.preferences:
+            return
+        reported = {pair for member in self.members.live(now) for pair in member.interferences}
+        self.target_owner.orders.preferences.interferences.set_reported(reported)
+
     def share_evacuations(self, member: members.Member, known_version: int) -> None:
         """Send the evacuations to a member that knows an earlier version."""
         if self.evacuations.has_been_used and known_version < self.evacuations.version:
--- a/packages/pool/chiveridge_pool/members.py
+++ b/packages/pool/chiveridge_pool/members.py
@@ -58,6 +58,7 @@
         # The reported ones, less what this node has requested since.
         self.free_capacities: list[resources.Resources] = []
         self.version = 0
+        self.interferences: tuple[tuple[identifiers.QueueName, identifiers.QueueName], ...] = ()
         self.jobs: frozenset[identifiers.JobId] = frozenset()
         self.leaders_by_job: dict[identifiers.JobId, identifiers.NodeId] = {}
 
--- a/packages/pool/chiveridge_pool/message_handlers.py
+++ b/packages/pool/chiveridge_pool/message_handlers.py
@@ -36,6 +36,9 @@
     if message.state is not None:
         kernel.target_owner.mark_draining(message.state.draining_targets)
         kernel.share_evacuations(member, message.state.evacuations_version)
+        if member.interferences != message.state.interferences:
+            member.interferences = message.state.interferences
+            kernel.follow_interferences(now)
     kernel.coordinator.placements.reconcile(message, member, now)
 
 
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -28,7 +28,8 @@
     ``draining_targets`` lists the targets that it knows to be draining, with their start times in
     Unix milliseconds. ``unfit_endpoints`` lists the nodes of its failure domain that it knows to be
     silent or draining. ``strength`` is the processor share of its machine in hundredths of a
-    core.
+    core. ``interferences`` lists pairs of queues of which the first one's runs take longer beside
+    the second one's, as this owner has found.
     """
 
     domain: identifiers.DomainName
@@ -41,6 +42,7 @@
     strength: int = 0
     unfit_endpoints: tuple[identifiers.Endpoint, ...] = ()
     evacuations_version: int = 0
+    interferences: tuple[tuple[identifiers.QueueName, identifiers.QueueName], ...] = ()
 
 
 class Heartbeat(Message, tag="hb", frozen=True, kw_only=True):
@@ -179,13 +181,19 @@
 
 
 class Handover(Message, tag="ho", frozen=True, kw_only=True):
-    """Hand over a target and its runs to another owner."""
+    """Hand over a target and its runs to another owner.
+
+    ``speed_excess`` and ``speed_runs`` are what :class:`chiveridge_pool.target_speeds.TargetSpeeds`
+    has learned of it.
+    """
 
     target: targets.Target
     token: identifiers.FencingToken
     acknowledged: int
     started_at_ms: int
     runs: tuple[HandedRun, ...]
+    speed_excess: float = 0.0
+    speed_runs: int = 0
 
 
 class OwnerChanged(Message, tag="mv", frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -63,6 +63,7 @@
         outbox: outboxes.Outbox,
         target_owner: "target_owners.TargetOwner",
         loop_lag: loop_lags.LoopLag,
+        preferences: frozenset[target_preferences.Preference],
     ):
         self._outbox = outbox
         self._target_owner = target_owner
@@ -70,8 +71,8 @@
         self._hold_numbers = itertools.count(1)
         self._pending_by_target: dict[identifiers.TargetId, _PendingHold] = {}
         self._loop_lag = loop_lag
-        self._slow_targets = slow_targets.SlowTargets()
-        self.preferences = target_preferences.TargetPreferences(outbox)
+        self.preferences = target_preferences.TargetPreferences(outbox, preferences)
+        self._slow_targets = slow_targets.SlowTargets(self.preferences.speeds.excess_of)
         self._trial_due_by_target: dict[identifiers.TargetId, datetime.datetime] = {}
         self._last_timeout_at: datetime.datetime | None = None
         self._failed_jobs_by_target: dict[identifiers.TargetId, set[identifiers.JobId]] = {}
@@ -242,7 +243,8 @@
             if how is runs.RunEnd.DONE:
                 excess = self._slow_targets.record_completion(owned.target.id, grant, now)
                 if excess is not None:
-                    self.preferences.record_completion(owned, grant, excess)
+                    is_slow = self._slow_targets.is_slow(owned.target.id)
+                    self.preferences.record_completion(owned, grant, excess, is_slow=is_slow)
             self._target_owner.end_grant(owned, grant, how)
 
     def _suspend_if_failing(
--- a/packages/pool/chiveridge_pool/slow_targets.py
+++ b/packages/pool/chiveridge_pool/slow_targets.py
@@ -2,17 +2,20 @@
 
 Declared run times are often far off. Each queue therefore has a mean ratio of actual to declared
 run time, and a target counts as slow when its tasks take much longer than is typical for their
-queues.
+queues and for the target.
 """
 
 import datetime
 import math
+from collections.abc import Callable
 
 from chiveridge_pool import grants, identifiers
 
 SLOW_RATIO = 2.2
 """Run time on a slow target relative to the typical one; healthy targets reach up to 1.25."""
 
+_SLOW_EXCESS = math.log(SLOW_RATIO)
+
 IN_PROGRESS_SLOW_RATIO = 4.8
 """The same for a run in progress; higher, as the reported progress is coarse."""
 
@@ -63,9 +66,11 @@
     """Moving averages of how slow each target is.
 
     The excess of a target is the natural logarithm of actual over typical run time.
+    ``usual_excess`` returns the one at a target's usual speed, or 0 if that is not known.
     """
 
-    def __init__(self):
+    def __init__(self, usual_excess: Callable[[identifiers.TargetId], float] = lambda target: 0.0):
+        self._usual_excess = usual_excess
         self._ratio_by_queue: dict[identifiers.QueueName, _QueueRatio] = {}
         self._excess_by_target: dict[identifiers.TargetId, float] = {}
 
@@ -103,8 +108,9 @@
             self._excess_by_target[target] = max(previous, min(excess, _MAX_EXCESS))
 
     def is_slow(self, target: identifiers.TargetId) -> bool:
-        """Tell whether run times on a target are far above the typical ones."""
-        return self._excess_by_target.get(target, 0.0) > math.log(SLOW_RATIO)
+        """Tell whether run times on a target are far above the typical ones at its usual speed."""
+        excess = self._excess_by_target.get(target, 0.0)
+        return excess - self._usual_excess(target) > _SLOW_EXCESS
 
     def should_restart_elsewhere(self, grant: grants.Grant, now: datetime.datetime) -> bool:
         """Tell whether a run would finish much sooner if it was restarted on another target."""
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -26,6 +26,7 @@
     runs,
     starts,
     target_lists,
+    target_preferences,
     targets,
     timings,
     tokens,
@@ -46,6 +47,7 @@
         loop_lag: loop_lags.LoopLag,
         reports: crash_reports.CrashReports,
         evacuated: evacuations.Evacuations,
+        preferences: frozenset[target_preferences.Preference] = target_preferences.ALL,
     ):
         self._members = table
         self._evacuated = evacuated
@@ -56,7 +58,7 @@
         self._startup_ends_at = started_at + timings.STARTUP_NODE_LIST_WAIT
         self._is_started_up = False
         self._tokens = tokens.TokenSource(rng)
-        self.orders = orders.Orders(outbox, self, loop_lag)
+        self.orders = orders.Orders(outbox, self, loop_lag, preferences)
         self._starts = starts.Starts(outbox, self, self.orders, loop_lag)
         self.target_list = target_lists.TargetList()
         self.owned_by_target: dict[identifiers.TargetId, owned_targets.OwnedTarget] = {}
@@ -129,7 +131,7 @@
     def tick(self, now: datetime.datetime) -> None:
         """Perform due claims, handovers, lease renewals, stops and expirations."""
         self._drop_missing(now)
-        self._count_targets()
+        self._follow_target_list()
         self._update_assignments(now)
         for target in self._assignments.own_targets:
             if target.id not in self.owned_by_target:
@@ -146,10 +148,11 @@
         listed = self.target_list.by_id.values()
         self._assignments.update(listed, self.target_list.revision, now)
 
-    def _count_targets(self) -> None:
-        """Tell the membership how many targets each failure domain has, if that has changed."""
+    def _follow_target_list(self) -> None:
+        """Tell what depends on it that the list of targets has changed."""
         if self._counted_revision != self.target_list.revision:
             self._counted_revision = self.target_list.revision
+            self.orders.preferences.speeds.retain(self.target_list.by_id)
             self._members.set_target_counts(self.target_list.count_by_domain())
 
     def _drop_missing(self, now: datetime.datetime) -> None:
@@ -221,7 +224,8 @@
     def _hand_over(
         self, owned: owned_targets.OwnedTarget, new_owner: members.Member, now: datetime.datetime
     ) -> None:
-        self._outbox.send(new_owner.id, handovers.build_handover(owned, self._own_id))
+        speeds = self.orders.preferences.speeds
+        self._outbox.send(new_owner.id, handovers.build_handover(owned, self._own_id, speeds))
         for node, moved in handovers.grants_by_node(owned).items():
             message = messages.OwnerChanged(sender=self._own_id, grants=moved, owner=new_owner.id)
             self._outbox.send(node, message)
@@ -245,6 +249,8 @@
         owned = handovers.restore_owned_target(message, target, token, now)
         owned.taken_over_at = now
         owned.extend_lease(now)
+        speeds = self.orders.preferences.speeds
+        speeds.adopt(target.id, message.speed_excess, message.speed_runs)
         self._add_owned(owned, "taken over", now)
 
     # Replies from targets
--- a/packages/pool/chiveridge_pool/target_speeds.py
+++ b/packages/pool/chiveridge_pool/target_speeds.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Container
 
 from chiveridge_pool import identifiers
 
@@ -29,6 +30,7 @@
     def __init__(self):
         self._mean_by_target: dict[identifiers.TargetId, float] = {}
         self._runs_by_target: dict[identifiers.TargetId, int] = {}
+        self._fast: set[identifiers.TargetId] = set()
 
     def record(self, target: identifiers.TargetId, excess: float) -> None:
         """Record a run that is done and whose time exceeds the typical one by ``excess``."""
@@ -37,6 +39,13 @@
         self._runs_by_target[target] = runs
         mean = self._mean_by_target.get(target, 0.0)
         self._mean_by_target[target] = mean + max(_MIN_WEIGHT, 1 / runs) * (excess - mean)
+        self._update_fast(target)
+
+    def _update_fast(self, target: identifiers.TargetId) -> None:
+        if self.excess_of(target) < _FAST_EXCESS:
+            self._fast.add(target)
+        else:
+            self._fast.discard(target)
 
     def excess_of(self, target: identifiers.TargetId) -> float:
         """Return the mean excess on a target; 0 until enough of its runs are known."""
@@ -50,9 +59,32 @@
 
     def is_fast(self, target: identifiers.TargetId) -> bool:
         """Return whether a target is of a faster kind than is typical."""
-        return self.excess_of(target) < _FAST_EXCESS
+        return target in self._fast
+
+    def has_fast(self) -> bool:
+        """Return whether any target is of a faster kind than is typical."""
+        return bool(self._fast)
+
+    def learned(self, target: identifiers.TargetId) -> tuple[float, int]:
+        """Return a target's mean excess and the number of runs that it is from."""
+        return self._mean_by_target.get(target, 0.0), self._runs_by_target.get(target, 0)
+
+    def adopt(self, target: identifiers.TargetId, excess: float, runs: int) -> None:
+        """Take over what the previous owner of a target has learned, unless it makes no sense."""
+        if runs <= 0 or not math.isfinite(excess):
+            return
+        self._mean_by_target[target] = max(-_MAX_EXCESS, min(excess, _MAX_EXCESS))
+        # Typical run times differ between owners, so that own runs should soon outweigh it.
+        self._runs_by_target[target] = min(runs, _MIN_RUNS)
+        self._update_fast(target)
 
     def forget(self, target: identifiers.TargetId) -> None:
         """Forget a target, as its next incarnation may be of another kind."""
         self._mean_by_target.pop(target, None)
         self._runs_by_target.pop(target, None)
+        self._fast.discard(target)
+
+    def retain(self, listed: Container[identifiers.TargetId]) -> None:
+        """Forget the targets that are not listed any more."""
+        for target in [target for target in self._mean_by_target if target not in listed]:
+            self.forget(target)
--- a/packages/pool/tests/test_interferences.py
+++ b/packages/pool/tests/test_interferences.py
@@ -71,4 +71,33 @@
     learned = interferences.Interferences()
     for number in range(500):
         learned.record(f"q{number}", 0.0, frozenset(), frozenset())
-    assert len(learned._queues) == interferences._MAX_QUEUES
+    assert len(learned._last_run_by_queue) == interferences._MAX_QUEUES
+
+
+def test_a_queue_without_runs_makes_room_for_a_new_one():
+    learned = interferences.Interferences()
+    learned.record("gone", 0.0, frozenset(), frozenset())
+    others = [f"q{number}" for number in range(interferences._MAX_QUEUES - 1)]
+    for number in range(interferences._IDLE_AFTER_RUNS):
+        learned.record(others[number % len(others)], 0.0, frozenset(), frozenset())
+    learned.record("new", 0.0, frozenset(), frozenset())
+    assert "new" in learned._last_run_by_queue
+    assert "gone" not in learned._last_run_by_queue
+    assert not any("gone" in pair for pair in learned._apart_by_pair)
+
+
+def test_pairs_that_other_owners_report_count_until_own_runs_say_otherwise():
+    learned = interferences.Interferences()
+    learned.set_reported({("x", "y")})
+    assert learned.disturb("y", ["x"])
+    assert learned.found_pairs() == ()
+    _record(learned, random.Random(1), 600, slowdown=1.0)
+    learned.set_reported({("x", "y")})
+    assert not learned.disturb("y", ["x"])
+
+
+def test_reported_pairs_that_are_withdrawn_count_no_more():
+    learned = interferences.Interferences()
+    learned.set_reported({("x", "y")})
+    learned.set_reported(())
+    assert not learned.has_any()
--- a/packages/pool/tests/test_messages.py
+++ b/packages/pool/tests/test_messages.py
@@ -64,6 +64,8 @@
         acknowledged=3,
         started_at_ms=1_700_000_000_000,
         runs=(),
+        speed_excess=-0.5,
+        speed_runs=12,
     )
 
     data = messages.encode(message)
@@ -76,5 +78,7 @@
         3,
         1_700_000_000_000,
         [],
+        -0.5,
+        12,
     ]
     assert messages.decode(data) == message
--- a/packages/pool/tests/test_target_speeds.py
+++ b/packages/pool/tests/test_target_speeds.py
@@ -42,3 +42,26 @@
     learned = _speeds(1.7, 60)
     learned.forget("t1")
     assert learned.speed_of("t1") == 1.0
+
+
+def test_the_speed_learned_by_the_previous_owner_is_adopted_and_outweighed_by_own_runs():
+    learned = target_speeds.TargetSpeeds()
+    learned.adopt("t1", *_speeds(1.7, 60).learned("t1"))
+    assert learned.is_fast("t1")
+    for _ in range(30):
+        learned.record("t1", 0.0)
+    assert not learned.is_fast("t1")
+
+
+@pytest.mark.parametrize(("excess", "runs"), [(math.nan, 9), (-math.inf, 9), (-0.6, 0), (-0.6, -3)])
+def test_speeds_that_make_no_sense_are_not_adopted(excess, runs):
+    learned = target_speeds.TargetSpeeds()
+    learned.adopt("t1", excess, runs)
+    assert learned.speed_of("t1") == 1.0
+
+
+def test_targets_that_are_no_longer_listed_are_forgotten():
+    learned = _speeds(1.7, 60)
+    learned.retain({"t2"})
+    assert not learned.has_fast()
+    assert learned.learned("t1") == (0.0, 0)
--- a/tests/pool/pools.py
+++ b/tests/pool/pools.py
@@ -84,9 +84,9 @@
         return traces.trace_request(job, self.lines())
 
 
-def pool(nodes_per_domain: int = 2, targets_per_domain: int = 4, domains: str = "abc"):
-    """Return a model of a pool whose nodes have all booted."""
-    model = pool_models.PoolModel()
+def pool(nodes_per_domain: int = 2, targets_per_domain: int = 4, domains: str = "abc", **settings):
+    """Return a model of a pool whose nodes have all booted; ``settings`` are the model's."""
+    model = pool_models.PoolModel(**settings)
     for domain in domains:
         for _ in range(nodes_per_domain):
             model.add_node(domain)
