Compare policies on uneven sites, with a central queue as bound, in one command

Cause: nothing in the load tool played targets of unequal speed, tasks with a long tail, demand that swings between domains, bursts of one kind or tasks that slow each other down. LoadSimulation keeps its draws: sites without unevenness are played as before.

--- a/packages/load/chiveridge_load/plots.py
+++ b/packages/load/chiveridge_load/plots.py
@@ -1,4 +1,4 @@
-"""Plots of a benchmark: response ratios by percentile for each policy."""
+"""Plots of a benchmark, and of what the callers of a simulated pool earn by policy."""
 
 import collections
 import pathlib
@@ -12,7 +12,7 @@
 
 from matplotlib import axes, pyplot, ticker  # noqa: E402
 
-from chiveridge_load import measurements, reports  # noqa: E402
+from chiveridge_load import measurements, pool_loads, reports  # noqa: E402
 
 SIZE_INCHES = (7.0, 4.0)
 RATIO_TICKS = (1, 1.1, 1.2, 1.5, 2, 3, 5, 10, 20, 50, 100)
@@ -54,3 +54,24 @@
     positions = range(len(measurements.QUANTILES))
     axis.plot(positions, quantiles, style, marker="o", markersize=3, label=label)
     axis.set_xticks(positions, [f"{percent:g}" for percent in measurements.QUANTILES])
+
+
+def draw_shares(
+    results: dict[str, pool_loads.LoadResult], title: str, directory: pathlib.Path
+) -> pathlib.Path:
+    """Draw the share of the value that each policy earns, by kind of job; return the path."""
+    figure, axis = pyplot.subplots(figsize=SIZE_INCHES)
+    width = 0.8 / len(results)
+    for number, (policy, result) in enumerate(results.items()):
+        shares = {"all": result.earned_share, **result.earned_share_by_kind}
+        positions = [place + number * width for place in range(len(shares))]
+        axis.bar(positions, shares.values(), width, label=policy)
+    axis.set_xticks([place + 0.4 - width / 2 for place in range(len(shares))], list(shares))
+    axis.set_ylabel("share of the value earned")
+    axis.set_title(title)
+    axis.legend(loc="lower left")
+    figure.tight_layout()
+    path = directory / f"comparison-{title.replace(' ', '-')}.svg"
+    figure.savefig(path, metadata={"Date": None})
+    pyplot.close(figure)
+    return path
--- a/packages/load/chiveridge_load/pool_loads.py
+++ b/packages/load/chiveridge_load/pool_loads.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from chiveridge_load import pool_models
-from chiveridge_pool import actions, identifiers, jobs, ranks, resources
+from chiveridge_load import pool_models, pool_targets
+from chiveridge_pool import actions, identifiers, jobs, ranks, resources, target_preferences
 
 LATE_VALUE_FACTOR = 0.2
 """Share of a job's value that an answer after its objective earns, as the users defined it."""
@@ -40,6 +40,7 @@
     nodes_per_domain: int = 2
     target_cpus: tuple[int, ...] = (64_000, 64_000, 96_000, 64_000, 64_000, 96_000, 64_000, 64_000)
     task_cpu: int = 27_000
+    max_task_cpu: int = 41_000
     strong_nodes_per_domain: int = 0
     kinds: tuple[JobKind, ...] = ()
 
@@ -120,8 +121,11 @@
     overlaps: int
 
 
-class _SubmittedJob(msgspec.Struct, kw_only=True):
+class SubmittedJob(msgspec.Struct, kw_only=True):
+    """A job as it was sent; ``run_times`` are those of its tasks on a target of speed 1."""
+
     kind: JobKind
+    run_times: tuple[datetime.timedelta, ...]
     request: jobs.JobRequest
     submitted_at: datetime.datetime
     objective: datetime.timedelta
@@ -139,13 +143,14 @@
         seed: int,
         order: ranks.RankingPolicy = ranks.RankingPolicy.SHARES,
         *,
+        preferences: frozenset[target_preferences.Preference] = target_preferences.ALL,
         is_booted: bool = True,
     ):
         self._site = site
         self._load = load
         self._rng = random.Random(seed)
-        self.model = pool_models.PoolModel(seed, order)
-        self._jobs: list[_SubmittedJob] = []
+        self.model = pool_models.PoolModel(seed, order, preferences)
+        self.jobs: list[SubmittedJob] = []
         self._next_id = 0
         for domain in site.domains:
             for number in range(site.nodes_per_domain):
@@ -168,8 +173,20 @@
         for kind in self._site.kinds:
             self._schedule_arrival(kind, end)
 
+    def _rate(self, kind: JobKind) -> float:
+        """Return the present rate of a kind's jobs, per second."""
+        return kind.per_second * self._load
+
+    def _choose_node(self, nodes: list[pool_models.NodeModel]) -> pool_models.NodeModel:
+        """Return the node that a caller sends its job to."""
+        return self._rng.choice(nodes)
+
+    def _tail_factors(self, tasks: int) -> list[float]:
+        """Return the factor by which each task takes longer than the others of its job."""
+        return [1.0] * tasks
+
     def _schedule_arrival(self, kind: JobKind, end: datetime.datetime) -> None:
-        delay = self._rng.expovariate(kind.per_second * self._load)
+        delay = self._rng.expovariate(self._rate(kind))
         when = self.model.simulation.now + datetime.timedelta(seconds=delay)
         if when < end:
             self.model.simulation.call_at(when, lambda: self._submit_job(kind, end))
@@ -180,14 +197,15 @@
         tasks = max(1, min(round(self._draw_lognormal(kind.tasks)), 4 * kind.tasks))
         run_ms = min(self._draw_lognormal(kind.run_ms), 4 * kind.run_ms)
         size = resources.Resources(
-            round(self._draw_lognormal(self._site.task_cpu, 0.2, 41_000)), 64, 0
+            round(self._draw_lognormal(self._site.task_cpu, 0.2, self._site.max_task_cpu)), 64, 0
         )
+        tails = self._tail_factors(tasks)
         objective = (60 + 1.6 * run_ms) * _MS
         request = jobs.JobRequest(
             id=identifiers.JobId(f"{self._next_id:016x}"),
             queue=identifiers.QueueName(kind.name),
             service=identifiers.ServiceName("service"),
-            spec=f"{run_ms} {size.cpu} {size.memory_mb} 0",
+            spec=pool_targets.format_spec(run_ms, size, kind.name, tails),
             steps=(
                 jobs.StepRequest(
                     count=tasks, size=size, estimate=self._draw_lognormal(run_ms) * _MS
@@ -199,11 +217,12 @@
             objective_base=60 * _MS,
         )
         nodes = list(self.model.nodes_by_name.values())
-        caller = self.model.submit(self._rng.choice(nodes), request)
+        caller = self.model.submit(self._choose_node(nodes), request)
         value_factor = 0.3 + 0.7 * (tasks * run_ms) / (kind.tasks * kind.run_ms)
-        self._jobs.append(
-            _SubmittedJob(
+        self.jobs.append(
+            SubmittedJob(
                 kind=kind,
+                run_times=tuple(run_ms * tail * _MS for tail in tails),
                 request=request,
                 submitted_at=self.model.simulation.now,
                 objective=objective,
@@ -216,38 +235,52 @@
         return min(mean * self._rng.lognormvariate(-sigma * sigma / 2, sigma), maximum)
 
     def _result(self) -> LoadResult:
-        response_times = {job.caller: self._response_time(job) for job in self._jobs}
-        earned_by_caller = {
-            job.caller: self._earned_value(job, response_times[job.caller]) for job in self._jobs
+        started_job_ids = {
+            span[0][:16] for target in self._targets() for span in self._spans(target)
+        }
+        refused = [job for job in self.jobs if self._verdict(job) is actions.Verdict.REFUSED]
+        served = {
+            job.caller: response_time
+            for job in self.jobs
+            if (response_time := self._response_time(job)) is not None
         }
-        total_value = sum(job.value for job in self._jobs)
-        completed_times = sorted(
-            response_time for response_time in response_times.values() if response_time is not None
+        return msgspec.structs.replace(
+            self.result_of(served),
+            refused_share=len(refused) / len(self.jobs),
+            failed_share=(len(self.jobs) - len(served) - len(refused)) / len(self.jobs),
+            refusal_time_ms=_median([self._time_to_answer(job) / _MS for job in refused]),
+            refused_but_started=sum(job.request.id in started_job_ids for job in refused),
+            overlaps=len(self.model.overlaps()),
         )
-        refused = [job for job in self._jobs if self._verdict(job) is actions.Verdict.REFUSED]
+
+    def result_of(self, served: dict[identifiers.CallerId, datetime.timedelta]) -> LoadResult:
+        """Return what the callers got whose jobs were served in these times, by caller.
+
+        All others count as refused.
+        """
+        earned_by_caller = {
+            job.caller: self._earned_value(job, served.get(job.caller)) for job in self.jobs
+        }
+        completed_times = sorted(served.values())
         on_time = sum(
-            response_time is not None and response_time <= job.objective
-            for job, response_time in zip(self._jobs, response_times.values(), strict=True)
+            job.caller in served and served[job.caller] <= job.objective for job in self.jobs
         )
-        count = len(self._jobs)
-        started_job_ids = {
-            span[0][:16] for target in self._targets() for span in self._spans(target)
-        }
+        count = len(self.jobs)
         return LoadResult(
             jobs=count,
-            earned_share=sum(earned_by_caller.values()) / total_value,
+            earned_share=sum(earned_by_caller.values()) / sum(job.value for job in self.jobs),
             on_time_share=on_time / count,
             late_share=(len(completed_times) - on_time) / count,
-            refused_share=len(refused) / count,
-            failed_share=(count - len(completed_times) - len(refused)) / count,
-            refusal_time_ms=_median([self._time_to_answer(job) / _MS for job in refused]),
+            refused_share=(count - len(completed_times)) / count,
+            failed_share=0.0,
+            refusal_time_ms=0.0,
             p50_ms=_median([response_time / _MS for response_time in completed_times]),
             p99_ms=(
                 completed_times[int(len(completed_times) * 0.99)] / _MS if completed_times else 0.0
             ),
             earned_share_by_kind=self._earned_share_by_kind(earned_by_caller),
-            refused_but_started=sum(job.request.id in started_job_ids for job in refused),
-            overlaps=len(self.model.overlaps()),
+            refused_but_started=0,
+            overlaps=0,
         )
 
     def _targets(self):
@@ -256,19 +289,19 @@
     def _spans(self, target):
         return target.spans(self.model.simulation.now)
 
-    def _verdict(self, job: _SubmittedJob) -> actions.Verdict | None:
+    def _verdict(self, job: SubmittedJob) -> actions.Verdict | None:
         answer = self.model.answers_by_caller.get(job.caller)
         return None if answer is None else answer.verdict
 
-    def _time_to_answer(self, job: _SubmittedJob) -> datetime.timedelta:
+    def _time_to_answer(self, job: SubmittedJob) -> datetime.timedelta:
         return self.model.answered_at[job.caller] - job.submitted_at
 
-    def _response_time(self, job: _SubmittedJob) -> datetime.timedelta | None:
+    def _response_time(self, job: SubmittedJob) -> datetime.timedelta | None:
         if self._verdict(job) is not actions.Verdict.COMPLETE:
             return None
         return self._time_to_answer(job) + 2 * CLIENT_LATENCY
 
-    def _earned_value(self, job: _SubmittedJob, response_time: datetime.timedelta | None) -> float:
+    def _earned_value(self, job: SubmittedJob, response_time: datetime.timedelta | None) -> float:
         if response_time is None or response_time > MAX_LATE_OBJECTIVES * job.objective:
             return 0.0
         return job.value if response_time <= job.objective else job.value * LATE_VALUE_FACTOR
@@ -278,7 +311,7 @@
     ) -> dict[str, float]:
         shares = {}
         for kind in self._site.kinds:
-            kind_jobs = [job for job in self._jobs if job.kind is kind]
+            kind_jobs = [job for job in self.jobs if job.kind is kind]
             total_value = sum(job.value for job in kind_jobs)
             shares[kind.name] = (
                 sum(earned_by_caller[job.caller] for job in kind_jobs) / total_value
--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -16,6 +16,7 @@
 MAX_LEASE_MS = 1000
 _POISON = "poison"
 _KIND = "kind"
+_TAILS = "tails"
 INITIAL_CLOCK_MS = 100_000
 """Reading of a target's clock when the target boots."""
 
@@ -288,7 +289,7 @@
             return
         run_end = "failed" if self._rng.random() < self.fails else "done"
         milliseconds = 1.0 if run_end == "failed" else float(words[0]) / self.speed
-        milliseconds *= self._slowdown(key, spec)
+        milliseconds *= self._slowdown(key, spec) * _tail_in(key[0], spec)
         run.duration = datetime.timedelta(milliseconds=milliseconds)
         self._simulation.call_later(run.duration, lambda: self._end_if_current(key, run, run_end))
 
@@ -348,6 +349,23 @@
     return words[words.index(_KIND) + 1] if _KIND in words else ""
 
 
+def format_spec(run_ms: float, size: resources.Resources, kind: str, tails: list[float]) -> str:
+    """Return the spec of a job's tasks; ``tails`` are the factors on the run time, by task."""
+    amounts = " ".join(str(amount) for amount in size.as_tuple())
+    spec = f"{run_ms} {amounts} {_KIND} {kind}"
+    if any(tail != 1.0 for tail in tails):
+        spec += f" {_TAILS} " + " ".join(str(tail) for tail in tails)
+    return spec
+
+
+def _tail_in(task: str, spec: str) -> float:
+    """Return the factor on a task's run time that its spec names after ``tails``, or 1."""
+    words = spec.split()
+    if _TAILS not in words:
+        return 1.0
+    return float(words[words.index(_TAILS) + 1 + int(task.rpartition(".")[2])])
+
+
 def _size_in(spec: str) -> resources.Resources:
     return resources.Resources(*(int(amount) for amount in spec.split()[1:4]))
 
