--- a/tests/pool/test_pool_evacuations.py
+++ b/tests/pool/test_pool_evacuations.py
@@ -177,3 +177,61 @@
     assert all(note.fields["domain"] == "b" and note.fields["version"] == 7 for note in logged)
     since = pools.node(model, 1).kernel.evacuations.since_by_domain["b"]
     assert since < model.simulation.now < since + datetime.timedelta(seconds=2)
+
+
+def test_in_a_burst_what_is_left_serves_as_much_as_it_can_and_the_rest_is_refused():
+    """Answers a load of three times the targets in use, while a third of them is evacuated."""
+    model = pools.pool(nodes_per_domain=1, targets_per_domain=3)
+    _evacuate(model, ("b",), 7)
+    before = _started_in(model, "b")
+    callers = _submit_rounds(model, 10, count=8, work_ms=600.0)
+    model.run(seconds=5)
+    assert _started_in(model, "b") == before
+    assert _verdicts(model, callers) <= {
+        actions.Verdict.COMPLETE,
+        actions.Verdict.REFUSED,
+        actions.Verdict.GIVEN_UP,
+    }
+    done = [
+        caller
+        for caller in callers
+        if model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
+    ]
+    work_s = len(done) * 8 * 0.6
+    slots = 2 * 6
+    assert work_s > 0.6 * slots * 2.0
+    assert model.overlaps() == []
+
+
+@pytest.mark.promise("configuration_in_force", failures=["kill"])
+def test_an_evacuation_holds_while_all_nodes_are_replaced_one_after_the_other():
+    model = pools.pool(nodes_per_domain=2)
+    _evacuate(model, ("b",), 7)
+    before = _started_in(model, "b")
+    callers = []
+    for number, node in enumerate(list(model.nodes_by_name.values())):
+        node.drain()
+        callers += _submit_rounds(model, 3, count=1, work_ms=50.0, prefix="cdefab"[number])
+        model.run(seconds=3)
+        node.kill()
+        node.boot()
+        model.run(seconds=2)
+    assert all("b" in node.kernel.evacuations for node in model.nodes_by_name.values())
+    assert _started_in(model, "b") == before
+
+
+def test_two_domains_that_are_evacuated_one_after_the_other_and_at_once_get_no_new_runs():
+    model = pools.pool()
+    _evacuate(model, ("a",), 7)
+    model.run(seconds=0.5)
+    _evacuate(model, ("a", "b"), 8)
+    before = _started_in(model, "a") + _started_in(model, "b")
+    callers = _submit_rounds(model, 5, count=1)
+    model.run(seconds=2)
+    assert _started_in(model, "a") + _started_in(model, "b") == before
+    assert _verdicts(model, callers) == {actions.Verdict.COMPLETE}
+    _evacuate(model, (), 9)
+    _submit_rounds(model, 2, prefix="f")
+    model.run(seconds=2)
+    assert _started_in(model, "a") > 0
+    assert _started_in(model, "b") > 0
