Take an old reply for what it is when a paused owner finds it

Change: a reply to a start or a hold is dated no later than its time-out allows. Conclusion: the class (an old reply taken for a new one) is closed for starts and holds.

--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -220,7 +220,8 @@
             self._outbox.note(notes.NoteEvent.TARGET_BACK, target=owned.target.id)
         owned.started_at_ms = event.started_at_ms or owned.started_at_ms
         owned.failures = 0
-        owned.replied_at = now
+        # A process that was paused finds old replies.
+        owned.replied_at = min(now, event.sent_at + timings.HOLD_WAIT + timings.HOLD_TIMEOUT)
         owned.record_clock(event.clock_ms, now)
         self._process_ends(owned, event, now)
         self._process_running(owned, event, now)
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -77,7 +77,9 @@
         if event.failure is None:
             grant.state = runs.GrantState.RUNNING
             grant.is_start_confirmed = is_same_incarnation
-            grant.record_progress(grant.percent, now)
+            # A process that was paused finds old replies.
+            latest_reply_at = grant.first_sent_at + timings.START_RETRY_TIMEOUT
+            grant.record_progress(grant.percent, min(now, latest_reply_at + timings.ORDER_TIMEOUT))
             return
         handler = _HANDLER_BY_FAILURE[event.failure]
         handler(self, owned, grant, now)
--- a/tests/pool/test_pool_crashing_tasks.py
+++ b/tests/pool/test_pool_crashing_tasks.py
@@ -264,3 +264,22 @@
         target.refuses_connections = False
     model.run(seconds=10)
     assert _verdict(model, caller) is actions.Verdict.COMPLETE
+
+
+@pytest.mark.promise("complete_or_failed", failures=["freeze", "target_death"])
+def test_a_run_that_a_paused_owner_learns_of_late_was_not_running_as_its_target_crashed():
+    model = pools.pool(nodes_per_domain=1, targets_per_domain=1, domains="a")
+    (target,) = model.targets_by_id.values()
+    target.restart_time = datetime.timedelta(seconds=10)
+    node = pools.node(model, 1)
+    model.submit(node, pools.job("a" * 16, work_ms=5000.0, caller_timeout=PATIENCE))
+    model.run(seconds=0.0003)
+    node.freeze()
+    model.run(seconds=0.5)
+    assert target.starts == 1
+    target.crash_under(target.incarnation)
+    model.run(seconds=2.5)
+    node.wake()
+    model.run(seconds=1)
+    lost = [note for note in model.notes if note.event is notes.NoteEvent.TARGET_LOST]
+    assert [run[3] for note in lost for run in note.fields["runs"]] == [False]
