Drop a reported pair once own runs refute it, and name the reason of evacuation once

Cause: read of the diff: a pair that another owner reports was followed until the next report, though own runs had shown enough; the reason of a stop for an evacuation stood in two modules. Change: the pairs that are followed are updated when a reported one is refuted; evacuations.STOP_REASON. Measured: tests of both pass, the one of reported pairs asserts it at once now.

--- a/packages/pool/chiveridge_pool/evacuations.py
+++ b/packages/pool/chiveridge_pool/evacuations.py
@@ -5,6 +5,9 @@
 
 from chiveridge_pool import identifiers
 
+STOP_REASON = "its failure domain is evacuated"
+"""Reason of the stop of a start that was on its way as its domain was evacuated."""
+
 
 class Evacuations:
     """The evacuated failure domains in force at this node, by the newest known version.
--- a/packages/pool/chiveridge_pool/interferences.py
+++ b/packages/pool/chiveridge_pool/interferences.py
@@ -95,6 +95,8 @@
             means.setdefault(pair, _Mean()).add(excess)
             if self._conclude(pair):
                 changed = pair
+            if pair in self._followed_pairs and self._is_refuted(pair):
+                self._follow()
         if changed is not None:
             self._follow()
         return changed
@@ -119,6 +121,10 @@
             return False
         return min(beside.weight, apart.weight) >= MIN_RUNS
 
+    def _is_refuted(self, pair: _Pair) -> bool:
+        """Return whether this owner knows a pair well enough and has not found it."""
+        return self._has_evidence(pair) and pair not in self._slowdown_by_pair
+
     def _conclude(self, pair: _Pair) -> bool:
         """Compare the runs beside and apart; return whether the conclusion has changed."""
         if not self._has_evidence(pair):
@@ -146,8 +152,8 @@
 
     def _follow(self) -> None:
         """Combine the own findings with those of others."""
-        unknown = {pair for pair in self._reported_pairs if not self._has_evidence(pair)}
-        self._followed_pairs = unknown | self._slowdown_by_pair.keys()
+        reported = {pair for pair in self._reported_pairs if not self._is_refuted(pair)}
+        self._followed_pairs = reported | self._slowdown_by_pair.keys()
 
     def found(self) -> dict[_Pair, float]:
         """Return the factor by which this owner has found the first queue's runs slowed down."""
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -5,6 +5,7 @@
 
 from chiveridge_pool import (
     actions,
+    evacuations,
     events,
     grants,
     loop_lags,
@@ -89,7 +90,7 @@
     ) -> None:
         self._orders.probe(owned, now)
         if self._target_owner.is_evacuated(owned.target):
-            self._orders.stop(owned, grant, "its failure domain is evacuated", now)
+            self._orders.stop(owned, grant, evacuations.STOP_REASON, now)
         elif now - grant.first_sent_at < timings.START_RETRY_TIMEOUT:
             self.start(owned, grant, now)
         else:
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -32,8 +32,6 @@
     tokens,
 )
 
-EVACUATED = "its failure domain is evacuated"
-
 
 class TargetOwner:
     """Manages all targets that this node owns."""
@@ -400,7 +398,7 @@
                 continue
             for grant in list(owned.grants_by_id.values()):
                 if not grant.is_sent():
-                    self.orders.stop(owned, grant, EVACUATED, now)
+                    self.orders.stop(owned, grant, evacuations.STOP_REASON, now)
 
     def count_runs_in(self, domain: identifiers.DomainName) -> int:
         """Return the number of runs on owned targets of a failure domain."""
--- a/packages/pool/tests/test_interferences.py
+++ b/packages/pool/tests/test_interferences.py
@@ -92,6 +92,7 @@
     assert learned.disturb("y", ["x"])
     assert learned.found_pairs() == ()
     _record(learned, random.Random(1), 600, slowdown=1.0)
+    assert not learned.disturb("y", ["x"])
     learned.set_reported({("x", "y")})
     assert not learned.disturb("y", ["x"])
 
