Take a run that hangs for a sign of a slow target again

Cause: read of the diff: since a run without any progress told nothing of its target while others were done there in the usual time, so that runs that hang on some targets would not have been moved. Change: only runs that make progress are taken for long tasks.

--- a/packages/pool/chiveridge_pool/slow_targets.py
+++ b/packages/pool/chiveridge_pool/slow_targets.py
@@ -109,19 +109,23 @@
     ) -> None:
         """Raise the excess of a target on which a run is far too slow or stalled.
 
-        If another run was done in the usual time meanwhile, it is the task that takes long.
+        If another run was done in the usual time meanwhile, it is the task that takes long, unless
+        it makes no progress at all.
         """
-        usual_at = self._usual_at_by_target.get(target)
-        if usual_at is not None and usual_at >= grant.running_since:
-            return
         queue_ratio = self._queue_ratio(grant)
-        if queue_ratio.samples < _MIN_SAMPLES and not self._is_stalled(grant, now):
-            return
+        if not self._is_stalled(grant, now):
+            if queue_ratio.samples < _MIN_SAMPLES or self._was_usual_since(target, grant):
+                return
         excess = math.log(self._projected_time(grant, now) / _declared(grant)) - queue_ratio.mean
         if excess > math.log(IN_PROGRESS_SLOW_RATIO):
             previous = self._excess_by_target.get(target, 0.0)
             self._excess_by_target[target] = max(previous, min(excess, _MAX_EXCESS))
 
+    def _was_usual_since(self, target: identifiers.TargetId, grant: grants.Grant) -> bool:
+        """Return whether another run was done on a target in the usual time since one started."""
+        usual_at = self._usual_at_by_target.get(target)
+        return usual_at is not None and usual_at >= grant.running_since
+
     def is_slow(self, target: identifiers.TargetId) -> bool:
         """Tell whether run times on a target are far above the typical ones at its usual speed."""
         excess = self._excess_by_target.get(target, 0.0)
--- a/packages/pool/tests/test_slow_targets.py
+++ b/packages/pool/tests/test_slow_targets.py
@@ -34,6 +34,7 @@
     learned = _learned()
     long_run = _running(NOW)
     _complete(learned, 1.0, NOW + 3 * USUAL)
+    long_run.record_progress(80, NOW + 5.9 * USUAL)
     learned.record_progress(TARGET, long_run, NOW + 6 * USUAL)
     assert not learned.is_slow(TARGET)
 
@@ -63,3 +64,11 @@
     for number in range(count):
         _complete(learned, factor, NOW + (20 + 10 * number) * USUAL)
     assert learned.is_slow(TARGET) is is_slow
+
+
+def test_a_run_that_hangs_makes_its_target_slow_although_others_are_done_in_the_usual_time():
+    learned = _learned()
+    hanging = _running(NOW, percent=0)
+    _complete(learned, 1.0, NOW + 3 * USUAL)
+    learned.record_progress(TARGET, hanging, NOW + 6 * USUAL)
+    assert learned.is_slow(TARGET)
