Join the two conditions under which a slow run may be a long task

Cause: the linter failed on (nested conditions); it was not looked at before the commit. Change: one condition. Measured: linter and tests of the module pass. Conclusion: no behaviour changes.

--- a/packages/pool/chiveridge_pool/slow_targets.py
+++ b/packages/pool/chiveridge_pool/slow_targets.py
@@ -113,9 +113,9 @@
         it makes no progress at all.
         """
         queue_ratio = self._queue_ratio(grant)
-        if not self._is_stalled(grant, now):
-            if queue_ratio.samples < _MIN_SAMPLES or self._was_usual_since(target, grant):
-                return
+        may_be_long = queue_ratio.samples < _MIN_SAMPLES or self._was_usual_since(target, grant)
+        if may_be_long and not self._is_stalled(grant, now):
+            return
         excess = math.log(self._projected_time(grant, now) / _declared(grant)) - queue_ratio.mean
         if excess > math.log(IN_PROGRESS_SLOW_RATIO):
             previous = self._excess_by_target.get(target, 0.0)
