--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 LINK_DELAY_S = 0.0009
 CUT_S = 0.8
 GAP_S = 0.4
-CUTS = 45
+CUTS = 70
 CUT_AT_ONCE = 2
 MINIONS = 12
 
@@ -36,7 +36,7 @@
             body = deployment.job(count=8, cpu=4_000, estimate_ms=200)
             await system.call("POST", node, deployment.job_id(), body)
 
-    clients = [asyncio.create_task(client(node)) for node in system.nodes for _ in range(3)]
+    clients = [asyncio.create_task(client(node)) for node in system.nodes for _ in range(4)]
     await asyncio.sleep(2)
     for _ in range(CUTS):
         links = random.sample(list(system.links_by_minion.items()), CUT_AT_ONCE)
