--- a/review/2/case.py
+++ b/review/2/case.py
@@ -33,9 +33,7 @@
             await asyncio.sleep(0.02)
 
     clients = [
-        asyncio.create_task(client(node))
-        for node in system.nodes
-        for _ in range(CLIENTS_PER_NODE)
+        asyncio.create_task(client(node)) for node in system.nodes for _ in range(CLIENTS_PER_NODE)
     ]
     await asyncio.sleep(2)
     if trouble:
@@ -61,7 +59,9 @@
         raise deployment.CannotRun("hardly any job was served")
     if late:
         after = max(row["t"] for row in late) - drained_at
-        return [f"DRAIN: {len(late)} starts later than drainMs, the last {after:.1f} s after the ack"]
+        return [
+            f"DRAIN: {len(late)} starts later than drainMs, the last {after:.1f} s after the ack"
+        ]
     return []
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -53,7 +53,7 @@
     if wrong:
         up = system.record.select("minion up", minion=wrong[0]["minion"])[-1]["t"]
         return [
-            f"ROUTE: {len(wrong)} tasks that require the label a were started on a minion of kind b,"
+            f"ROUTE: {len(wrong)} tasks that require label a were started on a minion of kind b,"
             f" from {wrong[0]['t'] - up:.2f} to {wrong[-1]['t'] - up:.2f} s after its start"
         ]
     return []
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -229,7 +229,9 @@
         for node in self.nodes:
             while not await self.is_ready(node):
                 if time.monotonic() > ends_at:
-                    raise CannotRun(f"{node.name} did not become ready: {self.log_of(node)[-2000:]}")
+                    raise CannotRun(
+                        f"{node.name} did not become ready: {self.log_of(node)[-2000:]}"
+                    )
                 await asyncio.sleep(0.1)
         # Two probes of the load balancer, and some heartbeats between the nodes.
         await asyncio.sleep(2.0)
