Do not ask for a target that all waiting tasks avoid

What callers saw: a task that was stopped because its target did not answer waited until its deadline beside a free target; its job was given up.

Cause: a task avoids the target on which it was stopped, but its request for capacity did not name it. The owner chose the same target again, the grant was released as unused, and nothing asked anew, as every owner had been asked.

Change: the request names the targets that all waiting tasks avoid, and a grant that no waiting task can use is followed by a new request at once.

--- a/packages/pool/chiveridge_pool/capacity_queues.py
+++ b/packages/pool/chiveridge_pool/capacity_queues.py
@@ -72,8 +72,8 @@
         self._sizes_by_kind: dict[tuple, list[resources.Resources]] = {}
 
     def add(self, message: messages.CapacityRequest) -> None:
-        """Record that a task of a request fits nowhere; a limit per target tells nothing."""
-        if not message.per_target:
+        """Record that a task of a request fits nowhere, unless other limits may be the reason."""
+        if not message.per_target and not message.avoided:
             self._sizes_by_kind.setdefault(_kind(message), []).append(message.size)
 
     def cover(self, message: messages.CapacityRequest) -> bool:
@@ -140,6 +140,8 @@
         return False
     if target.service != message.service or not message.size.fits_in(owned.free()):
         return False
+    if target.id in message.avoided:
+        return False
     if message.label and message.label not in target.labels:
         return False
     if not message.per_target:
--- a/packages/pool/chiveridge_pool/capacity_requests.py
+++ b/packages/pool/chiveridge_pool/capacity_requests.py
@@ -191,5 +191,6 @@
             former_leader=job.former_leader,
             wants_answer=wants_answer,
             is_isolated=demand.is_isolated,
+            avoided=demand.avoided_targets(),
         )
         self._outbox.send(node, message)
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -328,11 +328,26 @@
         self._capacity_requester.record_grants(demand, message.sender, len(message.grants))
         if granted_tasks:
             self._start(job, message.sender, granted_tasks, now, is_isolated=demand.is_isolated)
+        self._follow_up(job, demand, message, now, has_unused=bool(unused))
+
+    def _follow_up(
+        self,
+        job: jobs.Job,
+        demand: jobs.CapacityDemand,
+        message: messages.CapacityGranted,
+        now: datetime.datetime,
+        *,
+        has_unused: bool,
+    ) -> None:
+        """Withdraw or renew the requests for a step after grants were used."""
         if not demand.waiting_tasks:
             self._capacity_requester.withdraw(job, demand)
-        elif demand.is_isolated:
+        elif demand.is_isolated and job.probation_ends_at(now) is not None:
             self._wait_for_probation(job, demand, now)
-        elif message.is_short:
+        elif has_unused:
+            # Granted on targets that all waiting tasks avoid; this request names them.
+            self._capacity_requester.request_capacity(job, demand, now)
+        elif message.is_short and not demand.is_isolated:
             self._capacity_requester.handle_shortage(job, demand, message.sender, now)
 
     def _release(self, owner: identifiers.NodeId, unused: list[identifiers.GrantId]) -> None:
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -183,6 +183,11 @@
 
 class Step(CapacityDemand):
     """A step of a job in progress.
+    def avoided_targets(self) -> tuple[identifiers.TargetId, ...]:
+        """Return the targets on which none of the waiting tasks may run."""
+        avoided = [task.avoided_targets for task in self.waiting_tasks]
+        return tuple(sorted(set.intersection(*avoided))) if avoided and all(avoided) else ()
+
 
     Tasks that may crash their targets wait in ``isolated``; those in ``held_tasks`` wait until it
     is known whether they have.
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -93,7 +93,8 @@
     a target without the rack label ``rack``. ``wants_answer`` asks for a :class:`CapacityGranted`
     at once, also if the free capacity does not suffice. ``former_leader`` is a node that had the
     job before and has confirmed that it does not have it any more. ``is_isolated`` asks for targets
-    on which nothing else runs, as the tasks may crash them.
+    on which nothing else runs, as the tasks may crash them. ``avoided`` are targets on which none
+    of the tasks may run.
     """
 
     job: identifiers.JobId
@@ -111,6 +112,7 @@
     former_leader: identifiers.NodeId | None = None
     wants_answer: bool = False
     is_isolated: bool = False
+    avoided: tuple[identifiers.TargetId, ...] = ()
 
 
 class CapacityWithdrawal(Message, tag="wd", frozen=True, kw_only=True):
