Draw no verdict on a run from one of several attempts to start it

Cause: a start is sent again under one grant while it gets no reply, but the grant held one state, so the latest reply spoke for attempts that were still unanswered. A second attempt that was refused by a cut, or rejected for room, health, content or time, ended the run as never run; the first one had been executed, and the task started elsewhere beside it. A reply that could not be read, and any unknown status, counted as a rejection.

Change: a grant records which attempts are unanswered (attempts.py). One table maps (result of the latest attempt, others unanswered) to a verdict, and only an answer to each attempt, or a stop that the target has confirmed, ends a run as not run. A restart, a refused connection, silence, a target given up and a hand-over ask the same record for the time until which an attempt may be executed. An attempt that is answered after its target was given up counts too, so that a first attempt that is refused at once still ends at once. The job's node is told of unanswered attempts, as it has to know of them when the owner is lost. A new owner ends runs that its target does not list when it accepts the claim, since the token fences off what the former owner has sent.

RUN_ENDED and RUN_STOPPED tell attempts and unanswered, without which a start that never arrived and one whose reply was lost look alike in the log.

--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -54,7 +54,8 @@
     ``guards_capacity`` starts whatever it is told. ``fails`` is the probability that a new run
     fails after 1 ms; while ``hangs`` is set, new runs never end. A target that ``is_dark`` ignores
     all commands; one that ``refuses_connections`` is behind a cut and goes on with its runs, and
-    one that ``loses_replies`` executes commands, but its connections are reset before it replies. A
+    one that ``loses_replies`` executes commands, but its connections are reset before it replies.
+    With ``rejects_starts_with``, it answers starts by that failure and does nothing. A
     poison task (see :func:`is_poison`) crashes the target, which then refuses connections for
     ``restart_time``, or ignores all commands if it ``crashes_silently``. ``poison_starts`` counts
     the runs of poison tasks by task, and ``crashed_runs`` the runs that a crash has ended.
@@ -89,6 +90,7 @@
         self.is_down = False
         self.refuses_connections = False
         self.loses_replies = False
+        self.rejects_starts_with: events.Failure | None = None
         self.crashes = 0
         self.poison_starts: collections.Counter[str] = collections.Counter()
         self.crashed_runs: collections.Counter[str] = collections.Counter()
@@ -251,6 +253,9 @@
     def start(self, action: actions.StartRun, reply) -> None:
         """Start a run unless its number is too low, its lease has expired or it does not fit."""
         key = (action.task, action.run)
+        if self.rejects_starts_with is not None:
+            reply(self._reply(failure=self.rejects_starts_with))
+            return
         if key in self._running:
             reply(self._reply())
             return
@@ -417,6 +422,7 @@
         target=action.target.id,
         grant=action.grant,
         token=action.token,
+        attempt=action.attempt,
         failure=reply.failure,
         clock_ms=reply.clock_ms,
     )
--- a/packages/pool/chiveridge_pool/actions.py
+++ b/packages/pool/chiveridge_pool/actions.py
@@ -62,7 +62,10 @@
 
 
 class StartRun(Action, frozen=True, kw_only=True):
-    """Start a run; the target rejects it after ``until_ms`` by the target's own clock."""
+    """Start a run; the target rejects it after ``until_ms`` by the target's own clock.
+
+    ``attempt`` numbers the attempts of one run's start, and is not sent to the target.
+    """
 
     target: targets.Target
     token: identifiers.FencingToken
@@ -71,6 +74,7 @@
     run: identifiers.RunNumber
     spec: str
     until_ms: int
+    attempt: identifiers.AttemptNumber
     timeout: datetime.timedelta
 
 
--- /dev/null
+++ b/packages/pool/chiveridge_pool/attempts.py
@@ -0,0 +1,123 @@
+"""Attempts of a run's start: which are unanswered, and what the latest reply proves.
+
+A start is sent again if it gets no reply, and each attempt can be executed by itself, also seconds
+later. The reply to one attempt says nothing of the others.
+"""
+
+import datetime
+import enum
+
+from chiveridge_pool import events, identifiers, timings
+
+
+class AttemptResult(enum.Enum):
+    """What a reply says of the attempt that it answers.
+
+    ``UNKNOWN``: nothing, as there was no reply. ``UNREADABLE``: nothing, and a further attempt
+    would hardly get a better reply. ``EXECUTED``: the target runs the task.
+    ``REJECTED``: this attempt did nothing and never will. ``OLD``: the target has seen this run or
+    a higher one and rejects all attempts from now on.
+    """
+
+    UNKNOWN = "unknown"
+    UNREADABLE = "unreadable"
+    EXECUTED = "executed"
+    REJECTED = "rejected"
+    OLD = "old"
+
+
+class Verdict(enum.Enum):
+    """What the owner does with a run after a reply to an attempt of its start.
+
+    ``NOT_RUN``, ``SUPERSEDED``: the run has not started and never will; its grant ends at once.
+    ``STOP``: another attempt may still be executed, so the run is stopped before its grant ends.
+    ``AWAIT_END``: another attempt may have been executed, but no further one will be.
+    """
+
+    RUNNING = "running"
+    RETRY = "retry"
+    NOT_RUN = "not_run"
+    SUPERSEDED = "superseded"
+    STOP = "stop"
+    AWAIT_END = "await_end"
+
+
+_RESULT_BY_FAILURE = {
+    None: AttemptResult.EXECUTED,
+    events.Failure.TIMEOUT: AttemptResult.UNKNOWN,
+    events.Failure.UNREADABLE: AttemptResult.UNREADABLE,
+    events.Failure.UNREACHABLE: AttemptResult.REJECTED,
+    events.Failure.FENCED: AttemptResult.REJECTED,
+    events.Failure.WRONG_INSTANCE: AttemptResult.REJECTED,
+    events.Failure.OLD_RUN: AttemptResult.OLD,
+    events.Failure.TOO_LATE: AttemptResult.REJECTED,
+    events.Failure.NO_ROOM: AttemptResult.REJECTED,
+    events.Failure.UNHEALTHY: AttemptResult.REJECTED,
+    events.Failure.INVALID: AttemptResult.REJECTED,
+}
+
+_LEAVES_UNANSWERED = frozenset({AttemptResult.UNKNOWN, AttemptResult.UNREADABLE})
+
+_VERDICTS = {
+    (AttemptResult.EXECUTED, False): Verdict.RUNNING,
+    (AttemptResult.EXECUTED, True): Verdict.RUNNING,
+    (AttemptResult.UNKNOWN, True): Verdict.RETRY,
+    (AttemptResult.UNREADABLE, True): Verdict.STOP,
+    (AttemptResult.REJECTED, False): Verdict.NOT_RUN,
+    (AttemptResult.REJECTED, True): Verdict.STOP,
+    (AttemptResult.OLD, False): Verdict.SUPERSEDED,
+    (AttemptResult.OLD, True): Verdict.AWAIT_END,
+}
+"""Verdict by the result of the latest attempt and whether any attempt is unanswered after it."""
+
+
+class StartAttempts:
+    """The attempts of one run's start, by number."""
+
+    __slots__ = ("_sent_at_by_unanswered", "sent")
+
+    def __init__(self):
+        self.sent = 0
+        self._sent_at_by_unanswered: dict[identifiers.AttemptNumber, datetime.datetime] = {}
+
+    def send(self, now: datetime.datetime) -> identifiers.AttemptNumber:
+        """Record that another attempt is sent, and return its number."""
+        self.sent += 1
+        number = identifiers.AttemptNumber(self.sent)
+        self._sent_at_by_unanswered[number] = now
+        return number
+
+    def restore(self, remaining: datetime.timedelta, now: datetime.datetime) -> None:
+        """Take over attempts of another owner that may be executed for the ``remaining`` time."""
+        if remaining > datetime.timedelta():
+            number = identifiers.AttemptNumber(self.sent)
+            self._sent_at_by_unanswered[number] = now + remaining - timings.LATE_ORDER_TIME
+
+    def record(
+        self, number: identifiers.AttemptNumber, failure: events.Failure | None
+    ) -> Verdict | None:
+        """Record the reply to an attempt, and return the verdict on the run.
+
+        Return None if the attempt was answered before.
+        """
+        if number not in self._sent_at_by_unanswered:
+            return None
+        result = _RESULT_BY_FAILURE[failure]
+        if result not in _LEAVES_UNANSWERED:
+            del self._sent_at_by_unanswered[number]
+        return _VERDICTS[result, bool(self._sent_at_by_unanswered)]
+
+    def unanswered_count(self) -> int:
+        """Return the number of attempts without an answer."""
+        return len(self._sent_at_by_unanswered)
+
+    def executable_until(self, now: datetime.datetime) -> datetime.datetime:
+        """Return until when an unanswered attempt may still be executed, ``now`` if none may."""
+        return max(
+            (sent_at + timings.LATE_ORDER_TIME for sent_at in self._sent_at_by_unanswered.values()),
+            default=now,
+        )
+
+    def may_be_executed(self, now: datetime.datetime) -> bool:
+        """Return whether an unanswered attempt may still be executed."""
+        return self.executable_until(now) > now
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -9,9 +9,14 @@
 
 
 class Failure(enum.Enum):
-    """Why a call to a target failed."""
+    """Why a call to a target failed.
+
+    After ``TIMEOUT`` and ``UNREADABLE`` it may have been executed, and after ``TIMEOUT`` it may
+    still be; after the others it was not and will not be.
+    """
 
     TIMEOUT = "timeout"
+    UNREADABLE = "unreadable"
     UNREACHABLE = "unreachable"
     FENCED = "fenced"
     WRONG_INSTANCE = "wrong_instance"
@@ -134,6 +139,7 @@
     target: identifiers.TargetId
     grant: identifiers.GrantId
     token: identifiers.FencingToken
+    attempt: identifiers.AttemptNumber
     failure: Failure | None = None
     clock_ms: int = 0
 
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -2,15 +2,14 @@
 
 import datetime
 
-from chiveridge_pool import identifiers, resources, runs
-
-_START_OUTSTANDING = frozenset({runs.GrantState.STARTING, runs.GrantState.STOPPING})
+from chiveridge_pool import attempts, identifiers, resources, runs
 
 
 class Grant:
     """A grant, as tracked by the owner of its target."""
 
     __slots__ = (
+        "attempts",
         "beside_at_start",
         "state_changed_at",
         "estimate",
@@ -64,6 +63,7 @@
         self.run = identifiers.RunNumber(0)
         self.spec = ""
         self.until_ms = 0
+        self.attempts = attempts.StartAttempts()
         self.first_sent_at = expires_at
         self.state_changed_at = expires_at
         # When its task is retried although the run may not have ended.
@@ -92,10 +92,6 @@
         """Return whether this incarnation of the target has started it, and no stop was sent."""
         return self.is_start_confirmed and self.state is runs.GrantState.RUNNING
 
-    def is_start_unanswered(self) -> bool:
-        """Return whether its start was sent and nothing shows that the target has received it."""
-        return self.running_since is None and self.state in _START_OUTSTANDING
-
     def is_sent(self) -> bool:
         """Return whether its start was sent to the target."""
         return self.state is not runs.GrantState.RESERVED
--- a/packages/pool/chiveridge_pool/handovers.py
+++ b/packages/pool/chiveridge_pool/handovers.py
@@ -15,7 +15,10 @@
 
 
 def build_handover(
-    owned: owned_targets.OwnedTarget, owner: identifiers.NodeId, speeds: target_speeds.TargetSpeeds
+    owned: owned_targets.OwnedTarget,
+    owner: identifiers.NodeId,
+    speeds: target_speeds.TargetSpeeds,
+    now: datetime.datetime,
 ) -> messages.Handover:
     """Return the message that hands over a target, its runs and what is known of its speed."""
     speed_excess, speed_runs = speeds.learned(owned.target.id)
@@ -31,6 +34,7 @@
             clocks.to_ms(grant.estimate),
             grant.step,
             grant.is_isolated,
+            clocks.to_ms(grant.attempts.executable_until(now) - now),
         )
         for grant in owned.sent_grants()
     )
@@ -76,5 +80,6 @@
     grant = grants.Grant(row.grant, row.node, row.job, row.step, row.queue, row.size, estimate, now)
     grant.task, grant.run = row.task, row.run
     grant.is_isolated = row.is_isolated
+    grant.attempts.restore(datetime.timedelta(milliseconds=row.executable_for_ms), now)
     grant.state = runs.GrantState.RUNNING
     return grant
--- a/packages/pool/chiveridge_pool/identifiers.py
+++ b/packages/pool/chiveridge_pool/identifiers.py
@@ -23,3 +23,6 @@
 
 FencingToken = NewType("FencingToken", int)
 RunNumber = NewType("RunNumber", int)
+
+AttemptNumber = NewType("AttemptNumber", int)
+"""Number of an attempt to start one run, counted from 1."""
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -114,6 +114,7 @@
     """One attempt to run a task, under one grant."""
 
     __slots__ = (
+        "executable_until",
         "grant",
         "is_isolated",
         "job",
@@ -155,6 +156,8 @@
         # When the target was handed over, or its owner no longer had it; None while an owner
         # lists the run.
         self.moved_at: datetime.datetime | None = None
+        # Until when the target may execute an attempt of its start that got no reply, if any.
+        self.executable_until: datetime.datetime | None = None
         # When the owner was last asked to stop the run.
         self.stopped_at: datetime.datetime | None = None
 
@@ -180,15 +183,15 @@
         # The priority group of the job in the last request.
         self.priority_group: int | None = None
 
-
-class Step(CapacityDemand):
-    """A step of a job in progress.
     def avoided_targets(self) -> tuple[identifiers.TargetId, ...]:
         """Return the targets on which none of the waiting tasks may run."""
         avoided = [task.avoided_targets for task in self.waiting_tasks]
         return tuple(sorted(set.intersection(*avoided))) if avoided and all(avoided) else ()
 
 
+class Step(CapacityDemand):
+    """A step of a job in progress.
+
     Tasks that may crash their targets wait in ``isolated``; those in ``held_tasks`` wait until it
     is known whether they have.
     """
--- a/packages/pool/chiveridge_pool/lost_targets.py
+++ b/packages/pool/chiveridge_pool/lost_targets.py
@@ -42,73 +42,70 @@
     def end_incarnation(
         self, owned: owned_targets.OwnedTarget, reason: str, now: datetime.datetime
     ) -> None:
-        """End the grants of a previous incarnation of a target, and release the target.
-
-        The new incarnation may have executed a recent start, or still execute it. Such a grant is
-        orphaned.
-        """
+        """End the grants of a previous incarnation of a target, and release the target."""
         self._report(owned, crash_histories.Evidence.RESTARTED, reason, now)
         self._target_owner.orders.preferences.speeds.forget(owned.target.id)
-        for grant in owned.sent_grants():
-            if not owned.was_running_at_last_reply(grant):
-                self._orphan(owned, grant, _ends_in_next_incarnation_at(grant, now))
-        self._end_grants(owned, reason)
+        self._end_runs(owned, crash_histories.Evidence.RESTARTED, reason, now)
         self._target_owner.release_target(owned)
 
     def end_refusing(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
-        """Release a target that refuses connections, as after a crash or behind a cut.
-
-        Behind a cut its runs go on until their lease has expired.
-        """
+        """Release a target that refuses connections, as after a crash or behind a cut."""
         self._report(owned, crash_histories.Evidence.REFUSED, REFUSES, now)
-        for grant in owned.sent_grants():
-            ends_at = owned.lease_expires_at
-            if not owned.was_running_at_last_reply(grant):
-                ends_at = _ends_in_next_incarnation_at(grant, now)
-            self._orphan(owned, grant, ends_at)
-        self._end_grants(owned, REFUSES)
+        self._end_runs(owned, crash_histories.Evidence.REFUSED, REFUSES, now)
         self._target_owner.release_target(owned)
 
     def expire_runs(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
-        """End the runs of a silent target whose lease has expired, and release it.
-
-        A target may have been restarted and execute a start without a reply late. Such a run ends
-        when the target has accepted a higher token, or when its task must be retried to be in time.
-        """
+        """End the runs of a silent target whose lease has expired, and release it."""
         if not owned.sent_grants():
             return
         self._report(owned, crash_histories.Evidence.SILENT, SILENT, now)
-        for grant in owned.sent_grants():
-            ends_at = min(_ends_in_next_incarnation_at(grant, now), grant.retry_by)
-            if grant.is_start_unanswered() and ends_at > now:
-                self._orphan(owned, grant, ends_at, runs.RunEnd.LAPSED)
-            else:
-                self._target_owner.end_grant(owned, grant, runs.RunEnd.LAPSED, SILENT)
+        self._end_runs(owned, crash_histories.Evidence.SILENT, SILENT, now)
         self._target_owner.release_target(owned)
 
+    def give_up(
+        self, owned: owned_targets.OwnedTarget, now: datetime.datetime, *, is_fenced: bool
+    ) -> None:
+        """Orphan the runs of a target that is given up.
+
+        One that ``is_fenced`` has accepted a higher token and executes no unanswered attempt.
+        """
+        for grant in owned.sent_grants():
+            ends_at = owned.lease_expires_at
+            if not is_fenced:
+                ends_at = _ends_if_silent_at(owned, grant, now)
+            self._orphaned.add(grant, owned.target.id, ends_at, runs.RunEnd.LOST)
+
     def end_replaced(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
         """Release a target whose address now belongs to another instance.
 
         The other instance rejects all requests that are meant for this target.
         """
         self._report(owned, crash_histories.Evidence.RESTARTED, REPLACED, now)
-        self._end_grants(owned, REPLACED)
+        self._end_grants(owned, REPLACED, _end_with(owned.target))
         self._target_owner.release_target(owned)
 
-    def _orphan(
+    def _end_runs(
         self,
         owned: owned_targets.OwnedTarget,
-        grant: grants.Grant,
-        ends_at: datetime.datetime,
-        how: runs.RunEnd | None = None,
+        evidence: crash_histories.Evidence,
+        reason: str,
+        now: datetime.datetime,
     ) -> None:
-        owned.remove(grant)
-        self._orphaned.add(grant, owned.target.id, ends_at, how or _end_with(owned.target))
-
-    def _end_grants(self, owned: owned_targets.OwnedTarget, reason: str) -> None:
+        """End the runs that are certainly over, and orphan those that may go on or start late."""
+        is_silent = evidence is crash_histories.Evidence.SILENT
+        how = runs.RunEnd.LAPSED if is_silent else _end_with(owned.target)
+        for grant in owned.sent_grants():
+            ends_at = _ENDS_AT_BY_EVIDENCE[evidence](owned, grant, now)
+            if ends_at > now:
+                owned.remove(grant)
+                self._orphaned.add(grant, owned.target.id, ends_at, how)
+                self._outbox.notify_unanswered(grant, now)
+        self._end_grants(owned, reason, how)
+
+    def _end_grants(self, owned: owned_targets.OwnedTarget, reason: str, how: runs.RunEnd) -> None:
         for grant in list(owned.grants_by_id.values()):
-            how = _end_with(owned.target) if grant.is_sent() else runs.RunEnd.REFUSED
-            self._target_owner.end_grant(owned, grant, how, reason)
+            end = how if grant.is_sent() else runs.RunEnd.REFUSED
+            self._target_owner.end_grant(owned, grant, end, reason)
 
     def _report(
         self,
@@ -140,15 +137,43 @@
         )
 
 
-def _ends_in_next_incarnation_at(grant: grants.Grant, now: datetime.datetime) -> datetime.datetime:
-    """Return by when a run has ended that the next incarnation of a target may have started.
+def _ends_after_restart_at(
+    owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+) -> datetime.datetime:
+    """Return by when a run has ended in the next incarnation of its target, if it ran there.
 
-    A start without a reply may be executed late, until the next owner's token fences it off.
+    The next incarnation may have executed a start that its predecessor is not known to run, and may
+    execute an unanswered attempt until a claim fences it off.
     """
-    executed_by = now
-    if grant.is_start_unanswered():
-        executed_by = max(now, grant.first_sent_at + timings.LATE_ORDER_TIME)
-    return executed_by + timings.LEASE_EXPIRED_AFTER
+    may_be_executed = grant.attempts.may_be_executed(now)
+    if owned.was_running_at_last_reply(grant) and not may_be_executed:
+        return now
+    return grant.attempts.executable_until(now) + timings.LEASE_EXPIRED_AFTER
+
+
+def _ends_if_alive_at(
+    owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+) -> datetime.datetime:
+    """Return the same for a target that may also go on behind a cut, until its lease expires."""
+    return max(owned.lease_expires_at, _ends_after_restart_at(owned, grant, now))
+
+
+def _ends_if_silent_at(
+    owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+) -> datetime.datetime:
+    """Return the same for a silent target, or when the task must be retried to be in time."""
+    if not grant.attempts.may_be_executed(now):
+        return max(owned.lease_expires_at, now)
+    ends_at = min(_ends_after_restart_at(owned, grant, now), grant.retry_by)
+    return max(owned.lease_expires_at, ends_at)
+
+
+_ENDS_AT_BY_EVIDENCE = {
+    crash_histories.Evidence.RESTARTED: _ends_after_restart_at,
+    crash_histories.Evidence.REFUSED: _ends_if_alive_at,
+    crash_histories.Evidence.SILENT: _ends_if_silent_at,
+}
+"""Function that returns by when a run on a lost target has certainly ended, by the evidence."""
 
 
 def _end_with(target: targets.Target) -> runs.RunEnd:
--- a/packages/pool/chiveridge_pool/message_handlers.py
+++ b/packages/pool/chiveridge_pool/message_handlers.py
@@ -80,6 +80,11 @@
     kernel.target_owner.stop(message, now)
 
 
+@handle_message.register(messages.StartsUnanswered)
+def _(message: messages.StartsUnanswered, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
+    kernel.coordinator.placements.handle_unanswered(message, now)
+
+
 @handle_message.register(messages.RunsEnded)
 def _(message: messages.RunsEnded, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
     kernel.coordinator.placements.handle_ended(message, now)
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -161,6 +161,16 @@
     grants: tuple[identifiers.GrantId, ...]
 
 
+class StartsUnanswered(Message, tag="un", frozen=True, kw_only=True):
+    """Notify a job's node of runs whose start got no reply and may still be executed.
+
+    The node needs this if the sender is lost. ``executable_for_ms``: for how long.
+    """
+
+    grants: tuple[identifiers.GrantId, ...]
+    executable_for_ms: float
+
+
 class RunsEnded(Message, tag="en", frozen=True, kw_only=True):
     """Reports ended grants, each with the value of its :class:`chiveridge_pool.runs.RunEnd`."""
 
@@ -168,7 +178,10 @@
 
 
 class HandedRun(msgspec.Struct, frozen=True, array_like=True):
-    """A run that changes its owner with its target."""
+    """A run that changes its owner with its target.
+
+    ``executable_for_ms``: how long an unanswered attempt of its start may still be executed.
+    """
 
     grant: identifiers.GrantId
     node: identifiers.NodeId
@@ -180,6 +193,7 @@
     estimate_ms: float
     step: int = 0
     is_isolated: bool = False
+    executable_for_ms: float = 0.0
 
 
 class Handover(Message, tag="ho", frozen=True, kw_only=True):
@@ -292,6 +306,7 @@
     | GrantRelease
     | StartRuns
     | StopRuns
+    | StartsUnanswered
     | RunsEnded
     | Handover
     | OwnerChanged
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -28,6 +28,7 @@
     events.Failure.UNREACHABLE: datetime.timedelta(milliseconds=100),
     events.Failure.UNHEALTHY: datetime.timedelta(milliseconds=100),
     events.Failure.INVALID: datetime.timedelta(milliseconds=500),
+    events.Failure.UNREADABLE: datetime.timedelta(milliseconds=500),
 }
 """Delay before the next hold request, by the failure of the last; none after a timeout."""
 
@@ -284,6 +285,11 @@
         for key, grant in by_key.items():
             if key in rows:
                 self._process_progress(owned, grant, rows[key], now)
+            elif owned.state is owned_targets.OwnershipState.CLAIMING:
+                # The accepted token fences off what the former owner has sent.
+                self._target_owner.end_grant(
+                    owned, grant, runs.RunEnd.LOST, "the target does not run it"
+                )
             else:
                 self._end_if_stopped(owned, grant, event.sent_at)
         if owned.state is owned_targets.OwnershipState.CLAIMING and not owned.unknown_runs:
@@ -355,6 +361,8 @@
             task=grant.task,
             run=grant.run,
             reason=reason,
+            attempts=grant.attempts.sent,
+            unanswered=grant.attempts.unanswered_count(),
         )
         self._send_run_stop(owned, grant, now)
 
--- a/packages/pool/chiveridge_pool/orphaned_grants.py
+++ b/packages/pool/chiveridge_pool/orphaned_grants.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chiveridge_pool import grants, identifiers, outboxes, runs
+from chiveridge_pool import attempts, events, grants, identifiers, outboxes, runs, timings
 
 _OUTCOMES = frozenset({runs.RunEnd.DONE, runs.RunEnd.FAILED})
 """Ends that say something of the task; the others follow from the loss of its target."""
@@ -47,6 +47,18 @@
             by_node.setdefault(orphan.grant.node, []).append(grant)
         return by_node
 
+    def record_start_reply(self, event: events.StartReplied, now: datetime.datetime) -> None:
+        """Record the reply to an attempt that was on its way as its target was given up."""
+        orphan = self._by_grant.get(event.grant)
+        if orphan is None:
+            return
+        verdict = orphan.grant.attempts.record(event.attempt, event.failure)
+        if verdict is attempts.Verdict.NOT_RUN and orphan.grant.running_since is None:
+            self._end(orphan, runs.RunEnd.REFUSED)
+        elif not orphan.grant.attempts.may_be_executed(now):
+            ends_at = min(orphan.ends_at, now + timings.LEASE_EXPIRED_AFTER)
+            self.add(orphan.grant, orphan.target, ends_at, orphan.how)
+
     def end_listed(
         self,
         target: identifiers.TargetId,
--- a/packages/pool/chiveridge_pool/outboxes.py
+++ b/packages/pool/chiveridge_pool/outboxes.py
@@ -1,9 +1,11 @@
 """Outgoing actions and messages, including messages of this node to itself."""
 
 import collections
+import datetime
 from collections.abc import Callable
 
-from chiveridge_pool import actions, identifiers, members, messages, notes
+from chiveridge_kernel import clocks
+from chiveridge_pool import actions, grants, identifiers, members, messages, notes
 
 
 class Outbox:
@@ -34,6 +36,16 @@
             self.introduce(member)
             self.add(actions.SendMessage(endpoint=member.endpoint, message=message))
 
+    def notify_unanswered(self, grant: grants.Grant, now: datetime.datetime) -> None:
+        """Tell a job's node if a start got no reply, as it has to know if this owner is lost."""
+        if grant.attempts.may_be_executed(now):
+            message = messages.StartsUnanswered(
+                sender=self._members.own_id,
+                grants=(grant.id,),
+                executable_for_ms=clocks.to_ms(grant.attempts.executable_until(now) - now),
+            )
+            self.send(grant.node, message)
+
     def queue_end(self, node: identifiers.NodeId, grant: identifiers.GrantId, how: str) -> None:
         """Queue the end of a grant for a job's coordinating node, until the next flush."""
         self._ends_by_node.setdefault(node, []).append((grant, how))
--- a/packages/pool/chiveridge_pool/placements.py
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -92,6 +92,14 @@
         del run.job.runs_by_grant[run.grant]
         self._on_end(run, how, now)
 
+    def handle_unanswered(self, message: messages.StartsUnanswered, now: datetime.datetime) -> None:
+        """Record that the starts of runs got no reply and may be executed for some time."""
+        until = now + datetime.timedelta(milliseconds=message.executable_for_ms)
+        for grant in message.grants:
+            run = self._runs_by_grant.get(grant)
+            if run is not None:
+                run.executable_until = until
+
     def handle_moved(self, message: messages.OwnerChanged, now: datetime.datetime) -> None:
         """Record the new owner of runs whose target was handed over."""
         for grant in message.grants:
@@ -155,14 +163,20 @@
             # The target may have been handed over with the run, and the OwnerChanged message lost.
             run.moved_at = now
         if run.moved_at is not None:
-            if now - run.moved_at > timings.OWNER_LOST_AFTER:
-                self._end(run, runs.RunEnd.LOST, now)
+            self._check_moved(run, now)
         elif run.sequence <= heartbeat.last_start_sequence:
             self._end(run, runs.RunEnd.LOST, now)
         elif run.stopped_at is None and now - run.started_at > timings.START_RETRY_TIMEOUT:
             # The start message was probably lost; an owner that does not know the run replies so.
             self.stop([run], now)
 
+    def _check_moved(self, run: jobs.Run, now: datetime.datetime) -> None:
+        """End a run that its new owner has not listed for so long that its lease has expired."""
+        if run.moved_at is None:
+            run.moved_at = now
+        elif now >= _ends_without_owner_at(run, run.moved_at):
+            self._end(run, runs.RunEnd.LOST, now)
+
     def tick(self, now: datetime.datetime) -> None:
         """End the runs of lost owners, and repeat stops that are not confirmed yet."""
         for run in list(self._runs_by_grant.values()):
@@ -177,7 +191,7 @@
             return False
         heard = self._members.heard_by_id.get(run.owner, run.started_at)
         owned_at = run.moved_at or run.started_at
-        return now - max(heard, owned_at) > timings.OWNER_LOST_AFTER
+        return now >= _ends_without_owner_at(run, max(heard, owned_at))
 
     def log_requeue(self, run: jobs.Run, how: runs.RunEnd, now: datetime.datetime) -> None:
         """Log why a task has to run again, and how long ago its owner was last heard."""
@@ -194,3 +208,11 @@
             owner_heard_ms_ago=None if heard is None else notes.to_ms(now - heard),
             failed_attempts=run.task.attempts,
         )
+
+
+def _ends_without_owner_at(run: jobs.Run, silent_since: datetime.datetime) -> datetime.datetime:
+    """Return by when a run has ended whose owner is silent, or no longer knows it."""
+    ends_at = silent_since + timings.OWNER_LOST_AFTER
+    if run.executable_until is None:
+        return ends_at
+    return max(ends_at, run.executable_until + timings.LEASE_EXPIRED_AFTER)
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -5,6 +5,7 @@
 
 from chiveridge_pool import (
     actions,
+    attempts,
     evacuations,
     events,
     grants,
@@ -19,12 +20,30 @@
 if TYPE_CHECKING:
     from chiveridge_pool import target_owners
 
-_NO_CAPACITY_SUSPENSION = datetime.timedelta(milliseconds=50)
-"""Pause in the use of a target that had less free capacity than its owner assumed."""
-
 _UNHEALTHY_SUSPENSION = datetime.timedelta(milliseconds=400)
 """Pause in the use of a target that could not be reached or rejected a start as unhealthy."""
 
+_SUSPENSION_BY_FAILURE = {
+    # The target has less free capacity than its owner assumed.
+    events.Failure.NO_ROOM: datetime.timedelta(milliseconds=50),
+    # The estimate of the target's clock is out of date until the next hold.
+    events.Failure.TOO_LATE: datetime.timedelta(milliseconds=50),
+    events.Failure.UNHEALTHY: _UNHEALTHY_SUSPENSION,
+    events.Failure.UNREACHABLE: _UNHEALTHY_SUSPENSION,
+    events.Failure.UNREADABLE: _UNHEALTHY_SUSPENSION,
+}
+"""Pause in the use of a target after a failed start."""
+
+_REASON_BY_FAILURE = {
+    events.Failure.NO_ROOM: "the target has no room",
+    events.Failure.UNHEALTHY: "the target is unhealthy",
+    events.Failure.UNREACHABLE: "the target refused the connection",
+    events.Failure.INVALID: "the target took it as invalid",
+    events.Failure.TOO_LATE: "its start arrived too late",
+    events.Failure.OLD_RUN: "the target saw a higher run",
+    events.Failure.UNREADABLE: "the reply to its start was not readable",
+}
+
 
 class Starts:
     """Starts runs on owned targets."""
@@ -60,6 +79,7 @@
                 run=grant.run,
                 spec=grant.spec,
                 until_ms=grant.until_ms,
+                attempt=grant.attempts.send(now),
                 timeout=timings.ORDER_TIMEOUT + self._loop_lag.timeout_allowance(),
             )
         )
@@ -71,88 +91,95 @@
         event: events.StartReplied,
         now: datetime.datetime,
     ) -> None:
-        """Handle the reply to a start request, or its failure."""
-        is_same_incarnation = owned.agrees_with_clock(event.clock_ms, now)
-        if event.clock_ms:
-            owned.record_clock(event.clock_ms, now)
-        if event.failure is None:
-            grant.state = runs.GrantState.RUNNING
-            grant.is_start_confirmed = is_same_incarnation
-            # A process that was paused finds old replies.
-            latest_reply_at = grant.first_sent_at + timings.START_RETRY_TIMEOUT
-            grant.record_progress(grant.percent, min(now, latest_reply_at + timings.ORDER_TIMEOUT))
-            return
-        handler = _HANDLER_BY_FAILURE[event.failure]
-        handler(self, owned, grant, now)
-
-    def _retry_or_stop(
-        self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+        """Handle the reply to one attempt of a start, or its failure."""
+        verdict = grant.attempts.record(event.attempt, event.failure)
+        if event.failure is events.Failure.FENCED:
+            self._target_owner.handle_fencing(owned, now)
+        elif event.failure is events.Failure.WRONG_INSTANCE:
+            self._target_owner.handle_wrong_instance(owned, now)
+        elif grant.state is runs.GrantState.STARTING and verdict is not None:
+            is_same_incarnation = owned.agrees_with_clock(event.clock_ms, now)
+            if event.clock_ms:
+                owned.record_clock(event.clock_ms, now)
+            pause = _SUSPENSION_BY_FAILURE.get(event.failure, datetime.timedelta())
+            owned.suspended_until = max(owned.suspended_until, now + pause)
+            if verdict is attempts.Verdict.RUNNING:
+                self._record_running(grant, now, is_same_incarnation=is_same_incarnation)
+            else:
+                reason = _REASON_BY_FAILURE.get(event.failure, "its start got no reply")
+                _HANDLER_BY_VERDICT[verdict](self, owned, grant, reason, now)
+
+    def _record_running(
+        self, grant: grants.Grant, now: datetime.datetime, *, is_same_incarnation: bool
+    ) -> None:
+        grant.state = runs.GrantState.RUNNING
+        grant.is_start_confirmed = is_same_incarnation
+        # A process that was paused finds old replies.
+        latest_reply_at = grant.first_sent_at + timings.START_RETRY_TIMEOUT
+        grant.record_progress(grant.percent, min(now, latest_reply_at + timings.ORDER_TIMEOUT))
+
+    def _retry(
+        self,
+        owned: owned_targets.OwnedTarget,
+        grant: grants.Grant,
+        reason: str,
+        now: datetime.datetime,
     ) -> None:
         self._orders.probe(owned, now)
+        self._outbox.notify_unanswered(grant, now)
         if self._target_owner.is_evacuated(owned.target):
             self._orders.stop(owned, grant, evacuations.STOP_REASON, now)
         elif now - grant.first_sent_at < timings.START_RETRY_TIMEOUT:
             self.start(owned, grant, now)
         else:
-            self._orders.stop(owned, grant, "its start got no reply", now)
+            self._orders.stop(owned, grant, reason, now)
 
-    def _handle_fenced(
-        self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+    def _stop(
+        self,
+        owned: owned_targets.OwnedTarget,
+        grant: grants.Grant,
+        reason: str,
+        now: datetime.datetime,
     ) -> None:
-        self._target_owner.handle_fencing(owned, now)
+        self._orders.probe(owned, now)
+        self._orders.stop(owned, grant, f"{reason}, and another attempt got no reply", now)
 
-    def _handle_old_run(
-        self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+    def _end_not_run(
+        self,
+        owned: owned_targets.OwnedTarget,
+        grant: grants.Grant,
+        reason: str,
+        now: datetime.datetime,
     ) -> None:
-        if grant.first_sent_at == grant.state_changed_at and not self._may_have_been_repeated(
-            grant, now
-        ):
-            self._target_owner.end_grant(
-                owned, grant, runs.RunEnd.OLD, "the target saw a higher run"
-            )
-            return
-        # An earlier attempt may have been executed and have ended; the target then lists its end.
-        grant.state = runs.GrantState.STOPPING
-        grant.is_confirmed_stopped = True
-        grant.stop_sent_at = now
-        grant.state_changed_at = now
+        self._target_owner.end_grant(owned, grant, runs.RunEnd.REFUSED, reason)
 
-    def _may_have_been_repeated(self, grant: grants.Grant, now: datetime.datetime) -> bool:
-        return now - grant.first_sent_at >= timings.ORDER_TIMEOUT
-
-    def _handle_no_capacity(
-        self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+    def _end_superseded(
+        self,
+        owned: owned_targets.OwnedTarget,
+        grant: grants.Grant,
+        reason: str,
+        now: datetime.datetime,
     ) -> None:
-        owned.suspended_until = max(owned.suspended_until, now + _NO_CAPACITY_SUSPENSION)
-        self._target_owner.end_grant(owned, grant, runs.RunEnd.REFUSED, "the target has no room")
+        self._target_owner.end_grant(owned, grant, runs.RunEnd.OLD, reason)
 
-    def _handle_unhealthy(
-        self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+    def _await_end(
+        self,
+        owned: owned_targets.OwnedTarget,
+        grant: grants.Grant,
+        reason: str,
+        now: datetime.datetime,
     ) -> None:
-        owned.suspended_until = max(owned.suspended_until, now + _UNHEALTHY_SUSPENSION)
-        self._target_owner.end_grant(owned, grant, runs.RunEnd.REFUSED, "the target is unhealthy")
+        """Wait for the end of an earlier attempt's run, which the target lists if there was one."""
+        grant.state = runs.GrantState.STOPPING
+        grant.is_confirmed_stopped = True
+        grant.stop_sent_at = now
+        grant.state_changed_at = now
 
-    def _handle_invalid(
-        self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
-    ) -> None:
-        self._target_owner.end_grant(
-            owned, grant, runs.RunEnd.REFUSED, "the target took it as invalid"
-        )
 
-    def _handle_wrong_instance(
-        self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
-    ) -> None:
-        self._target_owner.handle_wrong_instance(owned, now)
-
-
-_HANDLER_BY_FAILURE = {
-    events.Failure.TIMEOUT: Starts._retry_or_stop,
-    events.Failure.UNREACHABLE: Starts._handle_unhealthy,
-    events.Failure.TOO_LATE: Starts._retry_or_stop,
-    events.Failure.FENCED: Starts._handle_fenced,
-    events.Failure.OLD_RUN: Starts._handle_old_run,
-    events.Failure.NO_ROOM: Starts._handle_no_capacity,
-    events.Failure.UNHEALTHY: Starts._handle_unhealthy,
-    events.Failure.INVALID: Starts._handle_invalid,
-    events.Failure.WRONG_INSTANCE: Starts._handle_wrong_instance,
+_HANDLER_BY_VERDICT = {
+    attempts.Verdict.RETRY: Starts._retry,
+    attempts.Verdict.NOT_RUN: Starts._end_not_run,
+    attempts.Verdict.SUPERSEDED: Starts._end_superseded,
+    attempts.Verdict.STOP: Starts._stop,
+    attempts.Verdict.AWAIT_END: Starts._await_end,
 }
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -223,7 +223,7 @@
         self, owned: owned_targets.OwnedTarget, new_owner: members.Member, now: datetime.datetime
     ) -> None:
         speeds = self.orders.preferences.speeds
-        self._outbox.send(new_owner.id, handovers.build_handover(owned, self._own_id, speeds))
+        self._outbox.send(new_owner.id, handovers.build_handover(owned, self._own_id, speeds, now))
         for node, moved in handovers.grants_by_node(owned).items():
             message = messages.OwnerChanged(sender=self._own_id, grants=moved, owner=new_owner.id)
             self._outbox.send(node, message)
@@ -263,10 +263,10 @@
     def handle_start_reply(self, event: events.StartReplied, now: datetime.datetime) -> None:
         """Handle the reply to a start request, or its failure."""
         owned = self._find_owned(event.target, event.token)
-        if owned is None:
-            return
-        grant = owned.grants_by_id.get(event.grant)
-        if grant is not None and grant.state is runs.GrantState.STARTING:
+        grant = None if owned is None else owned.grants_by_id.get(event.grant)
+        if grant is None:
+            self.orphaned_grants.record_start_reply(event, now)
+        else:
             self._starts.handle_reply(owned, grant, event, now)
 
     def handle_stop_reply(self, event: events.StopReplied, now: datetime.datetime) -> None:
@@ -299,7 +299,7 @@
     def handle_fencing(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
         """Give up a target that has seen a higher token."""
         self._tokens.record_rejection(owned.target.id, owned.token, now)
-        self._give_up(owned, "a higher token is in use", now)
+        self._give_up(owned, "a higher token is in use", now, is_fenced=True)
 
     def end_grant(
         self,
@@ -320,6 +320,8 @@
                 target=owned.target.id,
                 how=how.value,
                 reason=reason,
+                attempts=grant.attempts.sent,
+                unanswered=grant.attempts.unanswered_count(),
             )
 
     def release_target(self, owned: owned_targets.OwnedTarget) -> None:
@@ -336,11 +338,15 @@
         self._tokens.record_rejection(owned.target.id, owned.token, now)
 
     def _give_up(
-        self, owned: owned_targets.OwnedTarget, reason: str, now: datetime.datetime
+        self,
+        owned: owned_targets.OwnedTarget,
+        reason: str,
+        now: datetime.datetime,
+        *,
+        is_fenced: bool = False,
     ) -> None:
         """Give up a target on which runs may continue until their leases expire."""
-        for grant in owned.sent_grants():
-            self.orphaned_grants.add(grant, owned.target.id, owned.lease_expires_at)
+        self.lost_targets.give_up(owned, now, is_fenced=is_fenced)
         self._outbox.note(
             notes.NoteEvent.OWNER_CHANGED, target=owned.target.id, how="given up", reason=reason
         )
--- a/tests/pool/pools.py
+++ b/tests/pool/pools.py
@@ -7,7 +7,7 @@
 from chiveridge_client import traces
 from chiveridge_load import pool_models
 from chiveridge_node import decision_logs
-from chiveridge_pool import actions, identifiers, jobs, resources
+from chiveridge_pool import actions, events, identifiers, jobs, resources
 
 TASK_CPU = 27_000
 
@@ -99,3 +99,12 @@
 def node(model: pool_models.PoolModel, number: int) -> pool_models.NodeModel:
     """Return a node by its 1-based number."""
     return list(model.nodes_by_name.values())[number - 1]
+
+
+def hand_over_all(old_owner: pool_models.NodeModel, new_owner: pool_models.NodeModel) -> None:
+    """Hand all targets of a node to another one."""
+    target_owner = old_owner.kernel.target_owner
+    member = old_owner.kernel.members.by_endpoint[new_owner.endpoint]
+    for owned in list(target_owner.owned_by_target.values()):
+        target_owner._hand_over(owned, member, old_owner.pool.simulation.now)
+    old_owner.handle(events.Ticked())
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -281,6 +281,7 @@
         run=grant.run,
         spec=grant.spec,
         until_ms=grant.until_ms,
+        attempt=1,
         timeout=datetime.timedelta(milliseconds=60),
     )
     target.crash()
