Refer a stop that crosses a hand-over to the new owner

Cause: an owner that had handed a target over answered LOST to a stop of its runs, and the job's node forgot the run. If that node was the new owner itself, nothing showed the run any more, as a node gets no heartbeats of its own.

Change: an owner remembers for a minute to whom it handed a grant, and from whom it got one, and refers the job's node to the new owner; it answers LOST only for grants that it has had. A node compares its jobs' runs with those on its own targets in each round of heartbeats.

--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -102,6 +102,11 @@
     return identifiers.GrantId(f"{node}-{short}") if isinstance(short, int) else short
 
 
+def is_issued_by(node: identifiers.NodeId, grant: identifiers.GrantId) -> bool:
+    """Return whether a node has issued a grant."""
+    return grant.rpartition("-")[0] == node
+
+
 def short_id(node: identifiers.NodeId, grant: identifiers.GrantId) -> int | identifiers.GrantId:
     """Return the number of a grant that ``node`` issued itself, or else the full id."""
     issuer, _, number = grant.rpartition("-")
--- a/packages/pool/chiveridge_pool/handovers.py
+++ b/packages/pool/chiveridge_pool/handovers.py
@@ -11,9 +11,43 @@
     runs,
     target_speeds,
     targets,
+    timings,
 )
 
 
+class HandedOverGrants:
+    """The owners of grants that were handed over with their targets, to this node or by it.
+
+    A job's node may ask the former owner to stop a run before it learns of the new one.
+    """
+
+    def __init__(self):
+        # In the order in which they were handed over.
+        self._owner_by_grant: dict[
+            identifiers.GrantId, tuple[identifiers.NodeId, datetime.datetime]
+        ] = {}
+
+    def add(
+        self, moved: list[grants.Grant], owner: identifiers.NodeId, now: datetime.datetime
+    ) -> None:
+        """Record the owner to which grants were handed, which may be this node."""
+        for grant in moved:
+            self._owner_by_grant.pop(grant.id, None)
+            self._owner_by_grant[grant.id] = owner, now
+
+    def owner_of(self, grant: identifiers.GrantId) -> identifiers.NodeId | None:
+        """Return the owner to which a grant was handed, or None."""
+        owner, _ = self._owner_by_grant.get(grant, (None, None))
+        return owner
+
+    def forget_old(self, now: datetime.datetime) -> None:
+        """Forget the grants that were handed over long ago."""
+        for grant, (_, handed_at) in list(self._owner_by_grant.items()):
+            if now - handed_at < timings.HANDOVER_REMEMBERED:
+                return
+            del self._owner_by_grant[grant]
+
+
 def build_handover(
     owned: owned_targets.OwnedTarget,
     owner: identifiers.NodeId,
--- a/packages/pool/chiveridge_pool/heartbeats.py
+++ b/packages/pool/chiveridge_pool/heartbeats.py
@@ -47,6 +47,8 @@
         audience = self._members.audience()
         self._update_state(now)
         batch = _Batch(self._kernel, now)
+        own_grants = batch.grants_by_node.get(self._kernel.settings.node, [])
+        self._kernel.coordinator.placements.reconcile_own(own_grants, now)
         if self._is_turn(timings.ROUNDS_PER_HEARTBEAT):
             batch.remote_rooms = self._changed_rooms(now)
             self._reconnect_unheard(audience, now)
--- a/packages/pool/chiveridge_pool/placements.py
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -1,7 +1,7 @@
 """Tracks the runs that this node has asked owners to start, until their ends are known."""
 
 import datetime
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from chiveridge_kernel import clocks
 from chiveridge_pool import (
@@ -137,10 +137,31 @@
                 self._end(run, runs.RunEnd.LOST, now)
             elif run.owner == heartbeat.sender:
                 self._check_unlisted(run, heartbeat, owner, now)
-        unknown_grants = [grant for grant in listed if grant not in self._runs_by_grant]
+        self._stop_unknown(listed, heartbeat.sender)
+
+    def reconcile_own(self, listed: list[identifiers.GrantId], now: datetime.datetime) -> None:
+        """Reconcile the runs on targets owned by this node itself, which hears no own heartbeats.
+
+        ``listed`` are the grants of this node's jobs that it knows as owner.
+        """
+        known = set(listed)
+        for run in list(self._runs_by_grant.values()):
+            if run.grant in known:
+                run.owner = self._own_id
+                run.listed_at = now
+                run.moved_at = None
+            elif run.owner == self._own_id:
+                self._check_moved(run, now)
+        self._stop_unknown(listed, self._own_id)
+
+    def _stop_unknown(
+        self, listed: Iterable[identifiers.GrantId], owner: identifiers.NodeId
+    ) -> None:
+        """Ask an owner to stop runs that it lists and this node does not know."""
+        unknown_grants = tuple(grant for grant in listed if grant not in self._runs_by_grant)
         if unknown_grants:
-            stop = messages.StopRuns(sender=self._own_id, grants=tuple(unknown_grants))
-            self._outbox.send(heartbeat.sender, stop)
+            stop = messages.StopRuns(sender=self._own_id, grants=unknown_grants)
+            self._outbox.send(owner, stop)
 
     def _is_fenced_off(self, run: jobs.Run, owner: members.Member, now: datetime.datetime) -> bool:
         """Tell whether the target is owned under a newer token, so that an unlisted run has ended.
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -64,6 +64,7 @@
             self._own_id, outbox, self.orders, self._starts, self.owned_by_target
         )
         self.orphaned_grants = orphaned_grants.OrphanedGrants(outbox)
+        self._handed_over = handovers.HandedOverGrants()
         self.lost_targets = lost_targets.LostTargets(outbox, self, self.orphaned_grants, reports)
         self._node_monitor = node_monitors.NodeMonitor(table, self.allocator)
         self._assignments = ownerships.Assignments(table)
@@ -139,6 +140,7 @@
         for owned in list(self.owned_by_target.values()):
             self.orders.tick(owned, now)
         self.orphaned_grants.tick(now)
+        self._handed_over.forget_old(now)
         self._node_monitor.tick(now)
         self.serve_requests(now)
 
@@ -233,6 +235,7 @@
             how="handed over",
             to=new_owner.endpoint,
         )
+        self._handed_over.add(owned.sent_grants(), new_owner.id, now)
         self._remove_owned(owned)
 
     def handle_handover(self, message: messages.Handover, now: datetime.datetime) -> None:
@@ -245,6 +248,7 @@
         target = self.target_list.add(message.target)
         token = self._tokens.next(target.id, now, above=message.token)
         owned = handovers.restore_owned_target(message, target, token, now)
+        self._handed_over.add(owned.sent_grants(), self._own_id, now)
         owned.taken_over_at = now
         owned.extend_lease(now)
         speeds = self.orders.preferences.speeds
@@ -430,8 +434,21 @@
             if found is not None:
                 self.orders.stop(found[0], found[1], "its job does not want it", now)
             elif grant_id not in self.orphaned_grants:
-                lost = runs.RunEnd.LOST.value
-                self._outbox.queue_end(message.sender, grant_id, lost)
+                self._answer_unknown(message.sender, grant_id)
+
+    def _answer_unknown(self, node: identifiers.NodeId, grant: identifiers.GrantId) -> None:
+        """Answer a node that asks to stop a run that is not on a target owned here.
+
+        A grant that was never here has no answer: its target may just be handed to this node.
+        """
+        owner = self._handed_over.owner_of(grant)
+        if owner is None and grants.is_issued_by(self._own_id, grant):
+            owner = self._own_id
+        if owner == self._own_id:
+            self._outbox.queue_end(node, grant, runs.RunEnd.LOST.value)
+        elif owner is not None:
+            moved = messages.OwnerChanged(sender=self._own_id, grants=(grant,), owner=owner)
+            self._outbox.send(node, moved)
 
     def has_work(self) -> bool:
         """Return whether requests, grants or claims are in progress."""
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -125,6 +125,9 @@
 GRANT_RESERVATION_TIMEOUT = _ms(300)
 """How long a grant stays reserved without a start; 100 round trips between failure domains."""
 
+HANDOVER_REMEMBERED = _ms(60_000)
+"""How long an owner refers requests on handed-over runs to the new owner; longer than most runs."""
+
 START_RETRY_TIMEOUT = _ms(600)
 """How long a start is retried before it is abandoned and stopped."""
 
