Skip what cannot be used of another writer's data, and nothing else

A nested body was answered 500; a job with an estimate of 1e15 ms got no answer, and its node sent no heartbeats any more.

Cause: decoders listed the exceptions that they expected. msgspec raises RecursionError for nested data, which left the follower of the list after the entry had been kept, so that each later read raised again. A type check also passed values that arithmetic, timers, encoders, headers or the HTTP client cannot hold.

Change: one reader for everything that another process writes (readers.py) turns whatever a decoder or a check raises into its own error; targets, nodes, crashes, routes, items of the store and callers' bodies go through it, one record at a time. Values have ranges (value_ranges.py, addresses.py). What is skipped is logged at a limited rate (RECORD_SKIPPED, 213) and counted. An entry that is not valid any more names no target to use. As a second line, a fault in one target's timer, one job, one request, one part of the tick or one handler of a topic is contained (faults.py, PART_FAILED, 540), and background tasks do not end without a log line. In simulations such a fault is still an error of the test.

A nested reply ended the exchange in the product's own node too (test_targets_http, failed before).

--- a/packages/client/chiveridge_client/platform_logs.py
+++ b/packages/client/chiveridge_client/platform_logs.py
@@ -115,5 +115,5 @@
 def _decode(decoder: msgspec.json.Decoder, payload: bytes):
     try:
         return decoder.decode(payload)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise errors.LogReplyLostError(f"unreadable reply of the log: {error}") from error
--- a/packages/client/chiveridge_client/statuses.py
+++ b/packages/client/chiveridge_client/statuses.py
@@ -107,5 +107,11 @@
             response.raise_for_status()
             payload = await response.read()
         return NodeStatus(url, msgspec.json.decode(payload, type=dict[str, object]))
-    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        OSError,
+        msgspec.MsgspecError,
+        RecursionError,
+    ) as error:
         return NodeStatus(url, error=str(error) or type(error).__name__)
--- a/packages/client/chiveridge_client/transports.py
+++ b/packages/client/chiveridge_client/transports.py
@@ -81,7 +81,7 @@
 def _decode(decoder: msgspec.json.Decoder, payload: bytes):
     try:
         return decoder.decode(payload)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise errors.ReplyLostError(f"unreadable reply: {error}") from error
 
 
--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -20,6 +20,7 @@
     kernels,
     messages,
     node_lists,
+    notes,
     ranks,
     target_preferences,
     targets,
@@ -215,6 +216,8 @@
         self.broken_callers: set[identifiers.CallerId] = set()
         self.exited: list[NodeModel] = []
         self.notes: list[actions.Note] = []
+        # Whether a fault that a kernel contains is only noted; otherwise it ends the simulation.
+        self.tolerates_faults = False
         self.on_note: Callable[[NodeModel, actions.Note], None] = _ignore_note
         self.on_send: Callable[[NodeModel, messages.AnyMessage], None] = _ignore_message
         # Crashes in the platform's store, which nodes read unless it is away.
@@ -305,8 +308,13 @@
         elif isinstance(action, actions.PublishCrashes):
             self._publish(action)
         elif isinstance(action, actions.Note):
-            self.notes.append(action)
-            self.on_note(node, action)
+            self._record_note(node, action)
+
+    def _record_note(self, node: NodeModel, note: actions.Note) -> None:
+        if note.event is notes.NoteEvent.PART_FAILED and not self.tolerates_faults:
+            raise AssertionError(note.fields["traceback"])
+        self.notes.append(note)
+        self.on_note(node, note)
 
     def _publish(self, action: actions.PublishCrashes) -> None:
         if self.is_store_away:
--- a/packages/node/chiveridge_node/pool_kernel_runners.py
+++ b/packages/node/chiveridge_node/pool_kernel_runners.py
@@ -50,16 +50,22 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def handle(self, event: events.Event) -> None:
-        """Pass an event to the kernel and perform the resulting actions; log any exception."""
+    def handle(self, event: events.Event) -> bool:
+        """Pass an event to the kernel and perform the resulting actions.
+
+        Return whether the kernel has handled it; an exception is logged.
+        """
+        is_handled = True
         try:
             decided = self.kernel.handle(event, self.clock.now())
         except Exception:
+            is_handled = False
             log_events.log_exception(log_events.LogEvent.INTERNAL_FAULT, kind=type(event).__name__)
             decided = self.kernel.outbox.take_actions()
         for action in decided:
             self._perform(action)
         self._advance_tick()
+        return is_handled
 
     def _perform(self, action: actions.Action) -> None:
         try:
--- a/packages/node/chiveridge_node/pool_links.py
+++ b/packages/node/chiveridge_node/pool_links.py
@@ -20,6 +20,9 @@
 Older ones are dropped, so that no message arrives long after it was sent.
 """
 
+MAX_LOGGED_ENDPOINTS = 100
+"""Limits the endpoints of which it is remembered that they were logged as unusable."""
+
 FLUSH_INTERVAL_SECONDS = 0.003
 
 RECONNECT_MIN_MS = 50
@@ -47,6 +50,7 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         self._read_timer: asyncio.TimerHandle | None = None
         self._idle_check_at = 0.0
+        self._refused_endpoints: set[identifiers.Endpoint] = set()
         self.dropped = 0
 
     def open(self) -> None:
@@ -71,11 +75,16 @@
         """Send a message, or queue it for a short time while the connection opens."""
         endpoint = action.endpoint
         dealer = self._dealers_by_endpoint.get(endpoint)
-        if dealer is None:
-            dealer = self._connect(endpoint)
+        try:
+            if dealer is None:
+                dealer = self._connect(endpoint)
+            data = messages.encode(action.message)
+        except Exception as error:
+            # An address or a value that the library does not take.
+            self._drop(endpoint, error)
+            return
         now = time.monotonic()
         self._last_used_at[endpoint] = now
-        data = messages.encode(action.message)
         if endpoint in self._queue_by_endpoint:
             self._enqueue(endpoint, data, now)
             return
@@ -84,6 +93,19 @@
         except zmq.Again:
             self._enqueue(endpoint, data, now)
 
+    def _drop(self, endpoint: identifiers.Endpoint, error: Exception) -> None:
+        """Count a message that cannot be sent, and log the first one to each endpoint."""
+        self.dropped += 1
+        if endpoint in self._refused_endpoints:
+            return
+        if len(self._refused_endpoints) < MAX_LOGGED_ENDPOINTS:
+            self._refused_endpoints.add(endpoint)
+            log_events.log_event(
+                log_events.LogEvent.PEER_MESSAGE_DROPPED,
+                endpoint=endpoint,
+                error=f"{type(error).__name__}: {error}",
+            )
+
     def _enqueue(self, endpoint: identifiers.Endpoint, data: bytes, now: float) -> None:
         """Queue a message for a peer that is not connected yet; drop it if the queue is full."""
         queue = self._queue_by_endpoint.setdefault(endpoint, collections.deque())
@@ -133,7 +155,11 @@
 
     def _connect(self, endpoint: identifiers.Endpoint) -> zmq.Socket:
         dealer = _make_socket(self._context, zmq.DEALER)
-        dealer.connect(f"tcp://{endpoint}")
+        try:
+            dealer.connect(f"tcp://{endpoint}")
+        except zmq.ZMQError:
+            dealer.close(linger=0)
+            raise
         self._dealers_by_endpoint[endpoint] = dealer
         self._last_used_at[endpoint] = time.monotonic()
         return dealer
--- a/packages/node/chiveridge_node/pool_metrics.py
+++ b/packages/node/chiveridge_node/pool_metrics.py
@@ -2,7 +2,8 @@
 
 import datetime
 import math
-from collections.abc import Callable
+import types
+from collections.abc import Callable, Mapping
 
 import prometheus_client
 
@@ -20,6 +21,7 @@
     """Derives counters and histograms from the kernel's notes, and gauges from its state.
 
     ``config_age`` returns the time since the platform last confirmed the configuration, or None.
+    ``skipped_by_source`` counts the records that could not be used.
     """
 
     def __init__(
@@ -27,11 +29,13 @@
         kernel: kernels.Kernel,
         log: decision_logs.DecisionLog,
         config_age: Callable[[], datetime.timedelta | None] = lambda: None,
+        skipped_by_source: Mapping[str, int] = types.MappingProxyType({}),
     ):
         self.registry = prometheus_client.CollectorRegistry()
         self._kernel = kernel
         self._log = log
         self._config_age = config_age
+        self._skipped_by_source = skipped_by_source
         self._labelled_queues: set[str] = set()
         self._answers = prometheus_client.Counter(
             "chiveridge_answers",
@@ -68,6 +72,12 @@
         self._events = prometheus_client.Counter(
             "chiveridge_events", "Log events, by name.", ["name"], registry=self.registry
         )
+        self._skipped_records = prometheus_client.Gauge(
+            "chiveridge_skipped_records",
+            "Records of other processes that could not be used, each time that they were read.",
+            ["source"],
+            registry=self.registry,
+        )
         self._preferred_choices = prometheus_client.Gauge(
             "chiveridge_preferred_choices",
             "Tasks that went to another target than the fullest with room, by reason.",
@@ -130,6 +140,8 @@
         }
         for name, value in values.items():
             self._gauges[name].set(value)
+        for source, count in self._skipped_by_source.items():
+            self._skipped_records.labels(source).set(count)
         for reason, count in preferences.choices_by_reason.items():
             self._preferred_choices.labels(reason.value).set(count)
 
--- a/packages/node/chiveridge_node/targets_http.py
+++ b/packages/node/chiveridge_node/targets_http.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from chiveridge_kernel import actions, clocks, events, identifiers, vms
+from chiveridge_kernel import actions, clocks, events, identifiers, readers, vms
 from chiveridge_node import log_events, loop_pacers, plugins, sendings, start_connections
 
 ASK_TIMEOUT_SECONDS = 3.0
@@ -54,11 +54,11 @@
     aiohttp.ClientError,
     OSError,
     TimeoutError,
-    msgspec.MsgspecError,
+    readers.ReadError,
     InvalidOutcomeError,
 )
 
-_reply_decoder = msgspec.json.Decoder(LeaseReply)
+_read_reply = readers.Reader(msgspec.json.Decoder(LeaseReply).decode)
 
 
 class HttpTargets:
@@ -278,7 +278,7 @@
 
 
 def _decode_reply(body: bytes) -> LeaseReply:
-    reply = _reply_decoder.decode(body)
+    reply = _read_reply(body)
     if reply.outcome in _NODE_ONLY_OUTCOMES:
         raise InvalidOutcomeError(reply.outcome.value)
     return reply
--- a/packages/node/tests/test_targets_http.py
+++ b/packages/node/tests/test_targets_http.py
@@ -191,7 +191,15 @@
 
 @pytest.mark.promise("honest_refusal")
 @pytest.mark.parametrize(
-    "body", [b"", b"{", b'{"outcome": "refused"}', b'{"outcome": "lost"}', b'{"outcome": 3}']
+    "body",
+    [
+        b"",
+        b"{",
+        b'{"x":' + b"[" * 4000,
+        b'{"outcome": "refused"}',
+        b'{"outcome": "lost"}',
+        b'{"outcome": 3}',
+    ],
 )
 async def test_an_invalid_reply_is_reported_as_lost(adapter, shell, body):
     async with run_server(FakeTarget(body)) as vm:
--- a/packages/pool/chiveridge_pool/capacity_queues.py
+++ b/packages/pool/chiveridge_pool/capacity_queues.py
@@ -52,8 +52,13 @@
 
     def remove_if_served(self, request: QueuedRequest) -> None:
         """Remove a request once it is completely served."""
+        if request.outstanding <= 0:
+            self.remove(request)
+
+    def remove(self, request: QueuedRequest) -> None:
+        """Remove a request, unless a later one has replaced it."""
         key = _key(request.message)
-        if request.outstanding <= 0 and self._by_key.get(key) is request:
+        if self._by_key.get(key) is request:
             del self._by_key[key]
 
 
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -11,6 +11,7 @@
     crash_reports,
     deadlines,
     events,
+    faults,
     followed_jobs,
     identifiers,
     jobs,
@@ -33,6 +34,8 @@
 _UNEXPLAINED_ENDS = frozenset({runs.RunEnd.CRASHED, runs.RunEnd.LOST})
 """Ends of runs whose task may have crashed its target."""
 
+_INTERNAL_FAULT = "an internal fault"
+
 _RUN_NUMBER_INCREMENT = 16
 """Added to the run number after a target has rejected it as out of date."""
 
@@ -54,7 +57,9 @@
         target_owner: target_owners.TargetOwner,
         order: ranks.RankingPolicy,
         reports: crash_reports.CrashReports,
+        contained: faults.Faults,
     ):
+        self._faults = contained
         self._members = table
         self._outbox = outbox
         self._target_owner = target_owner
@@ -80,6 +85,16 @@
 
         If the process ``was_paused``, the job may be in progress at another node by now.
         """
+        job_id = event.job.id
+        if self._faults.contain("submission", job_id, self._submit, event, now, was_paused):
+            return
+        job = self.jobs_by_id.get(job_id)
+        if job is not None:
+            self._abandon(job, now)
+        else:
+            self.answer_callers(job_id, {event.caller}, actions.Verdict.REFUSED, _INTERNAL_FAULT)
+
+    def _submit(self, event: events.JobSubmitted, now: datetime.datetime, was_paused: bool) -> None:
         known = self.jobs_by_id.get(event.job.id)
         if known is not None and not known.has_ended:
             self._attach_caller(known, event.caller)
@@ -441,10 +456,23 @@
         of lost owners.
         """
         for job in list(self.jobs_by_id.values()):
-            if not job.has_ended:
-                self._tick_job(job, now)
-        self.placements.tick(now)
-        self.followed_jobs.tick(now)
+            if job.has_ended:
+                continue
+            if not self._faults.contain("job", job.request.id, self._tick_job, job, now):
+                self._abandon(job, now)
+        self._faults.contain("runs", "", self.placements.tick, now)
+        self._faults.contain("followed jobs", "", self.followed_jobs.tick, now)
+
+    def _abandon(self, job: jobs.Job, now: datetime.datetime) -> None:
+        """Answer and end a job whose timers fail, which nothing else would do."""
+        verdict = actions.Verdict.GIVEN_UP if job.has_started else actions.Verdict.REFUSED
+        job_id = job.request.id
+        callers = set(job.callers)
+        if not self._faults.contain(
+            "answer", job_id, self._answer, job, verdict, _INTERNAL_FAULT, now
+        ):
+            self.answer_callers(job_id, callers, verdict, _INTERNAL_FAULT)
+        self._faults.contain("end of a job", job_id, self._end, job, now)
 
     def _tick_job(self, job: jobs.Job, now: datetime.datetime) -> None:
         if job.held_count():
--- a/packages/pool/chiveridge_pool/crash_histories.py
+++ b/packages/pool/chiveridge_pool/crash_histories.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from chiveridge_pool import identifiers
+from chiveridge_pool import identifiers, value_ranges
 
 MAX_CRASHES = 2
 """Crashes under a task after which it is given up, as the users allow."""
@@ -75,11 +75,11 @@
     job: identifiers.JobId
     task: identifiers.TaskName
     target: identifiers.TargetId
-    started_at_ms: int
+    started_at_ms: value_ranges.Count
     evidence: Evidence
     was_running: bool
-    recorded_at_ms: int
-    ran_ms: float = 0.0
+    recorded_at_ms: value_ranges.Count
+    ran_ms: value_ranges.Milliseconds = 0.0
     reporter: identifiers.NodeId = identifiers.NodeId("")
 
     def is_expired(self, now: datetime.datetime) -> bool:
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -57,9 +57,13 @@
 
 
 class TargetsListed(Event, frozen=True, kw_only=True):
-    """The complete list of targets was read from the platform."""
+    """The complete list of targets was read from the platform.
+
+    ``unusable`` are the listed ids whose entries are not valid.
+    """
 
     targets: tuple[targets.Target, ...]
+    unusable: frozenset[identifiers.TargetId] = frozenset()
 
 
 class ConfigurationRead(Event, frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/grant_allocators.py
+++ b/packages/pool/chiveridge_pool/grant_allocators.py
@@ -5,6 +5,7 @@
 
 from chiveridge_pool import (
     capacity_queues,
+    faults,
     grants,
     identifiers,
     messages,
@@ -27,12 +28,14 @@
         target_orders: orders.Orders,
         target_starts: starts.Starts,
         owned_by_target: dict[identifiers.TargetId, owned_targets.OwnedTarget],
+        contained: faults.Faults,
     ):
         self._own_id = own_id
         self._outbox = outbox
         self._orders = target_orders
         self._starts = target_starts
         self._owned_by_target = owned_by_target
+        self._faults = contained
         self._grant_numbers = itertools.count(1)
         self.capacity_queue = capacity_queues.CapacityQueue()
 
@@ -70,7 +73,13 @@
         for request in self.capacity_queue.by_rank():
             if unfit_sizes.cover(request.message):
                 continue
-            if self._serve_one(request, usable_targets, now):
+            outstanding = request.outstanding
+            job = request.message.job
+            if not self._faults.contain(
+                "request", job, self._serve_one, request, usable_targets, now
+            ):
+                self.capacity_queue.remove(request)
+            elif request.outstanding < outstanding:
                 usable_targets = [t for t in usable_targets if t.free_cpu() >= min_cpu]
                 if not usable_targets:
                     return
--- a/packages/pool/chiveridge_pool/kernels.py
+++ b/packages/pool/chiveridge_pool/kernels.py
@@ -14,6 +14,7 @@
     crash_reports,
     evacuations,
     events,
+    faults,
     heartbeats,
     identifiers,
     loop_lags,
@@ -67,6 +68,7 @@
             settings.node, settings.domain, settings.endpoint, settings.strength
         )
         self.outbox = outboxes.Outbox(self.members)
+        self.faults = faults.Faults(self.outbox)
         self.loop_lag = loop_lags.LoopLag()
         self.crash_reports = crash_reports.CrashReports(self.members, self.outbox)
         self.evacuations = evacuations.Evacuations()
@@ -78,10 +80,16 @@
             self.loop_lag,
             self.crash_reports,
             self.evacuations,
+            self.faults,
             settings.preferences,
         )
         self.coordinator = coordinators.Coordinator(
-            self.members, self.outbox, self.target_owner, settings.order, self.crash_reports
+            self.members,
+            self.outbox,
+            self.target_owner,
+            settings.order,
+            self.crash_reports,
+            self.faults,
         )
         self.configuration_version = 0
         self.configuration = b""
@@ -111,7 +119,11 @@
         """Handle the messages that this node has sent to itself."""
         self.outbox.flush_ends()
         while self.outbox.own_messages:
-            message_handlers.handle_message(self.outbox.own_messages.popleft(), self, now)
+            message = self.outbox.own_messages.popleft()
+            kind = type(message).__name__
+            self.faults.contain(
+                "own message", kind, message_handlers.handle_message, message, self, now
+            )
             self.outbox.flush_ends()
 
     def is_ready(self, now: datetime.datetime) -> bool:
@@ -164,13 +176,14 @@
                 is_slow=self.loop_lag.is_slow,
                 allowance_ms=clocks.to_ms(self.loop_lag.timeout_allowance()),
             )
-        self._review_members(now)
+        # What fails in one part must not keep the others from their timers.
+        self.faults.contain("members", "", self._review_members, now)
         if self.draining_since is not None:
             self._exit_if_drained(now)
-        self.target_owner.tick(now)
-        self.coordinator.tick(now)
-        self.crash_reports.tick(now)
-        self.heartbeats.tick(now)
+        self.faults.contain("targets", "", self.target_owner.tick, now)
+        self.faults.contain("jobs", "", self.coordinator.tick, now)
+        self.faults.contain("crash reports", "", self.crash_reports.tick, now)
+        self.faults.contain("heartbeats", "", self.heartbeats.tick, now)
 
     def _review_members(self, now: datetime.datetime) -> None:
         """Log the members that are no longer live, and choose the ones to watch."""
@@ -344,7 +357,7 @@
 
 @handle.register
 def _(event: events.TargetsListed, kernel: Kernel, now: datetime.datetime) -> None:
-    kernel.target_owner.update_targets(event.targets, now)
+    kernel.target_owner.update_targets(event.targets, now, event.unusable)
 
 
 @handle.register
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -2,7 +2,15 @@
 
 import msgspec
 
-from chiveridge_pool import crash_histories, identifiers, node_lists, resources, targets
+from chiveridge_kernel import readers
+from chiveridge_pool import (
+    crash_histories,
+    identifiers,
+    node_lists,
+    resources,
+    targets,
+    value_ranges,
+)
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
@@ -103,12 +111,12 @@
     queue: identifiers.QueueName
     service: identifiers.ServiceName
     size: resources.Resources
-    count: int
-    estimate_ms: float = 0.0
+    count: value_ranges.Count
+    estimate_ms: value_ranges.Milliseconds = 0.0
     label: str = ""
     rack: str = ""
-    remote_factor: float = 1.0
-    per_target: int = 0
+    remote_factor: value_ranges.Factor = 1.0
+    per_target: value_ranges.Count = 0
     former_leader: identifiers.NodeId | None = None
     wants_answer: bool = False
     is_isolated: bool = False
@@ -152,7 +160,7 @@
     sequence: int
     spec: str
     runs: tuple[tuple[identifiers.GrantId, identifiers.TaskName, identifiers.RunNumber], ...]
-    retry_slack_ms: float = 0.0
+    retry_slack_ms: value_ranges.Milliseconds = 0.0
 
 
 class StopRuns(Message, tag="sp", frozen=True, kw_only=True):
@@ -168,7 +176,7 @@
     """
 
     grants: tuple[identifiers.GrantId, ...]
-    executable_for_ms: float
+    executable_for_ms: value_ranges.Milliseconds
 
 
 class RunsEnded(Message, tag="en", frozen=True, kw_only=True):
@@ -190,10 +198,10 @@
     task: identifiers.TaskName
     run: identifiers.RunNumber
     size: resources.Resources
-    estimate_ms: float
+    estimate_ms: value_ranges.Milliseconds
     step: int = 0
     is_isolated: bool = False
-    executable_for_ms: float = 0.0
+    executable_for_ms: value_ranges.Milliseconds = 0.0
 
 
 class Handover(Message, tag="ho", frozen=True, kw_only=True):
@@ -205,8 +213,8 @@
 
     target: targets.Target
     token: identifiers.FencingToken
-    acknowledged: int
-    started_at_ms: int
+    acknowledged: value_ranges.Count
+    started_at_ms: value_ranges.Count
     runs: tuple[HandedRun, ...]
     speed_excess: float = 0.0
     speed_runs: int = 0
@@ -257,7 +265,7 @@
     """
 
     job: identifiers.JobId
-    remaining_wait_ms: float
+    remaining_wait_ms: value_ranges.SignedMilliseconds
 
 
 class UnfollowJob(Message, tag="uf", frozen=True, kw_only=True):
@@ -323,7 +331,7 @@
 )
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(AnyMessage)
+_read = readers.Reader(msgspec.msgpack.Decoder(AnyMessage).decode)
 
 
 def encode(message: AnyMessage) -> bytes:
@@ -337,6 +345,6 @@
     :raises MessageError: if ``data`` is not a valid message.
     """
     try:
-        return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+        return _read(data)
+    except readers.ReadError as error:
         raise MessageError(str(error)) from error
--- a/packages/pool/chiveridge_pool/notes.py
+++ b/packages/pool/chiveridge_pool/notes.py
@@ -33,6 +33,7 @@
     MEMBER_HEARD = 530
     MEMBER_LOST = 531
     NODE_SLOW = 532
+    PART_FAILED = 540
 
 
 REQUEST_EVENTS = frozenset(event for event in NoteEvent if event < NoteEvent.OWNER_CHANGED)
--- a/packages/pool/chiveridge_pool/resources.py
+++ b/packages/pool/chiveridge_pool/resources.py
@@ -2,13 +2,15 @@
 
 import msgspec
 
+from chiveridge_pool import value_ranges
+
 
 class Resources(msgspec.Struct, frozen=True, array_like=True):
     """Amounts of each resource; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    cpu: value_ranges.SignedAmount = 0
+    memory_mb: value_ranges.SignedAmount = 0
+    accelerators: value_ranges.SignedAmount = 0
 
     def fits_in(self, available: "Resources") -> bool:
         """Tell whether ``available`` has at least this much of each resource."""
--- a/packages/pool/chiveridge_pool/target_lists.py
+++ b/packages/pool/chiveridge_pool/target_lists.py
@@ -23,11 +23,22 @@
         # Increases with each change of the listed targets and their domains.
         self.revision = 0
         self.by_id: dict[identifiers.TargetId, targets.Target] = {}
+        # Listed with an entry that is not valid, which names no target to use.
+        self.unusable: frozenset[identifiers.TargetId] = frozenset()
         self.missing_since: dict[identifiers.TargetId, datetime.datetime] = {}
 
-    def replace(self, listed: tuple[targets.Target, ...], now: datetime.datetime) -> None:
-        """Update the targets from the platform's list; mark those no longer listed as missing."""
+    def replace(
+        self,
+        listed: tuple[targets.Target, ...],
+        now: datetime.datetime,
+        unusable: frozenset[identifiers.TargetId] = frozenset(),
+    ) -> None:
+        """Update the targets from the platform's list; mark those no longer listed as missing.
+
+        ``unusable`` are the ids whose entries are not valid; they count as missing too.
+        """
         self.has_platform_list = True
+        self.unusable = unusable
         self._read_at = now
         known = {target.id: target for target in listed}
         for target_id in sorted(self.by_id.keys() - known.keys()):
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -7,6 +7,7 @@
     crash_reports,
     evacuations,
     events,
+    faults,
     grant_allocators,
     grants,
     handovers,
@@ -45,11 +46,13 @@
         loop_lag: loop_lags.LoopLag,
         reports: crash_reports.CrashReports,
         evacuated: evacuations.Evacuations,
+        contained: faults.Faults,
         preferences: frozenset[target_preferences.Preference] = target_preferences.ALL,
     ):
         self._members = table
         self._evacuated = evacuated
         self._crash_reports = reports
+        self._faults = contained
         self._outbox = outbox
         self._loop_lag = loop_lag
         self._own_id = table.own_id
@@ -61,7 +64,7 @@
         self.target_list = target_lists.TargetList()
         self.owned_by_target: dict[identifiers.TargetId, owned_targets.OwnedTarget] = {}
         self.allocator = grant_allocators.GrantAllocator(
-            self._own_id, outbox, self.orders, self._starts, self.owned_by_target
+            self._own_id, outbox, self.orders, self._starts, self.owned_by_target, contained
         )
         self.orphaned_grants = orphaned_grants.OrphanedGrants(outbox)
         self._handed_over = handovers.HandedOverGrants()
@@ -74,11 +77,19 @@
 
     # Targets and ownership
 
-    def update_targets(self, listed: tuple[targets.Target, ...], now: datetime.datetime) -> None:
-        """Update the known and owned targets from the list read from the platform."""
+    def update_targets(
+        self,
+        listed: tuple[targets.Target, ...],
+        now: datetime.datetime,
+        unusable: frozenset[identifiers.TargetId] = frozenset(),
+    ) -> None:
+        """Update the known and owned targets from the list read from the platform.
+
+        ``unusable`` targets are listed with entries that are not valid, and get no new runs.
+        """
         new = [target for target in listed if target.id not in self.target_list.by_id]
         had_list = self.target_list.has_platform_list
-        self.target_list.replace(listed, now)
+        self.target_list.replace(listed, now, unusable)
         for target in listed:
             owned = self.owned_by_target.get(target.id)
             if owned is not None:
@@ -134,11 +145,11 @@
         self._update_assignments(now)
         for target in self._assignments.own_targets:
             if target.id not in self.owned_by_target:
-                self._claim_if_due(target.id, now)
+                self._faults.contain("claim", target.id, self._claim_if_due, target.id, now)
         for owned in list(self.owned_by_target.values()):
-            self._hand_over_if_due(owned, now)
+            self._faults.contain("hand-over", owned.target.id, self._hand_over_if_due, owned, now)
         for owned in list(self.owned_by_target.values()):
-            self.orders.tick(owned, now)
+            self._faults.contain("target", owned.target.id, self.orders.tick, owned, now)
         self.orphaned_grants.tick(now)
         self._handed_over.forget_old(now)
         self._node_monitor.tick(now)
@@ -394,6 +405,7 @@
             and self.orders.is_fast_or_trial_due(owned, now)
             and owned.target.id not in self.targets_in_handover
             and not owned.has_isolated_run()
+            and owned.target.id not in self.target_list.unusable
             and owned.target.domain not in self._evacuated
         ]
 
