Start nothing on a restarted target before its entry is read

Where targets do not guard their capacity, one that restarted smaller was overloaded; while the store was away, for seconds.

Cause: labels, capacity and service belong to the incarnation that has written them, but the owner claimed the next one with the entry of its predecessor, and used it until the next poll of the list.

Change: an owner compares the start time that a target replies with that of its entry (incarnations.py). While they differ the target gets no runs, and the list is read at once, then each 100 to 800 ms; another node that reads the entry tells the owner. An entry without a start time counts once it was read after the restart. Speed, slowness and failures that were learned of the target are forgotten with its incarnation. A hold whose connection breaks (Failure.BROKEN, apart from a timeout) and a start whose reply shows another clock make an owner wait for the next hold, as the target may have restarted between them. A handover or a peer brings a later entry, never an older one.

--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -216,6 +216,8 @@
         self.broken_callers: set[identifiers.CallerId] = set()
         self.exited: list[NodeModel] = []
         self.notes: list[actions.Note] = []
+        # Whether targets that have restarted write their entries.
+        self.lists_restarted_targets = True
         # Whether a fault that a kernel contains is only noted; otherwise it ends the simulation.
         self.tolerates_faults = False
         self.on_note: Callable[[NodeModel, actions.Note], None] = _ignore_note
@@ -292,23 +294,26 @@
 
     def perform(self, node: NodeModel, action: actions.Action) -> None:
         """Perform an action that a node's kernel has returned."""
-        if isinstance(action, actions.SendMessage):
-            self._send(node, action)
-        elif isinstance(action, actions.AnswerCaller):
-            self.answers_by_caller[action.caller] = action
-            self.answered_at[action.caller] = self.simulation.now
-        elif isinstance(action, actions.Hold | actions.StartRun | actions.StopRun):
-            self._send_command(node, action)
-        elif isinstance(action, actions.Exit):
-            self.exited.append(node)
-            node.kill()
-        elif isinstance(action, actions.ApplyConfiguration):
-            self.applied.append(action)
-            node.handle(events.ConfigurationRead(version=action.version, text=action.text))
-        elif isinstance(action, actions.PublishCrashes):
-            self._publish(action)
-        elif isinstance(action, actions.Note):
-            self._record_note(node, action)
+        performer = _PERFORMER_BY_TYPE.get(type(action))
+        if performer is not None:
+            performer(self, node, action)
+
+    def _answer(self, node: NodeModel, action: actions.AnswerCaller) -> None:
+        self.answers_by_caller[action.caller] = action
+        self.answered_at[action.caller] = self.simulation.now
+
+    def _exit(self, node: NodeModel, action: actions.Exit) -> None:
+        self.exited.append(node)
+        node.kill()
+
+    def _apply(self, node: NodeModel, action: actions.ApplyConfiguration) -> None:
+        self.applied.append(action)
+        node.handle(events.ConfigurationRead(version=action.version, text=action.text))
+
+    def _read_targets(self, node: NodeModel, action: actions.ReadTargets) -> None:
+        if not self.is_store_away and self.lists_restarted_targets:
+            listed = events.TargetsListed(targets=self.listed())
+            self._handle_later(node, listed, STORE_LATENCY)
 
     def _record_note(self, node: NodeModel, note: actions.Note) -> None:
         if note.event is notes.NoteEvent.PART_FAILED and not self.tolerates_faults:
@@ -316,7 +321,7 @@
         self.notes.append(note)
         self.on_note(node, note)
 
-    def _publish(self, action: actions.PublishCrashes) -> None:
+    def _publish(self, node: NodeModel, action: actions.PublishCrashes) -> None:
         if self.is_store_away:
             return
         self.published_crashes += action.crashes
@@ -388,6 +393,20 @@
         return [task for task, spans in spans_by_task.items() if _has_overlap(sorted(spans))]
 
 
+_PERFORMER_BY_TYPE = {
+    actions.SendMessage: PoolModel._send,
+    actions.AnswerCaller: PoolModel._answer,
+    actions.Hold: PoolModel._send_command,
+    actions.StartRun: PoolModel._send_command,
+    actions.StopRun: PoolModel._send_command,
+    actions.Exit: PoolModel._exit,
+    actions.ApplyConfiguration: PoolModel._apply,
+    actions.PublishCrashes: PoolModel._publish,
+    actions.ReadTargets: PoolModel._read_targets,
+    actions.Note: PoolModel._record_note,
+}
+
+
 class _CommandExchange:
     """A command sent to a target, its reply and its timeout."""
 
--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -142,7 +142,7 @@
         self.crash()
         if not self.crashes_silently:
             for _, reply in waiting_holds:
-                reply(Reply(failure=events.Failure.TIMEOUT))
+                reply(Reply(failure=events.Failure.BROKEN))
         if self.restart_time:
             self.is_down = True
             self._simulation.call_later(self.restart_time, self._come_back)
@@ -152,7 +152,7 @@
         self.refuses_connections = True
         waiting_holds, self._waiting_holds = self._waiting_holds, []
         for _, reply in waiting_holds:
-            reply(Reply(failure=events.Failure.TIMEOUT))
+            reply(Reply(failure=events.Failure.BROKEN))
 
     def _come_back(self) -> None:
         self.is_down = False
@@ -199,7 +199,7 @@
             return
         self._fence = action.token
         if self.loses_replies:
-            reply(Reply(failure=events.Failure.TIMEOUT))
+            reply(Reply(failure=events.Failure.BROKEN))
             reply = _ignore_reply
         _execute(action, self, reply)
 
--- a/packages/pool/chiveridge_pool/actions.py
+++ b/packages/pool/chiveridge_pool/actions.py
@@ -100,6 +100,10 @@
     text: bytes
 
 
+class ReadTargets(Action, frozen=True, kw_only=True):
+    """Read the platform's list of targets now, not at the next poll."""
+
+
 class PublishCrashes(Action, frozen=True, kw_only=True):
     """Write crashes to the store, for the nodes that this one does not hear and later ones."""
 
--- a/packages/pool/chiveridge_pool/attempts.py
+++ b/packages/pool/chiveridge_pool/attempts.py
@@ -45,6 +45,7 @@
 _RESULT_BY_FAILURE = {
     None: AttemptResult.EXECUTED,
     events.Failure.TIMEOUT: AttemptResult.UNKNOWN,
+    events.Failure.BROKEN: AttemptResult.UNKNOWN,
     events.Failure.UNREADABLE: AttemptResult.UNREADABLE,
     events.Failure.UNREACHABLE: AttemptResult.REJECTED,
     events.Failure.FENCED: AttemptResult.REJECTED,
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -11,11 +11,12 @@
 class Failure(enum.Enum):
     """Why a call to a target failed.
 
-    After ``TIMEOUT`` and ``UNREADABLE`` it may have been executed, and after ``TIMEOUT`` it may
-    still be; after the others it was not and will not be.
+    After ``TIMEOUT``, ``BROKEN`` (the connection broke before the reply) and ``UNREADABLE`` it may
+    have been executed, and may still be; after the others it was not and will not be.
     """
 
     TIMEOUT = "timeout"
+    BROKEN = "broken"
     UNREADABLE = "unreadable"
     UNREACHABLE = "unreachable"
     FENCED = "fenced"
--- a/packages/pool/chiveridge_pool/lost_targets.py
+++ b/packages/pool/chiveridge_pool/lost_targets.py
@@ -44,7 +44,7 @@
     ) -> None:
         """End the grants of a previous incarnation of a target, and release the target."""
         self._report(owned, crash_histories.Evidence.RESTARTED, reason, now)
-        self._target_owner.orders.preferences.speeds.forget(owned.target.id)
+        self._target_owner.orders.forget_target(owned.target.id)
         self._end_runs(owned, crash_histories.Evidence.RESTARTED, reason, now)
         self._target_owner.release_target(owned)
 
--- a/packages/pool/chiveridge_pool/message_handlers.py
+++ b/packages/pool/chiveridge_pool/message_handlers.py
@@ -101,7 +101,7 @@
 
 @handle_message.register(messages.Targets)
 def _(message: messages.Targets, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
-    kernel.target_owner.add_reported_targets(message)
+    kernel.target_owner.add_reported_targets(message, now)
 
 
 @handle_message.register(messages.Nodes)
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -32,6 +32,9 @@
 }
 """Delay before the next hold request, by the failure of the last; none after a timeout."""
 
+_SIGNS_OF_RESTART = frozenset({events.Failure.BROKEN, events.Failure.UNREACHABLE})
+_LOST_REPLIES = frozenset({events.Failure.TIMEOUT, events.Failure.BROKEN})
+
 _UNKNOWN_RUN_POLL_INTERVAL = datetime.timedelta(milliseconds=30)
 _STOPPED_RUN_LISTED_WITHIN = datetime.timedelta(milliseconds=60)
 """Time after a confirmed stop within which the target lists the run's end.
@@ -201,7 +204,9 @@
                 notes.NoteEvent.TARGET_SILENT, target=owned.target.id, failure=failure.value
             )
         owned.failures += 1
-        if failure is events.Failure.TIMEOUT:
+        if failure in _SIGNS_OF_RESTART:
+            owned.is_restart_suspected = True
+        if failure in _LOST_REPLIES:
             self._last_timeout_at = now
         if failure is events.Failure.UNREACHABLE and owned.grants_by_id:
             self._target_owner.lost_targets.end_refusing(owned, now)
@@ -220,13 +225,23 @@
         if owned.failures:
             self._outbox.note(notes.NoteEvent.TARGET_BACK, target=owned.target.id)
         owned.started_at_ms = event.started_at_ms or owned.started_at_ms
+        if self._target_owner.incarnations.observe(owned, now):
+            self.forget_target(owned.target.id)
         owned.failures = 0
+        owned.is_restart_suspected = False
         # A process that was paused finds old replies.
         owned.replied_at = min(now, event.sent_at + timings.HOLD_WAIT + timings.HOLD_TIMEOUT)
         owned.record_clock(event.clock_ms, now)
         self._process_ends(owned, event, now)
         self._process_running(owned, event, now)
 
+    def forget_target(self, target: identifiers.TargetId) -> None:
+        """Forget what was learned of a target, as its next incarnation may be of another kind."""
+        self.preferences.speeds.forget(target)
+        self._slow_targets.forget(target)
+        self._trial_due_by_target.pop(target, None)
+        self._failed_jobs_by_target.pop(target, None)
+
     def _process_ends(
         self, owned: owned_targets.OwnedTarget, event: events.HoldReplied, now: datetime.datetime
     ) -> None:
--- a/packages/pool/chiveridge_pool/owned_targets.py
+++ b/packages/pool/chiveridge_pool/owned_targets.py
@@ -41,6 +41,8 @@
         self._isolated_count = 0
         self.replied_at: datetime.datetime | None = None
         self.failures = 0
+        # Whether the target may have restarted since its last reply.
+        self.is_restart_suspected = False
         self.lease_expires_at = now
         self.suspended_until = now
         self._used_at = now
@@ -85,6 +87,7 @@
             self.state is OwnershipState.OWNED
             and not self.target.is_draining
             and self.failures <= timings.MAX_FAILED_HOLDS
+            and not self.is_restart_suspected
             and not self.unknown_runs
             and now >= self.suspended_until
         )
--- a/packages/pool/chiveridge_pool/slow_targets.py
+++ b/packages/pool/chiveridge_pool/slow_targets.py
@@ -104,6 +104,11 @@
             self._usual_at_by_target[target] = now
         return ratio - queue_ratio.mean
 
+    def forget(self, target: identifiers.TargetId) -> None:
+        """Forget a target."""
+        self._excess_by_target.pop(target, None)
+        self._usual_at_by_target.pop(target, None)
+
     def record_progress(
         self, target: identifiers.TargetId, grant: grants.Grant, now: datetime.datetime
     ) -> None:
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -100,6 +100,9 @@
         elif grant.state is runs.GrantState.STARTING and verdict is not None:
             is_same_incarnation = owned.agrees_with_clock(event.clock_ms, now)
             if event.clock_ms:
+                if not is_same_incarnation:
+                    owned.is_restart_suspected = True
+                    self._orders.probe(owned, now)
                 owned.record_clock(event.clock_ms, now)
             pause = _SUSPENSION_BY_FAILURE.get(event.failure, datetime.timedelta())
             owned.suspended_until = max(owned.suspended_until, now + pause)
--- a/packages/pool/chiveridge_pool/target_lists.py
+++ b/packages/pool/chiveridge_pool/target_lists.py
@@ -48,14 +48,15 @@
             self._put(target)
 
     def add_reported(self, reported: tuple[targets.Target, ...]) -> None:
-        """Add targets reported by a peer, unless the platform's list has been read."""
-        if not self.has_platform_list:
-            for target in reported:
+        """Add targets reported by a peer; once the platform's list was read, only known ones."""
+        for target in reported:
+            if target.id in self.by_id or not self.has_platform_list:
                 self.add(target)
 
     def add(self, target: targets.Target) -> targets.Target:
-        """Add a target unless it is known, and return what is known of it."""
-        if target.id not in self.by_id:
+        """Add a target unless this or a later incarnation is known, and return what is known."""
+        known = self.by_id.get(target.id)
+        if known is None or target.started_at_ms > known.started_at_ms:
             self._put(target)
         return self.by_id[target.id]
 
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -12,6 +12,7 @@
     grants,
     handovers,
     identifiers,
+    incarnations,
     loop_lags,
     lost_targets,
     members,
@@ -62,6 +63,7 @@
         self.orders = orders.Orders(outbox, self, loop_lag, preferences)
         self._starts = starts.Starts(outbox, self, self.orders, loop_lag)
         self.target_list = target_lists.TargetList()
+        self.incarnations = incarnations.Incarnations(outbox)
         self.owned_by_target: dict[identifiers.TargetId, owned_targets.OwnedTarget] = {}
         self.allocator = grant_allocators.GrantAllocator(
             self._own_id, outbox, self.orders, self._starts, self.owned_by_target, contained
@@ -87,18 +89,27 @@
 
         ``unusable`` targets are listed with entries that are not valid, and get no new runs.
         """
-        new = [target for target in listed if target.id not in self.target_list.by_id]
+        new = [target for target in listed if self._is_new_incarnation(target)]
         had_list = self.target_list.has_platform_list
         self.target_list.replace(listed, now, unusable)
         for target in listed:
-            owned = self.owned_by_target.get(target.id)
-            if owned is not None:
-                self._update_target(owned, target, now)
+            self.incarnations.record_entry(target)
+            self._update_owned(target, now)
         if had_list and new:
             self._tell_owners(new, now)
 
+    def _is_new_incarnation(self, target: targets.Target) -> bool:
+        """Return whether a listed target is new, or has restarted since it was last listed."""
+        known = self.target_list.by_id.get(target.id)
+        return known is None or known.started_at_ms != target.started_at_ms
+
+    def _update_owned(self, target: targets.Target, now: datetime.datetime) -> None:
+        owned = self.owned_by_target.get(target.id)
+        if owned is not None:
+            self._update_target(owned, target, now)
+
     def _tell_owners(self, new: list[targets.Target], now: datetime.datetime) -> None:
-        """Tell the owners of targets that are new on the list, as they may read it later."""
+        """Tell the owners of new and restarted targets, as they may read the list later."""
         self._update_assignments(now)
         by_owner: dict[identifiers.NodeId, list[targets.Target]] = {}
         for target in new:
@@ -110,13 +121,17 @@
             message = messages.Targets(sender=self._own_id, targets=tuple(of_owner), are_new=True)
             self._outbox.send(owner, message)
 
-    def add_reported_targets(self, message: messages.Targets) -> None:
+    def add_reported_targets(self, message: messages.Targets, now: datetime.datetime) -> None:
         """Add targets of which a peer tells, unless this node knows better from the list."""
         if message.are_new:
             for target in message.targets:
                 self.target_list.add(target)
         else:
             self.target_list.add_reported(message.targets)
+        for target in message.targets:
+            known = self.target_list.by_id.get(target.id)
+            if known is not None:
+                self._update_owned(known, now)
 
     def mark_draining(self, reported: tuple[tuple[identifiers.TargetId, int], ...]) -> None:
         """Start no more runs on targets that a peer reports as draining."""
@@ -143,6 +158,9 @@
         self._drop_missing(now)
         self._follow_target_list()
         self._update_assignments(now)
+        self._faults.contain(
+            "entries", "", self.incarnations.tick, self.owned_by_target.values(), now
+        )
         for target in self._assignments.own_targets:
             if target.id not in self.owned_by_target:
                 self._faults.contain("claim", target.id, self._claim_if_due, target.id, now)
@@ -164,6 +182,7 @@
         if self._counted_revision != self.target_list.revision:
             self._counted_revision = self.target_list.revision
             self.orders.preferences.speeds.retain(self.target_list.by_id)
+            self.incarnations.retain(self.target_list.by_id)
             self._members.set_target_counts(self.target_list.count_by_domain())
 
     def _drop_missing(self, now: datetime.datetime) -> None:
@@ -406,6 +425,7 @@
             and owned.target.id not in self.targets_in_handover
             and not owned.has_isolated_run()
             and owned.target.id not in self.target_list.unusable
+            and self.incarnations.is_described(owned)
             and owned.target.domain not in self._evacuated
         ]
 
