Tell a new owner no negative time in which a late start may be executed

What would be seen: a target handed over more than 12 s after an attempt of one of its runs got no reply: the message was not read, as its time was below 0, and the runs were lost with it.

Cause: the time until which an unanswered attempt may be executed lay in the past once it had passed.

Change: it is never before now. Besides, a job that fails on its way in is answered as given up, not as refused, if any node may have it.

Evidence: the new test in test_pool_start_attempts.py failed before.

--- a/packages/pool/chiveridge_pool/attempts.py
+++ b/packages/pool/chiveridge_pool/attempts.py
@@ -114,10 +114,8 @@
 
     def executable_until(self, now: datetime.datetime) -> datetime.datetime:
         """Return until when an unanswered attempt may still be executed, ``now`` if none may."""
-        return max(
-            (sent_at + timings.LATE_ORDER_TIME for sent_at in self._sent_at_by_unanswered.values()),
-            default=now,
-        )
+        last_sent_at = max(self._sent_at_by_unanswered.values(), default=None)
+        return now if last_sent_at is None else max(now, last_sent_at + timings.LATE_ORDER_TIME)
 
     def may_be_executed(self, now: datetime.datetime) -> bool:
         """Return whether an unanswered attempt may still be executed."""
--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -92,7 +92,9 @@
         if job is not None:
             self._abandon(job, now)
         else:
-            self.answer_callers(job_id, {event.caller}, actions.Verdict.REFUSED, _INTERNAL_FAULT)
+            may_run = self.has_job(job_id, now)
+            verdict = actions.Verdict.GIVEN_UP if may_run else actions.Verdict.REFUSED
+            self.answer_callers(job_id, {event.caller}, verdict, _INTERNAL_FAULT)
 
     def _submit(self, event: events.JobSubmitted, now: datetime.datetime, was_paused: bool) -> None:
         known = self.jobs_by_id.get(event.job.id)
--- a/tests/pool/test_pool_start_attempts.py
+++ b/tests/pool/test_pool_start_attempts.py
@@ -251,6 +251,27 @@
     assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
 
 
+@pytest.mark.promise("complete_or_failed", failures=["lost_reply"])
+def test_a_long_run_whose_start_was_repeated_is_handed_over_after_the_last_late_order():
+    """Nothing of the first attempt is left to tell; a negative time would not be read."""
+    model = pools.pool(nodes_per_domain=2, targets_per_domain=2, domains="a")
+    lost = _lose_first_start(model, lambda target, action: None)
+    request = pools.job("a" * 16, 1, 16_000.0, caller_timeout=datetime.timedelta(seconds=40))
+    caller = model.submit(pools.node(model, 1), request)
+    model.run(seconds=14)
+    assert lost
+    owner = next(
+        node
+        for node in model.nodes_by_name.values()
+        if lost[0][0].target.id in node.kernel.target_owner.owned_tokens()
+    )
+    new_owner = next(node for node in model.nodes_by_name.values() if node is not owner)
+    pools.hand_over_all(owner, new_owner)
+    model.run(seconds=4)
+    assert _count_starts(model) == 1
+    assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
+
+
 # Logs
 
 
