Name the proof with which each run ends, and let one module say which suffices

Seven modules decided for themselves that a run had ended and its task could start again, and the log told neither the attempts to start it nor why the next run was allowed.

end_proofs names each reason for which a run counts as ended, and says whether it covers attempts that got no reply and may still be executed. run_ends reports every end of a run at its owner, and refuses a proof that does not suffice: the run is stopped, or waits as an orphan. Ends without proof (the deadline of a retry; an owner that was lost before it could tell of an unanswered attempt) are named as such. RunsEnded carries the proofs of runs that did not end done in a new last field, which older nodes ignore. RUN_ENDED and RUN_LOST name the proof; RUN_LOST names the number of the next run, and its own number also where the target asked for a higher one. RUN_ENDED is now also written for runs whose target was given up, which ended without a line at the owner.

RUN_ATTEMPTS (514) lists the attempts of a run whose start was repeated, not accepted or not answered, or which ended without proof; at most eight, the rest counted. Ordinary runs write nothing new.

--- a/packages/node/chiveridge_node/decision_logs.py
+++ b/packages/node/chiveridge_node/decision_logs.py
@@ -193,6 +193,7 @@
         notes.NoteEvent.JOB_REFUSED,
         notes.NoteEvent.REQUEST_REJECTED,
         notes.NoteEvent.CALLER_LEFT,
+        notes.NoteEvent.RUN_ATTEMPTS,
         notes.NoteEvent.RUN_ENDED,
         notes.NoteEvent.RUN_STOPPED,
         notes.NoteEvent.STRANGER_STOPPED,
--- a/packages/pool/chiveridge_pool/attempts.py
+++ b/packages/pool/chiveridge_pool/attempts.py
@@ -7,7 +7,13 @@
 import datetime
 import enum
 
-from chiveridge_pool import events, identifiers, timings
+from chiveridge_pool import events, identifiers, notes, timings
+
+MAX_LOGGED_ATTEMPTS = 8
+ACCEPTED = "accepted"
+
+AttemptRow = tuple[identifiers.AttemptNumber, float, str | None, float | None]
+"""Number, time of sending in ms since the first one, answer, and ms until the answer."""
 
 
 class AttemptResult(enum.Enum):
@@ -72,13 +78,27 @@
 """Verdict by the result of the latest attempt and whether any attempt is unanswered after it."""
 
 
+class _LoggedAttempt:
+    """When one attempt was sent, and its answer."""
+
+    __slots__ = ("answer", "answered_at", "sent_at")
+
+    def __init__(self, sent_at: datetime.datetime):
+        self.sent_at = sent_at
+        self.answer: str | None = None
+        self.answered_at: datetime.datetime | None = None
+
+
 class StartAttempts:
     """The attempts of one run's start, by number."""
 
-    __slots__ = ("_sent_at_by_unanswered", "sent")
+    __slots__ = ("_is_each_accepted", "_logged", "_sent_at_by_unanswered", "sent")
 
     def __init__(self):
         self.sent = 0
+        self._is_each_accepted = True
+        # The first attempts, in the order of their numbers.
+        self._logged: list[_LoggedAttempt] = []
         self._sent_at_by_unanswered: dict[identifiers.AttemptNumber, datetime.datetime] = {}
 
     def send(self, now: datetime.datetime) -> identifiers.AttemptNumber:
@@ -86,6 +106,8 @@
         self.sent += 1
         number = identifiers.AttemptNumber(self.sent)
         self._sent_at_by_unanswered[number] = now
+        if number <= MAX_LOGGED_ATTEMPTS:
+            self._logged.append(_LoggedAttempt(now))
         return number
 
     def restore(self, remaining: datetime.timedelta, now: datetime.datetime) -> None:
@@ -95,19 +117,45 @@
             self._sent_at_by_unanswered[number] = now + remaining - timings.LATE_ORDER_TIME
 
     def record(
-        self, number: identifiers.AttemptNumber, failure: events.Failure | None
+        self,
+        number: identifiers.AttemptNumber,
+        failure: events.Failure | None,
+        now: datetime.datetime | None = None,
     ) -> Verdict | None:
         """Record the reply to an attempt, and return the verdict on the run.
 
-        Return None if the attempt was answered before.
+        Return None if the attempt was answered before. ``now`` is the time of the reply, which
+        only the log needs.
         """
         if number not in self._sent_at_by_unanswered:
             return None
+        if failure is not None:
+            self._is_each_accepted = False
+        if 0 < number <= MAX_LOGGED_ATTEMPTS:
+            logged = self._logged[number - 1]
+            logged.answer = answer_value(failure)
+            logged.answered_at = now
         result = _RESULT_BY_FAILURE[failure]
         if result not in _LEAVES_UNANSWERED:
             del self._sent_at_by_unanswered[number]
         return _VERDICTS[result, bool(self._sent_at_by_unanswered)]
 
+    def is_ordinary(self) -> bool:
+        """Return whether there was at most one attempt, and it was accepted."""
+        return self.sent <= 1 and self._is_each_accepted and not self._sent_at_by_unanswered
+
+    def rows(self) -> list[AttemptRow]:
+        """Return the first attempts for the log."""
+        return [
+            (
+                identifiers.AttemptNumber(number),
+                notes.to_ms(logged.sent_at - self._logged[0].sent_at),
+                logged.answer,
+                notes.to_ms(logged.answered_at - logged.sent_at) if logged.answered_at else None,
+            )
+            for number, logged in enumerate(self._logged, start=1)
+        ]
+
     def unanswered_count(self) -> int:
         """Return the number of attempts without an answer."""
         return len(self._sent_at_by_unanswered)
@@ -120,3 +168,8 @@
     def may_be_executed(self, now: datetime.datetime) -> bool:
         """Return whether an unanswered attempt may still be executed."""
         return self.executable_until(now) > now
+
+
+def answer_value(failure: events.Failure | None) -> str:
+    """Return the answer to an attempt as the log and the metrics name it."""
+    return ACCEPTED if failure is None else failure.value
--- a/packages/pool/chiveridge_pool/grant_allocators.py
+++ b/packages/pool/chiveridge_pool/grant_allocators.py
@@ -5,6 +5,7 @@
 
 from chiveridge_pool import (
     capacity_queues,
+    end_proofs,
     faults,
     grants,
     identifiers,
@@ -12,6 +13,7 @@
     orders,
     outboxes,
     owned_targets,
+    run_ends,
     runs,
     starts,
     timings,
@@ -29,6 +31,7 @@
         target_starts: starts.Starts,
         owned_by_target: dict[identifiers.TargetId, owned_targets.OwnedTarget],
         contained: faults.Faults,
+        ends: run_ends.RunEnds,
     ):
         self._own_id = own_id
         self._outbox = outbox
@@ -36,6 +39,7 @@
         self._starts = target_starts
         self._owned_by_target = owned_by_target
         self._faults = contained
+        self._run_ends = ends
         self._grant_numbers = itertools.count(1)
         self.capacity_queue = capacity_queues.CapacityQueue()
 
@@ -152,7 +156,12 @@
         for grant_id, task, run in message.runs:
             found = self.find(grant_id)
             if found is None:
-                self._outbox.queue_end(message.sender, grant_id, runs.RunEnd.REFUSED.value)
+                self._run_ends.report_unknown(
+                    message.sender,
+                    grant_id,
+                    runs.RunEnd.REFUSED,
+                    end_proofs.EndProof.NEVER_SENT,
+                )
                 continue
             owned, grant = found
             if not grant.is_sent():
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -18,6 +18,7 @@
         "id",
         "is_confirmed_stopped",
         "is_isolated",
+        "is_outdated",
         "is_start_confirmed",
         "job",
         "node",
@@ -31,8 +32,11 @@
         "spec",
         "state",
         "step",
+        "stop_answer",
         "stop_sent_at",
+        "stops_sent",
         "task",
+        "token",
         "until_ms",
     )
 
@@ -68,8 +72,13 @@
         self.state_changed_at = expires_at
         # When its task is retried although the run may not have ended.
         self.retry_by = expires_at
+        self.token = identifiers.FencingToken(0)
         self.stop_sent_at: datetime.datetime | None = None
+        self.stops_sent = 0
+        self.stop_answer: str | None = None
         self.is_confirmed_stopped = False
+        # Whether the target rejects its run number, and so all further attempts.
+        self.is_outdated = False
         # Whether the present incarnation of the target has certainly started it.
         self.is_start_confirmed = False
         self.is_isolated = False
--- a/packages/pool/chiveridge_pool/handovers.py
+++ b/packages/pool/chiveridge_pool/handovers.py
@@ -105,14 +105,16 @@
     owned.acknowledged = message.acknowledged
     owned.started_at_ms = message.started_at_ms
     for row in message.runs:
-        owned.add(_restore_grant(row, now))
+        owned.add(_restore_grant(row, token, now))
     return owned
 
 
-def _restore_grant(row: messages.HandedRun, now: datetime.datetime) -> grants.Grant:
+def _restore_grant(
+    row: messages.HandedRun, token: identifiers.FencingToken, now: datetime.datetime
+) -> grants.Grant:
     estimate = datetime.timedelta(milliseconds=row.estimate_ms)
     grant = grants.Grant(row.grant, row.node, row.job, row.step, row.queue, row.size, estimate, now)
-    grant.task, grant.run = row.task, row.run
+    grant.task, grant.run, grant.token = row.task, row.run, token
     grant.is_isolated = row.is_isolated
     grant.attempts.restore(datetime.timedelta(milliseconds=row.executable_for_ms), now)
     grant.state = runs.GrantState.RUNNING
--- a/packages/pool/chiveridge_pool/jobs.py
+++ b/packages/pool/chiveridge_pool/jobs.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chiveridge_pool import identifiers, resources
+from chiveridge_pool import end_proofs, identifiers, resources
 
 MAX_TASKS = 4096
 """Maximum number of tasks in a job; the design size is 740."""
@@ -114,12 +114,14 @@
     """One attempt to run a task, under one grant."""
 
     __slots__ = (
+        "end_proof",
         "executable_until",
         "grant",
         "is_isolated",
         "job",
         "listed_at",
         "moved_at",
+        "number",
         "owner",
         "sequence",
         "started_at",
@@ -144,6 +146,7 @@
     ):
         self.job = job
         self.task = task
+        self.number = task.run_number
         self.grant = grant
         self.owner = owner
         self.target = target
@@ -160,6 +163,8 @@
         self.executable_until: datetime.datetime | None = None
         # When the owner was last asked to stop the run.
         self.stopped_at: datetime.datetime | None = None
+        # Why it counts as ended; None while it has not, or if its owner did not tell.
+        self.end_proof: end_proofs.EndProof | None = None
 
 
 class CapacityDemand:
--- a/packages/pool/chiveridge_pool/lost_targets.py
+++ b/packages/pool/chiveridge_pool/lost_targets.py
@@ -6,6 +6,7 @@
 from chiveridge_pool import (
     crash_histories,
     crash_reports,
+    end_proofs,
     grants,
     notes,
     orphaned_grants,
@@ -70,10 +71,10 @@
         One that ``is_fenced`` has accepted a higher token and executes no unanswered attempt.
         """
         for grant in owned.sent_grants():
-            ends_at = owned.lease_expires_at
+            ends_at, proof = owned.lease_expires_at, end_proofs.EndProof.FENCED_EXPIRED
             if not is_fenced:
-                ends_at = _ends_if_silent_at(owned, grant, now)
-            self._orphaned.add(grant, owned.target.id, ends_at, runs.RunEnd.LOST)
+                ends_at, proof = _ending_if_silent(owned, grant, now)
+            self._orphaned.add(grant, owned.target.id, ends_at, runs.RunEnd.LOST, proof)
 
     def end_replaced(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
         """Release a target whose address now belongs to another instance.
@@ -81,7 +82,11 @@
         The other instance rejects all requests that are meant for this target.
         """
         self._report(owned, crash_histories.Evidence.RESTARTED, REPLACED, now)
-        self._end_grants(owned, REPLACED, _end_with(owned.target))
+        for grant in owned.sent_grants():
+            proof = end_proofs.EndProof.INSTANCE_REPLACED
+            end = _end_with(owned.target)
+            self._target_owner.end_grant(owned, grant, end, proof, REPLACED, now)
+        self._end_unsent(owned, REPLACED, now)
         self._target_owner.release_target(owned)
 
     def _end_runs(
@@ -95,17 +100,23 @@
         is_silent = evidence is crash_histories.Evidence.SILENT
         how = runs.RunEnd.LAPSED if is_silent else _end_with(owned.target)
         for grant in owned.sent_grants():
-            ends_at = _ENDS_AT_BY_EVIDENCE[evidence](owned, grant, now)
+            ends_at, proof = _ENDING_BY_EVIDENCE[evidence](owned, grant, now)
             if ends_at > now:
                 owned.remove(grant)
-                self._orphaned.add(grant, owned.target.id, ends_at, how)
+                self._orphaned.add(grant, owned.target.id, ends_at, how, proof)
                 self._outbox.notify_unanswered(grant, now)
-        self._end_grants(owned, reason, how)
+            else:
+                self._target_owner.end_grant(owned, grant, how, proof, reason, now)
+        self._end_unsent(owned, reason, now)
 
-    def _end_grants(self, owned: owned_targets.OwnedTarget, reason: str, how: runs.RunEnd) -> None:
+    def _end_unsent(
+        self, owned: owned_targets.OwnedTarget, reason: str, now: datetime.datetime
+    ) -> None:
+        """End the grants whose starts were not sent."""
         for grant in list(owned.grants_by_id.values()):
-            end = how if grant.is_sent() else runs.RunEnd.REFUSED
-            self._target_owner.end_grant(owned, grant, end, reason)
+            if not grant.is_sent():
+                proof = end_proofs.EndProof.NEVER_SENT
+                self._target_owner.end_grant(owned, grant, runs.RunEnd.REFUSED, proof, reason, now)
 
     def _report(
         self,
@@ -137,9 +148,13 @@
         )
 
 
-def _ends_after_restart_at(
+_Ending = tuple[datetime.datetime, end_proofs.EndProof]
+"""When a run on a lost target counts as ended, and on which proof."""
+
+
+def _ending_after_restart(
     owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
-) -> datetime.datetime:
+) -> _Ending:
     """Return by when a run has ended in the next incarnation of its target, if it ran there.
 
     The next incarnation may have executed a start that its predecessor is not known to run, and may
@@ -147,33 +162,37 @@
     """
     may_be_executed = grant.attempts.may_be_executed(now)
     if owned.was_running_at_last_reply(grant) and not may_be_executed:
-        return now
-    return grant.attempts.executable_until(now) + timings.LEASE_EXPIRED_AFTER
+        return now, end_proofs.EndProof.INCARNATION_ENDED
+    ends_at = grant.attempts.executable_until(now) + timings.LEASE_EXPIRED_AFTER
+    return ends_at, end_proofs.EndProof.LEASE_EXPIRED
 
 
-def _ends_if_alive_at(
+def _ending_if_alive(
     owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
-) -> datetime.datetime:
+) -> _Ending:
     """Return the same for a target that may also go on behind a cut, until its lease expires."""
-    return max(owned.lease_expires_at, _ends_after_restart_at(owned, grant, now))
+    ends_at, _ = _ending_after_restart(owned, grant, now)
+    return max(owned.lease_expires_at, ends_at), end_proofs.EndProof.LEASE_EXPIRED
 
 
-def _ends_if_silent_at(
+def _ending_if_silent(
     owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
-) -> datetime.datetime:
+) -> _Ending:
     """Return the same for a silent target, or when the task must be retried to be in time."""
     if not grant.attempts.may_be_executed(now):
-        return max(owned.lease_expires_at, now)
-    ends_at = min(_ends_after_restart_at(owned, grant, now), grant.retry_by)
-    return max(owned.lease_expires_at, ends_at)
+        return max(owned.lease_expires_at, now), end_proofs.EndProof.LEASE_EXPIRED
+    ends_at, proof = _ending_after_restart(owned, grant, now)
+    if grant.retry_by < ends_at:
+        ends_at, proof = grant.retry_by, end_proofs.EndProof.RETRY_DUE
+    return max(owned.lease_expires_at, ends_at), proof
 
 
-_ENDS_AT_BY_EVIDENCE = {
-    crash_histories.Evidence.RESTARTED: _ends_after_restart_at,
-    crash_histories.Evidence.REFUSED: _ends_if_alive_at,
-    crash_histories.Evidence.SILENT: _ends_if_silent_at,
+_ENDING_BY_EVIDENCE = {
+    crash_histories.Evidence.RESTARTED: _ending_after_restart,
+    crash_histories.Evidence.REFUSED: _ending_if_alive,
+    crash_histories.Evidence.SILENT: _ending_if_silent,
 }
-"""Function that returns by when a run on a lost target has certainly ended, by the evidence."""
+"""Function that returns the ending of a run on a lost target, by the evidence."""
 
 
 def _end_with(target: targets.Target) -> runs.RunEnd:
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -180,9 +180,13 @@
 
 
 class RunsEnded(Message, tag="en", frozen=True, kw_only=True):
-    """Reports ended grants, each with the value of its :class:`chiveridge_pool.runs.RunEnd`."""
+    """Reports ended grants, each with the value of its :class:`chiveridge_pool.runs.RunEnd`.
+
+    ``proofs`` has the :class:`chiveridge_pool.end_proofs.EndProof` of those that did not end done.
+    """
 
     ends: tuple[tuple[identifiers.GrantId, str], ...]
+    proofs: dict[identifiers.GrantId, str] = {}
 
 
 class HandedRun(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/pool/chiveridge_pool/notes.py
+++ b/packages/pool/chiveridge_pool/notes.py
@@ -21,6 +21,7 @@
     RUN_STOPPED = 511
     RUN_MOVED = 512
     RUN_LOST = 513
+    RUN_ATTEMPTS = 514
     STRANGER_STOPPED = 515
     TASK_SUSPECTED = 516
     OWNER_CHANGED = 520
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -8,6 +8,7 @@
 
 from chiveridge_pool import (
     actions,
+    end_proofs,
     events,
     grants,
     identifiers,
@@ -254,7 +255,7 @@
             how = runs.END_BY_VALUE.get(row.how, runs.RunEnd.LOST)
             if grant is None:
                 key = (row.task, row.run)
-                self._target_owner.orphaned_grants.end_listed(owned.target.id, key, how)
+                self._target_owner.orphaned_grants.end_listed(owned.target.id, key, how, now)
                 continue
             self._suspend_if_failing(owned, grant, how, now)
             if how is runs.RunEnd.DONE:
@@ -262,7 +263,8 @@
                 if excess is not None:
                     is_slow = self._slow_targets.is_slow(owned.target.id)
                     self.preferences.record_completion(owned, grant, excess, is_slow=is_slow)
-            self._target_owner.end_grant(owned, grant, how)
+            proof = end_proofs.EndProof.LISTED
+            self._target_owner.end_grant(owned, grant, how, proof, "", now)
 
     def _suspend_if_failing(
         self,
@@ -302,11 +304,10 @@
                 self._process_progress(owned, grant, rows[key], now)
             elif owned.state is owned_targets.OwnershipState.CLAIMING:
                 # The accepted token fences off what the former owner has sent.
-                self._target_owner.end_grant(
-                    owned, grant, runs.RunEnd.LOST, "the target does not run it"
-                )
+                proof, reason = end_proofs.EndProof.FENCED_UNLISTED, "the target does not run it"
+                self._target_owner.end_grant(owned, grant, runs.RunEnd.LOST, proof, reason, now)
             else:
-                self._end_if_stopped(owned, grant, event.sent_at)
+                self._end_if_stopped(owned, grant, event.sent_at, now)
         if owned.state is owned_targets.OwnershipState.CLAIMING and not owned.unknown_runs:
             owned.state = owned_targets.OwnershipState.OWNED
             self._target_owner.record_accepted_claim(owned, now)
@@ -349,11 +350,16 @@
         owned: owned_targets.OwnedTarget,
         grant: grants.Grant,
         requested_at: datetime.datetime,
+        now: datetime.datetime,
     ) -> None:
         """End a grant whose stop was confirmed and whose run the target does not list."""
         is_stopped = grant.state is runs.GrantState.STOPPING and grant.is_confirmed_stopped
         if is_stopped and requested_at - grant.state_changed_at >= _STOPPED_RUN_LISTED_WITHIN:
-            self._target_owner.end_grant(owned, grant, runs.RunEnd.STOPPED, "it never ran")
+            proof = end_proofs.EndProof.STOPPED
+            if grant.is_outdated:
+                proof = end_proofs.EndProof.OUTDATED_UNLISTED
+            end = runs.RunEnd.STOPPED
+            self._target_owner.end_grant(owned, grant, end, proof, "it never ran", now)
 
     def stop(
         self,
@@ -364,7 +370,8 @@
     ) -> None:
         """Stop a run; its capacity becomes free when its end is known."""
         if not grant.is_sent():
-            self._target_owner.end_grant(owned, grant, runs.RunEnd.REFUSED, reason)
+            proof = end_proofs.EndProof.NEVER_SENT
+            self._target_owner.end_grant(owned, grant, runs.RunEnd.REFUSED, proof, reason, now)
             return
         if grant.state is runs.GrantState.STOPPING:
             return
@@ -385,6 +392,7 @@
         self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
     ) -> None:
         grant.stop_sent_at = now
+        grant.stops_sent += 1
         self._request_stop(owned, grant.id, grant.task, grant.run)
 
     def _request_stop(
--- a/packages/pool/chiveridge_pool/outboxes.py
+++ b/packages/pool/chiveridge_pool/outboxes.py
@@ -5,7 +5,16 @@
 from collections.abc import Callable
 
 from chiveridge_kernel import clocks
-from chiveridge_pool import actions, grants, identifiers, members, messages, notes
+from chiveridge_pool import (
+    actions,
+    end_proofs,
+    grants,
+    identifiers,
+    members,
+    messages,
+    notes,
+    runs,
+)
 
 
 class Outbox:
@@ -15,6 +24,7 @@
         self._members = table
         self._actions: list[actions.Action] = []
         self._ends_by_node: dict[identifiers.NodeId, list[tuple[identifiers.GrantId, str]]] = {}
+        self._proofs_by_node: dict[identifiers.NodeId, dict[identifiers.GrantId, str]] = {}
         self.own_messages: collections.deque[messages.AnyMessage] = collections.deque()
         self.introduce: Callable[[members.Member], None] = _no_introduction
 
@@ -46,15 +56,30 @@
             )
             self.send(grant.node, message)
 
-    def queue_end(self, node: identifiers.NodeId, grant: identifiers.GrantId, how: str) -> None:
-        """Queue the end of a grant for a job's coordinating node, until the next flush."""
-        self._ends_by_node.setdefault(node, []).append((grant, how))
+    def queue_end(
+        self,
+        node: identifiers.NodeId,
+        grant: identifiers.GrantId,
+        how: runs.RunEnd,
+        proof: end_proofs.EndProof,
+    ) -> None:
+        """Queue the end of a grant for a job's coordinating node, until the next flush.
+
+        Only :mod:`chiveridge_pool.run_ends` calls this, as the proof has to suffice.
+        """
+        self._ends_by_node.setdefault(node, []).append((grant, how.value))
+        if how is not runs.RunEnd.DONE:
+            self._proofs_by_node.setdefault(node, {})[grant] = proof.value
 
     def flush_ends(self) -> None:
         """Send the queued ends of grants, one message per node."""
         batches, self._ends_by_node = self._ends_by_node, {}
+        proofs_by_node, self._proofs_by_node = self._proofs_by_node, {}
         for node, ends in batches.items():
-            self.send(node, messages.RunsEnded(sender=self._members.own_id, ends=tuple(ends)))
+            message = messages.RunsEnded(
+                sender=self._members.own_id, ends=tuple(ends), proofs=proofs_by_node.get(node, {})
+            )
+            self.send(node, message)
 
     def take_actions(self) -> list[actions.Action]:
         """Return and clear the collected actions."""
--- a/packages/pool/chiveridge_pool/placements.py
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -6,6 +6,7 @@
 from chiveridge_kernel import clocks
 from chiveridge_pool import (
     deadlines,
+    end_proofs,
     grants,
     identifiers,
     jobs,
@@ -24,6 +25,10 @@
 """A task with the grant, target and fencing token under which it is to run."""
 
 
+_UNANSWERED_TOLD_WITHIN = timings.ORDER_TIMEOUT + timings.ROUND_INTERVAL
+"""Time after a request to start a run by which its owner has told of a first attempt in vain."""
+
+
 class Placements:
     """All runs that this node has started and whose ends it does not know yet."""
 
@@ -85,9 +90,25 @@
         for grant, how in message.ends:
             run = self._runs_by_grant.get(grant)
             if run is not None:
-                self._end(run, runs.END_BY_VALUE.get(how, runs.RunEnd.LOST), now)
+                proof = end_proofs.PROOF_BY_VALUE.get(message.proofs.get(grant, ""))
+                self._end(run, runs.END_BY_VALUE.get(how, runs.RunEnd.LOST), proof, now)
 
-    def _end(self, run: jobs.Run, how: runs.RunEnd, now: datetime.datetime) -> None:
+    def _end_unreported(
+        self, run: jobs.Run, proof: end_proofs.EndProof, now: datetime.datetime
+    ) -> None:
+        """End a run whose owner has not reported its end, if the proof suffices."""
+        may_be_executed = run.executable_until is not None and now < run.executable_until
+        if end_proofs.may_end(proof, may_be_executed=may_be_executed):
+            self._end(run, runs.RunEnd.LOST, proof, now)
+
+    def _end(
+        self,
+        run: jobs.Run,
+        how: runs.RunEnd,
+        proof: end_proofs.EndProof | None,
+        now: datetime.datetime,
+    ) -> None:
+        run.end_proof = proof
         del self._runs_by_grant[run.grant]
         del run.job.runs_by_grant[run.grant]
         self._on_end(run, how, now)
@@ -134,7 +155,7 @@
                 run.moved_at = None
                 run.token = owner.owned_tokens.get(run.target, run.token)
             elif self._is_fenced_off(run, owner, now):
-                self._end(run, runs.RunEnd.LOST, now)
+                self._end_unreported(run, end_proofs.EndProof.OTHER_OWNER_UNLISTED, now)
             elif run.owner == heartbeat.sender:
                 self._check_unlisted(run, heartbeat, owner, now)
         self._stop_unknown(listed, heartbeat.sender)
@@ -186,7 +207,7 @@
         if run.moved_at is not None:
             self._check_moved(run, now)
         elif run.sequence <= heartbeat.last_start_sequence:
-            self._end(run, runs.RunEnd.LOST, now)
+            self._end_unreported(run, end_proofs.EndProof.OWNER_UNLISTED, now)
         elif run.stopped_at is None and now - run.started_at > timings.START_RETRY_TIMEOUT:
             # The start message was probably lost; an owner that does not know the run replies so.
             self.stop([run], now)
@@ -196,13 +217,13 @@
         if run.moved_at is None:
             run.moved_at = now
         elif now >= _ends_without_owner_at(run, run.moved_at):
-            self._end(run, runs.RunEnd.LOST, now)
+            self._end_unreported(run, self._proof_of_silence(run), now)
 
     def tick(self, now: datetime.datetime) -> None:
         """End the runs of lost owners, and repeat stops that are not confirmed yet."""
         for run in list(self._runs_by_grant.values()):
             if self._is_owner_lost(run, now):
-                self._end(run, runs.RunEnd.LOST, now)
+                self._end_unreported(run, self._proof_of_silence(run), now)
             elif run.stopped_at is not None and now - run.stopped_at > timings.STOP_INTERVAL:
                 self.stop([run], now)
 
@@ -214,6 +235,15 @@
         owned_at = run.moved_at or run.started_at
         return now >= _ends_without_owner_at(run, max(heard, owned_at))
 
+    def _proof_of_silence(self, run: jobs.Run) -> end_proofs.EndProof:
+        """Return what the silence of an owner proves of a run that it had to start."""
+        if run.owner == self._own_id or run.executable_until is not None:
+            return end_proofs.EndProof.OWNER_SILENT
+        heard = self._members.heard_by_id.get(run.owner, run.started_at)
+        if heard - run.started_at >= _UNANSWERED_TOLD_WITHIN:
+            return end_proofs.EndProof.OWNER_SILENT
+        return end_proofs.EndProof.OWNER_LOST_EARLY
+
     def log_requeue(self, run: jobs.Run, how: runs.RunEnd, now: datetime.datetime) -> None:
         """Log why a task has to run again, and how long ago its owner was last heard."""
         heard = self._members.heard_by_id.get(run.owner)
@@ -221,10 +251,12 @@
             notes.NoteEvent.RUN_LOST,
             job=run.job.request.id,
             task=run.job.task_name(run.task),
-            run=run.task.run_number,
+            run=run.number,
+            next_run=run.task.run_number + 1,
             target=run.target,
             owner=run.owner,
             how=how.value,
+            proof=None if run.end_proof is None else run.end_proof.value,
             ran_ms=notes.to_ms(now - run.started_at),
             owner_heard_ms_ago=None if heard is None else notes.to_ms(now - heard),
             failed_attempts=run.task.attempts,
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -6,6 +6,7 @@
 from chiveridge_pool import (
     actions,
     attempts,
+    end_proofs,
     evacuations,
     events,
     grants,
@@ -68,6 +69,7 @@
             grant.state = runs.GrantState.STARTING
             grant.first_sent_at = now
             grant.state_changed_at = now
+            grant.token = owned.token
             grant.until_ms = owned.lease_end_ms(now)
             owned.extend_lease(now)
         self._outbox.add(
@@ -92,7 +94,7 @@
         now: datetime.datetime,
     ) -> None:
         """Handle the reply to one attempt of a start, or its failure."""
-        verdict = grant.attempts.record(event.attempt, event.failure)
+        verdict = grant.attempts.record(event.attempt, event.failure, now)
         if event.failure is events.Failure.FENCED:
             self._target_owner.handle_fencing(owned, now)
         elif event.failure is events.Failure.WRONG_INSTANCE:
@@ -154,7 +156,8 @@
         reason: str,
         now: datetime.datetime,
     ) -> None:
-        self._target_owner.end_grant(owned, grant, runs.RunEnd.REFUSED, reason)
+        proof = end_proofs.EndProof.ALL_REJECTED
+        self._target_owner.end_grant(owned, grant, runs.RunEnd.REFUSED, proof, reason, now)
 
     def _end_superseded(
         self,
@@ -163,7 +166,8 @@
         reason: str,
         now: datetime.datetime,
     ) -> None:
-        self._target_owner.end_grant(owned, grant, runs.RunEnd.OLD, reason)
+        proof = end_proofs.EndProof.OUTDATED
+        self._target_owner.end_grant(owned, grant, runs.RunEnd.OLD, proof, reason, now)
 
     def _await_end(
         self,
@@ -175,6 +179,7 @@
         """Wait for the end of an earlier attempt's run, which the target lists if there was one."""
         grant.state = runs.GrantState.STOPPING
         grant.is_confirmed_stopped = True
+        grant.is_outdated = True
         grant.stop_sent_at = now
         grant.state_changed_at = now
 
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -4,7 +4,9 @@
 import random
 
 from chiveridge_pool import (
+    attempts,
     crash_reports,
+    end_proofs,
     evacuations,
     events,
     faults,
@@ -25,6 +27,7 @@
     owned_targets,
     ownerships,
     quorums,
+    run_ends,
     runs,
     starts,
     target_lists,
@@ -65,10 +68,17 @@
         self.target_list = target_lists.TargetList()
         self.incarnations = incarnations.Incarnations(outbox)
         self.owned_by_target: dict[identifiers.TargetId, owned_targets.OwnedTarget] = {}
+        self._run_ends = run_ends.RunEnds(outbox)
         self.allocator = grant_allocators.GrantAllocator(
-            self._own_id, outbox, self.orders, self._starts, self.owned_by_target, contained
+            self._own_id,
+            outbox,
+            self.orders,
+            self._starts,
+            self.owned_by_target,
+            contained,
+            self._run_ends,
         )
-        self.orphaned_grants = orphaned_grants.OrphanedGrants(outbox)
+        self.orphaned_grants = orphaned_grants.OrphanedGrants(self._run_ends)
         self._handed_over = handovers.HandedOverGrants()
         self.lost_targets = lost_targets.LostTargets(outbox, self, self.orphaned_grants, reports)
         self._node_monitor = node_monitors.NodeMonitor(table, self.allocator)
@@ -266,6 +276,8 @@
             to=new_owner.endpoint,
         )
         self._handed_over.add(owned.sent_grants(), new_owner.id, now)
+        for grant in owned.sent_grants():
+            self._run_ends.log_handed_over(grant, owned.target.id)
         self._remove_owned(owned)
 
     def handle_handover(self, message: messages.Handover, now: datetime.datetime) -> None:
@@ -312,7 +324,10 @@
             self.handle_fencing(owned, now)
             return
         grant = owned.grants_by_id.get(event.grant)
-        if grant is not None and event.failure is None:
+        if grant is None:
+            return
+        grant.stop_answer = attempts.answer_value(event.failure)
+        if event.failure is None:
             grant.is_confirmed_stopped = True
             grant.state_changed_at = now
 
@@ -327,7 +342,7 @@
     ) -> None:
         """Record that a target has accepted this owner's token."""
         self._tokens.record_acceptance(owned.target.id)
-        self.orphaned_grants.end_fenced(owned.target.id, owned.grants_by_id)
+        self.orphaned_grants.end_fenced(owned.target.id, owned.grants_by_id, now)
         self._crash_reports.report_incarnation(owned.target.id, owned.started_at_ms, now)
 
     def handle_fencing(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
@@ -340,23 +355,15 @@
         owned: owned_targets.OwnedTarget,
         grant: grants.Grant,
         how: runs.RunEnd,
-        reason: str = "",
+        proof: end_proofs.EndProof,
+        reason: str,
+        now: datetime.datetime,
     ) -> None:
-        """End a grant and notify the job's node."""
-        owned.remove(grant)
-        self._outbox.queue_end(grant.node, grant.id, how.value)
-        if how is not runs.RunEnd.DONE:
-            self._outbox.note(
-                notes.NoteEvent.RUN_ENDED,
-                job=grant.job,
-                task=grant.task,
-                run=grant.run,
-                target=owned.target.id,
-                how=how.value,
-                reason=reason,
-                attempts=grant.attempts.sent,
-                unanswered=grant.attempts.unanswered_count(),
-            )
+        """End a grant and notify the job's node, or stop its run if the proof does not suffice."""
+        if self._run_ends.report(grant, owned.target.id, how, proof, reason, now):
+            owned.remove(grant)
+        else:
+            self.orders.stop(owned, grant, reason, now)
 
     def release_target(self, owned: owned_targets.OwnedTarget) -> None:
         """Release a target; the next claim's token fences off all requests sent so far."""
@@ -477,7 +484,8 @@
         if owner is None and grants.is_issued_by(self._own_id, grant):
             owner = self._own_id
         if owner == self._own_id:
-            self._outbox.queue_end(node, grant, runs.RunEnd.LOST.value)
+            proof = end_proofs.EndProof.UNKNOWN_HERE
+            self._run_ends.report_unknown(node, grant, runs.RunEnd.LOST, proof)
         elif owner is not None:
             moved = messages.OwnerChanged(sender=self._own_id, grants=(grant,), owner=owner)
             self._outbox.send(node, moved)
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -9,7 +9,7 @@
 
 from chiveridge_kernel import messages, results
 from chiveridge_node import caller_resources, log_events, mains, nodes, settings
-from chiveridge_pool import notes
+from chiveridge_pool import end_proofs, notes
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 SETTINGS_SECTION_HEADING = "### [{}]"
@@ -42,6 +42,21 @@
     assert found == sorted((int(event), event.name) for event in events)
 
 
+def test_every_proof_of_an_end_has_a_row():
+    rows = table_rows("events.md", "## Proofs of an end")
+    assert [row[0] for row in rows] == [proof.value for proof in end_proofs.EndProof]
+    unproven = {row[0] for row in rows if row[2] == "without proof"}
+    assert unproven == {
+        proof.value for proof in end_proofs.EndProof if not end_proofs.is_proven(proof)
+    }
+    covering = {row[0] for row in rows if row[2] != "no"}
+    assert covering == {
+        proof.value
+        for proof in end_proofs.EndProof
+        if end_proofs.may_end(proof, may_be_executed=True)
+    }
+
+
 @pytest.mark.parametrize(
     "section", msgspec.structs.fields(settings.Settings), ids=lambda field: field.name
 )
