Count attempts to start runs by answer, and ended runs by proof

Without counts, an operator can't see that runs end without proof, or that targets answer attempts with errors, before a task has run twice.

chiveridge_start_attempts_total{result} costs one increment per answer; chiveridge_run_ends_total{proof} is derived from RUN_ENDED and, for proofs that only a job's node has, RUN_LOST. A start whose grant was over before it was asked for gets a proof of its own, grant_expired, as no owner logs it.

--- a/packages/node/chiveridge_node/pool_metrics.py
+++ b/packages/node/chiveridge_node/pool_metrics.py
@@ -8,13 +8,14 @@
 import prometheus_client
 
 from chiveridge_node import decision_logs
-from chiveridge_pool import actions, kernels, notes
+from chiveridge_pool import actions, end_proofs, kernels, notes
 
 _BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 _MAX_QUEUE_LABELS = 200
 """Maximum number of distinct queue labels; further queues share the label ``other``."""
 
 _OTHER_QUEUES_LABEL = "other"
+_PROOFS_OF_JOBS_NODE = {proof.value for proof in end_proofs.LOGGED_BY_JOBS_NODE}
 
 
 class PoolMetrics:
@@ -69,6 +70,19 @@
             ["how"],
             registry=self.registry,
         )
+        self._start_attempts = prometheus_client.Counter(
+            "chiveridge_start_attempts",
+            "Attempts to start runs on targets that this node holds, by the target's answer.",
+            ["result"],
+            registry=self.registry,
+        )
+        self._counted_attempts: dict[str, int] = {}
+        self._run_ends = prometheus_client.Counter(
+            "chiveridge_run_ends",
+            "Runs that did not end done, by the proof of their end.",
+            ["proof"],
+            registry=self.registry,
+        )
         self._events = prometheus_client.Counter(
             "chiveridge_events", "Log events, by name.", ["name"], registry=self.registry
         )
@@ -107,6 +121,9 @@
             self._place_seconds.observe(fields["waited_ms"] / 1000)
         elif action.event is notes.NoteEvent.RUN_ENDED:
             self._bad_runs.labels(fields["how"]).inc()
+            self._run_ends.labels(fields["proof"]).inc()
+        elif action.event is notes.NoteEvent.RUN_LOST and fields["proof"] in _PROOFS_OF_JOBS_NODE:
+            self._run_ends.labels(fields["proof"]).inc()
 
     def refresh(self, now: datetime.datetime) -> None:
         """Set the gauges from the current state of the kernel."""
@@ -140,6 +157,9 @@
         }
         for name, value in values.items():
             self._gauges[name].set(value)
+        for result, count in kernel.target_owner.attempts_by_answer.items():
+            self._start_attempts.labels(result).inc(count - self._counted_attempts.get(result, 0))
+            self._counted_attempts[result] = count
         for source, count in self._skipped_by_source.items():
             self._skipped_records.labels(source).set(count)
         for reason, count in preferences.choices_by_reason.items():
--- a/packages/node/tests/test_pool_metrics.py
+++ b/packages/node/tests/test_pool_metrics.py
@@ -2,7 +2,7 @@
 
 from chiveridge_load import pool_models
 from chiveridge_node import decision_logs, pool_metrics
-from chiveridge_pool import actions, identifiers, jobs, notes, resources
+from chiveridge_pool import actions, events, identifiers, jobs, notes, resources
 
 MS = datetime.timedelta(milliseconds=1)
 
@@ -69,6 +69,43 @@
     assert "chiveridge_members_live 0.0" in text
 
 
+def test_attempts_are_counted_by_answer_and_only_once():
+    """Also after the metrics were read twice."""
+    model = pool_models.PoolModel()
+    node = model.add_node("a")
+    model.add_target("a")
+    model.boot_all()
+    metrics = pool_metrics.PoolMetrics(node.kernel, decision_logs.DecisionLog("n1", len))
+    (target,) = model.targets_by_id.values()
+    model.submit(node, make_job(1))
+    model.run(seconds=1)
+    metrics.refresh(model.simulation.now)
+    target.rejects_starts_with = events.Failure.NO_ROOM
+    model.submit(node, make_job(2))
+    model.run(seconds=0.02)
+    metrics.refresh(model.simulation.now)
+    metrics.refresh(model.simulation.now)
+    text = metrics.render(model.simulation.now).decode()
+    assert 'chiveridge_start_attempts_total{result="accepted"} 2.0' in text
+    assert 'chiveridge_start_attempts_total{result="no_room"} 2.0' in text
+
+
+def test_ends_are_counted_by_proof_once_for_owner_and_job_node():
+    _, metrics, now = run_jobs([])
+    for event, proof in (
+        (notes.NoteEvent.RUN_ENDED, "retry_due"),
+        (notes.NoteEvent.RUN_LOST, "retry_due"),
+        (notes.NoteEvent.RUN_LOST, "owner_lost_early"),
+        (notes.NoteEvent.RUN_LOST, None),
+    ):
+        fields = {"job": "x", "how": "lost", "proof": proof}
+        metrics.record_decision(actions.Note(event=event, fields=fields))
+    text = metrics.render(now).decode()
+    assert 'chiveridge_run_ends_total{proof="retry_due"} 1.0' in text
+    assert 'chiveridge_run_ends_total{proof="owner_lost_early"} 1.0' in text
+    assert text.count("chiveridge_run_ends_total{") == 2
+
+
 def test_the_age_of_the_configuration_is_exported_and_unknown_before_the_first_read():
     ages = [datetime.timedelta(seconds=4), None]
     model = pool_models.PoolModel()
--- a/packages/pool/chiveridge_pool/end_proofs.py
+++ b/packages/pool/chiveridge_pool/end_proofs.py
@@ -9,6 +9,7 @@
     The owner of its target gives these:
 
     - ``NEVER_SENT``: its start was not sent.
+    - ``GRANT_EXPIRED``: its grant was over before its start was asked for.
     - ``ALL_REJECTED``: the target rejected every attempt to start it.
     - ``OUTDATED``: the target rejected its run number, and every other attempt.
     - ``LISTED``: the target lists its end, and rejects further attempts.
@@ -36,6 +37,7 @@
     """
 
     NEVER_SENT = "never_sent"
+    GRANT_EXPIRED = "grant_expired"
     ALL_REJECTED = "all_rejected"
     OUTDATED = "outdated"
     LISTED = "listed"
@@ -68,6 +70,7 @@
 
 _SCOPES = {
     EndProof.NEVER_SENT: _Scope.EVERY_ATTEMPT,
+    EndProof.GRANT_EXPIRED: _Scope.EVERY_ATTEMPT,
     EndProof.ALL_REJECTED: _Scope.ANSWERED_ATTEMPTS,
     EndProof.OUTDATED: _Scope.ANSWERED_ATTEMPTS,
     # By the present incarnation of the target; the next one may execute an unanswered attempt.
@@ -87,15 +90,17 @@
     EndProof.OWNER_LOST_EARLY: _Scope.NOTHING,
 }
 
-OF_JOBS_NODE = frozenset(
+LOGGED_BY_JOBS_NODE = frozenset(
     {
+        EndProof.GRANT_EXPIRED,
+        EndProof.UNKNOWN_HERE,
         EndProof.OWNER_UNLISTED,
         EndProof.OTHER_OWNER_UNLISTED,
         EndProof.OWNER_SILENT,
         EndProof.OWNER_LOST_EARLY,
     }
 )
-"""Proofs that a job's node concludes by itself; no owner reports such an end."""
+"""Proofs of ends that only the job's node logs, as no owner has a record of the run."""
 
 PROOF_BY_VALUE = {proof.value: proof for proof in EndProof}
 
--- a/packages/pool/chiveridge_pool/grant_allocators.py
+++ b/packages/pool/chiveridge_pool/grant_allocators.py
@@ -160,7 +160,7 @@
                     message.sender,
                     grant_id,
                     runs.RunEnd.REFUSED,
-                    end_proofs.EndProof.NEVER_SENT,
+                    end_proofs.EndProof.GRANT_EXPIRED,
                 )
                 continue
             owned, grant = found
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -1,5 +1,6 @@
 """Target ownership: claims targets, renews leases, grants capacity and tracks the ends of runs."""
 
+import collections
 import datetime
 import random
 
@@ -84,6 +85,8 @@
         self._node_monitor = node_monitors.NodeMonitor(table, self.allocator)
         self._assignments = ownerships.Assignments(table)
         self._counted_revision = -1
+        # Answered attempts to start runs, by answer.
+        self.attempts_by_answer: collections.Counter[str] = collections.Counter()
         self.targets_in_handover: set[identifiers.TargetId] = set()
         self.is_draining = False
 
@@ -308,6 +311,7 @@
 
     def handle_start_reply(self, event: events.StartReplied, now: datetime.datetime) -> None:
         """Handle the reply to a start request, or its failure."""
+        self.attempts_by_answer[attempts.answer_value(event.failure)] += 1
         owned = self._find_owned(event.target, event.token)
         grant = None if owned is None else owned.grants_by_id.get(event.grant)
         if grant is None:
