Tell in a trace of runs that were allowed beside an earlier one

chiveridge trace showed the lines of a request and left it to the reader to see that a task had started again while an attempt was unanswered. It now lists runs that were allowed without proof, with the unanswered attempts of the run before; ends as refused with an attempt unanswered, in logs of nodes that name no proofs; and runs that a target listed after they counted as ended. RUN_LOST says whether its proof is one (is_proven).

--- a/packages/client/chiveridge_client/traces.py
+++ b/packages/client/chiveridge_client/traces.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from chiveridge_client import run_overlaps
+
 CONTEXT_SECONDS = 1.5
 """Time before and after a request in which other events may explain it.
 
@@ -52,7 +54,10 @@
 
 
 class Trace(msgspec.Struct, frozen=True):
-    """All lines of one request in order, related events around it, and the line that decided it."""
+    """All lines of one request in order, related events around it, and the line that decided it.
+
+    ``overlaps`` tells of runs that were allowed although an earlier run of their task may go on.
+    """
 
     request: str
     lines: tuple[LogLine, ...]
@@ -60,6 +65,7 @@
     deciding: LogLine | None
     cause: str
     clock_leads_ms: dict[str, float]
+    overlaps: tuple[str, ...] = ()
 
 
 def parse_lines(raw_lines: Iterable[str]) -> list[LogLine]:
@@ -112,6 +118,7 @@
             deciding,
             cause,
             _clock_leads(request_lines),
+            run_overlaps.find(request_lines),
         )
 
     def _context_of(self, request_lines: list[LogLine]) -> list[LogLine]:
@@ -156,6 +163,9 @@
             f"  {node} is at least {lead:.1f} ms behind the node of the job"
             for node, lead in request_trace.clock_leads_ms.items()
         ]
+    if request_trace.overlaps:
+        parts += ["", "runs that may overlap:"]
+        parts += [f"  {overlap}" for overlap in request_trace.overlaps]
     parts += ["", f"cause: {request_trace.cause}"]
     if request_trace.deciding is not None:
         parts += [f"deciding line: {request_trace.deciding.text(start).strip()}"]
--- a/packages/client/tests/test_traces.py
+++ b/packages/client/tests/test_traces.py
@@ -84,3 +84,73 @@
 
 def test_unknown_request_has_no_trace():
     assert traces.trace_request("c" * 16, traces.parse_lines([TAKEN])) is None
+
+
+TASK = f"{ID}.0.0.0"
+
+
+def run_line(at: float, node: str, name: str, run: int = 1, **fields) -> str:
+    return log_line(at, node, name, job=ID, task=TASK, run=run, target="t1", **fields)
+
+
+def test_a_run_that_was_allowed_without_proof_is_told_with_the_unanswered_attempts():
+    attempts = [[1, 0.0, "timeout", 60.0], [2, 60.0, "timeout", 60.0]]
+    request_trace = explain(
+        TAKEN,
+        PLACED,
+        run_line(10.4, "n2", "RUN_ATTEMPTS", attempts=attempts, unlisted=3, unanswered=5),
+        run_line(10.4, "n2", "RUN_ENDED", how="lapsed", proof="retry_due"),
+        run_line(
+            10.5, "n1", "RUN_LOST", how="lapsed", proof="retry_due", is_proven=False, next_run=2
+        ),
+        answered_line("complete", is_late=False),
+    )
+    (overlap,) = request_trace.overlaps
+    assert overlap.startswith(f"run 2 was allowed without proof that run 1 of {TASK} on t1 had")
+    assert overlap.endswith("(retry_due): 5 of its 5 attempts had no answer")
+    text = traces.render(request_trace)
+    assert "runs that may overlap:" in text
+    assert '[[1, 0.0, "timeout", 60.0], [2, 60.0, "timeout", 60.0]]' in text
+
+
+def test_an_end_by_the_refusal_of_one_attempt_is_told_of_nodes_without_proofs():
+    ended = run_line(10.4, "n2", "RUN_ENDED", how="refused", attempts=2, unanswered=1)
+    (overlap,) = explain(TAKEN, PLACED, ended).overlaps
+    assert "ended as refused while 1 of its attempts had no answer" in overlap
+
+
+def test_a_run_that_its_target_lists_after_its_end_is_told():
+    request_trace = explain(
+        TAKEN,
+        PLACED,
+        run_line(10.4, "n2", "RUN_ENDED", how="refused", proof="all_rejected", unanswered=0),
+        run_line(10.4, "n1", "RUN_LOST", how="refused", proof="all_rejected", next_run=2),
+        log_line(10.475, "n2", "STRANGER_STOPPED", task=TASK, run=1, target="t1"),
+    )
+    assert request_trace.overlaps == (
+        f"run 1 of {TASK} on t1 still ran 75.0 ms after it counted as ended",
+    )
+
+
+def test_a_run_that_ended_at_its_owner_after_its_job_had_given_it_up_is_told():
+    request_trace = explain(
+        TAKEN,
+        PLACED,
+        run_line(11.4, "n1", "RUN_LOST", how="lost", proof="owner_silent", next_run=2),
+        run_line(11.6, "n2", "RUN_ENDED", how="failed", proof="listed"),
+    )
+    assert len(request_trace.overlaps) == 1
+
+
+def test_ordinary_retries_are_no_overlaps():
+    request_trace = explain(
+        TAKEN,
+        PLACED,
+        run_line(10.4, "n2", "RUN_ENDED", how="failed", proof="listed", unanswered=0),
+        run_line(10.41, "n1", "RUN_LOST", how="failed", proof="listed", next_run=2),
+        run_line(10.8, "n2", "RUN_ENDED", run=2, how="refused", proof="all_rejected"),
+        run_line(10.7, "n1", "RUN_LOST", run=2, how="refused", proof="all_rejected", next_run=3),
+        answered_line("complete", is_late=True),
+    )
+    assert request_trace.overlaps == ()
+    assert "overlap" not in traces.render(request_trace)
--- a/packages/pool/chiveridge_pool/placements.py
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -257,6 +257,7 @@
             owner=run.owner,
             how=how.value,
             proof=None if run.end_proof is None else run.end_proof.value,
+            is_proven=None if run.end_proof is None else end_proofs.is_proven(run.end_proof),
             ran_ms=notes.to_ms(now - run.started_at),
             owner_heard_ms_ago=None if heard is None else notes.to_ms(now - heard),
             failed_attempts=run.task.attempts,
