--- a/tests/pool/test_pool_explanations.py
+++ b/tests/pool/test_pool_explanations.py
@@ -157,6 +157,36 @@
     assert model.answers_by_caller[first].verdict is actions.Verdict.COMPLETE
 
 
+def test_explains_a_run_that_was_allowed_beside_an_unanswered_attempt():
+    """The silent target executes the attempt after its task was retried for the deadline."""
+    model = pools.pool(nodes_per_domain=1, targets_per_domain=2, domains="a")
+    lost = []
+
+    def fall_silent(target, action):
+        if lost or not isinstance(action, actions.StartRun):
+            return False
+        lost.append(target)
+        target.is_dark = True
+        model.simulation.call_later(datetime.timedelta(seconds=2.2), lambda: execute(action))
+        return True
+
+    def execute(action):
+        (target,) = lost
+        target.crash()
+        target.is_dark = False
+        target.carry_out(action, lambda reply: None)
+
+    model.delays = fall_silent
+    logs, _ = _submit_with_logs(
+        model, count=1, work_ms=900.0, caller_timeout=datetime.timedelta(seconds=4)
+    )
+    model.run(seconds=6)
+    unproven, stranger = logs.trace(JOB).overlaps
+    assert unproven.startswith("run 2 was allowed without proof that run 1")
+    assert "(retry_due): 10 of its 10 attempts had no answer" in unproven
+    assert f"on {lost[0].target.id} still ran" in stranger
+
+
 def test_cause_counts_add_up_to_the_answers():
     model = pools.pool(targets_per_domain=2)
     logs = pools.DecisionLogs(model)
