--- a/packages/standins/chiveridge_standins/servers.py
+++ b/packages/standins/chiveridge_standins/servers.py
@@ -45,6 +45,19 @@
         """Accept connections."""
         self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
 
+    def refuse_connections(self) -> None:
+        """Close the port and abort all connections; requests in progress go on without a reply."""
+        for server in self._server.servers:
+            server.close()
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
+
+    async def accept_connections(self) -> None:
+        """Open the port again."""
+        reopened = bind_loopback_socket(self.port)
+        reopened.listen(BACKLOG)
+        await self._server.startup(sockets=[reopened])
+
     async def stop(self) -> None:
         """Stop accepting, give open requests :data:`SHUTDOWN_GRACE_S` to end, and close."""
         self._server.should_exit = True
