Let the tests of early verdicts put the check of proofs aside too, and test the check alone

They put both back, and so are as strict as before; a further test shows that the check alone keeps each such verdict from ending a run.

--- a/tests/pool/test_pool_lost_start_replies.py
+++ b/tests/pool/test_pool_lost_start_replies.py
@@ -3,7 +3,7 @@
 import lost_starts
 import pytest
 
-from chiveridge_pool import actions, attempts, events
+from chiveridge_pool import actions, attempts, end_proofs, events
 
 _RESULTS = attempts.AttemptResult
 _NOT_RUN = attempts.Verdict.NOT_RUN
@@ -50,9 +50,19 @@
 def test_a_verdict_that_ends_a_run_too_early_overlaps(monkeypatch, row, ending, failure):
     """Guards against lost replies that no longer reach a row of the verdicts."""
     monkeypatch.setitem(attempts._VERDICTS, row, ending)
+    monkeypatch.setattr(end_proofs, "may_end", lambda proof, *, may_be_executed: True)
     assert _overlaps(failure)
 
 
+@pytest.mark.parametrize(("row", "ending", "failure"), _KEEPING_ROWS[1:])
+def test_a_verdict_that_ends_a_run_too_early_is_refused_for_its_proof(
+    monkeypatch, row, ending, failure
+):
+    """Guards against a wrong verdict on an attempt that alone lets the task start again."""
+    monkeypatch.setitem(attempts._VERDICTS, row, ending)
+    assert not _overlaps(failure)
+
+
 def test_every_verdict_is_known_to_end_a_run_or_to_be_needed():
     """Guards against a new verdict that no lost reply puts to the test."""
     assert attempts._VERDICTS.keys() == {row for row, _, _ in _KEEPING_ROWS} | _ENDING_ROWS
