Start no job that is sent again beside runs that have outlived its node

A node of a job is killed while the job's task runs on a target of another owner. The owner stops the run after 650 ms; the stop does not reach the target, or gets no reply. The caller sends the job again 1.3 s later to another node, which knows nothing of the run and starts the task elsewhere: two runs at once, until the lease ends or a stop arrives.

Cause: a node that takes a job in took the loss of its former node for proof that no run of it was left, although the owner that still stops or waits for the run knew better. Owners now tell in their state the jobs of lost nodes whose runs have not ended; a node that is sent such a job follows the owner, as it follows a leader, and takes the job in when the owner has no run of it left.

It does not help where the new node does not hear the owner, as in pools in which nodes hear only a few owners of other failure domains.

--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -126,6 +126,10 @@
         self._outbox.note(notes.NoteEvent.JOB_FOLLOWED, job=event.job.id, leader=followed.leader)
         return True
 
+    def has_unfinished(self, job_id: identifiers.JobId, now: datetime.datetime) -> bool:
+        """Return whether runs on this node's targets have outlived the job's node."""
+        return self._target_owner.has_unfinished(job_id, now)
+
     def _answer_if_crashing(self, event: events.JobSubmitted, now: datetime.datetime) -> bool:
         """Answer a job that was sent again and of which a task is known to crash targets."""
         ending = self._suspects.find_ending(event.job.id, now)
--- a/packages/pool/chiveridge_pool/followed_jobs.py
+++ b/packages/pool/chiveridge_pool/followed_jobs.py
@@ -68,12 +68,23 @@
     def follow_if_elsewhere(
         self, event: events.JobSubmitted, now: datetime.datetime
     ) -> FollowedJob | None:
-        """Follow a job that another node leads; return None if no live node is known to have it."""
-        leader = self._members.find_leader(event.job.id, now)
+        """Follow a job that another node leads, or of which runs have outlived their node.
+
+        Return None if no live node is known to have it.
+        """
+        leader = self._members.find_leader(event.job.id, now) or self._find_unfinished(event, now)
         if event.job.id not in self._by_id and leader in (None, event.former_leader):
             return None
         return self.follow_leader(event, leader, now)
 
+    def _find_unfinished(
+        self, event: events.JobSubmitted, now: datetime.datetime
+    ) -> identifiers.NodeId | None:
+        """Return the owner, which may be this node, of unfinished runs of a job, or None."""
+        if self._coordinator.has_unfinished(event.job.id, now):
+            return self._members.own_id
+        return self._members.find_owner_of_unfinished(event.job.id, now)
+
     def follow_leader(
         self, event: events.JobSubmitted, leader: identifiers.NodeId, now: datetime.datetime
     ) -> FollowedJob:
@@ -171,7 +182,8 @@
 
     def _is_leader_lost(self, followed: FollowedJob, now: datetime.datetime) -> bool:
         """Tell whether the leader has been silent for so long that no run of the job is left."""
-        if self._members.find_live(followed.leader, now) is not None:
+        is_here = followed.leader == self._members.own_id
+        if is_here or self._members.find_live(followed.leader, now) is not None:
             return False
         # The leader need not have sent anything to this node before it was asked.
         heard = self._members.heard_by_id.get(followed.leader, followed.arrived_at)
@@ -188,10 +200,14 @@
         )
 
     def add_follower(self, message: messages.FollowJob, now: datetime.datetime) -> None:
-        """Register a node as a follower of a job, and extend the deadline to its caller's."""
+        """Register a node as a follower of a job, and extend the deadline to its caller's.
+
+        A follower that waits for unfinished runs of a lost node repeats its message.
+        """
         job = self._coordinator.jobs_by_id.get(message.job)
         if job is None:
-            self._send_outcome(message.sender, message.job)
+            if not self._coordinator.has_unfinished(message.job, now):
+                self._send_outcome(message.sender, message.job)
             return
         job.followers.add(message.sender)
         remaining_wait = datetime.timedelta(milliseconds=message.remaining_wait_ms)
--- a/packages/pool/chiveridge_pool/heartbeats.py
+++ b/packages/pool/chiveridge_pool/heartbeats.py
@@ -111,6 +111,7 @@
             unfit_endpoints=self._members.unfit_endpoints(),
             evacuations_version=kernel.evacuations.version,
             interferences=kernel.target_owner.orders.preferences.interferences.found_pairs(),
+            unfinished_jobs=kernel.target_owner.unfinished_jobs(now),
         )
         if state != self._state:
             self._state = state
--- a/packages/pool/chiveridge_pool/members.py
+++ b/packages/pool/chiveridge_pool/members.py
@@ -61,6 +61,8 @@
         self.interferences: tuple[tuple[identifiers.QueueName, identifiers.QueueName], ...] = ()
         self.jobs: frozenset[identifiers.JobId] = frozenset()
         self.leaders_by_job: dict[identifiers.JobId, identifiers.NodeId] = {}
+        # Jobs of lost nodes of which runs on its targets have not ended.
+        self.unfinished_jobs: frozenset[identifiers.JobId] = frozenset()
 
     def is_eligible(self) -> bool:
         """Return whether it may own targets, if it is not too slow for it."""
@@ -243,6 +245,7 @@
         if fitness != (member.is_draining, member.is_slow, member.unfit_endpoints):
             self.revision += 1
         member.owned_tokens = state.owned_tokens
+        member.unfinished_jobs = frozenset(state.unfinished_jobs)
         member.version = state.version
 
     def handle_goodbye(self, message: messages.Goodbye) -> None:
@@ -288,6 +291,15 @@
                 return leader
         return None
 
+    def find_owner_of_unfinished(
+        self, job: identifiers.JobId, now: datetime.datetime
+    ) -> identifiers.NodeId | None:
+        """Return an owner on whose targets runs of a job have outlived the job's node, or None."""
+        for member in self._contacts.values():
+            if job in member.unfinished_jobs and member.is_live(now):
+                return member.id
+        return None
+
     def is_owned(self, target: identifiers.TargetId, now: datetime.datetime) -> bool:
         """Return whether a live member owns the target."""
         return any(target in member.owned_tokens for member in self.live(now))
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -37,7 +37,8 @@
     Unix milliseconds. ``unfit_endpoints`` lists the nodes of its failure domain that it knows to be
     silent or draining. ``strength`` is the processor share of its machine in hundredths of a
     core. ``interferences`` lists pairs of queues of which the first one's runs take longer beside
-    the second one's, as this owner has found.
+    the second one's, as this owner has found. ``unfinished_jobs`` lists the jobs of lost nodes of
+    which runs on this owner's targets have not ended.
     """
 
     domain: identifiers.DomainName
@@ -51,6 +52,7 @@
     unfit_endpoints: tuple[identifiers.Endpoint, ...] = ()
     evacuations_version: int = 0
     interferences: tuple[tuple[identifiers.QueueName, identifiers.QueueName], ...] = ()
+    unfinished_jobs: tuple[identifiers.JobId, ...] = ()
 
 
 class Heartbeat(Message, tag="hb", frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/orphaned_grants.py
+++ b/packages/pool/chiveridge_pool/orphaned_grants.py
@@ -54,6 +54,10 @@
         """
         self._by_grant[grant.id] = _Orphan(grant, target, ends_at, how, proof)
 
+    def all(self) -> list[grants.Grant]:
+        """Return the grants whose runs may still be running."""
+        return [orphan.grant for orphan in self._by_grant.values()]
+
     def by_node(self) -> dict[identifiers.NodeId, list[identifiers.GrantId]]:
         """Return, by node, the grants whose runs may still be running."""
         by_node: dict[identifiers.NodeId, list[identifiers.GrantId]] = {}
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -3,6 +3,7 @@
 import collections
 import datetime
 import random
+from collections.abc import Iterator
 
 from chiveridge_pool import (
     attempts,
@@ -531,6 +532,28 @@
                 by_node.setdefault(grant.node, []).append(grant.id)
         return by_node
 
+    def unfinished_jobs(self, now: datetime.datetime) -> tuple[identifiers.JobId, ...]:
+        """Return the jobs of lost nodes of which runs may still be in progress here."""
+        unfinished = {
+            grant.job for grant in self._sent_grants() if self._is_node_lost(grant.node, now)
+        }
+        return tuple(sorted(unfinished))
+
+    def has_unfinished(self, job: identifiers.JobId, now: datetime.datetime) -> bool:
+        """Return whether runs of a job may have outlived the job's node here."""
+        return any(
+            grant.job == job and self._is_node_lost(grant.node, now)
+            for grant in self._sent_grants()
+        )
+
+    def _sent_grants(self) -> Iterator[grants.Grant]:
+        yield from self.orphaned_grants.all()
+        for owned in self.owned_by_target.values():
+            yield from owned.sent_grants()
+
+    def _is_node_lost(self, node: identifiers.NodeId, now: datetime.datetime) -> bool:
+        return node != self._own_id and self._members.find_live(node, now) is None
+
     def related_nodes(self) -> set[identifiers.NodeId]:
         """Return the nodes that have requests, grants or orphaned runs here."""
         return self.allocator.nodes() | self.orphaned_grants.by_node().keys()
