Wait for a lease after the last moment at which an attempt can be executed

A run goes on for over 12 s with an attempt unanswered; its target restarts just before the 12 s have passed, and executes the attempt. The owner, which learned of the restart just after, ended the run at once, as no attempt could be executed any more, and its task started elsewhere beside the one executed last.

What was executed at the last moment runs for up to a lease. Proofs that cover answered attempts only now suffice a lease after that moment, at the owner and at the job's node.

The test fails before in both cases (an overlap).

--- a/packages/pool/chiveridge_pool/attempts.py
+++ b/packages/pool/chiveridge_pool/attempts.py
@@ -169,6 +169,12 @@
         """Return whether an unanswered attempt may still be executed."""
         return self.executable_until(now) > now
 
+    def may_run(self, now: datetime.datetime) -> bool:
+        """Return whether an unanswered attempt may still be executed, or run without a renewal."""
+        last_sent_at = max(self._sent_at_by_unanswered.values(), default=None)
+        run_time = timings.LATE_ORDER_TIME + timings.LEASE_EXPIRED_AFTER
+        return last_sent_at is not None and now < last_sent_at + run_time
+
 
 def answer_value(failure: events.Failure | None) -> str:
     """Return the answer to an attempt as the log and the metrics name it."""
--- a/packages/pool/chiveridge_pool/end_proofs.py
+++ b/packages/pool/chiveridge_pool/end_proofs.py
@@ -105,12 +105,12 @@
 PROOF_BY_VALUE = {proof.value: proof for proof in EndProof}
 
 
-def may_end(proof: EndProof, *, may_be_executed: bool) -> bool:
+def may_end(proof: EndProof, *, may_run: bool) -> bool:
     """Return whether a run may be ended on a proof, so that its task may start again.
 
-    ``may_be_executed`` tells whether an unanswered attempt of its start may still be executed.
+    ``may_run`` tells whether an unanswered attempt of its start may still be executed, or run.
     """
-    return not may_be_executed or _SCOPES[proof] is not _Scope.ANSWERED_ATTEMPTS
+    return not may_run or _SCOPES[proof] is not _Scope.ANSWERED_ATTEMPTS
 
 
 def is_proven(proof: EndProof) -> bool:
--- a/packages/pool/chiveridge_pool/lost_targets.py
+++ b/packages/pool/chiveridge_pool/lost_targets.py
@@ -160,8 +160,7 @@
     The next incarnation may have executed a start that its predecessor is not known to run, and may
     execute an unanswered attempt until a claim fences it off.
     """
-    may_be_executed = grant.attempts.may_be_executed(now)
-    if owned.was_running_at_last_reply(grant) and not may_be_executed:
+    if owned.was_running_at_last_reply(grant) and not grant.attempts.may_run(now):
         return now, end_proofs.EndProof.INCARNATION_ENDED
     ends_at = grant.attempts.executable_until(now) + timings.LEASE_EXPIRED_AFTER
     return ends_at, end_proofs.EndProof.LEASE_EXPIRED
@@ -179,7 +178,7 @@
     owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
 ) -> _Ending:
     """Return the same for a silent target, or when the task must be retried to be in time."""
-    if not grant.attempts.may_be_executed(now):
+    if not grant.attempts.may_run(now):
         return max(owned.lease_expires_at, now), end_proofs.EndProof.LEASE_EXPIRED
     ends_at, proof = _ending_after_restart(owned, grant, now)
     if grant.retry_by < ends_at:
--- a/packages/pool/chiveridge_pool/placements.py
+++ b/packages/pool/chiveridge_pool/placements.py
@@ -97,8 +97,9 @@
         self, run: jobs.Run, proof: end_proofs.EndProof, now: datetime.datetime
     ) -> None:
         """End a run whose owner has not reported its end, if the proof suffices."""
-        may_be_executed = run.executable_until is not None and now < run.executable_until
-        if end_proofs.may_end(proof, may_be_executed=may_be_executed):
+        until = run.executable_until
+        may_run = until is not None and now < until + timings.LEASE_EXPIRED_AFTER
+        if end_proofs.may_end(proof, may_run=may_run):
             self._end(run, runs.RunEnd.LOST, proof, now)
 
     def _end(
--- a/packages/pool/chiveridge_pool/run_ends.py
+++ b/packages/pool/chiveridge_pool/run_ends.py
@@ -27,7 +27,7 @@
         Return False, reporting nothing, if an unanswered attempt may still be executed and the
         proof says nothing of it.
         """
-        if not end_proofs.may_end(proof, may_be_executed=grant.attempts.may_be_executed(now)):
+        if not end_proofs.may_end(proof, may_run=grant.attempts.may_run(now)):
             return False
         self._outbox.queue_end(grant.node, grant.id, how, proof)
         if not grant.attempts.is_ordinary() or not end_proofs.is_proven(proof):
--- a/tests/pool/test_pool_end_proofs.py
+++ b/tests/pool/test_pool_end_proofs.py
@@ -96,9 +96,10 @@
 
 
 @pytest.mark.parametrize("proof", ANSWERED_ATTEMPTS_ONLY)
-def test_a_proof_suffices_once_no_attempt_can_be_executed_any_more(proof):
-    was_reported, _ = _report(_grant(), proof, now=NOW + timings.LATE_ORDER_TIME)
-    assert was_reported
+def test_a_proof_suffices_once_no_attempt_can_run_any_more(proof):
+    ended_by = NOW + timings.LATE_ORDER_TIME + timings.LEASE_EXPIRED_AFTER
+    assert not _report(_grant(), proof, now=ended_by - 1 * MS)[0]
+    assert _report(_grant(), proof, now=ended_by)[0]
 
 
 @pytest.mark.parametrize("proof", Proof)
--- a/tests/pool/test_pool_start_attempts.py
+++ b/tests/pool/test_pool_start_attempts.py
@@ -202,6 +202,25 @@
     assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
 
 
+@pytest.mark.promise("at_most_once", failures=["lost_reply", "target_death"])
+@pytest.mark.parametrize("executed_at_ms", [11_920, 11_980])
+def test_an_attempt_that_was_executed_at_the_last_moment_overlaps_no_other_run(executed_at_ms):
+    """Its target restarted, and the owner learns of it when no attempt can be executed any more."""
+    model = pools.pool(nodes_per_domain=1, targets_per_domain=2, domains="a")
+
+    def execute_after_crash(target, action):
+        model.simulation.call_later(11_900 * MS, target.crash)
+        model.simulation.call_later(executed_at_ms * MS, lambda: target.carry_out(action, _ignore))
+
+    lost = _lose_first_start(model, execute_after_crash)
+    request = pools.job("a" * 16, 1, 16_000.0, caller_timeout=datetime.timedelta(seconds=60))
+    caller = model.submit(pools.node(model, 1), request)
+    model.run(seconds=40)
+    assert lost
+    assert model.overlaps() == []
+    assert model.answers_by_caller[caller].verdict is actions.Verdict.COMPLETE
+
+
 @pytest.mark.promise("at_most_once", failures=["lost_reply", "target_death", "kill"])
 def test_a_jobs_node_knows_of_an_unanswered_attempt_when_the_owner_is_lost():
     """The new owner's claim comes after the next incarnation has executed the attempt."""
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -51,9 +51,7 @@
     }
     covering = {row[0] for row in rows if row[2] != "no"}
     assert covering == {
-        proof.value
-        for proof in end_proofs.EndProof
-        if end_proofs.may_end(proof, may_be_executed=True)
+        proof.value for proof in end_proofs.EndProof if end_proofs.may_end(proof, may_run=True)
     }
 
 
