--- a/packages/standins/chiveridge_standins/fault_proxies.py
+++ b/packages/standins/chiveridge_standins/fault_proxies.py
@@ -39,6 +39,10 @@
         self.counts = ConnectionCounts()
         self.thawed = asyncio.Event()
         self.thawed.set()
+        self.requests_thawed = asyncio.Event()
+        self.requests_thawed.set()
+        self.replies_thawed = asyncio.Event()
+        self.replies_thawed.set()
         self._upstream_host = upstream_host
         self._upstream_port = upstream_port
         self._replies_to_drop = 0
@@ -90,6 +94,23 @@
         """Forward the bytes held since :meth:`hold_traffic` and all later ones."""
         self.thawed.set()
 
+    def hold_requests(self) -> None:
+        """Hold the bytes towards the upstream address until :meth:`release_one_way`."""
+        self.requests_thawed.clear()
+
+    def hold_replies(self) -> None:
+        """Hold the bytes from the upstream address until :meth:`release_one_way`."""
+        self.replies_thawed.clear()
+
+    def release_one_way(self) -> None:
+        """Forward what :meth:`hold_requests` and :meth:`hold_replies` held, and all later bytes."""
+        self.requests_thawed.set()
+        self.replies_thawed.set()
+
+    def redirect(self, upstream_port: int) -> None:
+        """Forward new connections to another port of the upstream host."""
+        self._upstream_port = upstream_port
+
     def blackhole(self) -> None:
         """Discard all further bytes on the connections open now; new connections work."""
         for connection in self._connections:
@@ -227,7 +248,7 @@
     ) -> None:
         while True:
             due_at, chunk = await chunks.get()
-            await self._wait_until_due(due_at)
+            await self._wait_until_due(due_at, is_reply)
             if not chunk:
                 self._write_eof(writer)
                 return
@@ -239,11 +260,13 @@
                 continue
             await self._write_chunk(writer, chunk)
 
-    async def _wait_until_due(self, due_at: float) -> None:
+    async def _wait_until_due(self, due_at: float, is_reply: bool) -> None:
         remaining = due_at - asyncio.get_running_loop().time()
         if remaining > 0:
             await asyncio.sleep(remaining)
         await self._proxy.thawed.wait()
+        one_way = self._proxy.replies_thawed if is_reply else self._proxy.requests_thawed
+        await one_way.wait()
 
     async def _write_chunk(self, writer: asyncio.StreamWriter, chunk: bytes) -> None:
         self._proxy.counts.passed_bytes += len(chunk)
--- a/packages/standins/tests/test_fault_proxies.py
+++ b/packages/standins/tests/test_fault_proxies.py
@@ -136,3 +136,33 @@
         assert proxy.counts.passed_bytes == 0
         assert await (await connected(proxy)).send_and_read_echo(b"kept") == b"kept"
         assert proxy.counts.dropped_requests == 1
+
+
+async def test_a_one_way_hold_keeps_the_bytes_of_that_direction_until_released(connected):
+    async with running_proxy() as proxy:
+        for hold in (proxy.hold_requests, proxy.hold_replies):
+            connection = await connected(proxy)
+            hold()
+            connection.writer.write(b"held")
+            assert await connection.receives_nothing()
+            proxy.release_one_way()
+            async with asyncio.timeout(20):
+                assert await connection.reader.readexactly(4) == b"held"
+
+
+async def test_only_the_held_direction_is_held(connected):
+    async with running_proxy() as proxy:
+        connection = await connected(proxy)
+        proxy.hold_replies()
+        connection.writer.write(b"passed on")
+        async with asyncio.timeout(20):
+            while proxy.counts.received_bytes < 2 * len(b"passed on"):
+                await asyncio.sleep(0.01)
+        assert proxy.counts.passed_bytes == len(b"passed on")
+
+
+async def test_redirected_proxy_forwards_new_connections_to_the_new_port(connected):
+    async with running_proxy() as first, running_proxy() as second:
+        first.redirect(second.port)
+        assert await (await connected(first)).send_and_read_echo(b"echo") == b"echo"
+        assert second.counts.accepted == 1
