--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e $(p))
 SOURCES := conftest.py packages platform tests
 
-.PHONY: bench demo test test-units test-platform test-faults test-system faults soak proof lint format check setup
+.PHONY: bench demo test test-units test-platform test-faults test-system faults soak soak-platform proof lint format check setup
 
 setup: $(STAMP)
 
@@ -47,6 +47,11 @@
 soak: $(STAMP)
 	$(BIN)/python -m chiveridge_load.pool_soaks --seeds $(SEEDS) $(if $(SEED),--first_seed $(SEED))
 
+# Real processes, about half a minute a seed.
+soak-platform: SEEDS = 10
+soak-platform: $(STAMP)
+	$(BIN)/python -m chiveridge_platform_soaks.soaks --seeds $(SEEDS) $(if $(SEED),--first_seed $(SEED))
+
 JOBS ?= 2000
 
 faults: $(STAMP)
