Issue no fencing token twice for a target

After a target has rejected a token, tokens are taken from a floor 10 s ahead of the clock. The floor was not raised as they were issued, so an owner that gave a target away or up and claimed it again within that time used the same token: the claim did not fence off what was sent under the first one, but counted as proof that it did.

--- a/packages/pool/chiveridge_pool/tokens.py
+++ b/packages/pool/chiveridge_pool/tokens.py
@@ -35,11 +35,16 @@
     def next(
         self, target: identifiers.TargetId, now: datetime.datetime, above: int = 0
     ) -> identifiers.FencingToken:
-        """Return a token higher than all that are known for the target, and than ``above``."""
+        """Return a token higher than all that are known for the target, and than ``above``.
+
+        It is known from now on: a later claim fences off what was sent under it.
+        """
         milliseconds = clocks.to_epoch_ms(now)
         token = milliseconds * _TOKENS_PER_MS + self._rng.randrange(_TOKENS_PER_MS)
         floor = max(self._floor_by_target.get(target, 0), above)
-        return identifiers.FencingToken(max(token, floor + 1))
+        token = max(token, floor + 1)
+        self._floor_by_target[target] = token
+        return identifiers.FencingToken(token)
 
     def may_claim(self, target: identifiers.TargetId, now: datetime.datetime) -> bool:
         """Return whether the delay after the target's last rejection has passed."""
--- a/packages/pool/tests/test_tokens.py
+++ b/packages/pool/tests/test_tokens.py
@@ -32,6 +32,14 @@
     assert source.next("t1", START, above=10**18) == 10**18 + 1
 
 
+def test_no_token_is_issued_twice_while_the_clock_is_behind_the_rejected_ones():
+    """Guards against a claim that does not fence off what was sent under an earlier one."""
+    source = tokens.TokenSource(random.Random(1))
+    source.record_rejection("t1", source.next("t1", START), START)
+    issued = [source.next("t1", START + number * MS) for number in range(5)]
+    assert issued == sorted(set(issued))
+
+
 def test_a_few_rejections_suffice_to_exceed_tokens_that_others_raised():
     source = tokens.TokenSource(random.Random(1))
     now, highest = START, tokens.TokenSource(random.Random(2)).next("t1", START + 3600_000 * MS)
