--- a/packages/load/chiveridge_load/pool_models.py
+++ b/packages/load/chiveridge_load/pool_models.py
@@ -375,7 +375,17 @@
             lateness = datetime.timedelta(seconds=self.rng.uniform(2, 12))
             self.simulation.call_later(lateness, lambda: model.carry_out(action, _ignore_reply))
             return
-        self.simulation.call_later(delay, lambda: model.carry_out(action, exchange.reply))
+        self._deliver(model, action, exchange.reply, delay)
+
+    def _deliver(
+        self,
+        model: pool_targets.TargetModel,
+        action: actions.Hold | actions.StartRun | actions.StopRun,
+        reply: Callable[[pool_targets.Reply], None],
+        delay: datetime.timedelta,
+    ) -> None:
+        """Have a target execute a command after a delay; a subclass may disturb that."""
+        self.simulation.call_later(delay, lambda: model.carry_out(action, reply))
 
     def _is_partitioned(self, node: NodeModel, name: str, domain: str) -> bool:
         pairs = itertools.product((node.name, node.domain), (name, domain))
