List the overlap of a late start with a run after a restart as a known failure

`pytest packages/load/tests/test_histories.py` fails: the next incarnation executes the attempt at 1552 ms, is claimed at 1600 ms and stopped 20 ms later, beside the new run of the job from 1551 to 1801 ms on the other target.

--- a/packages/load/tests/test_histories.py
+++ b/packages/load/tests/test_histories.py
@@ -3,6 +3,7 @@
 import pytest
 
 from chiveridge_load import (
+    history_checks,
     history_choices,
     history_events,
     history_plays,
@@ -70,6 +71,10 @@
     )
 
 
+def test_an_unanswered_start_of_an_ended_run_does_not_overlap_a_later_run_after_a_restart():
+    assert history_checks.find_violations(play("owner", AFTER_RESTART)) == []
+
+
 def test_a_history_is_reproducible():
     assert play("owner", AFTER_RESTART).steps == play("owner", AFTER_RESTART).steps
 
