Wait until nodes use the proxies of a test before it breaks connections

test_a_stop_while_replies_are_lost failed in one run beside load 7 to 10: one of two replies of the peer had been dropped at its proxy.

Cause: a node that starts announces its own address in its heartbeats. Until the peer has echoed a heartbeat that was sent to its listed address, a node whose connection breaks goes on at the announced one (members.mark_unreachable), which passes the proxy by. The test broke the connection within the first heartbeat interval, 1 s, so the handover was sent again directly, confirmed there, and the node had exited before its old connection was opened again. No answer was lost: the handover had reached the peer, and the product behaves as docs/membership.md says. The second lost confirmation was neither on its way nor due.

Change: every integration test with proxied nodes waits until all nodes report the proxied ones as confirmed, as test_membership.py already does. The numbers that the test requires are as before.

--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -98,6 +98,17 @@
                 return False
         return True
 
+    async def is_every_proxy_in_use(self) -> bool:
+        """Tell whether no node tries the address that a proxied node announced for itself."""
+        proxied_names = self.fleet.plan.proxied_names & set(self.fleet.nodes_by_name)
+        for name in self.fleet.nodes_by_name:
+            _, payload = await self.caller.request("GET", f"{self.url(name)}/v1/status")
+            members = msgspec.json.decode(payload)["members"]
+            confirmed = {member["name"] for member in members if member["is_confirmed"]}
+            if not proxied_names - {name} <= confirmed:
+                return False
+        return True
+
     async def wait_started(self, key: str) -> None:
         await poll_until(lambda: self.has_started(key))
 
@@ -152,6 +163,7 @@
         ):
             deployment = Deployment(fleet, Caller(session, team.credential), team)
             await poll_until(deployment.is_every_node_listed)
+            await poll_until(deployment.is_every_proxy_in_use)
             yield deployment
 
     return run_deployment
