Reject a request for a job of which an owner holds another node's grants

A job is advertised to peers from an age of 500 ms on. A caller that sends it again sooner, to another node, had it started there beside the first node's runs, even by an owner that had granted both.

Cause: an owner compared a request only with what heartbeats tell of jobs in progress, and not with its own grants.

Change: an owner that holds grants of another node for the job, also on targets that it gave up, answers with that node (JobElsewhere), which is then followed. Runs that are being stopped count until their ends are known. A former leader that has confirmed that it does not have the job any more is exempt, as before. This covers two nodes that ask one owner; nodes that ask different owners are not covered (docs/design/at-most-once.md).

--- a/packages/pool/chiveridge_pool/orphaned_grants.py
+++ b/packages/pool/chiveridge_pool/orphaned_grants.py
@@ -1,7 +1,7 @@
 """Runs on targets that this node gave up; they may continue until their leases expire."""
 
 import datetime
-from collections.abc import Container
+from collections.abc import Container, Iterator
 
 import msgspec
 
@@ -40,6 +40,11 @@
         """Add a grant of a target that was given up; ``how`` is reported at ``ends_at``."""
         self._by_grant[grant.id] = _Orphan(grant, target, ends_at, how)
 
+    def in_progress(self) -> Iterator[grants.Grant]:
+        """Yield the grants whose runs may still be running."""
+        for orphan in self._by_grant.values():
+            yield orphan.grant
+
     def by_node(self) -> dict[identifiers.NodeId, list[identifiers.GrantId]]:
         """Return, by node, the grants whose runs may still be running."""
         by_node: dict[identifiers.NodeId, list[identifiers.GrantId]] = {}
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -2,6 +2,7 @@
 
 import datetime
 import random
+from collections.abc import Iterator
 
 from chiveridge_pool import (
     crash_reports,
@@ -13,6 +14,7 @@
     handovers,
     identifiers,
     incarnations,
+    job_leaders,
     loop_lags,
     lost_targets,
     members,
@@ -395,6 +397,9 @@
     def request_capacity(self, message: messages.CapacityRequest, now: datetime.datetime) -> None:
         """Handle a job's request for capacity; reject it if another node has the job."""
         leader = self._members.find_leader(message.job, now)
+        if leader is None:
+            # Until a job is advertised, only the grants tell that another node has started it.
+            leader = job_leaders.find_other_leader(message, self._grants())
         if leader not in (None, message.sender, message.former_leader):
             elsewhere = messages.JobElsewhere(sender=self._own_id, job=message.job, leader=leader)
             self._outbox.send(message.sender, elsewhere)
@@ -402,6 +407,12 @@
         usable = self.usable_targets(now, min_cpu=message.size.cpu)
         self.allocator.request_capacity(message, usable, now)
 
+    def _grants(self) -> Iterator[grants.Grant]:
+        """Yield the grants whose runs may be in progress, also on targets that were given up."""
+        for owned in self.owned_by_target.values():
+            yield from owned.grants_by_id.values()
+        yield from self.orphaned_grants.in_progress()
+
     def serve_requests(self, now: datetime.datetime) -> None:
         """Grant free capacity to pending requests."""
         if self.allocator.capacity_queue:
