--- a/packages/pool/chiveridge_pool/orphaned_grants.py
+++ b/packages/pool/chiveridge_pool/orphaned_grants.py
@@ -1,7 +1,7 @@
 """Runs on targets that this node gave up; they may continue until their leases expire."""
 
 import datetime
-from collections.abc import Container
+from collections.abc import Container, Iterator
 
 import msgspec
 
@@ -58,6 +58,11 @@
         """Return the grants whose runs may still be running."""
         return [orphan.grant for orphan in self._by_grant.values()]
 
+    def in_progress(self) -> Iterator[grants.Grant]:
+        """Yield the grants whose runs may still be running."""
+        for orphan in self._by_grant.values():
+            yield orphan.grant
+
     def by_node(self) -> dict[identifiers.NodeId, list[identifiers.GrantId]]:
         """Return, by node, the grants whose runs may still be running."""
         by_node: dict[identifiers.NodeId, list[identifiers.GrantId]] = {}
