--- a/packages/pool/chiveridge_pool/orphaned_grants.py
+++ b/packages/pool/chiveridge_pool/orphaned_grants.py
@@ -54,10 +54,6 @@
         """
         self._by_grant[grant.id] = _Orphan(grant, target, ends_at, how, proof)
 
-    def all(self) -> list[grants.Grant]:
-        """Return the grants whose runs may still be running."""
-        return [orphan.grant for orphan in self._by_grant.values()]
-
     def in_progress(self) -> Iterator[grants.Grant]:
         """Yield the grants whose runs may still be running."""
         for orphan in self._by_grant.values():
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -557,9 +557,7 @@
         )
 
     def _sent_grants(self) -> Iterator[grants.Grant]:
-        yield from self.orphaned_grants.all()
-        for owned in self.owned_by_target.values():
-            yield from owned.sent_grants()
+        return (grant for grant in self._grants() if grant.is_sent())
 
     def _is_node_lost(self, node: identifiers.NodeId, now: datetime.datetime) -> bool:
         return node != self._own_id and self._members.find_live(node, now) is None
--- a/tests/pool/test_pool_lost_start_replies.py
+++ b/tests/pool/test_pool_lost_start_replies.py
@@ -50,7 +50,7 @@
 def test_a_verdict_that_ends_a_run_too_early_overlaps(monkeypatch, row, ending, failure):
     """Guards against lost replies that no longer reach a row of the verdicts."""
     monkeypatch.setitem(attempts._VERDICTS, row, ending)
-    monkeypatch.setattr(end_proofs, "may_end", lambda proof, *, may_be_executed: True)
+    monkeypatch.setattr(end_proofs, "may_end", lambda proof, **_: True)
     assert _overlaps(failure)
 
 
