--- a/packages/load/chiveridge_load/histories.py
+++ b/packages/load/chiveridge_load/histories.py
@@ -1,8 +1,9 @@
 """Explores every order of a few disturbances in the life of one job in a small simulated pool.
 
 Usage: ``python -m chiveridge_load.histories [--disturbances 2] [--max_histories 100000]
-[--scenarios owner,peer,domains,tasks,long] [--kinds starts,stops,holds,targets,nodes,links,callers]
-[--typical_only] [--resend_ms 1300] [--samples 0] [--seed 1]``
+[--scenarios owner,peer,domains,tasks,long,distant]
+[--kinds starts,stops,holds,targets,nodes,links,callers] [--typical_only]
+[--resend_ms 1300] [--samples 0] [--seed 1]``
 
 At each point of a history, a call to a target, or a moment at which nodes, targets and callers may
 fail, one of several things happens. All histories with up to ``--disturbances`` of them are played,
--- a/packages/load/chiveridge_load/history_plays.py
+++ b/packages/load/chiveridge_load/history_plays.py
@@ -67,10 +67,18 @@
     Scenario(name="domains", domains=("a", "b"), targets_per_domain=1),
     Scenario(name="tasks", tasks=2, caller_timeout=1500 * _MS),
     Scenario(name="long", leader=1, run_ms=1500.0, caller_timeout=5000 * _MS),
+    Scenario(
+        name="distant",
+        domains=("a", "b"),
+        targets_per_domain=1,
+        run_ms=1500.0,
+        caller_timeout=5000 * _MS,
+    ),
 )
 """A job is sent to the owner of all targets, to the other node, or to one of two domains.
 
-Then one of two tasks that is given up early, and one whose run outlasts a lease.
+Then one of two tasks that is given up early, and in one and two domains one whose run outlasts a
+lease.
 """
 
 
