Refer a node that requests capacity to the owner that runs the job itself

Callers saw nothing; a task ran twice at once. A job's node was cut off from the owner of its targets, its caller sent the job again after 1.3 s to that owner, which started it, and when messages passed again the owner granted the first node capacity for the same task, on the same target. An owner looked for the job only among what other nodes report, not among its own.

The owner now answers such a request with itself as the job's node. The requester follows if it has the higher id, as before, or if nothing of the job is running or done there, since otherwise it would wait until its caller's deadline. An owner only answers so while runs of its own are in progress, so two nodes can't both leave the job to each other.

--- a/packages/pool/chiveridge_pool/coordinators.py
+++ b/packages/pool/chiveridge_pool/coordinators.py
@@ -292,7 +292,7 @@
         if job is None or job.has_ended or message.leader in (self._own_id, job.former_leader):
             return
         # Two nodes that have started a job and are told of each other must not both stop it.
-        if job.has_started and self._own_id < message.leader:
+        if self._own_id < message.leader and not self._may_leave_to(message, job):
             return
         self._outbox.note(
             notes.NoteEvent.JOB_FOLLOWED,
@@ -311,6 +311,23 @@
             event = events.JobSubmitted(caller=caller, job=request)
             self.followed_jobs.follow_leader(event, message.leader, now)
 
+    def _may_leave_to(self, message: messages.JobElsewhere, job: jobs.Job) -> bool:
+        """Return whether nothing would be lost if this node left a job to the node that tells."""
+        if message.sender == message.leader:
+            return not job.runs_by_grant and not job.done_count()
+        return not job.has_started
+
+    def refer_if_running(self, message: messages.CapacityRequest) -> bool:
+        """Refer a node that requests capacity for a job of which runs are in progress here."""
+        job = self.jobs_by_id.get(message.job)
+        if job is None or job.has_ended or not job.runs_by_grant:
+            return False
+        if self._own_id in (message.sender, message.former_leader):
+            return False
+        elsewhere = messages.JobElsewhere(sender=self._own_id, job=message.job, leader=self._own_id)
+        self._outbox.send(message.sender, elsewhere)
+        return True
+
     def related_nodes(self) -> set[identifiers.NodeId]:
         """Return the nodes with which this node shares runs, requests or jobs as a coordinator."""
         related = self.placements.owners() | self.followed_jobs.leaders()
--- a/packages/pool/chiveridge_pool/message_handlers.py
+++ b/packages/pool/chiveridge_pool/message_handlers.py
@@ -49,7 +49,8 @@
 
 @handle_message.register(messages.CapacityRequest)
 def _(message: messages.CapacityRequest, kernel: "kernels.Kernel", now: datetime.datetime) -> None:
-    kernel.target_owner.request_capacity(message, now)
+    if not kernel.coordinator.refer_if_running(message):
+        kernel.target_owner.request_capacity(message, now)
 
 
 @handle_message.register(messages.CapacityWithdrawal)
--- a/tests/pool/test_pool_followed_jobs.py
+++ b/tests/pool/test_pool_followed_jobs.py
@@ -36,6 +36,35 @@
     assert _start_count(model) == 3
 
 
+@pytest.mark.promise("at_most_once", failures=["silent_connection"])
+@pytest.mark.parametrize(("owner_number", "unused"), [(1, ["t003"]), (2, ["t001", "t002"])])
+def test_an_owner_grants_another_node_no_capacity_for_a_job_that_it_has_started_itself(
+    owner_number, unused
+):
+    model = pools.pool(domains="a", targets_per_domain=3)
+    for target in unused:
+        model.targets_by_id[target].is_unlisted = True
+    owner, peer = pools.node(model, owner_number), pools.node(model, 3 - owner_number)
+    for _ in range(2):
+        for node in (owner, peer):
+            node.handle(events.TargetsListed(targets=model.listed()))
+        model.run(seconds=5)
+    assert not peer.kernel.target_owner.owned_tokens()
+    request = pools.job(JOB, 1, 2000.0, caller_timeout=CALLER_TIMEOUT)
+    callers = [model.submit(peer, request)]
+    model.run(seconds=0.001)
+    model.cut(owner.name, peer.name)
+    model.run(seconds=RESUBMIT_AFTER_SECONDS)
+    callers.append(model.submit(owner, request))
+    model.run(seconds=0.2)
+    model.heal()
+    model.run(seconds=6)
+    assert model.overlaps() == []
+    verdicts = {model.answers_by_caller[caller].verdict for caller in callers}
+    assert verdicts == {actions.Verdict.COMPLETE}
+    assert _start_count(model) == 2
+
+
 @pytest.mark.promise("at_most_once", failures=["silent_connection"])
 def test_a_job_goes_on_when_its_first_caller_leaves_and_a_second_waits():
     model = pools.pool()
