Refuse to start a run whose grant has expired while its owner was paused

What callers saw: nothing yet; found by the review. A task ran twice at once: an owner that was paused found the request to start a run and sent the start, though the job's node had given the run up and started the task elsewhere. Only the tick compared a grant with its expiry, and after a pause messages may be handled first.

Three cases of test_pool_paused_owners.py overlap before and pass now; packages/pool, owners, failures and path of tests/pool: 168 passed.

--- a/packages/pool/chiveridge_pool/grant_allocators.py
+++ b/packages/pool/chiveridge_pool/grant_allocators.py
@@ -152,9 +152,9 @@
                 found[0].remove(found[1])
 
     def start(self, message: messages.StartRuns, now: datetime.datetime) -> None:
-        """Start runs on granted capacity; refuse those whose grant no longer exists."""
+        """Start runs on granted capacity; refuse those whose grant has expired."""
         for grant_id, task, run in message.runs:
-            found = self.find(grant_id)
+            found = self._find_unexpired(grant_id, now)
             if found is None:
                 self._run_ends.report_unknown(
                     message.sender,
@@ -169,6 +169,16 @@
                 grant.retry_by = now + datetime.timedelta(milliseconds=message.retry_slack_ms)
                 self._starts.start(owned, grant, now)
 
+    def _find_unexpired(
+        self, grant_id: identifiers.GrantId, now: datetime.datetime
+    ) -> tuple[owned_targets.OwnedTarget, grants.Grant] | None:
+        """Return a grant and its target, or None; a paused owner finds requests before it ticks."""
+        found = self.find(grant_id)
+        if found is not None and not found[1].is_sent() and now >= found[1].expires_at:
+            found[0].remove(found[1])
+            return None
+        return found
+
     def forget_node(self, node: identifiers.NodeId, now: datetime.datetime) -> None:
         """Drop the requests and stop the runs of a node that is dead or does not hear this one."""
         self.capacity_queue.forget_node(node)
