Tell a job's node of a start that was answered by something unreadable

What callers saw: nothing yet; found by the review. Only an attempt without any reply was told to the job's node. After a 500, and now a 404 or an unknown reason, the owner knew that the start may be executed, but if the owner was lost its job's node did not, took its silence for proof and started the task again beside an execution by the target's next incarnation.

test_pool_unreadable_replies.py: the case of an unreadable reply overlaps before and passes now, that of a broken connection passes in both; start attempts and lost start replies pass (64 in all).

--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -147,6 +147,7 @@
         now: datetime.datetime,
     ) -> None:
         self._orders.probe(owned, now)
+        self._outbox.notify_unanswered(grant, now)
         self._orders.stop(owned, grant, f"{reason}, and another attempt got no reply", now)
 
     def _end_not_run(
