Hand over how long the task of a run may wait for proof of its end

What callers saw: nothing yet; found by the review. The new owner of a target took the time of the hand-over for the time by which a task must be retried, so that a task with a minute to spare was started again as soon as the lease of a silent target had expired, and ran twice when the target's next incarnation executed the unanswered attempt.

test_pool_handed_over_attempts.py: the case with a hand-over overlaps before and passes now, the one without passes in both; hand-overs, evacuations, packages/pool and packages/node: 318 passed.

--- a/packages/pool/chiveridge_pool/handovers.py
+++ b/packages/pool/chiveridge_pool/handovers.py
@@ -69,6 +69,7 @@
             grant.step,
             grant.is_isolated,
             clocks.to_ms(grant.attempts.executable_until(now) - now),
+            clocks.to_ms(max(grant.retry_by, now) - now),
         )
         for grant in owned.sent_grants()
     )
@@ -117,5 +118,6 @@
     grant.task, grant.run, grant.token = row.task, row.run, token
     grant.is_isolated = row.is_isolated
     grant.attempts.restore(datetime.timedelta(milliseconds=row.executable_for_ms), now)
+    grant.retry_by = now + datetime.timedelta(milliseconds=row.retry_slack_ms)
     grant.state = runs.GrantState.RUNNING
     return grant
--- a/packages/pool/chiveridge_pool/messages.py
+++ b/packages/pool/chiveridge_pool/messages.py
@@ -195,6 +195,7 @@
     """A run that changes its owner with its target.
 
     ``executable_for_ms``: how long an unanswered attempt of its start may still be executed.
+    ``retry_slack_ms``: how long its task may wait for proof that it has ended.
     """
 
     grant: identifiers.GrantId
@@ -208,6 +209,7 @@
     step: int = 0
     is_isolated: bool = False
     executable_for_ms: value_ranges.Milliseconds = 0.0
+    retry_slack_ms: value_ranges.Milliseconds = 0.0
 
 
 class Handover(Message, tag="ho", frozen=True, kw_only=True):
