Tell a job's node of an unanswered start again until it can't be executed any more

What callers saw: nothing yet; found by the review. An owner told a job's node once for each attempt without an answer. If the message was lost and the owner too, 2 s later, its silence counted as proof and the task started beside an execution by the target's next incarnation. It is told each 500 ms now.

A loss of all messages for 2 s while heartbeats arrive still overlaps, and is listed. The page of proofs no longer says that no attempt is executed after a restart.

--- a/packages/pool/chiveridge_pool/end_proofs.py
+++ b/packages/pool/chiveridge_pool/end_proofs.py
@@ -1,4 +1,4 @@
-"""Proofs that a run has ended or never ran; this module alone says whether its task may restart."""
+"""Reasons for which a run counts as ended, and which suffice while an attempt is unanswered."""
 
 import enum
 
@@ -59,8 +59,9 @@
 class _Scope(enum.Enum):
     """What a proof says of the attempts to start a run.
 
-    ``EVERY_ATTEMPT``: none will be executed. ``ANSWERED_ATTEMPTS``: none that was answered runs
-    any more. ``NOTHING``: it is no proof.
+    ``EVERY_ATTEMPT``: the present incarnation of the target executes none from now on; the next
+    one may execute an unanswered attempt until it is claimed. ``ANSWERED_ATTEMPTS``: none that was
+    answered runs any more. ``NOTHING``: it is no proof.
     """
 
     EVERY_ATTEMPT = enum.auto()
@@ -73,7 +74,6 @@
     EndProof.GRANT_EXPIRED: _Scope.EVERY_ATTEMPT,
     EndProof.ALL_REJECTED: _Scope.ANSWERED_ATTEMPTS,
     EndProof.OUTDATED: _Scope.ANSWERED_ATTEMPTS,
-    # By the present incarnation of the target; the next one may execute an unanswered attempt.
     EndProof.LISTED: _Scope.EVERY_ATTEMPT,
     EndProof.STOPPED: _Scope.EVERY_ATTEMPT,
     EndProof.OUTDATED_UNLISTED: _Scope.EVERY_ATTEMPT,
--- a/packages/pool/chiveridge_pool/grants.py
+++ b/packages/pool/chiveridge_pool/grants.py
@@ -38,6 +38,7 @@
         "task",
         "token",
         "until_ms",
+        "unanswered_told_at",
     )
 
     def __init__(
@@ -73,6 +74,8 @@
         # When its task is retried although the run may not have ended.
         self.retry_by = expires_at
         self.token = identifiers.FencingToken(0)
+        # When the job's node was last told that an attempt is unanswered.
+        self.unanswered_told_at: datetime.datetime | None = None
         self.stop_sent_at: datetime.datetime | None = None
         self.stops_sent = 0
         self.stop_answer: str | None = None
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -114,6 +114,9 @@
             is_due = now - (grant.stop_sent_at or now) >= timings.STOP_INTERVAL
             if is_due and not grant.is_confirmed_stopped:
                 self._send_run_stop(owned, grant, now)
+        told_at = grant.unanswered_told_at
+        if told_at is not None and now - told_at >= timings.UNANSWERED_NOTICE_INTERVAL:
+            self._outbox.notify_unanswered(grant, now)
 
     def send_hold(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
         """Send a hold request: renew the lease, acknowledge ends and poll for new ones."""
--- a/packages/pool/chiveridge_pool/outboxes.py
+++ b/packages/pool/chiveridge_pool/outboxes.py
@@ -49,6 +49,7 @@
     def notify_unanswered(self, grant: grants.Grant, now: datetime.datetime) -> None:
         """Tell a job's node if a start got no reply, as it has to know if this owner is lost."""
         if grant.attempts.may_be_executed(now):
+            grant.unanswered_told_at = now
             message = messages.StartsUnanswered(
                 sender=self._members.own_id,
                 grants=(grant.id,),
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -134,6 +134,9 @@
 REQUEST_ALL_AFTER = _ms(40)
 """Wait for the answers of the selected owners before all are asked; one of them may be dead."""
 
+UNANSWERED_NOTICE_INTERVAL = _ms(500)
+"""Time between messages that tell a job's node of an unanswered start; one of them may be lost."""
+
 STOP_INTERVAL = _ms(80)
 """Time between repeated stops of a run until its end is known."""
 
