--- a/tests/pool/test_pool_end_proofs.py
+++ b/tests/pool/test_pool_end_proofs.py
@@ -95,7 +95,7 @@
     assert bool(logged) == was_reported
 
 
-@pytest.mark.parametrize("proof", ANSWERED_ATTEMPTS_ONLY)
+@pytest.mark.parametrize("proof", sorted(ANSWERED_ATTEMPTS_ONLY, key=lambda proof: proof.value))
 def test_a_proof_suffices_once_no_attempt_can_run_any_more(proof):
     ended_by = NOW + timings.LATE_ORDER_TIME + timings.LEASE_EXPIRED_AFTER
     assert not _report(_grant(), proof, now=ended_by - 1 * MS)[0]
