--- a/tests/pool/test_pool_end_proofs.py
+++ b/tests/pool/test_pool_end_proofs.py
@@ -1,6 +1,7 @@
 """A run ends only on a proof that covers its unanswered attempts, and the log names the proof."""
 
 import datetime
+import types
 
 import pools
 import pytest
@@ -16,6 +17,7 @@
     identifiers,
     messages,
     notes,
+    orphaned_grants,
     outboxes,
     resources,
     run_ends,
@@ -335,3 +337,23 @@
     log.record_decision(line)
     log.flush()
     assert 0 < len(written) < 1000
+
+
+def test_an_orphan_whose_last_attempt_was_executed_does_not_end_before_its_lease():
+    """Guards against taking the reply to an attempt for the end of what it has started."""
+    reported = []
+    ends = types.SimpleNamespace(report=lambda grant, *_: not reported.append(grant))
+    orphaned = orphaned_grants.OrphanedGrants(ends)
+    grant = _grant(sent=0)
+    number = grant.attempts.send(NOW)
+    ends_at = NOW + timings.LATE_ORDER_TIME
+    target = identifiers.TargetId("t1")
+    orphaned.add(grant, target, ends_at, runs.RunEnd.LOST, Proof.LEASE_EXPIRED)
+    reply = events.StartReplied(
+        target=target, grant=grant.id, token=identifiers.FencingToken(1), attempt=number
+    )
+    orphaned.record_start_reply(reply, NOW)
+    orphaned.tick(NOW + timings.LEASE)
+    assert reported == []
+    orphaned.tick(NOW + timings.LEASE_EXPIRED_AFTER)
+    assert reported == [grant]
