Name no other attempt in the log where a start was sent once

RUN_STOPPED said that another attempt got no reply also for a start that was sent once and answered by something unreadable. The note on former leaders tells that one may be lost.

--- a/packages/pool/chiveridge_pool/job_leaders.py
+++ b/packages/pool/chiveridge_pool/job_leaders.py
@@ -10,7 +10,7 @@
 ) -> identifiers.NodeId | None:
     """Return another node that holds a grant for the job of a capacity request, or None.
 
-    A former leader has confirmed that it does not have the job any more.
+    The requester's former leader does not count: it has given the job up, or is lost to it.
     """
     for grant in granted:
         is_same_job = grant.job == request.job
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -148,7 +148,9 @@
     ) -> None:
         self._orders.probe(owned, now)
         self._outbox.notify_unanswered(grant, now)
-        self._orders.stop(owned, grant, f"{reason}, and another attempt got no reply", now)
+        if grant.attempts.sent > 1:
+            reason = f"{reason}, and another attempt got no reply"
+        self._orders.stop(owned, grant, reason, now)
 
     def _end_not_run(
         self,
