Close a node's ZeroMQ context if it fails to open its ports

A node that raised before its ports were all open left its router socket open; the collector then clears the weak references by which the context would have closed it.

--- a/packages/node/chiveridge_node/pool_links.py
+++ b/packages/node/chiveridge_node/pool_links.py
@@ -68,7 +68,8 @@
         for timer in (self._read_timer, self._flush_timer):
             if timer is not None:
                 timer.cancel()
-        asyncio.get_running_loop().remove_reader(self._router.fileno())
+        if self._router is not None:
+            asyncio.get_running_loop().remove_reader(self._router.fileno())
         self._context.destroy(linger=CLOSE_LINGER_MS)
 
     def send(self, action: actions.SendMessage) -> None:
