--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -25,9 +25,11 @@
 HOST = "nony24.example"
 PREFIX = "/lohu930/"
 SERVICE = "huvo11a"
+ZONES = ("ikeja", "surulere", "lekki")
 MAX_LEASE_MS = 1000
 STOP_SECONDS = 0.02
 HEARTBEAT_SECONDS = 1.5
+CPU_SHARE = 0.537
 BOUNDS = {
     "seedLagS": 3,
     "reuseAfterS": 2,
@@ -383,7 +385,8 @@
 class Node:
     """A process of the system, started with the command of the deploy file."""
 
-    def __init__(self, world: "World", number: int, ip: str, zone: str):
+    def __init__(self, world: "World", number: int, ip: str, zone: str, cpu_share: float):
+        self.zone = zone
         self.name = f"edge-{zone}-{number}"
         self.ip = ip
         self._world = world
@@ -410,7 +413,7 @@
             "bootstrap": True,
             "lossCounts": False,
             "limits": {
-                "cpuShare": 0.537,
+                "cpuShare": cpu_share,
                 "cores": 2,
                 "memoryMb": 300,
                 "maxFds": 4100,
@@ -487,12 +490,12 @@
 class World:
     """The store, minions and nodes of a case."""
 
-    def __init__(self, record: Record, zones: tuple[str, ...] = ("ikeja", "surulere", "lekki")):
+    def __init__(self, record: Record, zones: tuple[str, ...]):
         self.record = record
         self.zones = zones
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         network = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
-        self.ips = [f"{network}.{number + 1}" for number in range(9)]
+        self.ips = [f"{network}.{number + 1}" for number in range(12)]
         self.ports = _free_ports(self.ips)
         self.store = Store(f"{network}.200")
         self.minions: list[Minion] = []
@@ -500,9 +503,19 @@
         self.session: aiohttp.ClientSession | None = None
         self._network = network
 
-    async def start(self, *, minions: int, cpu: int, nodes: int = 3, stretch: float = 1.6) -> None:
+    async def start(
+        self,
+        *,
+        minions: int,
+        cpu: int,
+        nodes: int = 3,
+        stretch: float = 1.6,
+        cpu_shares: tuple[float, ...] = (),
+    ) -> None:
         """Start everything and wait until all nodes are ready.
 
+        ``cpu_shares`` are those of the first nodes; the others have the site's.
+
         :raises CannotRunError: if a node does not become ready.
         """
         self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=90))
@@ -516,7 +529,9 @@
             await minion.start()
         for number in range(nodes):
             zone = self.zones[number % len(self.zones)]
-            self.nodes.append(Node(self, number // len(self.zones) + 1, self.ips[number], zone))
+            cpu_share = cpu_shares[number] if number < len(cpu_shares) else CPU_SHARE
+            label = number // len(self.zones) + 1
+            self.nodes.append(Node(self, label, self.ips[number], zone, cpu_share))
         await asyncio.gather(*(node.start() for node in self.nodes))
         ends_at = time.monotonic() + 25
         for node in self.nodes:
@@ -637,7 +652,7 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run(play, folder: pathlib.Path) -> int:
+def run(play, folder: pathlib.Path, *, zones: tuple[str, ...] = ZONES) -> int:
     """Run a case; ``play(world, trouble)`` returns whether the rule was broken.
 
     Return the exit code of the script.
@@ -647,7 +662,7 @@
     record.add("case", trouble=trouble)
 
     async def main() -> bool:
-        world = World(record)
+        world = World(record, zones)
         try:
             async with asyncio.timeout(110):
                 return await play(world, trouble)
