--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -95,6 +95,24 @@
             if row["what"] == what and all(row.get(key) == fields[key] for key in fields)
         ]
 
+    def has_overlap(self) -> bool:
+        """Return whether two runs of one task were in progress at the same time."""
+        running: dict[str, set[tuple[str, int]]] = {}
+        has_overlap = False
+        for row in list(self.rows):
+            if row["what"] not in ("start", "end"):
+                continue
+            runs = running.setdefault(row["task"], set())
+            key = (row["minion"], row["run"])
+            if row["what"] == "end":
+                runs.discard(key)
+                continue
+            if runs:
+                self.add("two runs at the same time", task=row["task"], seen_at=row["at"])
+                has_overlap = True
+            runs.add(key)
+        return has_overlap
+
 
 class HttpServer:
     """One HTTP server on a loopback address."""
@@ -350,11 +368,14 @@
             "seconds": need["ms"] / 1000,
             "at": time.monotonic(),
         }
+        self._begin(task, run)
+        return web.json_response({"clockMs": self._clock()})
+
+    def _begin(self, task: str, run: dict) -> None:
         self._running[task] = run
-        self._record.add("start", minion=self.id, task=task, run=number, labels=self.labels)
+        self._record.add("start", minion=self.id, task=task, run=run["run"], labels=self.labels)
         loop = asyncio.get_running_loop()
         loop.call_later(run["seconds"], lambda: self._end(task, run, "done"))
-        return web.json_response({"clockMs": self._clock()})
 
     def _stop_run(self, body: dict) -> web.Response:
         task, number = body["task"], body["run"]
