--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # Python 3.11 and target/deps.
 set -eu
 cd "$(dirname "$0")/.."
-PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:review/common-2 python3 -c "import standins"
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:review/6/common python3 -c "import standins"
