Check each sending of a start, and wait for the target's reply after a sign of a restart

Of a target that was silent for 0.5 s and back under its id, starts reached the next life 2.9 to 8.3 ms after its return.

Cause: what a target must fulfil was asked when room was granted, and not when the start was sent. Starts._retry sent a start again for 600 ms and looked at evacuations only. Only a broken hold counted as a sign of a restart, so first starts were granted and sent there as well.

Change: start_checks is asked before every sending, of the first attempt and of further ones, and answers send, wait or stop. restart_signs records any order without an answer, a start unanswered for 20 ms and a clock of another life as a sign, and only a reply to a hold that was sent after it takes it away. 20 ms are ten round trips between failure domains.

--- a/packages/load/chiveridge_load/pool_targets.py
+++ b/packages/load/chiveridge_load/pool_targets.py
@@ -431,5 +431,9 @@
 @reply_event.register
 def _(action: actions.StopRun, reply: Reply, sent_at: datetime.datetime) -> events.Event:
     return events.StopReplied(
-        target=action.target.id, grant=action.grant, token=action.token, failure=reply.failure
+        target=action.target.id,
+        grant=action.grant,
+        token=action.token,
+        failure=reply.failure,
+        clock_ms=reply.clock_ms,
     )
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -156,6 +156,7 @@
     grant: identifiers.GrantId
     token: identifiers.FencingToken
     failure: Failure | None = None
+    clock_ms: int = 0
 
 
 class Ticked(Event, frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/lost_targets.py
+++ b/packages/pool/chiveridge_pool/lost_targets.py
@@ -23,6 +23,7 @@
 REPLACED = "another instance answers at its address"
 REFUSES = "the target refuses connections"
 SILENT = "the target is silent"
+GIVEN_UP = "the target was given up"
 
 
 class LostTargets:
@@ -75,6 +76,7 @@
             if not is_fenced:
                 ends_at, proof = _ending_if_silent(owned, grant, now)
             self._orphaned.add(grant, owned.target.id, ends_at, runs.RunEnd.LOST, proof)
+        self._end_unsent(owned, GIVEN_UP, now)
 
     def end_replaced(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
         """Release a target whose address now belongs to another instance.
--- a/packages/pool/chiveridge_pool/notes.py
+++ b/packages/pool/chiveridge_pool/notes.py
@@ -36,6 +36,8 @@
     MEMBER_HEARD = 530
     MEMBER_LOST = 531
     NODE_SLOW = 532
+    RESTART_SUSPECTED = 534
+    RESTART_RULED_OUT = 535
     PART_FAILED = 540
 
 
--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -16,6 +16,7 @@
     notes,
     outboxes,
     owned_targets,
+    restart_signs,
     runs,
     slow_targets,
     target_preferences,
@@ -33,7 +34,6 @@
 }
 """Delay before the next hold request, by the failure of the last; none after a timeout."""
 
-_SIGNS_OF_RESTART = frozenset({events.Failure.BROKEN, events.Failure.UNREACHABLE})
 _LOST_REPLIES = frozenset({events.Failure.TIMEOUT, events.Failure.BROKEN})
 
 _UNKNOWN_RUN_POLL_INTERVAL = datetime.timedelta(milliseconds=30)
@@ -57,7 +57,12 @@
 
     number: int
     token: identifiers.FencingToken
-    is_idle: bool
+    wait: datetime.timedelta
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it waits for the end of a run on a target on which nothing runs."""
+        return self.wait == timings.IDLE_HOLD_WAIT
 
 
 class Orders:
@@ -104,11 +109,58 @@
         if pending is not None and pending.is_idle:
             self.send_hold(owned, now)
 
+    def suspect_restart(
+        self, owned: owned_targets.OwnedTarget, sign: str, now: datetime.datetime
+    ) -> None:
+        """Record a sign that a target may have restarted, and ask it at once.
+
+        One hold at a time asks: if a sign comes while one is on its way, the next one follows its
+        reply.
+        """
+        self._record_sign(owned, sign)
+        pending = self._pending_by_target.get(owned.target.id)
+        if pending is not None and pending.wait:
+            self.send_hold(owned, now)
+
+    def check_clock(
+        self, owned: owned_targets.OwnedTarget, clock_ms: int, now: datetime.datetime
+    ) -> bool:
+        """Record a reading of the target's clock; return whether its incarnation is the same.
+
+        A reading of 0 tells nothing.
+        """
+        is_same = owned.agrees_with_clock(clock_ms, now)
+        if clock_ms:
+            if not is_same:
+                self.suspect_restart(owned, "another clock", now)
+            owned.record_clock(clock_ms, now)
+        return is_same
+
+    def _record_sign(self, owned: owned_targets.OwnedTarget, sign: str) -> None:
+        if owned.restart_signs.record_sign():
+            self._outbox.note(
+                notes.NoteEvent.RESTART_SUSPECTED,
+                target=owned.target.id,
+                started_at_ms=owned.started_at_ms,
+                sign=sign,
+                runs=len(owned.sent_grants()),
+            )
+
+    def _record_hold_reply(self, owned: owned_targets.OwnedTarget, number: int) -> None:
+        if owned.restart_signs.record_hold_reply(number):
+            self._outbox.note(
+                notes.NoteEvent.RESTART_RULED_OUT,
+                target=owned.target.id,
+                started_at_ms=owned.started_at_ms,
+                waiting=len(owned.waiting_starts),
+            )
+
     def _tick_grant(
         self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
     ) -> None:
         if grant.state is runs.GrantState.RESERVED:
-            if now >= grant.expires_at:
+            # A start that waits is refused with its reason instead.
+            if now >= grant.expires_at and grant.id not in owned.waiting_starts:
                 owned.remove(grant)
         elif grant.state is runs.GrantState.STOPPING:
             is_due = now - (grant.stop_sent_at or now) >= timings.STOP_INTERVAL
@@ -129,11 +181,18 @@
         until_ms = owned.lease_end_ms(now) if may_renew else None
         if until_ms is not None:
             owned.extend_lease(now)
-        is_healthy = is_owned and not owned.failures and not owned.unknown_runs
+        is_healthy = (
+            is_owned
+            and not owned.failures
+            and not owned.unknown_runs
+            and not owned.restart_signs.has_sign()
+        )
         wait = self._hold_wait(now, is_idle) if is_healthy else datetime.timedelta()
         number = next(self._hold_numbers)
-        self._pending_by_target[owned.target.id] = _PendingHold(
-            number, owned.token, wait == timings.IDLE_HOLD_WAIT
+        self._pending_by_target[owned.target.id] = _PendingHold(number, owned.token, wait)
+        allowance = self._loop_lag.timeout_allowance()
+        owned.restart_signs.record_hold(
+            number, now + wait + timings.REPLY_OVERDUE_AFTER + allowance
         )
         self._outbox.add(
             actions.Hold(
@@ -143,7 +202,7 @@
                 until_ms=until_ms,
                 acknowledged=owned.acknowledged,
                 wait=wait,
-                timeout=wait + timings.HOLD_TIMEOUT + self._loop_lag.timeout_allowance(),
+                timeout=wait + timings.HOLD_TIMEOUT + allowance,
             )
         )
 
@@ -196,8 +255,12 @@
         self, owned: owned_targets.OwnedTarget, event: events.HoldReplied, now: datetime.datetime
     ) -> None:
         """Take the ends from a reply after which a newer hold was sent; what runs may be old."""
-        is_same_incarnation = event.started_at_ms in (0, owned.started_at_ms)
-        if event.failure is None and is_same_incarnation:
+        if event.failure in restart_signs.UNANSWERED_ORDERS:
+            self.suspect_restart(owned, f"hold {event.failure.value}", now)
+        elif 0 < owned.started_at_ms < event.started_at_ms:
+            self.suspect_restart(owned, "hold answered by another incarnation", now)
+        elif event.failure is None and event.started_at_ms in (0, owned.started_at_ms):
+            self._record_hold_reply(owned, event.number)
             self._process_ends(owned, event, now)
 
     def _handle_hold_failure(
@@ -208,8 +271,8 @@
                 notes.NoteEvent.TARGET_SILENT, target=owned.target.id, failure=failure.value
             )
         owned.failures += 1
-        if failure in _SIGNS_OF_RESTART:
-            owned.is_restart_suspected = True
+        if failure in restart_signs.UNANSWERED_ORDERS:
+            self._record_sign(owned, f"hold {failure.value}")
         if failure in _LOST_REPLIES:
             self._last_timeout_at = now
         if failure is events.Failure.UNREACHABLE and owned.grants_by_id:
@@ -232,7 +295,7 @@
         if self._target_owner.incarnations.observe(owned, now):
             self.forget_target(owned.target.id)
         owned.failures = 0
-        owned.is_restart_suspected = False
+        self._record_hold_reply(owned, event.number)
         # A process that was paused finds old replies.
         owned.replied_at = min(now, event.sent_at + timings.HOLD_WAIT + timings.HOLD_TIMEOUT)
         owned.record_clock(event.clock_ms, now)
--- a/packages/pool/chiveridge_pool/owned_targets.py
+++ b/packages/pool/chiveridge_pool/owned_targets.py
@@ -3,7 +3,15 @@
 import datetime
 import enum
 
-from chiveridge_pool import grants, identifiers, resources, runs, targets, timings
+from chiveridge_pool import (
+    grants,
+    identifiers,
+    resources,
+    restart_signs,
+    runs,
+    targets,
+    timings,
+)
 
 _CLOCK_TOLERANCE_MS = 200.0
 """Difference of two readings of a target's clock that the way of the replies may cause."""
@@ -41,8 +49,9 @@
         self._isolated_count = 0
         self.replied_at: datetime.datetime | None = None
         self.failures = 0
-        # Whether the target may have restarted since its last reply.
-        self.is_restart_suspected = False
+        self.restart_signs = restart_signs.RestartSigns()
+        # Starts to be sent once the target has replied, in the order in which they were asked for.
+        self.waiting_starts: dict[identifiers.GrantId, None] = {}
         self.lease_expires_at = now
         self.suspended_until = now
         self._used_at = now
@@ -87,7 +96,7 @@
             self.state is OwnershipState.OWNED
             and not self.target.is_draining
             and self.failures <= timings.MAX_FAILED_HOLDS
-            and not self.is_restart_suspected
+            and not self.restart_signs.is_restart_possible(now)
             and not self.unknown_runs
             and now >= self.suspended_until
         )
@@ -101,6 +110,7 @@
 
     def remove(self, grant: grants.Grant) -> None:
         """Remove a grant and free its capacity."""
+        self.waiting_starts.pop(grant.id, None)
         if self.grants_by_id.pop(grant.id, None) is not None:
             self.used = self.used.minus(grant.size)
             self._isolated_count -= grant.is_isolated
@@ -130,6 +140,14 @@
         """Return the grants whose start was sent to the target."""
         return [grant for grant in self.grants_by_id.values() if grant.is_sent()]
 
+    def requested_grants(self) -> list[grants.Grant]:
+        """Return the grants whose start was sent to the target, or waits to be sent."""
+        return [
+            grant
+            for grant in self.grants_by_id.values()
+            if grant.is_sent() or grant.id in self.waiting_starts
+        ]
+
     def was_running_at_last_reply(self, grant: grants.Grant) -> bool:
         """Return whether a run was known to be running when the target last replied.
 
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -7,7 +7,6 @@
     actions,
     attempts,
     end_proofs,
-    evacuations,
     events,
     grants,
     loop_lags,
@@ -15,6 +14,7 @@
     outboxes,
     owned_targets,
     runs,
+    start_checks,
     timings,
 )
 
@@ -35,6 +35,9 @@
 }
 """Pause in the use of a target after a failed start."""
 
+_UNSENT_STATES = frozenset({runs.GrantState.RESERVED, runs.GrantState.STARTING})
+"""States in which a start may still be sent for the first time, or again."""
+
 _REASON_BY_FAILURE = {
     events.Failure.NO_ROOM: "the target has no room",
     events.Failure.UNHEALTHY: "the target is unhealthy",
@@ -60,11 +63,46 @@
         self._target_owner = target_owner
         self._orders = target_orders
         self._loop_lag = loop_lag
+        self._checks = start_checks.StartChecks(target_owner)
 
     def start(
         self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
     ) -> None:
-        """Send the start of a run, or send it again with the lease end of the first attempt."""
+        """Send the start of a run, or a further attempt, if all that it needs still holds.
+
+        Otherwise it waits for the target's next reply, or is not sent any more.
+        """
+        decision, reason = self._checks.decide(owned, grant, now)
+        owned.waiting_starts.pop(grant.id, None)
+        if decision is start_checks.Decision.SEND:
+            self._send(owned, grant, now)
+        elif decision is start_checks.Decision.STOP:
+            self._orders.stop(owned, grant, reason, now)
+        else:
+            owned.waiting_starts[grant.id] = None
+            if not owned.restart_signs.has_sign() and owned.restart_signs.is_reply_overdue(now):
+                self._orders.suspect_restart(owned, "reply overdue", now)
+
+    def resume_waiting(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
+        """Send the starts that wait for a target which has replied, as far as they still may be."""
+        for grant_id in list(owned.waiting_starts):
+            grant = owned.grants_by_id[grant_id]
+            if grant.state in _UNSENT_STATES:
+                self.start(owned, grant, now)
+            else:
+                del owned.waiting_starts[grant_id]
+
+    def refuse_waiting(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
+        """Return the waiting starts of which nothing was sent, as the target does not reply."""
+        for grant_id in list(owned.waiting_starts):
+            grant = owned.grants_by_id[grant_id]
+            if not grant.is_sent():
+                self._orders.stop(owned, grant, "the target does not reply", now)
+
+    def _send(
+        self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+    ) -> None:
+        """Send an attempt; further ones have the lease end of the first."""
         if grant.state is runs.GrantState.RESERVED:
             grant.state = runs.GrantState.STARTING
             grant.first_sent_at = now
@@ -72,6 +110,11 @@
             grant.token = owned.token
             grant.until_ms = owned.lease_end_ms(now)
             owned.extend_lease(now)
+        attempt = grant.attempts.send(now)
+        allowance = self._loop_lag.timeout_allowance()
+        owned.restart_signs.record_start(
+            (grant.id, attempt), now + timings.REPLY_OVERDUE_AFTER + allowance
+        )
         self._outbox.add(
             actions.StartRun(
                 target=owned.target,
@@ -81,8 +124,8 @@
                 run=grant.run,
                 spec=grant.spec,
                 until_ms=grant.until_ms,
-                attempt=grant.attempts.send(now),
-                timeout=timings.ORDER_TIMEOUT + self._loop_lag.timeout_allowance(),
+                attempt=attempt,
+                timeout=timings.ORDER_TIMEOUT + allowance,
             )
         )
 
@@ -100,18 +143,13 @@
         elif event.failure is events.Failure.WRONG_INSTANCE:
             self._target_owner.handle_wrong_instance(owned, now)
         elif grant.state is runs.GrantState.STARTING and verdict is not None:
-            is_same_incarnation = owned.agrees_with_clock(event.clock_ms, now)
-            if event.clock_ms:
-                if not is_same_incarnation:
-                    owned.is_restart_suspected = True
-                    self._orders.probe(owned, now)
-                owned.record_clock(event.clock_ms, now)
+            is_same_incarnation = self._orders.check_clock(owned, event.clock_ms, now)
             pause = _SUSPENSION_BY_FAILURE.get(event.failure, datetime.timedelta())
             owned.suspended_until = max(owned.suspended_until, now + pause)
             if verdict is attempts.Verdict.RUNNING:
                 self._record_running(grant, now, is_same_incarnation=is_same_incarnation)
             else:
-                reason = _REASON_BY_FAILURE.get(event.failure, "its start got no reply")
+                reason = _REASON_BY_FAILURE.get(event.failure, start_checks.NO_REPLY)
                 _HANDLER_BY_VERDICT[verdict](self, owned, grant, reason, now)
 
     def _record_running(
@@ -130,14 +168,8 @@
         reason: str,
         now: datetime.datetime,
     ) -> None:
-        self._orders.probe(owned, now)
         self._outbox.notify_unanswered(grant, now)
-        if self._target_owner.is_evacuated(owned.target):
-            self._orders.stop(owned, grant, evacuations.STOP_REASON, now)
-        elif now - grant.first_sent_at < timings.START_RETRY_TIMEOUT:
-            self.start(owned, grant, now)
-        else:
-            self._orders.stop(owned, grant, reason, now)
+        self.start(owned, grant, now)
 
     def _stop(
         self,
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -30,6 +30,7 @@
     owned_targets,
     ownerships,
     quorums,
+    restart_signs,
     run_ends,
     runs,
     starts,
@@ -182,6 +183,7 @@
         for owned in list(self.owned_by_target.values()):
             self._faults.contain("hand-over", owned.target.id, self._hand_over_if_due, owned, now)
         for owned in list(self.owned_by_target.values()):
+            self._faults.contain("starts", owned.target.id, self._starts.resume_waiting, owned, now)
             self._faults.contain("target", owned.target.id, self.orders.tick, owned, now)
         self.orphaned_grants.tick(now)
         self._handed_over.forget_old(now)
@@ -307,14 +309,24 @@
     def handle_hold_reply(self, event: events.HoldReplied, now: datetime.datetime) -> None:
         """Handle the reply to a hold request, or its failure."""
         owned = self._find_owned(event.target, event.token)
-        if owned is not None:
-            self.orders.handle_hold_reply(owned, event, now)
-            self.serve_requests(now)
+        if owned is None:
+            self._note_unanswered(event.target, "hold", event.failure, now)
+            return
+        failures = owned.failures
+        self.orders.handle_hold_reply(owned, event, now)
+        if owned.failures > failures:
+            self._starts.refuse_waiting(owned, now)
+        else:
+            self._starts.resume_waiting(owned, now)
+        self.serve_requests(now)
 
     def handle_start_reply(self, event: events.StartReplied, now: datetime.datetime) -> None:
         """Handle the reply to a start request, or its failure."""
         self.attempts_by_answer[attempts.answer_value(event.failure)] += 1
+        self._note_unanswered(event.target, "start", event.failure, now)
         owned = self._find_owned(event.target, event.token)
+        if owned is not None:
+            owned.restart_signs.record_start_reply((event.grant, event.attempt))
         grant = None if owned is None else owned.grants_by_id.get(event.grant)
         if grant is None:
             self.orphaned_grants.record_start_reply(event, now)
@@ -323,9 +335,11 @@
 
     def handle_stop_reply(self, event: events.StopReplied, now: datetime.datetime) -> None:
         """Handle the reply to a stop request, or its failure."""
+        self._note_unanswered(event.target, "stop", event.failure, now)
         owned = self._find_owned(event.target, event.token)
         if owned is None:
             return
+        self.orders.check_clock(owned, event.clock_ms, now)
         if event.failure is events.Failure.FENCED:
             self.handle_fencing(owned, now)
             return
@@ -337,6 +351,18 @@
             grant.is_confirmed_stopped = True
             grant.state_changed_at = now
 
+    def _note_unanswered(
+        self,
+        target: identifiers.TargetId,
+        order: str,
+        failure: events.Failure | None,
+        now: datetime.datetime,
+    ) -> None:
+        """Take an order without an answer, under any token, for a sign of a restart."""
+        owned = self.owned_by_target.get(target)
+        if owned is not None and failure in restart_signs.UNANSWERED_ORDERS:
+            self.orders.suspect_restart(owned, f"{order} {failure.value}", now)
+
     def _find_owned(
         self, target: identifiers.TargetId, token: identifiers.FencingToken
     ) -> owned_targets.OwnedTarget | None:
@@ -446,11 +472,15 @@
             and self.orders.is_fast_or_trial_due(owned, now)
             and owned.target.id not in self.targets_in_handover
             and not owned.has_isolated_run()
-            and owned.target.id not in self.target_list.unusable
-            and self.incarnations.is_described(owned)
+            and self.is_described(owned)
             and owned.target.domain not in self._evacuated
         ]
 
+    def is_described(self, owned: owned_targets.OwnedTarget) -> bool:
+        """Return whether a valid entry of a target's present incarnation was read."""
+        is_usable = owned.target.id not in self.target_list.unusable
+        return is_usable and self.incarnations.is_described(owned)
+
     def is_evacuated(self, target: targets.Target) -> bool:
         """Return whether an operator has asked for no new runs on a target's failure domain."""
         return target.domain in self._evacuated
@@ -538,7 +568,7 @@
         """Return, by node, the grants whose runs it has requested and which may be running."""
         by_node = self.orphaned_grants.by_node()
         for owned in self.owned_by_target.values():
-            for grant in owned.sent_grants():
+            for grant in owned.requested_grants():
                 by_node.setdefault(grant.node, []).append(grant.id)
         return by_node
 
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -92,6 +92,12 @@
 ORDER_TIMEOUT = _ms(60)
 """Timeout of a start or a stop; thirty round trips between failure domains."""
 
+REPLY_OVERDUE_AFTER = _ms(20)
+"""Time without the reply to a start, or to a hold beyond its wait, after which no start is sent.
+
+Ten round trips between failure domains. The target may be restarting.
+"""
+
 LATE_ORDER_TIME = _ms(12_000)
 """Longest time after which a request without a reply may still be executed, by the platform."""
 
