--- a/packages/pool/chiveridge_pool/orders.py
+++ b/packages/pool/chiveridge_pool/orders.py
@@ -118,6 +118,10 @@
         reply.
         """
         self._record_sign(owned, sign)
+        self.ask_at_once(owned, now)
+
+    def ask_at_once(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
+        """Send a hold that is answered at once, unless one is on its way or due later."""
         pending = self._pending_by_target.get(owned.target.id)
         if pending is not None and pending.wait:
             self.send_hold(owned, now)
@@ -131,7 +135,9 @@
         """
         is_same = owned.agrees_with_clock(clock_ms, now)
         if clock_ms:
-            if not is_same:
+            if is_same:
+                owned.restart_signs.record_reply(now)
+            else:
                 self.suspect_restart(owned, "another clock", now)
             owned.record_clock(clock_ms, now)
         return is_same
@@ -146,8 +152,13 @@
                 runs=len(owned.sent_grants()),
             )
 
-    def _record_hold_reply(self, owned: owned_targets.OwnedTarget, number: int) -> None:
-        if owned.restart_signs.record_hold_reply(number):
+    def _record_hold_reply(
+        self, owned: owned_targets.OwnedTarget, event: events.HoldReplied, now: datetime.datetime
+    ) -> None:
+        # A process that was paused finds old replies.
+        latest_reply_at = event.sent_at + timings.HOLD_WAIT + timings.HOLD_TIMEOUT
+        owned.restart_signs.record_reply(min(now, latest_reply_at))
+        if owned.restart_signs.record_hold_reply(event.number):
             self._outbox.note(
                 notes.NoteEvent.RESTART_RULED_OUT,
                 target=owned.target.id,
@@ -186,6 +197,7 @@
             and not owned.failures
             and not owned.unknown_runs
             and not owned.restart_signs.has_sign()
+            and not owned.waiting_starts
         )
         wait = self._hold_wait(now, is_idle) if is_healthy else datetime.timedelta()
         number = next(self._hold_numbers)
@@ -246,6 +258,7 @@
             self._target_owner.lost_targets.end_incarnation(owned, "the target started anew", now)
             return
         self._process_reply(owned, event, now)
+        self._target_owner.resume_starts(owned, now)
         if owned.unknown_runs:
             self._due_by_target[target] = now + _UNKNOWN_RUN_POLL_INTERVAL
             return
@@ -260,7 +273,7 @@
         elif 0 < owned.started_at_ms < event.started_at_ms:
             self.suspect_restart(owned, "hold answered by another incarnation", now)
         elif event.failure is None and event.started_at_ms in (0, owned.started_at_ms):
-            self._record_hold_reply(owned, event.number)
+            self._record_hold_reply(owned, event, now)
             self._process_ends(owned, event, now)
 
     def _handle_hold_failure(
@@ -295,7 +308,7 @@
         if self._target_owner.incarnations.observe(owned, now):
             self.forget_target(owned.target.id)
         owned.failures = 0
-        self._record_hold_reply(owned, event.number)
+        self._record_hold_reply(owned, event, now)
         # A process that was paused finds old replies.
         owned.replied_at = min(now, event.sent_at + timings.HOLD_WAIT + timings.HOLD_TIMEOUT)
         owned.record_clock(event.clock_ms, now)
--- a/packages/pool/chiveridge_pool/restart_signs.py
+++ b/packages/pool/chiveridge_pool/restart_signs.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from chiveridge_pool import events, identifiers
+from chiveridge_pool import events, identifiers, timings
 
 UNANSWERED_ORDERS = frozenset(
     {events.Failure.BROKEN, events.Failure.TIMEOUT, events.Failure.UNREACHABLE}
@@ -31,6 +31,7 @@
 
     def __init__(self):
         self._newest_hold = 0
+        self._replied_at: datetime.datetime | None = None
         # The newest hold that was sent before the last sign.
         self._hold_before_sign: int | None = None
         self._hold_due_at: datetime.datetime | None = None
@@ -49,6 +50,10 @@
         """Record that an attempt of a start was answered or has failed."""
         self._awaited_by_attempt.pop(attempt, None)
 
+    def record_reply(self, replied_at: datetime.datetime) -> None:
+        """Record when the known incarnation has replied to an order."""
+        self._replied_at = replied_at
+
     def record_sign(self) -> bool:
         """Record a sign of a restart, and return whether it is the first one."""
         is_first = self._hold_before_sign is None
@@ -80,6 +85,12 @@
             return True
         return any(now >= awaited.due_at for awaited in self._awaited_by_attempt.values())
 
+    def has_replied_lately(self, now: datetime.datetime) -> bool:
+        """Return whether the last reply is so recent that there was no time for a restart."""
+        if self._replied_at is None:
+            return False
+        return now - self._replied_at < timings.SHORTEST_RESTART
+
     def is_restart_possible(self, now: datetime.datetime) -> bool:
         """Return whether the target may have restarted, as far as its replies tell."""
         return self.has_sign() or self.is_reply_overdue(now)
--- a/packages/pool/chiveridge_pool/start_checks.py
+++ b/packages/pool/chiveridge_pool/start_checks.py
@@ -76,6 +76,11 @@
     ) -> bool:
         return owned.restart_signs.is_restart_possible(now)
 
+    def _has_not_replied_lately(
+        self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
+    ) -> bool:
+        return not owned.restart_signs.has_replied_lately(now)
+
     def _runs_unknown(
         self, owned: owned_targets.OwnedTarget, grant: grants.Grant, now: datetime.datetime
     ) -> bool:
@@ -102,6 +107,12 @@
     "the target runs what its owner does not know",
 )
 
+_SILENT: _Check = (
+    StartChecks._has_not_replied_lately,
+    Decision.WAIT,
+    "the target has not replied lately",
+)
+
 _FIRST_ATTEMPT_CHECKS: tuple[_Check, ...] = (
     (StartChecks._has_expired, Decision.STOP, "its grant has expired"),
     _EVACUATED,
@@ -110,6 +121,7 @@
     (StartChecks._answers_no_holds, Decision.STOP, "the target answers no holds"),
     _MAY_HAVE_RESTARTED,
     _RUNS_UNKNOWN,
+    _SILENT,
 )
 
 # An earlier attempt may have been executed, which the next reply to a hold tells. What is found to
@@ -121,4 +133,5 @@
     _DRAINING,
     _NOT_DESCRIBED,
     _RUNS_UNKNOWN,
+    _SILENT,
 )
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -82,6 +82,8 @@
             owned.waiting_starts[grant.id] = None
             if not owned.restart_signs.has_sign() and owned.restart_signs.is_reply_overdue(now):
                 self._orders.suspect_restart(owned, "reply overdue", now)
+            else:
+                self._orders.ask_at_once(owned, now)
 
     def resume_waiting(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
         """Send the starts that wait for a target which has replied, as far as they still may be."""
--- a/packages/pool/chiveridge_pool/target_owners.py
+++ b/packages/pool/chiveridge_pool/target_owners.py
@@ -316,10 +316,12 @@
         self.orders.handle_hold_reply(owned, event, now)
         if owned.failures > failures:
             self._starts.refuse_waiting(owned, now)
-        else:
-            self._starts.resume_waiting(owned, now)
         self.serve_requests(now)
 
+    def resume_starts(self, owned: owned_targets.OwnedTarget, now: datetime.datetime) -> None:
+        """Send the starts that wait for a target that has replied."""
+        self._starts.resume_waiting(owned, now)
+
     def handle_start_reply(self, event: events.StartReplied, now: datetime.datetime) -> None:
         """Handle the reply to a start request, or its failure."""
         self.attempts_by_answer[attempts.answer_value(event.failure)] += 1
--- a/packages/pool/chiveridge_pool/timings.py
+++ b/packages/pool/chiveridge_pool/timings.py
@@ -98,6 +98,12 @@
 Ten round trips between failure domains. The target may be restarting.
 """
 
+SHORTEST_RESTART = _ms(100)
+"""Time since its last reply within which a target is taken not to have restarted.
+
+A restart takes longer. A target that has been silent for this time is asked before a start.
+"""
+
 LATE_ORDER_TIME = _ms(12_000)
 """Longest time after which a request without a reply may still be executed, by the platform."""
 
--- a/tests/pool/test_pool_lost_start_replies.py
+++ b/tests/pool/test_pool_lost_start_replies.py
@@ -3,7 +3,7 @@
 import lost_starts
 import pytest
 
-from chiveridge_pool import actions, attempts, end_proofs, events
+from chiveridge_pool import actions, attempts, end_proofs, events, start_checks
 
 _RESULTS = attempts.AttemptResult
 _NOT_RUN = attempts.Verdict.NOT_RUN
@@ -51,6 +51,8 @@
     """Guards against lost replies that no longer reach a row of the verdicts."""
     monkeypatch.setitem(attempts._VERDICTS, row, ending)
     monkeypatch.setattr(end_proofs, "may_end", lambda proof, **_: True)
+    # Else a start waits until its target runs nothing that its owner does not know.
+    monkeypatch.setattr(start_checks, "_FIRST_ATTEMPT_CHECKS", ())
     assert _overlaps(failure)
 
 
