Do not send a start that was decided on before the process was paused

A start waits in the event loop and for a connection between the decision and its sending, and a process that was paused meanwhile sent it seconds later.

What was not sent is known not to have run: a first attempt ends the run as refused, and a further one is decided on anew.

The rows of the two new verdicts are in test_pool_lost_start_replies.py; the one that keeps a run is seen to be needed. The tests that build a start by hand pass a time.

--- a/packages/pool/chiveridge_pool/actions.py
+++ b/packages/pool/chiveridge_pool/actions.py
@@ -64,7 +64,8 @@
 class StartRun(Action, frozen=True, kw_only=True):
     """Start a run; the target rejects it after ``until_ms`` by the target's own clock.
 
-    ``attempt`` numbers the attempts of one run's start, and is not sent to the target.
+    ``attempt`` numbers the attempts of one run's start, and is not sent to the target. After
+    ``send_by`` the start is not sent, as what it was decided by may have changed.
     """
 
     target: targets.Target
@@ -75,6 +76,7 @@
     spec: str
     until_ms: int
     attempt: identifiers.AttemptNumber
+    send_by: datetime.datetime
     timeout: datetime.timedelta
 
 
--- a/packages/pool/chiveridge_pool/attempts.py
+++ b/packages/pool/chiveridge_pool/attempts.py
@@ -21,7 +21,8 @@
 
     ``UNKNOWN``: nothing, as there was no reply. ``UNREADABLE``: nothing, and a further attempt
     would hardly get a better reply. ``EXECUTED``: the target runs the task.
-    ``REJECTED``: this attempt did nothing and never will. ``OLD``: the target has seen this run or
+    ``REJECTED``: this attempt did nothing and never will. ``UNSENT``: the same, and the target
+    knows nothing of it. ``OLD``: the target has seen this run or
     a higher one and rejects all attempts from now on.
     """
 
@@ -29,6 +30,7 @@
     UNREADABLE = "unreadable"
     EXECUTED = "executed"
     REJECTED = "rejected"
+    UNSENT = "unsent"
     OLD = "old"
 
 
@@ -61,6 +63,7 @@
     events.Failure.NO_ROOM: AttemptResult.REJECTED,
     events.Failure.UNHEALTHY: AttemptResult.REJECTED,
     events.Failure.INVALID: AttemptResult.REJECTED,
+    events.Failure.NOT_SENT: AttemptResult.UNSENT,
 }
 
 _LEAVES_UNANSWERED = frozenset({AttemptResult.UNKNOWN, AttemptResult.UNREADABLE})
@@ -70,6 +73,8 @@
     (AttemptResult.EXECUTED, True): Verdict.RUNNING,
     (AttemptResult.UNKNOWN, True): Verdict.RETRY,
     (AttemptResult.UNREADABLE, True): Verdict.STOP,
+    (AttemptResult.UNSENT, False): Verdict.NOT_RUN,
+    (AttemptResult.UNSENT, True): Verdict.RETRY,
     (AttemptResult.REJECTED, False): Verdict.NOT_RUN,
     (AttemptResult.REJECTED, True): Verdict.STOP,
     (AttemptResult.OLD, False): Verdict.SUPERSEDED,
--- a/packages/pool/chiveridge_pool/events.py
+++ b/packages/pool/chiveridge_pool/events.py
@@ -12,7 +12,8 @@
     """Why a call to a target failed.
 
     After ``TIMEOUT``, ``BROKEN`` (the connection broke before the reply) and ``UNREADABLE`` it may
-    have been executed, and may still be; after the others it was not and will not be.
+    have been executed, and may still be; after the others it was not and will not be. ``NOT_SENT``:
+    the node was late, and the call was not sent any more.
     """
 
     TIMEOUT = "timeout"
@@ -26,6 +27,7 @@
     NO_ROOM = "no_room"
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
+    NOT_SENT = "not_sent"
 
 
 class Event(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/pool/chiveridge_pool/starts.py
+++ b/packages/pool/chiveridge_pool/starts.py
@@ -46,6 +46,7 @@
     events.Failure.TOO_LATE: "its start arrived too late",
     events.Failure.OLD_RUN: "the target saw a higher run",
     events.Failure.UNREADABLE: "the reply to its start was not readable",
+    events.Failure.NOT_SENT: "its start could not be sent in time",
 }
 
 
@@ -127,6 +128,7 @@
                 spec=grant.spec,
                 until_ms=grant.until_ms,
                 attempt=attempt,
+                send_by=now + timings.ORDER_TIMEOUT + allowance,
                 timeout=timings.ORDER_TIMEOUT + allowance,
             )
         )
--- a/tests/pool/test_pool_failures.py
+++ b/tests/pool/test_pool_failures.py
@@ -282,6 +282,7 @@
         spec=grant.spec,
         until_ms=grant.until_ms,
         attempt=1,
+        send_by=model.simulation.now,
         timeout=datetime.timedelta(milliseconds=60),
     )
     target.crash()
--- a/tests/pool/test_pool_lost_start_replies.py
+++ b/tests/pool/test_pool_lost_start_replies.py
@@ -18,11 +18,12 @@
     ((_RESULTS.REJECTED, True), _NOT_RUN, events.Failure.NO_ROOM),
     ((_RESULTS.REJECTED, True), _NOT_RUN, events.Failure.UNHEALTHY),
     ((_RESULTS.REJECTED, True), _NOT_RUN, events.Failure.INVALID),
+    ((_RESULTS.UNSENT, True), _NOT_RUN, events.Failure.NOT_SENT),
     ((_RESULTS.OLD, True), attempts.Verdict.SUPERSEDED, events.Failure.OLD_RUN),
 ]
 """Rows of the verdicts by which a run may go on, a verdict that ends it at once, and a failure."""
 
-_ENDING_ROWS = {(_RESULTS.REJECTED, False), (_RESULTS.OLD, False)}
+_ENDING_ROWS = {(_RESULTS.REJECTED, False), (_RESULTS.UNSENT, False), (_RESULTS.OLD, False)}
 """Rows by which a run ends at once, as nothing is unanswered."""
 
 
